--- /dev/null
+++ b/crates/agatemoor/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/base/src/event/mod.rs
@@ -0,0 +1,9 @@
+//! Numbered events and the bounded ring that holds them.
+
+mod event_kind;
+mod event_record;
+mod event_ring;
+
+pub use event_kind::{EventKind, EventScope};
+pub use event_record::EventRecord;
+pub use event_ring::EventRing;
--- /dev/null
+++ b/crates/base/src/failure/error_kind.rs
@@ -0,0 +1,123 @@
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::{ErrorAnswer, RanState, RetryAdvice, TimeSpan};
+
+/// Every error that a caller can get.
+///
+/// ```
+/// use base::{ErrorKind, RanState};
+/// let answer = ErrorKind::UnknownKey.answer();
+/// assert_eq!((answer.status, answer.ran), (401, RanState::No));
+/// assert_eq!(ErrorKind::UnknownKey.to_string(), "unknown_key");
+/// ```
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request is not valid HTTP, JSON or UTF-8, or a field has a wrong value.
+    BadRequest,
+    /// The bearer key is missing or belongs to no workspace.
+    UnknownKey,
+    /// No such path, model or service for this workspace.
+    NotFound,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// The caller sent its request too slowly.
+    RequestTimeout,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The headers are larger than the limit.
+    HeadersTooLarge,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// The ticket was not issued by this system or has expired.
+    BadTicket,
+    /// The node that alone may run this ticket or key is gone or can't be reached.
+    OwnerUnreachable,
+    /// The home of this idempotency key can't rule out an earlier run.
+    KeyUncertain,
+    /// The workspace has too many requests waiting or streams open.
+    WorkspaceLimit,
+    /// The targets are full; the request was refused before it was sent.
+    Overloaded,
+    /// No live target is allowed by the declaration.
+    NoTarget,
+    /// Requests with this content crashed the targets that ran them.
+    CrashSuspect,
+    /// The deadline passed before the answer was complete.
+    DeadlineExceeded,
+    /// The retry budget is used up.
+    RetriesExhausted,
+    /// The target failed after it may have started the request.
+    TargetLost,
+    /// The generation is lost and part of it was already delivered.
+    GenerationLost,
+    /// The target answered with an error of its own.
+    TargetFailed,
+    /// The node is stopping and takes no new work.
+    Stopping,
+    /// The node has no accepted declaration yet.
+    NotReady,
+    /// A fault of the node itself.
+    Internal,
+}
+
+const NEVER: RetryAdvice = RetryAdvice::Never;
+const SOON: RetryAdvice = RetryAdvice::After(TimeSpan::from_secs(1));
+const LATER: RetryAdvice = RetryAdvice::After(TimeSpan::from_secs(5));
+/// Crash marks expire after ten minutes.
+const CRASH_EXPIRY: RetryAdvice = RetryAdvice::After(TimeSpan::from_secs(600));
+
+impl ErrorKind {
+    /// Returns the status, run state and retry advice for this kind.
+    pub const fn answer(self) -> ErrorAnswer {
+        use RanState::{No, Unknown, Yes};
+        let (status, ran, retry, category) = match self {
+            Self::BadRequest => (400, No, NEVER, "invalid_request_error"),
+            Self::UnknownKey => (401, No, NEVER, "authentication_error"),
+            Self::NotFound => (404, No, NEVER, "invalid_request_error"),
+            Self::MethodNotAllowed => (405, No, NEVER, "invalid_request_error"),
+            Self::RequestTimeout => (408, No, SOON, "invalid_request_error"),
+            Self::BodyTooLarge => (413, No, NEVER, "invalid_request_error"),
+            Self::HeadersTooLarge => (431, No, NEVER, "invalid_request_error"),
+            Self::KeyReused => (422, No, NEVER, "invalid_request_error"),
+            Self::BadTicket => (400, No, NEVER, "invalid_request_error"),
+            Self::OwnerUnreachable => (503, Unknown, LATER, "server_error"),
+            Self::KeyUncertain => (503, Unknown, LATER, "server_error"),
+            Self::WorkspaceLimit => (429, No, SOON, "rate_limit_error"),
+            Self::Overloaded => (429, No, SOON, "rate_limit_error"),
+            Self::NoTarget => (503, No, LATER, "server_error"),
+            Self::CrashSuspect => (422, No, CRASH_EXPIRY, "invalid_request_error"),
+            Self::DeadlineExceeded => (504, Unknown, SOON, "server_error"),
+            Self::RetriesExhausted => (503, Unknown, LATER, "server_error"),
+            Self::TargetLost => (502, Unknown, SOON, "server_error"),
+            Self::GenerationLost => (502, Yes, SOON, "server_error"),
+            Self::TargetFailed => (502, Unknown, SOON, "server_error"),
+            Self::Stopping => (503, No, SOON, "server_error"),
+            Self::NotReady => (503, No, SOON, "server_error"),
+            Self::Internal => (500, Unknown, LATER, "server_error"),
+        };
+        ErrorAnswer {
+            status,
+            ran,
+            retry,
+            category,
+        }
+    }
+}
--- /dev/null
+++ b/crates/base/src/name/mod.rs
@@ -0,0 +1,8 @@
+//! Names and identifiers as newtypes over small strings.
+
+mod text_name;
+
+pub use text_name::{
+    AdapterName, DomainName, GenerationId, ModelName, NodeName, RequestId, ServiceName, TargetName,
+    VersionName, WorkspaceName,
+};
--- /dev/null
+++ b/crates/base/src/size/mod.rs
@@ -0,0 +1,7 @@
+//! Counts, sizes, rates and version numbers.
+
+mod number;
+mod revision_number;
+
+pub use number::{ByteCount, ByteRate, IncarnationNumber, TokenCount, TokenRate};
+pub use revision_number::RevisionNumber;
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,5 @@
+//! Settings, declarations and peer messages: JSON Schemas, their generated types and INI checks.
+
+mod generated;
+
+pub use generated::{declaration, settings};
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
