Add the interface of routing policies

Cause: the experiments, the node and every policy need the same interface. Change: the trait RoutePolicy with its events and actions in sched. Conclusion: policies and experiments can be written side by side.

--- /dev/null
+++ b/crates/sched/src/policy/mod.rs
@@ -0,0 +1,13 @@
+//! The interface between a routing policy and its surroundings.
+
+mod load_report;
+mod peer_digest;
+mod route_policy;
+mod sched_action;
+mod work_item;
+
+pub use load_report::{LoadReport, TargetInfo};
+pub use peer_digest::{PeerDigest, TargetDigest};
+pub use route_policy::RoutePolicy;
+pub use sched_action::{FinishState, SchedAction};
+pub use work_item::{CallKind, WorkItem, WorkPriority};
