Add HTTP plumbing, the platform and service stand-ins and the engine client

Cause: every process needs a bounded HTTP server, a connection pool that tells sent from unsent requests, and server-sent events. Conclusion: the node and the engine stand-in can be written on top.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -56,6 +56,9 @@
     NodeStopped = 1003, "The node ended its last request and exits.";
     NodeResumed = 1004, "The node found that it had been paused and re-reads its view.";
     ListenerFailed = 1005, "A listener could not accept a connection.";
+    ConnectionEnded = 1006, "A connection ended with an error.";
+    StandInStarted = 1007, "A stand-in listens on its address.";
+    LoadProgress = 1008, "The load tool reports its progress.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
     AttemptSent = 2003, "An attempt may have reached its target.";
--- /dev/null
+++ b/crates/node/src/journal/event_journal.rs
@@ -0,0 +1,129 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::{
+    DomainName, EventKind, EventRecord, EventRing, HybridClock, HybridTime, NodeName, RequestId,
+};
+use log::Level;
+
+use crate::SystemClock;
+
+struct JournalState {
+    clock: HybridClock,
+    ring: EventRing,
+}
+
+/// Notes events with hybrid logical time; clones share one ring.
+#[derive(Clone)]
+pub struct EventJournal {
+    clock: SystemClock,
+    node: NodeName,
+    domain: DomainName,
+    state: Arc<Mutex<JournalState>>,
+}
+
+impl EventJournal {
+    /// Creates a journal that keeps the latest `limit` events in memory.
+    ///
+    /// ```
+    /// use node::{EventJournal, SystemClock};
+    /// let node = "balaju-1".parse().unwrap();
+    /// let domain = "balaju".parse().unwrap();
+    /// let journal = EventJournal::new(SystemClock::new(), node, domain, 16);
+    /// journal.note(base::EventKind::NodeStarted, "listening");
+    /// assert_eq!(journal.since(Default::default()).len(), 1);
+    /// ```
+    pub fn new(clock: SystemClock, node: NodeName, domain: DomainName, limit: usize) -> Self {
+        let state = JournalState {
+            clock: HybridClock::new(),
+            ring: EventRing::new(limit),
+        };
+        Self {
+            clock,
+            node,
+            domain,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Notes an event of the process.
+    pub fn note(&self, kind: EventKind, detail: impl AsRef<str>) {
+        self.push(kind, None, detail.as_ref());
+    }
+
+    /// Notes an event of a request.
+    pub fn note_request(&self, kind: EventKind, request: &RequestId, detail: impl AsRef<str>) {
+        self.push(kind, Some(request), detail.as_ref());
+    }
+
+    /// Returns the time to put on a message to a peer.
+    pub fn stamp(&self) -> HybridTime {
+        self.lock().clock.tick(self.clock.wall())
+    }
+
+    /// Takes the time of a message from a peer.
+    pub fn observe(&self, remote: HybridTime) {
+        self.lock().clock.observe(self.clock.wall(), remote);
+    }
+
+    /// Returns the events after `time`, oldest first.
+    pub fn since(&self, time: HybridTime) -> Vec<EventRecord> {
+        self.lock().ring.since(time).cloned().collect()
+    }
+
+    /// Number of events that no longer fit into memory.
+    pub fn dropped(&self) -> u64 {
+        self.lock().ring.dropped()
+    }
+
+    fn push(&self, kind: EventKind, request: Option<&RequestId>, detail: &str) {
+        let mut state = self.lock();
+        let time = state.clock.tick(self.clock.wall());
+        let mut record = EventRecord::new(kind, time, self.node.clone(), self.domain.clone());
+        record.request = request.cloned();
+        let record = record.with_detail(detail);
+        write_log(&record);
+        state.ring.push(record);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, JournalState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Events of single requests are frequent and stand at debug level.
+fn level_of(kind: EventKind) -> Level {
+    use EventKind::{
+        AttemptSent, CallerGone, GenerationStarted, RequestAccepted, RequestFinished, TicketIssued,
+    };
+    use EventKind::{
+        CrashCondemned, ListenerFailed, OrderFailed, PeerRefused, PlatformLost, RevisionRejected,
+        RolloutHalted, TargetDown,
+    };
+    match kind {
+        RequestAccepted | AttemptSent | GenerationStarted | RequestFinished | TicketIssued
+        | CallerGone => Level::Debug,
+        CrashCondemned | ListenerFailed | OrderFailed | PeerRefused | PlatformLost
+        | RevisionRejected | RolloutHalted | TargetDown => Level::Warn,
+        _ => Level::Info,
+    }
+}
+
+fn write_log(record: &EventRecord) {
+    let level = level_of(record.kind);
+    if level > log::max_level() {
+        return;
+    }
+    let request = record.request.as_ref().map_or("", RequestId::as_str);
+    log::log!(
+        target: "event",
+        level,
+        event = record.kind.number(),
+        kind:% = record.kind,
+        time:% = record.time,
+        node = record.node.as_str(),
+        domain = record.domain.as_str(),
+        request = request;
+        "{}",
+        record.detail
+    );
+}
--- /dev/null
+++ b/crates/node/src/target/engine_client.rs
@@ -0,0 +1,121 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use base::{
+    AdapterName, GenerationId, IncarnationNumber, ModelName, RequestId, TargetName, TimeSpan,
+    VersionName,
+};
+use sched::{LoadReport, WorkPriority};
+use schema::declaration::EngineRole;
+use serde::{Deserialize, Serialize};
+
+use super::{EngineFault, EngineStream};
+
+/// Result of a call that is under way.
+pub type CallFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, EngineFault>> + Send + 'a>>;
+
+/// A generation to be started.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    /// Request that the generation answers.
+    pub request: RequestId,
+    /// Path under `/v1/`, such as `completions`.
+    pub path: &'static str,
+    /// Body of the caller as a JSON object, to be sent with `stream` set.
+    pub body: serde_json::Map<String, serde_json::Value>,
+    /// Priority at the engine; a lower number runs first.
+    pub priority: WorkPriority,
+    /// Longest wait for the response head.
+    pub wait: TimeSpan,
+}
+
+/// A model version that an engine has in memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadedVersion {
+    /// Model.
+    pub model: ModelName,
+    /// Version of the model.
+    pub version: VersionName,
+    /// Adapters of this version, sorted by name.
+    #[serde(default)]
+    pub adapters: Vec<AdapterName>,
+    /// Whether it can serve; false while weights are loading.
+    pub ready: bool,
+    /// Why it can't be loaded, if it failed.
+    #[serde(default)]
+    pub failure: Option<String>,
+}
+
+/// State of an engine as it reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineHealth {
+    /// Run of the engine's process.
+    pub incarnation: IncarnationNumber,
+    /// Whether the engine is about to be taken away.
+    pub leaving: bool,
+    /// Role in force.
+    #[serde(default)]
+    pub role: Option<EngineRole>,
+    /// Versions in memory.
+    #[serde(default)]
+    pub loaded: Vec<LoadedVersion>,
+}
+
+/// An order to an engine, as JSON with the fencing number in text form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// Fencing number, comparable as text.
+    pub fencing: String,
+    /// What to do: `load`, `unload`, `load_adapter`, `unload_adapter` or `set_role`.
+    pub action: String,
+    /// Model, for all actions but `set_role`.
+    #[serde(default)]
+    pub model: Option<ModelName>,
+    /// Version of the model.
+    #[serde(default)]
+    pub version: Option<VersionName>,
+    /// Adapter, for the adapter actions.
+    #[serde(default)]
+    pub adapter: Option<AdapterName>,
+    /// New role.
+    #[serde(default)]
+    pub role: Option<EngineRole>,
+    /// Bytes of weights a second that the engine may read.
+    #[serde(default)]
+    pub rate: Option<u64>,
+}
+
+/// Calls of one kind of engine.
+pub trait EngineClient: Send + Sync {
+    /// Starts a generation.
+    fn start(&self, address: SocketAddr, call: EngineCall) -> CallFuture<'_, EngineStream>;
+
+    /// Reads a running or retained generation from `offset` on a fresh connection.
+    fn resume(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        offset: u32,
+    ) -> CallFuture<'_, EngineStream>;
+
+    /// Cancels a generation; an unknown one is no error.
+    fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()>;
+
+    /// Changes the priority of a running generation.
+    fn set_priority(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        priority: WorkPriority,
+    ) -> CallFuture<'_, ()>;
+
+    /// Gives an order.
+    fn order(&self, address: SocketAddr, order: EngineOrder) -> CallFuture<'_, ()>;
+
+    /// Reads the state of the engine.
+    fn health(&self, address: SocketAddr) -> CallFuture<'_, EngineHealth>;
+
+    /// Reads the load of the engine.
+    fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport>;
+}
--- /dev/null
+++ b/crates/node/src/target/http_engine.rs
@@ -0,0 +1,249 @@
+use std::net::SocketAddr;
+
+use base::{GenerationId, TargetName, TimeSpan};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use sched::{LoadReport, WorkPriority};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+use web::{
+    ConnectionPool, PooledSender, SendPhase, WebBody, WebError, empty_body, json_body, read_body,
+};
+
+use super::{
+    CallFuture, EngineCall, EngineClient, EngineFault, EngineHealth, EngineOrder, EngineStream,
+    parse_load,
+};
+use crate::SystemClock;
+
+/// Longest body of an answer that is not a stream.
+const ANSWER_LIMIT: usize = 1 << 20;
+/// Longest wait for an answer that is not a stream.
+const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(2);
+/// Header by which an engine says that it did not admit a request.
+const ADMITTED_HEADER: &str = "x-admitted";
+
+/// Client of engines with the OpenAI-compatible API and the customary extensions.
+#[derive(Clone)]
+pub struct HttpEngine {
+    pool: ConnectionPool,
+    clock: SystemClock,
+}
+
+impl HttpEngine {
+    /// Creates a client that takes its connections from `pool`.
+    ///
+    /// ```
+    /// let pool = web::ConnectionPool::new(web::PoolSettings::new());
+    /// let _engine = node::HttpEngine::new(pool, node::SystemClock::new());
+    /// ```
+    pub fn new(pool: ConnectionPool, clock: SystemClock) -> Self {
+        Self { pool, clock }
+    }
+
+    async fn start_call(
+        &self,
+        address: SocketAddr,
+        mut call: EngineCall,
+    ) -> Result<EngineStream, EngineFault> {
+        call.body.insert("stream".to_owned(), Value::Bool(true));
+        call.body
+            .insert("priority".to_owned(), json!(call.priority.0));
+        call.body
+            .insert("request_id".to_owned(), json!(call.request));
+        let path = format!("/v1/{}", call.path);
+        let request = json_request(Method::POST, address, &path, &Value::Object(call.body));
+        // A fresh connection leaves no doubt whether the request was sent.
+        let sent = self
+            .send(address, SendPhase::Fresh, request, call.wait)
+            .await;
+        let (response, connection) = sent?;
+        self.open_stream(response, connection).await
+    }
+
+    async fn resume_call(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        offset: u32,
+    ) -> Result<EngineStream, EngineFault> {
+        let path = format!("/v1/generations/{generation}/events?offset={offset}");
+        let request = plain_request(Method::GET, address, &path);
+        let sent = self
+            .send(address, SendPhase::Fresh, request, ANSWER_WAIT)
+            .await;
+        let (response, connection) = sent?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Err(EngineFault::UnknownGeneration);
+        }
+        self.open_stream(response, connection).await
+    }
+
+    async fn open_stream(
+        &self,
+        response: Response<Incoming>,
+        connection: PooledSender,
+    ) -> Result<EngineStream, EngineFault> {
+        if response.status() == StatusCode::OK {
+            let body = response.into_body();
+            return Ok(EngineStream::new(body, self.pool.clone(), connection));
+        }
+        let refused = response.headers().get(ADMITTED_HEADER);
+        if refused.is_some_and(|value| value == "no") {
+            let retry_after = read_retry_after(&response);
+            return Err(EngineFault::NotAdmitted { retry_after });
+        }
+        let status = response.status().as_u16();
+        let body = read_body(response.into_body(), ANSWER_LIMIT, ANSWER_WAIT).await;
+        Err(EngineFault::Failed {
+            status,
+            body: body.unwrap_or_default(),
+        })
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        request: Request<WebBody>,
+    ) -> Result<Bytes, EngineFault> {
+        let sent = self
+            .send(address, SendPhase::Reuse, request, ANSWER_WAIT)
+            .await;
+        let (response, connection) = sent?;
+        let status = response.status();
+        let body = read_body(response.into_body(), ANSWER_LIMIT, ANSWER_WAIT).await;
+        let body = body.map_err(|error| EngineFault::Lost {
+            reason: error.to_string(),
+        })?;
+        self.pool.release(connection);
+        if status.is_success() {
+            return Ok(body);
+        }
+        let status = status.as_u16();
+        Err(EngineFault::Failed { status, body })
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        phase: SendPhase,
+        request: Request<WebBody>,
+        wait: TimeSpan,
+    ) -> Result<(Response<Incoming>, PooledSender), EngineFault> {
+        let sent = timeout(wait.into(), self.pool.send(address, phase, request)).await;
+        let Ok(answered) = sent else {
+            self.pool.forget(address);
+            return Err(EngineFault::Silent);
+        };
+        answered.map_err(|error: WebError| {
+            let reason = error.to_string();
+            if error.is_unsent() {
+                EngineFault::Unsent { reason }
+            } else {
+                EngineFault::Lost { reason }
+            }
+        })
+    }
+}
+
+impl EngineClient for HttpEngine {
+    fn start(&self, address: SocketAddr, call: EngineCall) -> CallFuture<'_, EngineStream> {
+        Box::pin(self.start_call(address, call))
+    }
+
+    fn resume(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        offset: u32,
+    ) -> CallFuture<'_, EngineStream> {
+        Box::pin(self.resume_call(address, generation, offset))
+    }
+
+    fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()> {
+        Box::pin(async move {
+            let path = format!("/v1/generations/{generation}");
+            let request = plain_request(Method::DELETE, address, &path);
+            match self.ask(address, request).await {
+                Ok(_) | Err(EngineFault::Failed { status: 404, .. }) => Ok(()),
+                Err(fault) => Err(fault),
+            }
+        })
+    }
+
+    fn set_priority(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+        priority: WorkPriority,
+    ) -> CallFuture<'_, ()> {
+        Box::pin(async move {
+            let path = format!("/v1/generations/{generation}");
+            let body = json!({ "priority": priority.0 });
+            let request = json_request(Method::PATCH, address, &path, &body);
+            self.ask(address, request).await.map(drop)
+        })
+    }
+
+    fn order(&self, address: SocketAddr, order: EngineOrder) -> CallFuture<'_, ()> {
+        Box::pin(async move {
+            let body = serde_json::to_value(&order).unwrap_or_default();
+            let request = json_request(Method::POST, address, "/v1/orders", &body);
+            self.ask(address, request).await.map(drop)
+        })
+    }
+
+    fn health(&self, address: SocketAddr) -> CallFuture<'_, EngineHealth> {
+        Box::pin(async move {
+            let request = plain_request(Method::GET, address, "/health");
+            let body = self.ask(address, request).await?;
+            serde_json::from_slice(&body).map_err(|error| EngineFault::Protocol {
+                reason: error.to_string(),
+            })
+        })
+    }
+
+    fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport> {
+        Box::pin(async move {
+            let request = plain_request(Method::GET, address, "/metrics");
+            let body = self.ask(address, request).await?;
+            let text = String::from_utf8_lossy(&body);
+            Ok(parse_load(target, self.clock.now(), &text))
+        })
+    }
+}
+
+fn plain_request(method: Method, address: SocketAddr, path: &str) -> Request<WebBody> {
+    build_request(method, address, path, empty_body())
+}
+
+fn json_request(method: Method, address: SocketAddr, path: &str, body: &Value) -> Request<WebBody> {
+    let mut request = build_request(method, address, path, json_body(body));
+    let kind = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, kind);
+    request
+}
+
+fn build_request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: WebBody,
+) -> Request<WebBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    // Paths are made here from checked names, and the fallback names no resource.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
+fn read_retry_after(response: &Response<Incoming>) -> Option<TimeSpan> {
+    let value = response.headers().get(RETRY_AFTER)?;
+    let secs = value.to_str().ok()?.parse().ok()?;
+    Some(TimeSpan::from_secs(secs))
+}
--- /dev/null
+++ b/crates/node/src/target/mod.rs
@@ -0,0 +1,17 @@
+//! Targets as the node talks to them.
+
+mod engine_client;
+mod engine_event;
+mod engine_fault;
+mod engine_stream;
+mod http_engine;
+mod load_text;
+
+pub use engine_client::{
+    CallFuture, EngineCall, EngineClient, EngineHealth, EngineOrder, LoadedVersion,
+};
+pub use engine_event::EngineEvent;
+pub use engine_fault::EngineFault;
+pub use engine_stream::EngineStream;
+pub use http_engine::HttpEngine;
+pub use load_text::parse_load;
--- /dev/null
+++ b/crates/standin/src/app/app_server.rs
@@ -0,0 +1,155 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{TargetName, TimeSpan};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use web::{BodyError, StopSignal, WebBody, WebServer, full_body, json_body, read_body};
+
+use crate::{RunLog, RunRecord};
+
+const BODY_LIMIT: usize = 1 << 20;
+const BODY_WAIT: TimeSpan = TimeSpan::from_secs(10);
+/// Runs kept for history checks.
+const HISTORY_LIMIT: usize = 100_000;
+/// Longest delay that a caller may ask for with `x-delay-ms`.
+const LONGEST_DELAY: TimeSpan = TimeSpan::from_secs(60);
+
+/// A plain service before it serves.
+///
+/// `POST /orders` places an order, `GET /stock/ITEM` looks an item up, `POST /echo` sends the body
+/// back as it arrives, and `GET /control/history` lists the orders that ran.
+pub struct AppServer {
+    server: WebServer,
+    name: TargetName,
+}
+
+/// A running plain service; clones share it.
+#[derive(Clone)]
+pub struct AppHandle {
+    address: SocketAddr,
+    log: RunLog,
+    stop: StopSignal,
+}
+
+struct AppState {
+    name: TargetName,
+    log: RunLog,
+}
+
+impl AppServer {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    /// If the address can't be bound.
+    pub async fn bind(address: SocketAddr, name: TargetName) -> io::Result<Self> {
+        let server = WebServer::bind(address).await?;
+        Ok(Self { server, name })
+    }
+
+    /// Serves in a task of its own.
+    pub fn start(self) -> (AppHandle, JoinHandle<()>) {
+        let log = RunLog::new(HISTORY_LIMIT);
+        let handle = AppHandle {
+            address: self.server.address(),
+            log: log.clone(),
+            stop: StopSignal::new(),
+        };
+        let state = Arc::new(AppState {
+            name: self.name,
+            log,
+        });
+        let handler = move |request| -> web::HandlerFuture {
+            Box::pin(answer_request(state.clone(), request))
+        };
+        let task = tokio::spawn(self.server.serve(Arc::new(handler), handle.stop.clone()));
+        (handle, task)
+    }
+}
+
+impl AppHandle {
+    /// Address on which the service listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Orders that ran.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.log.records()
+    }
+
+    /// Stops the service.
+    pub fn stop(&self) {
+        self.stop.stop();
+    }
+}
+
+async fn answer_request(state: Arc<AppState>, request: Request<Incoming>) -> Response<WebBody> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/health") => Response::new(json_body(&json!({
+            "incarnation": 1,
+            "leaving": false,
+        }))),
+        (&Method::GET, "/control/history") => Response::new(json_body(&state.log.records())),
+        (&Method::POST, "/orders") => place_order(&state, request).await,
+        (&Method::POST, "/echo") => echo_body(request),
+        (&Method::GET, path) if path.starts_with("/stock/") => {
+            let item = &path["/stock/".len()..];
+            Response::new(json_body(&json!({ "item": item, "stock": item.len() })))
+        }
+        _ => answer_status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn place_order(state: &AppState, request: Request<Incoming>) -> Response<WebBody> {
+    let (head, body) = request.into_parts();
+    let Ok(body) = read_body(body, BODY_LIMIT, BODY_WAIT).await else {
+        return answer_status(StatusCode::BAD_REQUEST);
+    };
+    let id = header_text(&head.headers, "x-request-id");
+    state.log.push(RunRecord {
+        target: SmolStr::new(state.name.as_str()),
+        request: id.clone(),
+        mark: String::from_utf8_lossy(&body).into(),
+        generation: SmolStr::default(),
+        finished: false,
+    });
+    sleep(asked_delay(&head.headers)).await;
+    state.log.finish(&id);
+    Response::new(json_body(&json!({ "ordered": true, "request": id })))
+}
+
+fn echo_body(request: Request<Incoming>) -> Response<WebBody> {
+    let kind = request.headers().get(CONTENT_TYPE).cloned();
+    let body = request.into_body();
+    let body = body.map_err(|source| BodyError::Broken { source });
+    let mut response = Response::new(body.boxed_unsync());
+    let kind = kind.unwrap_or(HeaderValue::from_static("application/octet-stream"));
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+fn asked_delay(headers: &HeaderMap) -> Duration {
+    let millis = header_text(headers, "x-delay-ms").parse().unwrap_or(0);
+    Duration::from(TimeSpan::new(millis).min(LONGEST_DELAY))
+}
+
+fn header_text(headers: &HeaderMap, name: &str) -> SmolStr {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    SmolStr::new(value.unwrap_or_default())
+}
+
+fn answer_status(status: StatusCode) -> Response<WebBody> {
+    let mut response = Response::new(full_body(status.canonical_reason().unwrap_or_default()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/standin/src/history/mod.rs
@@ -0,0 +1,5 @@
+//! Records of what the stand-ins ran, for history checks.
+
+mod run_log;
+
+pub use run_log::{RunLog, RunRecord};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the system: the platform, model engines and plain services.
+
+mod app;
+mod history;
+mod platform;
+
+pub use app::{AppHandle, AppServer};
+pub use history::{RunLog, RunRecord};
+pub use platform::{KvEntry, KvStore, ListedNode, PlatformFault, PlatformHandle, PlatformServer};
--- /dev/null
+++ b/crates/web/src/body/mod.rs
@@ -0,0 +1,5 @@
+//! Bodies of requests and responses.
+
+mod web_body;
+
+pub use web_body::{WebBody, empty_body, full_body, json_body, read_body, stream_body};
--- /dev/null
+++ b/crates/web/src/client/connection_pool.rs
@@ -0,0 +1,188 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::EventKind;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::fault::{ConnectSnafu, ConnectTimeoutSnafu, SentSnafu, UnsentSnafu};
+use crate::{PoolSettings, WebBody, WebError};
+
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendPhase {
+    /// An idle connection or a new one.
+    Reuse,
+    /// A new connection only, as for requests that must not be sent twice.
+    Fresh,
+}
+
+struct IdleConnection {
+    sender: SendRequest<WebBody>,
+    since: Instant,
+}
+
+type IdleList = Vec<IdleConnection>;
+
+/// Connections to many servers; clones share one pool.
+///
+/// A connection goes back to the pool when its response was read to the end, and only by
+/// `release`, so that one that went silent is never used again.
+#[derive(Clone)]
+pub struct ConnectionPool {
+    settings: PoolSettings,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, IdleList>>>,
+}
+
+/// A connection that a response is being read from.
+pub struct PooledSender {
+    address: SocketAddr,
+    sender: SendRequest<WebBody>,
+}
+
+impl ConnectionPool {
+    /// Creates an empty pool.
+    ///
+    /// ```
+    /// let pool = web::ConnectionPool::new(web::PoolSettings::new());
+    /// assert_eq!(pool.idle_count(), 0);
+    /// ```
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Connections that wait for a request.
+    pub fn idle_count(&self) -> usize {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.values().map(Vec::len).sum()
+    }
+
+    /// Opens a connection or takes an idle one, without sending anything.
+    ///
+    /// # Errors
+    /// `Connect` or `ConnectTimeout`.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        phase: SendPhase,
+    ) -> Result<PooledSender, WebError> {
+        if phase == SendPhase::Reuse
+            && let Some(sender) = self.take_idle(address)
+        {
+            return Ok(PooledSender { address, sender });
+        }
+        let wait = Duration::from(self.settings.connect_wait);
+        let Ok(connected) = timeout(wait, open_connection(address)).await else {
+            return ConnectTimeoutSnafu { address }.fail();
+        };
+        let sender = connected?;
+        Ok(PooledSender { address, sender })
+    }
+
+    /// Sends a request on a connection of its own or an idle one and returns the response head.
+    ///
+    /// # Errors
+    /// The error tells whether a byte may have reached the server.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        phase: SendPhase,
+        request: Request<WebBody>,
+    ) -> Result<(Response<Incoming>, PooledSender), WebError> {
+        let mut connection = self.connect(address, phase).await?;
+        match connection.send(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err((WebError::Unsent, Some(request))) if phase == SendPhase::Reuse => {
+                let mut fresh = self.connect(address, SendPhase::Fresh).await?;
+                let response = fresh.send(request).await.map_err(|(error, _)| error)?;
+                Ok((response, fresh))
+            }
+            Err((error, _)) => Err(error),
+        }
+    }
+
+    /// Gives back a connection whose response was read to the end.
+    pub fn release(&self, connection: PooledSender) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(connection.address).or_default();
+        if list.len() < self.settings.idle_limit {
+            list.push(IdleConnection {
+                sender: connection.sender,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    /// Drops the idle connections to `address`, as after one of them went silent.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<WebBody>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.get_mut(&address)?;
+        let oldest = Duration::from(self.settings.idle_wait);
+        list.retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < oldest);
+        // The one used last is the least likely to have been forgotten on the way.
+        list.pop().map(|entry| entry.sender)
+    }
+}
+
+impl PooledSender {
+    /// Sends a request and returns the response head; an unsent request is given back.
+    ///
+    /// # Errors
+    /// `Unsent` with the request, or `Sent`.
+    pub async fn send(
+        &mut self,
+        request: Request<WebBody>,
+    ) -> Result<Response<Incoming>, (WebError, Option<Request<WebBody>>)> {
+        if self.sender.ready().await.is_err() {
+            return Err((WebError::Unsent, Some(request)));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Err((UnsentSnafu.build(), Some(request))),
+                None => {
+                    let failed = Err::<(), _>(error.into_error()).context(SentSnafu);
+                    Err((failed.err().unwrap_or(WebError::Unsent), None))
+                }
+            },
+        }
+    }
+}
+
+async fn open_connection(address: SocketAddr) -> Result<SendRequest<WebBody>, WebError> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.context(ConnectSnafu { address })?;
+    let stream = match stream.set_nodelay(true) {
+        Ok(()) => stream,
+        Err(source) => return Err(WebError::Connect { address, source }),
+    };
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let Ok((sender, connection)) = handshake else {
+        return UnsentSnafu.fail();
+    };
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            let number = EventKind::ConnectionEnded.number();
+            log::debug!(event = number; "connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/web/src/client/mod.rs
@@ -0,0 +1,7 @@
+//! Connections to servers, kept open between requests.
+
+mod connection_pool;
+mod pool_settings;
+
+pub use connection_pool::{ConnectionPool, PooledSender, SendPhase};
+pub use pool_settings::PoolSettings;
--- /dev/null
+++ b/crates/web/src/fault.rs
@@ -0,0 +1,86 @@
+//! Errors of this crate.
+
+use std::io;
+
+use snafu::Snafu;
+
+/// A body that could not be read to its end.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum BodyError {
+    /// The body is larger than its limit.
+    #[snafu(display("body is larger than {limit} bytes"))]
+    TooLarge {
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// No part of the body arrived in time.
+    #[snafu(display("no part of the body arrived in time"))]
+    TimedOut,
+    /// The connection failed.
+    #[snafu(display("connection failed: {source}"))]
+    Broken {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The sender ended the body early.
+    #[snafu(display("body ended early: {reason}"))]
+    Aborted {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// A request that got no response.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum WebError {
+    /// No connection could be made; nothing was sent.
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Connect {
+        /// Address of the server.
+        address: std::net::SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Connecting took too long; nothing was sent.
+    #[snafu(display("connecting to {address} timed out"))]
+    ConnectTimeout {
+        /// Address of the server.
+        address: std::net::SocketAddr,
+    },
+    /// The connection was closed before any byte was sent.
+    #[snafu(display("connection was closed before the request was sent"))]
+    Unsent,
+    /// The connection failed after a byte may have been sent.
+    #[snafu(display("connection failed after the request was sent: {source}"))]
+    Sent {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// No response arrived in time, although the request may have been sent.
+    #[snafu(display("no response in time"))]
+    ResponseTimeout,
+    /// The response body could not be read.
+    #[snafu(display("response body: {source}"))]
+    Body {
+        /// Cause.
+        source: BodyError,
+    },
+    /// The response is not what was expected.
+    #[snafu(display("unexpected response: {reason}"))]
+    Unexpected {
+        /// What was found.
+        reason: String,
+    },
+}
+
+impl WebError {
+    /// Tells whether no byte of the request can have reached the server.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::Unsent
+        )
+    }
+}
--- /dev/null
+++ b/crates/web/src/server/mod.rs
@@ -0,0 +1,11 @@
+//! A bounded HTTP/1 server.
+
+mod server_limits;
+mod stop_signal;
+mod web_handler;
+mod web_server;
+
+pub use server_limits::ServerLimits;
+pub use stop_signal::StopSignal;
+pub use web_handler::{HandlerFuture, WebHandler};
+pub use web_server::WebServer;
--- /dev/null
+++ b/crates/web/src/server/web_server.rs
@@ -0,0 +1,112 @@
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::EventKind;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
+
+use crate::{ServerLimits, StopSignal, WebHandler};
+
+/// Pause after a failed accept, which mostly means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A listener that serves HTTP/1 until it is told to stop.
+pub struct WebServer {
+    listener: TcpListener,
+    address: SocketAddr,
+    limits: ServerLimits,
+}
+
+impl WebServer {
+    /// Listens on `address`; port 0 lets the system choose a port.
+    ///
+    /// # Errors
+    /// If the address can't be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(Self {
+            listener,
+            address,
+            limits: ServerLimits::new(),
+        })
+    }
+
+    /// Returns this server with other limits.
+    #[must_use]
+    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until `stop` is given, then lets every request in flight end.
+    pub async fn serve(self, handler: Arc<dyn WebHandler>, stop: StopSignal) {
+        let graceful = GracefulShutdown::new();
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                () = stop.stopped() => break,
+                accepted = accept_next(&self.listener, &permits) => accepted,
+            };
+            let Ok((stream, permit)) = accepted else {
+                let number = EventKind::ListenerFailed.number();
+                log::warn!(event = number; "cannot accept a connection on {}", self.address);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            spawn_connection(stream, permit, &handler, self.limits, graceful.watcher());
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
+    }
+}
+
+async fn accept_next(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, Option<OwnedSemaphorePermit>)> {
+    let permit = permits.clone().acquire_owned().await.ok();
+    let (stream, _) = listener.accept().await?;
+    stream.set_nodelay(true)?;
+    Ok((stream, permit))
+}
+
+fn spawn_connection(
+    stream: TcpStream,
+    permit: Option<OwnedSemaphorePermit>,
+    handler: &Arc<dyn WebHandler>,
+    limits: ServerLimits,
+    watcher: Watcher,
+) {
+    let handler = handler.clone();
+    let service = service_fn(move |request| {
+        let answer = handler.handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from(limits.header_wait))
+        .max_buf_size(limits.header_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = watcher.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            let number = EventKind::ConnectionEnded.number();
+            log::debug!(event = number; "accepted connection ended: {error}");
+        }
+        drop(permit);
+    });
+}
