Add the model of a continuously batching engine

Cause: policies and stand-ins need an engine whose batching, memory and preemption behave like those of real engines, in virtual time and behind HTTP.

Change: crate engine holds EngineModel: steps with chunked prefill, paged memory that grows by token, a prefix cache with LRU eviction in that memory, preemption of the lowest priority and youngest sequence, priorities at admission, cancel, resume, weights loaded at a rate, load figures. No I/O; time in microseconds inside, ClockTime outside.

Conclusion: usable by the stand-in and by experiments; step times and memory size are assumptions of EngineProfile::default, not measured on hardware.

--- /dev/null
+++ b/crates/engine/src/time/mod.rs
@@ -0,0 +1,5 @@
+//! Time inside the model.
+
+mod engine_time;
+
+pub use engine_time::EngineTime;
