Add the engine stand-in over HTTP

Cause: the whole path needs an engine with the API of the design. Conclusion: the node can be tried against it.

--- a/crates/engine/src/model/engine_model.rs
+++ b/crates/engine/src/model/engine_model.rs
@@ -1,4 +1,4 @@
-use base::{ByteCount, ClockTime, GenerationId, RequestId, TokenCount};
+use base::{ByteCount, ByteRate, ClockTime, GenerationId, RequestId, TokenCount};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -232,6 +232,11 @@
         self.weights.loaded()
     }
 
+    /// Changes the rate at which weights are loaded from now on.
+    pub fn set_weight_rate(&mut self, rate: ByteRate) {
+        self.profile.weight_rate = rate;
+    }
+
     /// Speed and limits of this engine.
     pub fn profile(&self) -> &EngineProfile {
         &self.profile
--- a/crates/standin/src/app/app_server.rs
+++ b/crates/standin/src/app/app_server.rs
@@ -121,6 +121,8 @@
         request: id.clone(),
         mark: String::from_utf8_lossy(&body).into(),
         generation: SmolStr::default(),
+        model: SmolStr::default(),
+        chat: false,
         finished: false,
     });
     sleep(asked_delay(&head.headers)).await;
--- /dev/null
+++ b/crates/standin/src/engine/engine_api.rs
@@ -0,0 +1,422 @@
+use std::sync::Arc;
+
+use base::{GenerationId, RequestId, TimeSpan, TokenCount};
+use bytes::{Bytes, BytesMut};
+use engine::{EnginePriority, GenerationEnd, RefusalReason};
+use futures_util::stream::unfold;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use web::{BodyError, WebBody, full_body, json_body, read_body, stream_body};
+
+use super::call_body::{CallBody, parse_weights};
+use super::engine_state::EngineState;
+use super::token_text::token_text;
+
+const BODY_LIMIT: usize = 8 << 20;
+const BODY_WAIT: TimeSpan = TimeSpan::from_secs(10);
+
+/// Form of the chunks that a call gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChunkForm {
+    Completion,
+    Chat,
+}
+
+/// Answers one request.
+pub async fn answer_request(
+    state: Arc<EngineState>,
+    request: Request<Incoming>,
+) -> Response<WebBody> {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let generation = path
+        .strip_prefix("/v1/generations/")
+        .and_then(|rest| rest.strip_suffix("/events").unwrap_or(rest).parse().ok());
+    match (request.method(), path.as_str(), generation) {
+        (&Method::POST, "/v1/completions", _) => {
+            start_call(state, request, ChunkForm::Completion).await
+        }
+        (&Method::POST, "/v1/chat/completions", _) => {
+            start_call(state, request, ChunkForm::Chat).await
+        }
+        (&Method::GET, "/health", _) => answer_health(&state),
+        (&Method::GET, "/metrics", _) => answer_metrics(&state),
+        (&Method::GET, "/control/history", _) => Response::new(json_body(&state.log.records())),
+        (&Method::PUT, "/control/leave", _) => {
+            state.set_switches(|switches| switches.leaving = true);
+            Response::new(full_body("ok"))
+        }
+        (&Method::PUT, "/control/mute", _) => {
+            state.mute_streams();
+            Response::new(full_body("ok"))
+        }
+        (&Method::POST, "/v1/orders", _) => take_order(&state, request).await,
+        (&Method::GET, _, Some(generation)) => resume_call(state, generation, &query),
+        (&Method::DELETE, _, Some(generation)) => cancel_call(&state, &generation),
+        (&Method::PATCH, _, Some(generation)) => {
+            change_priority(&state, &generation, request).await
+        }
+        _ => answer_error(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+async fn start_call(
+    state: Arc<EngineState>,
+    request: Request<Incoming>,
+    form: ChunkForm,
+) -> Response<WebBody> {
+    let Ok(body) = read_body(request.into_body(), BODY_LIMIT, BODY_WAIT).await else {
+        return answer_error(StatusCode::BAD_REQUEST, "body can't be read");
+    };
+    let Ok(call) = serde_json::from_slice::<CallBody>(&body) else {
+        return answer_error(StatusCode::BAD_REQUEST, "body is not a call");
+    };
+    let prompt = call.prompt_text();
+    let crash = state.settings.crash_text.as_ref();
+    if crash.is_some_and(|text| prompt.contains(text.as_str())) {
+        state.crash();
+        return std::future::pending().await;
+    }
+    if state.switches().leaving {
+        return refuse_call("engine is leaving");
+    }
+    let id = call.request_id.clone().unwrap_or_else(unnamed_request);
+    let request = call.to_request(id.clone(), &prompt);
+    let submitted = state.edit_model(|model, now| model.submit(now, request));
+    match submitted {
+        Ok(generation) => {
+            state.record_run(&id, &generation, &call, form == ChunkForm::Chat);
+            stream_generation(state, generation, 0, form, &call.model)
+        }
+        Err(RefusalReason::PromptTooLong) => {
+            answer_error(StatusCode::BAD_REQUEST, "prompt is too long")
+        }
+        Err(reason) => refuse_call(&reason.to_string()),
+    }
+}
+
+fn unnamed_request() -> RequestId {
+    let text = format!("unnamed-{:016x}", rand::random::<u64>());
+    // Letters, digits and a hyphen are always a valid name.
+    text.parse().expect("valid request id")
+}
+
+fn resume_call(
+    state: Arc<EngineState>,
+    generation: GenerationId,
+    query: &str,
+) -> Response<WebBody> {
+    let offset = query.strip_prefix("offset=");
+    let offset = offset.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let known = state.read_generation(&generation);
+    let run = state.log.find_generation(generation.as_str());
+    let (Some(_), Some(run)) = (known, run) else {
+        return answer_error(StatusCode::NOT_FOUND, "no such generation");
+    };
+    let form = match run.chat {
+        true => ChunkForm::Chat,
+        false => ChunkForm::Completion,
+    };
+    stream_generation(state, generation, offset, form, &run.model)
+}
+
+fn cancel_call(state: &EngineState, generation: &GenerationId) -> Response<WebBody> {
+    let cancelled = state.edit_model(|model, now| model.cancel_generation(now, generation));
+    match cancelled {
+        Some(count) => Response::new(json_body(&json!({ "cancelled_at": count.0 }))),
+        None => answer_error(StatusCode::NOT_FOUND, "no such generation"),
+    }
+}
+
+async fn change_priority(
+    state: &EngineState,
+    generation: &GenerationId,
+    request: Request<Incoming>,
+) -> Response<WebBody> {
+    let body = read_body(request.into_body(), BODY_LIMIT, BODY_WAIT).await;
+    let value: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
+    let Some(priority) = value["priority"]
+        .as_u64()
+        .and_then(|level| u8::try_from(level).ok())
+    else {
+        return answer_error(StatusCode::BAD_REQUEST, "priority is missing");
+    };
+    let Some(view) = state.read_generation(generation) else {
+        return answer_error(StatusCode::NOT_FOUND, "no such generation");
+    };
+    let priority = EnginePriority(priority);
+    state.edit_model(|model, now| model.set_priority(now, &view.request, priority));
+    Response::new(json_body(&json!({ "ok": true })))
+}
+
+struct StreamState {
+    engine: Arc<EngineState>,
+    changed: watch::Receiver<u64>,
+    number: u64,
+    generation: GenerationId,
+    offset: u32,
+    form: ChunkForm,
+    model: SmolStr,
+    done: bool,
+}
+
+fn stream_generation(
+    engine: Arc<EngineState>,
+    generation: GenerationId,
+    offset: u32,
+    form: ChunkForm,
+    model: &str,
+) -> Response<WebBody> {
+    let state = StreamState {
+        changed: engine.subscribe(),
+        number: engine.open_stream(),
+        engine,
+        generation,
+        offset,
+        form,
+        model: SmolStr::new(model),
+        done: false,
+    };
+    let chunks = unfold(state, |mut state| async move {
+        let chunk = state.next_chunk().await?;
+        Some((chunk, state))
+    });
+    let mut response = Response::new(stream_body(chunks));
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+impl StreamState {
+    /// Waits for tokens and returns them as events; `None` after the end.
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            if self.done {
+                return None;
+            }
+            self.changed.mark_unchanged();
+            if self.engine.switches().mute_streams >= self.number {
+                return std::future::pending().await;
+            }
+            let Some(view) = self.engine.read_generation(&self.generation) else {
+                return self.abort("generation is gone");
+            };
+            let mut chunk = BytesMut::new();
+            for offset in view.offsets_from(self.offset) {
+                self.write_token(&mut chunk, offset);
+                self.offset = offset + 1;
+            }
+            match view.end {
+                Some(GenerationEnd::Finished) => {
+                    self.write_end(&mut chunk, view.produced);
+                    self.done = true;
+                }
+                Some(_) if chunk.is_empty() => return self.abort("generation was given up"),
+                _ => {}
+            }
+            if !chunk.is_empty() {
+                return Some(Ok(chunk.freeze()));
+            }
+            if self.changed.changed().await.is_err() {
+                return self.abort("engine stopped");
+            }
+        }
+    }
+
+    fn abort(&mut self, reason: &str) -> Option<Result<Bytes, BodyError>> {
+        self.done = true;
+        let reason = reason.to_owned();
+        Some(Err(BodyError::Aborted { reason }))
+    }
+
+    fn write_token(&self, chunk: &mut BytesMut, offset: u32) {
+        let generation = self.generation.as_str();
+        let text = token_text(generation, offset);
+        let choice = match self.form {
+            ChunkForm::Completion => json!({ "index": 0, "text": text, "finish_reason": null }),
+            ChunkForm::Chat => {
+                json!({ "index": 0, "delta": { "content": text }, "finish_reason": null })
+            }
+        };
+        let data = self.wrap_choice(choice, None);
+        chunk.extend_from_slice(format!("id: {generation}:{offset}\ndata: {data}\n\n").as_bytes());
+    }
+
+    fn write_end(&self, chunk: &mut BytesMut, count: TokenCount) {
+        let generation = self.generation.as_str();
+        let choice = match self.form {
+            ChunkForm::Completion => json!({ "index": 0, "text": "", "finish_reason": "stop" }),
+            ChunkForm::Chat => json!({ "index": 0, "delta": {}, "finish_reason": "stop" }),
+        };
+        let usage =
+            json!({ "completion_tokens": count.0, "prompt_tokens": 0, "total_tokens": count.0 });
+        let data = self.wrap_choice(choice, Some(usage));
+        let text = format!(
+            "id: {generation}:{}\nevent: end\ndata: {data}\n\ndata: [DONE]\n\n",
+            count.0
+        );
+        chunk.extend_from_slice(text.as_bytes());
+    }
+
+    fn wrap_choice(&self, choice: Value, usage: Option<Value>) -> Value {
+        let object = match self.form {
+            ChunkForm::Completion => "text_completion",
+            ChunkForm::Chat => "chat.completion.chunk",
+        };
+        let mut data = json!({
+            "id": self.generation.as_str(),
+            "object": object,
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if let Some(usage) = usage {
+            data["usage"] = usage;
+        }
+        data
+    }
+}
+
+fn answer_health(state: &EngineState) -> Response<WebBody> {
+    let switches = state.switches();
+    let mut loaded: Vec<Value> = Vec::new();
+    for (key, ready, failure) in state.weight_states() {
+        let same = |entry: &&mut Value| {
+            entry["model"] == key.model.as_str() && entry["version"] == key.version.as_str()
+        };
+        match (&key.adapter, loaded.iter_mut().find(same)) {
+            (Some(adapter), Some(entry)) if ready => {
+                if let Some(list) = entry["adapters"].as_array_mut() {
+                    list.push(json!(adapter));
+                }
+            }
+            (Some(_), _) => {}
+            (None, _) => loaded.push(json!({
+                "model": key.model,
+                "version": key.version,
+                "adapters": [],
+                "ready": ready,
+                "failure": failure,
+            })),
+        }
+    }
+    Response::new(json_body(&json!({
+        "incarnation": state.incarnation.0,
+        "leaving": switches.leaving,
+        "role": switches.role,
+        "loaded": loaded,
+    })))
+}
+
+fn answer_metrics(state: &EngineState) -> Response<WebBody> {
+    let figures = state.edit_model(|model, _| model.load_figures());
+    let lines = [
+        (
+            "engine_requests_running",
+            "gauge",
+            u64::from(figures.running),
+        ),
+        (
+            "engine_requests_waiting",
+            "gauge",
+            u64::from(figures.waiting),
+        ),
+        ("engine_pages_used", "gauge", u64::from(figures.used_pages)),
+        (
+            "engine_pages_cached",
+            "gauge",
+            u64::from(figures.cached_pages),
+        ),
+        (
+            "engine_pages_total",
+            "gauge",
+            u64::from(figures.total_pages),
+        ),
+        (
+            "engine_page_tokens",
+            "gauge",
+            u64::from(figures.page_tokens),
+        ),
+        ("engine_preemptions_total", "counter", figures.preemptions),
+        (
+            "engine_recomputed_tokens_total",
+            "counter",
+            figures.recomputed_tokens,
+        ),
+    ];
+    let text: String = lines
+        .iter()
+        .map(|(name, kind, value)| format!("# TYPE {name} {kind}\n{name} {value}\n"))
+        .collect();
+    let mut response = Response::new(full_body(text));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    fencing: String,
+    action: SmolStr,
+    #[serde(default)]
+    model: Option<SmolStr>,
+    #[serde(default)]
+    version: Option<SmolStr>,
+    #[serde(default)]
+    adapter: Option<SmolStr>,
+    #[serde(default)]
+    role: Option<SmolStr>,
+}
+
+async fn take_order(state: &EngineState, request: Request<Incoming>) -> Response<WebBody> {
+    let body = read_body(request.into_body(), BODY_LIMIT, BODY_WAIT).await;
+    let Ok(order) = serde_json::from_slice::<OrderBody>(&body.unwrap_or_default()) else {
+        return answer_error(StatusCode::BAD_REQUEST, "body is not an order");
+    };
+    if state.settings.fencing && order.fencing < state.switches().fencing {
+        return answer_error(StatusCode::CONFLICT, "fencing number is old");
+    }
+    let fencing = order.fencing.clone();
+    state.set_switches(|switches| switches.fencing = fencing.max(switches.fencing.clone()));
+    if order.action == "set_role" {
+        state.set_switches(|switches| switches.role = order.role);
+        return Response::new(json_body(&json!({ "ok": true })));
+    }
+    let (Some(model), Some(version)) = (&order.model, &order.version) else {
+        return answer_error(StatusCode::BAD_REQUEST, "model and version are missing");
+    };
+    let adapter = order.adapter.as_ref();
+    let name = match adapter {
+        Some(adapter) => format!("{model}:{version}+{adapter}"),
+        None => format!("{model}:{version}"),
+    };
+    let Some(key) = parse_weights(&name) else {
+        return answer_error(StatusCode::BAD_REQUEST, "names are not valid");
+    };
+    match order.action.as_str() {
+        "load" | "load_adapter" => state.load_weights(key),
+        "unload" | "unload_adapter" => state.unload_weights(&key),
+        _ => return answer_error(StatusCode::BAD_REQUEST, "no such action"),
+    }
+    Response::new(json_body(&json!({ "ok": true })))
+}
+
+fn refuse_call(reason: &str) -> Response<WebBody> {
+    let mut response = answer_error(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let headers = response.headers_mut();
+    headers.insert("x-admitted", HeaderValue::from_static("no"));
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+fn answer_error(status: StatusCode, message: &str) -> Response<WebBody> {
+    let body = json!({ "error": { "message": message, "type": "engine_error" } });
+    let mut response = Response::new(json_body(&body));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/standin/src/history/run_log.rs
+++ b/crates/standin/src/history/run_log.rs
@@ -15,6 +15,10 @@
     pub mark: SmolStr,
     /// Generation, for engines.
     pub generation: SmolStr,
+    /// Model that was asked for, for engines.
+    pub model: SmolStr,
+    /// Whether it was a chat completion.
+    pub chat: bool,
     /// Whether it ran to its end.
     pub finished: bool,
 }
@@ -61,6 +65,15 @@
         }
     }
 
+    /// Returns the run of a generation.
+    pub fn find_generation(&self, generation: &str) -> Option<RunRecord> {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut latest = records.iter().rev();
+        latest
+            .find(|record| record.generation == generation)
+            .cloned()
+    }
+
     /// Returns the runs, oldest first.
     pub fn records(&self) -> Vec<RunRecord> {
         let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
