Check INI files against the schemas and accept key sets

Cause: the node has no way to read its settings or a declaration. Change: read_settings and read_declaration interpret the embedded JSON Schemas and report every mistake with file, line, key, found and allowed value and the nearest known name. The crate fleet gains key sets, the head key, and accept, a pure function from a key set to a FleetDeclaration.

--- /dev/null
+++ b/crates/fleet/src/keys/head_file.rs
@@ -0,0 +1,173 @@
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use schema::{IniEntry, IniFile, IniSection, SettingMistake};
+use smol_str::SmolStr;
+
+use super::{KeyText, TextHash};
+
+/// Name of the key that lists the others.
+const HEAD_NAME: &str = "head";
+/// Keys that one declaration may have.
+const KEY_LIMIT: usize = 4_096;
+/// Longest name of a key in bytes.
+const NAME_LIMIT: usize = 200;
+
+/// Name and hash of one key that belongs to the set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeadEntry {
+    /// Name of the key after the prefix.
+    pub name: SmolStr,
+    /// Hash that its text must have.
+    pub hash: TextHash,
+}
+
+/// The `head` key: the epoch and every key of the set with its hash, sorted by name.
+///
+/// ```
+/// use fleet::{HeadFile, KeyText, make_head};
+/// let text = make_head(3, &[KeyText::new("fleet.ini", "[domain patan]\n")]);
+/// let head = HeadFile::parse(&text).unwrap();
+/// assert_eq!((head.epoch, head.entries.len()), (3, 1));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeadFile {
+    /// Set by the operators; a larger epoch supersedes every revision of a smaller one.
+    pub epoch: u64,
+    /// The keys of the set.
+    pub entries: Vec<HeadEntry>,
+}
+
+impl HeadFile {
+    /// Parses the text of the `head` key.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake with its line.
+    pub fn parse(text: &str) -> Result<Self, Vec<SettingMistake>> {
+        let ini = IniFile::parse(text);
+        let mut reader = HeadReader::default();
+        for entry in &ini.broken {
+            reader.report(entry.line, entry.key, "a broken header", "[keys]");
+        }
+        for section in &ini.sections {
+            reader.read_section(section);
+        }
+        reader.finish()
+    }
+
+    /// Returns the hash that the key `name` must have.
+    pub fn hash(&self, name: &str) -> Option<TextHash> {
+        let at = self
+            .entries
+            .binary_search_by(|entry| entry.name.as_str().cmp(name));
+        Some(self.entries[at.ok()?].hash)
+    }
+}
+
+#[derive(Default)]
+struct HeadReader {
+    epoch: Option<u64>,
+    entries: Vec<HeadEntry>,
+    names: BTreeSet<SmolStr>,
+    mistakes: Vec<SettingMistake>,
+}
+
+impl HeadReader {
+    fn read_section(&mut self, section: &IniSection) {
+        match (section.line, section.kind, section.name) {
+            (0, ..) => section.entries.iter().for_each(|e| self.read_epoch(e)),
+            (_, "keys", "") => section.entries.iter().for_each(|e| self.read_key(e)),
+            (line, ..) => self.report(line, &section.header(), "an unknown section", "[keys]"),
+        }
+    }
+
+    fn read_epoch(&mut self, entry: &IniEntry) {
+        if entry.key != "epoch" {
+            return self.report(entry.line, entry.key, "an unknown key", "epoch");
+        }
+        if self.epoch.is_some() {
+            return self.report(entry.line, entry.key, "the key again", "each key once");
+        }
+        let value = entry.value.unwrap_or_default();
+        match value.parse() {
+            Ok(epoch) => self.epoch = Some(epoch),
+            Err(_) => {
+                self.epoch = Some(0);
+                self.report(entry.line, entry.key, value, "an integer of at least 0");
+            }
+        }
+    }
+
+    fn read_key(&mut self, entry: &IniEntry) {
+        if !is_key_name(entry.key) {
+            let allowed = "1 to 200 letters, digits and -_./, other than head";
+            return self.report(entry.line, entry.key, "a key name", allowed);
+        }
+        if !self.names.insert(SmolStr::new(entry.key)) {
+            return self.report(entry.line, entry.key, "the key again", "each key once");
+        }
+        if self.names.len() > KEY_LIMIT {
+            return self.report(entry.line, entry.key, "another key", "at most 4096 keys");
+        }
+        let value = entry.value.unwrap_or_default();
+        match value.parse() {
+            Ok(hash) => self.entries.push(HeadEntry {
+                name: SmolStr::new(entry.key),
+                hash,
+            }),
+            Err(_) => self.report(entry.line, entry.key, value, "64 hexadecimal digits"),
+        }
+    }
+
+    fn finish(mut self) -> Result<HeadFile, Vec<SettingMistake>> {
+        let Some(epoch) = self.epoch else {
+            self.report(1, "epoch", "nothing", "an integer of at least 0");
+            return Err(self.mistakes);
+        };
+        if !self.mistakes.is_empty() {
+            return Err(self.mistakes);
+        }
+        self.entries
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        Ok(HeadFile {
+            epoch,
+            entries: self.entries,
+        })
+    }
+
+    fn report(&mut self, line: u32, key: &str, found: &str, allowed: &str) {
+        self.mistakes.push(SettingMistake {
+            file: SmolStr::new_static(HEAD_NAME),
+            line,
+            key: SmolStr::new(key),
+            found: SmolStr::new(found),
+            allowed: SmolStr::new(allowed),
+            nearest: None,
+        });
+    }
+}
+
+fn is_key_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte);
+    let length = 1..=NAME_LIMIT;
+    name != HEAD_NAME && length.contains(&name.len()) && name.bytes().all(allowed)
+}
+
+/// Writes the `head` key for a set of texts; operators publish it after the texts themselves.
+///
+/// ```
+/// let head = fleet::make_head(1, &[]);
+/// assert_eq!(head, "epoch = 1\n\n[keys]\n");
+/// ```
+pub fn make_head(epoch: u64, keys: &[KeyText]) -> String {
+    let mut sorted: Vec<&KeyText> = keys.iter().collect();
+    sorted.sort_by(|left, right| left.name.cmp(&right.name));
+    let mut text = format!("epoch = {epoch}\n\n[keys]\n");
+    for key in sorted {
+        let hash = TextHash::of(&key.text);
+        // Writing to a String can't fail.
+        let _ = writeln!(text, "{} = {hash}", key.name);
+    }
+    text
+}
