Separate connecting from sending, and let models declare repeatable generations

Cause: the call machine must know when the first byte may have left, and what may be repeated has to be declared for models as well as for services. Change: EngineLink holds a connection on which nothing was sent; engines name the generation in the response head and tell its progress; [model] gains the key repeatable, false unless set. Conclusion: the relay can drive the call machine step by step.

--- a/crates/fleet/src/accept/fleet_build.rs
+++ b/crates/fleet/src/accept/fleet_build.rs
@@ -122,6 +122,7 @@
             name: parse("name", name)?,
             labels: section.labels.unwrap_or_default(),
             weight_bytes: ByteCount(section.weight_bytes.get()),
+            repeatable: section.repeatable,
         })
     }
 
--- a/crates/fleet/src/declare/declared_model.rs
+++ b/crates/fleet/src/declare/declared_model.rs
@@ -9,4 +9,6 @@
     pub labels: LabelSet,
     /// Size of the weights of one version.
     pub weight_bytes: ByteCount,
+    /// Whether a generation that was lost before its caller got a part of it may be run again.
+    pub repeatable: bool,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,6 @@
 pub use clock::SystemClock;
 pub use journal::EventJournal;
 pub use target::{
-    CallFuture, EngineCall, EngineClient, EngineEvent, EngineFault, EngineHealth, EngineOrder,
-    EngineStream, HttpEngine, LoadedVersion, parse_load,
+    CallFuture, EngineCall, EngineClient, EngineEvent, EngineFault, EngineHealth, EngineLink,
+    EngineOrder, EngineProgress, EngineStream, HttpEngine, LoadedVersion, parse_load,
 };
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -86,19 +86,41 @@
     pub rate: Option<u64>,
 }
 
+/// How far a generation has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineProgress {
+    /// Run of the engine's process.
+    pub incarnation: IncarnationNumber,
+    /// Tokens that the generation has produced.
+    pub produced: u64,
+}
+
+/// A connection on which nothing was sent yet.
+pub trait EngineLink: Send {
+    /// Sends a call on this connection, which leaves no doubt whether it was sent.
+    fn start(self: Box<Self>, call: EngineCall) -> CallFuture<'static, EngineStream>;
+}
+
 /// Calls of one kind of engine.
 pub trait EngineClient: Send + Sync {
-    /// Starts a generation.
-    fn start(&self, address: SocketAddr, call: EngineCall) -> CallFuture<'_, EngineStream>;
+    /// Opens a fresh connection without sending anything.
+    fn connect(&self, address: SocketAddr) -> CallFuture<'_, Box<dyn EngineLink>>;
 
     /// Reads a running or retained generation from `offset` on a fresh connection.
     fn resume(
         &self,
         address: SocketAddr,
         generation: GenerationId,
-        offset: u32,
+        offset: u64,
     ) -> CallFuture<'_, EngineStream>;
 
+    /// Asks on a fresh connection how far a generation has come.
+    fn progress(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+    ) -> CallFuture<'_, EngineProgress>;
+
     /// Cancels a generation; an unknown one is no error.
     fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()>;
 
--- a/crates/node/src/target/engine_stream.rs
+++ b/crates/node/src/target/engine_stream.rs
@@ -21,16 +21,26 @@
 
 impl EngineStream {
     /// Creates the stream of a response whose connection returns to `pool` after the last event.
-    pub fn new(body: Incoming, pool: ConnectionPool, connection: PooledSender) -> Self {
+    pub fn new(
+        body: Incoming,
+        generation: Option<GenerationId>,
+        pool: ConnectionPool,
+        connection: PooledSender,
+    ) -> Self {
         Self {
             body,
             splitter: EventSplitter::new(EVENT_LIMIT),
-            generation: None,
+            generation,
             pool,
             connection: Some(connection),
         }
     }
 
+    /// Generation that the engine named, in the response head or with an event.
+    pub fn generation(&self) -> Option<&GenerationId> {
+        self.generation.as_ref()
+    }
+
     /// Returns the next event that has already arrived.
     ///
     /// # Errors
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use sched::{LoadReport, WorkPriority};
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tokio::time::timeout;
 use web::{
@@ -13,8 +14,8 @@
 };
 
 use super::{
-    CallFuture, EngineCall, EngineClient, EngineFault, EngineHealth, EngineOrder, EngineStream,
-    parse_load,
+    CallFuture, EngineCall, EngineClient, EngineFault, EngineHealth, EngineLink, EngineOrder,
+    EngineProgress, EngineStream, parse_load,
 };
 use crate::SystemClock;
 
@@ -24,6 +25,8 @@
 const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(2);
 /// Header by which an engine says that it did not admit a request.
 const ADMITTED_HEADER: &str = "x-admitted";
+/// Header in which an engine names the generation before its first token.
+const GENERATION_HEADER: &str = "x-generation-id";
 
 /// Client of engines with the OpenAI-compatible API and the customary extensions.
 #[derive(Clone)]
@@ -43,31 +46,22 @@
         Self { pool, clock }
     }
 
-    async fn start_call(
-        &self,
-        address: SocketAddr,
-        mut call: EngineCall,
-    ) -> Result<EngineStream, EngineFault> {
-        call.body.insert("stream".to_owned(), Value::Bool(true));
-        call.body
-            .insert("priority".to_owned(), json!(call.priority.0));
-        call.body
-            .insert("request_id".to_owned(), json!(call.request));
-        let path = format!("/v1/{}", call.path);
-        let request = json_request(Method::POST, address, &path, &Value::Object(call.body));
-        // A fresh connection leaves no doubt whether the request was sent.
-        let sent = self
-            .send(address, SendPhase::Fresh, request, call.wait)
-            .await;
-        let (response, connection) = sent?;
-        self.open_stream(response, connection).await
+    async fn open_link(&self, address: SocketAddr) -> Result<Box<dyn EngineLink>, EngineFault> {
+        let connected = self.pool.connect(address, SendPhase::Fresh).await;
+        let connection = connected.map_err(into_fault)?;
+        let engine = self.clone();
+        Ok(Box::new(HttpLink {
+            engine,
+            address,
+            connection,
+        }))
     }
 
     async fn resume_call(
         &self,
         address: SocketAddr,
         generation: GenerationId,
-        offset: u32,
+        offset: u64,
     ) -> Result<EngineStream, EngineFault> {
         let path = format!("/v1/generations/{generation}/events?offset={offset}");
         let request = plain_request(Method::GET, address, &path);
@@ -87,8 +81,10 @@
         connection: PooledSender,
     ) -> Result<EngineStream, EngineFault> {
         if response.status() == StatusCode::OK {
+            let generation = read_generation(&response);
             let body = response.into_body();
-            return Ok(EngineStream::new(body, self.pool.clone(), connection));
+            let pool = self.pool.clone();
+            return Ok(EngineStream::new(body, generation, pool, connection));
         }
         let refused = response.headers().get(ADMITTED_HEADER);
         if refused.is_some_and(|value| value == "no") {
@@ -106,11 +102,10 @@
     async fn ask(
         &self,
         address: SocketAddr,
+        phase: SendPhase,
         request: Request<WebBody>,
     ) -> Result<Bytes, EngineFault> {
-        let sent = self
-            .send(address, SendPhase::Reuse, request, ANSWER_WAIT)
-            .await;
+        let sent = self.send(address, phase, request, ANSWER_WAIT).await;
         let (response, connection) = sent?;
         let status = response.status();
         let body = read_body(response.into_body(), ANSWER_LIMIT, ANSWER_WAIT).await;
@@ -137,36 +132,90 @@
             self.pool.forget(address);
             return Err(EngineFault::Silent);
         };
-        answered.map_err(|error: WebError| {
-            let reason = error.to_string();
-            if error.is_unsent() {
-                EngineFault::Unsent { reason }
-            } else {
-                EngineFault::Lost { reason }
-            }
-        })
+        answered.map_err(into_fault)
     }
 }
 
+/// A fresh connection to an engine over HTTP.
+struct HttpLink {
+    engine: HttpEngine,
+    address: SocketAddr,
+    connection: PooledSender,
+}
+
+impl HttpLink {
+    async fn start_call(mut self, mut call: EngineCall) -> Result<EngineStream, EngineFault> {
+        call.body.insert("stream".to_owned(), Value::Bool(true));
+        call.body
+            .insert("priority".to_owned(), json!(call.priority.0));
+        call.body
+            .insert("request_id".to_owned(), json!(call.request));
+        let path = format!("/v1/{}", call.path);
+        let body = Value::Object(call.body);
+        let request = json_request(Method::POST, self.address, &path, &body);
+        let sent = timeout(call.wait.into(), self.connection.send(request)).await;
+        let Ok(answered) = sent else {
+            return Err(EngineFault::Silent);
+        };
+        let response = answered.map_err(|(error, _)| into_fault(error))?;
+        self.engine.open_stream(response, self.connection).await
+    }
+}
+
+impl EngineLink for HttpLink {
+    fn start(self: Box<Self>, call: EngineCall) -> CallFuture<'static, EngineStream> {
+        Box::pin(self.start_call(call))
+    }
+}
+
+fn into_fault(error: WebError) -> EngineFault {
+    let reason = error.to_string();
+    match error.is_unsent() {
+        true => EngineFault::Unsent { reason },
+        false => EngineFault::Lost { reason },
+    }
+}
+
+fn read_generation(response: &Response<Incoming>) -> Option<GenerationId> {
+    let value = response.headers().get(GENERATION_HEADER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 impl EngineClient for HttpEngine {
-    fn start(&self, address: SocketAddr, call: EngineCall) -> CallFuture<'_, EngineStream> {
-        Box::pin(self.start_call(address, call))
+    fn connect(&self, address: SocketAddr) -> CallFuture<'_, Box<dyn EngineLink>> {
+        Box::pin(self.open_link(address))
     }
 
     fn resume(
         &self,
         address: SocketAddr,
         generation: GenerationId,
-        offset: u32,
+        offset: u64,
     ) -> CallFuture<'_, EngineStream> {
         Box::pin(self.resume_call(address, generation, offset))
     }
 
+    fn progress(
+        &self,
+        address: SocketAddr,
+        generation: GenerationId,
+    ) -> CallFuture<'_, EngineProgress> {
+        Box::pin(async move {
+            let path = format!("/v1/generations/{generation}");
+            let request = plain_request(Method::GET, address, &path);
+            match self.ask(address, SendPhase::Fresh, request).await {
+                Err(EngineFault::Failed { status: 404, .. }) => Err(EngineFault::UnknownGeneration),
+                Err(fault) => Err(fault),
+                Ok(body) => parse_answer(&body),
+            }
+        })
+    }
+
     fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()> {
         Box::pin(async move {
             let path = format!("/v1/generations/{generation}");
             let request = plain_request(Method::DELETE, address, &path);
-            match self.ask(address, request).await {
+            match self.ask(address, SendPhase::Reuse, request).await {
                 Ok(_) | Err(EngineFault::Failed { status: 404, .. }) => Ok(()),
                 Err(fault) => Err(fault),
             }
@@ -183,7 +232,7 @@
             let path = format!("/v1/generations/{generation}");
             let body = json!({ "priority": priority.0 });
             let request = json_request(Method::PATCH, address, &path, &body);
-            self.ask(address, request).await.map(drop)
+            self.ask(address, SendPhase::Reuse, request).await.map(drop)
         })
     }
 
@@ -191,30 +240,34 @@
         Box::pin(async move {
             let body = serde_json::to_value(&order).unwrap_or_default();
             let request = json_request(Method::POST, address, "/v1/orders", &body);
-            self.ask(address, request).await.map(drop)
+            self.ask(address, SendPhase::Reuse, request).await.map(drop)
         })
     }
 
     fn health(&self, address: SocketAddr) -> CallFuture<'_, EngineHealth> {
         Box::pin(async move {
             let request = plain_request(Method::GET, address, "/health");
-            let body = self.ask(address, request).await?;
-            serde_json::from_slice(&body).map_err(|error| EngineFault::Protocol {
-                reason: error.to_string(),
-            })
+            let body = self.ask(address, SendPhase::Reuse, request).await?;
+            parse_answer(&body)
         })
     }
 
     fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport> {
         Box::pin(async move {
             let request = plain_request(Method::GET, address, "/metrics");
-            let body = self.ask(address, request).await?;
+            let body = self.ask(address, SendPhase::Reuse, request).await?;
             let text = String::from_utf8_lossy(&body);
             Ok(parse_load(target, self.clock.now(), &text))
         })
     }
 }
 
+fn parse_answer<T: DeserializeOwned>(body: &[u8]) -> Result<T, EngineFault> {
+    serde_json::from_slice(body).map_err(|error| EngineFault::Protocol {
+        reason: error.to_string(),
+    })
+}
+
 fn plain_request(method: Method, address: SocketAddr, path: &str) -> Request<WebBody> {
     build_request(method, address, path, empty_body())
 }
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -8,7 +8,8 @@
 mod load_text;
 
 pub use engine_client::{
-    CallFuture, EngineCall, EngineClient, EngineHealth, EngineOrder, LoadedVersion,
+    CallFuture, EngineCall, EngineClient, EngineHealth, EngineLink, EngineOrder, EngineProgress,
+    LoadedVersion,
 };
 pub use engine_event::EngineEvent;
 pub use engine_fault::EngineFault;
--- a/crates/standin/src/engine/engine_api.rs
+++ b/crates/standin/src/engine/engine_api.rs
@@ -34,6 +34,7 @@
 ) -> Response<WebBody> {
     let path = request.uri().path().to_owned();
     let query = request.uri().query().unwrap_or_default().to_owned();
+    let events = path.ends_with("/events");
     let generation = path
         .strip_prefix("/v1/generations/")
         .and_then(|rest| rest.strip_suffix("/events").unwrap_or(rest).parse().ok());
@@ -56,7 +57,8 @@
             Response::new(full_body("ok"))
         }
         (&Method::POST, "/v1/orders", _) => take_order(&state, request).await,
-        (&Method::GET, _, Some(generation)) => resume_call(state, generation, &query),
+        (&Method::GET, _, Some(generation)) if events => resume_call(state, generation, &query),
+        (&Method::GET, _, Some(generation)) => answer_progress(&state, &generation),
         (&Method::DELETE, _, Some(generation)) => cancel_call(&state, &generation),
         (&Method::PATCH, _, Some(generation)) => {
             change_priority(&state, &generation, request).await
@@ -125,6 +127,17 @@
     stream_generation(state, generation, offset, form, &run.model)
 }
 
+fn answer_progress(state: &EngineState, generation: &GenerationId) -> Response<WebBody> {
+    match state.read_generation(generation) {
+        Some(view) => Response::new(json_body(&json!({
+            "incarnation": state.incarnation.0,
+            "produced": view.produced.0,
+            "ended": view.end.is_some(),
+        }))),
+        None => answer_error(StatusCode::NOT_FOUND, "no such generation"),
+    }
+}
+
 fn cancel_call(state: &EngineState, generation: &GenerationId) -> Response<WebBody> {
     let cancelled = state.edit_model(|model, now| model.cancel_generation(now, generation));
     match cancelled {
@@ -172,6 +185,7 @@
     form: ChunkForm,
     model: &str,
 ) -> Response<WebBody> {
+    let header = HeaderValue::from_str(generation.as_str());
     let state = StreamState {
         changed: engine.subscribe(),
         number: engine.open_stream(),
@@ -188,7 +202,11 @@
     });
     let mut response = Response::new(stream_body(chunks));
     let kind = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, kind);
+    if let Ok(header) = header {
+        headers.insert("x-generation-id", header);
+    }
     response
 }
 
