--- /dev/null
+++ b/crates/node/src/actor/sched_handle.rs
@@ -0,0 +1,110 @@
+use std::net::SocketAddr;
+
+use base::{GenerationId, RequestId, TargetName, TimeSpan, TokenCount};
+use sched::{FinishState, LoadReport, PeerDigest, TargetInfo, WorkItem, WorkPriority};
+use tokio::sync::oneshot;
+use xtra::Address;
+
+use super::SchedActor;
+use crate::actor::sched_actor::{
+    AdmitCall, FinishCall, NoteTargetFailure, ProgressCall, SubmitCall, TakeDigest, TakeReport,
+    TakeTargets, WithdrawCall,
+};
+
+/// Where a call goes, or why it goes nowhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallPlacement {
+    /// Send it to this target.
+    Dispatch {
+        /// Chosen target.
+        target: TargetName,
+        /// Priority for the engine.
+        priority: WorkPriority,
+    },
+    /// Answer with this error.
+    Refuse {
+        /// Kind of error.
+        kind: base::ErrorKind,
+        /// When to come back.
+        retry_after: Option<TimeSpan>,
+    },
+    /// The retry budget is used up.
+    RetryRefused,
+}
+
+/// Sends messages to the scheduling actor; clones share it.
+#[derive(Clone)]
+pub struct SchedHandle {
+    address: Address<SchedActor>,
+}
+
+impl SchedHandle {
+    /// Creates a handle of the actor at `address`.
+    pub fn new(address: Address<SchedActor>) -> Self {
+        Self { address }
+    }
+
+    /// Asks for a target and waits in the node's queue.
+    pub async fn submit(&self, item: WorkItem, retry: bool) -> CallPlacement {
+        let (reply, placement) = oneshot::channel();
+        self.post(SubmitCall { item, retry, reply }).await;
+        placement.await.unwrap_or(CallPlacement::Refuse {
+            kind: base::ErrorKind::Stopping,
+            retry_after: None,
+        })
+    }
+
+    /// Takes a waiting call back.
+    pub async fn withdraw(&self, request: RequestId) {
+        self.post(WithdrawCall { request }).await;
+    }
+
+    /// Notes that a call runs as `generation` at `address`.
+    pub async fn admit(&self, request: RequestId, address: SocketAddr, generation: GenerationId) {
+        let admitted = AdmitCall {
+            request,
+            address,
+            generation,
+        };
+        self.post(admitted).await;
+    }
+
+    /// Notes how many tokens a call has produced.
+    pub async fn progress(&self, request: RequestId, produced: TokenCount) {
+        self.post(ProgressCall { request, produced }).await;
+    }
+
+    /// Notes the end of a call at its target.
+    pub async fn finish(&self, request: RequestId, state: FinishState) {
+        self.post(FinishCall { request, state }).await;
+    }
+
+    /// Notes that a target died or could not be reached.
+    pub async fn note_failure(&self, target: TargetName) {
+        self.post(NoteTargetFailure { target }).await;
+    }
+
+    /// Replaces the known targets.
+    pub async fn set_targets(&self, targets: Vec<TargetInfo>) {
+        self.post(TakeTargets { targets }).await;
+    }
+
+    /// Takes a load report.
+    pub async fn take_report(&self, report: LoadReport) {
+        self.post(TakeReport { report }).await;
+    }
+
+    /// Takes a digest of a peer.
+    pub async fn take_digest(&self, digest: PeerDigest) {
+        self.post(TakeDigest { digest }).await;
+    }
+
+    async fn post<M>(&self, message: M)
+    where
+        M: Send + 'static,
+        SchedActor: xtra::Handler<M>,
+    {
+        // The actor lives as long as the node; after that there is nobody to tell.
+        let _ = self.address.send(message).detach().await;
+    }
+}
--- a/crates/node/src/target/engine_fault.rs
+++ b/crates/node/src/target/engine_fault.rs
@@ -11,6 +11,9 @@
         /// What went wrong.
         reason: String,
     },
+    /// The host refused the connection: no process listens there. Nothing was sent.
+    #[snafu(display("connection refused"))]
+    Refused,
     /// The engine said that it did not admit the request.
     #[snafu(display("not admitted"))]
     NotAdmitted {
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -169,6 +169,9 @@
 }
 
 fn into_fault(error: WebError) -> EngineFault {
+    if error.is_refused() {
+        return EngineFault::Refused;
+    }
     let reason = error.to_string();
     match error.is_unsent() {
         true => EngineFault::Unsent { reason },
--- a/crates/web/src/fault.rs
+++ b/crates/web/src/fault.rs
@@ -76,6 +76,14 @@
 }
 
 impl WebError {
+    /// Tells whether the host refused the connection, so that no process listens there.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     /// Tells whether no byte of the request can have reached the server.
     pub fn is_unsent(&self) -> bool {
         matches!(
