--- a/crates/base/src/failure/error_kind.rs
+++ b/crates/base/src/failure/error_kind.rs
@@ -52,6 +52,8 @@
     OwnerUnreachable,
     /// The home of this idempotency key can't rule out an earlier run.
     KeyUncertain,
+    /// The first request under the ticket or key ended and its answer is not retained.
+    AnswerGone,
     /// The workspace has too many requests waiting or streams open.
     WorkspaceLimit,
     /// The targets are full; the request was refused before it was sent.
@@ -100,6 +102,7 @@
             Self::BadTicket => (400, No, NEVER, "invalid_request_error"),
             Self::OwnerUnreachable => (503, Unknown, LATER, "server_error"),
             Self::KeyUncertain => (503, Unknown, LATER, "server_error"),
+            Self::AnswerGone => (410, Yes, NEVER, "invalid_request_error"),
             Self::WorkspaceLimit => (429, No, SOON, "rate_limit_error"),
             Self::Overloaded => (429, No, SOON, "rate_limit_error"),
             Self::NoTarget => (503, No, LATER, "server_error"),
