Add the membership table with its public interface

Cause: nodes need a view of their peers, of other domains and of targets that does not depend on the platform's lagging list. Change: crate `member` with MemberTable (probes, indirect probes, suspicion, refutation by version, rumours, target state, summaries between domains, comparison of views, elections) and the message types in member.json. Conclusion: the interface can be built against; behaviour is to be tested next.

--- /dev/null
+++ b/crates/member/src/gossip/mod.rs
@@ -0,0 +1,7 @@
+//! Rumours that ride on messages.
+
+mod rumor_key;
+mod rumor_queue;
+
+pub(crate) use rumor_key::RumorKey;
+pub(crate) use rumor_queue::RumorQueue;
--- /dev/null
+++ b/crates/member/src/record/node_merge.rs
@@ -0,0 +1,32 @@
+use base::IncarnationNumber;
+use schema::member::{NodeRecord, NodeState};
+
+/// Whether `new` replaces `old`: the larger (incarnation, version, state) does.
+///
+/// ```
+/// use base::IncarnationNumber;
+/// use schema::member::{NodeRecord, NodeState};
+/// let suspect = NodeRecord {
+///     node: "balaju-1".parse().unwrap(),
+///     incarnation: IncarnationNumber(7),
+///     version: 0,
+///     state: NodeState::Suspect,
+/// };
+/// let refuted = NodeRecord { version: 1, state: NodeState::Alive, ..suspect.clone() };
+/// assert!(member::node_outranks(&refuted, &suspect));
+/// ```
+pub fn node_outranks(new: &NodeRecord, old: &NodeRecord) -> bool {
+    rank(new) > rank(old)
+}
+
+/// Returns the record that wins; both must be about the same node.
+pub fn merge_nodes(left: &NodeRecord, right: &NodeRecord) -> NodeRecord {
+    if node_outranks(right, left) {
+        return right.clone();
+    }
+    left.clone()
+}
+
+fn rank(record: &NodeRecord) -> (IncarnationNumber, u32, NodeState) {
+    (record.incarnation, record.version, record.state)
+}
--- /dev/null
+++ b/crates/member/src/table/anti_entropy.rs
@@ -0,0 +1,276 @@
+use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use rand::Rng;
+use schema::member::{
+    DomainRecord, MessageBody, NodeRecord, SyncOfferBody, SyncRecordsBody, SyncStartBody,
+    TableDigest, TargetRecord, WantedParts,
+};
+
+use super::{MemberAction, MemberTable, ViewState};
+use crate::record::{PART_COUNT, part_of};
+use crate::view::DomainView;
+
+/// Time without a change after which rumours are taken to have arrived.
+const SETTLE_TIME: TimeSpan = TimeSpan::new(1_500);
+
+/// Time of a mismatch after which views are compared although changes go on.
+const MISMATCH_LIMIT: TimeSpan = TimeSpan::new(5_000);
+
+/// Time after which a comparison without an answer is given up.
+const SYNC_TIMEOUT: TimeSpan = TimeSpan::new(2_000);
+
+/// Time after which a node that nobody answered counts as isolated.
+const ISOLATION_TIME: TimeSpan = TimeSpan::new(3_000);
+
+/// Records of one comparison that are passed on as rumours; more are left to further comparisons.
+const SPREAD_LIMIT: usize = 16;
+
+impl MemberTable {
+    pub(super) fn is_settled(&self, now: ClockTime, mismatch: ClockTime) -> bool {
+        now - self.digest_changed >= SETTLE_TIME || now - mismatch >= MISMATCH_LIMIT
+    }
+
+    /// Starts a comparison of views with a peer, one at a time and not too often.
+    pub(super) fn start_sync(
+        &mut self,
+        now: ClockTime,
+        peer: &NodeName,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if self.sync_since.is_some() || now < self.next_sync {
+            return;
+        }
+        let gap = self.settings.sync_gap.as_millis();
+        let jitter = TimeSpan::new(self.random.random_range(0..=gap));
+        self.next_sync = now + self.settings.sync_gap + jitter;
+        self.sync_since = Some(now);
+        self.send_summaries(peer, actions);
+    }
+
+    pub(super) fn send_summaries(&mut self, peer: &NodeName, actions: &mut Vec<MemberAction>) {
+        let domains = self.summaries();
+        let start = SyncStartBody { domains };
+        self.send(peer, MessageBody::SyncStart(start), actions);
+    }
+
+    pub(super) fn expire_sync(&mut self, now: ClockTime, actions: &mut Vec<MemberAction>) {
+        if self
+            .sync_since
+            .is_some_and(|since| now - since > SYNC_TIMEOUT)
+        {
+            self.sync_since = None;
+        }
+        let waiting = self.view_state == ViewState::Unconfirmed;
+        if waiting && now - self.view_since > ISOLATION_TIME {
+            self.set_view_state(ViewState::Isolated, actions);
+        }
+    }
+
+    pub(super) fn answer_sync(
+        &mut self,
+        now: ClockTime,
+        from: &NodeName,
+        start: &SyncStartBody,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if !self.may_answer(now) {
+            return;
+        }
+        let mut newer = Vec::new();
+        for held in self.summaries() {
+            let mut told = start.domains.iter();
+            let told = told.find(|record| record.domain == held.domain);
+            if told
+                .is_none_or(|record| held.sequence > record.sequence || held.lost && !record.lost)
+            {
+                newer.push(held);
+            }
+        }
+        for record in &start.domains {
+            self.apply_domain(now, record, actions);
+        }
+        let tables = self.differing(&start.domains);
+        let offer = SyncOfferBody {
+            domains: newer,
+            tables,
+        };
+        self.send(from, MessageBody::SyncOffer(offer), actions);
+    }
+
+    pub(super) fn take_offer(
+        &mut self,
+        now: ClockTime,
+        from: &NodeName,
+        offer: &SyncOfferBody,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        for record in &offer.domains {
+            self.apply_domain(now, record, actions);
+        }
+        let mut records = empty_records();
+        for table in &offer.tables {
+            let Some(view) = self.view.domain(&table.domain) else {
+                continue;
+            };
+            let mask = differing_parts(view, &table.parts);
+            self.add_records(&mut records, view, mask);
+            let domain = table.domain.clone();
+            records.wanted.push(WantedParts { domain, mask });
+        }
+        if records.wanted.is_empty() {
+            return self.finish_sync(actions);
+        }
+        self.send(from, MessageBody::SyncRecords(records), actions);
+    }
+
+    pub(super) fn take_records(
+        &mut self,
+        now: ClockTime,
+        from: &NodeName,
+        records: &SyncRecordsBody,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let answer = self.answer_records(records);
+        let before = self.view.digest();
+        let spread = self.count_news(records) <= SPREAD_LIMIT;
+        for record in &records.nodes {
+            self.apply_node(now, record, spread, actions);
+        }
+        for record in &records.targets {
+            self.apply_target(now, record, spread, actions);
+        }
+        if self.view.digest() != before {
+            self.digest_changed = now;
+        }
+        if records.wanted.is_empty() {
+            return self.finish_sync(actions);
+        }
+        self.send(from, MessageBody::SyncRecords(answer), actions);
+    }
+
+    fn finish_sync(&mut self, actions: &mut Vec<MemberAction>) {
+        self.sync_since = None;
+        self.mismatch_since = None;
+        self.set_view_state(ViewState::Confirmed, actions);
+    }
+
+    fn may_answer(&mut self, now: ClockTime) -> bool {
+        if now - self.answers_since >= TimeSpan::from_secs(1) {
+            self.answers_since = now;
+            self.answers = 0;
+        }
+        self.answers += 1;
+        self.answers <= self.settings.sync_answers
+    }
+
+    fn summaries(&self) -> Vec<DomainRecord> {
+        let names = self.view.domains().iter().map(DomainView::name);
+        names.filter_map(|name| self.view.summary(name)).collect()
+    }
+
+    /// Parts of the domains whose digests differ from the asker's.
+    fn differing(&self, told: &[DomainRecord]) -> Vec<TableDigest> {
+        let mut tables = Vec::new();
+        for view in self.view.domains() {
+            let digest = view.digest();
+            let mut told = told.iter();
+            if told.any(|record| record.domain == *view.name() && record.digest == digest) {
+                continue;
+            }
+            let domain = view.name().clone();
+            let parts = view.parts().to_vec();
+            tables.push(TableDigest { domain, parts });
+        }
+        tables
+    }
+
+    fn add_records(&self, records: &mut SyncRecordsBody, view: &DomainView, mask: u16) {
+        let limit = self.settings.sync_records;
+        for entry in view.nodes() {
+            let known = entry.record.incarnation.0 != 0;
+            let wanted = known && has_part(mask, entry.record.node.as_str());
+            if wanted && records.nodes.len() < limit {
+                records.nodes.push(entry.record.clone());
+            }
+        }
+        for record in view.targets() {
+            let wanted = has_part(mask, record.target.as_str());
+            if wanted && records.targets.len() < limit {
+                records.targets.push(record.clone());
+            }
+        }
+    }
+
+    /// Records of the wanted parts that the asker does not have already.
+    fn answer_records(&self, asked: &SyncRecordsBody) -> SyncRecordsBody {
+        let mut answer = empty_records();
+        for wanted in &asked.wanted {
+            if let Some(view) = self.view.domain(&wanted.domain) {
+                self.add_records(&mut answer, view, wanted.mask);
+            }
+        }
+        let nodes = sort_by_name(&asked.nodes, |record: &NodeRecord| &record.node);
+        answer.nodes.retain(|record| {
+            let place = nodes.binary_search_by_key(&&record.node, |told| &told.node);
+            place.is_err() || place.is_ok_and(|place| nodes[place] != record)
+        });
+        let name = |record: &TargetRecord| (record.domain.clone(), record.target.clone());
+        let targets = sort_targets(&asked.targets);
+        answer.targets.retain(|record| {
+            let place = targets.binary_search_by_key(&name(record), |told| name(told));
+            place.is_err() || place.is_ok_and(|place| targets[place] != record)
+        });
+        answer
+    }
+
+    fn count_news(&self, records: &SyncRecordsBody) -> usize {
+        let held = |record: &&NodeRecord| self.view.node(&record.node).map(|entry| &entry.record);
+        let nodes = records
+            .nodes
+            .iter()
+            .filter(|record| held(record) != Some(record));
+        let targets = records.targets.iter().filter(|record| {
+            let view = self.view.domain(&record.domain);
+            let held = view.and_then(|view| view.target(&record.target));
+            held.map(|(held, _)| held) != Some(record)
+        });
+        nodes.count() + targets.count()
+    }
+}
+
+fn sort_by_name<R>(records: &[R], name: impl Fn(&R) -> &NodeName) -> Vec<&R> {
+    let mut sorted: Vec<&R> = records.iter().collect();
+    sorted.sort_unstable_by(|left, right| name(left).cmp(name(right)));
+    sorted
+}
+
+fn sort_targets(records: &[TargetRecord]) -> Vec<&TargetRecord> {
+    fn name(record: &TargetRecord) -> (&DomainName, &TargetName) {
+        (&record.domain, &record.target)
+    }
+    let mut sorted: Vec<&TargetRecord> = records.iter().collect();
+    sorted.sort_unstable_by(|left, right| name(left).cmp(&name(right)));
+    sorted
+}
+
+fn differing_parts(view: &DomainView, parts: &[u64]) -> u16 {
+    let mut mask = 0;
+    for (place, part) in view.parts().iter().enumerate() {
+        if parts.get(place) != Some(part) {
+            mask |= 1 << place;
+        }
+    }
+    mask
+}
+
+fn has_part(mask: u16, name: &str) -> bool {
+    const { assert!(PART_COUNT <= u16::BITS as usize) };
+    mask & 1 << part_of(name) != 0
+}
+
+fn empty_records() -> SyncRecordsBody {
+    SyncRecordsBody {
+        nodes: Vec::new(),
+        targets: Vec::new(),
+        wanted: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/member/src/table/mod.rs
@@ -0,0 +1,27 @@
+//! The membership table and the types at its edge.
+
+mod anti_entropy;
+mod declared_node;
+mod domain_link;
+mod election;
+mod gossip_exchange;
+mod member_action;
+mod member_table;
+mod message_input;
+mod node_change;
+mod node_list;
+mod node_view;
+mod platform_entry;
+mod probe_cycle;
+mod target_change;
+mod target_observation;
+mod view_state;
+
+pub use declared_node::DeclaredNode;
+pub use gossip_exchange::PAYLOAD_LIMIT;
+pub use member_action::MemberAction;
+pub use member_table::MemberTable;
+pub use node_view::{NodeView, TargetView};
+pub use platform_entry::{PlatformEntry, PlatformState};
+pub use target_observation::{ObservationSource, TargetObservation};
+pub use view_state::ViewState;
--- /dev/null
+++ b/crates/member/src/view/mod.rs
@@ -0,0 +1,9 @@
+//! The records that a node holds.
+
+mod domain_view;
+mod fleet_view;
+mod node_entry;
+
+pub(crate) use domain_view::DomainView;
+pub(crate) use fleet_view::FleetView;
+pub(crate) use node_entry::{LinkState, NodeEntry};
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod generated;
 
-pub use generated::{declaration, settings};
+pub use generated::{declaration, member, settings};
