Add the distribution of revisions between platform and nodes

Cause: nodes need the newest accepted declaration within seconds, without one platform watch for each of them. Change: RevisionView decides, free of I/O, what to read from the platform, what to pull from peers and whom to tell. Peer messages are in fleet.json.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod declare;
 mod keys;
+mod spread;
 
 pub use accept::{DeclarationMistake, accept};
 pub use declare::{
@@ -10,3 +11,8 @@
     DeclaredTarget, DeclaredWorkspace, EngineRole, FleetDeclaration, OVERLAY_KEYS, TargetKind,
 };
 pub use keys::{HeadEntry, HeadFile, KeySet, KeyText, TextHash, make_head};
+pub use spread::{
+    AcceptedRevision, FleetPeer, IncompleteRevision, MechanismSwitches, PlatformHead,
+    PlatformHeadAnswer, PureAcceptance, ReadScope, RejectedRevision, RevisionAction, RevisionBasis,
+    RevisionSettings, RevisionStamp, RevisionStatus, RevisionView, SetAcceptance, SetSource,
+};
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,5 +5,5 @@
 mod ini;
 
 pub use check::{SettingMistake, nearest_name, read_declaration, read_settings};
-pub use generated::{declaration, settings};
+pub use generated::{declaration, fleet, settings};
 pub use ini::{IniEntry, IniFile, IniSection};
