--- a/crates/fleet/src/spread/revision_view_peers.rs
+++ b/crates/fleet/src/spread/revision_view_peers.rs
@@ -106,13 +106,7 @@
                 return self.pull_failed(now, from, true);
             }
         }
-        if !self.settings.switches.atomic
-            && let Some(set) = pending.partial_set()
-        {
-            self.conclude(now, pending.stamp, pending.source, set, actions);
-            return;
-        }
-        let Some(set) = pending.complete_set() else {
+        let Some(set) = self.judged_set(&pending) else {
             self.from_peer = Some(pending);
             return;
         };
--- a/crates/fleet/src/spread/revision_view_platform.rs
+++ b/crates/fleet/src/spread/revision_view_platform.rs
@@ -6,7 +6,7 @@
 use super::{
     PlatformHead, PlatformHeadAnswer, RevisionAction, RevisionStamp, RevisionView, SetSource,
 };
-use crate::{DeclarationMistake, HeadFile, KeyText};
+use crate::{DeclarationMistake, HeadFile, KeySet, KeyText};
 
 impl RevisionView {
     /// Takes the answer to `ReadHead`.
@@ -109,16 +109,20 @@
         pending: PendingSet,
         actions: &mut Vec<RevisionAction>,
     ) {
-        let set = match self.settings.switches.atomic {
-            true => pending.complete_set(),
-            false => pending.partial_set(),
-        };
-        match set {
+        match self.judged_set(&pending) {
             Some(set) => self.conclude(now, pending.stamp, pending.source, set, actions),
             None => self.from_platform = Some(pending),
         }
     }
 
+    /// The set to judge, if it is time to.
+    pub(super) fn judged_set(&self, pending: &PendingSet) -> Option<KeySet> {
+        match self.settings.switches.atomic || self.accepted.is_none() {
+            true => pending.complete_set(),
+            false => pending.partial_set(),
+        }
+    }
+
     pub(super) fn proceed_platform(&mut self, now: ClockTime, actions: &mut Vec<RevisionAction>) {
         // Only readers go on with a set whose keys the platform does not have.
         let may_read = self.watch.is_reader() || !self.is_ready();
