--- a/crates/fleet/src/accept/fleet_build.rs
+++ b/crates/fleet/src/accept/fleet_build.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
-use base::{AdapterName, ByteCount, ByteRate, LabelSet};
+use base::{AdapterName, ByteCount, ByteRate, LabelSet, ParseError};
 use schema::SettingMistake;
 use schema::declaration::{
     DomainSection, ModelSection, NodeEntry, RolloutSection, RouteSection, ServiceSection,
@@ -91,7 +92,7 @@
         Ok(DeclaredNode {
             name: parse("name", name)?,
             domain: section.domain,
-            peer_address: parse("peer_address", &section.peer_address)?,
+            peer_address: parse_address("peer_address", &section.peer_address)?,
         })
     }
 
@@ -109,7 +110,7 @@
             name: parse("name", name)?,
             kind: section.kind,
             domain: section.domain,
-            address: parse("address", &section.address)?,
+            address: parse_address("address", &section.address)?,
             labels,
             service: section.service,
             role: section.role,
@@ -209,8 +210,14 @@
     }
 }
 
-fn parse<T: FromStr<Err: Display>>(key: &'static str, text: &str) -> Built<T> {
-    let fail = |error: T::Err| CrossProblem::new(key, format!("`{text}`"), error.to_string());
+fn parse<T: FromStr<Err = ParseError>>(key: &'static str, text: &str) -> Built<T> {
+    let fail = |error: ParseError| CrossProblem::new(key, format!("`{text}`"), error.allowed);
+    text.parse().map_err(fail)
+}
+
+fn parse_address(key: &'static str, text: &str) -> Built<SocketAddr> {
+    let allowed = "an IP address with a port";
+    let fail = |_| CrossProblem::new(key, format!("`{text}`"), allowed);
     text.parse().map_err(fail)
 }
 
--- a/crates/fleet/src/spread/parts.rs
+++ b/crates/fleet/src/spread/parts.rs
@@ -32,6 +32,10 @@
             total: text.len() as u64,
             text: text[start..end].to_owned(),
         });
+        // The receiver collects one key at a time.
+        if end < text.len() {
+            break;
+        }
     }
     parts
 }
