Add workloads, the trial loop and baselines

Cause: policies need comparable experiments in virtual time.

Change: workloads of both deployments, the measures of the design, the three baselines behind RoutePolicy, the trial event loop, experiments over seeds in threads, and reports as text, JSON and a page with plots.

Conclusion: usable for policy work; parameters of memory and capacity are still to be chosen.

--- /dev/null
+++ b/crates/load/src/baseline/baseline_policy.rs
@@ -0,0 +1,161 @@
+use std::collections::HashMap;
+
+use base::{ClockTime, ErrorKind, RequestId, TargetName, TimeSpan, TokenCount};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use sched::{
+    FinishState, LoadReport, PeerDigest, RoutePolicy, SchedAction, TargetInfo, WorkItem,
+    WorkPriority,
+};
+use strum::{Display, EnumIter, EnumString};
+
+const RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+
+/// How a baseline chooses among the usable candidates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum ChoiceRule {
+    /// Each with the same probability.
+    Random,
+    /// One after the other, from a random start.
+    RoundRobin,
+    /// The one with the fewest requests of this node in flight, ties at random.
+    LeastInFlight,
+}
+
+/// Sends every request to a target at once and uses no reports, digests or priorities.
+///
+/// ```
+/// use load::baseline::{BaselinePolicy, ChoiceRule};
+/// use sched::RoutePolicy;
+/// let mut policy = BaselinePolicy::new(ChoiceRule::RoundRobin, 1);
+/// let mut actions = Vec::new();
+/// policy.drain_actions(&mut actions);
+/// assert!(actions.is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct BaselinePolicy {
+    rule: ChoiceRule,
+    random: Pcg64Mcg,
+    targets: Vec<(TargetName, bool)>,
+    in_flight: Vec<u32>,
+    next: usize,
+    placed: HashMap<RequestId, TargetName>,
+    choices: Vec<usize>,
+    actions: Vec<SchedAction>,
+}
+
+impl BaselinePolicy {
+    /// Creates a policy that knows no targets.
+    pub fn new(rule: ChoiceRule, seed: u64) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        Self {
+            rule,
+            next: random.random_range(0..1 << 16),
+            random,
+            targets: Vec::new(),
+            in_flight: Vec::new(),
+            placed: HashMap::new(),
+            choices: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    fn find(&self, target: &TargetName) -> Option<usize> {
+        self.targets
+            .binary_search_by(|(name, _)| name.cmp(target))
+            .ok()
+    }
+
+    fn collect_choices(&mut self, item: &WorkItem) {
+        let mut choices = std::mem::take(&mut self.choices);
+        choices.clear();
+        for target in item.candidates.iter() {
+            let usable = self.find(target).filter(|at| self.targets[*at].1);
+            if let Some(at) = usable
+                && !item.excluded.contains(target)
+            {
+                choices.push(at);
+            }
+        }
+        self.choices = choices;
+    }
+
+    fn choose(&mut self) -> Option<usize> {
+        let count = self.choices.len();
+        if count == 0 {
+            return None;
+        }
+        match self.rule {
+            ChoiceRule::Random => Some(self.choices[self.random.random_range(0..count)]),
+            ChoiceRule::RoundRobin => {
+                self.next = self.next.wrapping_add(1);
+                Some(self.choices[self.next % count])
+            }
+            ChoiceRule::LeastInFlight => {
+                let start = self.random.random_range(0..count);
+                let turned = (0..count).map(|step| self.choices[(start + step) % count]);
+                turned.min_by_key(|at| self.in_flight[*at])
+            }
+        }
+    }
+}
+
+impl RoutePolicy for BaselinePolicy {
+    fn on_targets(&mut self, _now: ClockTime, targets: &[TargetInfo]) {
+        let old = std::mem::take(&mut self.targets);
+        let counts = std::mem::take(&mut self.in_flight);
+        for info in targets {
+            let known = old.binary_search_by(|(name, _)| name.cmp(&info.target));
+            self.in_flight.push(known.map_or(0, |at| counts[at]));
+            self.targets.push((info.target.clone(), info.usable));
+        }
+    }
+
+    fn on_report(&mut self, _now: ClockTime, _report: LoadReport) {}
+
+    fn on_digest(&mut self, _now: ClockTime, _digest: PeerDigest) {}
+
+    fn submit(&mut self, _now: ClockTime, item: WorkItem) {
+        self.collect_choices(&item);
+        let request = item.request;
+        let Some(at) = self.choose() else {
+            self.actions.push(SchedAction::Refuse {
+                request,
+                kind: ErrorKind::NoTarget,
+                retry_after: RETRY_AFTER,
+            });
+            return;
+        };
+        let target = self.targets[at].0.clone();
+        self.in_flight[at] += 1;
+        self.placed.insert(request.clone(), target.clone());
+        self.actions.push(SchedAction::Dispatch {
+            request,
+            target,
+            priority: WorkPriority::default(),
+        });
+    }
+
+    fn withdraw(&mut self, _now: ClockTime, _request: &RequestId) {}
+
+    fn on_admitted(&mut self, _now: ClockTime, _request: &RequestId) {}
+
+    fn on_progress(&mut self, _now: ClockTime, _request: &RequestId, _produced: TokenCount) {}
+
+    fn on_finished(&mut self, _now: ClockTime, request: &RequestId, _state: FinishState) {
+        let placed = self.placed.remove(request);
+        if let Some(at) = placed.and_then(|target| self.find(&target)) {
+            self.in_flight[at] -= 1;
+        }
+    }
+
+    fn on_cache_event(&mut self, _now: ClockTime, _target: &TargetName, _prefix: u64, _held: bool) {
+    }
+
+    fn on_tick(&mut self, _now: ClockTime) {}
+
+    fn drain_actions(&mut self, actions: &mut Vec<SchedAction>) {
+        actions.append(&mut self.actions);
+    }
+}
--- /dev/null
+++ b/crates/load/src/report/text_table.rs
@@ -0,0 +1,117 @@
+use std::fmt::Write;
+
+use strum::IntoEnumIterator;
+
+use super::{ExperimentReport, MeasureMetric, RatioSpread};
+use crate::WorkloadKind;
+
+/// Renders an experiment as Markdown tables: the medians over the seeds, then the ratios to
+/// the best baseline of the same seed as least, median and greatest value.
+pub fn render_text(report: &ExperimentReport) -> String {
+    let mut text = String::new();
+    // Writing to a string doesn't fail, so results of `writeln!` are dropped here and below.
+    let _ = writeln!(
+        text,
+        "{} nodes, {} engines of {} tokens memory, seeds {:?}",
+        report.nodes, report.engines, report.memory_tokens, report.seeds
+    );
+    for (workload, capacity) in &report.capacities {
+        let _ = writeln!(
+            text,
+            "{workload}: one engine carries {:.0} tok/s or {:.2} requests/s at {} in flight \
+             (mean output {:.0} tokens, gap p99 {:.1} ms, {:.1} preemptions per 1000)",
+            capacity.tokens_per_s,
+            capacity.requests_per_s,
+            capacity.in_flight,
+            capacity.mean_output,
+            capacity.gap_p99_ms,
+            capacity.preemptions_per_1000
+        );
+    }
+    for setting in report.settings() {
+        render_setting(&mut text, report, setting);
+    }
+    render_cost(&mut text, report);
+    text
+}
+
+fn render_setting(text: &mut String, report: &ExperimentReport, setting: (WorkloadKind, f64)) {
+    let policies = report.policies();
+    let _ = writeln!(text, "\n### {} at load {}\n", setting.0, setting.1);
+    let _ = writeln!(text, "| measure | {} |", policies.join(" | "));
+    let _ = writeln!(text, "|---|{}", "---|".repeat(policies.len()));
+    for metric in MeasureMetric::iter() {
+        let cell = |policy: &&str| {
+            let spread = report.spread(setting, policy, metric);
+            let ratio = report.ratio(setting, policy, metric);
+            format!("{} ({})", render_median(spread), render_ratio(ratio))
+        };
+        let cells: Vec<_> = policies.iter().map(cell).collect();
+        let _ = writeln!(text, "| {metric} | {} |", cells.join(" | "));
+    }
+}
+
+fn render_cost(text: &mut String, report: &ExperimentReport) {
+    let _ = writeln!(
+        text,
+        "\n### Cost of decisions, mean over all trials (processor times of this run)\n\n\
+         | policy | submit p50 ns | submit p99 ns | ns per dispatch | digest B/s per node | \
+         probe B/s per node | wasted share | unfinished | failed | illegal actions |\n\
+         |---|---|---|---|---|---|---|---|---|---|"
+    );
+    for policy in report.policies() {
+        let rows: Vec<_> = report
+            .rows
+            .iter()
+            .filter(|row| row.policy == policy)
+            .collect();
+        let costs = rows.iter().filter_map(|row| row.measures.cost.as_ref());
+        let costs: Vec<_> = costs.collect();
+        let count = costs.len().max(1) as f64;
+        let mean = |value: fn(&crate::CostSummary) -> f64| {
+            costs.iter().map(|cost| value(cost)).sum::<f64>() / count
+        };
+        let wasted: f64 = rows
+            .iter()
+            .filter_map(|row| row.measures.wasted_share)
+            .sum();
+        let unfinished: u64 = rows.iter().map(|row| row.measures.unfinished).sum();
+        let failed: u64 = rows.iter().map(|row| row.measures.failed()).sum();
+        let illegal: u64 = costs.iter().map(|cost| cost.illegal_actions).sum();
+        let _ = writeln!(
+            text,
+            "| {policy} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} | {:.4} | {unfinished} | \
+             {failed} | {illegal} |",
+            mean(|cost| cost.submit_p50_ns as f64),
+            mean(|cost| cost.submit_p99_ns as f64),
+            mean(|cost| cost.policy_ns_per_dispatch),
+            mean(|cost| cost.digest_bytes_per_s),
+            mean(|cost| cost.probe_bytes_per_s),
+            wasted / rows.len().max(1) as f64,
+        );
+    }
+}
+
+fn render_median(spread: Option<RatioSpread>) -> String {
+    match spread {
+        None => "-".to_string(),
+        Some(spread) => render_number(spread.median),
+    }
+}
+
+fn render_ratio(spread: Option<RatioSpread>) -> String {
+    let Some(spread) = spread else {
+        return "-".to_string();
+    };
+    let [min, median, max] = [spread.min, spread.median, spread.max].map(render_number);
+    format!("×{min}/{median}/{max}")
+}
+
+fn render_number(value: f64) -> String {
+    match value {
+        value if value.is_infinite() => "inf".to_string(),
+        value if value.abs() >= 100.0 => format!("{value:.0}"),
+        value if value.abs() >= 10.0 => format!("{value:.1}"),
+        value => format!("{value:.2}"),
+    }
+}
