Add the relay, peer messages and the platform client of the node

Cause: a generation has to be carried from engine to caller through the call machine, and nodes need authenticated messages and the platform's state.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -84,6 +84,13 @@
     PeerDead = 4003, "A peer was declared dead.";
     PeerLeaving = 4004, "A peer is stopping.";
     PeerRefused = 4005, "A peer message without a valid key was refused.";
+    PeerUnreached = 4008, "A message to a peer was not delivered.";
+    PeerRestored = 4009, "The direct link to a peer works again.";
+    PeerLinkBroken = 4010, "The direct link to a peer is silent while others reach it.";
+    DomainLost = 4011, "Another failure domain can't be reached.";
+    DomainFound = 4012, "Another failure domain can be reached again.";
+    NodeSuperseded = 4013, "A later run of this node's name exists; this run stops.";
+    ViewChanged = 4014, "The reliance on the membership view changed.";
     WindowHandedOver = 4006, "A ticket window was handed to a successor.";
     WindowTakenOver = 4007, "A ticket window was taken over from a stopping node.";
     PlatformLost = 5001, "The configuration service does not answer.";
--- a/crates/node/src/actor/sched_actor.rs
+++ b/crates/node/src/actor/sched_actor.rs
@@ -2,8 +2,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{EventKind, GenerationId, RequestId, TargetName, TokenCount, WorkspaceName};
-use calls::{BreakerPolicy, CircuitBreaker, RetryBudget};
+use base::{
+    ErrorKind, EventKind, GenerationId, IncarnationNumber, RequestId, TargetName, TimeSpan,
+    TokenCount, WorkspaceName,
+};
+use calls::{
+    BreakerPolicy, CircuitBreaker, CrashLimits, CrashMessage, CrashPrint, CrashTable, CrashVerdict,
+    RetryBudget, TargetDeath,
+};
 use sched::{FinishState, LoadReport, PeerDigest, RoutePolicy, SchedAction, TargetInfo, WorkItem};
 use tokio::sync::{mpsc, oneshot};
 use xtra::{Context, Handler};
@@ -18,14 +24,22 @@
     Publish(PeerDigest),
     /// Read the load of a target now.
     Probe(TargetName),
+    /// Tell the peers of the domain about a marked request.
+    Crash(CrashMessage),
 }
 
 struct RunningCall {
     target: TargetName,
+    print: CrashPrint,
     place: Option<(SocketAddr, GenerationId)>,
 }
 
-/// Owns the routing policy, the retry budgets and the circuit breakers.
+struct WaitingCall {
+    print: CrashPrint,
+    reply: oneshot::Sender<CallPlacement>,
+}
+
+/// Owns the routing policy, the retry budgets, the circuit breakers and the crash table.
 #[derive(xtra::Actor)]
 pub struct SchedActor {
     clock: SystemClock,
@@ -33,17 +47,19 @@
     engine: Arc<dyn EngineClient>,
     policy: Box<dyn RoutePolicy>,
     output: mpsc::Sender<SchedOutput>,
-    waiting: BTreeMap<RequestId, oneshot::Sender<CallPlacement>>,
+    waiting: BTreeMap<RequestId, WaitingCall>,
     running: BTreeMap<RequestId, RunningCall>,
     workspace_budgets: BTreeMap<WorkspaceName, RetryBudget>,
     target_budgets: BTreeMap<TargetName, RetryBudget>,
     breakers: BTreeMap<TargetName, CircuitBreaker>,
+    crashes: CrashTable,
     actions: Vec<SchedAction>,
 }
 
 /// Asks for a target.
 pub struct SubmitCall {
     pub item: WorkItem,
+    pub print: CrashPrint,
     pub retry: bool,
     pub reply: oneshot::Sender<CallPlacement>,
 }
@@ -75,6 +91,12 @@
 /// Notes a failure by the fault of a target.
 pub struct NoteTargetFailure {
     pub target: TargetName,
+    pub died: Option<IncarnationNumber>,
+}
+
+/// Takes what a peer tells of marked requests.
+pub struct TakeCrash {
+    pub message: CrashMessage,
 }
 
 /// Replaces the known targets.
@@ -115,6 +137,7 @@
             workspace_budgets: BTreeMap::new(),
             target_budgets: BTreeMap::new(),
             breakers: BTreeMap::new(),
+            crashes: CrashTable::new(CrashLimits::default()),
             actions: Vec::new(),
         }
     }
@@ -139,10 +162,7 @@
                 request,
                 kind,
                 retry_after,
-            } => {
-                let retry_after = Some(retry_after);
-                self.answer(&request, CallPlacement::Refuse { kind, retry_after });
-            }
+            } => self.refuse(&request, kind, retry_after),
             SchedAction::SetPriority { request, priority } => {
                 self.change_priority(&request, priority);
             }
@@ -160,21 +180,39 @@
         budget
             .or_insert_with(|| RetryBudget::new(now))
             .on_request(now);
+        let Some(waiting) = self.waiting.remove(&request) else {
+            self.policy
+                .on_finished(now, &request, FinishState::Cancelled);
+            return;
+        };
+        let print = waiting.print;
+        let placed = self.crashes.on_placed(now, print, &target);
+        self.tell_peers(placed);
         let call = RunningCall {
             target: target.clone(),
+            print,
             place: None,
         };
         self.running.insert(request.clone(), call);
-        if !self.answer(&request, CallPlacement::Dispatch { target, priority }) {
+        let placement = CallPlacement::Dispatch { target, priority };
+        if waiting.reply.send(placement).is_err() {
             self.end_call(&request, FinishState::Cancelled);
         }
     }
 
-    /// Answers a waiting call; false if nobody waits for the answer any more.
-    fn answer(&mut self, request: &RequestId, placement: CallPlacement) -> bool {
-        match self.waiting.remove(request) {
-            Some(reply) => reply.send(placement).is_ok(),
-            None => false,
+    fn tell_peers(&self, messages: impl IntoIterator<Item = CrashMessage>) {
+        for message in messages {
+            self.send_out(SchedOutput::Crash(message));
+        }
+    }
+
+    fn refuse(&mut self, request: &RequestId, kind: ErrorKind, retry_after: TimeSpan) {
+        let retry_after = Some(retry_after);
+        if let Some(waiting) = self.waiting.remove(request) {
+            // A caller that went away needs no answer.
+            let _ = waiting
+                .reply
+                .send(CallPlacement::Refuse { kind, retry_after });
         }
     }
 
@@ -204,6 +242,12 @@
             return;
         };
         self.policy.on_finished(now, request, state);
+        let left = self.crashes.on_left(call.print, &call.target);
+        self.tell_peers(left);
+        if state == FinishState::Complete {
+            let cleared = self.crashes.on_completed(call.print);
+            self.tell_peers(cleared);
+        }
         let breaker = self.breakers.get_mut(&call.target);
         let closed = match (state, breaker) {
             (FinishState::Complete | FinishState::NotAdmitted, Some(breaker)) => {
@@ -217,8 +261,15 @@
         }
     }
 
-    fn fail_target(&mut self, target: TargetName) {
+    fn fail_target(&mut self, target: TargetName, died: Option<IncarnationNumber>) {
         let now = self.clock.now();
+        if let Some(incarnation) = died {
+            let target = target.clone();
+            self.mark_crash(TargetDeath {
+                target,
+                incarnation,
+            });
+        }
         let breaker = self.breakers.entry(target.clone());
         let breaker = breaker.or_insert_with(|| CircuitBreaker::new(BreakerPolicy::default()));
         if breaker.on_failure(now) {
@@ -226,6 +277,38 @@
         }
     }
 
+    fn mark_crash(&mut self, death: TargetDeath) {
+        let now = self.clock.now();
+        let marks = self.crashes.on_target_died(now, death.clone());
+        if !marks.is_empty() {
+            let detail = format!("{}: {} requests", death.target, marks.len());
+            self.journal.note(EventKind::CrashMarked, detail);
+        }
+        self.tell_peers(marks);
+    }
+
+    /// Refuses a request that crashed its targets, and isolates one that may have.
+    fn judge_crash(&mut self, item: &mut WorkItem, print: CrashPrint) -> Option<CallPlacement> {
+        let now = self.clock.now();
+        match self.crashes.judge(now, print) {
+            CrashVerdict::Free => None,
+            CrashVerdict::Condemned { retry_after } => {
+                let kind = EventKind::CrashCondemned;
+                self.journal.note_request(kind, &item.request, "");
+                Some(CallPlacement::Refuse {
+                    kind: ErrorKind::CrashSuspect,
+                    retry_after: Some(retry_after),
+                })
+            }
+            CrashVerdict::Isolated => {
+                let shared = item.candidates.iter();
+                let shared = shared.filter(|name| !self.crashes.allows(now, print, name));
+                item.excluded.extend(shared.cloned());
+                None
+            }
+        }
+    }
+
     /// Excludes the targets whose breakers are open; there are few of them at any time.
     fn exclude_broken(&self, item: &mut WorkItem) {
         let now = self.clock.now();
@@ -257,9 +340,15 @@
     async fn handle(&mut self, message: SubmitCall, _: &mut Context<Self>) {
         let SubmitCall {
             mut item,
+            print,
             retry,
             reply,
         } = message;
+        if let Some(refusal) = self.judge_crash(&mut item, print) {
+            // A caller that went away needs no answer.
+            let _ = reply.send(refusal);
+            return;
+        }
         if retry && !self.allows_retry(&item) {
             // A caller that went away needs no answer.
             let _ = reply.send(CallPlacement::RetryRefused);
@@ -273,7 +362,8 @@
                 .on_request(now);
         }
         self.exclude_broken(&mut item);
-        self.waiting.insert(item.request.clone(), reply);
+        let waiting = WaitingCall { print, reply };
+        self.waiting.insert(item.request.clone(), waiting);
         self.policy.submit(now, item);
         self.carry_out();
     }
@@ -330,7 +420,16 @@
     type Return = ();
 
     async fn handle(&mut self, message: NoteTargetFailure, _: &mut Context<Self>) {
-        self.fail_target(message.target);
+        self.fail_target(message.target, message.died);
+    }
+}
+
+impl Handler<TakeCrash> for SchedActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeCrash, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.crashes.on_message(now, message.message);
     }
 }
 
@@ -378,6 +477,7 @@
     async fn handle(&mut self, _: PassTime, _: &mut Context<Self>) {
         let now = self.clock.now();
         self.policy.on_tick(now);
+        self.crashes.expire(now);
         self.carry_out();
     }
 }
--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -1,14 +1,15 @@
 use std::net::SocketAddr;
 
-use base::{GenerationId, RequestId, TargetName, TimeSpan, TokenCount};
+use base::{GenerationId, IncarnationNumber, RequestId, TargetName, TimeSpan, TokenCount};
+use calls::{CrashMessage, CrashPrint};
 use sched::{FinishState, LoadReport, PeerDigest, TargetInfo, WorkItem, WorkPriority};
 use tokio::sync::oneshot;
 use xtra::Address;
 
 use super::SchedActor;
 use crate::actor::sched_actor::{
-    AdmitCall, FinishCall, NoteTargetFailure, ProgressCall, SubmitCall, TakeDigest, TakeReport,
-    TakeTargets, WithdrawCall,
+    AdmitCall, FinishCall, NoteTargetFailure, PassTime, ProgressCall, SubmitCall, TakeCrash,
+    TakeDigest, TakeReport, TakeTargets, WithdrawCall,
 };
 
 /// Where a call goes, or why it goes nowhere.
@@ -45,9 +46,15 @@
     }
 
     /// Asks for a target and waits in the node's queue.
-    pub async fn submit(&self, item: WorkItem, retry: bool) -> CallPlacement {
+    pub async fn submit(&self, item: WorkItem, print: CrashPrint, retry: bool) -> CallPlacement {
         let (reply, placement) = oneshot::channel();
-        self.post(SubmitCall { item, retry, reply }).await;
+        let message = SubmitCall {
+            item,
+            print,
+            retry,
+            reply,
+        };
+        self.post(message).await;
         placement.await.unwrap_or(CallPlacement::Refuse {
             kind: base::ErrorKind::Stopping,
             retry_after: None,
@@ -79,9 +86,19 @@
         self.post(FinishCall { request, state }).await;
     }
 
-    /// Notes that a target died or could not be reached.
-    pub async fn note_failure(&self, target: TargetName) {
-        self.post(NoteTargetFailure { target }).await;
+    /// Notes a failure by the fault of a target; `died` is the run that certainly ended.
+    pub async fn note_failure(&self, target: TargetName, died: Option<IncarnationNumber>) {
+        self.post(NoteTargetFailure { target, died }).await;
+    }
+
+    /// Takes what a peer tells of requests that crash their targets.
+    pub async fn take_crash(&self, message: CrashMessage) {
+        self.post(TakeCrash { message }).await;
+    }
+
+    /// Lets time pass.
+    pub async fn pass_time(&self) {
+        self.post(PassTime).await;
     }
 
     /// Replaces the known targets.
--- /dev/null
+++ b/crates/node/src/platform/mod.rs
@@ -0,0 +1,5 @@
+//! The platform's configuration service, which can only be read and watched.
+
+mod platform_client;
+
+pub use platform_client::{PlatformClient, PlatformFailure};
--- /dev/null
+++ b/crates/node/src/platform/platform_client.rs
@@ -0,0 +1,257 @@
+use std::net::SocketAddr;
+
+use base::TimeSpan;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use fleet::{KeyText, PlatformHead, PlatformHeadAnswer, ReadScope};
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use member::{PlatformEntry, PlatformState};
+use serde::Deserialize;
+use snafu::Snafu;
+use tokio::time::timeout;
+use web::{ConnectionPool, SendPhase, empty_body, read_body};
+
+/// Longest answer: a few keys of a megabyte each, in Base64.
+const ANSWER_LIMIT: usize = 64 << 20;
+/// Longest wait for an answer beyond the wait that the call asks for.
+const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(4);
+/// Header with the index that the next watch waits on.
+const INDEX_HEADER: &str = "x-consul-index";
+/// Name of the key that lists the others.
+const HEAD_KEY: &str = "head";
+
+/// A call of the platform that gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("platform call failed: {reason}"))]
+pub struct PlatformFailure {
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// Reads the platform in the form of Consul's key-value and health endpoints.
+#[derive(Clone)]
+pub struct PlatformClient {
+    pool: ConnectionPool,
+    address: SocketAddr,
+    prefix: String,
+    service: String,
+}
+
+#[derive(Deserialize)]
+struct KvAnswer {
+    #[serde(rename = "Key")]
+    key: String,
+    #[serde(rename = "Value")]
+    value: Option<String>,
+    #[serde(rename = "ModifyIndex")]
+    modify_index: u64,
+}
+
+#[derive(Deserialize)]
+struct ServiceAnswer {
+    #[serde(rename = "Service")]
+    service: ServiceEntry,
+}
+
+#[derive(Deserialize)]
+struct ServiceEntry {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(rename = "Address")]
+    address: String,
+    #[serde(rename = "Port")]
+    port: u16,
+    #[serde(rename = "Meta", default)]
+    meta: ServiceMeta,
+}
+
+#[derive(Default, Deserialize)]
+struct ServiceMeta {
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    domain: String,
+}
+
+struct PlatformAnswer {
+    status: StatusCode,
+    index: u64,
+    body: Bytes,
+}
+
+impl PlatformClient {
+    /// Creates a client that reads keys under `prefix` and the VMs of `service`.
+    ///
+    /// ```
+    /// let pool = web::ConnectionPool::new(web::PoolSettings::new());
+    /// let address = "127.0.0.1:8500".parse().unwrap();
+    /// let _client = node::PlatformClient::new(pool, address, "agatemoor/", "agatemoor-node");
+    /// ```
+    pub fn new(pool: ConnectionPool, address: SocketAddr, prefix: &str, service: &str) -> Self {
+        Self {
+            pool,
+            address,
+            prefix: prefix.to_owned(),
+            service: service.to_owned(),
+        }
+    }
+
+    /// Reads the `head` key; an index above 0 waits up to `wait` for a change.
+    ///
+    /// # Errors
+    /// If the platform does not answer in time or answers with something else.
+    pub async fn read_head(
+        &self,
+        index: u64,
+        wait: TimeSpan,
+    ) -> Result<PlatformHeadAnswer, PlatformFailure> {
+        let path = format!("/v1/kv/{}{HEAD_KEY}", self.prefix);
+        let answer = self.watch(&path, index, wait).await?;
+        let index = answer.index;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(PlatformHeadAnswer { index, head: None });
+        }
+        let entries: Vec<KvAnswer> = parse_json(&answer.body)?;
+        let head = entries.into_iter().next().map(|entry| {
+            let modify_index = entry.modify_index;
+            let text = decode_text(&entry).into();
+            PlatformHead { modify_index, text }
+        });
+        Ok(PlatformHeadAnswer { index, head })
+    }
+
+    /// Reads other keys; keys that do not exist are left out.
+    ///
+    /// # Errors
+    /// If the platform does not answer in time or answers with something else.
+    pub async fn read_keys(&self, scope: &ReadScope) -> Result<Vec<KeyText>, PlatformFailure> {
+        let ReadScope::Keys(names) = scope else {
+            return self
+                .read_path(&format!("/v1/kv/{}?recurse", self.prefix))
+                .await;
+        };
+        let mut keys = Vec::new();
+        for name in names {
+            keys.extend(
+                self.read_path(&format!("/v1/kv/{}{name}", self.prefix))
+                    .await?,
+            );
+        }
+        Ok(keys)
+    }
+
+    /// Reads the list of node VMs; an index above 0 waits up to `wait` for a change.
+    ///
+    /// # Errors
+    /// If the platform does not answer in time or answers with something else.
+    pub async fn read_nodes(
+        &self,
+        index: u64,
+        wait: TimeSpan,
+    ) -> Result<(u64, Vec<PlatformEntry>), PlatformFailure> {
+        let path = format!("/v1/health/service/{}", self.service);
+        let answer = self.watch(&path, index, wait).await?;
+        let entries: Vec<ServiceAnswer> = parse_json(&answer.body)?;
+        let nodes = entries
+            .into_iter()
+            .filter_map(|entry| into_entry(entry.service));
+        Ok((answer.index, nodes.collect()))
+    }
+
+    async fn read_path(&self, path: &str) -> Result<Vec<KeyText>, PlatformFailure> {
+        let answer = self.get(path, ANSWER_WAIT).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(Vec::new());
+        }
+        let entries: Vec<KvAnswer> = parse_json(&answer.body)?;
+        let keys = entries.iter().filter_map(|entry| {
+            let name = entry.key.strip_prefix(&self.prefix)?;
+            (name != HEAD_KEY).then(|| KeyText::new(name, decode_text(entry)))
+        });
+        Ok(keys.collect())
+    }
+
+    async fn watch(
+        &self,
+        path: &str,
+        index: u64,
+        wait: TimeSpan,
+    ) -> Result<PlatformAnswer, PlatformFailure> {
+        if index == 0 {
+            return self.get(path, ANSWER_WAIT).await;
+        }
+        let millis = wait.as_millis();
+        let path = format!("{path}?index={index}&wait={millis}ms");
+        self.get(&path, wait + ANSWER_WAIT).await
+    }
+
+    async fn get(&self, path: &str, wait: TimeSpan) -> Result<PlatformAnswer, PlatformFailure> {
+        let Ok(answered) = timeout(wait.into(), self.get_once(path)).await else {
+            self.pool.forget(self.address);
+            return fail("no answer in time");
+        };
+        let answer = answered?;
+        if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
+            return Ok(answer);
+        }
+        fail(format!("status {}", answer.status))
+    }
+
+    async fn get_once(&self, path: &str) -> Result<PlatformAnswer, PlatformFailure> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .body(empty_body());
+        let Ok(request) = request else {
+            return fail("the key prefix is no valid path");
+        };
+        let sent = self
+            .pool
+            .send(self.address, SendPhase::Reuse, request)
+            .await;
+        let (response, connection) = sent.or_else(|error| fail(error.to_string()))?;
+        let status = response.status();
+        let index = response.headers().get(INDEX_HEADER);
+        let index = index.and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = read_body(response.into_body(), ANSWER_LIMIT, ANSWER_WAIT).await;
+        let body = body.or_else(|error| fail(error.to_string()))?;
+        self.pool.release(connection);
+        Ok(PlatformAnswer {
+            status,
+            index: index.unwrap_or(0),
+            body,
+        })
+    }
+}
+
+fn into_entry(service: ServiceEntry) -> Option<PlatformEntry> {
+    let address = format!("{}:{}", service.address, service.port);
+    Some(PlatformEntry {
+        node: service.id.parse().ok()?,
+        domain: service.meta.domain.parse().ok(),
+        address: address.parse().ok(),
+        state: match service.meta.state.as_str() {
+            "leaving" => PlatformState::Leaving,
+            _ => PlatformState::Live,
+        },
+    })
+}
+
+/// A value that is no UTF-8 gets a replacement character and then fails its hash.
+fn decode_text(entry: &KvAnswer) -> String {
+    let value = entry.value.as_deref().unwrap_or_default();
+    let bytes = STANDARD.decode(value).unwrap_or_default();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn parse_json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformFailure> {
+    serde_json::from_slice(body).or_else(|error| fail(error.to_string()))
+}
+
+fn fail<T>(reason: impl Into<String>) -> Result<T, PlatformFailure> {
+    let reason = reason.into();
+    Err(PlatformFailure { reason })
+}
--- /dev/null
+++ b/crates/node/src/relay/answer_collector.rs
@@ -0,0 +1,128 @@
+use bytes::Bytes;
+use serde_json::{Map, Value};
+
+/// Fields of a chunk whose parts are joined rather than replaced.
+const JOINED_FIELDS: [&str; 5] = [
+    "text",
+    "content",
+    "refusal",
+    "reasoning_content",
+    "arguments",
+];
+
+/// Puts the chunks of a stream together to one whole answer.
+///
+/// ```
+/// let mut collector = node::AnswerCollector::new();
+/// collector.add(br#"{"object":"text_completion","choices":[{"index":0,"text":"a"}]}"#);
+/// collector.add(br#"{"choices":[{"index":0,"text":"b","finish_reason":"stop"}]}"#);
+/// let body = collector.finish();
+/// let answer: serde_json::Value = serde_json::from_slice(&body).unwrap();
+/// assert_eq!(answer["choices"][0]["text"], "ab");
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct AnswerCollector {
+    answer: Map<String, Value>,
+    size: usize,
+}
+
+impl AnswerCollector {
+    /// Creates a collector without chunks.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Bytes taken so far.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
+    /// Drops everything, as when another generation follows.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Adds a chunk; one that is no JSON object is passed over.
+    pub fn add(&mut self, chunk: &[u8]) {
+        self.size += chunk.len();
+        let Ok(Value::Object(chunk)) = serde_json::from_slice(chunk) else {
+            return;
+        };
+        for (name, value) in chunk {
+            match (name.as_str(), value) {
+                ("choices", Value::Array(choices)) => self.add_choices(choices),
+                ("object", Value::String(object)) => {
+                    let whole = object.strip_suffix(".chunk").unwrap_or(&object);
+                    self.answer.insert(name, Value::String(whole.to_owned()));
+                }
+                (_, Value::Null) => {}
+                (_, value) => drop(self.answer.insert(name, value)),
+            }
+        }
+    }
+
+    /// Returns the whole answer as JSON.
+    pub fn finish(&mut self) -> Bytes {
+        let answer = std::mem::take(&mut self.answer);
+        serde_json::to_vec(&answer).unwrap_or_default().into()
+    }
+
+    fn add_choices(&mut self, choices: Vec<Value>) {
+        let known = self
+            .answer
+            .entry("choices")
+            .or_insert_with(|| Value::Array(Vec::new()));
+        let Value::Array(known) = known else {
+            return;
+        };
+        for choice in choices {
+            let Value::Object(mut choice) = choice else {
+                continue;
+            };
+            if let Some(delta) = choice.remove("delta") {
+                choice.insert("message".to_owned(), delta);
+            }
+            merge_entry(known, choice);
+        }
+    }
+}
+
+/// Merges an entry into the one with the same index, or appends it.
+fn merge_entry(known: &mut Vec<Value>, entry: Map<String, Value>) {
+    let index = entry.get("index").cloned().unwrap_or(Value::from(0));
+    let same = |value: &&mut Value| value["index"] == index;
+    match known.iter_mut().find(same) {
+        Some(Value::Object(old)) => merge_fields(old, entry),
+        _ => known.push(Value::Object(entry)),
+    }
+}
+
+fn merge_fields(old: &mut Map<String, Value>, new: Map<String, Value>) {
+    for (name, value) in new {
+        match (old.get_mut(&name), value) {
+            (_, Value::Null) => {
+                old.entry(name).or_insert(Value::Null);
+            }
+            (Some(Value::String(text)), Value::String(more)) if is_joined(&name) => {
+                text.push_str(&more);
+            }
+            (Some(Value::Object(inner)), Value::Object(more)) => merge_fields(inner, more),
+            (Some(Value::Array(list)), Value::Array(more)) => merge_lists(list, more),
+            (_, value) => drop(old.insert(name, value)),
+        }
+    }
+}
+
+/// Lists of indexed objects, such as tool calls, are merged by index; others are appended.
+fn merge_lists(list: &mut Vec<Value>, more: Vec<Value>) {
+    for value in more {
+        match value {
+            Value::Object(entry) if entry.contains_key("index") => merge_entry(list, entry),
+            value => list.push(value),
+        }
+    }
+}
+
+fn is_joined(name: &str) -> bool {
+    JOINED_FIELDS.contains(&name)
+}
--- /dev/null
+++ b/crates/node/src/relay/answer_writer.rs
@@ -0,0 +1,120 @@
+use std::fmt::Write;
+
+use bytes::{Bytes, BytesMut};
+use calls::CallFailure;
+
+use super::{AnswerCollector, ResumeToken};
+use crate::caller::error_object;
+
+/// Room that a chunk to the caller is given at once, so that few tokens need an allocation.
+const CHUNK_ROOM: usize = 4_096;
+
+/// Writes an answer in the form that the caller asked for.
+pub enum AnswerWriter {
+    /// Server-sent events.
+    Stream {
+        /// Bytes not yet taken.
+        chunk: BytesMut,
+        /// Start of every event id, once the generation is known.
+        token: Option<String>,
+    },
+    /// One JSON object.
+    Whole(AnswerCollector),
+}
+
+impl AnswerWriter {
+    /// Creates a writer of server-sent events or of one object.
+    ///
+    /// ```
+    /// let _writer = node::AnswerWriter::new(true);
+    /// ```
+    pub fn new(streamed: bool) -> Self {
+        match streamed {
+            true => Self::Stream {
+                chunk: BytesMut::new(),
+                token: None,
+            },
+            false => Self::Whole(AnswerCollector::new()),
+        }
+    }
+
+    /// Tells whether the caller gets server-sent events.
+    pub fn is_streamed(&self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+
+    /// Sets the token that event ids start with.
+    pub fn set_token(&mut self, resume: &ResumeToken) {
+        if let Self::Stream { token, .. } = self {
+            *token = Some(resume.to_string());
+        }
+    }
+
+    /// Writes the chunk of one token.
+    pub fn write_token(&mut self, offset: u64, data: &[u8]) {
+        match self {
+            Self::Stream { chunk, token } => {
+                write_event(chunk, token.as_deref(), offset, data);
+            }
+            Self::Whole(collector) => collector.add(data),
+        }
+    }
+
+    /// Writes the end of the answer, which carries the number of tokens.
+    pub fn write_end(&mut self, count: u64, data: &[u8]) {
+        match self {
+            Self::Stream { chunk, token } => {
+                write_event(chunk, token.as_deref(), count, data);
+                chunk.extend_from_slice(b"data: [DONE]\n\n");
+            }
+            Self::Whole(collector) => collector.add(data),
+        }
+    }
+
+    /// Writes an error into a stream that has begun; there is no `[DONE]` after it.
+    pub fn write_failure(&mut self, failure: &CallFailure) {
+        if let Self::Stream { chunk, .. } = self {
+            let text = error_object(failure, failure.kind.into()).to_string();
+            chunk.extend_from_slice(b"data: ");
+            chunk.extend_from_slice(text.as_bytes());
+            chunk.extend_from_slice(b"\n\n");
+        }
+    }
+
+    /// Drops what was collected of a whole answer.
+    pub fn discard(&mut self) {
+        if let Self::Whole(collector) = self {
+            collector.clear();
+        }
+    }
+
+    /// Takes the bytes that are ready for the caller; a whole answer is ready at its end only.
+    pub fn take_chunk(&mut self) -> Option<Bytes> {
+        match self {
+            Self::Stream { chunk, .. } if !chunk.is_empty() => Some(chunk.split().freeze()),
+            _ => None,
+        }
+    }
+
+    /// Takes the last bytes of a complete answer.
+    pub fn finish(&mut self) -> Option<Bytes> {
+        match self {
+            Self::Stream { .. } => self.take_chunk(),
+            Self::Whole(collector) => Some(collector.finish()),
+        }
+    }
+}
+
+fn write_event(chunk: &mut BytesMut, token: Option<&str>, offset: u64, data: &[u8]) {
+    let needed = data.len() + token.map_or(0, str::len) + 64;
+    if chunk.capacity() - chunk.len() < needed {
+        chunk.reserve(needed.max(CHUNK_ROOM));
+    }
+    if let Some(token) = token {
+        // Writing to a buffer that grows can't fail.
+        let _ = writeln!(chunk, "id: {token}.{offset}");
+    }
+    chunk.extend_from_slice(b"data: ");
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\n\n");
+}
--- /dev/null
+++ b/crates/node/src/relay/call_job.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use calls::{AnswerMode, CallPlan, CrashPrint};
+use sched::WorkItem;
+use serde_json::{Map, Value};
+
+use super::ResumeKey;
+use crate::{
+    EngineClient, EventJournal, ModelSpec, RouteChoice, SchedHandle, SystemClock, ViewCell,
+};
+
+/// What every relay of a node shares.
+pub struct RelayParts {
+    /// Clock of the process.
+    pub clock: SystemClock,
+    /// Events of the process.
+    pub journal: EventJournal,
+    /// Client of the engines.
+    pub engine: Arc<dyn EngineClient>,
+    /// The scheduling actor.
+    pub sched: SchedHandle,
+    /// The fleet as the node knows it.
+    pub view: ViewCell,
+    /// Secret of resume tokens.
+    pub resume: ResumeKey,
+}
+
+/// One generation to be relayed.
+pub struct CallJob {
+    /// Rules of its attempts.
+    pub plan: CallPlan,
+    /// What the routing policy needs to know.
+    pub item: WorkItem,
+    /// Model as the caller named it.
+    pub spec: ModelSpec,
+    /// Engines and versions that the selectors allow.
+    pub route: Arc<RouteChoice>,
+    /// Path under `/v1/`.
+    pub path: &'static str,
+    /// Body of the caller.
+    pub body: Map<String, Value>,
+    /// Fingerprint against requests that crash their targets.
+    pub print: CrashPrint,
+}
+
+impl CallJob {
+    /// Tells whether the caller gets server-sent events.
+    pub fn is_streamed(&self) -> bool {
+        self.plan.mode == AnswerMode::Streamed
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/call_relay.rs
@@ -0,0 +1,702 @@
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{
+    ClockTime, ErrorKind, EventKind, GenerationId, IncarnationNumber, RequestId, TargetName,
+    TimeSpan, TokenCount,
+};
+use bytes::Bytes;
+use calls::{
+    CallAction, CallEvent, CallFailure, CallMachine, LinkNumber, LinkWatch, ProbeOutcome,
+    WatchPolicy, WatchVerdict,
+};
+use sched::{FinishState, WorkPriority};
+use tokio::time::sleep;
+
+use super::{AnswerWriter, CallJob, RelayParts, ResumeToken};
+use crate::{CallPlacement, EngineCall, EngineEvent, EngineFault, EngineLink, EngineStream};
+
+/// Tokens after which the policy is told how far a generation has come.
+const PROGRESS_STEP: u64 = 16;
+/// Longest wait for the response head of an engine, which answers as soon as it queues a call.
+const HEAD_WAIT: TimeSpan = TimeSpan::from_secs(10);
+/// Longest wait when nothing is due.
+const IDLE_WAIT: TimeSpan = TimeSpan::from_secs(60);
+
+/// What a relay has for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayStep {
+    /// A part of a streamed answer.
+    Chunk(Bytes),
+    /// The end: the rest of a streamed answer, or a whole one.
+    Finished(Bytes),
+    /// The work goes on, but this caller gets an error now.
+    Detached(CallFailure),
+    /// The call failed.
+    Failed(CallFailure),
+    /// The engine refused the request as wrong.
+    Rejected {
+        /// HTTP status.
+        status: u16,
+        /// Body of the engine's answer.
+        body: Bytes,
+    },
+}
+
+enum LinkState {
+    Closed,
+    Open(Box<dyn EngineLink>),
+    Reading(EngineStream),
+}
+
+/// Whether the policy knows of the current attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlacementState {
+    None,
+    Waiting,
+    Placed,
+}
+
+/// Relays one generation: feeds the call machine and carries out its actions.
+pub struct CallRelay {
+    parts: Arc<RelayParts>,
+    job: CallJob,
+    machine: CallMachine,
+    actions: VecDeque<CallAction>,
+    scratch: Vec<CallAction>,
+    link: LinkState,
+    number: LinkNumber,
+    watch: Option<LinkWatch>,
+    /// Run of the target that the current attempt was sent to.
+    run: Option<IncarnationNumber>,
+    timer: Option<ClockTime>,
+    writer: AnswerWriter,
+    placement: PlacementState,
+    priority: WorkPriority,
+    told: u64,
+    delivered: u64,
+    end_data: Option<Bytes>,
+    rejected: Option<(u16, Bytes)>,
+    ended: bool,
+}
+
+impl CallRelay {
+    /// Creates the relay of a job; nothing is sent before the first call of `next_step`.
+    pub fn new(parts: Arc<RelayParts>, job: CallJob) -> Self {
+        let mut machine = CallMachine::new(job.plan.clone());
+        let mut scratch = Vec::with_capacity(4);
+        machine.start(parts.clock.now(), &mut scratch);
+        let mut writer = AnswerWriter::new(job.is_streamed());
+        if let Some(point) = &job.plan.resume {
+            let (target, generation) = (point.target.clone(), point.generation.clone());
+            let workspace = &job.item.workspace;
+            writer.set_token(&ResumeToken::new(
+                &parts.resume,
+                workspace,
+                target,
+                generation,
+            ));
+        }
+        Self {
+            parts,
+            job,
+            machine,
+            actions: scratch.drain(..).collect(),
+            scratch,
+            link: LinkState::Closed,
+            number: LinkNumber(0),
+            watch: None,
+            run: None,
+            timer: None,
+            writer,
+            placement: PlacementState::None,
+            priority: WorkPriority::default(),
+            told: 0,
+            delivered: 0,
+            end_data: None,
+            rejected: None,
+            ended: false,
+        }
+    }
+
+    /// Identifier of the request.
+    pub fn request(&self) -> &RequestId {
+        &self.job.plan.request
+    }
+
+    /// Returns the next part of the answer; `None` after the last one.
+    pub async fn next_step(&mut self) -> Option<RelayStep> {
+        while !self.ended {
+            if let Some(step) = self.carry_out().await {
+                return Some(step);
+            }
+            if self.ended {
+                break;
+            }
+            if let Some(step) = self.read_link().await {
+                return Some(step);
+            }
+        }
+        None
+    }
+
+    fn feed(&mut self, event: CallEvent<'_>) {
+        let now = self.parts.clock.now();
+        self.machine.on_event(now, event, &mut self.scratch);
+        self.actions.extend(self.scratch.drain(..));
+    }
+
+    async fn carry_out(&mut self) -> Option<RelayStep> {
+        while let Some(action) = self.actions.pop_front() {
+            match action {
+                CallAction::ChooseTarget { exclude, retry } => {
+                    self.choose_target(exclude, retry).await;
+                }
+                CallAction::Connect { link, target } => self.connect(link, &target).await,
+                CallAction::Send { link, target, .. } => self.send(link, &target).await,
+                CallAction::Resume {
+                    link,
+                    target,
+                    generation,
+                    offset,
+                } => self.resume(link, &target, generation, offset).await,
+                CallAction::Deliver { .. } | CallAction::Drop => {}
+                CallAction::DiscardAnswer => self.writer.discard(),
+                CallAction::CloseLink { .. } => self.close_link(),
+                CallAction::Cancel { target, generation } => self.cancel(&target, generation),
+                CallAction::SetTimer { at } => self.timer = Some(at),
+                CallAction::Detach(failure) => return Some(RelayStep::Detached(failure)),
+                CallAction::Finish { count } => return Some(self.finish(count).await),
+                CallAction::Fail(failure) => return Some(self.fail(failure).await),
+                CallAction::Abandon { .. } => {
+                    self.ended = true;
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    async fn choose_target(&mut self, exclude: Vec<TargetName>, retry: bool) {
+        if self.placement == PlacementState::Placed {
+            let state = self.attempt_outcome();
+            self.leave_target(state).await;
+        }
+        let mut item = self.job.item.clone();
+        item.excluded = exclude;
+        let sched = self.parts.sched.clone();
+        self.placement = PlacementState::Waiting;
+        let print = self.job.print;
+        let placed = self.or_timer(sched.submit(item, print, retry)).await;
+        let Some(placed) = placed else {
+            self.feed(CallEvent::Timer);
+            return;
+        };
+        self.placement = PlacementState::None;
+        match placed {
+            CallPlacement::Dispatch { target, priority } => {
+                self.placement = PlacementState::Placed;
+                self.priority = priority;
+                self.feed(CallEvent::TargetChosen { target });
+            }
+            CallPlacement::Refuse { kind, retry_after } => {
+                self.feed(CallEvent::NoTarget { kind, retry_after });
+            }
+            CallPlacement::RetryRefused => {
+                self.feed(CallEvent::RetryRefused { retry_after: None });
+            }
+        }
+    }
+
+    async fn connect(&mut self, link: LinkNumber, target: &TargetName) {
+        self.number = link;
+        self.run = self.incarnation(target);
+        let Some(address) = self.address(target) else {
+            self.feed(CallEvent::ConnectFailed { link });
+            return;
+        };
+        let engine = self.parts.engine.clone();
+        match self.or_timer(engine.connect(address)).await {
+            None => self.feed(CallEvent::Timer),
+            Some(Ok(connection)) => {
+                self.link = LinkState::Open(connection);
+                self.feed(CallEvent::Connected { link });
+            }
+            Some(Err(fault)) => {
+                self.note_fault(target, &fault).await;
+                self.feed(CallEvent::ConnectFailed { link });
+            }
+        }
+    }
+
+    async fn send(&mut self, link: LinkNumber, target: &TargetName) {
+        let LinkState::Open(connection) = std::mem::replace(&mut self.link, LinkState::Closed)
+        else {
+            self.feed(CallEvent::LinkLost { link });
+            return;
+        };
+        self.feed(CallEvent::FirstByteSent { link });
+        self.note(EventKind::AttemptSent, target.as_str());
+        let call = self.engine_call(target);
+        match self.or_timer(connection.start(call)).await {
+            // The timer can only be the deadline here, and it ends the call.
+            None => self.feed(CallEvent::Timer),
+            Some(Ok(stream)) => self.open_stream(link, target, stream).await,
+            Some(Err(fault)) => self.take_fault(link, target, fault).await,
+        }
+    }
+
+    async fn resume(
+        &mut self,
+        link: LinkNumber,
+        target: &TargetName,
+        generation: GenerationId,
+        offset: u64,
+    ) {
+        self.number = link;
+        let Some(address) = self.address(target) else {
+            self.feed(CallEvent::ResumeRefused { link });
+            return;
+        };
+        let engine = self.parts.engine.clone();
+        match self
+            .or_timer(engine.resume(address, generation, offset))
+            .await
+        {
+            None => self.feed(CallEvent::Timer),
+            Some(Ok(stream)) => {
+                let detail = format!("{target} from offset {offset}");
+                self.note(EventKind::StreamResumed, &detail);
+                self.feed(CallEvent::Connected { link });
+                self.open_stream(link, target, stream).await;
+            }
+            Some(Err(EngineFault::UnknownGeneration)) => {
+                self.note_restart(target, address).await;
+                self.feed(CallEvent::ResumeRefused { link });
+            }
+            Some(Err(fault)) => self.take_fault(link, target, fault).await,
+        }
+    }
+
+    /// An engine that lost a generation by a restart died while it ran the request.
+    async fn note_restart(&self, target: &TargetName, address: SocketAddr) {
+        let Some(known) = self.run else {
+            return;
+        };
+        let health = self.parts.engine.health(address).await;
+        if health.is_ok_and(|health| health.incarnation != known) {
+            self.parts
+                .sched
+                .note_failure(target.clone(), Some(known))
+                .await;
+        }
+    }
+
+    async fn open_stream(&mut self, link: LinkNumber, target: &TargetName, stream: EngineStream) {
+        let now = self.parts.clock.now();
+        self.run = self.run.or_else(|| self.incarnation(target));
+        let run = self.run.unwrap_or_default();
+        self.watch = Some(LinkWatch::new(now, run, WatchPolicy::default()));
+        let generation = stream.generation().cloned();
+        self.link = LinkState::Reading(stream);
+        if let Some(generation) = generation {
+            self.feed(CallEvent::Accepted {
+                link,
+                generation: generation.as_str(),
+            });
+            self.admit(target, generation).await;
+        }
+    }
+
+    /// Tells the policy where the call runs, and the writer what event ids start with.
+    async fn admit(&mut self, target: &TargetName, generation: GenerationId) {
+        let workspace = &self.job.item.workspace;
+        let key = &self.parts.resume;
+        let token = ResumeToken::new(key, workspace, target.clone(), generation.clone());
+        self.writer.set_token(&token);
+        if let Some(address) = self.address(target) {
+            let request = self.request().clone();
+            self.parts.sched.admit(request, address, generation).await;
+        }
+    }
+
+    async fn take_fault(&mut self, link: LinkNumber, target: &TargetName, fault: EngineFault) {
+        self.note(EventKind::AttemptFailed, &format!("{target}: {fault}"));
+        self.note_fault(target, &fault).await;
+        match fault {
+            EngineFault::Unsent { .. } => self.feed(CallEvent::NotAdmitted {
+                link,
+                retry_after: None,
+            }),
+            EngineFault::NotAdmitted { retry_after } => {
+                self.feed(CallEvent::NotAdmitted { link, retry_after });
+            }
+            EngineFault::Refused => self.feed(CallEvent::TargetDied {
+                target: target.clone(),
+            }),
+            EngineFault::Failed { status, body } => {
+                if (400..500).contains(&status) {
+                    self.rejected = Some((status, body));
+                }
+                self.feed(CallEvent::TargetFailed { link, status });
+            }
+            EngineFault::UnknownGeneration => self.feed(CallEvent::ResumeRefused { link }),
+            EngineFault::Silent => self.feed(CallEvent::LinkSilent { link }),
+            EngineFault::Lost { .. } | EngineFault::Protocol { .. } => {
+                self.feed(CallEvent::LinkLost { link });
+            }
+        }
+    }
+
+    async fn note_fault(&mut self, target: &TargetName, fault: &EngineFault) {
+        let died = matches!(fault, EngineFault::Refused);
+        let blamed = !matches!(
+            fault,
+            EngineFault::NotAdmitted { .. }
+                | EngineFault::Failed {
+                    status: 400..=499,
+                    ..
+                }
+                | EngineFault::UnknownGeneration
+        );
+        if blamed {
+            let incarnation = self.run.or_else(|| self.incarnation(target));
+            let incarnation = incarnation.filter(|_| died);
+            self.parts
+                .sched
+                .note_failure(target.clone(), incarnation)
+                .await;
+        }
+    }
+
+    async fn read_link(&mut self) -> Option<RelayStep> {
+        let LinkState::Reading(stream) = &mut self.link else {
+            self.wait_for_timer().await;
+            return None;
+        };
+        let wait = next_wait(self.parts.clock.now(), self.timer, self.watch.as_ref());
+        match stream.fill(wait).await {
+            Ok(true) => self.take_events().await,
+            Ok(false) => {
+                self.feed(CallEvent::LinkLost { link: self.number });
+                None
+            }
+            Err(EngineFault::Silent) => {
+                self.check_quiet().await;
+                None
+            }
+            Err(fault) => {
+                let target = self.machine.target().cloned()?;
+                self.take_fault(self.number, &target, fault).await;
+                None
+            }
+        }
+    }
+
+    /// Takes every event that has arrived and returns what is ready for the caller.
+    async fn take_events(&mut self) -> Option<RelayStep> {
+        let now = self.parts.clock.now();
+        while let LinkState::Reading(stream) = &mut self.link {
+            match stream.next_ready() {
+                Ok(None) => break,
+                Ok(Some(EngineEvent::Token {
+                    generation,
+                    offset,
+                    data,
+                })) => {
+                    self.take_token(now, &generation, u64::from(offset), &data)
+                        .await
+                }
+                Ok(Some(EngineEvent::End {
+                    generation,
+                    count,
+                    data,
+                })) => {
+                    self.end_data = Some(data);
+                    self.feed(CallEvent::EndOfStream {
+                        link: self.number,
+                        generation: generation.as_str(),
+                        count: u64::from(count.0),
+                    });
+                }
+                Err(fault) => {
+                    let target = self.machine.target().cloned()?;
+                    self.take_fault(self.number, &target, fault).await;
+                }
+            }
+            if !self.actions.is_empty() {
+                break;
+            }
+        }
+        let received = self.machine.next_offset();
+        if let Some(watch) = &mut self.watch {
+            watch.on_bytes(now, received);
+        }
+        self.tell_progress(received).await;
+        // The last chunk goes out together with the end of the answer.
+        if self.actions.is_empty() {
+            return self.writer.take_chunk().map(RelayStep::Chunk);
+        }
+        None
+    }
+
+    async fn take_token(
+        &mut self,
+        now: ClockTime,
+        generation: &GenerationId,
+        offset: u64,
+        data: &[u8],
+    ) {
+        let first = self.machine.generation().is_none();
+        let event = CallEvent::Token {
+            link: self.number,
+            generation: generation.as_str(),
+            offset,
+            len: 1,
+        };
+        self.machine.on_event(now, event, &mut self.scratch);
+        if first && let Some(target) = self.machine.target().cloned() {
+            self.admit(&target, generation.clone()).await;
+        }
+        if matches!(self.scratch.first(), Some(CallAction::Deliver { .. })) {
+            if self.delivered == 0 {
+                self.note(EventKind::GenerationStarted, generation.as_str());
+            }
+            self.delivered += 1;
+            self.writer.write_token(offset, data);
+        }
+        for action in self.scratch.drain(..) {
+            if !matches!(action, CallAction::Deliver { .. } | CallAction::Drop) {
+                self.actions.push_back(action);
+            }
+        }
+    }
+
+    async fn tell_progress(&mut self, received: u64) {
+        if received >= self.told + PROGRESS_STEP {
+            self.told = received;
+            let produced = TokenCount(u32::try_from(received).unwrap_or(u32::MAX));
+            let request = self.request().clone();
+            self.parts.sched.progress(request, produced).await;
+        }
+    }
+
+    async fn check_quiet(&mut self) {
+        let now = self.parts.clock.now();
+        if self.timer.is_some_and(|at| at <= now) {
+            self.timer = None;
+            self.feed(CallEvent::Timer);
+        }
+        let Some(watch) = &mut self.watch else {
+            return;
+        };
+        let mut verdict = watch.on_tick(now);
+        if verdict == WatchVerdict::Probe {
+            let outcome = self.probe_target().await;
+            let now = self.parts.clock.now();
+            let Some(watch) = &mut self.watch else {
+                return;
+            };
+            verdict = watch.on_probe(now, outcome);
+        }
+        self.take_verdict(verdict).await;
+    }
+
+    async fn take_verdict(&mut self, verdict: WatchVerdict) {
+        let Some(target) = self.machine.target().cloned() else {
+            return;
+        };
+        match verdict {
+            WatchVerdict::Wait | WatchVerdict::Probe => {}
+            WatchVerdict::LinkSilent => {
+                self.note(EventKind::LinkSilent, target.as_str());
+                self.feed(CallEvent::LinkSilent { link: self.number });
+            }
+            WatchVerdict::TargetDead => {
+                self.parts
+                    .sched
+                    .note_failure(target.clone(), self.run)
+                    .await;
+                self.feed(CallEvent::TargetDied { target });
+            }
+            WatchVerdict::TargetUnreachable => {
+                self.parts.sched.note_failure(target.clone(), None).await;
+                self.feed(CallEvent::TargetDied { target });
+            }
+        }
+    }
+
+    async fn probe_target(&self) -> ProbeOutcome {
+        let target = self.machine.target();
+        let Some(address) = target.and_then(|target| self.address(target)) else {
+            return ProbeOutcome::TimedOut;
+        };
+        let engine = &self.parts.engine;
+        let found = match self.machine.generation() {
+            Some(generation) => {
+                let progress = engine.progress(address, generation.clone()).await;
+                progress.map(|progress| (progress.incarnation, Some(progress.produced)))
+            }
+            None => {
+                let health = engine.health(address).await;
+                health.map(|health| (health.incarnation, None))
+            }
+        };
+        match found {
+            Ok((incarnation, produced)) => ProbeOutcome::Answered {
+                // Without a known run to compare with, any answer counts as the same run.
+                incarnation: self.run.map_or(IncarnationNumber(0), |_| incarnation),
+                produced,
+            },
+            Err(EngineFault::Refused) => ProbeOutcome::Refused,
+            // Another run of the engine does not know the generation.
+            Err(EngineFault::UnknownGeneration) => ProbeOutcome::Answered {
+                incarnation: IncarnationNumber(u64::MAX),
+                produced: None,
+            },
+            Err(_) => ProbeOutcome::TimedOut,
+        }
+    }
+
+    async fn wait_for_timer(&mut self) {
+        let now = self.parts.clock.now();
+        let wait = self.timer.map_or(IDLE_WAIT, |at| at - now);
+        sleep(Duration::from(wait)).await;
+        if self.timer.is_some_and(|at| at <= self.parts.clock.now()) {
+            self.timer = None;
+            self.feed(CallEvent::Timer);
+        }
+    }
+
+    /// Waits for a result or for the timer of the machine.
+    async fn or_timer<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
+        let now = self.parts.clock.now();
+        let wait = self.timer.map_or(IDLE_WAIT * 60, |at| at - now);
+        tokio::select! {
+            done = work => Some(done),
+            () = sleep(Duration::from(wait)) => {
+                self.timer = None;
+                None
+            }
+        }
+    }
+
+    async fn finish(&mut self, count: u64) -> RelayStep {
+        let data = self.end_data.take().unwrap_or_default();
+        self.writer.write_end(count, &data);
+        self.leave_target(FinishState::Complete).await;
+        self.note(EventKind::RequestFinished, &format!("{count} tokens"));
+        self.ended = true;
+        RelayStep::Finished(self.writer.finish().unwrap_or_default())
+    }
+
+    async fn fail(&mut self, failure: CallFailure) -> RelayStep {
+        let state = match failure.kind {
+            ErrorKind::DeadlineExceeded => FinishState::Cancelled,
+            _ => self.attempt_outcome(),
+        };
+        self.leave_target(state).await;
+        self.note(EventKind::RequestFailed, failure.kind.into());
+        self.ended = true;
+        if let Some((status, body)) = self.rejected.take()
+            && self.delivered == 0
+        {
+            return RelayStep::Rejected { status, body };
+        }
+        RelayStep::Failed(failure)
+    }
+
+    fn attempt_outcome(&self) -> FinishState {
+        match self.machine.ran() {
+            base::RanState::No => FinishState::NotAdmitted,
+            _ => FinishState::Failed,
+        }
+    }
+
+    async fn leave_target(&mut self, state: FinishState) {
+        let request = self.request().clone();
+        match std::mem::replace(&mut self.placement, PlacementState::None) {
+            PlacementState::None => {}
+            PlacementState::Waiting => self.parts.sched.withdraw(request).await,
+            PlacementState::Placed => self.parts.sched.finish(request, state).await,
+        }
+    }
+
+    fn close_link(&mut self) {
+        self.link = LinkState::Closed;
+        self.watch = None;
+    }
+
+    fn cancel(&self, target: &TargetName, generation: GenerationId) {
+        let Some(address) = self.address(target) else {
+            return;
+        };
+        let engine = self.parts.engine.clone();
+        tokio::spawn(async move {
+            // An engine that can't be reached has lost the generation or will end it itself.
+            let _ = engine.cancel(address, generation).await;
+        });
+    }
+
+    fn engine_call(&self, target: &TargetName) -> EngineCall {
+        let mut body = self.job.body.clone();
+        let version = self.job.route.version(target).cloned();
+        let spec = match version {
+            Some(version) => self.job.spec.with_version(version),
+            None => self.job.spec.clone(),
+        };
+        body.insert("model".to_owned(), spec.to_string().into());
+        EngineCall {
+            request: self.request().clone(),
+            path: self.job.path,
+            body,
+            priority: self.priority,
+            wait: HEAD_WAIT,
+        }
+    }
+
+    fn address(&self, target: &TargetName) -> Option<SocketAddr> {
+        self.parts.view.get().address(target)
+    }
+
+    fn incarnation(&self, target: &TargetName) -> Option<IncarnationNumber> {
+        let view = self.parts.view.get();
+        let health = view.target(target)?.health.as_ref()?;
+        Some(health.incarnation)
+    }
+
+    fn note(&self, kind: EventKind, detail: &str) {
+        self.parts
+            .journal
+            .note_request(kind, self.request(), detail);
+    }
+}
+
+/// Time until the timer or the watch is due.
+fn next_wait(now: ClockTime, timer: Option<ClockTime>, watch: Option<&LinkWatch>) -> TimeSpan {
+    let due = [timer, watch.map(LinkWatch::next_tick)];
+    let next = due.into_iter().flatten().min();
+    next.map_or(IDLE_WAIT, |at| at - now)
+}
+
+impl Drop for CallRelay {
+    /// A caller that goes away drops the relay in the middle of a step.
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (target, generation) = (self.machine.target(), self.machine.generation());
+        if let (Some(target), Some(generation)) = (target, generation) {
+            self.cancel(target, generation.clone());
+        }
+        self.note(EventKind::CallerGone, "");
+        let sched = self.parts.sched.clone();
+        let request = self.request().clone();
+        if self.placement != PlacementState::None {
+            tokio::spawn(async move { sched.withdraw(request).await });
+        }
+    }
+}
