Add the caller interface, tickets and keys, and the fleet actor of the node

Cause: callers need the OpenAI-compatible API and plain services with tickets and keys, and the node needs membership, revisions and target state. Change: CallerApi, ServiceRelay, ClaimActor with shared answers, FleetActor, forwarding to owners and to other failure domains.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -59,6 +59,7 @@
     ConnectionEnded = 1006, "A connection ended with an error.";
     StandInStarted = 1007, "A stand-in listens on its address.";
     LoadProgress = 1008, "The load tool reports its progress.";
+    NodeReady = 1009, "The node has compared its declaration and serves callers.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
     AttemptSent = 2003, "An attempt may have reached its target.";
@@ -93,6 +94,7 @@
     ViewChanged = 4014, "The reliance on the membership view changed.";
     WindowHandedOver = 4006, "A ticket window was handed to a successor.";
     WindowTakenOver = 4007, "A ticket window was taken over from a stopping node.";
+    WindowRefused = 4015, "A ticket window of a stopping node was not taken over.";
     PlatformLost = 5001, "The configuration service does not answer.";
     PlatformFound = 5002, "The configuration service answers again.";
     RevisionAccepted = 5003, "A declaration was accepted and is in force.";
--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use xtra::Address;
 
-use super::SchedActor;
+use super::{SchedActor, post_now};
 use crate::actor::sched_actor::{
     AdmitCall, FinishCall, NoteTargetFailure, PassTime, ProgressCall, SubmitCall, TakeCrash,
     TakeDigest, TakeReport, TakeTargets, WithdrawCall,
@@ -54,7 +54,7 @@
             retry,
             reply,
         };
-        self.post(message).await;
+        self.post(message);
         placement.await.unwrap_or(CallPlacement::Refuse {
             kind: base::ErrorKind::Stopping,
             retry_after: None,
@@ -62,66 +62,65 @@
     }
 
     /// Takes a waiting call back.
-    pub async fn withdraw(&self, request: RequestId) {
-        self.post(WithdrawCall { request }).await;
+    pub fn withdraw(&self, request: RequestId) {
+        self.post(WithdrawCall { request });
     }
 
     /// Notes that a call runs as `generation` at `address`.
-    pub async fn admit(&self, request: RequestId, address: SocketAddr, generation: GenerationId) {
+    pub fn admit(&self, request: RequestId, address: SocketAddr, generation: GenerationId) {
         let admitted = AdmitCall {
             request,
             address,
             generation,
         };
-        self.post(admitted).await;
+        self.post(admitted);
     }
 
     /// Notes how many tokens a call has produced.
-    pub async fn progress(&self, request: RequestId, produced: TokenCount) {
-        self.post(ProgressCall { request, produced }).await;
+    pub fn progress(&self, request: RequestId, produced: TokenCount) {
+        self.post(ProgressCall { request, produced });
     }
 
     /// Notes the end of a call at its target.
-    pub async fn finish(&self, request: RequestId, state: FinishState) {
-        self.post(FinishCall { request, state }).await;
+    pub fn finish(&self, request: RequestId, state: FinishState) {
+        self.post(FinishCall { request, state });
     }
 
     /// Notes a failure by the fault of a target; `died` is the run that certainly ended.
-    pub async fn note_failure(&self, target: TargetName, died: Option<IncarnationNumber>) {
-        self.post(NoteTargetFailure { target, died }).await;
+    pub fn note_failure(&self, target: TargetName, died: Option<IncarnationNumber>) {
+        self.post(NoteTargetFailure { target, died });
     }
 
     /// Takes what a peer tells of requests that crash their targets.
-    pub async fn take_crash(&self, message: CrashMessage) {
-        self.post(TakeCrash { message }).await;
+    pub fn take_crash(&self, message: CrashMessage) {
+        self.post(TakeCrash { message });
     }
 
     /// Lets time pass.
-    pub async fn pass_time(&self) {
-        self.post(PassTime).await;
+    pub fn pass_time(&self) {
+        self.post(PassTime);
     }
 
     /// Replaces the known targets.
-    pub async fn set_targets(&self, targets: Vec<TargetInfo>) {
-        self.post(TakeTargets { targets }).await;
+    pub fn set_targets(&self, targets: Vec<TargetInfo>) {
+        self.post(TakeTargets { targets });
     }
 
     /// Takes a load report.
-    pub async fn take_report(&self, report: LoadReport) {
-        self.post(TakeReport { report }).await;
+    pub fn take_report(&self, report: LoadReport) {
+        self.post(TakeReport { report });
     }
 
     /// Takes a digest of a peer.
-    pub async fn take_digest(&self, digest: PeerDigest) {
-        self.post(TakeDigest { digest }).await;
+    pub fn take_digest(&self, digest: PeerDigest) {
+        self.post(TakeDigest { digest });
     }
 
-    async fn post<M>(&self, message: M)
+    fn post<M>(&self, message: M)
     where
         M: Send + 'static,
         SchedActor: xtra::Handler<M>,
     {
-        // The actor lives as long as the node; after that there is nobody to tell.
-        let _ = self.address.send(message).detach().await;
+        post_now(&self.address, message);
     }
 }
--- /dev/null
+++ b/crates/node/src/caller/call_service.rs
@@ -0,0 +1,106 @@
+use base::{ErrorKind, ServiceName, TokenCount};
+use calls::{AnswerMode, CallFailure, CallPlan, CrashPrint};
+use fleet::FleetDeclaration;
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, PROXY_AUTHORIZATION,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use sched::{CallKind, WorkItem};
+
+use super::{CallInput, InputFault};
+use crate::{NodeCore, NodeView, ServiceBody, ServiceJob};
+
+/// Headers that concern one connection, and the caller's key.
+const DROPPED_HEADERS: [HeaderName; 9] = [
+    AUTHORIZATION,
+    CONNECTION,
+    CONTENT_LENGTH,
+    HOST,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Splits `/svc/NAME/rest` into the service and the path at the service.
+pub fn split_service(path: &str) -> Option<(ServiceName, String)> {
+    let rest = path.strip_prefix("/svc/")?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let service = rest[..end].parse().ok()?;
+    let path = match &rest[end..] {
+        tail if tail.starts_with('/') => tail.to_owned(),
+        tail => format!("/{tail}"),
+    };
+    Some((service, path))
+}
+
+/// Makes the job of a service call.
+pub fn make_service_job(
+    core: &NodeCore,
+    view: &NodeView,
+    fleet: &FleetDeclaration,
+    input: &CallInput,
+    body: ServiceBody,
+) -> Result<ServiceJob, InputFault> {
+    let Some((service, path)) = split_service(&input.path) else {
+        return Err(CallFailure::new(ErrorKind::NotFound).into());
+    };
+    let Some(declared) = fleet.service(&service) else {
+        let message = format!("service `{service}` is not declared");
+        return Err(InputFault::new(ErrorKind::NotFound, message));
+    };
+    let route = core
+        .routes
+        .service_choice(view, fleet, &input.workspace, &service);
+    if !route.declared {
+        let message = format!("no route allows service `{service}` to this workspace");
+        return Err(InputFault::new(ErrorKind::NotFound, message));
+    }
+    let buffered = matches!(body, ServiceBody::Buffered(_));
+    let mut plan = CallPlan::new(input.request.clone());
+    plan.repeatable = buffered && declared.is_repeatable(input.method.as_str());
+    plan.resumable = false;
+    plan.uninterruptible = declared.uncancellable;
+    plan.mode = AnswerMode::Whole;
+    plan.deadline = Some(input.deadline(core.limits.deadline)?);
+    plan.seed = rand::random();
+    if !buffered {
+        // The body can be handed to one attempt only.
+        plan.policy.attempt_limit = 1;
+    }
+    let item = WorkItem {
+        request: input.request.clone(),
+        workspace: input.workspace.name.clone(),
+        weight: input.workspace.weight,
+        queue_limit: input.workspace.queue,
+        stream_limit: input.workspace.streams,
+        model: None,
+        kind: CallKind::Service,
+        prompt_tokens: TokenCount(0),
+        max_tokens: None,
+        prefix: 0,
+        candidates: route.candidates.clone(),
+        excluded: Vec::new(),
+        arrival: input.arrival,
+        deadline: plan.deadline,
+    };
+    let scope = format!("{service} {} {path}", input.method);
+    Ok(ServiceJob {
+        print: CrashPrint::new(&scope, &input.body),
+        plan,
+        item,
+        method: input.method.clone(),
+        path,
+        headers: service_headers(&input.headers),
+        body,
+    })
+}
+
+fn service_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    for name in DROPPED_HEADERS {
+        passed.remove(name);
+    }
+    passed
+}
--- /dev/null
+++ b/crates/node/src/caller/caller_api.rs
@@ -0,0 +1,358 @@
+use std::sync::Arc;
+
+use base::{ErrorKind, EventKind, RanState};
+use bytes::Bytes;
+use calls::CallFailure;
+use fleet::{DeclaredWorkspace, FleetDeclaration};
+use hyper::body::{Body, Incoming};
+use hyper::{Method, Request, Response};
+use serde_json::json;
+use web::{BodyError, HandlerFuture, WebBody, WebHandler, full_body, json_body, read_body};
+
+use super::answer_body::{respond_failure, respond_retained, respond_run, respond_shared};
+use super::call_input::path_of;
+use super::call_service::{make_service_job, split_service};
+use super::caller_auth::find_workspace;
+use super::forward_call::{forward_call, forward_far};
+use super::generation_call::{generation_kind, make_job};
+use super::keyed_call::{KeyedAnswer, answer_keyed};
+use super::model_list::list_models;
+use super::{CallInput, CallRun, InputFault, error_response};
+use crate::{
+    CallRelay, ForwardedCall, NodeCore, NodeView, ServiceBody, ServiceRelay, SharedAnswer,
+    WorkPermit,
+};
+
+/// Path that tells the platform's balancer whether the node serves callers.
+const READY_PATH: &str = "/ready";
+/// Prefix of the paths of plain services.
+const SERVICE_PREFIX: &str = "/svc/";
+
+/// Answers callers, and calls that other nodes pass on; clones share one node.
+#[derive(Clone)]
+pub struct CallerApi {
+    core: Arc<NodeCore>,
+}
+
+/// What one request is handled with.
+struct CallScene {
+    view: Arc<NodeView>,
+    fleet: Arc<FleetDeclaration>,
+    permit: WorkPermit,
+}
+
+impl WebHandler for CallerApi {
+    fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
+        let api = self.clone();
+        Box::pin(async move {
+            if request.uri().path() == READY_PATH {
+                return api.answer_ready();
+            }
+            let answered = api.answer(request).await;
+            answered.unwrap_or_else(|fault| error_response(&fault.failure, &fault.message))
+        })
+    }
+}
+
+impl CallerApi {
+    /// Creates the interface of a node.
+    pub fn new(core: Arc<NodeCore>) -> Self {
+        Self { core }
+    }
+
+    fn answer_ready(&self) -> Response<WebBody> {
+        let ready = self.core.is_ready();
+        let mut response = Response::new(full_body(if ready { "ready" } else { "not ready" }));
+        if !ready {
+            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<WebBody>, InputFault> {
+        let scene = self.enter().await?;
+        let Some(workspace) = find_workspace(&scene.fleet, request.headers()).cloned() else {
+            return Err(CallFailure::new(ErrorKind::UnknownKey).into());
+        };
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/v1/models") => {
+                let (view, fleet) = (&scene.view, &scene.fleet);
+                Ok(list_models(&self.core, view, fleet, &workspace))
+            }
+            (&Method::POST, "/v1/tickets") => self.issue_ticket(&workspace).await,
+            (method, path) if generation_kind(path).is_some() => {
+                let resumes = request.headers().contains_key("last-event-id");
+                if method != Method::POST && !(method == Method::GET && resumes) {
+                    return Err(CallFailure::new(ErrorKind::MethodNotAllowed).into());
+                }
+                let input = self.read_input(request, workspace).await?;
+                self.answer_generation(scene, input).await
+            }
+            (_, path) if path.starts_with(SERVICE_PREFIX) => {
+                self.answer_service(scene, request, workspace).await
+            }
+            (_, "/v1/models" | "/v1/tickets") => {
+                Err(CallFailure::new(ErrorKind::MethodNotAllowed).into())
+            }
+            _ => Err(CallFailure::new(ErrorKind::NotFound).into()),
+        }
+    }
+
+    /// Answers a call that another node authenticated and passed on.
+    pub async fn answer_forwarded(&self, call: ForwardedCall) -> Response<WebBody> {
+        let answered = self.try_forwarded(call).await;
+        answered.unwrap_or_else(|fault| error_response(&fault.failure, &fault.message))
+    }
+
+    async fn try_forwarded(&self, call: ForwardedCall) -> Result<Response<WebBody>, InputFault> {
+        let scene = self.enter().await?;
+        let Some(workspace) = scene.fleet.workspace(&call.workspace).cloned() else {
+            return Err(CallFailure::new(ErrorKind::UnknownKey).into());
+        };
+        let _overflow = match call.overflow {
+            true => Some(self.core.overflow.clone().try_acquire_owned()),
+            false => None,
+        };
+        if matches!(_overflow, Some(Err(_))) {
+            return Err(CallFailure::new(ErrorKind::Overloaded).into());
+        }
+        let input = CallInput {
+            request: self.core.new_request(),
+            workspace,
+            method: call.method,
+            path: call.path,
+            headers: call.headers,
+            body: call.body,
+            hops: call.hops,
+            overflow: call.overflow,
+            arrival: self.core.clock.now(),
+        };
+        if input.path.starts_with(SERVICE_PREFIX) {
+            return self.answer_buffered_service(scene, input).await;
+        }
+        self.answer_generation(scene, input).await
+    }
+
+    async fn enter(&self) -> Result<CallScene, InputFault> {
+        let Some(permit) = self.core.gate.enter() else {
+            return Err(CallFailure::new(ErrorKind::Stopping).into());
+        };
+        let Some((view, fleet)) = self.core.ready_view().await else {
+            return Err(CallFailure::new(ErrorKind::NotReady).into());
+        };
+        Ok(CallScene {
+            view,
+            fleet,
+            permit,
+        })
+    }
+
+    async fn issue_ticket(
+        &self,
+        workspace: &DeclaredWorkspace,
+    ) -> Result<Response<WebBody>, InputFault> {
+        let Some(ticket) = self.core.claims.issue(workspace.name.clone()).await else {
+            return Err(CallFailure::new(ErrorKind::Overloaded).into());
+        };
+        let text = ticket.to_string();
+        self.core.journal.note(EventKind::TicketIssued, "");
+        Ok(Response::new(json_body(&json!({ "ticket": text }))))
+    }
+
+    async fn read_input(
+        &self,
+        request: Request<Incoming>,
+        workspace: DeclaredWorkspace,
+    ) -> Result<CallInput, InputFault> {
+        let (head, body) = request.into_parts();
+        let limits = &self.core.limits;
+        let body = read_body(body, limits.body_bytes, limits.read_wait).await;
+        let body = body.map_err(|error| body_fault(&error))?;
+        Ok(self.make_input(head, workspace, body))
+    }
+
+    fn make_input(
+        &self,
+        head: http::request::Parts,
+        workspace: DeclaredWorkspace,
+        body: Bytes,
+    ) -> CallInput {
+        let request = self.core.new_request();
+        self.core.note(
+            EventKind::RequestAccepted,
+            &request,
+            workspace.name.as_str(),
+        );
+        CallInput {
+            request,
+            workspace,
+            path: path_of(&head.uri),
+            method: head.method,
+            headers: head.headers,
+            body,
+            hops: 0,
+            overflow: false,
+            arrival: self.core.clock.now(),
+        }
+    }
+
+    async fn answer_generation(
+        &self,
+        scene: CallScene,
+        input: CallInput,
+    ) -> Result<Response<WebBody>, InputFault> {
+        let key = input.key()?.map(str::to_owned);
+        let job = make_job(&self.core, &scene.view, &scene.fleet, &input)?;
+        let streamed = job.is_streamed();
+        let relay = self.core.relay.clone();
+        let permit = self.core.gate.enter();
+        let Some(permit) = permit else {
+            return Err(CallFailure::new(ErrorKind::Stopping).into());
+        };
+        let make = move || {
+            let relay = CallRelay::new(relay, job);
+            Ok(CallRun::with_generation(relay, streamed, permit))
+        };
+        match key {
+            Some(key) => self.answer_with_key(scene, input, &key, make).await,
+            None => self.answer_run(scene, input, make()?).await,
+        }
+    }
+
+    async fn answer_service(
+        &self,
+        scene: CallScene,
+        request: Request<Incoming>,
+        workspace: DeclaredWorkspace,
+    ) -> Result<Response<WebBody>, InputFault> {
+        let limit = self.core.limits.body_bytes as u64;
+        let known = request.body().size_hint().exact();
+        let keyed = request.headers().contains_key("idempotency-key");
+        if keyed || known.is_some_and(|size| size <= limit) {
+            let input = self.read_input(request, workspace).await?;
+            return self.answer_buffered_service(scene, input).await;
+        }
+        let (head, body) = request.into_parts();
+        let input = self.make_input(head, workspace, Bytes::new());
+        let body = ServiceBody::Streaming(Some(body));
+        let run = self.service_run(&scene, &input, body)?;
+        respond_run(run).await.map_err(InputFault::from)
+    }
+
+    async fn answer_buffered_service(
+        &self,
+        scene: CallScene,
+        input: CallInput,
+    ) -> Result<Response<WebBody>, InputFault> {
+        let key = input.key()?.map(str::to_owned);
+        let body = ServiceBody::Buffered(input.body.clone());
+        let run = self.service_run(&scene, &input, body)?;
+        match key {
+            Some(key) => {
+                self.answer_with_key(scene, input, &key, move || Ok(run))
+                    .await
+            }
+            None if self.is_uncancellable(&scene, &input) => {
+                let answer = self.run_apart(run);
+                respond_shared(answer).await.map_err(InputFault::from)
+            }
+            None => self.answer_run(scene, input, run).await,
+        }
+    }
+
+    fn service_run(
+        &self,
+        scene: &CallScene,
+        input: &CallInput,
+        body: ServiceBody,
+    ) -> Result<CallRun, InputFault> {
+        let Some(permit) = self.core.gate.enter() else {
+            return Err(CallFailure::new(ErrorKind::Stopping).into());
+        };
+        let job = make_service_job(&self.core, &scene.view, &scene.fleet, input, body)?;
+        let relay = ServiceRelay::new(self.core.clone(), job);
+        Ok(CallRun::with_service(relay, permit))
+    }
+
+    fn is_uncancellable(&self, scene: &CallScene, input: &CallInput) -> bool {
+        let service = split_service(&input.path);
+        let declared = service.and_then(|(name, _)| scene.fleet.service(&name));
+        declared.is_some_and(|service| service.uncancellable)
+    }
+
+    /// Lets a run go on even if its caller goes away.
+    fn run_apart(&self, run: CallRun) -> SharedAnswer {
+        let answer = SharedAnswer::new();
+        let (core, written) = (self.core.clone(), answer.clone());
+        tokio::spawn(async move {
+            run.write_to(core, &written).await;
+        });
+        answer
+    }
+
+    async fn answer_run(
+        &self,
+        scene: CallScene,
+        input: CallInput,
+        run: CallRun,
+    ) -> Result<Response<WebBody>, InputFault> {
+        match respond_run(run).await {
+            Ok(response) => Ok(response),
+            Err(failure) if wants_far(&failure, &input) => {
+                let far = forward_far(&self.core, &input, scene.permit).await;
+                far.map_err(InputFault::from)
+            }
+            Err(failure) => Err(self.refuse(&input, failure)),
+        }
+    }
+
+    async fn answer_with_key<F>(
+        &self,
+        scene: CallScene,
+        input: CallInput,
+        key: &str,
+        make: F,
+    ) -> Result<Response<WebBody>, InputFault>
+    where
+        F: FnOnce() -> Result<CallRun, InputFault> + Send + 'static,
+    {
+        match answer_keyed(self.core.clone(), &input, key, make).await {
+            KeyedAnswer::Shared(answer) => match respond_shared(answer).await {
+                Ok(response) => Ok(response),
+                Err(failure) => Err(self.refuse(&input, failure)),
+            },
+            KeyedAnswer::Retained(answer) => {
+                self.core
+                    .note(EventKind::AnswerReplayed, &input.request, "");
+                Ok(respond_retained(&answer))
+            }
+            KeyedAnswer::Forward(node, run) => {
+                let passed = forward_call(&self.core, &input, &node, run, scene.permit).await;
+                passed.or_else(|failure| Ok(respond_failure(&failure)))
+            }
+            KeyedAnswer::Failed(fault) => Err(fault),
+        }
+    }
+
+    fn refuse(&self, input: &CallInput, failure: CallFailure) -> InputFault {
+        let kind = EventKind::RequestRefused;
+        self.core.note(kind, &input.request, failure.kind.into());
+        failure.into()
+    }
+}
+
+/// Another failure domain is asked only if the own one has no target at all.
+fn wants_far(failure: &CallFailure, input: &CallInput) -> bool {
+    let unserved = failure.kind == ErrorKind::NoTarget && failure.ran == RanState::No;
+    unserved && input.hops == 0 && !input.overflow
+}
+
+fn body_fault(error: &BodyError) -> InputFault {
+    let kind = match error {
+        BodyError::TooLarge { .. } => ErrorKind::BodyTooLarge,
+        BodyError::TimedOut => ErrorKind::RequestTimeout,
+        BodyError::Broken { .. } | BodyError::Aborted { .. } => ErrorKind::BadRequest,
+    };
+    InputFault::new(kind, error.to_string())
+}
--- /dev/null
+++ b/crates/node/src/caller/generation_call.rs
@@ -0,0 +1,250 @@
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use base::{ErrorKind, TokenCount};
+use calls::{AnswerMode, CallFailure, CallPlan, CrashPrint, ResumePoint};
+use fleet::FleetDeclaration;
+use sched::{CallKind, WorkItem};
+use serde_json::{Map, Value};
+
+use super::CallInput;
+use crate::{CallJob, ModelSpec, NodeCore, NodeView, ResumeToken};
+
+/// Bytes of a prompt that are counted as one token, as no tokenizer is at hand.
+const BYTES_PER_TOKEN: usize = 4;
+/// Bytes at the start of a prompt by which shared prefixes are recognised.
+const PREFIX_BYTES: usize = 256;
+
+/// A call that can't be made into a job, with what the caller should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InputFault {
+    /// Answer to the caller.
+    pub failure: CallFailure,
+    /// Message for the caller.
+    pub message: String,
+}
+
+impl InputFault {
+    /// Creates a fault of a kind with a message.
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self {
+            failure: CallFailure::new(kind),
+            message: message.into(),
+        }
+    }
+}
+
+impl From<CallFailure> for InputFault {
+    fn from(failure: CallFailure) -> Self {
+        let message = failure.kind.to_string();
+        Self { failure, message }
+    }
+}
+
+/// Kinds of generation calls with their paths under `/v1/`.
+pub fn generation_kind(path: &str) -> Option<(CallKind, &'static str)> {
+    match path {
+        "/v1/completions" => Some((CallKind::Completion, "completions")),
+        "/v1/chat/completions" => Some((CallKind::Chat, "chat/completions")),
+        _ => None,
+    }
+}
+
+/// Makes the job of a generation call.
+pub fn make_job(
+    core: &NodeCore,
+    view: &NodeView,
+    fleet: &FleetDeclaration,
+    input: &CallInput,
+) -> Result<CallJob, InputFault> {
+    let path = input.path.split('?').next().unwrap_or_default();
+    let Some((kind, path)) = generation_kind(path) else {
+        return Err(InputFault::new(ErrorKind::NotFound, "no such path"));
+    };
+    if let Some(id) = input.last_event() {
+        return resume_job(core, input, id, kind, path);
+    }
+    let body = parse_body(&input.body)?;
+    let spec = read_model(&body)?;
+    let prompt = read_prompt(&body, kind)?;
+    let streamed = read_flag(&body, "stream")?;
+    let max_tokens = read_limit(&body)?;
+    let Some(model) = fleet.model(&spec.model) else {
+        let message = format!("model `{}` is not declared", spec.model);
+        return Err(InputFault::new(ErrorKind::NotFound, message));
+    };
+    let route = core
+        .routes
+        .model_choice(view, fleet, &input.workspace, &spec);
+    if !route.declared {
+        let message = format!("no route allows model `{spec}` to this workspace");
+        return Err(InputFault::new(ErrorKind::NotFound, message));
+    }
+    let mut plan = CallPlan::new(input.request.clone());
+    plan.repeatable = model.repeatable;
+    plan.mode = answer_mode(streamed);
+    plan.deadline = Some(input.deadline(core.limits.deadline)?);
+    plan.seed = rand::random();
+    let item = WorkItem {
+        request: input.request.clone(),
+        workspace: input.workspace.name.clone(),
+        weight: input.workspace.weight,
+        queue_limit: input.workspace.queue,
+        stream_limit: input.workspace.streams,
+        model: Some(spec.model.clone()),
+        kind,
+        prompt_tokens: count_tokens(&prompt),
+        max_tokens,
+        prefix: hash_prefix(&prompt),
+        candidates: route.candidates.clone(),
+        excluded: Vec::new(),
+        arrival: input.arrival,
+        deadline: plan.deadline,
+    };
+    Ok(CallJob {
+        print: CrashPrint::new(spec.model.as_str(), &input.body),
+        plan,
+        item,
+        spec,
+        route,
+        path,
+        body,
+    })
+}
+
+/// Makes the job that continues a generation after the event `id`.
+fn resume_job(
+    core: &NodeCore,
+    input: &CallInput,
+    id: &str,
+    kind: CallKind,
+    path: &'static str,
+) -> Result<CallJob, InputFault> {
+    let workspace = &input.workspace;
+    let Some((token, offset)) = ResumeToken::parse(&core.relay.resume, &workspace.name, id) else {
+        let message = "Last-Event-ID is not an event id of this workspace";
+        return Err(InputFault::new(ErrorKind::BadRequest, message));
+    };
+    let mut plan = CallPlan::new(input.request.clone());
+    plan.deadline = Some(input.deadline(core.limits.deadline)?);
+    plan.resume = Some(ResumePoint {
+        target: token.target,
+        generation: token.generation,
+        next: offset.saturating_add(1),
+    });
+    let item = WorkItem {
+        request: input.request.clone(),
+        workspace: workspace.name.clone(),
+        weight: workspace.weight,
+        queue_limit: workspace.queue,
+        stream_limit: workspace.streams,
+        model: None,
+        kind,
+        prompt_tokens: TokenCount(0),
+        max_tokens: None,
+        prefix: 0,
+        candidates: Vec::new().into(),
+        excluded: Vec::new(),
+        arrival: input.arrival,
+        deadline: plan.deadline,
+    };
+    Ok(CallJob {
+        print: CrashPrint::new("resume", id.as_bytes()),
+        plan,
+        item,
+        spec: "resumed"
+            .parse()
+            .map_err(|_| InputFault::new(ErrorKind::Internal, ""))?,
+        route: std::sync::Arc::default(),
+        path,
+        body: Map::new(),
+    })
+}
+
+fn parse_body(body: &[u8]) -> Result<Map<String, Value>, InputFault> {
+    match serde_json::from_slice(body) {
+        Ok(Value::Object(fields)) => Ok(fields),
+        Ok(_) => Err(bad_field("body", "a JSON object")),
+        Err(error) => {
+            let message = format!("body is not valid JSON: {error}");
+            Err(InputFault::new(ErrorKind::BadRequest, message))
+        }
+    }
+}
+
+fn read_model(body: &Map<String, Value>) -> Result<ModelSpec, InputFault> {
+    let allowed = "MODEL, MODEL:VERSION or MODEL:VERSION+ADAPTER";
+    let text = body.get("model").and_then(Value::as_str);
+    let text = text.ok_or_else(|| bad_field("model", allowed))?;
+    text.parse().map_err(|_| bad_field("model", allowed))
+}
+
+/// The prompt or the messages as text.
+fn read_prompt(body: &Map<String, Value>, kind: CallKind) -> Result<String, InputFault> {
+    match kind {
+        CallKind::Chat => match body.get("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => {
+                Ok(Value::Array(messages.clone()).to_string())
+            }
+            _ => Err(bad_field(
+                "messages",
+                "a list of messages that is not empty",
+            )),
+        },
+        _ => match body.get("prompt") {
+            Some(Value::String(text)) => Ok(text.clone()),
+            Some(Value::Array(parts)) if !parts.is_empty() => {
+                Ok(Value::Array(parts.clone()).to_string())
+            }
+            _ => Err(bad_field("prompt", "a text or a list that is not empty")),
+        },
+    }
+}
+
+fn read_flag(body: &Map<String, Value>, name: &str) -> Result<bool, InputFault> {
+    match body.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(bad_field(name, "true or false")),
+    }
+}
+
+fn read_limit(body: &Map<String, Value>) -> Result<Option<TokenCount>, InputFault> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        let Some(value) = body.get(name).filter(|value| !value.is_null()) else {
+            continue;
+        };
+        let limit = value.as_u64().filter(|limit| *limit > 0);
+        let limit = limit.ok_or_else(|| bad_field(name, "a number above zero"))?;
+        return Ok(Some(TokenCount(u32::try_from(limit).unwrap_or(u32::MAX))));
+    }
+    Ok(None)
+}
+
+fn bad_field(name: &str, allowed: &str) -> InputFault {
+    InputFault::new(
+        ErrorKind::BadRequest,
+        format!("`{name}` has to be {allowed}"),
+    )
+}
+
+fn answer_mode(streamed: bool) -> AnswerMode {
+    match streamed {
+        true => AnswerMode::Streamed,
+        false => AnswerMode::Whole,
+    }
+}
+
+fn count_tokens(prompt: &str) -> TokenCount {
+    let tokens = (prompt.len() / BYTES_PER_TOKEN).max(1);
+    TokenCount(u32::try_from(tokens).unwrap_or(u32::MAX))
+}
+
+/// Fingerprint of the start of a prompt; zero if it is too short to be cached.
+fn hash_prefix(prompt: &str) -> u64 {
+    let Some(head) = prompt.as_bytes().get(..PREFIX_BYTES) else {
+        return 0;
+    };
+    let mut hasher = DefaultHasher::new();
+    head.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/node/src/claim/shared_answer.rs
@@ -0,0 +1,147 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use calls::CallFailure;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+/// Status and type of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `Content-Type`.
+    pub content_type: SmolStr,
+}
+
+/// A part of an answer as a reader gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerPart {
+    /// Some bytes.
+    Chunk(Bytes),
+    /// The whole answer was read.
+    End,
+    /// The answer ends here without being whole.
+    Broken(CallFailure),
+}
+
+#[derive(Debug, Default)]
+struct AnswerState {
+    head: Option<AnswerHead>,
+    chunks: Vec<Bytes>,
+    end: Option<AnswerPart>,
+}
+
+/// An answer that is written once and read by any number of callers; clones share it.
+///
+/// ```
+/// use node::{AnswerHead, SharedAnswer};
+/// let answer = SharedAnswer::new();
+/// answer.set_head(AnswerHead { status: 200, content_type: "text/plain".into() });
+/// answer.push("part".into());
+/// answer.end();
+/// assert_eq!(answer.whole_body().unwrap(), "part");
+/// ```
+#[derive(Clone, Debug)]
+pub struct SharedAnswer {
+    state: Arc<Mutex<AnswerState>>,
+    changed: watch::Sender<u64>,
+}
+
+impl SharedAnswer {
+    /// Creates an answer without content.
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Sets the head; the first one stands.
+    pub fn set_head(&self, head: AnswerHead) {
+        self.change(|state| {
+            state.head.get_or_insert(head);
+        });
+    }
+
+    /// Adds a part.
+    pub fn push(&self, chunk: Bytes) {
+        if !chunk.is_empty() {
+            self.change(|state| state.chunks.push(chunk));
+        }
+    }
+
+    /// Ends the answer as whole.
+    pub fn end(&self) {
+        self.change(|state| {
+            state.end.get_or_insert(AnswerPart::End);
+        });
+    }
+
+    /// Ends the answer before it is whole.
+    pub fn fail(&self, failure: CallFailure) {
+        self.change(|state| {
+            state.end.get_or_insert(AnswerPart::Broken(failure));
+        });
+    }
+
+    /// Returns the body if the answer is whole.
+    pub fn whole_body(&self) -> Option<Bytes> {
+        let state = self.lock();
+        matches!(state.end, Some(AnswerPart::End)).then(|| state.chunks.concat().into())
+    }
+
+    /// Returns the head, once there is one.
+    pub fn head(&self) -> Option<AnswerHead> {
+        self.lock().head.clone()
+    }
+
+    /// Waits for the head, or for a failure that came before it.
+    pub async fn wait_head(&self) -> Result<AnswerHead, CallFailure> {
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let state = self.lock();
+                match (&state.head, &state.end) {
+                    (Some(head), _) => return Ok(head.clone()),
+                    (None, Some(AnswerPart::Broken(failure))) => return Err(*failure),
+                    _ => {}
+                }
+            }
+            // The sender lives as long as `self`.
+            let _ = changed.changed().await;
+        }
+    }
+
+    /// Waits for the part after the first `read` ones.
+    pub async fn wait_part(&self, read: usize) -> AnswerPart {
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let state = self.lock();
+                match (state.chunks.get(read), &state.end) {
+                    (Some(chunk), _) => return AnswerPart::Chunk(chunk.clone()),
+                    (None, Some(end)) => return end.clone(),
+                    _ => {}
+                }
+            }
+            // The sender lives as long as `self`.
+            let _ = changed.changed().await;
+        }
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut AnswerState)) {
+        edit(&mut self.lock());
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AnswerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for SharedAnswer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,17 +2,32 @@
 
 mod actor;
 mod caller;
+mod claim;
 mod clock;
+mod core_parts;
+mod gate;
 mod journal;
 mod peer;
 mod platform;
 mod relay;
+mod service;
 mod target;
 mod view;
 
-pub use actor::{CallPlacement, SchedActor, SchedHandle};
-pub use caller::{error_object, error_response};
+pub use actor::{
+    CallPlacement, FleetActor, FleetHandle, FleetParts, FleetStatus, NodeIdentity, ProbeResult,
+    SchedActor, SchedHandle, SchedOutput,
+};
+pub use caller::{
+    CallInput, CallRun, CallerApi, InputFault, RunPart, error_object, error_response,
+};
+pub use claim::{
+    AnswerHead, AnswerPart, ClaimActor, ClaimDecision, ClaimHandle, ClaimId, ClaimRequest,
+    ClaimSettings, SharedAnswer,
+};
 pub use clock::SystemClock;
+pub use core_parts::{CallLimits, NodeCore};
+pub use gate::{WorkGate, WorkPermit};
 pub use journal::EventJournal;
 pub use peer::{
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
@@ -23,8 +38,10 @@
     AnswerCollector, AnswerWriter, CallJob, CallRelay, RelayParts, RelayStep, ResumeKey,
     ResumeToken,
 };
+pub use service::{ServiceBody, ServiceJob, ServiceRelay, ServiceStep};
 pub use target::{
     CallFuture, EngineCall, EngineClient, EngineEvent, EngineFault, EngineHealth, EngineLink,
-    EngineOrder, EngineProgress, EngineStream, HttpEngine, LoadedVersion, parse_load,
+    EngineOrder, EngineProgress, EngineStream, HttpEngine, HttpProbe, LoadedVersion, ProbeFuture,
+    TargetProbe, parse_load,
 };
 pub use view::{ModelSpec, NodeView, RouteChoice, RouteTable, TargetPhase, TargetView, ViewCell};
--- a/crates/node/src/relay/answer_writer.rs
+++ b/crates/node/src/relay/answer_writer.rs
@@ -60,11 +60,13 @@
         }
     }
 
-    /// Writes the end of the answer, which carries the number of tokens.
-    pub fn write_end(&mut self, count: u64, data: &[u8]) {
+    /// Writes the end of the answer, whose usage tells the number of tokens.
+    ///
+    /// It has no event id, so that a caller that reconnects after it gets it again.
+    pub fn write_end(&mut self, data: &[u8]) {
         match self {
-            Self::Stream { chunk, token } => {
-                write_event(chunk, token.as_deref(), count, data);
+            Self::Stream { chunk, .. } => {
+                write_event(chunk, None, 0, data);
                 chunk.extend_from_slice(b"data: [DONE]\n\n");
             }
             Self::Whole(collector) => collector.add(data),
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -288,10 +288,7 @@
         };
         let health = self.parts.engine.health(address).await;
         if health.is_ok_and(|health| health.incarnation != known) {
-            self.parts
-                .sched
-                .note_failure(target.clone(), Some(known))
-                .await;
+            self.parts.sched.note_failure(target.clone(), Some(known));
         }
     }
 
@@ -319,7 +316,7 @@
         self.writer.set_token(&token);
         if let Some(address) = self.address(target) {
             let request = self.request().clone();
-            self.parts.sched.admit(request, address, generation).await;
+            self.parts.sched.admit(request, address, generation);
         }
     }
 
@@ -365,10 +362,7 @@
         if blamed {
             let incarnation = self.run.or_else(|| self.incarnation(target));
             let incarnation = incarnation.filter(|_| died);
-            self.parts
-                .sched
-                .note_failure(target.clone(), incarnation)
-                .await;
+            self.parts.sched.note_failure(target.clone(), incarnation);
         }
     }
 
@@ -480,7 +474,7 @@
             self.told = received;
             let produced = TokenCount(u32::try_from(received).unwrap_or(u32::MAX));
             let request = self.request().clone();
-            self.parts.sched.progress(request, produced).await;
+            self.parts.sched.progress(request, produced);
         }
     }
 
@@ -516,14 +510,11 @@
                 self.feed(CallEvent::LinkSilent { link: self.number });
             }
             WatchVerdict::TargetDead => {
-                self.parts
-                    .sched
-                    .note_failure(target.clone(), self.run)
-                    .await;
+                self.parts.sched.note_failure(target.clone(), self.run);
                 self.feed(CallEvent::TargetDied { target });
             }
             WatchVerdict::TargetUnreachable => {
-                self.parts.sched.note_failure(target.clone(), None).await;
+                self.parts.sched.note_failure(target.clone(), None);
                 self.feed(CallEvent::TargetDied { target });
             }
         }
@@ -586,7 +577,7 @@
 
     async fn finish(&mut self, count: u64) -> RelayStep {
         let data = self.end_data.take().unwrap_or_default();
-        self.writer.write_end(count, &data);
+        self.writer.write_end(&data);
         self.leave_target(FinishState::Complete).await;
         self.note(EventKind::RequestFinished, &format!("{count} tokens"));
         self.ended = true;
@@ -620,8 +611,8 @@
         let request = self.request().clone();
         match std::mem::replace(&mut self.placement, PlacementState::None) {
             PlacementState::None => {}
-            PlacementState::Waiting => self.parts.sched.withdraw(request).await,
-            PlacementState::Placed => self.parts.sched.finish(request, state).await,
+            PlacementState::Waiting => self.parts.sched.withdraw(request),
+            PlacementState::Placed => self.parts.sched.finish(request, state),
         }
     }
 
@@ -696,7 +687,7 @@
         let sched = self.parts.sched.clone();
         let request = self.request().clone();
         if self.placement != PlacementState::None {
-            tokio::spawn(async move { sched.withdraw(request).await });
+            tokio::spawn(async move { sched.withdraw(request) });
         }
     }
 }
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -96,7 +96,7 @@
 }
 
 /// A connection on which nothing was sent yet.
-pub trait EngineLink: Send {
+pub trait EngineLink: Send + Sync {
     /// Sends a call on this connection, which leaves no doubt whether it was sent.
     fn start(self: Box<Self>, call: EngineCall) -> CallFuture<'static, EngineStream>;
 }
--- /dev/null
+++ b/crates/node/src/target/target_probe.rs
@@ -0,0 +1,102 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use base::{IncarnationNumber, TargetName, TimeSpan};
+use fleet::TargetKind;
+use hyper::header::HOST;
+use hyper::{Method, Request};
+use serde::Deserialize;
+use tokio::time::timeout;
+use web::{ConnectionPool, SendPhase, WebError, empty_body, read_body};
+
+use super::{EngineClient, EngineFault};
+use crate::actor::ProbeResult;
+
+/// Longest wait for the answer of a service.
+const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(1);
+/// Longest answer of a service to a probe.
+const ANSWER_LIMIT: usize = 64 << 10;
+
+/// Result of a probe that is under way.
+pub type ProbeFuture = Pin<Box<dyn Future<Output = ProbeResult> + Send>>;
+
+/// Reads the state of a target.
+pub trait TargetProbe: Send + Sync {
+    /// Reads the state of the target at `address`.
+    fn probe(&self, target: TargetName, kind: TargetKind, address: SocketAddr) -> ProbeFuture;
+}
+
+/// Probes engines through their client and services by `GET /health`.
+#[derive(Clone)]
+pub struct HttpProbe {
+    engine: Arc<dyn EngineClient>,
+    pool: ConnectionPool,
+}
+
+#[derive(Default, Deserialize)]
+struct ServiceHealth {
+    #[serde(default)]
+    leaving: bool,
+    #[serde(default)]
+    incarnation: u64,
+}
+
+impl HttpProbe {
+    /// Creates a probe that reads services over connections of `pool`.
+    pub fn new(engine: Arc<dyn EngineClient>, pool: ConnectionPool) -> Self {
+        Self { engine, pool }
+    }
+
+    async fn probe_engine(self, target: TargetName, address: SocketAddr) -> ProbeResult {
+        let health = match self.engine.health(address).await {
+            Ok(health) => health,
+            Err(EngineFault::Refused) => return ProbeResult::Refused,
+            Err(_) => return ProbeResult::Failed,
+        };
+        match self.engine.load(target, address).await {
+            Ok(report) => ProbeResult::Engine { health, report },
+            Err(_) => ProbeResult::Failed,
+        }
+    }
+
+    async fn probe_service(self, address: SocketAddr) -> ProbeResult {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri("/health")
+            .header(HOST, address.to_string())
+            .body(empty_body());
+        let Ok(request) = request else {
+            return ProbeResult::Failed;
+        };
+        let sent = self.pool.send(address, SendPhase::Reuse, request);
+        match timeout(ANSWER_WAIT.into(), sent).await {
+            Ok(Ok((response, connection))) => {
+                let body = read_body(response.into_body(), ANSWER_LIMIT, ANSWER_WAIT).await;
+                let Ok(body) = body else {
+                    return ProbeResult::Failed;
+                };
+                self.pool.release(connection);
+                // A service without a health page answers anything, which is enough.
+                let health: ServiceHealth = serde_json::from_slice(&body).unwrap_or_default();
+                ProbeResult::Service {
+                    leaving: health.leaving,
+                    incarnation: IncarnationNumber(health.incarnation),
+                }
+            }
+            Ok(Err(error)) if WebError::is_refused(&error) => ProbeResult::Refused,
+            _ => ProbeResult::Failed,
+        }
+    }
+}
+
+impl TargetProbe for HttpProbe {
+    fn probe(&self, target: TargetName, kind: TargetKind, address: SocketAddr) -> ProbeFuture {
+        let probe = self.clone();
+        match kind {
+            TargetKind::Engine => Box::pin(probe.probe_engine(target, address)),
+            TargetKind::Service => Box::pin(probe.probe_service(address)),
+        }
+    }
+}
--- a/crates/node/src/view/node_view.rs
+++ b/crates/node/src/view/node_view.rs
@@ -16,6 +16,8 @@
     pub revision: Option<RevisionNumber>,
     /// Accepted declaration; `None` until the first one.
     pub fleet: Option<Arc<FleetDeclaration>>,
+    /// Whether the node has compared its declaration since its start or its last pause.
+    pub ready: bool,
     /// Targets of the own failure domain, sorted by name.
     pub targets: Vec<TargetView>,
 }
