Set the default engine profile and measure capacity when full

Cause: a capacity defined by a limit on preemptions left the memory half empty at load 0.9, so that least in flight had no stall to compare with.

--- a/crates/engine/src/profile/engine_profile.rs
+++ b/crates/engine/src/profile/engine_profile.rs
@@ -74,7 +74,7 @@
             step_per_prefill: 20.0,
             step_per_context: 0.04,
             step_jitter: 0.03,
-            step_tokens: 512,
+            step_tokens: 2_048,
             batch_limit: 256,
             queue_limit: 512,
             page_tokens: 16,
--- a/crates/load/src/report/text_table.rs
+++ b/crates/load/src/report/text_table.rs
@@ -18,13 +18,13 @@
     for (workload, capacity) in &report.capacities {
         let _ = writeln!(
             text,
-            "{workload}: one engine carries {:.0} tok/s or {:.2} requests/s at {} in flight \
-             (mean output {:.0} tokens, gap p99 {:.1} ms, {:.1} preemptions per 1000)",
+            "{workload}: one engine carries {:.0} tok/s or {:.2} requests/s \
+             (mean output {:.0} tokens, {:.1} sequences in the batch, \
+             {:.0} preemptions per 1000)",
             capacity.tokens_per_s,
             capacity.requests_per_s,
-            capacity.in_flight,
             capacity.mean_output,
-            capacity.gap_p99_ms,
+            capacity.mean_batch,
             capacity.preemptions_per_1000
         );
     }
