Add load over HTTP, references and tests of crate load

Cause: nodes need load from callers with the same measures as experiments.

Change: open-loop load over HTTP with SSE against loopback addresses, bounded in calls, time and open calls; checks of generation, offset and count; an uncongested reference in experiments; JSON with comparisons.

Conclusion: the command line can call run_experiment and run_load.

--- a/crates/load/examples/experiment.rs
+++ b/crates/load/examples/experiment.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Instant;
 
-use load::{ExperimentPlan, render_page, render_text, run_experiment};
+use load::{ExperimentPlan, render_json, render_page, render_text, run_experiment};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let mut args = std::env::args().skip(1);
@@ -24,7 +24,7 @@
     eprintln!("{} trials in {:.1?}", report.rows.len(), start.elapsed());
     if let Some(out) = out.as_deref().map(Path::new) {
         std::fs::create_dir_all(out)?;
-        std::fs::write(out.join("report.json"), serde_json::to_string(&report)?)?;
+        std::fs::write(out.join("report.json"), render_json(&report))?;
         std::fs::write(out.join("report.html"), render_page(&report)?)?;
     }
     Ok(())
--- a/crates/load/src/experiment/experiment_plan.rs
+++ b/crates/load/src/experiment/experiment_plan.rs
@@ -17,6 +17,8 @@
     pub loads: Vec<f64>,
     /// Policies, baselines among them.
     pub policies: Vec<PolicyEntry>,
+    /// Load at which engines count as uncongested; `None` runs no such trials.
+    pub reference_load: Option<f64>,
     /// Seeds.
     pub seeds: Vec<u64>,
     /// Number of nodes.
@@ -47,6 +49,7 @@
             workloads: vec![WorkloadKind::Kanchan, WorkloadKind::LanternaSul],
             loads: vec![0.7, 0.9, 1.1],
             policies: PolicyEntry::baselines(),
+            reference_load: Some(0.3),
             seeds: vec![1, 2, 3, 4, 5],
             nodes: trial.nodes,
             domains: trial.domains,
--- a/crates/load/src/experiment/experiment_run.rs
+++ b/crates/load/src/experiment/experiment_run.rs
@@ -3,10 +3,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::ExperimentPlan;
+use crate::baseline::ChoiceRule;
 use crate::failure::InvalidPlanSnafu;
 use crate::{
-    EngineCapacity, ExperimentReport, LoadError, TrialRow, WorkloadKind, measure_capacity,
-    run_trial,
+    EngineCapacity, ExperimentReport, LoadError, PolicyEntry, TrialRow, WorkloadKind,
+    measure_capacity, run_trial,
 };
 
 /// The machine is shared, so an experiment takes at most half of its cores.
@@ -17,7 +18,8 @@
 struct TrialJob {
     workload: WorkloadKind,
     load: f64,
-    policy: usize,
+    /// Place in the plan; `None` for the policy of uncongested engines.
+    policy: Option<usize>,
     seed: u64,
 }
 
@@ -37,13 +39,17 @@
         let capacity = &capacities[&job.workload];
         run_job(plan, capacity, job)
     });
+    let rows = rows.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let planned = jobs.iter().filter(|job| job.policy.is_some()).count();
+    let (rows, references) = rows.split_at(planned);
     Ok(ExperimentReport {
         nodes: plan.nodes,
         engines: plan.engines,
         memory_tokens: plan.profile.memory_tokens().0,
         seeds: plan.seeds.clone(),
         capacities,
-        rows: rows.into_iter().collect::<Result<_, _>>()?,
+        rows: rows.to_vec(),
+        references: references.to_vec(),
     })
 }
 
@@ -56,13 +62,26 @@
                     jobs.push(TrialJob {
                         workload,
                         load,
-                        policy,
+                        policy: Some(policy),
                         seed,
                     });
                 }
             }
         }
     }
+    let Some(load) = plan.reference_load else {
+        return jobs;
+    };
+    for &workload in &plan.workloads {
+        for &seed in &plan.seeds {
+            jobs.push(TrialJob {
+                workload,
+                load,
+                policy: None,
+                seed,
+            });
+        }
+    }
     jobs
 }
 
@@ -80,7 +99,11 @@
 ) -> Result<TrialRow, LoadError> {
     let rate = job.load * capacity.requests_per_s * plan.engines as f64;
     let trial = plan.trial(job.workload, rate, job.seed);
-    let entry = &plan.policies[job.policy];
+    let reference = PolicyEntry::with_rule(ChoiceRule::LeastInFlight);
+    let entry = match job.policy {
+        Some(at) => &plan.policies[at],
+        None => &reference,
+    };
     Ok(TrialRow {
         workload: job.workload,
         load: job.load,
--- a/crates/load/src/failure/mod.rs
+++ b/crates/load/src/failure/mod.rs
@@ -3,4 +3,4 @@
 mod load_error;
 
 pub use load_error::LoadError;
-pub(crate) use load_error::{InvalidPlanSnafu, PlotFailedSnafu};
+pub(crate) use load_error::{InvalidPlanSnafu, NotLoopbackSnafu, PlotFailedSnafu};
--- /dev/null
+++ b/crates/load/src/http/call_body.rs
@@ -0,0 +1,49 @@
+use sched::CallKind;
+use serde_json::{Value, json};
+
+use super::{LengthHint, LoadPlan};
+use crate::CallSpec;
+
+/// Path of a call.
+pub fn call_path(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Chat => "/v1/chat/completions",
+        CallKind::Completion | CallKind::Service => "/v1/completions",
+    }
+}
+
+/// JSON body of a call; the prompt has about one word for each token.
+pub fn build_body(plan: &LoadPlan, spec: &CallSpec) -> String {
+    let prompt = build_prompt(plan.hint, spec);
+    let limit = match plan.hint {
+        LengthHint::MaxTokens => Some(spec.output_tokens),
+        LengthHint::PromptText => spec.max_tokens,
+    };
+    let mut body = json!({ "model": plan.model.as_str(), "stream": true });
+    match spec.kind {
+        CallKind::Chat => body["messages"] = json!([{ "role": "user", "content": prompt }]),
+        CallKind::Completion | CallKind::Service => body["prompt"] = Value::from(prompt),
+    }
+    if let Some(limit) = limit {
+        body["max_tokens"] = Value::from(limit);
+    }
+    body.to_string()
+}
+
+fn build_prompt(hint: LengthHint, spec: &CallSpec) -> String {
+    let own = spec.prompt_tokens - spec.prefix_tokens;
+    let mut words = Vec::with_capacity(spec.prompt_tokens as usize + 1);
+    for at in 0..spec.prefix_tokens {
+        words.push(format!("p{:x}{at:x}", spec.prefix % 256));
+    }
+    for at in 0..own {
+        words.push(format!(
+            "w{:x}",
+            spec.arrival.wrapping_add(at.into()) % 4_096
+        ));
+    }
+    if hint == LengthHint::PromptText {
+        words.push(format!("output_tokens={}", spec.output_tokens));
+    }
+    words.join(" ")
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod baseline;
 mod experiment;
 mod failure;
+mod http;
 mod measure;
 mod report;
 mod trial;
@@ -10,12 +11,14 @@
 
 pub use experiment::{ExperimentPlan, run_experiment};
 pub use failure::LoadError;
+pub use http::{CallerKey, LengthHint, LoadOutcome, LoadPlan, SseEvent, SseParser, run_load};
 pub use measure::{
     CallOutcome, CallTimeline, ClassSummary, CostSummary, FIRST_TOKEN_LIMIT, GAP_LIMIT,
     MeasureBook, MeasureSummary, WorkTally,
 };
 pub use report::{
-    ExperimentReport, MeasureMetric, RatioSpread, TrialRow, render_page, render_text,
+    ComparisonRow, ExperimentReport, MeasureMetric, RatioSpread, TrialRow, render_json,
+    render_measures, render_page, render_text,
 };
 pub use trial::{
     EngineCapacity, NodeSeat, PolicyEntry, PolicyFactory, TrialPlan, measure_capacity, run_trial,
--- a/crates/load/src/report/experiment_report.rs
+++ b/crates/load/src/report/experiment_report.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+use strum::IntoEnumIterator;
 
 use super::MeasureMetric;
 use crate::{EngineCapacity, MeasureSummary, WorkloadKind};
@@ -53,6 +54,25 @@
     }
 }
 
+/// One measure of one policy over the seeds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ComparisonRow {
+    /// Workload.
+    pub workload: WorkloadKind,
+    /// Offered load as a fraction of the capacity.
+    pub load: f64,
+    /// Name of the policy.
+    pub policy: String,
+    /// Name of the measure.
+    pub metric: String,
+    /// The measure itself.
+    pub value: Option<RatioSpread>,
+    /// The measure over that of the best baseline.
+    pub ratio: Option<RatioSpread>,
+    /// The measure over that of uncongested engines.
+    pub uncongested: Option<RatioSpread>,
+}
+
 /// All trials of an experiment.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ExperimentReport {
@@ -68,6 +88,8 @@
     pub capacities: BTreeMap<WorkloadKind, EngineCapacity>,
     /// The trials by workload, load, policy and seed.
     pub rows: Vec<TrialRow>,
+    /// Trials of uncongested engines, one for each workload and seed.
+    pub references: Vec<TrialRow>,
 }
 
 impl ExperimentReport {
@@ -125,6 +147,45 @@
         RatioSpread::new(ratios)
     }
 
+    /// Spread over the seeds of a measure over that of uncongested engines with the same seed;
+    /// `None` if no such trials were run.
+    pub fn reference_ratio(
+        &self,
+        setting: (WorkloadKind, f64),
+        policy: &str,
+        metric: MeasureMetric,
+    ) -> Option<RatioSpread> {
+        let mut ratios = Vec::new();
+        for row in self.rows_of(setting).filter(|row| row.policy == policy) {
+            let same = |other: &&TrialRow| other.workload == row.workload && other.seed == row.seed;
+            let reference = self.references.iter().find(same)?;
+            let value = metric.value(&row.measures)?;
+            ratios.push(value / metric.value(&reference.measures)?);
+        }
+        RatioSpread::new(ratios)
+    }
+
+    /// Every measure of every policy.
+    pub fn comparisons(&self) -> Vec<ComparisonRow> {
+        let mut rows = Vec::new();
+        for setting in self.settings() {
+            for policy in self.policies() {
+                for metric in MeasureMetric::iter() {
+                    rows.push(ComparisonRow {
+                        workload: setting.0,
+                        load: setting.1,
+                        policy: policy.to_string(),
+                        metric: metric.to_string(),
+                        value: self.spread(setting, policy, metric),
+                        ratio: self.ratio(setting, policy, metric),
+                        uncongested: self.reference_ratio(setting, policy, metric),
+                    });
+                }
+            }
+        }
+        rows
+    }
+
     fn best_baseline(
         &self,
         setting: (WorkloadKind, f64),
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -1,11 +1,13 @@
 //! Reports as text, JSON and a page with plots.
 
 mod experiment_report;
+mod json_text;
 mod measure_metric;
 mod plot_page;
 mod text_table;
 
-pub use experiment_report::{ExperimentReport, RatioSpread, TrialRow};
+pub use experiment_report::{ComparisonRow, ExperimentReport, RatioSpread, TrialRow};
+pub use json_text::render_json;
 pub use measure_metric::MeasureMetric;
 pub use plot_page::render_page;
-pub use text_table::render_text;
+pub use text_table::{render_measures, render_text};
--- a/crates/load/src/report/text_table.rs
+++ b/crates/load/src/report/text_table.rs
@@ -3,7 +3,7 @@
 use strum::IntoEnumIterator;
 
 use super::{ExperimentReport, MeasureMetric, RatioSpread};
-use crate::WorkloadKind;
+use crate::{MeasureSummary, WorkloadKind};
 
 /// Renders an experiment as Markdown tables: the medians over the seeds, then the ratios to
 /// the best baseline of the same seed as least, median and greatest value.
@@ -35,6 +35,24 @@
     text
 }
 
+/// Renders the measures of a single run as a Markdown table.
+pub fn render_measures(measures: &MeasureSummary) -> String {
+    let mut text = String::from("| measure | value |\n|---|---|\n");
+    for metric in MeasureMetric::iter() {
+        let value = metric
+            .value(measures)
+            .map_or("-".to_string(), render_number);
+        let _ = writeln!(text, "| {metric} | {value} |");
+    }
+    let requests = measures.quick.requests + measures.long.requests;
+    let complete = measures.quick.complete + measures.long.complete;
+    let _ = writeln!(text, "| requests | {requests} |\n| complete | {complete} |");
+    let _ = writeln!(text, "| refused | {:?} |", measures.refusals);
+    let _ = writeln!(text, "| failed | {:?} |", measures.failures);
+    let _ = writeln!(text, "| unfinished | {} |", measures.unfinished);
+    text
+}
+
 fn render_setting(text: &mut String, report: &ExperimentReport, setting: (WorkloadKind, f64)) {
     let policies = report.policies();
     let _ = writeln!(text, "\n### {} at load {}\n", setting.0, setting.1);
@@ -49,6 +67,15 @@
         let cells: Vec<_> = policies.iter().map(cell).collect();
         let _ = writeln!(text, "| {metric} | {} |", cells.join(" | "));
     }
+    let cell = |policy: &&str| {
+        render_ratio(report.reference_ratio(setting, policy, MeasureMetric::QuickGapP99))
+    };
+    let cells: Vec<_> = policies.iter().map(cell).collect();
+    let _ = writeln!(
+        text,
+        "| quick_gap_p99 to uncongested | {} |",
+        cells.join(" | ")
+    );
 }
 
 fn render_cost(text: &mut String, report: &ExperimentReport) {
--- /dev/null
+++ b/crates/load/tests/http.rs
@@ -0,0 +1,133 @@
+//! Load over HTTP against a server in this process.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use load::{LoadError, LoadOutcome, LoadPlan, WorkloadKind, run_load};
+use tokio::net::TcpListener;
+
+/// What the server answers to its calls in turn.
+#[derive(Clone, Copy)]
+enum Answer {
+    Whole,
+    DoubledOffset,
+    WrongCount,
+    NoDone,
+    Overloaded,
+    StreamError,
+}
+
+fn stream_text(answer: Answer, tokens: u64) -> String {
+    let mut text = String::from(": comment\n\n");
+    for offset in 0..tokens {
+        let shown = match answer {
+            Answer::DoubledOffset => offset / 2,
+            _ => offset,
+        };
+        text += &format!("id: g1:{shown}\ndata: {{\"choices\":[{{\"text\":\"t\"}}]}}\n\n");
+    }
+    match answer {
+        Answer::StreamError => text += "data: {\"error\":{\"code\":\"generation_lost\"}}\n\n",
+        Answer::NoDone => {}
+        Answer::WrongCount => {
+            text += &format!(
+                "data: {{\"usage\":{{\"completion_tokens\":{}}}}}\n\n",
+                tokens + 1
+            );
+            text += "data: [DONE]\n\n";
+        }
+        _ => text += "data: [DONE]\n\n",
+    }
+    text
+}
+
+async fn answer_call(request: Request<Incoming>, answer: Answer) -> Response<Full<Bytes>> {
+    assert_eq!(request.headers()["authorization"], "Bearer secret");
+    let body = request.into_body().collect().await.unwrap().to_bytes();
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(body["stream"], true);
+    if let Answer::Overloaded = answer {
+        let text = "{\"error\":{\"code\":\"overloaded\"}}";
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+        return response;
+    }
+    let tokens = body["max_tokens"].as_u64().unwrap().clamp(2, 8);
+    Response::new(Full::new(Bytes::from(stream_text(answer, tokens))))
+}
+
+async fn serve(answers: Vec<Answer>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (answers, next) = (Arc::new(answers), Arc::new(AtomicUsize::new(0)));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (answers, next) = (Arc::clone(&answers), Arc::clone(&next));
+            let service = service_fn(move |request| {
+                let at = next.fetch_add(1, Ordering::Relaxed);
+                let answer = answers[at % answers.len()];
+                async move { Ok::<_, Infallible>(answer_call(request, answer).await) }
+            });
+            let http = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(http.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
+
+async fn run(answers: Vec<Answer>, calls: usize) -> LoadOutcome {
+    let address = serve(answers).await;
+    let mut plan = LoadPlan::new(WorkloadKind::LanternaSul.mix(), "quill".parse().unwrap())
+        .with_node(address)
+        .with_key("ws-00".parse().unwrap(), "secret");
+    plan.rate = 200.0;
+    plan.duration = "5s".parse().unwrap();
+    plan.call_limit = calls;
+    run_load(plan).await.unwrap()
+}
+
+/// Guards against whole answers that are counted as faulty.
+#[tokio::test]
+async fn whole_answers_are_complete() {
+    let outcome = run(vec![Answer::Whole], 40).await;
+    assert_eq!(outcome.outcomes["complete"], 40);
+    assert_eq!((outcome.order_faults, outcome.count_faults), (0, 0));
+    assert!(outcome.measures.goodput_tokens_per_s > 0.0);
+}
+
+/// Guards against a check of streams that never fails.
+#[tokio::test]
+async fn faulty_streams_are_told_apart() {
+    let answers = vec![
+        Answer::DoubledOffset,
+        Answer::WrongCount,
+        Answer::NoDone,
+        Answer::Overloaded,
+        Answer::StreamError,
+    ];
+    let outcome = run(answers, 50).await;
+    assert_eq!(outcome.outcomes["complete"], 20);
+    assert_eq!(outcome.outcomes["refused overloaded"], 10);
+    assert_eq!(outcome.outcomes["failed no_done"], 10);
+    assert_eq!(outcome.outcomes["failed generation_lost"], 10);
+    assert_eq!(outcome.count_faults, 10);
+    assert!(outcome.order_faults >= 10);
+}
+
+/// Guards against load that leaves this machine.
+#[tokio::test]
+async fn foreign_addresses_are_refused() {
+    let plan = LoadPlan::new(WorkloadKind::Kanchan.mix(), "quill".parse().unwrap())
+        .with_node("192.0.2.1:80".parse().unwrap())
+        .with_key("ws-00".parse().unwrap(), "secret");
+    let error = run_load(plan).await.unwrap_err();
+    assert!(matches!(error, LoadError::NotLoopback { .. }));
+}
--- /dev/null
+++ b/crates/load/tests/trial.rs
@@ -0,0 +1,235 @@
+//! The trial loop, the baselines and experiments.
+
+use std::sync::{Arc, Mutex};
+
+use base::{ClockTime, RequestId, TargetName, TimeSpan, TokenCount};
+use load::baseline::{BaselinePolicy, ChoiceRule};
+use load::{
+    ExperimentPlan, FaultEvent, FaultKind, MeasureMetric, MeasureSummary, NodeSeat, PolicyEntry,
+    TrialPlan, WorkloadKind, render_json, render_page, render_text, run_experiment, run_trial,
+};
+use sched::{FinishState, LoadReport, PeerDigest, RoutePolicy, SchedAction, TargetInfo, WorkItem};
+use yare::parameterized;
+
+fn short_plan(rate: f64, seed: u64) -> TrialPlan {
+    TrialPlan {
+        warmup: TimeSpan::from_secs(10),
+        window: TimeSpan::from_secs(60),
+        engines: 3,
+        nodes: 2,
+        ..TrialPlan::new(WorkloadKind::LanternaSul.mix(), rate, seed)
+    }
+}
+
+fn run(plan: &TrialPlan, rule: ChoiceRule) -> MeasureSummary {
+    let mut measures = run_trial(plan, &PolicyEntry::with_rule(rule).factory).unwrap();
+    let cost = measures.cost.as_mut().unwrap();
+    assert_eq!(cost.illegal_actions, 0);
+    // Processor times differ from run to run.
+    cost.submit_p50_ns = 0;
+    cost.submit_p99_ns = 0;
+    cost.policy_ns_per_dispatch = 0.0;
+    measures
+}
+
+/// Guards against measures that depend on anything but the plan.
+#[parameterized(
+    random = { ChoiceRule::Random },
+    round_robin = { ChoiceRule::RoundRobin },
+    least_in_flight = { ChoiceRule::LeastInFlight },
+)]
+fn same_plan_gives_same_measures(rule: ChoiceRule) {
+    let plan = short_plan(4.0, 7);
+    let first = run(&plan, rule);
+    assert_eq!(first, run(&plan, rule));
+    assert_ne!(first, run(&short_plan(4.0, 8), rule));
+    let answered = first.quick.complete + first.long.complete;
+    assert_eq!(answered, first.quick.requests + first.long.requests);
+}
+
+/// Guards against calls that vanish with their engine: quick ones that had no token are run
+/// again, others are told that their generation is lost.
+#[test]
+fn killed_engine_loses_only_started_generations() {
+    let fault = FaultEvent {
+        at: ClockTime::new(40_000),
+        engine: 0,
+        kind: FaultKind::Killed {
+            restart: Some(TimeSpan::from_secs(5)),
+        },
+    };
+    let mut plan = short_plan(4.0, 3);
+    plan.faults = vec![fault];
+    let measures = run(&plan, ChoiceRule::RoundRobin);
+    assert_eq!(
+        measures.failures.keys().collect::<Vec<_>>(),
+        ["generation_lost"]
+    );
+    assert_eq!((measures.refused(), measures.unfinished), (0, 0));
+    assert!(measures.wasted_share.unwrap() > 0.0);
+}
+
+/// Guards against new work for an engine that was told to leave, and against engines that are
+/// never used after they started.
+#[test]
+fn reclaimed_engine_gets_no_new_work_and_a_new_one_does() {
+    let reclaimed = FaultEvent {
+        at: ClockTime::new(20_000),
+        engine: 0,
+        kind: FaultKind::Reclaimed {
+            notice: TimeSpan::from_secs(600),
+        },
+    };
+    let started = FaultEvent {
+        at: ClockTime::new(30_000),
+        engine: 3,
+        kind: FaultKind::Started,
+    };
+    let mut plan = short_plan(4.0, 3);
+    plan.faults = vec![reclaimed, started];
+    let log = Arc::new(Mutex::new(Vec::new()));
+    let shared = Arc::clone(&log);
+    let entry = PolicyEntry::new("logged", move |seat| {
+        Box::new(LoggedPolicy::new(seat, &shared))
+    });
+    let measures = run_trial(&plan, &entry.factory).unwrap();
+    assert_eq!((measures.failed(), measures.refused()), (0, 0));
+    let log = log.lock().unwrap();
+    let sent = |name: &str, from: u64| {
+        let late = |entry: &&LogEntry| entry.0 > ClockTime::new(from) && entry.1.as_str() == name;
+        log.iter().filter(late).count()
+    };
+    assert_eq!(sent("engine-0000", 21_000), 0);
+    assert!(sent("engine-0001", 21_000) > 0);
+    assert!(sent("engine-0003", 31_000) > 0);
+}
+
+/// Guards against reports that are on time or too late, and against missing progress.
+#[test]
+fn reports_are_late_and_progress_is_told() {
+    let ages = Arc::new(Mutex::new(Vec::new()));
+    let shared = Arc::clone(&ages);
+    let entry = PolicyEntry::new("aged", move |seat| {
+        Box::new(LoggedPolicy {
+            ages: Arc::clone(&shared),
+            ..LoggedPolicy::new(seat, &Arc::default())
+        })
+    });
+    run_trial(&short_plan(2.0, 1), &entry.factory).unwrap();
+    let ages = ages.lock().unwrap();
+    assert!(ages.len() > 100);
+    assert!(
+        ages.iter()
+            .all(|age| (249..=2_000).contains(&age.as_millis()))
+    );
+}
+
+type LogEntry = (ClockTime, TargetName);
+
+/// A baseline that logs its dispatches and the ages of reports.
+struct LoggedPolicy {
+    inner: BaselinePolicy,
+    now: ClockTime,
+    log: Arc<Mutex<Vec<LogEntry>>>,
+    ages: Arc<Mutex<Vec<TimeSpan>>>,
+}
+
+impl LoggedPolicy {
+    fn new(seat: &NodeSeat, log: &Arc<Mutex<Vec<LogEntry>>>) -> Self {
+        Self {
+            inner: BaselinePolicy::new(ChoiceRule::RoundRobin, seat.seed),
+            now: ClockTime::ZERO,
+            log: Arc::clone(log),
+            ages: Arc::default(),
+        }
+    }
+}
+
+impl RoutePolicy for LoggedPolicy {
+    fn on_targets(&mut self, now: ClockTime, targets: &[TargetInfo]) {
+        self.inner.on_targets(now, targets);
+    }
+
+    fn on_report(&mut self, now: ClockTime, report: LoadReport) {
+        self.ages.lock().unwrap().push(now - report.measured_at);
+    }
+
+    fn on_digest(&mut self, _now: ClockTime, _digest: PeerDigest) {}
+
+    fn submit(&mut self, now: ClockTime, item: WorkItem) {
+        self.now = now;
+        self.inner.submit(now, item);
+    }
+
+    fn withdraw(&mut self, _now: ClockTime, _request: &RequestId) {}
+
+    fn on_admitted(&mut self, _now: ClockTime, _request: &RequestId) {}
+
+    fn on_progress(&mut self, _now: ClockTime, _request: &RequestId, produced: TokenCount) {
+        assert!(produced.0 > 0);
+    }
+
+    fn on_finished(&mut self, now: ClockTime, request: &RequestId, state: FinishState) {
+        self.inner.on_finished(now, request, state);
+    }
+
+    fn on_cache_event(&mut self, _: ClockTime, _: &TargetName, _: u64, _: bool) {}
+
+    fn on_tick(&mut self, _now: ClockTime) {}
+
+    fn drain_actions(&mut self, actions: &mut Vec<SchedAction>) {
+        let mut own = Vec::new();
+        self.inner.drain_actions(&mut own);
+        for action in &own {
+            if let SchedAction::Dispatch { target, .. } = action {
+                self.log.lock().unwrap().push((self.now, target.clone()));
+            }
+        }
+        actions.append(&mut own);
+    }
+}
+
+/// Guards against plans that would take the whole machine.
+#[test]
+fn plans_out_of_bounds_are_refused() {
+    let mut plan = short_plan(2.0, 1);
+    plan.nodes = 100_000;
+    let entry = PolicyEntry::with_rule(ChoiceRule::Random);
+    assert!(run_trial(&plan, &entry.factory).is_err());
+    let empty = ExperimentPlan {
+        seeds: Vec::new(),
+        ..ExperimentPlan::default()
+    };
+    assert!(run_experiment(&empty).is_err());
+}
+
+/// Guards against ratios to another seed or setting, and against reports that lose a policy.
+#[test]
+fn experiment_compares_with_the_best_baseline_of_the_seed() {
+    let plan = ExperimentPlan {
+        workloads: vec![WorkloadKind::LanternaSul],
+        loads: vec![0.5],
+        seeds: vec![1, 2],
+        engines: 2,
+        nodes: 2,
+        warmup: TimeSpan::ZERO,
+        window: TimeSpan::from_secs(30),
+        reference_load: None,
+        ..ExperimentPlan::default()
+    };
+    let report = run_experiment(&plan).unwrap();
+    let setting = (WorkloadKind::LanternaSul, 0.5);
+    let metric = MeasureMetric::LongCompletionP99;
+    let ratios = report.policies().into_iter();
+    let ratios: Vec<_> = ratios
+        .map(|name| report.ratio(setting, name, metric).unwrap())
+        .collect();
+    assert_eq!(ratios.len(), 3);
+    assert!(ratios.iter().all(|ratio| ratio.min >= 1.0));
+    assert!(ratios.iter().any(|ratio| ratio.min == 1.0));
+    assert!(render_text(&report).contains("round_robin"));
+    assert!(render_json(&report).contains("\"comparisons\""));
+    let page = render_page(&report).unwrap();
+    assert_eq!(page.matches("<svg").count(), page.matches("</svg>").count());
+    assert!(page.contains("polyline") && page.contains("least_in_flight"));
+}
