--- a/crates/member/src/table/anti_entropy.rs
+++ b/crates/member/src/table/anti_entropy.rs
@@ -36,28 +36,34 @@
         peer: &NodeName,
         actions: &mut Vec<MemberAction>,
     ) {
-        if self.sync_since.is_some() || now < self.next_sync {
+        if self.sync.is_some() || now < self.next_sync {
             return;
         }
         let gap = self.settings.sync_gap.as_millis();
         let jitter = TimeSpan::new(self.random.random_range(0..=gap));
         self.next_sync = now + self.settings.sync_gap + jitter;
-        self.sync_since = Some(now);
-        self.send_summaries(peer, actions);
+        self.sequence += 1;
+        self.sync = Some((self.sequence, now));
+        self.send_summaries(peer, self.sequence, actions);
     }
 
-    pub(super) fn send_summaries(&mut self, peer: &NodeName, actions: &mut Vec<MemberAction>) {
+    pub(super) fn send_summaries(
+        &mut self,
+        peer: &NodeName,
+        sequence: u64,
+        actions: &mut Vec<MemberAction>,
+    ) {
         let domains = self.summaries();
-        let start = SyncStartBody { domains };
+        let start = SyncStartBody { sequence, domains };
         self.send(peer, MessageBody::SyncStart(start), actions);
     }
 
     pub(super) fn expire_sync(&mut self, now: ClockTime, actions: &mut Vec<MemberAction>) {
         if self
-            .sync_since
-            .is_some_and(|since| now - since > SYNC_TIMEOUT)
+            .sync
+            .is_some_and(|(_, since)| now - since > SYNC_TIMEOUT)
         {
-            self.sync_since = None;
+            self.sync = None;
         }
         let waiting = self.view_state == ViewState::Unconfirmed;
         if waiting && now - self.view_since > ISOLATION_TIME {
@@ -90,6 +96,7 @@
         }
         let tables = self.differing(&start.domains);
         let offer = SyncOfferBody {
+            sequence: start.sequence,
             domains: newer,
             tables,
         };
@@ -106,7 +113,7 @@
         for record in &offer.domains {
             self.apply_domain(now, record, actions);
         }
-        let mut records = empty_records();
+        let mut records = empty_records(offer.sequence);
         for table in &offer.tables {
             let Some(view) = self.view.domain(&table.domain) else {
                 continue;
@@ -117,7 +124,7 @@
             records.wanted.push(WantedParts { domain, mask });
         }
         if records.wanted.is_empty() {
-            return self.finish_sync(actions);
+            return self.finish_sync(offer.sequence, actions);
         }
         self.send(from, MessageBody::SyncRecords(records), actions);
     }
@@ -142,13 +149,17 @@
             self.digest_changed = now;
         }
         if records.wanted.is_empty() {
-            return self.finish_sync(actions);
+            return self.finish_sync(records.sequence, actions);
         }
         self.send(from, MessageBody::SyncRecords(answer), actions);
     }
 
-    fn finish_sync(&mut self, actions: &mut Vec<MemberAction>) {
-        self.sync_since = None;
+    /// Ends a comparison; one that began before a pause confirms nothing.
+    fn finish_sync(&mut self, sequence: u64, actions: &mut Vec<MemberAction>) {
+        if self.sync.is_none_or(|(current, _)| current != sequence) {
+            return;
+        }
+        self.sync = None;
         self.mismatch_since = None;
         self.set_view_state(ViewState::Confirmed, actions);
     }
@@ -163,8 +174,8 @@
     }
 
     fn summaries(&self) -> Vec<DomainRecord> {
-        let names = self.view.domains().iter().map(DomainView::name);
-        names.filter_map(|name| self.view.summary(name)).collect()
+        let views = self.view.domains().iter();
+        views.map(|view| self.summarise(view)).collect()
     }
 
     /// Parts of the domains whose digests differ from the asker's.
@@ -202,7 +213,7 @@
 
     /// Records of the wanted parts that the asker does not have already.
     fn answer_records(&self, asked: &SyncRecordsBody) -> SyncRecordsBody {
-        let mut answer = empty_records();
+        let mut answer = empty_records(asked.sequence);
         for wanted in &asked.wanted {
             if let Some(view) = self.view.domain(&wanted.domain) {
                 self.add_records(&mut answer, view, wanted.mask);
@@ -267,8 +278,9 @@
     mask & 1 << part_of(name) != 0
 }
 
-fn empty_records() -> SyncRecordsBody {
+fn empty_records(sequence: u64) -> SyncRecordsBody {
     SyncRecordsBody {
+        sequence,
         nodes: Vec::new(),
         targets: Vec::new(),
         wanted: Vec::new(),
--- a/crates/member/src/table/domain_link.rs
+++ b/crates/member/src/table/domain_link.rs
@@ -3,14 +3,18 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use schema::member::DomainRecord;
 
-use super::{MemberAction, MemberTable};
+use super::{MemberAction, MemberTable, ViewState};
 use crate::gossip::RumorKey;
 use crate::merge_domains;
+use crate::view::DomainView;
 
 /// One in this many messages to another domain goes to any of its declared nodes, so that a
 /// wrong view of its bridges does not cut the domains from each other.
 const WIDE_CHOICE: u32 = 4;
 
+/// Number of the comparisons between domains, which confirm no view.
+const BRIDGE_SYNC: u64 = 0;
+
 impl MemberTable {
     /// Does the work of a bridge, if this node is one.
     pub(super) fn tick_bridge(&mut self, now: ClockTime, actions: &mut Vec<MemberAction>) {
@@ -26,12 +30,14 @@
         }
         self.next_bridge = now + self.settings.bridge_period;
         self.find_lost(now, actions);
-        let peer = self
-            .next_domain()
-            .and_then(|domain| self.choose_bridge(&domain));
-        if let Some(peer) = peer {
-            self.send_summaries(&peer, actions);
+        let domain = self.next_domain();
+        let Some(peer) = domain.and_then(|domain| self.choose_bridge(&domain)) else {
+            return;
+        };
+        if self.view_state != ViewState::Confirmed && self.running_peers().is_empty() {
+            return self.start_sync(now, &peer, actions);
         }
+        self.send_summaries(&peer, BRIDGE_SYNC, actions);
     }
 
     pub(super) fn apply_domain(
@@ -63,12 +69,20 @@
         }
     }
 
+    /// Summary of a domain with the digest of the records held here.
+    pub(super) fn summarise(&self, view: &DomainView) -> DomainRecord {
+        let mut record = view.record.clone();
+        record.digest = view.digest();
+        if *view.name() == self.settings.domain {
+            record.live = view.live_count();
+            record.revision = self.revision;
+        }
+        record
+    }
+
     fn raise_sequence(&mut self, now: ClockTime) {
-        let revision = self.revision;
         if let Some(view) = self.view.domain_mut(&self.settings.domain) {
             view.record.sequence += 1;
-            view.record.live = view.live_count();
-            view.record.revision = revision;
             view.advanced_at = now;
         }
     }
--- a/crates/member/src/table/gossip_exchange.rs
+++ b/crates/member/src/table/gossip_exchange.rs
@@ -157,13 +157,23 @@
         if self.view.place(to) != Some(&self.settings.domain) {
             return rumors;
         }
+        let level = self.is_level(to);
         let limit = self.rumor_sends();
         for key in self.rumors.take(self.settings.rumor_limit, limit) {
-            self.add_rumor(&mut rumors, &key, to);
+            let needless = level && matches!(key, RumorKey::Node(_) | RumorKey::Target(..));
+            if !needless {
+                self.add_rumor(&mut rumors, &key, to);
+            }
         }
         rumors
     }
 
+    /// Whether a node told a digest equal to this node's: it has the records of all rumours.
+    fn is_level(&self, node: &NodeName) -> bool {
+        let entry = self.view.node(node);
+        entry.is_some_and(|entry| entry.digest == self.view.digest())
+    }
+
     fn rumor_sends(&self) -> u32 {
         let view = self.view.domain(&self.settings.domain);
         let size = view.map_or(1, |view| view.nodes().len() as u32);
@@ -184,7 +194,10 @@
                     .targets
                     .extend(found.map(|(record, _)| record.clone()));
             }
-            RumorKey::Domain(domain) => rumors.domains.extend(self.view.summary(domain)),
+            RumorKey::Domain(domain) => {
+                let view = self.view.domain(domain);
+                rumors.domains.extend(view.map(|view| self.summarise(view)));
+            }
             RumorKey::Payload(origin, kind) => {
                 let mut found = self.payloads.iter();
                 let found = found.find(|held| held.origin == *origin && held.kind == *kind);
--- a/crates/member/src/table/member_table.rs
+++ b/crates/member/src/table/member_table.rs
@@ -82,7 +82,7 @@
     pub(super) next_push: ClockTime,
     pub(super) push_wanted: bool,
     pub(super) next_sync: ClockTime,
-    pub(super) sync_since: Option<ClockTime>,
+    pub(super) sync: Option<(u64, ClockTime)>,
     pub(super) answers_since: ClockTime,
     pub(super) answers: u32,
     pub(super) next_bridge: ClockTime,
@@ -129,7 +129,7 @@
             next_push: start,
             push_wanted: false,
             next_sync: start,
-            sync_since: None,
+            sync: None,
             answers_since: start,
             answers: 0,
             next_bridge: start,
@@ -171,7 +171,7 @@
         self.next_probe = now;
         self.next_reconnect = now;
         self.next_sync = now;
-        self.sync_since = None;
+        self.sync = None;
         self.view_since = now;
         self.set_view_state(ViewState::Unconfirmed, actions);
     }
@@ -240,7 +240,8 @@
 
     /// Revision that a domain's bridges reported as in effect there.
     pub fn domain_revision(&self, domain: &DomainName) -> Option<RevisionNumber> {
-        self.view.domain(domain).map(|view| view.record.revision)
+        let view = self.view.domain(domain)?;
+        Some(self.summarise(view).revision)
     }
 
     /// What is known of a target; `None` if no source ever told of it.
--- a/crates/member/src/table/message_input.rs
+++ b/crates/member/src/table/message_input.rs
@@ -28,24 +28,26 @@
             return self.send_record(from, record, actions);
         }
         entry.heard = Some(now);
+        entry.digest = header.view_digest;
         self.take_rumors(now, &rumors, actions);
         self.take_sender(now, from, &header, actions);
         self.clear_suspicion(from);
         self.compare_revision(from, &header, actions);
-        self.take_body(now, from, body, actions);
-        self.compare_view(now, from, &header, actions);
+        let fresh = self.take_body(now, from, body, actions);
+        self.compare_view(now, from, &header, fresh, actions);
     }
 
+    /// Returns whether the message answers a probe that was sent since the last pause.
     fn take_body(
         &mut self,
         now: ClockTime,
         from: &NodeName,
         body: MessageBody,
         actions: &mut Vec<MemberAction>,
-    ) {
+    ) -> bool {
         match body {
             MessageBody::Probe(probe) => self.send(from, MessageBody::Ack(probe), actions),
-            MessageBody::Ack(ack) => self.take_ack(from, ack.sequence, actions),
+            MessageBody::Ack(ack) => return self.take_ack(from, ack.sequence, actions),
             MessageBody::Relay(relay) => self.relay_probe(now, from, &relay, actions),
             MessageBody::Relayed(result) => self.take_result(&result, actions),
             MessageBody::SyncStart(start) => self.answer_sync(now, from, &start, actions),
@@ -53,6 +55,7 @@
             MessageBody::SyncRecords(records) => self.take_records(now, from, &records, actions),
             MessageBody::Gossip => {}
         }
+        false
     }
 
     fn take_rumors(&mut self, now: ClockTime, rumors: &RumorList, actions: &mut Vec<MemberAction>) {
@@ -108,14 +111,19 @@
     }
 
     /// Starts a comparison if the views differ and no rumour is likely to level them soon.
+    ///
+    /// Only a `fresh` message confirms the view: others may have waited while this node was paused.
     fn compare_view(
         &mut self,
         now: ClockTime,
         from: &NodeName,
         header: &MessageHeader,
+        fresh: bool,
         actions: &mut Vec<MemberAction>,
     ) {
-        if self.view.place(from) != Some(&self.settings.domain) {
+        let confirmed = self.view_state == ViewState::Confirmed;
+        let local = self.view.place(from) == Some(&self.settings.domain);
+        if !local || !confirmed && !fresh {
             return;
         }
         if header.view_digest == self.view.digest() {
@@ -123,7 +131,7 @@
             return self.set_view_state(ViewState::Confirmed, actions);
         }
         let since = *self.mismatch_since.get_or_insert(now);
-        if self.view_state == ViewState::Confirmed && !self.is_settled(now, since) {
+        if confirmed && !self.is_settled(now, since) {
             return;
         }
         self.start_sync(now, from, actions);
--- a/crates/member/src/table/probe_cycle.rs
+++ b/crates/member/src/table/probe_cycle.rs
@@ -99,16 +99,17 @@
         self.send_probe(&relay.node, purpose, deadline, actions);
     }
 
+    /// Returns whether the answer belongs to a probe that waits for it.
     pub(super) fn take_ack(
         &mut self,
         from: &NodeName,
         sequence: u64,
         actions: &mut Vec<MemberAction>,
-    ) {
+    ) -> bool {
         let mut pending = self.pending.iter();
         let place = pending.position(|probe| probe.sequence == sequence && probe.node == *from);
         let Some(place) = place else {
-            return;
+            return false;
         };
         let probe = self.pending.swap_remove(place);
         match probe.purpose {
@@ -122,6 +123,7 @@
             ProbePurpose::Own | ProbePurpose::Reconnect => {}
         }
         self.restore_link(from, actions);
+        true
     }
 
     pub(super) fn take_result(&mut self, result: &RelayedBody, actions: &mut Vec<MemberAction>) {
--- a/crates/member/src/view/fleet_view.rs
+++ b/crates/member/src/view/fleet_view.rs
@@ -1,5 +1,5 @@
 use base::{ClockTime, DomainName, NodeName};
-use schema::member::{DomainRecord, NodeRecord};
+use schema::member::NodeRecord;
 
 use super::{DomainView, NodeEntry};
 use crate::record::digest_lost;
@@ -101,14 +101,6 @@
         })
     }
 
-    /// Summary of a domain with the digest of the records held here.
-    pub(crate) fn summary(&self, domain: &DomainName) -> Option<DomainRecord> {
-        let view = self.domain(domain)?;
-        let mut record = view.record.clone();
-        record.digest = view.digest();
-        Some(record)
-    }
-
     fn find_domain(&self, domain: &DomainName) -> Result<usize, usize> {
         self.domains
             .binary_search_by(|view| view.name().cmp(domain))
--- a/crates/member/src/view/node_entry.rs
+++ b/crates/member/src/view/node_entry.rs
@@ -22,6 +22,8 @@
     /// Whether own probes or a peer's rumour told its state, so that the platform's list does not.
     pub(crate) judged: bool,
     pub(crate) heard: Option<ClockTime>,
+    /// Digest of its records that its last message told.
+    pub(crate) digest: u64,
     pub(crate) link: LinkState,
     pub(crate) misses: u32,
     pub(crate) dead_at: Option<ClockTime>,
@@ -42,6 +44,7 @@
             listed: false,
             judged: false,
             heard: None,
+            digest: 0,
             link: LinkState::Good,
             misses: 0,
             dead_at: None,
