--- /dev/null
+++ b/crates/member/tests/targets.rs
@@ -0,0 +1,169 @@
+//! State of targets: learned from any source, spread in time, never taken back by old news.
+
+mod support;
+
+use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
+use member::{MemberAction, ObservationSource, TargetObservation, TargetState};
+use support::FakeNetwork;
+use yare::parameterized;
+
+/// Time within which every node of the domain knows that a target is leaving.
+const LEAVE_BOUND: TimeSpan = TimeSpan::new(3_000);
+
+fn observation(run: Option<u64>, state: TargetState, health: bool) -> TargetObservation {
+    let source = if health {
+        ObservationSource::Health
+    } else {
+        ObservationSource::Platform
+    };
+    TargetObservation {
+        target: "quill-1".parse().unwrap(),
+        domain: "balaju0".parse().unwrap(),
+        incarnation: run.map(IncarnationNumber),
+        state,
+        source,
+    }
+}
+
+fn state(network: &FakeNetwork, at: usize) -> Option<(u64, TargetState)> {
+    let target: TargetName = "quill-1".parse().unwrap();
+    let domain = "balaju0".parse().unwrap();
+    let view = network.nodes[at].table().target(&domain, &target)?;
+    Some((view.incarnation.0, view.state))
+}
+
+fn told_at(network: &FakeNetwork, at: usize, wanted: TargetState) -> Option<ClockTime> {
+    let told = network.told.iter().find(|(_, by, action)| {
+        matches!(action, MemberAction::TargetChanged { state, .. }
+            if *by == at && *state == wanted)
+    });
+    told.map(|(time, ..)| *time)
+}
+
+/// Guards against new work for a target after the bound, whichever source knows first.
+#[parameterized(
+    small_health = { 8, true }, small_platform = { 8, false },
+    large_health = { 26, true }, large_platform = { 26, false },
+)]
+fn leaving_target_is_known_to_the_domain_in_time(count: usize, health: bool) {
+    for seed in 100..105 {
+        let mut network = FakeNetwork::settled(1, count, seed);
+        network.observe(0, &observation(Some(7), TargetState::Alive, true));
+        network.run(40_000);
+        let start = network.now;
+        let run = health.then_some(7);
+        network.observe(1, &observation(run, TargetState::Leaving, health));
+        network.run(LEAVE_BOUND.as_millis());
+        for at in 0..count {
+            let time = told_at(&network, at, TargetState::Leaving);
+            let time = time.unwrap_or_else(|| panic!("seed {seed}: {at} does not know"));
+            assert!(time - start <= LEAVE_BOUND);
+        }
+    }
+}
+
+/// Guards against a drain that dies with the node that saw it first, or on lost messages.
+#[test]
+fn leaving_target_survives_the_death_of_its_observer() {
+    for seed in 110..115 {
+        let mut network = FakeNetwork::settled(1, 8, seed);
+        network.observe(1, &observation(Some(7), TargetState::Reclaimed, true));
+        network.run(100);
+        network.kill(1);
+        network.cut(&[0], &[2, 3, 4]);
+        network.run(LEAVE_BOUND.as_millis());
+        for at in (0..8).filter(|at| *at != 1) {
+            assert_eq!(
+                state(&network, at),
+                Some((7, TargetState::Reclaimed)),
+                "seed {seed}"
+            );
+        }
+    }
+}
+
+/// Guards against a leaving target of another domain that gets work by failover.
+#[test]
+fn leaving_target_is_known_in_other_domains() {
+    let mut network = FakeNetwork::settled(4, 4, 120);
+    network.observe(1, &observation(Some(7), TargetState::Leaving, true));
+    network.run(8_000);
+    for at in 0..16 {
+        assert_eq!(state(&network, at), Some((7, TargetState::Leaving)));
+    }
+}
+
+/// Guards against late news that revive a drained or replaced run.
+#[test]
+fn old_news_never_win() {
+    let mut network = FakeNetwork::settled(1, 4, 121);
+    let see = |network: &mut FakeNetwork, at, run, seen, health| {
+        network.observe(at, &observation(run, seen, health));
+        network.run(5_000);
+        state(network, 3).unwrap()
+    };
+    use TargetState::{Alive, Dead, Leaving, Reclaimed};
+    assert_eq!(see(&mut network, 0, Some(7), Alive, true), (7, Alive));
+    assert_eq!(see(&mut network, 1, Some(7), Leaving, true), (7, Leaving));
+    assert_eq!(
+        see(&mut network, 2, Some(7), Alive, true),
+        (7, Leaving),
+        "late answer"
+    );
+    assert_eq!(see(&mut network, 2, Some(7), Dead, true), (7, Dead));
+    assert_eq!(
+        see(&mut network, 0, None, Alive, false),
+        (7, Dead),
+        "late list"
+    );
+    assert_eq!(
+        see(&mut network, 0, Some(7), Alive, true),
+        (7, Leaving),
+        "was only unreachable"
+    );
+    assert_eq!(see(&mut network, 1, Some(8), Alive, true), (8, Alive));
+    assert_eq!(
+        see(&mut network, 2, None, Leaving, false),
+        (8, Alive),
+        "late list"
+    );
+    assert_eq!(
+        see(&mut network, 2, Some(7), Reclaimed, true),
+        (8, Alive),
+        "late rumour"
+    );
+    assert_eq!(
+        see(&mut network, 2, None, Dead, false),
+        (8, Alive),
+        "late list"
+    );
+}
+
+/// Guards against a drain learned before the run is known, which the first answer would undo.
+#[test]
+fn drain_of_an_unknown_run_holds_for_the_run_seen_first() {
+    let mut network = FakeNetwork::settled(1, 4, 122);
+    network.observe(0, &observation(None, TargetState::Leaving, false));
+    network.run(3_000);
+    network.observe(2, &observation(Some(7), TargetState::Alive, true));
+    network.run(3_000);
+    for at in 0..4 {
+        assert_eq!(state(&network, at), Some((7, TargetState::Leaving)));
+    }
+}
+
+/// Guards against tables that grow with targets nobody declared.
+#[test]
+fn undeclared_target_is_not_held() {
+    let mut network = FakeNetwork::settled(1, 4, 123);
+    network.observe(0, &observation(Some(7), TargetState::Leaving, true));
+    network.run(3_000);
+    for at in 0..4 {
+        let now = network.now;
+        let table = network.nodes[at].table.as_mut().unwrap();
+        table.on_declared_targets(now, &["quill-2".parse().unwrap()]);
+    }
+    network.observe(1, &observation(Some(8), TargetState::Leaving, true));
+    network.run(3_000);
+    assert!((0..4).all(|at| state(&network, at).is_none()));
+}
