Add decision logic for orders, rollouts and the weight store

Cause: nothing compares the declared state of engines with the actual one. Change: OrderBoard takes declarations, live nodes, probes, outcomes and peer messages with a time and returns probes, orders, messages and log events. One loop per target with fencing numbers, a loader per domain that grants rate and capacity, waves with a failure limit, and a convergence report. No behaviour has been tested yet. Conclusion: the shell can be written against the interface; tests follow.

--- /dev/null
+++ b/crates/orders/src/plan/mod.rs
@@ -0,0 +1,9 @@
+//! What a declaration wants in one domain.
+
+mod domain_plan;
+mod rollout_plan;
+mod target_plan;
+
+pub use domain_plan::DomainPlan;
+pub use rollout_plan::RolloutPlan;
+pub use target_plan::{TargetPlan, WantedVersion};
--- /dev/null
+++ b/crates/orders/src/plan/target_plan.rs
@@ -0,0 +1,100 @@
+use std::fmt;
+
+use base::{AdapterName, ModelName, TargetName, VersionName};
+use fleet::EngineRole;
+
+use crate::{LoadedVersion, OrderAction, TargetActual};
+
+/// A version that a target is to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WantedVersion {
+    /// Model.
+    pub model: ModelName,
+    /// Version.
+    pub version: VersionName,
+    /// Adapters, sorted.
+    pub adapters: Vec<AdapterName>,
+    /// Positions of the rollouts that want it.
+    pub rollouts: Vec<usize>,
+}
+
+impl WantedVersion {
+    /// Tells whether this is the version of `entry`.
+    pub fn is_same(&self, entry: &LoadedVersion) -> bool {
+        self.model == entry.model && self.version == entry.version
+    }
+
+    /// Tells whether `actual` serves the version with all its adapters.
+    pub fn is_served(&self, actual: &TargetActual) -> bool {
+        let entry = actual.version(&self.model, &self.version);
+        entry.is_some_and(|entry| {
+            entry.is_ready() && self.adapters.iter().all(|name| entry.has_adapter(name))
+        })
+    }
+
+    /// Tells whether an order with this action is for this version.
+    pub fn is_object_of(&self, action: &OrderAction) -> bool {
+        match action {
+            OrderAction::Load { model, version }
+            | OrderAction::LoadAdapter { model, version, .. } => {
+                self.model == *model && self.version == *version
+            }
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for WantedVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.model, self.version)?;
+        self.adapters
+            .iter()
+            .try_for_each(|name| write!(f, "+{name}"))
+    }
+}
+
+/// The wanted state of one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetPlan {
+    /// Target.
+    pub name: TargetName,
+    /// Wanted role; `None` leaves the role alone.
+    pub role: Option<EngineRole>,
+    /// Whether the target refuses orders with an old fencing number.
+    pub fencing: bool,
+    /// Wanted versions in the order of the rollouts.
+    pub wanted: Vec<WantedVersion>,
+}
+
+impl TargetPlan {
+    /// Returns the wanted version that `entry` is, if it is wanted.
+    pub fn find(&self, entry: &LoadedVersion) -> Option<&WantedVersion> {
+        self.wanted.iter().find(|wanted| wanted.is_same(entry))
+    }
+
+    /// Tells whether `actual` has everything that is wanted and nothing else.
+    pub fn is_met(&self, actual: &TargetActual) -> bool {
+        let role = self.role.is_none() || self.role == actual.role;
+        let served = self.wanted.iter().all(|wanted| wanted.is_served(actual));
+        let known = |entry: &LoadedVersion| {
+            let wanted = self.find(entry);
+            wanted.is_some_and(|wanted| wanted.adapters.len() == entry.adapters.len())
+        };
+        role && served && actual.versions.iter().all(known)
+    }
+}
+
+impl fmt::Display for TargetPlan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut gap = "";
+        if let Some(role) = self.role {
+            write!(f, "{role}")?;
+            gap = " ";
+        }
+        for wanted in &self.wanted {
+            write!(f, "{gap}{wanted}")?;
+            gap = " ";
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/orders/src/rollout/rollout_summary.rs
@@ -0,0 +1,61 @@
+use base::{RevisionNumber, TargetName};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::RolloutKey;
+
+/// Failures of one rollout that a node knows of; nodes merge them by union.
+///
+/// ```
+/// use orders::RolloutSummary;
+/// let _merge: fn(&mut RolloutSummary, &RolloutSummary) -> bool = RolloutSummary::merge;
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutSummary {
+    /// What is rolled out.
+    pub key: RolloutKey,
+    /// Lowest revision in which a failure was seen.
+    pub revision: RevisionNumber,
+    /// Targets that failed on the version with their reasons, sorted by target and bounded.
+    pub failed: Vec<(TargetName, SmolStr)>,
+}
+
+impl RolloutSummary {
+    /// Most targets that a summary names; the schema allows no higher `failure_limit`.
+    pub const FAILED_LIMIT: usize = 1_000;
+
+    /// Creates a summary without failures.
+    pub fn new(key: RolloutKey, revision: RevisionNumber) -> Self {
+        Self {
+            key,
+            revision,
+            failed: Vec::new(),
+        }
+    }
+
+    /// Adds a failure and tells whether it is news.
+    pub fn add(&mut self, target: TargetName, reason: SmolStr) -> bool {
+        if self.failed.len() >= Self::FAILED_LIMIT {
+            return false;
+        }
+        let found = self.failed.binary_search_by(|(name, _)| name.cmp(&target));
+        let Err(at) = found else {
+            return false;
+        };
+        self.failed.insert(at, (target, reason));
+        true
+    }
+
+    /// Adds the failures of another summary of the same rollout and tells whether any is news.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        if other.key != self.key {
+            return false;
+        }
+        self.revision = self.revision.min(other.revision);
+        let mut news = false;
+        for (target, reason) in &other.failed {
+            news |= self.add(target.clone(), reason.clone());
+        }
+        news
+    }
+}
