Add listeners, command line and demo

Cause: the parts of the node were not yet a process. Change: NodeServer with its three listeners and a graceful stop, the commands node, check, stand-in and demo, logs in text or JSON with event numbers.

--- /dev/null
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -0,0 +1,107 @@
+use std::env;
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+use log::LevelFilter;
+use tokio::runtime::{Builder, Runtime};
+
+use super::check_command::CheckCommand;
+use super::node_command::NodeCommand;
+use super::standin_command::StandInCommand;
+use crate::demo::DemoCommand;
+use crate::logging::{LogFormat, start_logging};
+
+/// Exit code of a command that did its work.
+pub const EXIT_DONE: u8 = 0;
+/// Exit code of a command whose work failed.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code after wrong usage or settings.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Serves text generations of unknown length on crowded engines.
+#[derive(FromArgs)]
+#[argh(
+    example = "Show the whole system in one process:\n  $ {command_name} demo",
+    error_code(0, "done"),
+    error_code(1, "the work failed"),
+    error_code(2, "wrong usage or settings")
+)]
+pub struct MainCommand {
+    /// form of the log lines: text or json
+    #[argh(option, default = "LogFormat::Text")]
+    log_format: LogFormat,
+
+    /// least level of the log lines: off, error, warn, info, debug or trace
+    #[argh(option)]
+    log_level: Option<LevelFilter>,
+
+    #[argh(subcommand)]
+    sub: SubCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SubCommand {
+    Node(NodeCommand),
+    Check(CheckCommand),
+    Demo(DemoCommand),
+    StandIn(StandInCommand),
+}
+
+impl MainCommand {
+    /// Reads the command line; help is printed and ends the process with 0, a mistake with 2.
+    pub fn parse() -> Result<Self, ExitCode> {
+        let args: Vec<String> = env::args().collect();
+        let name = args.first().map_or("agatemoor", |path| {
+            path.rsplit('/').next().unwrap_or("agatemoor")
+        });
+        let rest: Vec<&str> = args.iter().skip(1).map(String::as_str).collect();
+        Self::from_args(&[name], &rest).map_err(|exit| show_exit(&exit))
+    }
+
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        // The demo prints a report of its own, which events would only interrupt.
+        let quiet = matches!(self.sub, SubCommand::Demo(_));
+        let default = match quiet {
+            true => LevelFilter::Error,
+            false => LevelFilter::Info,
+        };
+        start_logging(self.log_format, self.log_level.unwrap_or(default));
+        let code = match self.sub {
+            SubCommand::Node(command) => run_async(command.run()),
+            SubCommand::Check(command) => command.run(),
+            SubCommand::Demo(command) => run_async(command.run()),
+            SubCommand::StandIn(command) => run_async(command.run()),
+        };
+        ExitCode::from(code)
+    }
+}
+
+fn show_exit(exit: &EarlyExit) -> ExitCode {
+    match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::from(EXIT_DONE)
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run_async(work: impl Future<Output = u8>) -> u8 {
+    let runtime: Result<Runtime, _> = Builder::new_multi_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => {
+            let code = runtime.block_on(work);
+            runtime.shutdown_background();
+            code
+        }
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            EXIT_FAILED
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatemoor/src/command/mod.rs
@@ -0,0 +1,9 @@
+//! The subcommands.
+
+mod check_command;
+mod main_command;
+mod node_command;
+mod standin_command;
+
+pub use main_command::{EXIT_DONE, EXIT_FAILED, MainCommand};
+pub use node_command::stop_signal;
--- /dev/null
+++ b/crates/agatemoor/src/command/node_command.rs
@@ -0,0 +1,79 @@
+use std::fs;
+
+use argh::FromArgs;
+use node::{MetricsExport, NodeServer};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use crate::demo::make_policy;
+
+/// Run an entry node until SIGTERM or SIGINT, then stop gracefully.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "node",
+    example = "Run a node:\n  $ agatemoor node examples/kanchan/thapathali-1.ini"
+)]
+pub struct NodeCommand {
+    /// settings of the node
+    #[argh(positional)]
+    file: String,
+}
+
+impl NodeCommand {
+    /// Runs the node.
+    pub async fn run(self) -> u8 {
+        let settings = match read_settings(&self.file) {
+            Ok(settings) => settings,
+            Err(code) => return code,
+        };
+        MetricsExport::shared();
+        let server = match NodeServer::bind(settings).await {
+            Ok(server) => server,
+            Err(error) => {
+                eprintln!("{error}");
+                return EXIT_FAILED;
+            }
+        };
+        let handle = match server.start(Box::new(make_policy)) {
+            Ok(handle) => handle,
+            Err(error) => {
+                eprintln!("{error}");
+                return EXIT_USAGE;
+            }
+        };
+        tokio::select! {
+            () = stop_signal() => {}
+            () = handle.superseded() => {}
+        }
+        handle.stop().await;
+        EXIT_DONE
+    }
+}
+
+fn read_settings(file: &str) -> Result<schema::settings::NodeSettings, u8> {
+    let text = fs::read_to_string(file).map_err(|error| {
+        eprintln!("{file}: {error}");
+        EXIT_USAGE
+    })?;
+    schema::read_settings(file, &text).map_err(|mistakes| {
+        for mistake in mistakes {
+            eprintln!("{mistake}");
+        }
+        EXIT_USAGE
+    })
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn stop_signal() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/agatemoor/src/command/standin_command.rs
@@ -0,0 +1,185 @@
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use base::{EventKind, TargetName};
+use engine::WeightKey;
+use standin::{AppServer, EngineServer, EngineSettings, PlatformServer};
+
+use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::node_command::stop_signal;
+
+/// Run a stand-in for what surrounds the system.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "stand-in",
+    example = "Run an engine with one version in memory:\n  $ agatemoor stand-in engine --listen 127.0.0.1:9101 --name e1 --load quill:2"
+)]
+pub struct StandInCommand {
+    #[argh(subcommand)]
+    kind: StandInKind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum StandInKind {
+    Platform(PlatformCommand),
+    Engine(EngineCommand),
+    App(AppCommand),
+}
+
+/// Run the configuration service and the list of VMs.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "platform",
+    example = "  $ agatemoor stand-in platform --listen 127.0.0.1:8500"
+)]
+struct PlatformCommand {
+    /// address and port
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// Run a model engine.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "engine",
+    example = "  $ agatemoor stand-in engine --listen 127.0.0.1:9101 --name e1 --load quill:2"
+)]
+struct EngineCommand {
+    /// address and port
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// name in its history
+    #[argh(option)]
+    name: TargetName,
+
+    /// MODEL:VERSION in memory at the start; may be repeated
+    #[argh(option)]
+    load: Vec<String>,
+
+    /// MODEL:VERSION that fails to load; may be repeated
+    #[argh(option)]
+    broken: Vec<String>,
+
+    /// refuse orders with an old fencing number
+    #[argh(switch)]
+    fencing: bool,
+
+    /// seed of the model; a restarted engine needs another one
+    #[argh(option, default = "std::process::id().into()")]
+    seed: u64,
+
+    /// a prompt with this text ends the process
+    #[argh(option)]
+    crash_text: Option<String>,
+}
+
+/// Run a plain service.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "app",
+    example = "  $ agatemoor stand-in app --listen 127.0.0.1:9201 --name orders-1"
+)]
+struct AppCommand {
+    /// address and port
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// name in its history
+    #[argh(option)]
+    name: TargetName,
+}
+
+impl StandInCommand {
+    /// Runs the stand-in until SIGTERM or SIGINT.
+    pub async fn run(self) -> u8 {
+        match self.kind {
+            StandInKind::Platform(command) => command.run().await,
+            StandInKind::Engine(command) => command.run().await,
+            StandInKind::App(command) => command.run().await,
+        }
+    }
+}
+
+impl PlatformCommand {
+    async fn run(self) -> u8 {
+        match PlatformServer::bind(self.listen).await {
+            Ok(server) => {
+                let (handle, _task) = server.start();
+                serve_until_signal("platform", handle.address()).await
+            }
+            Err(error) => report_failure(self.listen, &error),
+        }
+    }
+}
+
+impl AppCommand {
+    async fn run(self) -> u8 {
+        match AppServer::bind(self.listen, self.name).await {
+            Ok(server) => {
+                let (handle, _task) = server.start();
+                serve_until_signal("app", handle.address()).await
+            }
+            Err(error) => report_failure(self.listen, &error),
+        }
+    }
+}
+
+impl EngineCommand {
+    async fn run(self) -> u8 {
+        let mut settings = EngineSettings::new(self.name).with_seed(self.seed);
+        for (texts, broken) in [(&self.load, false), (&self.broken, true)] {
+            for text in texts {
+                let Some(key) = standin::parse_weights(text) else {
+                    eprintln!("`{text}` is not MODEL:VERSION");
+                    return EXIT_USAGE;
+                };
+                settings = add_weights(settings, key, broken);
+            }
+        }
+        if self.fencing {
+            settings = settings.with_fencing();
+        }
+        if let Some(text) = &self.crash_text {
+            settings = settings.with_crash_text(text);
+        }
+        let listen = self.listen;
+        // The engine has a runtime of its own, which can't be started inside this one.
+        let started = tokio::task::spawn_blocking(move || EngineServer::start(listen, settings));
+        match started.await {
+            Ok(Ok(handle)) => {
+                let address = handle.address();
+                tokio::select! {
+                    code = serve_until_signal("engine", address) => code,
+                    () = handle.wait_dead() => EXIT_FAILED,
+                }
+            }
+            Ok(Err(error)) => report_failure(listen, &error),
+            Err(_) => EXIT_FAILED,
+        }
+    }
+}
+
+fn add_weights(settings: EngineSettings, key: WeightKey, broken: bool) -> EngineSettings {
+    match broken {
+        true => settings.with_broken(key),
+        false => settings.with_loaded(key),
+    }
+}
+
+async fn serve_until_signal(what: &str, address: SocketAddr) -> u8 {
+    let number = EventKind::StandInStarted.number();
+    log::info!(event = number; "{what} listens on {address}");
+    stop_signal().await;
+    EXIT_DONE
+}
+
+fn report_failure(address: SocketAddr, error: &std::io::Error) -> u8 {
+    eprintln!("cannot listen on {address}: {error}");
+    EXIT_FAILED
+}
--- /dev/null
+++ b/crates/agatemoor/src/logging/log_format.rs
@@ -0,0 +1,105 @@
+use std::io::stderr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::EventKind;
+use fern::Dispatch;
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::Map;
+use strum::{Display, EnumString};
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// For a person at a terminal.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Sends the log to standard error; a second call changes nothing.
+pub fn start_logging(format: LogFormat, level: LevelFilter) {
+    let started = Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("event", level)
+        .level_for("agatemoor", level)
+        .level_for("web", level)
+        .level_for("node", level)
+        .level_for("load", level)
+        .format(move |out, message, record| match format {
+            LogFormat::Text => out.finish(format_args!("{}", text_line(record, message))),
+            LogFormat::Json => out.finish(format_args!("{}", json_line(record, message))),
+        })
+        .chain(stderr())
+        .apply();
+    // A logger that was set before goes on.
+    drop(started);
+}
+
+/// Fields of a record, such as its event number.
+#[derive(Default)]
+struct FieldMap {
+    fields: Map<String, serde_json::Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for FieldMap {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.fields.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+/// A line without an event number is one of the program as such.
+fn read_fields(record: &Record<'_>) -> Map<String, serde_json::Value> {
+    let mut map = FieldMap::default();
+    // Reading the fields of a record can't fail with this visitor.
+    let _ = record.key_values().visit(&mut map);
+    let number = EventKind::ProcessMessage.number();
+    map.fields.entry("event").or_insert(number.into());
+    map.fields
+}
+
+fn wall_millis() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis())
+}
+
+fn text_line(record: &Record<'_>, message: &std::fmt::Arguments<'_>) -> String {
+    let fields = read_fields(record);
+    let field = |name: &str| match fields.get(name) {
+        Some(serde_json::Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+        None => String::new(),
+    };
+    let millis = wall_millis();
+    let time = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+    let mut line = format!("{time} {:5} {}", record.level(), field("event"));
+    for name in ["kind", "node", "request"] {
+        let value = field(name);
+        if !value.is_empty() {
+            line.push(' ');
+            line.push_str(&value);
+        }
+    }
+    let message = message.to_string();
+    if !message.is_empty() {
+        line.push_str(": ");
+        line.push_str(&message);
+    }
+    line
+}
+
+fn json_line(record: &Record<'_>, message: &std::fmt::Arguments<'_>) -> String {
+    let mut fields = read_fields(record);
+    fields.insert("level".to_owned(), record.level().as_str().into());
+    fields.insert("message".to_owned(), message.to_string().into());
+    let millis = u64::try_from(wall_millis()).unwrap_or(u64::MAX);
+    fields.insert("wall_ms".to_owned(), millis.into());
+    serde_json::Value::Object(fields).to_string()
+}
--- a/crates/agatemoor/src/main.rs
+++ b/crates/agatemoor/src/main.rs
@@ -1,2 +1,12 @@
-//! Placeholder.
-fn main() {}
+//! The program `agatemoor`.
+
+use std::process::ExitCode;
+
+use agatemoor::MainCommand;
+
+fn main() -> ExitCode {
+    match MainCommand::parse() {
+        Ok(command) => command.run(),
+        Err(code) => code,
+    }
+}
--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -59,6 +59,7 @@
     ConnectionEnded = 1006, "A connection ended with an error.";
     StandInStarted = 1007, "A stand-in listens on its address.";
     LoadProgress = 1008, "The load tool reports its progress.";
+    ProcessMessage = 1010, "A message of the program that belongs to no other event.";
     NodeReady = 1009, "The node has compared its declaration and serves callers.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -23,9 +23,9 @@
         Self { address }
     }
 
-    /// Lets time pass.
-    pub fn tick(&self) {
-        post_now(&self.address, TickFleet);
+    /// Lets time pass and waits until it was acted on; `None` once the node has stopped.
+    pub async fn tick(&self) -> Option<()> {
+        self.ask(TickFleet).await
     }
 
     /// Takes a membership message.
--- a/crates/node/src/core_parts/node_core.rs
+++ b/crates/node/src/core_parts/node_core.rs
@@ -2,16 +2,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use base::{ClockTime, EventKind, RequestId, TimeSpan};
+use base::{ClockTime, EventKind, IncarnationNumber, NodeName, RequestId, TimeSpan};
 use fleet::FleetDeclaration;
+use member::NodeState;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use web::ConnectionPool;
 
 use super::CallLimits;
 use crate::{
-    ClaimHandle, EventJournal, FleetHandle, NodeIdentity, NodeView, PeerClient, RelayParts,
-    RouteTable, SystemClock, ViewCell, WorkGate,
+    ClaimHandle, EventJournal, FleetHandle, NodeIdentity, NodeView, PeerBody, PeerClient,
+    RelayParts, RouteTable, SystemClock, ViewCell, WorkGate,
 };
 
 /// Longest wait of a request for a node that starts or was paused.
@@ -111,6 +112,25 @@
         self.clock.now() - ticked > PAUSE_LIMIT
     }
 
+    /// Returns the other live nodes of the failure domain with their runs.
+    pub async fn domain_peers(&self) -> Vec<(NodeName, IncarnationNumber)> {
+        let Some(status) = self.fleet.status().await else {
+            return Vec::new();
+        };
+        let others = status.nodes.into_iter().filter(|peer| {
+            let live = matches!(peer.state, NodeState::Alive | NodeState::Suspect);
+            live && peer.node != self.identity.node
+        });
+        others.map(|peer| (peer.node, peer.incarnation)).collect()
+    }
+
+    /// Sends a message to the other live nodes of the failure domain.
+    pub async fn tell_domain(&self, make: impl Fn() -> PeerBody) {
+        for (peer, _) in self.domain_peers().await {
+            self.peers.tell(peer, make());
+        }
+    }
+
     /// Notes an event of a request.
     pub fn note(&self, kind: EventKind, request: &RequestId, detail: &str) {
         self.journal.note_request(kind, request, detail);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,9 +7,11 @@
 mod core_parts;
 mod gate;
 mod journal;
+mod ops;
 mod peer;
 mod platform;
 mod relay;
+mod serve;
 mod service;
 mod target;
 mod view;
@@ -29,15 +31,17 @@
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
 pub use journal::EventJournal;
+pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
 pub use peer::{
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
-    PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, TargetNote,
+    PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, PeerServer, TargetNote,
 };
 pub use platform::{PlatformClient, PlatformFailure};
 pub use relay::{
     AnswerCollector, AnswerWriter, CallJob, CallRelay, RelayParts, RelayStep, ResumeKey,
     ResumeToken,
 };
+pub use serve::{NodeHandle, NodeServer, PolicyMaker, StartError};
 pub use service::{ServiceBody, ServiceJob, ServiceRelay, ServiceStep};
 pub use target::{
     CallFuture, EngineCall, EngineClient, EngineEvent, EngineFault, EngineHealth, EngineLink,
--- /dev/null
+++ b/crates/node/src/serve/node_server.rs
@@ -0,0 +1,329 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use base::{DomainName, EventKind, NodeName, TimeSpan};
+use calls::{OwnerId, TicketKey};
+use fleet::RevisionSettings;
+use sched::RoutePolicy;
+use schema::settings::NodeSettings;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{MissedTickBehavior, interval};
+use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebServer};
+use xtra::Mailbox;
+
+use super::NodeHandle;
+use crate::{
+    AddressBook, CallLimits, CallerApi, ClaimActor, ClaimHandle, ClaimSettings, EngineClient,
+    EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe, LoadNote, NodeCore,
+    NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer, PlatformClient, RelayParts,
+    ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput, SystemClock, ViewCell, WorkGate,
+};
+
+/// Time between two ticks of the scheduling actor.
+const SCHED_TICK: Duration = Duration::from_millis(20);
+/// Time between two ticks of the fleet actor.
+const FLEET_TICK: Duration = Duration::from_millis(50);
+/// Messages of the scheduling actor to other processes that wait to be sent.
+const OUTPUT_QUEUE: usize = 1_024;
+/// Calls of other failure domains that a node runs at once.
+const OVERFLOW_LIMIT: usize = 64;
+/// Bytes of a mebibyte.
+const MEBIBYTE: usize = 1 << 20;
+
+/// Makes the routing policy of a node.
+pub type PolicyMaker = Box<dyn FnOnce(&NodeIdentity) -> Box<dyn RoutePolicy> + Send>;
+
+/// Why a node did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address of the settings can't be read.
+    #[snafu(display("`{text}` is no address"))]
+    Address {
+        /// The text found.
+        text: String,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// A node with its listeners bound, before it serves.
+pub struct NodeServer {
+    settings: NodeSettings,
+    callers: WebServer,
+    operators: WebServer,
+    peers: WebServer,
+}
+
+impl NodeServer {
+    /// Binds the listeners of the settings; port 0 lets the system choose a port.
+    ///
+    /// # Errors
+    /// If an address is invalid or in use.
+    pub async fn bind(settings: NodeSettings) -> Result<Self, StartError> {
+        let callers = bind(&settings.callers.listen).await?;
+        let operators = bind(&settings.operators.listen).await?;
+        let peers = bind(&settings.peers.listen).await?;
+        let section = &settings.callers;
+        let limits = ServerLimits::new()
+            .with_connections(to_usize(section.connections.get()))
+            .with_header(
+                to_usize(section.header_limit),
+                millis(section.read_timeout_ms),
+            );
+        Ok(Self {
+            callers: callers.with_limits(limits),
+            operators,
+            peers,
+            settings,
+        })
+    }
+
+    /// Address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Address for other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Starts the actors and serves in tasks of its own.
+    ///
+    /// # Errors
+    /// If the address of the platform or of a seed can't be read.
+    pub fn start(self, make_policy: PolicyMaker) -> Result<NodeHandle, StartError> {
+        let clock = SystemClock::new();
+        let identity = NodeIdentity {
+            node: self.settings.node.name.clone(),
+            domain: self.settings.node.domain.clone(),
+            incarnation: clock.incarnation(),
+        };
+        let platform = parse_address(&self.settings.platform.address)?;
+        let seeds = parse_seeds(&self.settings.peers.seeds)?;
+        let journal = self.make_journal(clock, &identity.node, &identity.domain);
+        let secret = self.settings.peers.key.as_str();
+        let pool = ConnectionPool::new(PoolSettings::new());
+        let book = AddressBook::new();
+        let peers = PeerClient::new(
+            pool.clone(),
+            book,
+            PeerKey::new(secret),
+            identity.node.clone(),
+            identity.incarnation,
+            journal.clone(),
+        );
+        let section = &self.settings.platform;
+        let (prefix, service) = (&section.prefix, &section.service);
+        let platform = PlatformClient::new(pool.clone(), platform, prefix, service);
+        let engine: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(pool.clone(), clock));
+        let view = ViewCell::new();
+        let mut tasks = Vec::new();
+
+        let (output, outputs) = mpsc::channel(OUTPUT_QUEUE);
+        let policy = make_policy(&identity);
+        let sched = SchedActor::new(clock, journal.clone(), engine.clone(), policy, output);
+        let sched = SchedHandle::new(xtra::spawn_tokio(sched, Mailbox::unbounded()));
+
+        let own = OwnerId::new(identity.node.clone(), identity.incarnation);
+        let ticket_key = TicketKey::new(secret.as_bytes());
+        let retained = to_usize(self.settings.callers.retained_answers_mb.get()) * MEBIBYTE;
+        let claims = ClaimActor::new(
+            clock,
+            journal.clone(),
+            own.clone(),
+            ticket_key.clone(),
+            ClaimSettings::new(retained),
+        );
+        let claims = xtra::spawn_tokio(claims, Mailbox::unbounded());
+        let claims = ClaimHandle::new(claims, own, ticket_key, peers.clone());
+
+        let (superseded, mut later_run) = mpsc::channel(1);
+        let fleet = FleetActor::new(
+            FleetParts {
+                identity: identity.clone(),
+                clock,
+                journal: journal.clone(),
+                peers: peers.clone(),
+                platform,
+                probe: Arc::new(HttpProbe::new(engine.clone(), pool.clone())),
+                view: view.clone(),
+                sched: sched.clone(),
+                claims: claims.clone(),
+                seeds,
+                superseded,
+            },
+            RevisionSettings {
+                watch_wait: millis(self.settings.platform.wait_ms),
+                ..RevisionSettings::default()
+            },
+        );
+        let fleet = FleetHandle::new(xtra::spawn_tokio(fleet, Mailbox::unbounded()));
+        claims.set_fleet(fleet.clone());
+
+        let relay = Arc::new(RelayParts {
+            clock,
+            journal: journal.clone(),
+            engine,
+            sched: sched.clone(),
+            view: view.clone(),
+            resume: ResumeKey::new(secret),
+        });
+        let core = Arc::new(NodeCore {
+            identity: identity.clone(),
+            clock,
+            journal: journal.clone(),
+            view,
+            routes: RouteTable::new(),
+            relay,
+            claims,
+            fleet: fleet.clone(),
+            peers: peers.clone(),
+            pool,
+            limits: CallLimits::new(&self.settings.callers),
+            gate: WorkGate::new(),
+            overflow: Arc::new(Semaphore::new(OVERFLOW_LIMIT)),
+            ticked_at: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+        });
+        tasks.push(tokio::spawn(tick_sched(sched)));
+        tasks.push(tokio::spawn(tick_fleet(core.clone())));
+        tasks.push(tokio::spawn(send_outputs(core.clone(), outputs)));
+        let addresses = [
+            self.callers.address(),
+            self.operators.address(),
+            self.peers.address(),
+        ];
+        let stop = [StopSignal::new(), StopSignal::new(), StopSignal::new()];
+        let api = CallerApi::new(core.clone());
+        let peer_server = PeerServer::new(core.clone(), api.clone(), PeerKey::new(secret));
+        let callers = tokio::spawn(self.callers.serve(Arc::new(api), stop[0].clone()));
+        let operators = OpsServer::new(core.clone());
+        tasks.push(tokio::spawn(
+            self.operators.serve(Arc::new(operators), stop[1].clone()),
+        ));
+        tasks.push(tokio::spawn(
+            self.peers.serve(Arc::new(peer_server), stop[2].clone()),
+        ));
+        let [caller, operator, peer] = addresses;
+        let detail = format!("callers {caller}, operators {operator}, peers {peer}");
+        journal.note(EventKind::NodeStarted, detail);
+        let replaced = StopSignal::new();
+        let signal = replaced.clone();
+        tasks.push(tokio::spawn(async move {
+            if later_run.recv().await.is_some() {
+                signal.stop();
+            }
+        }));
+        Ok(NodeHandle::new(
+            core, addresses, stop, callers, tasks, replaced,
+        ))
+    }
+
+    fn make_journal(
+        &self,
+        clock: SystemClock,
+        node: &NodeName,
+        domain: &DomainName,
+    ) -> EventJournal {
+        let limit = to_usize(self.settings.node.events);
+        EventJournal::new(clock, node.clone(), domain.clone(), limit)
+    }
+}
+
+async fn tick_sched(sched: SchedHandle) {
+    let mut ticks = interval(SCHED_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        sched.pass_time();
+    }
+}
+
+async fn tick_fleet(core: Arc<NodeCore>) {
+    let mut ticks = interval(FLEET_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        // The answer comes after every message before it, so that the view is read again.
+        if core.fleet.tick().await.is_none() {
+            return;
+        }
+        core.note_tick();
+    }
+}
+
+/// Sends what the scheduling actor wants sent.
+async fn send_outputs(core: Arc<NodeCore>, mut outputs: mpsc::Receiver<SchedOutput>) {
+    while let Some(output) = outputs.recv().await {
+        match output {
+            SchedOutput::Probe(target) => core.fleet.probe(target),
+            SchedOutput::Crash(message) => {
+                core.tell_domain(|| PeerBody::Crash(message.clone())).await
+            }
+            SchedOutput::Publish(digest) => {
+                let targets = digest.targets.into_iter();
+                let in_flight = targets
+                    .map(|entry| {
+                        (
+                            entry.target,
+                            entry.in_flight,
+                            entry.held_tokens,
+                            entry.peak_tokens,
+                        )
+                    })
+                    .collect();
+                let note = LoadNote {
+                    sequence: digest.sequence,
+                    in_flight,
+                    targets: Vec::new(),
+                };
+                core.tell_domain(|| PeerBody::Load(note.clone())).await;
+            }
+        }
+    }
+}
+
+async fn bind(text: &str) -> Result<WebServer, StartError> {
+    let address = parse_address(text)?;
+    WebServer::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, StartError> {
+    text.parse().map_err(|_| StartError::Address {
+        text: text.to_owned(),
+    })
+}
+
+fn parse_seeds(text: &str) -> Result<Vec<SocketAddr>, StartError> {
+    let seeds = text
+        .split(',')
+        .map(str::trim)
+        .filter(|seed| !seed.is_empty());
+    seeds.map(parse_address).collect()
+}
+
+fn to_usize(number: impl TryInto<usize>) -> usize {
+    number.try_into().unwrap_or(usize::MAX)
+}
+
+fn millis(number: impl TryInto<u64>) -> TimeSpan {
+    TimeSpan::new(number.try_into().unwrap_or(0))
+}
--- a/crates/standin/src/engine/engine_handle.rs
+++ b/crates/standin/src/engine/engine_handle.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::IncarnationNumber;
 use tokio::runtime::{Builder, Runtime};
@@ -11,6 +12,11 @@
 use super::engine_state::EngineState;
 use crate::RunRecord;
 
+/// Time between two checks whether an engine was ended.
+const DEATH_CHECK: std::time::Duration = std::time::Duration::from_millis(50);
+/// Random bits of an incarnation number; the start time in milliseconds stands above them.
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
 /// Starts stand-in engines.
 pub struct EngineServer;
 
@@ -38,7 +44,7 @@
             .build()?;
         let server = runtime.block_on(WebServer::bind(address))?;
         let address = server.address();
-        let incarnation = IncarnationNumber(rand::random::<u64>() >> 1);
+        let incarnation = new_incarnation();
         let state = Arc::new(EngineState::new(settings, incarnation));
         let served = state.clone();
         let handler = move |request| -> web::HandlerFuture {
@@ -98,6 +104,13 @@
         runtime.is_none()
     }
 
+    /// Waits until the engine was ended.
+    pub async fn wait_dead(&self) {
+        while !self.is_dead() {
+            tokio::time::sleep(DEATH_CHECK).await;
+        }
+    }
+
     /// Ends the runtime on a crash, from a thread outside it.
     fn watch_crash(&self) {
         let handle = self.clone();
@@ -112,3 +125,11 @@
         });
     }
 }
+
+/// A later run has a larger number.
+fn new_incarnation() -> IncarnationNumber {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |span| span.as_millis() as u64);
+    let random = rand::random::<u64>() >> (64 - INCARNATION_RANDOM_BITS);
+    IncarnationNumber((millis << INCARNATION_RANDOM_BITS) | random)
+}
