--- a/crates/engine/src/model/engine_model.rs
+++ b/crates/engine/src/model/engine_model.rs
@@ -1,4 +1,4 @@
-use base::{ByteCount, ClockTime, GenerationId, RequestId, TokenCount};
+use base::{ClockTime, GenerationId, RequestId, TokenCount};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -8,7 +8,7 @@
 use crate::weight::WeightStore;
 use crate::{
     EngineEvent, EnginePriority, EngineProfile, EngineRequest, EngineTime, EventDetail,
-    LoadFigures, RefusalReason, WeightError, WeightKey,
+    LoadFigures, RefusalReason,
 };
 
 /// A continuously batching engine as a state machine in time.
@@ -181,57 +181,6 @@
         self.log.find(generation).cloned()
     }
 
-    /// Starts to load weights and returns when they will be ready; repeating it is harmless.
-    ///
-    /// # Errors
-    /// `MemoryFull` if running sequences and other weights leave too little memory.
-    pub fn load_weights(
-        &mut self,
-        now: impl Into<EngineTime>,
-        key: WeightKey,
-        size: ByteCount,
-    ) -> Result<EngineTime, WeightError> {
-        let now = now.into();
-        self.run_until(now);
-        if self.weights.contains(&key) {
-            self.weights.keep(&key);
-            return Ok(self.weights.done_at(&key).unwrap_or(now));
-        }
-        let needed = size.0.div_ceil(self.profile.page_bytes.0.max(1));
-        let needed = u32::try_from(needed).unwrap_or(u32::MAX);
-        if !self.memory.take_for_weights(needed) {
-            let available = self.memory.available();
-            return Err(WeightError::MemoryFull { needed, available });
-        }
-        self.record_evictions(now);
-        let micros = size.0.saturating_mul(1_000_000) / self.profile.weight_rate.0.max(1);
-        let done = self.weights.begin_load(now, key, needed, micros);
-        Ok(done.unwrap_or(now))
-    }
-
-    /// Unloads weights as soon as no sequence uses them; new requests for them are refused.
-    ///
-    /// # Errors
-    /// `NotLoaded` if they are not there.
-    pub fn unload_weights(
-        &mut self,
-        now: impl Into<EngineTime>,
-        key: &WeightKey,
-    ) -> Result<(), WeightError> {
-        let now = now.into();
-        self.run_until(now);
-        if !self.weights.begin_unload(key) {
-            return Err(WeightError::NotLoaded);
-        }
-        self.drop_unused_weights(now);
-        Ok(())
-    }
-
-    /// Weights that requests can use, sorted.
-    pub fn loaded_weights(&self) -> Vec<WeightKey> {
-        self.weights.loaded()
-    }
-
     /// Speed and limits of this engine.
     pub fn profile(&self) -> &EngineProfile {
         &self.profile
@@ -268,7 +217,7 @@
         self.log.push(sequence.view(Some(end), Some(now)));
     }
 
-    fn run_until(&mut self, now: EngineTime) {
+    pub(super) fn run_until(&mut self, now: EngineTime) {
         loop {
             let load = self.weights.next_done().filter(|done| *done <= now);
             let step = self.step_end.filter(|end| *end <= now);
@@ -280,19 +229,6 @@
         }
     }
 
-    fn end_load(&mut self, at: EngineTime) {
-        if let Some(key) = self.weights.finish_load(at) {
-            self.record(at, EventDetail::WeightsLoaded(key));
-        }
-    }
-
-    fn drop_unused_weights(&mut self, at: EngineTime) {
-        while let Some((key, pages)) = self.weights.pop_unused() {
-            self.memory.give_back_weights(pages);
-            self.record(at, EventDetail::WeightsUnloaded(key));
-        }
-    }
-
     fn find_refusal(&self, request: &EngineRequest) -> Option<RefusalReason> {
         if let Some(key) = &request.weights
             && !self.weights.is_loaded(key)
--- a/crates/load/examples/experiment.rs
+++ b/crates/load/examples/experiment.rs
@@ -1,23 +1,39 @@
-//! Runs an experiment with the baselines and prints its tables.
+//! Runs an experiment with the baselines, prints its tables and writes JSON and a page.
 //!
-//! `cargo run --release -p load --example experiment -- [OUT_DIR] [WORKLOAD] [LOAD…]`
+//! `cargo run --release -p load --example experiment -- workload=kanchan loads=0.7,0.9 out=DIR`
+//!
+//! Keys: `workload`, `loads`, `seeds`, `nodes`, `engines`, `window` (such as `600s`), `faults`
+//! (number drawn with the first seed), `out` (directory). Each may be left out.
 
 use std::path::Path;
 use std::time::Instant;
 
-use load::{ExperimentPlan, render_json, render_page, render_text, run_experiment};
+use base::ClockTime;
+use load::{ExperimentPlan, FaultEvent, render_json, render_page, render_text, run_experiment};
+
+type AnyError = Box<dyn std::error::Error>;
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let mut args = std::env::args().skip(1);
-    let out = args.next();
+fn main() -> Result<(), AnyError> {
     let mut plan = ExperimentPlan::default();
-    if let Some(workload) = args.next() {
-        plan.workloads = vec![workload.parse()?];
-    }
-    let loads: Vec<f64> = args.map(|text| text.parse()).collect::<Result<_, _>>()?;
-    if !loads.is_empty() {
-        plan.loads = loads;
+    let mut out = None;
+    let mut faults = 0;
+    for arg in std::env::args().skip(1) {
+        let (key, value) = arg.split_once('=').ok_or("expected KEY=VALUE")?;
+        match key {
+            "workload" => plan.workloads = vec![value.parse()?],
+            "loads" => plan.loads = parse_list(value)?,
+            "seeds" => plan.seeds = parse_list(value)?,
+            "nodes" => plan.nodes = value.parse()?,
+            "engines" => plan.engines = value.parse()?,
+            "window" => plan.window = value.parse()?,
+            "faults" => faults = value.parse()?,
+            "out" => out = Some(value.to_string()),
+            _ => return Err(format!("unknown key {key}").into()),
+        }
     }
+    let from = ClockTime::ZERO + plan.warmup;
+    let seed = plan.seeds.first().copied().unwrap_or(0);
+    plan.faults = FaultEvent::draw_schedule(plan.engines, from, from + plan.window, faults, seed);
     let start = Instant::now();
     let report = run_experiment(&plan)?;
     println!("{}", render_text(&report));
@@ -29,3 +45,10 @@
     }
     Ok(())
 }
+
+fn parse_list<T: std::str::FromStr<Err: std::error::Error + 'static>>(
+    text: &str,
+) -> Result<Vec<T>, AnyError> {
+    let parts = text.split(',').map(|part| part.parse());
+    Ok(parts.collect::<Result<_, _>>()?)
+}
--- a/crates/load/src/trial/mod.rs
+++ b/crates/load/src/trial/mod.rs
@@ -10,6 +10,7 @@
 mod policy_entry;
 mod trial_plan;
 mod trial_run;
+mod trial_setup;
 
 pub use capacity::{EngineCapacity, measure_capacity};
 pub use policy_entry::{NodeSeat, PolicyEntry, PolicyFactory};
--- a/crates/load/src/trial/node_part.rs
+++ b/crates/load/src/trial/node_part.rs
@@ -16,6 +16,8 @@
 const MOST_ATTEMPTS: u32 = 3;
 /// Bounds of a workspace at a node, too large to matter for the baselines.
 const WORKSPACE_LIMIT: u32 = 100_000;
+/// Kind of a failure that no correct engine model produces.
+const INCOMPLETE: &str = "incomplete_answer";
 const MODEL: &str = "quill";
 
 impl TrialRun<'_> {
@@ -208,7 +210,12 @@
         if !self.is_current(call, attempt) {
             return;
         }
-        self.end_call(call, &CallOutcome::Complete);
+        let state = &self.calls[call];
+        let outcome = match state.timeline.tokens() == state.spec.output_tokens {
+            true => CallOutcome::Complete,
+            false => CallOutcome::Failed(INCOMPLETE.into()),
+        };
+        self.end_call(call, &outcome);
         let (node, request) = self.name_call(call);
         let produced = TokenCount(self.calls[call].timeline.tokens());
         self.call_policy(node, false, |policy, now| {
--- a/crates/load/src/trial/trial_run.rs
+++ b/crates/load/src/trial/trial_run.rs
@@ -1,7 +1,6 @@
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, TargetName, TimeSpan};
 use engine::EngineModel;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -11,6 +10,7 @@
 use super::cost_book::CostBook;
 use super::engine_cell::EngineCell;
 use super::event_queue::{EventQueue, TrialEvent};
+use super::trial_setup::{create_calls, create_engines, create_seats};
 use super::{NodeSeat, PolicyFactory, TrialPlan};
 use crate::{CallOutcome, FaultKind, LoadError, MeasureBook, MeasureSummary, WorkTally};
 
@@ -20,7 +20,6 @@
 /// Separates the random streams of one trial.
 const NETWORK_STREAM: u64 = 0x6e65_7400;
 const ENGINE_STREAM: u64 = 0x656e_6700;
-const NODE_STREAM: u64 = 0x6e6f_6400;
 
 /// Runs one policy in virtual time; the same plan gives the same measures, processor times
 /// excepted.
@@ -284,54 +283,3 @@
 pub(super) fn micros(span: TimeSpan) -> u64 {
     span.as_millis() * MICROS_PER_MILLI
 }
-
-fn domain_name(plan: &TrialPlan, at: usize) -> DomainName {
-    let name = format!("domain-{}", at % plan.domains);
-    name.parse().expect("valid domain name")
-}
-
-fn create_seats(plan: &TrialPlan) -> Vec<NodeSeat> {
-    let name = |at: usize| -> NodeName {
-        let name = format!("node-{at:03}");
-        name.parse().expect("valid node name")
-    };
-    let seat = |at: usize| NodeSeat {
-        node: name(at),
-        domain: domain_name(plan, at),
-        peers: (at % plan.domains..plan.nodes)
-            .step_by(plan.domains)
-            .map(name)
-            .collect(),
-        seed: (plan.seed ^ NODE_STREAM) << 16 | at as u64,
-    };
-    (0..plan.nodes).map(seat).collect()
-}
-
-fn create_engines(plan: &TrialPlan) -> Vec<EngineCell> {
-    let added = plan.faults.iter().map(|fault| fault.engine + 1).max();
-    let count = plan.engines.max(added.unwrap_or(0));
-    let cell = |at: usize| EngineCell {
-        target: format!("engine-{at:04}")
-            .parse()
-            .expect("valid target name"),
-        domain: domain_name(plan, at),
-        model: None,
-        leaving: false,
-        calls: BTreeSet::new(),
-        wake_at: None,
-        starts: 0,
-    };
-    (0..count).map(cell).collect()
-}
-
-fn create_calls(plan: &TrialPlan) -> Vec<CallState> {
-    let seconds = (micros(plan.warmup) + micros(plan.window)) as f64 / 1e6;
-    let specs = plan.mix.draw_calls(plan.rate, seconds, plan.seed);
-    let mut random = Pcg64Mcg::seed_from_u64(plan.seed ^ NODE_STREAM);
-    let warmup = micros(plan.warmup);
-    let call = |(at, spec): (usize, crate::CallSpec)| {
-        let measured = spec.arrival >= warmup;
-        CallState::new(at, spec, random.random_range(0..plan.nodes), measured)
-    };
-    specs.into_iter().enumerate().map(call).collect()
-}
--- a/crates/load/tests/trial.rs
+++ b/crates/load/tests/trial.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use base::{ClockTime, RequestId, TargetName, TimeSpan, TokenCount};
+use base::{ClockTime, NodeName, RequestId, TargetName, TimeSpan, TokenCount};
 use load::baseline::{BaselinePolicy, ChoiceRule};
 use load::{
     ExperimentPlan, FaultEvent, FaultKind, MeasureMetric, MeasureSummary, NodeSeat, PolicyEntry,
@@ -124,6 +124,54 @@
     );
 }
 
+/// Guards against digests that cross failure domains or come back, and against messages that
+/// cost nothing.
+#[test]
+fn digests_and_probes_arrive_and_are_counted() {
+    let digests = Arc::new(Mutex::new(Vec::new()));
+    let shared = Arc::clone(&digests);
+    let entry = PolicyEntry::new("chatty", move |seat| {
+        Box::new(LoggedPolicy {
+            digests: Arc::clone(&shared),
+            chatty: true,
+            ..LoggedPolicy::new(seat, &Arc::default())
+        })
+    });
+    let mut plan = short_plan(1.0, 1);
+    (plan.nodes, plan.domains) = (4, 2);
+    let cost = run_trial(&plan, &entry.factory).unwrap().cost.unwrap();
+    assert!(cost.digest_bytes_per_s > 0.0 && cost.probe_bytes_per_s > 0.0);
+    assert_eq!(cost.illegal_actions, 0);
+    let mut pairs = digests.lock().unwrap().clone();
+    pairs.sort();
+    pairs.dedup();
+    let pairs: Vec<_> = pairs
+        .iter()
+        .map(|(from, to)| (from.as_str(), to.as_str()))
+        .collect();
+    let peers = [("node-000", "node-002"), ("node-001", "node-003")];
+    let both = peers
+        .iter()
+        .flat_map(|&(left, right)| [(left, right), (right, left)]);
+    let mut both: Vec<_> = both.collect();
+    both.sort();
+    assert_eq!(pairs, both);
+}
+
+/// Guards against drawn faults that break the run instead of single calls.
+#[test]
+fn drawn_faults_leave_no_call_open() {
+    let mut plan = short_plan(4.0, 5);
+    let (from, until) = (ClockTime::new(10_000), ClockTime::new(70_000));
+    plan.faults = FaultEvent::draw_schedule(plan.engines, from, until, 6, 5);
+    let measures = run(&plan, ChoiceRule::LeastInFlight);
+    let ended = measures.quick.complete + measures.long.complete;
+    let ended = ended + measures.refused() + measures.failed();
+    assert_eq!(ended, measures.quick.requests + measures.long.requests);
+    assert_eq!(measures.unfinished, 0);
+    assert!(!measures.failures.contains_key("incomplete_answer"));
+}
+
 type LogEntry = (ClockTime, TargetName);
 
 /// A baseline that logs its dispatches and the ages of reports.
@@ -132,6 +180,10 @@
     now: ClockTime,
     log: Arc<Mutex<Vec<LogEntry>>>,
     ages: Arc<Mutex<Vec<TimeSpan>>>,
+    digests: Arc<Mutex<Vec<(NodeName, NodeName)>>>,
+    chatty: bool,
+    node: NodeName,
+    extra: Vec<SchedAction>,
 }
 
 impl LoggedPolicy {
@@ -141,6 +193,10 @@
             now: ClockTime::ZERO,
             log: Arc::clone(log),
             ages: Arc::default(),
+            digests: Arc::default(),
+            chatty: false,
+            node: seat.node.clone(),
+            extra: Vec::new(),
         }
     }
 }
@@ -154,7 +210,10 @@
         self.ages.lock().unwrap().push(now - report.measured_at);
     }
 
-    fn on_digest(&mut self, _now: ClockTime, _digest: PeerDigest) {}
+    fn on_digest(&mut self, _now: ClockTime, digest: PeerDigest) {
+        let pair = (digest.node, self.node.clone());
+        self.digests.lock().unwrap().push(pair);
+    }
 
     fn submit(&mut self, now: ClockTime, item: WorkItem) {
         self.now = now;
@@ -175,10 +234,21 @@
 
     fn on_cache_event(&mut self, _: ClockTime, _: &TargetName, _: u64, _: bool) {}
 
-    fn on_tick(&mut self, _now: ClockTime) {}
+    fn on_tick(&mut self, _now: ClockTime) {
+        if !self.chatty {
+            return;
+        }
+        self.extra.push(SchedAction::Publish(PeerDigest {
+            node: self.node.clone(),
+            sequence: 1,
+            targets: Vec::new(),
+        }));
+        let target = "engine-0001".parse().unwrap();
+        self.extra.push(SchedAction::Probe(target));
+    }
 
     fn drain_actions(&mut self, actions: &mut Vec<SchedAction>) {
-        let mut own = Vec::new();
+        let mut own = std::mem::take(&mut self.extra);
         self.inner.drain_actions(&mut own);
         for action in &own {
             if let SchedAction::Dispatch { target, .. } = action {
