--- a/crates/agatemoor/src/demo/demo_steps.rs
+++ b/crates/agatemoor/src/demo/demo_steps.rs
@@ -137,11 +137,10 @@
         "stand_in_tokens": 60,
         "stand_in_mark": "reconnect",
     });
-    let key = [("idempotency-key", "plan-12")];
     let bytes = body.to_string().into_bytes();
     let node = fleet.nodes[0].callers;
     let opened = caller
-        .open(node, Method::POST, "/v1/completions", &key, bytes.into())
+        .open(node, Method::POST, "/v1/completions", &[], bytes.into())
         .await;
     let Ok(response) = opened else {
         report.check(
--- a/crates/node/src/caller/answer_body.rs
+++ b/crates/node/src/caller/answer_body.rs
@@ -18,10 +18,13 @@
             None => return Err(CallFailure::new(base::ErrorKind::Internal)),
         }
     };
-    let parts = unfold(Some(run), |run| async move {
+    let events = is_stream(&head);
+    let parts = unfold(Some(run), move |run| async move {
         let mut run = run?;
         match run.next_part().await? {
             RunPart::Chunk(chunk) => Some((Ok(chunk), Some(run))),
+            // The last event of the stream has told the error.
+            RunPart::Failed(_) if events => None,
             RunPart::Failed(failure) => Some((Err(break_off(&failure)), None)),
             RunPart::Head(_) | RunPart::Detached(_) => Some((Ok(Bytes::new()), Some(run))),
             RunPart::End => None,
@@ -33,10 +36,12 @@
 /// Response from an answer that others may read as well.
 pub async fn respond_shared(answer: SharedAnswer) -> Result<Response<WebBody>, CallFailure> {
     let head = answer.wait_head().await?;
-    let parts = unfold(Some((answer, 0)), |state| async move {
+    let events = is_stream(&head);
+    let parts = unfold(Some((answer, 0)), move |state| async move {
         let (answer, read) = state?;
         match answer.wait_part(read).await {
             AnswerPart::Chunk(chunk) => Some((Ok(chunk), Some((answer, read + 1)))),
+            AnswerPart::Broken(_) if events => None,
             AnswerPart::Broken(failure) => Some((Err(break_off(&failure)), None)),
             AnswerPart::End => None,
         }
@@ -77,6 +82,10 @@
     response
 }
 
+fn is_stream(head: &AnswerHead) -> bool {
+    head.content_type == "text/event-stream"
+}
+
 /// Breaks the connection off, so that a cut answer can't pass for a whole one.
 fn break_off(failure: &CallFailure) -> BodyError {
     BodyError::Aborted {
