Tell other domains only of targets in trouble

Change: within a domain all target records are compared; between domains only nodes and targets that drain, are dead, or recovered less than 120 s ago. The run of a healthy target of another domain is not known.

--- a/crates/member/src/table/anti_entropy.rs
+++ b/crates/member/src/table/anti_entropy.rs
@@ -1,4 +1,6 @@
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use std::collections::BTreeMap;
+
+use base::{ClockTime, NodeName, TargetName, TimeSpan};
 use rand::Rng;
 use schema::member::{
     DomainRecord, MessageBody, NodeRecord, SyncOfferBody, SyncRecordsBody, SyncStartBody,
@@ -6,8 +8,9 @@
 };
 
 use super::{MemberAction, MemberTable, ViewState};
+use crate::merge_targets;
 use crate::record::{PART_COUNT, part_of};
-use crate::view::DomainView;
+use crate::view::{DomainView, TableScope};
 
 /// Time without a change after which rumours are taken to have arrived.
 const SETTLE_TIME: TimeSpan = TimeSpan::new(1_500);
@@ -53,7 +56,7 @@
         sequence: u64,
         actions: &mut Vec<MemberAction>,
     ) {
-        let domains = self.summaries();
+        let domains = self.summaries(self.scope_for(peer));
         let start = SyncStartBody { sequence, domains };
         self.send(peer, MessageBody::SyncStart(start), actions);
     }
@@ -82,7 +85,8 @@
             return;
         }
         let mut newer = Vec::new();
-        for held in self.summaries() {
+        let scope = self.scope_for(from);
+        for held in self.summaries(scope) {
             let mut told = start.domains.iter();
             let told = told.find(|record| record.domain == held.domain);
             if told
@@ -94,7 +98,7 @@
         for record in &start.domains {
             self.apply_domain(now, record, actions);
         }
-        let tables = self.differing(&start.domains);
+        let tables = self.differing(&start.domains, scope);
         let offer = SyncOfferBody {
             sequence: start.sequence,
             domains: newer,
@@ -113,13 +117,14 @@
         for record in &offer.domains {
             self.apply_domain(now, record, actions);
         }
+        let scope = self.scope_for(from);
         let mut records = empty_records(offer.sequence);
         for table in &offer.tables {
             let Some(view) = self.view.domain(&table.domain) else {
                 continue;
             };
-            let mask = differing_parts(view, &table.parts);
-            self.add_records(&mut records, view, mask);
+            let mask = differing_parts(view.parts(scope), &table.parts);
+            self.add_records(&mut records, view, mask, scope);
             let domain = table.domain.clone();
             records.wanted.push(WantedParts { domain, mask });
         }
@@ -136,7 +141,7 @@
         records: &SyncRecordsBody,
         actions: &mut Vec<MemberAction>,
     ) {
-        let answer = self.answer_records(records);
+        let answer = self.answer_records(records, self.scope_for(from));
         let before = self.view.digest();
         let spread = self.count_news(records) <= SPREAD_LIMIT;
         for record in &records.nodes {
@@ -173,28 +178,42 @@
         self.answers <= self.settings.sync_answers
     }
 
-    fn summaries(&self) -> Vec<DomainRecord> {
+    /// Records that are compared with a node: fewer if it is in another domain.
+    fn scope_for(&self, peer: &NodeName) -> TableScope {
+        if self.view.place(peer) == Some(&self.settings.domain) {
+            return TableScope::Full;
+        }
+        TableScope::Public
+    }
+
+    fn summaries(&self, scope: TableScope) -> Vec<DomainRecord> {
         let views = self.view.domains().iter();
-        views.map(|view| self.summarise(view)).collect()
+        views.map(|view| self.summarise(view, scope)).collect()
     }
 
     /// Parts of the domains whose digests differ from the asker's.
-    fn differing(&self, told: &[DomainRecord]) -> Vec<TableDigest> {
+    fn differing(&self, told: &[DomainRecord], scope: TableScope) -> Vec<TableDigest> {
         let mut tables = Vec::new();
         for view in self.view.domains() {
-            let digest = view.digest();
+            let digest = view.digest(scope);
             let mut told = told.iter();
             if told.any(|record| record.domain == *view.name() && record.digest == digest) {
                 continue;
             }
             let domain = view.name().clone();
-            let parts = view.parts().to_vec();
+            let parts = view.parts(scope).to_vec();
             tables.push(TableDigest { domain, parts });
         }
         tables
     }
 
-    fn add_records(&self, records: &mut SyncRecordsBody, view: &DomainView, mask: u16) {
+    fn add_records(
+        &self,
+        records: &mut SyncRecordsBody,
+        view: &DomainView,
+        mask: u16,
+        scope: TableScope,
+    ) {
         let limit = self.settings.sync_records;
         for entry in view.nodes() {
             let known = entry.record.incarnation.0 != 0;
@@ -203,7 +222,7 @@
                 records.nodes.push(entry.record.clone());
             }
         }
-        for record in view.targets() {
+        for record in view.targets(scope) {
             let wanted = has_part(mask, record.target.as_str());
             if wanted && records.targets.len() < limit {
                 records.targets.push(record.clone());
@@ -212,27 +231,47 @@
     }
 
     /// Records of the wanted parts that the asker does not have already.
-    fn answer_records(&self, asked: &SyncRecordsBody) -> SyncRecordsBody {
+    fn answer_records(&self, asked: &SyncRecordsBody, scope: TableScope) -> SyncRecordsBody {
         let mut answer = empty_records(asked.sequence);
         for wanted in &asked.wanted {
             if let Some(view) = self.view.domain(&wanted.domain) {
-                self.add_records(&mut answer, view, wanted.mask);
+                self.add_records(&mut answer, view, wanted.mask, scope);
             }
         }
-        let nodes = sort_by_name(&asked.nodes, |record: &NodeRecord| &record.node);
-        answer.nodes.retain(|record| {
-            let place = nodes.binary_search_by_key(&&record.node, |told| &told.node);
-            place.is_err() || place.is_ok_and(|place| nodes[place] != record)
-        });
-        let name = |record: &TargetRecord| (record.domain.clone(), record.target.clone());
-        let targets = sort_targets(&asked.targets);
-        answer.targets.retain(|record| {
-            let place = targets.binary_search_by_key(&name(record), |told| name(told));
-            place.is_err() || place.is_ok_and(|place| targets[place] != record)
-        });
+        let nodes: BTreeMap<&NodeName, &NodeRecord> = asked
+            .nodes
+            .iter()
+            .map(|record| (&record.node, record))
+            .collect();
+        let told = |record: &NodeRecord| nodes.get(&record.node) == Some(&record);
+        answer.nodes.retain(|record| !told(record));
+        let targets: BTreeMap<&TargetName, &TargetRecord> = asked
+            .targets
+            .iter()
+            .map(|record| (&record.target, record))
+            .collect();
+        let told = |record: &TargetRecord| targets.get(&record.target) == Some(&record);
+        answer.targets.retain(|record| !told(record));
+        self.add_corrections(&mut answer, asked);
         answer
     }
 
+    /// Adds records that are newer than the asker's but not among those that are compared: a
+    /// domain that was cut off while a target recovered would not learn of it otherwise.
+    fn add_corrections(&self, answer: &mut SyncRecordsBody, asked: &SyncRecordsBody) {
+        for told in &asked.targets {
+            let view = self.view.domain(&told.domain);
+            let held = view.and_then(|view| view.target(&told.target));
+            let Some(held) = held.filter(|held| !held.public) else {
+                continue;
+            };
+            let newer = merge_targets(&held.record, told) == held.record && held.record != *told;
+            if newer && !answer.targets.contains(&held.record) {
+                answer.targets.push(held.record.clone());
+            }
+        }
+    }
+
     fn count_news(&self, records: &SyncRecordsBody) -> usize {
         let held = |record: &&NodeRecord| self.view.node(&record.node).map(|entry| &entry.record);
         let nodes = records
@@ -242,31 +281,16 @@
         let targets = records.targets.iter().filter(|record| {
             let view = self.view.domain(&record.domain);
             let held = view.and_then(|view| view.target(&record.target));
-            held.map(|(held, _)| held) != Some(record)
+            held.map(|held| &held.record) != Some(record)
         });
         nodes.count() + targets.count()
     }
 }
 
-fn sort_by_name<R>(records: &[R], name: impl Fn(&R) -> &NodeName) -> Vec<&R> {
-    let mut sorted: Vec<&R> = records.iter().collect();
-    sorted.sort_unstable_by(|left, right| name(left).cmp(name(right)));
-    sorted
-}
-
-fn sort_targets(records: &[TargetRecord]) -> Vec<&TargetRecord> {
-    fn name(record: &TargetRecord) -> (&DomainName, &TargetName) {
-        (&record.domain, &record.target)
-    }
-    let mut sorted: Vec<&TargetRecord> = records.iter().collect();
-    sorted.sort_unstable_by(|left, right| name(left).cmp(&name(right)));
-    sorted
-}
-
-fn differing_parts(view: &DomainView, parts: &[u64]) -> u16 {
+fn differing_parts(held: &[u64; PART_COUNT], told: &[u64]) -> u16 {
     let mut mask = 0;
-    for (place, part) in view.parts().iter().enumerate() {
-        if parts.get(place) != Some(part) {
+    for (place, part) in held.iter().enumerate() {
+        if told.get(place) != Some(part) {
             mask |= 1 << place;
         }
     }
--- a/crates/member/src/table/domain_link.rs
+++ b/crates/member/src/table/domain_link.rs
@@ -6,7 +6,7 @@
 use super::{MemberAction, MemberTable, ViewState};
 use crate::gossip::RumorKey;
 use crate::merge_domains;
-use crate::view::DomainView;
+use crate::view::{DomainView, TableScope};
 
 /// One in this many messages to another domain goes to any of its declared nodes, so that a
 /// wrong view of its bridges does not cut the domains from each other.
@@ -70,9 +70,9 @@
     }
 
     /// Summary of a domain with the digest of the records held here.
-    pub(super) fn summarise(&self, view: &DomainView) -> DomainRecord {
+    pub(super) fn summarise(&self, view: &DomainView, scope: TableScope) -> DomainRecord {
         let mut record = view.record.clone();
-        record.digest = view.digest();
+        record.digest = view.digest(scope);
         if *view.name() == self.settings.domain {
             record.live = view.live_count();
             record.revision = self.revision;
--- a/crates/member/src/table/gossip_exchange.rs
+++ b/crates/member/src/table/gossip_exchange.rs
@@ -6,7 +6,7 @@
 
 use super::{MemberAction, MemberTable};
 use crate::gossip::RumorKey;
-use crate::view::LinkState;
+use crate::view::{LinkState, TableScope};
 
 /// Largest payload in bytes.
 pub const PAYLOAD_LIMIT: usize = 512;
@@ -192,11 +192,13 @@
                 let found = view.and_then(|view| view.target(target));
                 rumors
                     .targets
-                    .extend(found.map(|(record, _)| record.clone()));
+                    .extend(found.map(|entry| entry.record.clone()));
             }
             RumorKey::Domain(domain) => {
                 let view = self.view.domain(domain);
-                rumors.domains.extend(view.map(|view| self.summarise(view)));
+                rumors
+                    .domains
+                    .extend(view.map(|view| self.summarise(view, TableScope::Full)));
             }
             RumorKey::Payload(origin, kind) => {
                 let mut found = self.payloads.iter();
--- a/crates/member/src/table/member_table.rs
+++ b/crates/member/src/table/member_table.rs
@@ -8,7 +8,7 @@
 use crate::probe::{LocalHealth, PendingProbe, ProbeRing};
 use crate::settings::MemberSettings;
 use crate::target_state;
-use crate::view::{DomainView, FleetView, LinkState, NodeEntry};
+use crate::view::{DomainView, FleetView, LinkState, NodeEntry, TableScope};
 
 /// Membership as one node sees it: messages and time in, actions out.
 ///
@@ -90,6 +90,7 @@
     pub(super) bridge_rank: Option<usize>,
     pub(super) bridge_round: Vec<DomainName>,
     pub(super) known_targets: Option<Vec<TargetName>>,
+    pub(super) next_expiry: ClockTime,
     pub(super) superseded: bool,
 }
 
@@ -137,6 +138,7 @@
             bridge_rank: Some(0),
             bridge_round: Vec::new(),
             known_targets: None,
+            next_expiry: start,
             superseded: false,
             settings,
         }
@@ -152,6 +154,7 @@
         self.send_reconnects(now, actions);
         self.tick_bridge(now, actions);
         self.expire_sync(now, actions);
+        self.expire_targets(now);
         self.push_rumors(now, actions);
     }
 
@@ -241,12 +244,12 @@
     /// Revision that a domain's bridges reported as in effect there.
     pub fn domain_revision(&self, domain: &DomainName) -> Option<RevisionNumber> {
         let view = self.view.domain(domain)?;
-        Some(self.summarise(view).revision)
+        Some(self.summarise(view, TableScope::Full).revision)
     }
 
     /// What is known of a target; `None` if no source ever told of it.
     pub fn target(&self, domain: &DomainName, target: &TargetName) -> Option<TargetView> {
-        let (record, _) = self.view.domain(domain)?.target(target)?;
+        let record = &self.view.domain(domain)?.target(target)?.record;
         Some(TargetView {
             target: record.target.clone(),
             domain: record.domain.clone(),
--- a/crates/member/src/table/target_change.rs
+++ b/crates/member/src/table/target_change.rs
@@ -1,10 +1,13 @@
-use base::{ClockTime, DomainName, IncarnationNumber, TargetName};
+use base::{ClockTime, DomainName, IncarnationNumber, TargetName, TimeSpan};
 use schema::member::{TargetDrain, TargetRecord};
 
 use super::{MemberAction, MemberTable, ObservationSource, TargetObservation};
 use crate::gossip::RumorKey;
 use crate::{TargetState, merge_targets, target_state};
 
+/// Time between two looks for recoveries that are old enough to be forgotten.
+const EXPIRY_PERIOD: TimeSpan = TimeSpan::from_secs(5);
+
 impl MemberTable {
     /// Restricts the known targets to those of the accepted declaration.
     pub fn on_declared_targets(&mut self, now: ClockTime, targets: &[TargetName]) {
@@ -27,15 +30,15 @@
         observation: &TargetObservation,
         actions: &mut Vec<MemberAction>,
     ) {
-        if !self.may_hold(&observation.domain, &observation.target) {
+        if !self.may_hold(&observation.domain, &observation.target, observation.state) {
             return;
         }
         let view = self.view.domain(&observation.domain);
         let held = view.and_then(|view| view.target(&observation.target));
         let next = match held {
-            Some((record, since)) => {
-                let fresh = now - *since < self.settings.platform_lag;
-                observe_again(record, observation, fresh)
+            Some(held) => {
+                let fresh = now - held.run_since < self.settings.platform_lag;
+                observe_again(&held.record, observation, fresh)
             }
             None => Some(observe_first(observation)),
         };
@@ -52,13 +55,13 @@
         spread: bool,
         actions: &mut Vec<MemberAction>,
     ) {
-        if !self.may_hold(&record.domain, &record.target) {
+        if !self.may_hold(&record.domain, &record.target, target_state(record)) {
             return;
         }
         let view = self.view.domain(&record.domain);
         let held = view.and_then(|view| view.target(&record.target));
         let next = match held {
-            Some((held, _)) => join_targets(held, record),
+            Some(held) => join_targets(&held.record, record),
             None => record.clone(),
         };
         self.set_target(now, next, spread, actions);
@@ -74,7 +77,7 @@
         let Some(view) = self.view.domain_mut(&record.domain) else {
             return;
         };
-        let before = view.target(&record.target).map(|(held, _)| held);
+        let before = view.target(&record.target).map(|held| &held.record);
         if before == Some(&record) {
             return;
         }
@@ -103,14 +106,34 @@
         }
     }
 
-    fn may_hold(&self, domain: &DomainName, target: &TargetName) -> bool {
+    /// Forgets recoveries that every domain had time to learn of.
+    pub(super) fn expire_targets(&mut self, now: ClockTime) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now + EXPIRY_PERIOD;
+        let own = self.settings.domain.clone();
+        for view in self.view.domains_mut() {
+            let local = *view.name() == own;
+            view.expire_targets(now, local);
+        }
+    }
+
+    /// Whether a target is declared, fits, and is of use: of other domains' targets only those
+    /// are held that are or were in trouble.
+    fn may_hold(&self, domain: &DomainName, target: &TargetName, state: TargetState) -> bool {
         let Some(view) = self.view.domain(domain) else {
             return false;
         };
         let known = self.known_targets.as_ref();
-        let declared = known.is_none_or(|names| names.binary_search(target).is_ok());
-        let room = view.target_count() < self.settings.target_limit;
-        declared && (room || view.target(target).is_some())
+        if known.is_some_and(|names| names.binary_search(target).is_err()) {
+            return false;
+        }
+        if view.target(target).is_some() {
+            return true;
+        }
+        let useful = state != TargetState::Alive || *domain == self.settings.domain;
+        useful && view.target_count() < self.settings.target_limit
     }
 }
 
--- a/crates/member/src/view/domain_view.rs
+++ b/crates/member/src/view/domain_view.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, DomainName, NodeName, RevisionNumber, TargetName};
 use schema::member::{DomainRecord, NodeRecord, TargetRecord};
 
-use super::NodeEntry;
+use super::{NodeEntry, TableScope, TargetEntry};
 use crate::record::{PART_COUNT, digest_node, digest_target, part_of};
 
 /// Records of one failure domain, sorted by name, with digests of their parts.
@@ -10,8 +10,9 @@
     pub(crate) record: DomainRecord,
     pub(crate) advanced_at: ClockTime,
     nodes: Vec<NodeEntry>,
-    targets: Vec<(TargetRecord, ClockTime)>,
+    targets: Vec<TargetEntry>,
     parts: [u64; PART_COUNT],
+    public_parts: [u64; PART_COUNT],
 }
 
 impl DomainView {
@@ -30,6 +31,7 @@
             nodes: Vec::new(),
             targets: Vec::new(),
             parts: [0; PART_COUNT],
+            public_parts: [0; PART_COUNT],
         }
     }
 
@@ -45,12 +47,16 @@
         &mut self.nodes
     }
 
-    pub(crate) fn parts(&self) -> &[u64; PART_COUNT] {
-        &self.parts
+    pub(crate) fn parts(&self, scope: TableScope) -> &[u64; PART_COUNT] {
+        match scope {
+            TableScope::Full => &self.parts,
+            TableScope::Public => &self.public_parts,
+        }
     }
 
-    pub(crate) fn digest(&self) -> u64 {
-        self.parts.iter().fold(0, |sum, part| sum ^ part)
+    pub(crate) fn digest(&self, scope: TableScope) -> u64 {
+        let parts = self.parts(scope).iter();
+        parts.fold(0, |sum, part| sum ^ part)
     }
 
     pub(crate) fn live_count(&self) -> u32 {
@@ -80,7 +86,7 @@
     pub(crate) fn remove_node(&mut self, node: &NodeName) -> Option<NodeEntry> {
         let place = self.find_node(node).ok()?;
         let entry = self.nodes.remove(place);
-        self.parts[part_of(node.as_str())] ^= digest_node(&entry.record);
+        self.flip_part(node.as_str(), digest_node(&entry.record));
         Some(entry)
     }
 
@@ -89,55 +95,84 @@
         let Ok(place) = self.find_node(&record.node) else {
             return;
         };
-        let part = &mut self.parts[part_of(record.node.as_str())];
-        *part ^= digest_node(&self.nodes[place].record) ^ digest_node(&record);
+        let change = digest_node(&self.nodes[place].record) ^ digest_node(&record);
+        self.flip_part(record.node.as_str(), change);
         self.nodes[place].record = record;
     }
 
-    pub(crate) fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
-        self.targets.iter().map(|(record, _)| record)
+    pub(crate) fn targets(&self, scope: TableScope) -> impl Iterator<Item = &TargetRecord> {
+        let targets = self.targets.iter().filter(move |entry| entry.is_in(scope));
+        targets.map(|entry| &entry.record)
     }
 
     pub(crate) fn target_count(&self) -> usize {
         self.targets.len()
     }
 
-    /// Record of a target and when this node first saw its run.
-    pub(crate) fn target(&self, target: &TargetName) -> Option<&(TargetRecord, ClockTime)> {
-        self.find_target(target)
-            .ok()
-            .map(|place| &self.targets[place])
+    pub(crate) fn target(&self, target: &TargetName) -> Option<&TargetEntry> {
+        let place = self.find_target(target).ok()?;
+        Some(&self.targets[place])
     }
 
     /// Adds or replaces the record of a target.
     pub(crate) fn set_target(&mut self, now: ClockTime, record: TargetRecord) {
-        let part = &mut self.parts[part_of(record.target.as_str())];
-        *part ^= digest_target(&record);
-        let found = self
-            .targets
-            .binary_search_by(|(old, _)| old.target.cmp(&record.target));
-        let place = match found {
-            Ok(place) => place,
-            Err(place) => return self.targets.insert(place, (record, now)),
-        };
-        let (old, since) = &mut self.targets[place];
-        *part ^= digest_target(old);
-        if old.incarnation != record.incarnation {
-            *since = now;
+        match self.find_target(&record.target) {
+            Ok(place) => {
+                self.flip_target(place);
+                self.targets[place].change(now, record);
+                self.flip_target(place);
+            }
+            Err(place) => {
+                self.targets.insert(place, TargetEntry::new(now, record));
+                self.flip_target(place);
+            }
         }
-        *old = record;
     }
 
     /// Drops the targets that are not in `keep`, which is sorted.
     pub(crate) fn retain_targets(&mut self, keep: &[TargetName]) {
-        let parts = &mut self.parts;
-        self.targets.retain(|(record, _)| {
-            let kept = keep.binary_search(&record.target).is_ok();
-            if !kept {
-                parts[part_of(record.target.as_str())] ^= digest_target(record);
+        for place in (0..self.targets.len()).rev() {
+            if keep
+                .binary_search(&self.targets[place].record.target)
+                .is_err()
+            {
+                self.flip_target(place);
+                self.targets.remove(place);
             }
-            kept
-        });
+        }
+    }
+
+    /// Stops telling other domains of targets that have been well for a while; what was learned
+    /// from another domain is forgotten then.
+    pub(crate) fn expire_targets(&mut self, now: ClockTime, own: bool) {
+        for place in (0..self.targets.len()).rev() {
+            if !self.targets[place].has_recovered(now) {
+                continue;
+            }
+            self.flip_target(place);
+            if !own {
+                self.targets.remove(place);
+                continue;
+            }
+            self.targets[place].public = false;
+            self.flip_target(place);
+        }
+    }
+
+    fn flip_target(&mut self, place: usize) {
+        let entry = &self.targets[place];
+        let part = part_of(entry.record.target.as_str());
+        let digest = digest_target(&entry.record);
+        self.parts[part] ^= digest;
+        if entry.public {
+            self.public_parts[part] ^= digest;
+        }
+    }
+
+    fn flip_part(&mut self, name: &str, digest: u64) {
+        let part = part_of(name);
+        self.parts[part] ^= digest;
+        self.public_parts[part] ^= digest;
     }
 
     fn find_node(&self, node: &NodeName) -> Result<usize, usize> {
@@ -147,6 +182,6 @@
 
     fn find_target(&self, target: &TargetName) -> Result<usize, usize> {
         self.targets
-            .binary_search_by(|(record, _)| record.target.cmp(target))
+            .binary_search_by(|entry| entry.record.target.cmp(target))
     }
 }
--- a/crates/member/src/view/fleet_view.rs
+++ b/crates/member/src/view/fleet_view.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, DomainName, NodeName};
 use schema::member::NodeRecord;
 
-use super::{DomainView, NodeEntry};
+use super::{DomainView, NodeEntry, TableScope};
 use crate::record::digest_lost;
 
 /// Records of all domains, sorted by name.
@@ -97,7 +97,7 @@
     /// Digest of all records.
     pub(crate) fn digest(&self) -> u64 {
         self.domains.iter().fold(0, |sum, view| {
-            sum ^ view.digest() ^ digest_lost(&view.record)
+            sum ^ view.digest(TableScope::Full) ^ digest_lost(&view.record)
         })
     }
 
--- a/crates/member/tests/targets.rs
+++ b/crates/member/tests/targets.rs
@@ -167,3 +167,42 @@
     network.run(3_000);
     assert!((0..4).all(|at| state(&network, at).is_none()));
 }
+
+/// Guards against a recovered target that stays closed in domains that were cut off meanwhile.
+#[parameterized(short = { 10_000 }, longer_than_recovery_is_told = { 200_000 })]
+fn recovered_target_is_known_after_a_cut(cut: u64) {
+    let mut network = FakeNetwork::settled(3, 4, 124);
+    network.observe(0, &observation(Some(7), TargetState::Leaving, true));
+    network.run(10_000);
+    let far: Vec<usize> = (4..12).collect();
+    network.cut(&[0, 1, 2, 3], &far);
+    network.observe(0, &observation(Some(8), TargetState::Alive, true));
+    network.run(cut);
+    assert_eq!(state(&network, 6), Some((7, TargetState::Leaving)));
+    network.cuts.clear();
+    network.run(40_000);
+    for at in 4..12 {
+        let known = state(&network, at);
+        assert!(
+            known.is_none_or(|known| known == (8, TargetState::Alive)),
+            "{at}: {known:?}"
+        );
+    }
+}
+
+/// Guards against tables that fill up with healthy targets of other domains.
+#[test]
+fn healthy_targets_of_other_domains_are_not_held() {
+    let mut network = FakeNetwork::settled(2, 4, 125);
+    network.observe(0, &observation(Some(7), TargetState::Alive, true));
+    network.run(10_000);
+    assert_eq!(state(&network, 3), Some((7, TargetState::Alive)));
+    assert_eq!(state(&network, 5), None);
+    network.observe(0, &observation(Some(7), TargetState::Dead, true));
+    network.run(10_000);
+    assert_eq!(state(&network, 5), Some((7, TargetState::Dead)));
+    network.observe(0, &observation(Some(8), TargetState::Alive, true));
+    network.run(200_000);
+    assert_eq!(state(&network, 5), None);
+    assert!(network.agrees_within(0..4) && network.agrees_within(4..8));
+}
