Test orders and rollouts on a fake fleet in virtual time

Cause: no behaviour of the new decision logic had been tested. Change: a fake fleet with targets, nodes, cuts and pauses; tests of rollouts, of each guard with the guard on and off, of partitions and the weight rate, a capacity property over random faults and a comparison with a naive reconciler. The second look now needs an answer that arrives after it was asked for: with equal times in milliseconds the observation from before it passed as new. The report evaluates a new plan at once, not at the next tick, so that it does not call a new revision converged. A node greets peers that appear, so that the one with the older revision hears of the newer one.

--- a/crates/orders/src/board/order_board.rs
+++ b/crates/orders/src/board/order_board.rs
@@ -115,6 +115,7 @@
         self.plan = Some(plan);
         self.told_failures = self.failures.summaries().is_empty();
         self.set_owners(now);
+        self.watch_all(now);
     }
 
     /// Takes over the live nodes of the domain as membership sees them, this node included.
@@ -125,7 +126,12 @@
         if live == self.view.live {
             return;
         }
-        self.view.live = live;
+        let old = std::mem::replace(&mut self.view.live, live);
+        for peer in self.peers() {
+            if !old.contains(&peer) {
+                self.send(peer, MessageBody::Hello(true));
+            }
+        }
         self.told_failures = self.failures.summaries().is_empty();
         self.set_owners(now);
     }
@@ -162,7 +168,7 @@
         let Some(at) = self.position(&actual.target) else {
             return;
         };
-        let newer = |known: &TargetActual| known.observed_at < actual.observed_at;
+        let newer = |known: &TargetActual| known.observed_at <= actual.observed_at;
         if !self.actuals[at].as_ref().is_none_or(newer) {
             return;
         }
@@ -269,6 +275,11 @@
         at.is_some_and(|at| self.loops[at].is_owned())
     }
 
+    /// What a target needs next by its last observation, whoever gives the orders.
+    pub fn next_step(&self, target: &TargetName) -> Option<NeededStep> {
+        self.step_of(self.plan.as_ref()?, self.position(target)?)
+    }
+
     /// Tells whether this node grants slots in its domain.
     pub fn is_loader(&self) -> bool {
         self.ledger.is_active()
@@ -414,6 +425,17 @@
         }
     }
 
+    /// Without this a report between a new plan and the next tick would show the old verdict.
+    fn watch_all(&mut self, now: ClockTime) {
+        let Some(plan) = self.plan.take() else {
+            return;
+        };
+        for at in 0..self.loops.len() {
+            self.watch(now, &plan, at);
+        }
+        self.plan = Some(plan);
+    }
+
     /// Keeps the status of a target that another node gives orders to.
     fn watch(&mut self, now: ClockTime, plan: &DomainPlan, at: usize) {
         let absent = self.domain_view(now, plan).actual(at).is_none();
--- a/crates/orders/src/reconcile/order_loop.rs
+++ b/crates/orders/src/reconcile/order_loop.rs
@@ -15,13 +15,21 @@
     until: ClockTime,
 }
 
+/// Whether the target was observed anew for the next order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RereadState {
+    Idle,
+    Asked(ClockTime),
+    Done,
+}
+
 /// State of the reconciliation of one target: at most one order is under way.
 #[derive(Clone, Debug)]
 pub struct OrderLoop {
     target: TargetName,
     owned_since: Option<ClockTime>,
     need_after: ClockTime,
-    probe_from: Option<ClockTime>,
+    reread: RereadState,
     probed_at: Option<ClockTime>,
     sent: Option<SentOrder>,
     orders: u64,
@@ -40,7 +48,7 @@
             target,
             owned_since: None,
             need_after: now,
-            probe_from: None,
+            reread: RereadState::Idle,
             probed_at: None,
             sent: None,
             orders: 0,
@@ -74,7 +82,7 @@
             return;
         }
         self.sent = None;
-        self.probe_from = None;
+        self.reread = RereadState::Idle;
         self.repeats.clear();
         self.owned_since = owned.then_some(now);
         self.need_after = now + settle;
@@ -84,12 +92,15 @@
     pub fn on_resume(&mut self, now: ClockTime) {
         self.need_after = self.need_after.max(now);
         self.sent = None;
-        self.probe_from = None;
+        self.reread = RereadState::Idle;
     }
 
     /// Takes note of an observation.
     pub fn on_actual(&mut self, actual: &TargetActual) {
         self.repeats.note_effects(actual);
+        if matches!(self.reread, RereadState::Asked(from) if actual.observed_at >= from) {
+            self.reread = RereadState::Done;
+        }
         if self.run != Some(actual.incarnation) {
             self.run = Some(actual.incarnation);
             self.repeats.clear();
@@ -123,7 +134,7 @@
             return;
         }
         self.sent = None;
-        self.probe_from = None;
+        self.reread = RereadState::Idle;
         if *outcome == OrderOutcome::NotSent {
             self.repeats.take_back(&order.action);
             return;
@@ -150,7 +161,7 @@
             return true;
         }
         self.sent = None;
-        self.probe_from = None;
+        self.reread = RereadState::Idle;
         self.need_after = self.need_after.max(now);
         false
     }
@@ -162,19 +173,14 @@
 
     /// Tells whether the target was probed for the next order and the result is new enough.
     pub fn is_reread(&self, now: ClockTime, actual: &TargetActual, timing: &LoopTiming) -> bool {
-        let asked = self
-            .probe_from
-            .is_some_and(|from| actual.observed_at >= from);
-        asked && now - actual.observed_at <= timing.reread_age
+        self.reread == RereadState::Done && now - actual.observed_at <= timing.reread_age
     }
 
     /// Asks for an observation from now on.
     pub fn begin_reread(&mut self, now: ClockTime, timing: &LoopTiming) {
-        let waiting = self
-            .probe_from
-            .is_some_and(|from| now - from <= timing.reread_age);
-        if !waiting {
-            self.probe_from = Some(now);
+        let waiting = |from| now - from <= timing.reread_age;
+        if !matches!(self.reread, RereadState::Asked(from) if waiting(from)) {
+            self.reread = RereadState::Asked(now);
             self.probed_at = None;
         }
     }
@@ -198,7 +204,7 @@
         self.repeats.add(now, &order.action, jitter, timing);
         self.orders += 1;
         self.need_after = self.need_after.max(now);
-        self.probe_from = None;
+        self.reread = RereadState::Idle;
         let until = now + timing.order_timeout;
         self.sent = Some(SentOrder { order, until });
     }
--- /dev/null
+++ b/crates/orders/tests/rollout.rs
@@ -0,0 +1,266 @@
+//! Rollouts on a fake fleet in virtual time.
+
+mod support;
+
+use base::TimeSpan;
+use orders::{GuardSwitches, RolloutState};
+use support::{FakeFleet, FleetShape};
+
+const LONG: TimeSpan = TimeSpan::from_secs(300);
+
+fn on() -> GuardSwitches {
+    GuardSwitches::default()
+}
+
+/// Guards against a rollout that takes capacity away or leaves an old version behind.
+#[test]
+fn all_targets_move_to_the_new_version() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    fleet.declare(1, &shape);
+    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
+    assert!(took.is_some(), "{}", fleet.report());
+    fleet.run(TimeSpan::from_secs(5));
+    assert!(fleet.converged(), "{}", fleet.report());
+    assert_eq!(fleet.count_orders("load"), 6);
+    assert_eq!(fleet.count_orders("unload"), 6);
+    assert!(fleet.records.iter().all(|record| record.ready.1 == 6));
+    let state = fleet.nodes[0].board.rollout_state(fleet.now, "quill");
+    assert_eq!(state, Some(RolloutState::Done));
+}
+
+/// Guards against an engine without room for two versions that is never migrated, and against two
+/// such engines that lose their capacity together.
+#[test]
+fn engines_without_room_are_swapped_within_the_capacity() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    fleet.targets.iter_mut().for_each(|target| target.room = 1);
+    fleet.declare(1, &shape);
+    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
+    assert!(took.is_some(), "{}", fleet.report());
+    assert!(fleet.shortfalls(5).is_empty());
+    fleet.run(TimeSpan::from_secs(5));
+    assert!(fleet.converged(), "{}", fleet.report());
+}
+
+/// Guards against a migration that an earlier owner left half done.
+#[test]
+fn half_done_migration_is_finished() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::new(&shape, on());
+    for (at, target) in fleet.targets.iter_mut().enumerate() {
+        if at < 4 {
+            target.hold("1");
+        }
+        if at > 2 {
+            target.hold("2");
+        }
+    }
+    fleet.targets[4].hold("0");
+    fleet.targets[5].broken.push("2".parse().unwrap());
+    fleet.declare(1, &shape);
+    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
+    assert!(took.is_some(), "{}", fleet.report());
+    assert_eq!(fleet.count_orders("load"), 3);
+    assert!(fleet.shortfalls(6).is_empty());
+}
+
+/// Guards against roles and adapters that are forgotten or ordered again and again.
+#[test]
+fn roles_and_adapters_follow_the_declaration() {
+    let shape = FleetShape {
+        adapters: "law, tax",
+        role: Some("decode"),
+        ..FleetShape::default()
+    };
+    let mut fleet = FakeFleet::holding(&shape, on(), "2");
+    fleet.declare(1, &shape);
+    let took = fleet.run_until(LONG, FakeFleet::converged);
+    assert!(took.is_some(), "{}", fleet.report());
+    assert_eq!(fleet.count_orders("load_adapter"), 12);
+    assert_eq!(fleet.count_orders("set_role"), 6);
+    let less = FleetShape {
+        adapters: "tax",
+        ..shape
+    };
+    fleet.declare(2, &less);
+    fleet.run(TimeSpan::from_secs(20));
+    assert!(fleet.converged(), "{}", fleet.report());
+    assert_eq!(fleet.count_orders("unload_adapter"), 6);
+    assert_eq!(fleet.records.len(), 24);
+}
+
+/// Guards against a broken version that spreads, and against a halt that outlives its cause.
+#[test]
+fn broken_version_halts_its_rollout_until_another_revision() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    for target in &mut fleet.targets {
+        target.broken.push("2".parse().unwrap());
+    }
+    fleet.declare(1, &shape);
+    fleet.run(TimeSpan::from_secs(60));
+    assert_eq!(fleet.loaded_on("2"), 2);
+    for node in &fleet.nodes {
+        let state = node.board.rollout_state(fleet.now, "quill");
+        assert!(
+            matches!(state, Some(RolloutState::Halted { .. })),
+            "{state:?}"
+        );
+    }
+    assert!(!fleet.converged());
+    let text = fleet.report().to_string();
+    assert!(
+        text.contains("halted") && text.contains("weights are damaged"),
+        "{text}"
+    );
+    assert!(fleet.targets.iter().all(|target| target.has("1")));
+    let other = shape.clone();
+    let with_model = FleetShape {
+        extra: "[model reed]\n".to_owned(),
+        ..other
+    };
+    fleet.declare(2, &with_model);
+    fleet.run(TimeSpan::from_secs(30));
+    assert_eq!(
+        fleet.loaded_on("2"),
+        2,
+        "a change elsewhere restarts the rollout"
+    );
+    fleet.declare(3, &shape.version("1"));
+    fleet.run(TimeSpan::from_secs(20));
+    assert!(fleet.converged(), "{}", fleet.report());
+    assert!(fleet.all_serve("1"));
+}
+
+/// Guards against a repaired version that can't be tried again under its name.
+#[test]
+fn changed_rollout_is_tried_again() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    for target in &mut fleet.targets {
+        target.broken.push("2".parse().unwrap());
+    }
+    fleet.declare(1, &shape);
+    fleet.run(TimeSpan::from_secs(60));
+    fleet
+        .targets
+        .iter_mut()
+        .for_each(|target| target.broken.clear());
+    fleet.declare(2, &FleetShape { limit: 3, ..shape });
+    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
+    assert!(took.is_some(), "{}", fleet.report());
+}
+
+/// Guards against a version that is put on all targets before the first of them failed.
+#[test]
+fn halt_rule_bounds_the_targets_of_a_broken_version() {
+    let shape = FleetShape::default();
+    let tried = |guards| {
+        let mut fleet = FakeFleet::holding(&shape, guards, "1");
+        for target in &mut fleet.targets {
+            target.broken.push("2".parse().unwrap());
+        }
+        fleet.declare(1, &shape);
+        fleet.run(TimeSpan::from_secs(90));
+        fleet.loaded_on("2")
+    };
+    let off = GuardSwitches {
+        halt_rule: false,
+        ..on()
+    };
+    assert_eq!(tried(on()), 2);
+    assert_eq!(tried(off), 6);
+}
+
+/// Guards against a swap that takes the last capacity while other targets are down.
+#[test]
+fn capacity_rule_holds_while_targets_are_down() {
+    let shape = FleetShape {
+        targets: 4,
+        least: 75,
+        ..FleetShape::default()
+    };
+    let short = |guards| {
+        let mut fleet = FakeFleet::holding(&shape, guards, "1");
+        fleet.targets.iter_mut().for_each(|target| target.room = 1);
+        fleet.targets[3].alive = false;
+        fleet.declare(1, &shape);
+        fleet.run(TimeSpan::from_secs(60));
+        fleet.shortfalls(3).len()
+    };
+    let off = GuardSwitches {
+        capacity_rule: false,
+        ..on()
+    };
+    assert_eq!(short(on()), 0);
+    assert!(short(off) > 0);
+}
+
+/// Guards against a target that restarts with empty memory and stays empty, or that is taken for
+/// its former self.
+#[test]
+fn restarted_target_gets_its_versions_again() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    fleet.declare(1, &shape);
+    fleet.run(TimeSpan::from_secs(6));
+    fleet.targets[0].restart();
+    fleet.targets[5].restart();
+    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
+    assert!(took.is_some(), "{}", fleet.report());
+    fleet.targets[2].restart();
+    fleet.run(TimeSpan::from_secs(20));
+    assert!(fleet.converged(), "{}", fleet.report());
+}
+
+/// Guards against orders to a target that leaves, and against a rollout that waits for it.
+#[test]
+fn leaving_target_gets_no_orders_and_holds_nothing_up() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::holding(&shape, on(), "1");
+    fleet.targets[0].leaving = true;
+    fleet.declare(1, &shape);
+    let others = |fleet: &FakeFleet| fleet.targets[1..].iter().all(|target| target.has("2"));
+    assert!(
+        fleet.run_until(LONG, others).is_some(),
+        "{}",
+        fleet.report()
+    );
+    let first = &fleet.targets[0].name;
+    assert!(
+        fleet
+            .records
+            .iter()
+            .all(|record| record.order.target != *first)
+    );
+    assert!(fleet.report().to_string().contains("leaving"));
+}
+
+/// Guards against a model that vanishes from one pool before the other pool serves it.
+#[test]
+fn moved_model_leaves_its_old_pool_last() {
+    let rollout = |pool: &str| FleetShape {
+        version: "",
+        least: 100,
+        extra: format!(
+            "[rollout quill]\nmodel = quill\nversion = 1\nleast_capacity = 100\ntargets = pool={pool}\n"
+        ),
+        ..FleetShape::default()
+    };
+    let mut fleet = FakeFleet::new(&rollout("even"), on());
+    for target in fleet.targets.iter_mut().step_by(2) {
+        target.hold("1");
+    }
+    fleet.declare(1, &rollout("even"));
+    fleet.run(TimeSpan::from_secs(10));
+    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.declare(2, &rollout("odd"));
+    let took = fleet.run_until(LONG, FakeFleet::converged);
+    assert!(took.is_some(), "{}", fleet.report());
+    assert!(fleet.shortfalls(3).is_empty());
+    let odd = fleet.targets.iter().skip(1).step_by(2);
+    assert!(odd.clone().all(|target| target.has("1")));
+    assert_eq!(fleet.count_ready(0), 3);
+}
--- /dev/null
+++ b/crates/orders/tests/support/fleet_shape.rs
@@ -0,0 +1,82 @@
+use std::fmt::Write;
+
+use fleet::{FleetDeclaration, KeySet, KeyText, accept, make_head};
+
+/// A declaration of equal domains with one model.
+#[derive(Clone)]
+pub struct FleetShape {
+    pub domains: usize,
+    pub nodes: usize,
+    pub targets: usize,
+    pub version: &'static str,
+    pub adapters: &'static str,
+    pub role: Option<&'static str>,
+    pub least: u8,
+    pub limit: u32,
+    pub rate: u64,
+    pub bytes: u64,
+    pub fencing: bool,
+    /// Further sections.
+    pub extra: String,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self {
+            domains: 1,
+            nodes: 3,
+            targets: 6,
+            version: "2",
+            adapters: "",
+            role: None,
+            least: 50,
+            limit: 2,
+            rate: 8_000,
+            bytes: 4_000,
+            fencing: true,
+            extra: String::new(),
+        }
+    }
+}
+
+impl FleetShape {
+    pub fn version(&self, version: &'static str) -> Self {
+        Self {
+            version,
+            ..self.clone()
+        }
+    }
+
+    pub fn declare(&self) -> FleetDeclaration {
+        let mut text = format!("[fleet]\nweight_rate = {}\n[model quill]\n", self.rate);
+        writeln!(text, "weight_bytes = {}", self.bytes).unwrap();
+        for domain in 0..self.domains {
+            writeln!(text, "[domain d{domain}]").unwrap();
+            for node in 0..self.nodes {
+                let port = 1 + domain * self.nodes + node;
+                writeln!(text, "[node d{domain}-n{node}]\ndomain = d{domain}").unwrap();
+                writeln!(text, "peer_address = 192.0.2.1:{port}").unwrap();
+            }
+            for target in 0..self.targets {
+                let port = 1 + domain * self.targets + target;
+                writeln!(text, "[target d{domain}-e{target:03}]\nkind = engine").unwrap();
+                writeln!(text, "domain = d{domain}\naddress = 192.0.2.2:{port}").unwrap();
+                let pool = if target % 2 == 0 { "even" } else { "odd" };
+                writeln!(text, "fencing = {}\nlabels = pool={pool}", self.fencing).unwrap();
+                if let Some(role) = self.role {
+                    writeln!(text, "role = {role}").unwrap();
+                }
+            }
+        }
+        if !self.version.is_empty() {
+            writeln!(text, "[rollout quill]\nmodel = quill").unwrap();
+            writeln!(text, "version = {}\ntargets = kind=engine", self.version).unwrap();
+            writeln!(text, "adapters = {}", self.adapters).unwrap();
+            writeln!(text, "least_capacity = {}", self.least).unwrap();
+            writeln!(text, "failure_limit = {}", self.limit).unwrap();
+        }
+        text.push_str(&self.extra);
+        let keys = vec![KeyText::new("fleet.ini", text)];
+        accept(&KeySet::new(make_head(1, &keys), keys)).unwrap()
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/support/naive_reconciler.rs
@@ -0,0 +1,256 @@
+use base::{IncarnationNumber, TargetName};
+use fleet::{DeclaredRollout, FleetDeclaration};
+use orders::{
+    BlockReason, LoadState, LoadedVersion, NeededStep, OrderAction, StepNeed, TargetActual,
+};
+
+/// One event as the naive reconciler remembers it.
+pub enum NaiveEvent {
+    Declared(FleetDeclaration),
+    Observed(TargetActual),
+    Ordered(TargetName, OrderAction),
+}
+
+/// Decides each time from the whole history, without a plan or a cache.
+#[derive(Default)]
+pub struct NaiveReconciler {
+    pub events: Vec<NaiveEvent>,
+}
+
+impl NaiveReconciler {
+    /// Next step of a target; `halted` tells which rollouts are halted.
+    pub fn next_step(
+        &self,
+        target: &TargetName,
+        halted: impl Fn(&str) -> bool,
+    ) -> Option<NeededStep> {
+        let actual = self.actual(target)?;
+        let rollouts = self.rollouts(target);
+        Some(self.decide(target, actual, &rollouts, &halted))
+    }
+
+    fn fleet(&self) -> &FleetDeclaration {
+        let found = self.events.iter().rev().find_map(|event| match event {
+            NaiveEvent::Declared(fleet) => Some(fleet),
+            _ => None,
+        });
+        found.unwrap()
+    }
+
+    fn actual(&self, target: &TargetName) -> Option<&TargetActual> {
+        self.events.iter().rev().find_map(|event| match event {
+            NaiveEvent::Observed(actual) if actual.target == *target => Some(actual),
+            _ => None,
+        })
+    }
+
+    fn rollouts(&self, target: &TargetName) -> Vec<(usize, &DeclaredRollout)> {
+        let declared = self.fleet().target(target).unwrap();
+        let all = self.fleet().rollouts.iter().enumerate();
+        all.filter(|(_, rollout)| rollout.targets.matches(&declared.labels))
+            .collect()
+    }
+
+    fn decide(
+        &self,
+        target: &TargetName,
+        actual: &TargetActual,
+        rollouts: &[(usize, &DeclaredRollout)],
+        halted: &dyn Fn(&str) -> bool,
+    ) -> NeededStep {
+        if actual.leaving {
+            return NeededStep::Blocked(BlockReason::TargetLeaving);
+        }
+        let role = self.fleet().target(target).unwrap().role;
+        if let Some(role) = role
+            && actual.role != Some(role)
+        {
+            return NeededStep::Order(OrderAction::SetRole { role }, StepNeed::Free, None);
+        }
+        let wanted = |entry: &LoadedVersion| {
+            let mut same = rollouts.iter();
+            same.any(|(_, rollout)| {
+                rollout.model == entry.model && rollout.version == entry.version
+            })
+        };
+        for entry in &actual.versions {
+            if !entry.is_ready() && !wanted(entry) {
+                return NeededStep::Order(unload(entry), StepNeed::Free, None);
+            }
+        }
+        if actual.versions.iter().any(LoadedVersion::is_loading) {
+            return NeededStep::Blocked(BlockReason::Loading);
+        }
+        let mut reasons = Vec::new();
+        for (at, rollout) in rollouts {
+            let is_halted = halted(&rollout.name);
+            let slot = |action| NeededStep::Order(action, StepNeed::Slot, Some(*at));
+            let load = OrderAction::Load {
+                model: rollout.model.clone(),
+                version: rollout.version.clone(),
+            };
+            let step = match actual.version(&rollout.model, &rollout.version) {
+                None => Some(slot(load)),
+                Some(entry) => match &entry.state {
+                    LoadState::Ready => {
+                        let mut missing = rollout.adapters.iter();
+                        let missing = missing.find(|name| !entry.adapters.contains(name));
+                        missing.map(|adapter| {
+                            slot(OrderAction::LoadAdapter {
+                                model: rollout.model.clone(),
+                                version: rollout.version.clone(),
+                                adapter: adapter.clone(),
+                            })
+                        })
+                    }
+                    LoadState::Loading => None,
+                    LoadState::Failed { memory_full, .. } => {
+                        let surplus = actual.versions.iter().filter(|entry| !wanted(entry));
+                        let covered = |entry: &LoadedVersion| {
+                            rollouts.iter().any(|(_, other)| {
+                                other.model == entry.model
+                                    && actual
+                                        .version(&other.model, &other.version)
+                                        .is_some_and(|entry| entry.is_ready())
+                            })
+                        };
+                        let mut best: Option<(&LoadedVersion, u8)> = None;
+                        for entry in surplus {
+                            let cost = u8::from(!covered(entry)) * 2
+                                + u8::from(entry.model != rollout.model);
+                            if best.is_none_or(|(_, least)| cost < least) {
+                                best = Some((entry, cost));
+                            }
+                        }
+                        match best.filter(|_| *memory_full) {
+                            Some((victim, cost)) => {
+                                let need = match cost {
+                                    0 | 1 => StepNeed::Free,
+                                    _ => StepNeed::Swap(victim.model.clone()),
+                                };
+                                Some(NeededStep::Order(unload(victim), need, Some(*at)))
+                            }
+                            None if self.may_retry(target, rollout, *memory_full) => {
+                                Some(slot(load))
+                            }
+                            None => {
+                                reasons.push(match memory_full {
+                                    true => BlockReason::MemoryFull,
+                                    false => BlockReason::VersionFailed,
+                                });
+                                continue;
+                            }
+                        }
+                    }
+                },
+            };
+            match step {
+                None => {}
+                Some(_) if is_halted => reasons.push(BlockReason::RolloutHalted),
+                Some(step) => return step,
+            }
+        }
+        let served = |rollout: &DeclaredRollout| {
+            let entry = actual.version(&rollout.model, &rollout.version);
+            entry.is_some_and(|entry| {
+                entry.is_ready()
+                    && rollout
+                        .adapters
+                        .iter()
+                        .all(|name| entry.adapters.contains(name))
+            })
+        };
+        for entry in &actual.versions {
+            let same = rollouts
+                .iter()
+                .find(|(_, rollout)| rollout.model == entry.model);
+            let step = match same {
+                Some((_, rollout)) if rollout.version == entry.version => {
+                    let mut extra = entry.adapters.iter();
+                    let Some(adapter) = extra.find(|name| !rollout.adapters.contains(name)) else {
+                        continue;
+                    };
+                    let action = OrderAction::UnloadAdapter {
+                        model: entry.model.clone(),
+                        version: entry.version.clone(),
+                        adapter: adapter.clone(),
+                    };
+                    Ok(NeededStep::Order(action, StepNeed::Free, None))
+                }
+                Some((_, rollout)) if !served(rollout) => Err(BlockReason::OrderDue),
+                Some(_) => Ok(NeededStep::Order(unload(entry), StepNeed::Free, None)),
+                None if rollouts.iter().all(|(_, rollout)| served(rollout)) => {
+                    let need = StepNeed::Drain(entry.model.clone());
+                    Ok(NeededStep::Order(unload(entry), need, None))
+                }
+                None => Err(BlockReason::OrderDue),
+            };
+            match (step, same) {
+                (Err(reason), _) => reasons.push(reason),
+                (Ok(_), Some((_, rollout))) if halted(&rollout.name) => {
+                    reasons.push(BlockReason::RolloutHalted);
+                }
+                (Ok(step), _) => return step,
+            }
+        }
+        match reasons.first() {
+            Some(reason) => NeededStep::Blocked(*reason),
+            None => NeededStep::Converged,
+        }
+    }
+
+    /// Scans the history: a rollout that a later declaration brought may be tried once at a target
+    /// that shows a failure, and a target without memory a limited number of times.
+    fn may_retry(&self, target: &TargetName, rollout: &DeclaredRollout, memory_full: bool) -> bool {
+        let mut run: Option<IncarnationNumber> = None;
+        let mut known: Option<FleetDeclaration> = None;
+        let (mut retry, mut loads) = (false, Vec::<(OrderAction, u32)>::new());
+        for event in &self.events {
+            match event {
+                NaiveEvent::Declared(fleet) => {
+                    let same = |fleet: &FleetDeclaration| fleet.rollouts.contains(rollout);
+                    if known.as_ref().is_some_and(|old| !same(old)) && same(fleet) {
+                        retry = true;
+                    }
+                    known = Some(fleet.clone());
+                    loads.clear();
+                }
+                NaiveEvent::Observed(actual)
+                    if actual.target == *target && run != Some(actual.incarnation) =>
+                {
+                    run = Some(actual.incarnation);
+                    retry = false;
+                    loads.clear();
+                }
+                NaiveEvent::Ordered(name, action)
+                    if name == target && is_load_of(action, rollout) =>
+                {
+                    retry = false;
+                    match loads.iter_mut().find(|(known, _)| known == action) {
+                        Some((_, count)) => *count += 1,
+                        None => loads.push((action.clone(), 1)),
+                    }
+                }
+                _ => {}
+            }
+        }
+        let most = loads.iter().map(|(_, count)| *count).max().unwrap_or(0);
+        retry || memory_full && most < 8
+    }
+}
+
+fn unload(entry: &LoadedVersion) -> OrderAction {
+    OrderAction::Unload {
+        model: entry.model.clone(),
+        version: entry.version.clone(),
+    }
+}
+
+fn is_load_of(action: &OrderAction, rollout: &DeclaredRollout) -> bool {
+    match action {
+        OrderAction::Load { model, version } | OrderAction::LoadAdapter { model, version, .. } => {
+            *model == rollout.model && *version == rollout.version
+        }
+        _ => false,
+    }
+}
