Test calls in virtual time under faults

Each mechanism is switched off once and must then be missed. KeyHome can be sealed for a planned stop. LinkWatch ignores a probe that later bytes made needless. In the fake, planned stops leave most caller-generated keys uncertain when every node restarts within a lifetime.

--- a/crates/calls/src/history/caller_record.rs
+++ b/crates/calls/src/history/caller_record.rs
@@ -20,6 +20,8 @@
         at: ClockTime,
         /// More than one run does no harm.
         idempotent: bool,
+        /// All sends of the request carry the same ticket or key.
+        keyed: bool,
     },
     /// The caller got one token.
     Token {
@@ -47,6 +49,8 @@
         request: RequestId,
         /// Which send.
         send: SendNumber,
+        /// When.
+        at: ClockTime,
         /// The run state.
         ran: RanState,
     },
--- a/crates/calls/src/key/key_claim.rs
+++ b/crates/calls/src/key/key_claim.rs
@@ -39,6 +39,8 @@
     NotHome(NodeName),
     /// The key was given to this process and never runs here.
     Given(OwnerId),
+    /// The home is stopping and runs no new key.
+    Sealed(RanState),
     /// No more keys can be remembered; forgetting one could let it run twice.
     Full(RanState),
 }
@@ -49,6 +51,7 @@
         match self {
             Self::Finished(ran) => Some(CallFailure::new(ErrorKind::AnswerGone).with_ran(*ran)),
             Self::KeyReused => Some(CallFailure::new(ErrorKind::KeyReused)),
+            Self::Sealed(ran) => Some(CallFailure::new(ErrorKind::Stopping).with_ran(*ran)),
             Self::Full(ran) => Some(CallFailure::new(ErrorKind::Overloaded).with_ran(*ran)),
             _ => None,
         }
--- a/crates/calls/src/key/key_home.rs
+++ b/crates/calls/src/key/key_home.rs
@@ -65,6 +65,7 @@
     former: Vec<FormerNames>,
     /// Former lists were dropped for lack of room; nothing is certain until then.
     uncertain_until: ClockTime,
+    sealed: bool,
     table: KeyTable,
     log: ConsentLog,
 }
@@ -87,6 +88,7 @@
             names,
             former: Vec::new(),
             uncertain_until: ClockTime::ZERO,
+            sealed: false,
             table: KeyTable::new(policy.keys, policy.answer_bytes, policy.lifetime),
             log: ConsentLog::new(policy.keys, policy.lifetime),
         }
@@ -182,6 +184,9 @@
         if ranking.home != self.own.node {
             return KeyClaim::NotHome(ranking.home);
         }
+        if self.sealed {
+            return KeyClaim::Sealed(self.ran(now, key));
+        }
         let consent = match &arrival {
             KeyArrival::Direct => ranking.witnesses.is_empty(),
             KeyArrival::Granted { by } => ranking.witnesses.contains(by),
@@ -250,6 +255,11 @@
         self.table.finish(key, outcome);
     }
 
+    /// Runs no new key from now on; a planned stop waits for those in flight.
+    pub fn seal(&mut self) {
+        self.sealed = true;
+    }
+
     /// Forgets keys whose lifetime is over.
     pub fn expire(&mut self, now: ClockTime) {
         self.table.expire(now);
@@ -261,6 +271,7 @@
 
     /// Decides by what the table holds; `None` if the key is new or was given up.
     fn claim_known(&mut self, key: KeyId, body: BodyHash) -> Option<KeyClaim> {
+        let sealed = self.sealed;
         let state = self.table.get_mut(key)?;
         let claim = match state {
             KeyState::Given(owner) => KeyClaim::Given(owner.clone()),
@@ -269,6 +280,7 @@
             }
             KeyState::Answered(first, answer) if *first == body => KeyClaim::Replay(answer.clone()),
             KeyState::Finished(first, ran) if *first == body => KeyClaim::Finished(*ran),
+            KeyState::Released(first) if *first == body && sealed => KeyClaim::Sealed(RanState::No),
             KeyState::Released(first) if *first == body => {
                 // The witness that consented first still holds the key for this process.
                 *state = KeyState::InFlight(body);
--- a/crates/calls/src/retry/link_watch.rs
+++ b/crates/calls/src/retry/link_watch.rs
@@ -109,6 +109,8 @@
         self.next = now + self.quiet;
         self.behind = false;
         self.timeouts = 0;
+        // A fresh connection under way has nothing to decide any more.
+        self.probing = false;
     }
 
     /// When `on_tick` has something to say at the earliest.
@@ -128,9 +130,11 @@
         WatchVerdict::Probe
     }
 
-    /// Takes the outcome of a fresh connection.
+    /// Takes the outcome of a fresh connection; one that is no longer wanted has no effect.
     pub fn on_probe(&mut self, now: ClockTime, outcome: ProbeOutcome) -> WatchVerdict {
-        self.probing = false;
+        if !std::mem::take(&mut self.probing) {
+            return WatchVerdict::Wait;
+        }
         match outcome {
             ProbeOutcome::Refused => WatchVerdict::TargetDead,
             ProbeOutcome::TimedOut => self.on_timeout(now),
--- /dev/null
+++ b/crates/calls/tests/fake/target.rs
@@ -0,0 +1,207 @@
+use std::collections::BTreeMap;
+
+use base::{GenerationId, IncarnationNumber};
+use calls::TargetRecord;
+use rand::Rng;
+
+use super::message::{Addr, CallMsg, Event, LinkRef, Msg, TargetSays};
+use super::world::{World, request_id, target_name};
+
+pub struct Generation {
+    pub count: u64,
+    pub produced: u64,
+    pub reader: Option<LinkRef>,
+    pub cancelled: bool,
+}
+
+pub struct Target {
+    pub incarnation: u64,
+    pub alive: bool,
+    pub leaving: bool,
+    pub generations: BTreeMap<GenerationId, Generation>,
+}
+
+impl Target {
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            alive: true,
+            leaving: false,
+            generations: BTreeMap::new(),
+        }
+    }
+}
+
+impl World {
+    pub fn target_message(&mut self, at: usize, msg: Msg) {
+        match msg {
+            Msg::Open(link) => {
+                let said = match self.targets[at].alive {
+                    true => TargetSays::Connected(self.target_incarnation(at)),
+                    false => TargetSays::Refused,
+                };
+                self.say(at, link, said);
+            }
+            Msg::Probe(link, generation) => {
+                let produced = generation.and_then(|name| {
+                    let found = self.targets[at].generations.get(&name);
+                    found.map(|generation| generation.produced)
+                });
+                let said = match self.targets[at].alive {
+                    true => TargetSays::Probed(self.target_incarnation(at), produced),
+                    false => TargetSays::ProbeRefused,
+                };
+                self.say(at, link, said);
+            }
+            _ if !self.targets[at].alive => {}
+            Msg::Request(link, call) => self.run_request(at, link, &call),
+            Msg::Resume(link, name, offset) => self.resume_generation(at, link, name, offset),
+            Msg::Cancel(name) => {
+                if let Some(generation) = self.targets[at].generations.get_mut(&name) {
+                    generation.cancelled = true;
+                }
+            }
+            other => panic!("target got {other:?}"),
+        }
+    }
+
+    fn run_request(&mut self, at: usize, link: LinkRef, call: &CallMsg) {
+        if self.random.random_ratio(1, 50) {
+            self.say(at, link, TargetSays::NotAdmitted);
+            return;
+        }
+        self.generation_count += 1;
+        let name = format!("{}-{}", target_name(at), self.generation_count);
+        let name: GenerationId = name.parse().unwrap();
+        let generation = Generation {
+            count: self.random.random_range(1..=12),
+            produced: 0,
+            reader: Some(link),
+            cancelled: false,
+        };
+        self.report.history.targets.push(TargetRecord::Run {
+            target: target_name(at),
+            at: self.now,
+            request: request_id(call.request),
+            send: call.send,
+            generation: name.clone(),
+        });
+        let target = &mut self.targets[at];
+        target.generations.insert(name.clone(), generation);
+        let incarnation = target.incarnation;
+        if call.poison {
+            self.poison_deaths.entry(call.request).or_default().push(at);
+            self.after(100, Event::DieTarget(at, incarnation));
+        }
+        let queue = self.random.random_range(1..80);
+        self.after(queue, Event::Accept(at, incarnation, name));
+    }
+
+    pub fn accept(&mut self, at: usize, incarnation: u64, name: GenerationId) {
+        let target = &self.targets[at];
+        let Some(generation) = target.generations.get(&name) else {
+            return;
+        };
+        if let Some(link) = generation.reader {
+            self.say(at, link, TargetSays::Accepted(name.clone()));
+        }
+        self.after(15, Event::Produce(at, incarnation, name));
+    }
+
+    pub fn produce(&mut self, at: usize, incarnation: u64, name: GenerationId) {
+        let target = &mut self.targets[at];
+        if !target.alive || target.incarnation != incarnation {
+            return;
+        }
+        let Some(generation) = target.generations.get_mut(&name) else {
+            return;
+        };
+        if generation.cancelled {
+            return;
+        }
+        let offset = generation.produced;
+        let count = generation.count;
+        let reader = generation.reader;
+        generation.produced += 1;
+        let records = &mut self.report.history.targets;
+        records.push(TargetRecord::Token {
+            generation: name.clone(),
+            offset,
+        });
+        if offset + 1 == count {
+            records.push(TargetRecord::Finished {
+                generation: name.clone(),
+                count,
+            });
+        }
+        if let Some(link) = reader {
+            // Engines repeat and skip events now and then.
+            let copies = match self.random.random_range(0..100) {
+                0 | 1 => 2,
+                2 => 0,
+                _ => 1,
+            };
+            for _ in 0..copies {
+                self.say(at, link, TargetSays::Token(name.clone(), offset));
+            }
+            if offset + 1 == count {
+                self.say(at, link, TargetSays::End(name.clone(), count));
+            }
+        }
+        if offset + 1 < count {
+            let gap = self.random.random_range(5..30);
+            self.after(gap, Event::Produce(at, incarnation, name));
+        }
+    }
+
+    fn resume_generation(&mut self, at: usize, link: LinkRef, name: GenerationId, offset: u64) {
+        let Some(generation) = self.targets[at].generations.get_mut(&name) else {
+            self.say(at, link, TargetSays::ResumeRefused);
+            return;
+        };
+        generation.reader = Some(link);
+        let (produced, count) = (generation.produced, generation.count);
+        for offset in offset..produced {
+            self.say(at, link, TargetSays::Token(name.clone(), offset));
+        }
+        if produced == count {
+            self.say(at, link, TargetSays::End(name, count));
+        }
+    }
+
+    pub fn kill_target(&mut self, at: usize) {
+        if !self.targets[at].alive {
+            return;
+        }
+        self.targets[at].alive = false;
+        let generations = std::mem::take(&mut self.targets[at].generations);
+        for generation in generations.into_values() {
+            if let Some(link) = generation.reader {
+                self.say(at, link, TargetSays::Lost);
+            }
+        }
+        let back = self.random.random_range(1_000..3_000);
+        self.after(back, Event::StartTarget(at));
+    }
+
+    pub fn start_target(&mut self, at: usize) {
+        let incarnation = self.targets[at].incarnation + 1;
+        self.targets[at] = Target::new(incarnation);
+        self.report.history.targets.push(TargetRecord::Returned {
+            target: target_name(at),
+            at: self.now,
+        });
+    }
+
+    fn target_incarnation(&self, at: usize) -> IncarnationNumber {
+        IncarnationNumber(self.targets[at].incarnation)
+    }
+
+    fn say(&mut self, at: usize, link: LinkRef, said: TargetSays) {
+        if self.silent_in.contains(&link) {
+            return;
+        }
+        let msg = Msg::Said(link, said);
+        self.send(Addr::Target(at), Addr::Node(link.node), msg);
+    }
+}
