--- a/crates/calls/examples/refusals.rs
+++ b/crates/calls/examples/refusals.rs
@@ -5,11 +5,13 @@
 #[path = "../tests/fake/mod.rs"]
 mod fake;
 
+use base::TimeSpan;
 use calls::HistoryChecker;
 use fake::{Fault, Scheme, World, WorldConfig};
 
 const REQUESTS: u32 = 5_000;
 const FAULT_PERIOD_MS: u64 = 3_000;
+const RARE_PERIOD_MS: u64 = 25_000;
 /// Replacements in a fleet of 440 nodes in a day, and the lifetime of a key.
 const REPLACED_PER_DAY: f64 = 1_400.0;
 const NODES: f64 = 440.0;
@@ -19,10 +21,24 @@
     f64::from(part) * 100.0 / f64::from(REQUESTS)
 }
 
-fn print_row(name: &str, faults: &[Fault], scheme: Scheme, seed: u64) {
+fn row(faults: &[Fault], scheme: Scheme, seed: u64) -> WorldConfig {
     let mut config = WorldConfig::new(seed, REQUESTS, faults);
     config.scheme = scheme;
     config.fault_period_ms = FAULT_PERIOD_MS;
+    config
+}
+
+/// Kills that are rare within the lifetime of a key, as they are in a fleet.
+fn rare_kills(scheme: Scheme, seed: u64) -> WorldConfig {
+    let mut config = row(&[Fault::KillNode], scheme, seed);
+    config.fault_period_ms = RARE_PERIOD_MS;
+    config.think_ms = 4_000;
+    config.key_lifetime = TimeSpan::from_secs(15);
+    config
+}
+
+fn print_row(name: &str, config: WorldConfig) {
+    let scheme = config.scheme;
     let report = World::new(config).run();
     let found = HistoryChecker::new(1_000).check(&report.history).len();
     println!(
@@ -65,10 +81,11 @@
     );
     println!("|---|---|---|---|---|---|---|---|");
     for scheme in [Scheme::Ticket, Scheme::Key, Scheme::Neither] {
-        print_row("none", &[], scheme, seed);
+        print_row("none", row(&[], scheme, seed));
         for fault in Fault::ALL {
-            print_row(&format!("{fault:?}"), &[fault], scheme, seed);
+            print_row(&format!("{fault:?}"), row(&[fault], scheme, seed));
         }
+        print_row("KillNode, rare", rare_kills(scheme, seed));
     }
     print_estimate();
 }
--- a/crates/calls/src/key/consent_log.rs
+++ b/crates/calls/src/key/consent_log.rs
@@ -11,9 +11,11 @@
     Granted,
     /// Another process may have run the key; the home must ask every witness.
     Contested,
+    /// This node has not been a witness for long enough to know of earlier consent; ask another.
+    Unsure,
     /// No more keys can be remembered.
     Full,
-    /// This node is no witness of the key.
+    /// By this node's list it is no witness of the key, or the home is another one.
     NotWitness,
 }
 
@@ -81,7 +83,7 @@
         match self.consent(now, key, asker) {
             ConsentVerdict::Granted => KeyTrace::Unseen,
             ConsentVerdict::Contested => KeyTrace::Seen,
-            ConsentVerdict::Full | ConsentVerdict::NotWitness => KeyTrace::Unsure,
+            _ => KeyTrace::Unsure,
         }
     }
 
--- a/crates/calls/src/key/key_home.rs
+++ b/crates/calls/src/key/key_home.rs
@@ -14,7 +14,9 @@
 /// Bounds of the memory for caller-generated keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyPolicy {
-    /// Time from its first use during which a key stands for one request.
+    /// Time for which a key is remembered. It must exceed the sum of the time within which
+    /// callers resend, the longest delay of a message with all pauses, and the time for which
+    /// a replaced process may go on.
     pub lifetime: TimeSpan,
     /// Keys remembered as home, and as many as witness.
     pub keys: usize,
@@ -157,13 +159,18 @@
 
     /// As witness: may `home` run `key`?
     pub fn consent(&mut self, now: ClockTime, key: KeyId, home: &OwnerId) -> ConsentVerdict {
-        let witness = self
+        let own = &self.own.node;
+        let ranked = self
             .ranking(key)
-            .is_some_and(|ranking| ranking.witnesses.contains(&self.own.node));
-        match witness {
-            true => self.log.consent(now, key, home),
-            false => ConsentVerdict::NotWitness,
+            .is_some_and(|ranking| ranking.home == home.node && ranking.witnesses.contains(own));
+        if !ranked {
+            return ConsentVerdict::NotWitness;
+        }
+        // A home that lacks this witness in its view could ask others and learn nothing of it.
+        if !self.is_sure_witness(now, key) {
+            return ConsentVerdict::Unsure;
         }
+        self.log.consent(now, key, home)
     }
 
     /// As home: decides on a request that arrived with `key`.
@@ -349,18 +356,24 @@
         !self.is_new(now) && former.all(|former| homed(&former.names))
     }
 
-    fn witness_trace(&mut self, now: ClockTime, key: KeyId, asker: &OwnerId) -> KeyTrace {
+    /// This process has been a witness of `key` for its whole lifetime, by any list of nodes.
+    fn is_sure_witness(&self, now: ClockTime, key: KeyId) -> bool {
         let own = &self.own.node;
         let count = self.policy.witnesses;
         let witnessed = |names: &[NodeName]| {
             KeyRanking::new(key, names, count).is_some_and(|at| at.witnesses.contains(own))
         };
-        let always = self.former.iter().all(|former| witnessed(&former.names));
-        let always = always && witnessed(&self.names);
-        let unsure = self.is_new(now) || !always;
+        let mut former = self.former.iter();
+        let always = witnessed(&self.names) && former.all(|former| witnessed(&former.names));
+        always && !self.is_new(now)
+    }
+
+    fn witness_trace(&mut self, now: ClockTime, key: KeyId, asker: &OwnerId) -> KeyTrace {
+        let home = self.ranking(key).map(|ranking| ranking.home);
+        let sure = home.as_ref() == Some(&asker.node) && self.is_sure_witness(now, key);
         // Consent is noted in any case, so that no other process gets it from here later.
         match self.log.trace(now, key, asker) {
-            KeyTrace::Unseen if unsure => KeyTrace::Unsure,
+            KeyTrace::Unseen if !sure => KeyTrace::Unsure,
             trace => trace,
         }
     }
--- a/crates/calls/tests/fake/caller.rs
+++ b/crates/calls/tests/fake/caller.rs
@@ -306,7 +306,7 @@
             Outcome::Silent => self.report.silent += 1,
         }
         let caller = request.caller;
-        let pause = self.random.random_range(1..50);
+        let pause = self.random.random_range(1..=self.config.think_ms);
         self.after(pause, Event::NextRequest(caller));
     }
 }
--- a/crates/calls/tests/fake/config.rs
+++ b/crates/calls/tests/fake/config.rs
@@ -1,3 +1,4 @@
+use base::TimeSpan;
 use calls::CallHistory;
 
 /// A kind of fault that is brought about again and again.
@@ -80,6 +81,9 @@
     pub scheme: Scheme,
     pub faults: Vec<Fault>,
     pub fault_period_ms: u64,
+    /// Longest time between two requests of a caller.
+    pub think_ms: u64,
+    pub key_lifetime: TimeSpan,
     pub switches: Switches,
 }
 
@@ -91,6 +95,8 @@
             scheme: Scheme::Mixed,
             faults: faults.to_vec(),
             fault_period_ms: 400,
+            think_ms: 50,
+            key_lifetime: TimeSpan::from_secs(240),
             switches: Switches::default(),
         }
     }
--- a/crates/calls/tests/fake/node.rs
+++ b/crates/calls/tests/fake/node.rs
@@ -91,11 +91,17 @@
 }
 
 impl Node {
-    pub fn new(at: usize, incarnation: u64, started: ClockTime, now: ClockTime) -> Self {
+    pub fn new(
+        at: usize,
+        incarnation: u64,
+        started: ClockTime,
+        now: ClockTime,
+        lifetime: TimeSpan,
+    ) -> Self {
         let own = OwnerId::new(node_name(at), IncarnationNumber(incarnation));
         let names = (0..NODES).map(node_name).collect();
         let policy = KeyPolicy {
-            lifetime: TimeSpan::from_secs(120),
+            lifetime,
             ..KeyPolicy::default()
         };
         Self {
@@ -393,7 +399,11 @@
         call.arrival = match node.home.consent(now, key, &owner) {
             ConsentVerdict::Granted => KeyArrival::Granted { by: node_name(at) },
             ConsentVerdict::Contested => KeyArrival::Contested,
-            ConsentVerdict::Full | ConsentVerdict::NotWitness => {
+            ConsentVerdict::Unsure if call.arrival == KeyArrival::Direct => {
+                self.ask_other_witness(at, key, call);
+                return;
+            }
+            _ => {
                 self.refuse(at, call, RanState::Unknown);
                 return;
             }
@@ -401,6 +411,24 @@
         self.forward(at, owner, call);
     }
 
+    /// Passes a call on from a witness that is new to one that may know more.
+    fn ask_other_witness(&mut self, at: usize, key: KeyId, mut call: CallMsg) {
+        let ranking = self.nodes[at].home.ranking(key).unwrap();
+        let mut others = ranking.witnesses.iter().map(node_index);
+        let asked = |peer: &usize| *peer == at || call.path.hops.contains(peer);
+        let Some(peer) = others.find(|peer| !asked(peer)) else {
+            self.refuse(at, call, RanState::Unknown);
+            return;
+        };
+        call.path.hops.push(at);
+        self.pass_through(&call, peer);
+        self.send(
+            Addr::Node(at),
+            Addr::Node(peer),
+            Msg::Witness(Box::new(call)),
+        );
+    }
+
     fn claim_key(&mut self, at: usize, key: KeyId, call: CallMsg) {
         let now = self.now;
         let node = &mut self.nodes[at];
@@ -1042,7 +1070,8 @@
     pub fn start_node(&mut self, at: usize) {
         self.incarnation_count += 1;
         self.report.restarts += 1;
-        self.nodes[at] = Node::new(at, self.incarnation_count, self.now, self.now);
+        let (run, now) = (self.incarnation_count, self.now);
+        self.nodes[at] = Node::new(at, run, now, now, self.config.key_lifetime);
         self.refresh_view(at);
     }
 
--- a/crates/calls/tests/fake/world.rs
+++ b/crates/calls/tests/fake/world.rs
@@ -100,9 +100,9 @@
         for at in 0..NODES {
             world.incarnation_count += 1;
             let incarnation = world.incarnation_count;
-            world
-                .nodes
-                .push(Node::new(at, incarnation, ClockTime::ZERO, START));
+            let lifetime = world.config.key_lifetime;
+            let node = Node::new(at, incarnation, ClockTime::ZERO, START, lifetime);
+            world.nodes.push(node);
         }
         world.after(0, Event::Heartbeat);
         let period = world.config.fault_period_ms;
