--- /dev/null
+++ b/crates/sched/src/memory/growth_curve.rs
@@ -0,0 +1,67 @@
+use std::ops::{AddAssign, SubAssign};
+
+use crate::LengthCurve;
+
+/// Tokens from now at which expected memory is looked at; wider apart with distance, since
+/// predictions are vaguer there.
+pub const GROWTH_STEPS: [u32; 8] = [0, 24, 72, 192, 448, 1_024, 2_304, 5_120];
+
+/// Expected tokens in memory now and at each growth step from now.
+///
+/// A step is reached by producing so many tokens more; a sequence that is expected to have ended
+/// by then counts with the probability that it has not.
+///
+/// ```
+/// use sched::{GrowthCurve, LengthCurve};
+/// let growth = GrowthCurve::of_stream(&LengthCurve::prior(), 100, 0, 512);
+/// assert_eq!(growth.held(), 100);
+/// assert!(growth.peak() >= 100);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GrowthCurve {
+    tokens: [u64; GROWTH_STEPS.len()],
+}
+
+impl GrowthCurve {
+    /// Predicts one sequence with `prompt` tokens that has `produced` of at most `cap` tokens.
+    pub fn of_stream(curve: &LengthCurve, prompt: u32, produced: u32, cap: u32) -> Self {
+        let held = u64::from(prompt) + u64::from(produced);
+        let tokens = GROWTH_STEPS.map(|step| {
+            let share = curve.survival(produced, step, cap);
+            ((held + u64::from(step)) as f64 * share) as u64
+        });
+        Self { tokens }
+    }
+
+    /// Tokens in memory now.
+    pub fn held(&self) -> u64 {
+        self.tokens[0]
+    }
+
+    /// Largest expected number of tokens in memory.
+    pub fn peak(&self) -> u64 {
+        self.tokens.into_iter().max().unwrap_or(0)
+    }
+
+    /// Largest expected number of tokens together with `other`.
+    pub fn peak_with(&self, other: &Self) -> u64 {
+        let sums = self.tokens.iter().zip(&other.tokens).map(|(a, b)| a + b);
+        sums.max().unwrap_or(0)
+    }
+}
+
+impl AddAssign<&GrowthCurve> for GrowthCurve {
+    fn add_assign(&mut self, other: &GrowthCurve) {
+        for (own, other) in self.tokens.iter_mut().zip(other.tokens) {
+            *own += other;
+        }
+    }
+}
+
+impl SubAssign<&GrowthCurve> for GrowthCurve {
+    fn sub_assign(&mut self, other: &GrowthCurve) {
+        for (own, other) in self.tokens.iter_mut().zip(other.tokens) {
+            *own = own.saturating_sub(other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/memory/memory_view.rs
@@ -0,0 +1,159 @@
+use base::ClockTime;
+
+use super::{GrowthCurve, ViewHistory};
+use crate::{LoadReport, TargetDigest};
+
+/// What one node knows of the memory of one target.
+///
+/// Own streams are known at once, those of peers from their digests, and the rest is what a report
+/// shows beyond what was known at the moment when the report was taken.
+///
+/// ```
+/// use sched::{GrowthCurve, MemoryView};
+/// let view = MemoryView::default();
+/// assert_eq!(view.predicted_peak(&GrowthCurve::default(), 1.2), 0);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct MemoryView {
+    own: GrowthCurve,
+    own_started: u64,
+    own_count: u32,
+    own_running: u32,
+    own_prefill: u64,
+    peer_held: u64,
+    peer_peak: u64,
+    peer_count: u32,
+    other_held: u64,
+    other_count: u32,
+    total: u64,
+    preemptions: u64,
+    measured_at: Option<ClockTime>,
+    history: ViewHistory,
+}
+
+impl MemoryView {
+    /// Adds a stream that this node dispatched.
+    pub fn add_stream(&mut self, growth: &GrowthCurve) {
+        self.own += growth;
+        self.own_count += 1;
+        self.own_prefill += growth.held();
+    }
+
+    /// Notes that the engine produced the first token of an own stream.
+    pub fn start_stream(&mut self, now: ClockTime, growth: &GrowthCurve) {
+        self.own_prefill = self.own_prefill.saturating_sub(growth.held());
+        self.own_started += growth.held();
+        self.own_running += 1;
+        self.sample(now);
+    }
+
+    /// Replaces the prediction of a started stream.
+    pub fn change_stream(&mut self, now: ClockTime, old: &GrowthCurve, new: &GrowthCurve) {
+        self.own -= old;
+        self.own += new;
+        self.own_started = (self.own_started + new.held()).saturating_sub(old.held());
+        self.sample(now);
+    }
+
+    /// Removes an own stream.
+    pub fn remove_stream(&mut self, now: ClockTime, growth: &GrowthCurve, started: bool) {
+        self.own -= growth;
+        self.own_count -= 1;
+        if !started {
+            self.own_prefill = self.own_prefill.saturating_sub(growth.held());
+            return;
+        }
+        self.own_started = self.own_started.saturating_sub(growth.held());
+        self.own_running -= 1;
+        self.sample(now);
+    }
+
+    /// Replaces what one peer has on the target.
+    pub fn change_peer(
+        &mut self,
+        now: ClockTime,
+        old: Option<&TargetDigest>,
+        new: Option<&TargetDigest>,
+    ) {
+        if let Some(old) = old {
+            self.peer_held -= u64::from(old.held_tokens);
+            self.peer_peak -= u64::from(old.peak_tokens);
+            self.peer_count -= old.in_flight;
+        }
+        if let Some(new) = new {
+            self.peer_held += u64::from(new.held_tokens);
+            self.peer_peak += u64::from(new.peak_tokens);
+            self.peer_count += new.in_flight;
+        }
+        self.sample(now);
+    }
+
+    /// Takes a report unless a newer one was taken; returns the preemptions since the last one.
+    pub fn take_report(&mut self, report: &LoadReport) -> u64 {
+        if self
+            .measured_at
+            .is_some_and(|last| last > report.measured_at)
+        {
+            return 0;
+        }
+        let page = u64::from(report.page_tokens);
+        let used = u64::from(report.used_pages) * page;
+        let (known, count) = self.history.at(report.measured_at);
+        self.total = u64::from(report.total_pages) * page;
+        self.other_held = used.saturating_sub(known);
+        self.other_count = (report.running + report.waiting).saturating_sub(count);
+        let first = self.measured_at.is_none();
+        let restarted = report.preemptions < self.preemptions;
+        let preempted = if first || restarted {
+            0
+        } else {
+            report.preemptions - self.preemptions
+        };
+        self.preemptions = report.preemptions;
+        self.measured_at = Some(report.measured_at);
+        preempted
+    }
+
+    /// Largest number of tokens expected if `extra` is added; sequences of others are taken to
+    /// grow by the factor `growth`.
+    pub fn predicted_peak(&self, extra: &GrowthCurve, growth: f64) -> u64 {
+        let other = (self.other_held as f64 * growth) as u64;
+        self.own.peak_with(extra) + self.peer_peak + other
+    }
+
+    /// Memory of the target in tokens; 0 before its first report.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// When the last report was measured.
+    pub fn measured_at(&self) -> Option<ClockTime> {
+        self.measured_at
+    }
+
+    /// Sequences on the target, running or waiting there.
+    pub fn sequences(&self) -> u32 {
+        self.own_count + self.peer_count + self.other_count
+    }
+
+    /// Own streams on the target.
+    pub fn own_count(&self) -> u32 {
+        self.own_count
+    }
+
+    /// Prompt tokens of own streams that have produced nothing yet.
+    pub fn own_prefill(&self) -> u64 {
+        self.own_prefill
+    }
+
+    /// Expected memory of own streams.
+    pub fn own(&self) -> &GrowthCurve {
+        &self.own
+    }
+
+    fn sample(&mut self, now: ClockTime) {
+        let tokens = self.own_started + self.peer_held;
+        self.history
+            .push(now, tokens, self.own_running + self.peer_count);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/memory/mod.rs
@@ -0,0 +1,9 @@
+//! Prediction of the memory that a target will need.
+
+mod growth_curve;
+mod memory_view;
+mod view_history;
+
+pub use growth_curve::{GROWTH_STEPS, GrowthCurve};
+pub use memory_view::MemoryView;
+pub use view_history::ViewHistory;
--- /dev/null
+++ b/crates/sched/src/target/prefix_table.rs
@@ -0,0 +1,77 @@
+use std::collections::{BTreeMap, HashMap};
+
+/// Prefixes remembered.
+const PREFIX_LIMIT: usize = 8_192;
+/// Targets remembered for one prefix.
+const HOLDER_LIMIT: usize = 4;
+
+/// Which targets probably hold a prompt prefix; only a hint, since events are late and incomplete.
+///
+/// The fingerprint 0 stands for a prompt without a known prefix.
+///
+/// ```
+/// let mut table = sched::PrefixTable::default();
+/// table.note(7, 2, true);
+/// assert!(table.holders(7).contains(&2));
+/// table.note(7, 2, false);
+/// assert!(table.holders(7).is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct PrefixTable {
+    entries: HashMap<u64, PrefixEntry>,
+    by_age: BTreeMap<u64, u64>,
+    next_age: u64,
+}
+
+#[derive(Debug, Default)]
+struct PrefixEntry {
+    age: u64,
+    holders: Vec<usize>,
+}
+
+impl PrefixTable {
+    /// Notes that the target in `slot` holds a prefix, or no longer does.
+    pub fn note(&mut self, prefix: u64, slot: usize, held: bool) {
+        if prefix == 0 {
+            return;
+        }
+        if !held {
+            if let Some(entry) = self.entries.get_mut(&prefix) {
+                entry.holders.retain(|holder| *holder != slot);
+            }
+            return;
+        }
+        self.next_age += 1;
+        let entry = self.entries.entry(prefix).or_default();
+        self.by_age.remove(&entry.age);
+        entry.age = self.next_age;
+        entry.holders.retain(|holder| *holder != slot);
+        if entry.holders.len() == HOLDER_LIMIT {
+            entry.holders.remove(0);
+        }
+        entry.holders.push(slot);
+        self.by_age.insert(self.next_age, prefix);
+        self.evict();
+    }
+
+    /// Slots of the targets that probably hold a prefix.
+    pub fn holders(&self, prefix: u64) -> &[usize] {
+        let entry = self.entries.get(&prefix);
+        entry.map_or(&[], |entry| entry.holders.as_slice())
+    }
+
+    /// Forgets everything, for when slots were given to other targets.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+        self.by_age.clear();
+    }
+
+    fn evict(&mut self) {
+        if self.entries.len() <= PREFIX_LIMIT {
+            return;
+        }
+        if let Some((_, prefix)) = self.by_age.pop_first() {
+            self.entries.remove(&prefix);
+        }
+    }
+}
