--- /dev/null
+++ b/crates/load/src/trial/capacity.rs
@@ -0,0 +1,137 @@
+use base::{RequestId, TokenCount};
+use engine::{
+    EngineEvent, EngineModel, EngineProfile, EngineRequest, EngineTime, EventDetail, PrefixChain,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::WorkloadMix;
+
+/// Calls kept in flight; enough to keep the memory of an engine full.
+const IN_FLIGHT: usize = 96;
+/// Virtual time of the run and the part of it before tokens are counted.
+const LOOP_MICROS: u64 = 8 * 3_600_000_000;
+const LOOP_WARMUP: u64 = 1_800_000_000;
+const LOOP_SEED: u64 = 1;
+
+/// What one engine carries under a workload when it never runs out of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct EngineCapacity {
+    /// Output tokens each second.
+    pub tokens_per_s: f64,
+    /// Calls each second, from the mean output length.
+    pub requests_per_s: f64,
+    /// Mean output length of a call in tokens.
+    pub mean_output: f64,
+    /// Mean number of sequences in the batch.
+    pub mean_batch: f64,
+    /// Preemptions for each thousand requests.
+    pub preemptions_per_1000: f64,
+}
+
+/// Measures the capacity of one engine: its token rate in a closed loop with 96 calls in
+/// flight over 7.5 hours of virtual time, after half an hour that doesn't count.
+pub fn measure_capacity(mix: &WorkloadMix, profile: &EngineProfile) -> EngineCapacity {
+    let mut closed = ClosedLoop::new(mix, profile);
+    closed.run();
+    closed.capacity()
+}
+
+struct ClosedLoop<'a> {
+    mix: &'a WorkloadMix,
+    engine: EngineModel,
+    random: Pcg64Mcg,
+    tokens: u64,
+    finished: u64,
+    steps: u64,
+    batch_sum: u64,
+    early_preemptions: u64,
+}
+
+impl<'a> ClosedLoop<'a> {
+    fn new(mix: &'a WorkloadMix, profile: &EngineProfile) -> Self {
+        Self {
+            mix,
+            engine: EngineModel::new(profile.clone(), LOOP_SEED),
+            random: Pcg64Mcg::seed_from_u64(LOOP_SEED),
+            tokens: 0,
+            finished: 0,
+            steps: 0,
+            batch_sum: 0,
+            early_preemptions: 0,
+        }
+    }
+
+    fn run(&mut self) {
+        for slot in 0..IN_FLIGHT {
+            self.submit_slot(EngineTime::default(), slot);
+        }
+        while let Some(now) = self.engine.next_event_time() {
+            if now.as_micros() >= LOOP_MICROS {
+                return;
+            }
+            self.take_step(now);
+        }
+    }
+
+    fn take_step(&mut self, now: EngineTime) {
+        let counted = now.as_micros() >= LOOP_WARMUP;
+        let figures = self.engine.load_figures();
+        if counted {
+            self.steps += 1;
+            self.batch_sum += u64::from(figures.running);
+        } else {
+            self.early_preemptions = figures.preemptions;
+        }
+        for event in self.engine.advance(now) {
+            self.take_event(event, counted);
+        }
+    }
+
+    fn take_event(&mut self, event: EngineEvent, counted: bool) {
+        match event.detail {
+            EventDetail::Token { .. } => self.tokens += u64::from(counted),
+            EventDetail::Finished { request, .. } | EventDetail::Failed { request, .. } => {
+                self.finished += u64::from(counted);
+                self.submit_slot(event.at, slot_index(&request));
+            }
+            _ => {}
+        }
+    }
+
+    fn submit_slot(&mut self, now: EngineTime, slot: usize) {
+        let spec = self.mix.draw_any(&mut self.random);
+        // A letter and digits are always a valid name.
+        let id: RequestId = format!("s{slot}").parse().expect("valid request id");
+        let prompt = TokenCount(spec.prompt_tokens);
+        let mut request = EngineRequest::new(id, prompt, TokenCount(spec.output_tokens));
+        if spec.prefix_tokens > 0 {
+            request = request.with_prefix(PrefixChain {
+                fingerprint: spec.prefix,
+                tokens: TokenCount(spec.prefix_tokens),
+            });
+        }
+        // Fewer calls are in flight than the queue holds, so none is refused.
+        let _ = self.engine.submit(now, request);
+    }
+
+    fn capacity(&self) -> EngineCapacity {
+        let seconds = (LOOP_MICROS - LOOP_WARMUP) as f64 / 1e6;
+        let tokens_per_s = self.tokens as f64 / seconds;
+        let mean_output = self.mix.mean_output();
+        let preemptions = self.engine.load_figures().preemptions - self.early_preemptions;
+        EngineCapacity {
+            tokens_per_s,
+            requests_per_s: tokens_per_s / mean_output.max(1.0),
+            mean_output,
+            mean_batch: self.batch_sum as f64 / self.steps.max(1) as f64,
+            preemptions_per_1000: preemptions as f64 * 1e3 / self.finished.max(1) as f64,
+        }
+    }
+}
+
+fn slot_index(request: &RequestId) -> usize {
+    let digits = request.as_str().strip_prefix('s');
+    digits.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
