--- a/crates/member/examples/traffic.rs
+++ b/crates/member/examples/traffic.rs
@@ -23,7 +23,9 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(1);
     println!("seed {seed}, {OVERHEAD} bytes of overhead a message, budget {BUDGET} B/s");
-    println!("fleet           phase            payload B/s  with overhead  max node  msg/s  cpu %");
+    println!(
+        "fleet           phase            payload B/s  with overhead  max node  msg/s  cpu %  sync %"
+    );
     for (domains, count, targets) in [(1, 8, 16), (1, 26, 288), (17, 26, 288)] {
         measure_fleet(domains, count, targets, seed);
     }
@@ -105,6 +107,7 @@
         .iter()
         .map(|node| (node.sent_bytes, node.sent_messages))
         .collect();
+    let old_sync = sync_bytes(network);
     let begin = Instant::now();
     for second in 0..seconds {
         step(network, second);
@@ -124,11 +127,19 @@
     }
     let scale = count * seconds;
     println!(
-        "{label:15} {phase:16} {:11} {:14} {:9} {:6.1} {:6.3}",
+        "{label:15} {phase:16} {:11} {:14} {:9} {:6.1} {:6.3} {:7.1}",
         bytes / scale,
         (bytes + messages * OVERHEAD) / scale,
         largest / seconds,
         messages as f64 / scale as f64,
         cpu * 100.0 / scale as f64,
+        (sync_bytes(network) - old_sync) as f64 * 100.0 / bytes as f64,
     );
 }
+
+/// Payload bytes of all comparisons of views.
+fn sync_bytes(network: &FakeNetwork) -> u64 {
+    let kinds = network.kinds.iter();
+    let sync = kinds.filter(|(kind, _)| kind.starts_with("sync"));
+    sync.map(|(_, (_, bytes))| bytes).sum()
+}
--- a/crates/member/src/record/target_merge.rs
+++ b/crates/member/src/record/target_merge.rs
@@ -31,6 +31,23 @@
 ///
 /// The later run wins. Within one run a drain is never taken back, while the latest version tells
 /// whether the run is dead: a target that was only unreachable comes back without losing its drain.
+///
+/// ```
+/// use base::IncarnationNumber;
+/// use schema::member::{TargetDrain, TargetRecord};
+/// let leaving = TargetRecord {
+///     target: "quill-1".parse().unwrap(),
+///     domain: "balaju".parse().unwrap(),
+///     incarnation: IncarnationNumber(7),
+///     drain: TargetDrain::Leaving,
+///     version: 0,
+///     dead: false,
+/// };
+/// let open = TargetRecord { drain: TargetDrain::Open, ..leaving.clone() };
+/// assert_eq!(member::merge_targets(&open, &leaving), leaving);
+/// let next_run = TargetRecord { incarnation: IncarnationNumber(8), ..open };
+/// assert_eq!(member::merge_targets(&next_run, &leaving), next_run);
+/// ```
 pub fn merge_targets(left: &TargetRecord, right: &TargetRecord) -> TargetRecord {
     if left.incarnation != right.incarnation {
         let newest = if left.incarnation > right.incarnation {
--- a/crates/member/src/settings/member_settings.rs
+++ b/crates/member/src/settings/member_settings.rs
@@ -44,7 +44,7 @@
     pub sync_gap: TimeSpan,
     /// Comparisons of views that this node answers in a second.
     pub sync_answers: u32,
-    /// Records in one message of a comparison of views.
+    /// Nodes, and targets, in one message of a comparison of views.
     pub sync_records: usize,
     /// Nodes of a domain that keep the links to other domains.
     pub bridges: usize,
--- a/crates/member/src/table/anti_entropy.rs
+++ b/crates/member/src/table/anti_entropy.rs
@@ -10,7 +10,7 @@
 use super::{MemberAction, MemberTable, ViewState};
 use crate::merge_targets;
 use crate::record::{PART_COUNT, part_of};
-use crate::view::{DomainView, TableScope};
+use crate::view::{DomainView, NodeEntry, TableScope};
 
 /// Time without a change after which rumours are taken to have arrived.
 const SETTLE_TIME: TimeSpan = TimeSpan::new(1_500);
@@ -131,6 +131,7 @@
         if records.wanted.is_empty() {
             return self.finish_sync(offer.sequence, actions);
         }
+        self.limit_records(&mut records);
         self.send(from, MessageBody::SyncRecords(records), actions);
     }
 
@@ -214,20 +215,19 @@
         mask: u16,
         scope: TableScope,
     ) {
-        let limit = self.settings.sync_records;
-        for entry in view.nodes() {
-            let known = entry.record.incarnation.0 != 0;
-            let wanted = known && has_part(mask, entry.record.node.as_str());
-            if wanted && records.nodes.len() < limit {
-                records.nodes.push(entry.record.clone());
-            }
-        }
-        for record in view.targets(scope) {
-            let wanted = has_part(mask, record.target.as_str());
-            if wanted && records.targets.len() < limit {
-                records.targets.push(record.clone());
-            }
-        }
+        let known = |entry: &&NodeEntry| entry.record.incarnation.0 != 0;
+        let nodes = view.nodes().iter().filter(known).map(|entry| &entry.record);
+        let nodes = nodes.filter(|record| has_part(mask, record.node.as_str()));
+        records.nodes.extend(nodes.cloned());
+        let targets = view.targets(scope);
+        let targets = targets.filter(|record| has_part(mask, record.target.as_str()));
+        records.targets.extend(targets.cloned());
+    }
+
+    /// Bounds a message; what is left out follows in the next comparison.
+    fn limit_records(&self, records: &mut SyncRecordsBody) {
+        records.nodes.truncate(self.settings.sync_records);
+        records.targets.truncate(self.settings.sync_records);
     }
 
     /// Records of the wanted parts that the asker does not have already.
@@ -253,6 +253,7 @@
         let told = |record: &TargetRecord| targets.get(&record.target) == Some(&record);
         answer.targets.retain(|record| !told(record));
         self.add_corrections(&mut answer, asked);
+        self.limit_records(&mut answer);
         answer
     }
 
--- a/crates/member/src/table/member_table.rs
+++ b/crates/member/src/table/member_table.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, DomainName, IncarnationNumber, NodeName, RevisionNumber, TargetName};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use schema::member::{NodeRecord, NodeState, PayloadRecord};
+use schema::member::{NodeRecord, NodeState, PayloadRecord, TargetRecord};
 
 use super::{MemberAction, NodeView, TargetView, ViewState};
 use crate::gossip::RumorQueue;
@@ -164,6 +164,7 @@
     ///
     /// The table finds pauses longer than `pause_limit` itself from the gap between two ticks.
     pub fn on_resume(&mut self, now: ClockTime, actions: &mut Vec<MemberAction>) {
+        self.last_tick = Some(now);
         self.pending.clear();
         self.health.worsen(2);
         let fresh = now + self.health.scale(self.settings.suspicion_time);
@@ -249,15 +250,19 @@
         Some(self.summarise(view, TableScope::Full).revision)
     }
 
-    /// What is known of a target; `None` if no source ever told of it.
+    /// What is known of a target; `None` if no source told of it, or if it belongs to another
+    /// domain and was not in trouble lately.
     pub fn target(&self, domain: &DomainName, target: &TargetName) -> Option<TargetView> {
-        let record = &self.view.domain(domain)?.target(target)?.record;
-        Some(TargetView {
-            target: record.target.clone(),
-            domain: record.domain.clone(),
-            incarnation: record.incarnation,
-            state: target_state(record),
-        })
+        let entry = self.view.domain(domain)?.target(target)?;
+        Some(show_target(&entry.record))
+    }
+
+    /// What is known of the targets of a domain, sorted by name.
+    pub fn targets(&self, domain: &DomainName) -> Vec<TargetView> {
+        let Some(view) = self.view.domain(domain) else {
+            return Vec::new();
+        };
+        view.targets(TableScope::Full).map(show_target).collect()
     }
 
     /// Run of this process.
@@ -309,3 +314,12 @@
         heard: entry.heard,
     }
 }
+
+fn show_target(record: &TargetRecord) -> TargetView {
+    TargetView {
+        target: record.target.clone(),
+        domain: record.domain.clone(),
+        incarnation: record.incarnation,
+        state: target_state(record),
+    }
+}
--- a/crates/member/tests/targets.rs
+++ b/crates/member/tests/targets.rs
@@ -206,3 +206,25 @@
     assert_eq!(state(&network, 5), None);
     assert!(network.agrees_within(0..4) && network.agrees_within(4..8));
 }
+
+/// Guards against records beyond the limit of one message that never follow.
+#[test]
+fn node_that_joins_gets_more_targets_than_fit_in_one_message() {
+    let mut network = FakeNetwork::settled(1, 3, 126);
+    for number in 0..2_500 {
+        let mut seen = observation(Some(7), TargetState::Alive, true);
+        seen.target = format!("quill-{number}").parse().unwrap();
+        network.observe(number % 3, &seen);
+    }
+    network.run(60_000);
+    network.start(2);
+    network.run(30_000);
+    assert!(network.agrees());
+    assert_eq!(
+        network.nodes[2]
+            .table()
+            .targets(&"balaju0".parse().unwrap())
+            .len(),
+        2_500
+    );
+}
