--- a/crates/fleet/src/spread/platform_watch.rs
+++ b/crates/fleet/src/spread/platform_watch.rs
@@ -39,11 +39,11 @@
 impl PlatformWatch {
     /// Creates a watch that is off.
     pub fn new(settings: &RevisionSettings) -> Self {
-        let backoff = RetryBackoff::new(settings.backoff_least, settings.backoff_most);
+        let least = settings.backoff_least;
         Self {
             budget: CallBudget::new(settings.calls_per_second, settings.call_burst),
-            read_backoff: backoff.clone(),
-            backoff,
+            backoff: RetryBackoff::new(least, settings.backoff_most),
+            read_backoff: RetryBackoff::new(least, settings.incomplete_backoff_most),
             wait: settings.watch_wait,
             grace: settings.watch_grace,
             read_timeout: settings.read_timeout,
--- a/crates/fleet/src/spread/revision_settings.rs
+++ b/crates/fleet/src/spread/revision_settings.rs
@@ -34,8 +34,13 @@
     pub read_timeout: TimeSpan,
     /// Least delay after a platform error.
     pub backoff_least: TimeSpan,
-    /// Longest delay after a platform error.
+    /// Longest delay of a reader after a platform error. There are two readers in a domain, so
+    /// that a short one costs the platform little.
     pub backoff_most: TimeSpan,
+    /// Longest delay between two reads of keys that are missing although the head lists them.
+    pub incomplete_backoff_most: TimeSpan,
+    /// Longest delay between two reads by a starting node that is no reader.
+    pub check_backoff_most: TimeSpan,
     /// Platform calls a second of one node in the long run.
     pub calls_per_second: u64,
     /// Platform calls of one node at once.
@@ -73,11 +78,13 @@
             pull_keys: 256,
             pull_timeout: TimeSpan::new(500),
             peer_cooldown: TimeSpan::from_secs(2),
-            watch_wait: TimeSpan::from_secs(30),
-            watch_grace: TimeSpan::from_secs(5),
+            watch_wait: TimeSpan::from_secs(10),
+            watch_grace: TimeSpan::from_secs(2),
             read_timeout: TimeSpan::from_secs(2),
             backoff_least: TimeSpan::new(500),
-            backoff_most: TimeSpan::from_secs(30),
+            backoff_most: TimeSpan::from_secs(2),
+            incomplete_backoff_most: TimeSpan::from_secs(10),
+            check_backoff_most: TimeSpan::from_secs(30),
             calls_per_second: 4,
             call_burst: 16,
             single_reads: 4,
--- a/crates/fleet/src/spread/revision_view.rs
+++ b/crates/fleet/src/spread/revision_view.rs
@@ -98,7 +98,7 @@
             confirmed_at: None,
             start: StartCheck::Idle,
             check_at: ClockTime::ZERO,
-            check_backoff: RetryBackoff::new(settings.start_wait, settings.backoff_most),
+            check_backoff: RetryBackoff::new(settings.start_wait, settings.check_backoff_most),
             greet_at: ClockTime::ZERO,
             pushes_left: 0,
             push_at: ClockTime::ZERO,
@@ -267,11 +267,10 @@
         stamp: RevisionStamp,
         source: SetSource,
         set: KeySet,
-        declaration: FleetDeclaration,
+        declaration: Arc<FleetDeclaration>,
         actions: &mut Vec<RevisionAction>,
     ) {
         let set = Arc::new(set);
-        let declaration = Arc::new(declaration);
         self.history.push(stamp, Arc::clone(&set));
         self.accepted = Some(AcceptedRevision {
             stamp,
--- a/crates/fleet/src/spread/revision_view_platform.rs
+++ b/crates/fleet/src/spread/revision_view_platform.rs
@@ -73,6 +73,14 @@
         if !self.is_wanted(stamp) {
             return;
         }
+        // A watch that ended without a change must not restart the delays of the reads.
+        if self
+            .from_platform
+            .as_ref()
+            .is_some_and(|set| set.stamp == stamp)
+        {
+            return;
+        }
         let spare = self.from_platform.take();
         let mut pending = PendingSet::new(stamp, SetSource::Platform);
         let known: Vec<_> = self.accepted.iter().map(|a| &*a.set).collect();
--- a/crates/fleet/src/spread/set_acceptance.rs
+++ b/crates/fleet/src/spread/set_acceptance.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::{DeclarationMistake, FleetDeclaration, KeySet, accept};
 
 /// The verdict on a complete key set.
@@ -7,7 +9,7 @@
     /// # Errors
     ///
     /// Returns every mistake of an invalid set.
-    fn judge(&mut self, set: &KeySet) -> Result<FleetDeclaration, Vec<DeclarationMistake>>;
+    fn judge(&mut self, set: &KeySet) -> Result<Arc<FleetDeclaration>, Vec<DeclarationMistake>>;
 }
 
 /// The verdict of [`accept`], which depends on the set alone.
@@ -15,7 +17,7 @@
 pub struct PureAcceptance;
 
 impl SetAcceptance for PureAcceptance {
-    fn judge(&mut self, set: &KeySet) -> Result<FleetDeclaration, Vec<DeclarationMistake>> {
-        accept(set)
+    fn judge(&mut self, set: &KeySet) -> Result<Arc<FleetDeclaration>, Vec<DeclarationMistake>> {
+        accept(set).map(Arc::new)
     }
 }
--- a/crates/fleet/tests/support/fake_node.rs
+++ b/crates/fleet/tests/support/fake_node.rs
@@ -12,6 +12,8 @@
     pub is_reader: bool,
     /// Time and revision of each acceptance, over all incarnations.
     pub accepted: Vec<(u64, RevisionStamp)>,
+    /// The incarnation of each acceptance.
+    pub accepted_in: Vec<u32>,
     /// Time and revision in effect when the node became ready, for each incarnation.
     pub ready: Vec<(u64, RevisionStamp)>,
     pub rejections: usize,
@@ -30,6 +32,7 @@
             paused_until: 0,
             is_reader: false,
             accepted: Vec::new(),
+            accepted_in: Vec::new(),
             ready: Vec::new(),
             rejections: 0,
             ignored: 0,
@@ -53,4 +56,13 @@
         let reached = self.accepted.iter().find(|(_, known)| *known >= stamp);
         reached.map(|(at, _)| (*at).max(since))
     }
+
+    /// The revisions that each incarnation accepted, in order.
+    pub fn runs(&self) -> Vec<Vec<RevisionStamp>> {
+        let mut runs = vec![Vec::new(); self.incarnation as usize + 1];
+        for ((_, stamp), run) in self.accepted.iter().zip(&self.accepted_in) {
+            runs[*run as usize].push(*stamp);
+        }
+        runs
+    }
 }
--- a/crates/schema/src/check/read.rs
+++ b/crates/schema/src/check/read.rs
@@ -41,7 +41,7 @@
 /// ";
 /// let settings = schema::read_settings("node.ini", text).unwrap();
 /// assert_eq!(settings.node.name.as_str(), "n1");
-/// assert_eq!(settings.platform.wait_ms, 30_000);
+/// assert_eq!(settings.platform.wait_ms, 10_000);
 /// ```
 pub fn read_settings(
     file_name: &str,
