Write the settings reference from the schemas; keep Confirmed on a bad newer set

Cause: the reference page would drift from the schemas by hand. A newer set that is incomplete or unreadable made readers report the platform as out of reach after 12 s. A platform answer vouches for the accepted revision also when what is newer can't take effect. Conclusion: status names the operators' mistake instead of a lost platform.

--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,14 +1,18 @@
-//! Writes the Rust types of the JSON Schemas in `crates/schema/schema`.
+//! Writes the Rust types of the JSON Schemas in `crates/schema/schema` and `docs/settings.md`.
 //!
 //! `cargo run -p codegen` writes them; `cargo run -p codegen -- --check` only tells whether the
 //! committed ones are current.
 
+mod reference;
+
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::{env, fs};
 
+use reference::write_reference;
 use schemars::schema::RootSchema;
+use serde_json::Value;
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 type GenResult<T> = Result<T, Box<dyn Error>>;
@@ -54,25 +58,43 @@
 }
 
 fn run(check: bool) -> GenResult<bool> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../schema");
     let mut current = true;
-    for path in schema_files(&root.join("schema"))? {
-        let text = generate_types(&path)?;
-        let stem = path.file_stem().unwrap_or_default();
-        let target = root.join("src/generated").join(stem).with_extension("rs");
-        if fs::read_to_string(&target).is_ok_and(|old| old == text) {
+    for (path, text) in generate_files()? {
+        if fs::read_to_string(&path).is_ok_and(|old| old == text) {
             continue;
         }
         current = false;
         if check {
-            eprintln!("codegen: {} is not current", stem.to_string_lossy());
+            let name = path.file_name().unwrap_or_default();
+            eprintln!("codegen: {} is not current", name.to_string_lossy());
         } else {
-            fs::write(&target, text)?;
+            fs::write(&path, text)?;
         }
     }
     Ok(current || !check)
 }
 
+/// Every generated file with its text.
+fn generate_files() -> GenResult<Vec<(PathBuf, String)>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../schema");
+    let schemas = root.join("schema");
+    let mut files = Vec::new();
+    for path in schema_files(&schemas)? {
+        let stem = path.file_stem().unwrap_or_default();
+        let target = root.join("src/generated").join(stem).with_extension("rs");
+        files.push((target, generate_types(&path)?));
+    }
+    let settings = read_schema(&schemas.join("settings.json"))?;
+    let declaration = read_schema(&schemas.join("declaration.json"))?;
+    let page = root.join("../../docs/settings.md");
+    files.push((page, write_reference(&settings, &declaration)));
+    Ok(files)
+}
+
+fn read_schema(path: &Path) -> GenResult<Value> {
+    Ok(serde_json::from_str(&fs::read_to_string(path)?)?)
+}
+
 fn schema_files(folder: &Path) -> GenResult<Vec<PathBuf>> {
     let mut files = Vec::new();
     for entry in fs::read_dir(folder)? {
--- a/crates/fleet/src/spread/revision_settings.rs
+++ b/crates/fleet/src/spread/revision_settings.rs
@@ -60,6 +60,13 @@
 }
 
 impl RevisionSettings {
+    /// Returns these settings with another wait of one platform watch, as `wait_ms` gives it.
+    #[must_use]
+    pub fn with_watch_wait(mut self, wait: TimeSpan) -> Self {
+        self.watch_wait = wait;
+        self
+    }
+
     /// Time for which a platform answer vouches for a revision.
     pub fn confirm_limit(&self) -> TimeSpan {
         self.watch_wait + self.watch_grace
--- a/crates/fleet/src/spread/revision_view_platform.rs
+++ b/crates/fleet/src/spread/revision_view_platform.rs
@@ -39,6 +39,8 @@
         keys.iter().for_each(|key| pending.take_text(key));
         self.settle_platform(now, pending, &mut actions);
         if self.from_platform.is_some() {
+            // The platform is there, and the newer set is not whole: the accepted one stands.
+            self.confirmed_at = Some(now);
             self.watch.delay_keys(now, &mut self.rng);
         }
         self.proceed(now, actions)
@@ -60,7 +62,7 @@
     ) {
         let file = match HeadFile::parse(&head.text) {
             Ok(file) => file,
-            Err(mistakes) => return self.refuse_head(head, mistakes, actions),
+            Err(mistakes) => return self.refuse_head(now, head, mistakes, actions),
         };
         let stamp = RevisionStamp::with_epoch(file.epoch, head.modify_index, &head.text);
         self.platform_stale = None;
@@ -97,12 +99,16 @@
     /// The epoch of a head that can't be parsed is unknown; the current one is assumed.
     fn refuse_head(
         &mut self,
+        now: ClockTime,
         head: &PlatformHead,
         mistakes: Vec<schema::SettingMistake>,
         actions: &mut Vec<RevisionAction>,
     ) {
         let epoch = self.stamp().map_or(0, |stamp| stamp.revision.epoch);
         let stamp = RevisionStamp::with_epoch(epoch, head.modify_index, &head.text);
+        if Some(stamp) > self.stamp() {
+            self.confirmed_at = Some(now);
+        }
         if !self.is_wanted(stamp) {
             return;
         }
--- a/crates/fleet/tests/spread_scenarios.rs
+++ b/crates/fleet/tests/spread_scenarios.rs
@@ -122,6 +122,10 @@
     fleet.wake_watches();
     fleet.run_for(20_000);
     assert!(fleet.all_have(before));
+    // The platform answers, so that status must not call it out of reach.
+    let now = base::ClockTime::new(fleet.now);
+    let mut views = fleet.nodes.iter().filter_map(|node| node.view.as_ref());
+    assert!(views.all(|view| view.status(now).basis == RevisionBasis::Confirmed));
     let calls = fleet.platform.calls;
     fleet.run_for(60_000);
     assert!(
@@ -135,6 +139,27 @@
     assert!(fleet.all_have(stamp));
 }
 
+/// Guards against a head that can't be read and takes the declaration or the platform away.
+#[test]
+fn an_unreadable_head_is_rejected_and_the_revision_stays() {
+    let (mut fleet, texts) = settled(2, 8, 10);
+    let before = fleet.nodes[0].stamp().unwrap();
+    fleet.platform.state.write("head", "epoch = one");
+    fleet.wake_watches();
+    fleet.run_for(30_000);
+    assert!(fleet.all_have(before));
+    let now = base::ClockTime::new(fleet.now);
+    for reader in fleet.readers_of(0) {
+        let status = fleet.nodes[reader].view.as_ref().unwrap().status(now);
+        assert_eq!(status.basis, RevisionBasis::Confirmed);
+        assert_eq!(status.rejected.unwrap().mistakes.len(), 1);
+        assert_eq!(fleet.nodes[reader].rejections, 1);
+    }
+    let stamp = fleet.publish(1, &texts.keys(1));
+    fleet.run_for(BOUND_MS);
+    assert!(fleet.all_have(stamp));
+}
+
 /// Guards against an invalid set that replaces a valid one or is fetched again and again.
 #[test]
 fn an_invalid_set_is_rejected_once_and_shown() {
