Let the loader look at its whole domain before it grants

Cause: with nodes that probe only their own targets, a loader without work for ten seconds took the targets of others for absent, and a second wave began before the first one had finished. Leave is given back while a repeated order waits, so that it holds up nobody else. Conclusion: the shell need not probe the whole domain from every node.

--- a/crates/orders/src/board/order_board.rs
+++ b/crates/orders/src/board/order_board.rs
@@ -499,6 +499,7 @@
         };
         let open_at = self.loops[at].open_at(&action);
         if self.settings.guards.backoff && open_at.is_some_and(|open_at| now < open_at) {
+            self.holder.give_back(target);
             return Some(BlockReason::BackingOff);
         }
         let name = rollout.map(|position| plan.rollouts[position].name.clone());
--- a/crates/orders/src/slot/slot_ledger.rs
+++ b/crates/orders/src/slot/slot_ledger.rs
@@ -48,6 +48,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SlotLedger {
     since: Option<ClockTime>,
+    looks_since: Option<ClockTime>,
+    asked_at: Option<ClockTime>,
     entries: Vec<SlotEntry>,
     asks: Vec<NodeAsk>,
 }
@@ -118,6 +120,7 @@
             }
             self.asks.remove(at);
         }
+        self.note_need(view, &ask);
         self.take_back(view.now, node, run, &ask);
         self.learn_held(view, node, run, &ask);
         self.asks.push(NodeAsk {
@@ -184,7 +187,21 @@
         ByteRate(sum)
     }
 
-    /// A new loader waits until its predecessor's grants are in use, and visible, or dropped.
+    /// After a time without needs the view of the domain may have aged.
+    fn note_need(&mut self, view: &DomainView<'_>, ask: &SlotAsk) {
+        if ask.wants.is_empty() {
+            return;
+        }
+        let quiet = |at| view.now - at > view.timing.absent_after;
+        if self.asked_at.is_none_or(quiet) {
+            self.looks_since = Some(view.now);
+        }
+        self.asked_at = Some(view.now);
+    }
+
+    /// A new loader waits until its predecessor's grants are in use, and visible, or dropped. Any
+    /// loader looks at all targets first; those that do not answer hold nothing up, since what
+    /// they may still load is the predecessor's half.
     fn is_open(&self, view: &DomainView<'_>) -> bool {
         let Some(opens_at) = self.opens_at(view.timing.settle) else {
             return false;
@@ -192,11 +209,12 @@
         if view.now < opens_at {
             return false;
         }
-        // Absent targets hold nothing up: what they may still load is the predecessor's half.
+        let looks_since = self.looks_since.unwrap_or(opens_at).max(opens_at);
+        let looked = view.now - looks_since > view.timing.capacity_age;
         let mut positions = 0..view.actuals.len();
-        positions.all(|position| {
-            let actual = view.actual(position);
-            actual.is_none_or(|actual| actual.observed_at >= opens_at)
+        positions.all(|position| match view.actual(position) {
+            Some(actual) => actual.observed_at >= opens_at,
+            None => looked,
         })
     }
 
--- a/crates/orders/tests/rollout.rs
+++ b/crates/orders/tests/rollout.rs
@@ -264,3 +264,36 @@
     assert!(odd.clone().all(|target| target.has("1")));
     assert_eq!(fleet.count_ready(0), 3);
 }
+
+/// Guards against a wave that begins before the one before it serves, also if a node probes only
+/// the targets that it owns.
+#[test]
+fn waves_follow_one_another() {
+    for probe_all in [true, false] {
+        let shape = FleetShape {
+            targets: 10,
+            least: 90,
+            ..FleetShape::default()
+        };
+        let mut fleet = FakeFleet::holding(&shape, on(), "1");
+        fleet.probe_all = probe_all;
+        fleet.declare(1, &shape.version("1"));
+        fleet.run(TimeSpan::from_secs(20));
+        let late = fleet.owner("d0-e000");
+        assert_ne!(late, fleet.loader());
+        fleet.pause(late, TimeSpan::from_secs(5));
+        fleet.declare(2, &shape);
+        let loads = |fleet: &FakeFleet| fleet.count_orders("load");
+        for wave in 0..10 {
+            let began = fleet.run_until(LONG, |fleet| loads(fleet) > wave);
+            assert!(began.is_some(), "{}", fleet.report());
+            let earlier = &fleet.targets[..wave];
+            assert!(
+                earlier.iter().all(|target| target.has("2")),
+                "{}",
+                fleet.report()
+            );
+        }
+        assert_eq!(loads(&fleet), 10);
+    }
+}
