--- a/crates/orders/src/board/mod.rs
+++ b/crates/orders/src/board/mod.rs
@@ -1,7 +1,11 @@
 //! The board of one node over all targets of its domain.
 
 mod board_action;
+mod board_drive;
+mod board_peers;
 mod board_settings;
+mod board_slots;
+mod board_status;
 mod board_view;
 mod domain_view;
 mod guard_switches;
--- a/crates/orders/src/board/order_board.rs
+++ b/crates/orders/src/board/order_board.rs
@@ -1,22 +1,15 @@
 use base::{ClockTime, EventKind, NodeName, RevisionNumber, TargetName, top_owner};
 use fleet::FleetDeclaration;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use smol_str::{SmolStr, format_smolstr};
 
-use super::rollout_gates::RolloutGates;
 use super::{BoardAction, BoardSettings, BoardView, DomainView, MessageBody, OrderMessage};
-use crate::reconcile::find_victim;
 use crate::{
-    BlockReason, ConvergenceReport, DomainPlan, FailureCount, FencingClock, FencingNumber,
-    LoadState, NeededStep, OrderAction, OrderLoop, OrderOutcome, RolloutKey, RolloutRow,
-    RolloutState, RolloutSummary, SlotAsk, SlotHolder, SlotLedger, SlotWant, StepNeed,
-    TargetActual, TargetOrder, TargetRow, WantedVersion, loader_of, next_step,
+    BlockReason, DomainPlan, FailureCount, FencingClock, FencingNumber, OrderLoop, OrderOutcome,
+    RolloutKey, RolloutState, RolloutSummary, SlotHolder, SlotLedger, TargetActual, TargetOrder,
 };
 
-/// Ticks between two messages that repeat the failures to one peer.
-const REPEAT_TICKS: u64 = 40;
-
 /// The reconciliation of all targets of one domain at one node.
 ///
 /// The shell passes in events with the present time, calls [`OrderBoard::on_tick`] about every
@@ -32,24 +25,24 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct OrderBoard {
-    settings: BoardSettings,
-    plan: Option<DomainPlan>,
-    view: BoardView,
-    loops: Vec<OrderLoop>,
-    actuals: Vec<Option<TargetActual>>,
-    stale_rows: Vec<bool>,
-    failures: FailureCount,
-    told_failures: bool,
-    ledger: SlotLedger,
-    holder: SlotHolder,
-    clock: FencingClock,
-    random: Pcg64Mcg,
-    ticks: u64,
-    last_tick: Option<ClockTime>,
-    hello_at: Option<ClockTime>,
-    rollout_since: Vec<(RolloutState, ClockTime)>,
-    was_converged: bool,
-    actions: Vec<BoardAction>,
+    pub(super) settings: BoardSettings,
+    pub(super) plan: Option<DomainPlan>,
+    pub(super) view: BoardView,
+    pub(super) loops: Vec<OrderLoop>,
+    pub(super) actuals: Vec<Option<TargetActual>>,
+    pub(super) stale_rows: Vec<bool>,
+    pub(super) failures: FailureCount,
+    pub(super) told_failures: bool,
+    pub(super) ledger: SlotLedger,
+    pub(super) holder: SlotHolder,
+    pub(super) clock: FencingClock,
+    pub(super) random: Pcg64Mcg,
+    pub(super) ticks: u64,
+    pub(super) last_tick: Option<ClockTime>,
+    pub(super) hello_at: Option<ClockTime>,
+    pub(super) rollout_since: Vec<(RolloutState, ClockTime)>,
+    pub(super) was_converged: bool,
+    pub(super) actions: Vec<BoardAction>,
 }
 
 impl OrderBoard {
@@ -275,11 +268,6 @@
         at.is_some_and(|at| self.loops[at].is_owned())
     }
 
-    /// What a target needs next by its last observation, whoever gives the orders.
-    pub fn next_step(&self, target: &TargetName) -> Option<NeededStep> {
-        self.step_of(self.plan.as_ref()?, self.position(target)?)
-    }
-
     /// Tells whether this node grants slots in its domain.
     pub fn is_loader(&self) -> bool {
         self.ledger.is_active()
@@ -301,41 +289,7 @@
         loops.map(|state| (state.target(), state.orders()))
     }
 
-    /// State of a rollout in this domain.
-    pub fn rollout_state(&self, now: ClockTime, name: &str) -> Option<RolloutState> {
-        let at = self.plan.as_ref()?.rollout(name)?;
-        Some(self.rollout_row(now, at)?.state)
-    }
-
-    /// Declared and actual state of the domain as this node sees it.
-    pub fn report(&self, now: ClockTime) -> ConvergenceReport {
-        let mut report = ConvergenceReport {
-            now,
-            ..ConvergenceReport::default()
-        };
-        let Some(plan) = &self.plan else {
-            report.missing.push(self.settings.domain.clone());
-            return report;
-        };
-        for (at, target) in plan.targets.iter().enumerate() {
-            let actual = self.actuals[at].as_ref();
-            report.targets.push(TargetRow {
-                domain: plan.domain.clone(),
-                target: target.name.clone(),
-                revision: plan.revision,
-                declared: format_smolstr!("{target}"),
-                actual: actual.map(actual_text).unwrap_or_default(),
-                blocked: self.loops[at].status(),
-                since: self.loops[at].since(),
-                owned: self.loops[at].is_owned(),
-            });
-        }
-        let rows = (0..plan.rollouts.len()).filter_map(|at| self.rollout_row(now, at));
-        report.rollouts = rows.filter(|row| row.selected > 0).collect();
-        report
-    }
-
-    fn position(&self, target: &TargetName) -> Option<usize> {
+    pub(super) fn position(&self, target: &TargetName) -> Option<usize> {
         self.plan.as_ref()?.position(target)
     }
 
@@ -349,38 +303,8 @@
         }
     }
 
-    fn set_loader(&mut self, now: ClockTime) {
-        let Some(plan) = &self.plan else {
-            return;
-        };
-        let loader = loader_of(plan, &self.view.live, &self.settings.guards);
-        let mine = loader.as_ref() == Some(&self.settings.node);
-        self.ledger.set_active(mine.then_some(now));
-        if self.holder.loader() != loader.as_ref() {
-            let used = self.used_slots();
-            let in_use = |target: &TargetName| used.contains(target);
-            self.holder.set_loader(loader, in_use);
-        }
-    }
-
-    fn drop_unused(&mut self) {
-        let used = self.used_slots();
-        self.holder.drop_unused(|target| used.contains(target));
-    }
-
-    /// Targets that load or are being told to.
-    fn used_slots(&self) -> Vec<TargetName> {
-        let pairs = self.loops.iter().zip(&self.actuals);
-        let used = pairs.filter(|(state, actual)| {
-            let loading = actual.as_ref().is_some_and(TargetActual::is_loading);
-            let ordered = state.sent().is_some_and(|order| order.action.is_load());
-            state.is_owned() && (loading || ordered)
-        });
-        used.map(|(state, _)| state.target().clone()).collect()
-    }
-
     /// What forbids all orders of this node.
-    fn board_block(&self) -> Option<BlockReason> {
+    pub(super) fn board_block(&self) -> Option<BlockReason> {
         let Some(revision) = self.revision() else {
             return Some(BlockReason::NoDeclaration);
         };
@@ -391,7 +315,11 @@
         stale.then_some(BlockReason::StaleView)
     }
 
-    fn domain_view<'a>(&'a self, now: ClockTime, plan: &'a DomainPlan) -> DomainView<'a> {
+    pub(super) fn domain_view<'a>(
+        &'a self,
+        now: ClockTime,
+        plan: &'a DomainPlan,
+    ) -> DomainView<'a> {
         DomainView {
             now,
             since: self.view.resumed_at,
@@ -401,426 +329,6 @@
             timing: &self.settings.timing,
         }
     }
-
-    fn drive_all(&mut self, now: ClockTime, blocked: Option<BlockReason>) {
-        let Some(plan) = self.plan.take() else {
-            return;
-        };
-        self.holder.drop_aged(now, &self.settings.timing);
-        let mut wants = Vec::new();
-        for at in 0..self.loops.len() {
-            if !self.loops[at].is_owned() {
-                self.watch(now, &plan, at);
-                continue;
-            }
-            let status = match blocked {
-                Some(reason) => Some(reason),
-                None => self.drive(now, &plan, at, &mut wants),
-            };
-            self.loops[at].set_status(now, status);
-        }
-        self.plan = Some(plan);
-        if blocked.is_none() {
-            self.ask_loader(now, wants);
-        }
-    }
-
-    /// Without this a report between a new plan and the next tick would show the old verdict.
-    fn watch_all(&mut self, now: ClockTime) {
-        let Some(plan) = self.plan.take() else {
-            return;
-        };
-        for at in 0..self.loops.len() {
-            self.watch(now, &plan, at);
-        }
-        self.plan = Some(plan);
-    }
-
-    /// Keeps the status of a target that another node gives orders to.
-    fn watch(&mut self, now: ClockTime, plan: &DomainPlan, at: usize) {
-        let absent = self.domain_view(now, plan).actual(at).is_none();
-        if absent {
-            self.stale_rows[at] = true;
-            self.loops[at].set_status(now, Some(BlockReason::NotObserved));
-            return;
-        }
-        if !std::mem::take(&mut self.stale_rows[at]) {
-            return;
-        }
-        let status = match self.step_of(plan, at) {
-            Some(NeededStep::Converged) => None,
-            Some(NeededStep::Blocked(reason)) => Some(reason),
-            _ => Some(BlockReason::OrderDue),
-        };
-        self.loops[at].set_status(now, status);
-    }
-
-    fn step_of(&self, plan: &DomainPlan, at: usize) -> Option<NeededStep> {
-        let gates = RolloutGates {
-            plan,
-            failures: &self.failures,
-            state: &self.loops[at],
-            halt_rule: self.settings.guards.halt_rule,
-            repeat_limit: self.settings.timing.repeat_limit,
-        };
-        let actual = self.actuals[at].as_ref()?;
-        Some(next_step(&plan.targets[at], actual, &gates))
-    }
-
-    /// Takes one target forward and returns what stands in its way.
-    fn drive(
-        &mut self,
-        now: ClockTime,
-        plan: &DomainPlan,
-        at: usize,
-        wants: &mut Vec<SlotWant>,
-    ) -> Option<BlockReason> {
-        if self.loops[at].has_order(now) {
-            return Some(BlockReason::OrderPending);
-        }
-        if let Some(reason) = self.check_observed(now, plan, at) {
-            return Some(reason);
-        }
-        self.note_failures(now, plan, at);
-        let step = self.step_of(plan, at)?;
-        let target = &plan.targets[at].name;
-        let (action, need, rollout) = match step {
-            NeededStep::Converged => {
-                self.holder.give_back(target);
-                return None;
-            }
-            NeededStep::Blocked(reason) => {
-                if reason != BlockReason::Loading {
-                    self.holder.give_back(target);
-                }
-                return Some(reason);
-            }
-            NeededStep::Order(action, need, rollout) => (action, need, rollout),
-        };
-        let open_at = self.loops[at].open_at(&action);
-        if self.settings.guards.backoff && open_at.is_some_and(|open_at| now < open_at) {
-            self.holder.give_back(target);
-            return Some(BlockReason::BackingOff);
-        }
-        let name = rollout.map(|position| plan.rollouts[position].name.clone());
-        if !self.is_covered(target, &need) {
-            let reason = self.holder.refusal(target);
-            wants.extend(SlotWant::new(target.clone(), &need, name));
-            return Some(reason);
-        }
-        if self.settings.guards.reread && !self.is_reread(now, at) {
-            return Some(BlockReason::OrderDue);
-        }
-        self.send_order(now, plan, at, action, rollout);
-        Some(BlockReason::OrderPending)
-    }
-
-    fn check_observed(
-        &mut self,
-        now: ClockTime,
-        plan: &DomainPlan,
-        at: usize,
-    ) -> Option<BlockReason> {
-        let timing = &self.settings.timing;
-        let view = self.domain_view(now, plan);
-        let seen = view.actual(at);
-        let state = &self.loops[at];
-        if seen.is_some_and(|actual| state.accepts(actual)) {
-            return None;
-        }
-        if seen.is_none() {
-            self.holder.give_back(&plan.targets[at].name);
-        }
-        let state = &mut self.loops[at];
-        if now <= state.need_after() {
-            return Some(BlockReason::Settling);
-        }
-        if state.take_probe(now, timing) {
-            let probe = BoardAction::Probe(state.target().clone());
-            self.actions.push(probe);
-        }
-        Some(BlockReason::NotObserved)
-    }
-
-    fn is_covered(&mut self, target: &TargetName, need: &StepNeed) -> bool {
-        if *need == StepNeed::Free {
-            return true;
-        }
-        match self.holder.find(target) {
-            Some(slot) if slot.covers(need) => true,
-            Some(_) => {
-                self.holder.give_back(target);
-                false
-            }
-            None => false,
-        }
-    }
-
-    fn is_reread(&mut self, now: ClockTime, at: usize) -> bool {
-        let timing = &self.settings.timing;
-        let state = &mut self.loops[at];
-        let actual = self.actuals[at].as_ref();
-        if actual.is_some_and(|actual| state.is_reread(now, actual, timing)) {
-            return true;
-        }
-        state.begin_reread(now, timing);
-        if state.take_probe(now, timing) {
-            let probe = BoardAction::Probe(state.target().clone());
-            self.actions.push(probe);
-        }
-        false
-    }
-
-    fn send_order(
-        &mut self,
-        now: ClockTime,
-        plan: &DomainPlan,
-        at: usize,
-        action: OrderAction,
-        rollout: Option<usize>,
-    ) {
-        let target = &plan.targets[at].name;
-        let wall = self.settings.wall_offset + now.as_millis();
-        let fencing = match self.settings.guards.fencing {
-            true => self.clock.issue(plan.revision, wall),
-            false => FencingNumber::default(),
-        };
-        let slot = self.holder.find(target);
-        let rate = slot.and_then(|slot| slot.rate).filter(|_| action.is_load());
-        let run = self.actuals[at].as_ref().map(|actual| actual.incarnation);
-        if let Some(position) = rollout
-            && action.is_load()
-        {
-            self.loops[at].use_retry(&plan.rollouts[position].key);
-        }
-        let order = TargetOrder {
-            target: target.clone(),
-            incarnation: run.unwrap_or_default(),
-            fencing,
-            action,
-            rate,
-            issued_at: now,
-        };
-        self.holder.begin_use(target);
-        let jitter = self.random.random();
-        self.loops[at].begin(now, order.clone(), jitter, &self.settings.timing);
-        let (kind, detail) = (EventKind::OrderSent, format_smolstr!("{order}"));
-        self.actions.push(BoardAction::Log { kind, detail });
-        self.actions.push(BoardAction::Order(order));
-    }
-
-    /// Counts the failures that an owned target shows.
-    fn note_failures(&mut self, now: ClockTime, plan: &DomainPlan, at: usize) {
-        let target = &plan.targets[at];
-        for wanted in &target.wanted {
-            let Some(reason) = self.failure_of(plan, at, wanted) else {
-                continue;
-            };
-            for rollout in &wanted.rollouts {
-                if self.failures.has_failed(*rollout, &target.name) {
-                    continue;
-                }
-                self.told_failures = false;
-                let name = target.name.clone();
-                let halted = self.failures.add(now, plan, *rollout, name, reason.clone());
-                if halted {
-                    let detail = halt_text(plan, &self.failures, *rollout);
-                    let kind = EventKind::RolloutHalted;
-                    self.actions.push(BoardAction::Log { kind, detail });
-                }
-            }
-        }
-    }
-
-    fn failure_of(&self, plan: &DomainPlan, at: usize, wanted: &WantedVersion) -> Option<SmolStr> {
-        let actual = self.actuals[at].as_ref()?;
-        let state = &self.loops[at];
-        let limit = self.settings.timing.repeat_limit;
-        let entry = actual.version(&wanted.model, &wanted.version);
-        if let Some(LoadState::Failed {
-            reason,
-            memory_full,
-        }) = entry.map(|entry| &entry.state)
-        {
-            let mut keys = wanted.rollouts.iter();
-            let retry = keys.any(|at| state.may_retry(&plan.rollouts[*at].key));
-            let room = || find_victim(&plan.targets[at], wanted, actual).is_some();
-            let tried = state.repeats_load(wanted) >= limit;
-            let failed = !retry && (!memory_full || tried && !room());
-            return failed.then(|| reason.clone());
-        }
-        let vain = !wanted.is_served(actual) && state.vain_loads(wanted) >= limit;
-        vain.then(|| format_smolstr!("no effect after {limit} orders"))
-    }
-
-    fn ask_loader(&mut self, now: ClockTime, wants: Vec<SlotWant>) {
-        let Some(ask) = self.holder.next_ask(now, wants, &self.settings.timing) else {
-            return;
-        };
-        let Some(loader) = self.holder.loader().cloned() else {
-            return;
-        };
-        if loader == self.settings.node {
-            let number = self.number();
-            self.take_ask(now, &loader, number, ask);
-        } else {
-            self.send(loader, MessageBody::Ask(ask));
-        }
-    }
-
-    fn take_ask(&mut self, now: ClockTime, from: &NodeName, number: FencingNumber, ask: SlotAsk) {
-        let Some(plan) = self.plan.take() else {
-            return;
-        };
-        let mut ledger = std::mem::take(&mut self.ledger);
-        let view = self.domain_view(now, &plan);
-        ledger.on_ask(&view, from, number.incarnation, ask);
-        self.ledger = ledger;
-        self.plan = Some(plan);
-    }
-
-    fn answer_asks(&mut self, now: ClockTime) {
-        if !self.ledger.is_active() {
-            return;
-        }
-        let Some(plan) = self.plan.take() else {
-            return;
-        };
-        let mut ledger = std::mem::take(&mut self.ledger);
-        let has_asks = ledger.has_asks();
-        let view = self.domain_view(now, &plan);
-        let answers = ledger.answer(&view, &self.view.live, &self.settings.guards);
-        self.ledger = ledger;
-        if has_asks {
-            self.probe_domain(now);
-        }
-        self.plan = Some(plan);
-        for (to, answer) in answers {
-            if to == self.settings.node {
-                self.holder.on_answer(now, &to, answer);
-            } else {
-                self.send(to, MessageBody::Answer(answer));
-            }
-        }
-    }
-
-    /// A loader with work needs a fresh view of all targets of its domain.
-    fn probe_domain(&mut self, now: ClockTime) {
-        let timing = &self.settings.timing;
-        for (state, actual) in self.loops.iter_mut().zip(&self.actuals) {
-            let fresh = |actual: &TargetActual| now - actual.observed_at <= timing.reread_age;
-            if actual.as_ref().is_some_and(fresh) || !state.take_probe(now, timing) {
-                continue;
-            }
-            let probe = BoardAction::Probe(state.target().clone());
-            self.actions.push(probe);
-        }
-    }
-
-    fn ask_hello(&mut self, now: ClockTime, blocked: Option<BlockReason>) {
-        let gap = self.settings.timing.message_gap;
-        let waiting = self.hello_at.is_some_and(|at| now - at < gap);
-        if blocked != Some(BlockReason::StaleView) || waiting {
-            return;
-        }
-        self.hello_at = Some(now);
-        for peer in self.peers() {
-            self.send(peer, MessageBody::Hello(true));
-        }
-    }
-
-    /// News go to all peers, then to one after the other in case a message was lost.
-    fn tell_failures(&mut self) {
-        let peers = self.peers();
-        let news = !std::mem::replace(&mut self.told_failures, true);
-        let repeat = self.ticks.is_multiple_of(REPEAT_TICKS);
-        if peers.is_empty() || !news && !repeat {
-            return;
-        }
-        let summaries = self.failures.summaries();
-        if summaries.is_empty() {
-            return;
-        }
-        let turn = (self.ticks / REPEAT_TICKS) as usize % peers.len();
-        for (at, peer) in peers.into_iter().enumerate() {
-            if news || at == turn {
-                self.send(peer, MessageBody::Failures(summaries.clone()));
-            }
-        }
-    }
-
-    fn peers(&self) -> Vec<NodeName> {
-        let others = self
-            .view
-            .live
-            .iter()
-            .filter(|node| **node != self.settings.node);
-        others.cloned().collect()
-    }
-
-    fn number(&self) -> FencingNumber {
-        let revision = self.revision().unwrap_or_default();
-        FencingNumber::new(revision, self.clock.time(), self.settings.incarnation)
-    }
-
-    fn send(&mut self, to: NodeName, body: MessageBody) {
-        let number = self.number();
-        let message = OrderMessage { number, body };
-        self.actions.push(BoardAction::Send { to, message });
-    }
-
-    fn note_rollouts(&mut self, now: ClockTime) {
-        for at in 0..self.rollout_since.len() {
-            let Some(row) = self.rollout_row(now, at) else {
-                continue;
-            };
-            if self.rollout_since[at].0 != row.state {
-                self.rollout_since[at] = (row.state, now);
-            }
-        }
-        let converged = self.loops.iter().all(|state| state.status().is_none());
-        if converged && !self.was_converged {
-            let (kind, detail) = (EventKind::FleetConverged, SmolStr::default());
-            self.actions.push(BoardAction::Log { kind, detail });
-        }
-        self.was_converged = converged;
-    }
-
-    fn rollout_row(&self, now: ClockTime, at: usize) -> Option<RolloutRow> {
-        let plan = self.plan.as_ref()?;
-        let rollout = &plan.rollouts[at];
-        let view = self.domain_view(now, plan);
-        let (mut ready, mut begun) = (0, 0);
-        for position in &rollout.selected {
-            let Some(actual) = view.actual(*position) else {
-                continue;
-            };
-            let wanted = plan.targets[*position].wanted.iter();
-            let mut mine = wanted.filter(|wanted| wanted.rollouts.contains(&at));
-            ready += usize::from(mine.any(|wanted| wanted.is_served(actual)));
-            begun += usize::from(actual.version(&rollout.model, &rollout.version).is_some());
-        }
-        let state = match self.failures.halted_since(at) {
-            Some(since) => RolloutState::Halted {
-                reason: self.failures.describe(at),
-                since,
-            },
-            None if ready == rollout.selected.len() => RolloutState::Done,
-            None if begun > 0 => RolloutState::Progressing,
-            None => RolloutState::Pending,
-        };
-        Some(RolloutRow {
-            domain: plan.domain.clone(),
-            rollout: rollout.name.clone(),
-            version: rollout.version.clone(),
-            revision: plan.revision,
-            state,
-            ready,
-            selected: rollout.selected.len(),
-            failed: self.failures.failed(at),
-            since: self.rollout_since[at].1,
-        })
-    }
 }
 
 /// Rollouts that `plan` changes without naming another version; they may be tried again.
@@ -833,7 +341,7 @@
     keys.filter(|key| !known(key)).cloned().collect()
 }
 
-fn halt_text(plan: &DomainPlan, failures: &FailureCount, at: usize) -> SmolStr {
+pub(super) fn halt_text(plan: &DomainPlan, failures: &FailureCount, at: usize) -> SmolStr {
     let rollout = &plan.rollouts[at];
     let reason = failures.describe(at);
     format_smolstr!("{} version {}: {reason}", rollout.name, rollout.version)
@@ -848,11 +356,3 @@
         OrderOutcome::NotSent => SmolStr::new_static("not sent"),
     }
 }
-
-fn actual_text(actual: &TargetActual) -> SmolStr {
-    let role = actual.role.map(|role| role.to_string());
-    let versions = actual.versions.iter().map(ToString::to_string);
-    let leaving = actual.leaving.then(|| "leaving".to_owned());
-    let parts: Vec<String> = role.into_iter().chain(versions).chain(leaving).collect();
-    SmolStr::new(parts.join(" "))
-}
--- a/crates/orders/src/slot/slot_entry.rs
+++ b/crates/orders/src/slot/slot_entry.rs
@@ -19,4 +19,6 @@
     pub until: ClockTime,
     /// From when the node no longer has it; an observation after that settles the matter.
     pub returned_at: Option<ClockTime>,
+    /// Whether that observation has been asked for.
+    pub probed: bool,
 }
--- a/crates/orders/src/slot/slot_ledger.rs
+++ b/crates/orders/src/slot/slot_ledger.rs
@@ -1,4 +1,4 @@
-use base::{ByteRate, ClockTime, DomainName, IncarnationNumber, NodeName, TimeSpan, top_owner};
+use base::{ByteRate, ClockTime, IncarnationNumber, NodeName, TimeSpan};
 use smol_str::SmolStr;
 
 use super::slot_entry::SlotEntry;
@@ -11,31 +11,6 @@
 /// Loaders whose loads may run at the same time: the present one and its predecessor.
 const LOADER_COUNT: u64 = 2;
 
-/// The node that grants slots in a domain: the rendezvous owner over the live declared nodes,
-/// if they are a majority of the declared ones.
-///
-/// ```
-/// let _loader_of = orders::loader_of;
-/// ```
-pub fn loader_of(plan: &DomainPlan, live: &[NodeName], guards: &GuardSwitches) -> Option<NodeName> {
-    let declared = |node: &&NodeName| plan.nodes.binary_search(node).is_ok();
-    let nodes: Vec<&NodeName> = live.iter().filter(declared).collect();
-    let majority = 2 * nodes.len() > plan.nodes.len();
-    if guards.majority_rule && !majority {
-        return None;
-    }
-    let key = loader_key(&plan.domain);
-    let name = top_owner(&key, nodes.iter().map(|node| node.as_str()))?;
-    nodes
-        .into_iter()
-        .find(|node| node.as_str() == name)
-        .cloned()
-}
-
-fn loader_key(domain: &DomainName) -> String {
-    format!("loader/{domain}")
-}
-
 #[derive(Clone, Debug)]
 struct NodeAsk {
     node: NodeName,
@@ -132,6 +107,19 @@
         self.asks.sort_by(|left, right| left.node.cmp(&right.node));
     }
 
+    /// Positions of targets whose leave was given back and that have not been looked at since.
+    pub fn take_unsettled(&mut self, now: ClockTime) -> Vec<usize> {
+        let due = |at: ClockTime| at < now;
+        let entries = self.entries.iter_mut();
+        let entries = entries.filter(|entry| entry.returned_at.is_some_and(due) && !entry.probed);
+        entries
+            .map(|entry| {
+                entry.probed = true;
+                entry.position
+            })
+            .collect()
+    }
+
     /// Answers the asks that wait.
     pub fn answer(
         &mut self,
@@ -247,6 +235,7 @@
             let mut same = known.filter(|entry| entry.slot.target == slot.target);
             if let Some(entry) = same.find(|entry| entry.node == *node && entry.run == run) {
                 entry.returned_at = None;
+                entry.probed = false;
                 continue;
             }
             let Some(position) = view.plan.position(&slot.target) else {
@@ -259,6 +248,7 @@
                 ask: ask.number,
                 until: load_end(view, slot),
                 returned_at: None,
+                probed: false,
                 slot: slot.clone(),
             };
             self.entries.push(entry);
@@ -322,6 +312,7 @@
             ask: known.ask.number,
             until: load_end(view, &slot),
             returned_at: None,
+            probed: false,
             slot: slot.clone(),
         });
         Ok(slot)
--- a/crates/orders/tests/support/fake_fleet.rs
+++ b/crates/orders/tests/support/fake_fleet.rs
@@ -1,5 +1,8 @@
+use std::ops::Range;
+use std::time::Instant;
+
 use base::{ClockTime, IncarnationNumber, NodeName, RevisionNumber, TimeSpan};
-use fleet::FleetDeclaration;
+use fleet::{DeclaredDomain, FleetDeclaration};
 use orders::{
     BoardAction, ConvergenceReport, GuardSwitches, OrderAction, OrderMessage, OrderOutcome,
     TargetActual, TargetOrder,
@@ -46,6 +49,8 @@
     pub peak_rate: u64,
     /// Deliver every order a second time.
     pub twice: bool,
+    /// Nanoseconds of every tick.
+    pub ticks: Vec<u64>,
     /// Nodes probe all targets of their domain and not just those that they own.
     pub probe_all: bool,
     /// Group of nodes that alone reaches a target, if any.
@@ -54,30 +59,31 @@
     pub view_steps: u64,
     steps: u64,
     mail: Vec<Mail>,
+    /// Positions of the targets of each domain.
+    spans: Vec<Range<usize>>,
 }
 
 impl FakeFleet {
     pub fn new(shape: &FleetShape, guards: GuardSwitches) -> Self {
         let fleet = shape.declare();
         let count = fleet.nodes.len();
-        let nodes = fleet.nodes.iter().enumerate().map(|(at, node)| {
-            FakeNode::new(
-                node.name.clone(),
-                node.domain.clone(),
-                at as u64 + 1,
-                guards,
-                count,
-            )
-        });
         let targets = fleet.targets.iter().map(|target| {
-            FakeTarget::new(
-                target.name.clone(),
-                target.domain.clone(),
-                shape.bytes,
-                target.fencing,
-            )
+            let (name, domain) = (target.name.clone(), target.domain.clone());
+            FakeTarget::new(name, domain, shape.bytes, target.fencing)
         });
         let targets: Vec<_> = targets.collect();
+        let spans = fleet.domains.iter().map(|domain| {
+            let start = targets.partition_point(|target| target.domain < domain.name);
+            start..targets.partition_point(|target| target.domain <= domain.name)
+        });
+        let spans: Vec<_> = spans.collect();
+        let nodes = fleet.nodes.iter().enumerate().map(|(at, node)| {
+            let (name, run) = (node.name.clone(), at as u64 + 1);
+            let mut fake = FakeNode::new(name, node.domain.clone(), run, guards, count);
+            let same = |domain: &DeclaredDomain| domain.name == node.domain;
+            fake.place = fleet.domains.iter().position(same).unwrap();
+            fake
+        });
         Self {
             now: ClockTime::ZERO,
             nodes: nodes.collect(),
@@ -86,10 +92,12 @@
             records: Vec::new(),
             peak_rate: 0,
             twice: false,
+            ticks: Vec::new(),
             probe_all: true,
             view_steps: 10,
             steps: 0,
             mail: Vec::new(),
+            spans,
         }
     }
 
@@ -225,15 +233,15 @@
     }
 
     fn tick(&mut self, at: usize) {
-        for position in 0..self.targets.len() {
+        for position in self.spans[self.nodes[at].place].clone() {
             let node = &self.nodes[at];
-            let target = &self.targets[position];
-            let watched = self.probe_all || node.board.owns(&target.name);
-            if target.domain == node.domain && watched {
+            if self.probe_all || node.board.owns(&self.targets[position].name) {
                 self.probe(at, position);
             }
         }
+        let start = Instant::now();
         let actions = self.nodes[at].board.on_tick(self.now);
+        self.ticks.push(start.elapsed().as_nanos() as u64);
         for action in actions {
             match action {
                 BoardAction::Probe(name) => {
@@ -356,6 +364,9 @@
     fn note_reached(&mut self) {
         for at in 0..self.nodes.len() {
             for other in 0..self.nodes.len() {
+                if self.nodes[at].place != self.nodes[other].place {
+                    continue;
+                }
                 let same = self.nodes[at].group == self.nodes[other].group;
                 if same && self.nodes[other].runs(self.now) {
                     self.nodes[at].reached[other] = self.now;
--- a/crates/orders/tests/support/fake_node.rs
+++ b/crates/orders/tests/support/fake_node.rs
@@ -16,6 +16,8 @@
     /// When each other node was last reached.
     pub reached: Vec<ClockTime>,
     pub run: u64,
+    /// Position of the domain.
+    pub place: usize,
 }
 
 impl FakeNode {
@@ -38,6 +40,7 @@
             late_writes: false,
             reached: vec![ClockTime::ZERO; count],
             run,
+            place: 0,
         }
     }
 
