--- a/crates/orders/src/slot/slot_ledger.rs
+++ b/crates/orders/src/slot/slot_ledger.rs
@@ -1,4 +1,4 @@
-use base::{ByteRate, ClockTime, DomainName, IncarnationNumber, NodeName, TimeSpan, top_owner};
+use base::{ByteRate, ClockTime, IncarnationNumber, NodeName, TimeSpan};
 use smol_str::SmolStr;
 
 use super::slot_entry::SlotEntry;
@@ -11,31 +11,6 @@
 /// Loaders whose loads may run at the same time: the present one and its predecessor.
 const LOADER_COUNT: u64 = 2;
 
-/// The node that grants slots in a domain: the rendezvous owner over the live declared nodes,
-/// if they are a majority of the declared ones.
-///
-/// ```
-/// let _loader_of = orders::loader_of;
-/// ```
-pub fn loader_of(plan: &DomainPlan, live: &[NodeName], guards: &GuardSwitches) -> Option<NodeName> {
-    let declared = |node: &&NodeName| plan.nodes.binary_search(node).is_ok();
-    let nodes: Vec<&NodeName> = live.iter().filter(declared).collect();
-    let majority = 2 * nodes.len() > plan.nodes.len();
-    if guards.majority_rule && !majority {
-        return None;
-    }
-    let key = loader_key(&plan.domain);
-    let name = top_owner(&key, nodes.iter().map(|node| node.as_str()))?;
-    nodes
-        .into_iter()
-        .find(|node| node.as_str() == name)
-        .cloned()
-}
-
-fn loader_key(domain: &DomainName) -> String {
-    format!("loader/{domain}")
-}
-
 #[derive(Clone, Debug)]
 struct NodeAsk {
     node: NodeName,
@@ -48,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SlotLedger {
     since: Option<ClockTime>,
+    looks_since: Option<ClockTime>,
+    asked_at: Option<ClockTime>,
     entries: Vec<SlotEntry>,
     asks: Vec<NodeAsk>,
 }
@@ -118,6 +95,7 @@
             }
             self.asks.remove(at);
         }
+        self.note_need(view, &ask);
         self.take_back(view.now, node, run, &ask);
         self.learn_held(view, node, run, &ask);
         self.asks.push(NodeAsk {
@@ -129,6 +107,19 @@
         self.asks.sort_by(|left, right| left.node.cmp(&right.node));
     }
 
+    /// Positions of targets whose leave was given back and that have not been looked at since.
+    pub fn take_unsettled(&mut self, now: ClockTime) -> Vec<usize> {
+        let due = |at: ClockTime| at < now;
+        let entries = self.entries.iter_mut();
+        let entries = entries.filter(|entry| entry.returned_at.is_some_and(due) && !entry.probed);
+        entries
+            .map(|entry| {
+                entry.probed = true;
+                entry.position
+            })
+            .collect()
+    }
+
     /// Answers the asks that wait.
     pub fn answer(
         &mut self,
@@ -184,7 +175,21 @@
         ByteRate(sum)
     }
 
-    /// A new loader waits until its predecessor's grants are in use, and visible, or dropped.
+    /// After a time without needs the view of the domain may have aged.
+    fn note_need(&mut self, view: &DomainView<'_>, ask: &SlotAsk) {
+        if ask.wants.is_empty() {
+            return;
+        }
+        let quiet = |at| view.now - at > view.timing.absent_after;
+        if self.asked_at.is_none_or(quiet) {
+            self.looks_since = Some(view.now);
+        }
+        self.asked_at = Some(view.now);
+    }
+
+    /// A new loader waits until its predecessor's grants are in use, and visible, or dropped. Any
+    /// loader looks at all targets first; those that do not answer hold nothing up, since what
+    /// they may still load is the predecessor's half.
     fn is_open(&self, view: &DomainView<'_>) -> bool {
         let Some(opens_at) = self.opens_at(view.timing.settle) else {
             return false;
@@ -192,11 +197,12 @@
         if view.now < opens_at {
             return false;
         }
-        // Absent targets hold nothing up: what they may still load is the predecessor's half.
+        let looks_since = self.looks_since.unwrap_or(opens_at).max(opens_at);
+        let looked = view.now - looks_since > view.timing.capacity_age;
         let mut positions = 0..view.actuals.len();
-        positions.all(|position| {
-            let actual = view.actual(position);
-            actual.is_none_or(|actual| actual.observed_at >= opens_at)
+        positions.all(|position| match view.actual(position) {
+            Some(actual) => actual.observed_at >= opens_at,
+            None => looked,
         })
     }
 
@@ -229,6 +235,7 @@
             let mut same = known.filter(|entry| entry.slot.target == slot.target);
             if let Some(entry) = same.find(|entry| entry.node == *node && entry.run == run) {
                 entry.returned_at = None;
+                entry.probed = false;
                 continue;
             }
             let Some(position) = view.plan.position(&slot.target) else {
@@ -241,6 +248,7 @@
                 ask: ask.number,
                 until: load_end(view, slot),
                 returned_at: None,
+                probed: false,
                 slot: slot.clone(),
             };
             self.entries.push(entry);
@@ -304,6 +312,7 @@
             ask: known.ask.number,
             until: load_end(view, &slot),
             returned_at: None,
+            probed: false,
             slot: slot.clone(),
         });
         Ok(slot)
