Count calls, detect silent connections in the kernel, and probe refusing targets

Cause: operators had no figures of calls; a connection between nodes or to a caller that went silent was noticed only at the deadline; a leaving target was learned from the next probe only; a repeated whole answer told no progress to the policy. Conclusion: silence between nodes is bounded without traffic on busy streams.

--- a/crates/node/src/actor/sched_actor.rs
+++ b/crates/node/src/actor/sched_actor.rs
@@ -242,6 +242,10 @@
             return;
         };
         self.policy.on_finished(now, request, state);
+        if matches!(state, FinishState::NotAdmitted | FinishState::Failed) {
+            // A target that starts to leave tells it first by refusing work.
+            self.send_out(SchedOutput::Probe(call.target.clone()));
+        }
         let left = self.crashes.on_left(call.print, &call.target);
         self.tell_peers(left);
         if state == FinishState::Complete {
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -16,7 +16,7 @@
 use super::forward_call::{forward_call, forward_far};
 use super::generation_call::{generation_kind, make_job};
 use super::keyed_call::{KeyedAnswer, answer_keyed};
-use super::model_list::list_models;
+use super::model_list::{list_models, show_model};
 use super::{CallInput, CallRun, InputFault, error_response};
 use crate::{
     CallRelay, ForwardedCall, NodeCore, NodeView, ServiceBody, ServiceRelay, SharedAnswer,
@@ -25,6 +25,8 @@
 
 /// Path that tells the platform's balancer whether the node serves callers.
 const READY_PATH: &str = "/ready";
+/// Prefix of the paths of single models.
+const MODEL_PREFIX: &str = "/v1/models/";
 /// Prefix of the paths of plain services.
 const SERVICE_PREFIX: &str = "/svc/";
 
@@ -80,6 +82,11 @@
                 let (view, fleet) = (&scene.view, &scene.fleet);
                 Ok(list_models(&self.core, view, fleet, &workspace))
             }
+            (&Method::GET, path) if path.starts_with(MODEL_PREFIX) => {
+                let name = &path[MODEL_PREFIX.len()..];
+                let found = show_model(&self.core, &scene.view, &scene.fleet, &workspace, name);
+                found.ok_or_else(|| CallFailure::new(ErrorKind::NotFound).into())
+            }
             (&Method::POST, "/v1/tickets") => self.issue_ticket(&workspace).await,
             (method, path) if generation_kind(path).is_some() => {
                 let resumes = request.headers().contains_key("last-event-id");
@@ -236,7 +243,7 @@
         let (head, body) = request.into_parts();
         let input = self.make_input(head, workspace, Bytes::new());
         let body = ServiceBody::Streaming(Some(body));
-        let run = self.service_run(&scene, &input, body)?;
+        let run = self.service_run(&scene.view, &scene.fleet, &input, body)?;
         respond_run(run).await.map_err(InputFault::from)
     }
 
@@ -246,31 +253,41 @@
         input: CallInput,
     ) -> Result<Response<WebBody>, InputFault> {
         let key = input.key()?.map(str::to_owned);
-        let body = ServiceBody::Buffered(input.body.clone());
-        let run = self.service_run(&scene, &input, body)?;
-        match key {
-            Some(key) => {
-                self.answer_with_key(scene, input, &key, move || Ok(run))
-                    .await
-            }
-            None if self.is_uncancellable(&scene, &input) => {
+        let Some(key) = key else {
+            let run = self.buffered_run(&scene.view, &scene.fleet, &input)?;
+            if self.is_uncancellable(&scene, &input) {
                 let answer = self.run_apart(run);
-                respond_shared(answer).await.map_err(InputFault::from)
+                return respond_shared(answer).await.map_err(InputFault::from);
             }
-            None => self.answer_run(scene, input, run).await,
-        }
+            return self.answer_run(scene, input, run).await;
+        };
+        let (api, call) = (self.clone(), input.clone());
+        let (view, fleet) = (scene.view.clone(), scene.fleet.clone());
+        let make = move || api.buffered_run(&view, &fleet, &call);
+        self.answer_with_key(scene, input, &key, make).await
+    }
+
+    fn buffered_run(
+        &self,
+        view: &NodeView,
+        fleet: &FleetDeclaration,
+        input: &CallInput,
+    ) -> Result<CallRun, InputFault> {
+        let body = ServiceBody::Buffered(input.body.clone());
+        self.service_run(view, fleet, input, body)
     }
 
     fn service_run(
         &self,
-        scene: &CallScene,
+        view: &NodeView,
+        fleet: &FleetDeclaration,
         input: &CallInput,
         body: ServiceBody,
     ) -> Result<CallRun, InputFault> {
         let Some(permit) = self.core.gate.enter() else {
             return Err(CallFailure::new(ErrorKind::Stopping).into());
         };
-        let job = make_service_job(&self.core, &scene.view, &scene.fleet, input, body)?;
+        let job = make_service_job(&self.core, view, fleet, input, body)?;
         let relay = ServiceRelay::new(self.core.clone(), job);
         Ok(CallRun::with_service(relay, permit))
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod core_parts;
 mod gate;
+mod gauge;
 mod journal;
 mod ops;
 mod peer;
@@ -30,6 +31,7 @@
 pub use clock::SystemClock;
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
+pub use gauge::CallMetrics;
 pub use journal::EventJournal;
 pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
 pub use peer::{
--- a/crates/node/src/relay/call_job.rs
+++ b/crates/node/src/relay/call_job.rs
@@ -6,7 +6,8 @@
 
 use super::ResumeKey;
 use crate::{
-    EngineClient, EventJournal, ModelSpec, RouteChoice, SchedHandle, SystemClock, ViewCell,
+    CallMetrics, EngineClient, EventJournal, ModelSpec, RouteChoice, SchedHandle, SystemClock,
+    ViewCell,
 };
 
 /// What every relay of a node shares.
@@ -21,6 +22,8 @@
     pub sched: SchedHandle,
     /// The fleet as the node knows it.
     pub view: ViewCell,
+    /// Figures for operators.
+    pub metrics: CallMetrics,
     /// Secret of resume tokens.
     pub resume: ResumeKey,
 }
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -164,7 +164,7 @@
                     offset,
                 } => self.resume(link, &target, generation, offset).await,
                 CallAction::Deliver { .. } | CallAction::Drop => {}
-                CallAction::DiscardAnswer => self.writer.discard(),
+                CallAction::DiscardAnswer => self.discard_answer(),
                 CallAction::CloseLink { .. } => self.close_link(),
                 CallAction::Cancel { target, generation } => self.cancel(&target, generation),
                 CallAction::SetTimer { at } => self.timer = Some(at),
@@ -180,6 +180,13 @@
         None
     }
 
+    /// Starts over for another generation, of which nothing has been told yet.
+    fn discard_answer(&mut self) {
+        self.writer.discard();
+        self.delivered = 0;
+        self.told = 0;
+    }
+
     async fn choose_target(&mut self, exclude: Vec<TargetName>, retry: bool) {
         if self.placement == PlacementState::Placed {
             let state = self.attempt_outcome();
@@ -240,6 +247,7 @@
         };
         self.feed(CallEvent::FirstByteSent { link });
         self.note(EventKind::AttemptSent, target.as_str());
+        self.parts.metrics.count_attempt();
         let call = self.engine_call(target);
         match self.or_timer(connection.start(call)).await {
             // The timer can only be the deadline here, and it ends the call.
@@ -270,6 +278,7 @@
             Some(Ok(stream)) => {
                 let detail = format!("{target} from offset {offset}");
                 self.note(EventKind::StreamResumed, &detail);
+                self.parts.metrics.count_resume();
                 self.feed(CallEvent::Connected { link });
                 self.open_stream(link, target, stream).await;
             }
@@ -393,6 +402,7 @@
     /// Takes every event that has arrived and returns what is ready for the caller.
     async fn take_events(&mut self) -> Option<RelayStep> {
         let now = self.parts.clock.now();
+        let before = self.delivered;
         while let LinkState::Reading(stream) = &mut self.link {
             match stream.next_ready() {
                 Ok(None) => break,
@@ -426,6 +436,7 @@
             }
         }
         let received = self.machine.next_offset();
+        self.parts.metrics.count_tokens(self.delivered - before);
         if let Some(watch) = &mut self.watch {
             watch.on_bytes(now, received);
         }
@@ -458,6 +469,8 @@
         if matches!(self.scratch.first(), Some(CallAction::Deliver { .. })) {
             if self.delivered == 0 {
                 self.note(EventKind::GenerationStarted, generation.as_str());
+                let waited = now - self.job.item.arrival;
+                self.parts.metrics.observe_first_token(waited);
             }
             self.delivered += 1;
             self.writer.write_token(offset, data);
@@ -580,6 +593,7 @@
         self.writer.write_end(&data);
         self.leave_target(FinishState::Complete).await;
         self.note(EventKind::RequestFinished, &format!("{count} tokens"));
+        self.parts.metrics.count_outcome("complete");
         self.ended = true;
         RelayStep::Finished(self.writer.finish().unwrap_or_default())
     }
@@ -591,6 +605,7 @@
         };
         self.leave_target(state).await;
         self.note(EventKind::RequestFailed, failure.kind.into());
+        self.parts.metrics.count_outcome(failure.kind.into());
         self.ended = true;
         if let Some((status, body)) = self.rejected.take()
             && self.delivered == 0
@@ -684,10 +699,9 @@
             self.cancel(target, generation.clone());
         }
         self.note(EventKind::CallerGone, "");
-        let sched = self.parts.sched.clone();
-        let request = self.request().clone();
+        self.parts.metrics.count_outcome("caller_gone");
         if self.placement != PlacementState::None {
-            tokio::spawn(async move { sched.withdraw(request) });
+            self.parts.sched.withdraw(self.request().clone());
         }
     }
 }
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -17,10 +17,11 @@
 
 use super::NodeHandle;
 use crate::{
-    AddressBook, CallLimits, CallerApi, ClaimActor, ClaimHandle, ClaimSettings, EngineClient,
-    EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe, LoadNote, NodeCore,
-    NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer, PlatformClient, RelayParts,
-    ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput, SystemClock, ViewCell, WorkGate,
+    AddressBook, CallLimits, CallMetrics, CallerApi, ClaimActor, ClaimHandle, ClaimSettings,
+    EngineClient, EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe,
+    LoadNote, NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer,
+    PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput,
+    SystemClock, ViewCell, WorkGate,
 };
 
 /// Time between two ticks of the scheduling actor.
@@ -183,6 +184,7 @@
             engine,
             sched: sched.clone(),
             view: view.clone(),
+            metrics: CallMetrics::new(&identity.node),
             resume: ResumeKey::new(secret),
         });
         let core = Arc::new(NodeCore {
--- a/crates/node/src/service/service_relay.rs
+++ b/crates/node/src/service/service_relay.rs
@@ -117,12 +117,14 @@
                 CallAction::Finish { .. } => {
                     self.leave_target(FinishState::Complete);
                     self.note(EventKind::RequestFinished, "");
+                    self.core.relay.metrics.count_outcome("complete");
                     self.ended = true;
                     return Some(ServiceStep::End);
                 }
                 CallAction::Fail(failure) => {
                     self.leave_target(self.attempt_outcome());
                     self.note(EventKind::RequestFailed, failure.kind.into());
+                    self.core.relay.metrics.count_outcome(failure.kind.into());
                     self.ended = true;
                     return Some(ServiceStep::Failed(failure));
                 }
@@ -200,6 +202,7 @@
         let request = self.make_request(address, body);
         self.feed(CallEvent::FirstByteSent { link });
         self.note(EventKind::AttemptSent, target.as_str());
+        self.core.relay.metrics.count_attempt();
         match self.or_timer(connection.send(request)).await {
             None => {
                 self.feed(CallEvent::Timer);
@@ -371,6 +374,7 @@
             return;
         }
         self.note(EventKind::CallerGone, "");
+        self.core.relay.metrics.count_outcome("caller_gone");
         let request = self.request().clone();
         self.core.relay.sched.withdraw(request);
     }
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::fault::{ConnectSnafu, ConnectTimeoutSnafu, SentSnafu, UnsentSnafu};
+use crate::socket::tune_socket;
 use crate::{PoolSettings, WebBody, WebError};
 
 /// Which connections a request may use.
@@ -170,7 +171,7 @@
 async fn open_connection(address: SocketAddr) -> Result<SendRequest<WebBody>, WebError> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    let stream = match stream.set_nodelay(true) {
+    let stream = match tune_socket(&stream) {
         Ok(()) => stream,
         Err(source) => return Err(WebError::Connect { address, source }),
     };
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod fault;
 mod server;
+mod socket;
 mod sse;
 
 pub use body::{WebBody, empty_body, full_body, json_body, read_body, stream_body};
--- /dev/null
+++ b/crates/web/src/socket/mod.rs
@@ -0,0 +1,5 @@
+//! Options of TCP connections.
+
+mod tune_socket;
+
+pub use tune_socket::tune_socket;
