Say when an accepted revision is in effect

Cause: the shell must not serve between a pause and the next Ready. Conclusion: no change of behaviour.

--- a/crates/fleet/src/spread/revision_action.rs
+++ b/crates/fleet/src/spread/revision_action.rs
@@ -63,7 +63,7 @@
         /// Number of the call.
         call: u64,
     },
-    /// A revision is accepted and in effect.
+    /// A revision is accepted; it is in effect once the node is ready, or at once if it is.
     Accepted {
         /// The revision.
         stamp: RevisionStamp,
@@ -92,7 +92,8 @@
     PlatformLost,
     /// The platform answers again.
     PlatformFound,
-    /// The node may serve with the accepted revision.
+    /// The node may serve with the accepted revision. Sent after the start and after each pause;
+    /// between a pause and this action the node starts nothing new.
     Ready {
         /// What the revision rests on.
         basis: RevisionBasis,
