--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -310,6 +310,28 @@
     assert_eq!(driver.out.last(), Some(&CallAction::Finish { count: 3 }));
 }
 
+/// Guards P3 and P4 against late events of a connection that was given up: none of them may end,
+/// take back or answer the attempt that is under way on another one.
+#[parameterized(
+    not_admitted = { CallEvent::NotAdmitted { link: LinkNumber(1), retry_after: None } },
+    accepted = { CallEvent::Accepted { link: LinkNumber(1), generation: "g1" } },
+    ended = { CallEvent::EndOfStream { link: LinkNumber(1), generation: "g1", count: 0 } },
+    link_lost = { CallEvent::LinkLost { link: LinkNumber(1) } },
+    target_failed = { CallEvent::TargetFailed { link: LinkNumber(1), status: 500 } },
+    connected = { CallEvent::Connected { link: LinkNumber(1) } },
+)]
+fn late_event_of_an_abandoned_link_has_no_effect(event: CallEvent<'static>) {
+    let mut driver = Driver::new(fixed);
+    driver.choose("e1");
+    lost(&mut driver);
+    driver.wait();
+    driver.choose("e2");
+    driver.connect();
+    assert_eq!(driver.feed(event), []);
+    assert_eq!(driver.machine.state(), AttemptState::Sent);
+    assert_eq!(driver.machine.ran(), RanState::Unknown);
+}
+
 /// Guards against endless resumes of a generation that yields nothing.
 #[test]
 fn resumes_without_progress_end() {
