Correct digests by reports and learn lengths for each magnitude of max_tokens

Cause: shared prefixes are held once, but own streams and digests count them for each stream, so that digests left memory unused; checks and assessments of one kind were mixed up. Change: the rest of a report may be negative; peers grow like own streams; the narrowest group of lengths also has the magnitude of max_tokens.

--- a/crates/sched/src/length/length_model.rs
+++ b/crates/sched/src/length/length_model.rs
@@ -12,20 +12,23 @@
 
 type ModelKey = (Option<ModelName>, CallKind);
 type WorkspaceKey = (WorkspaceName, Option<ModelName>, CallKind);
+type BoundKey = (WorkspaceKey, u32);
 
 /// Learns output lengths for each workspace, model and kind of call.
 ///
-/// A group with few observations backs off to its model and kind, then to its kind, then to a
-/// prior.
+/// Calls with and without `max_tokens`, and with bounds of different magnitude, are kinds of their
+/// own in the narrowest group, since callers set a tight bound where they expect a short answer. A
+/// group with few observations backs off to its workspace, model and kind, then to its model and
+/// kind, then to its kind, then to a prior.
 ///
 /// ```
 /// use sched::{CallKind, LengthModel};
 /// let workspace = "kanchan".parse().unwrap();
 /// let mut model = LengthModel::new();
 /// for _ in 0..100 {
-///     model.observe(&workspace, None, CallKind::Chat, 40);
+///     model.observe(&workspace, None, CallKind::Chat, 1_000, 40);
 /// }
-/// let curve = model.curve(&workspace, None, CallKind::Chat);
+/// let curve = model.curve(&workspace, None, CallKind::Chat, 1_000);
 /// assert!(curve.quantile(0.5, 0, 1_000) < 64);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -33,6 +36,7 @@
     kinds: HashMap<CallKind, LengthHistogram>,
     models: HashMap<ModelKey, LengthHistogram>,
     workspaces: HashMap<WorkspaceKey, LengthHistogram>,
+    bounds: HashMap<BoundKey, LengthHistogram>,
     calibration: LengthCalibration,
 }
 
@@ -42,19 +46,22 @@
         Self::default()
     }
 
-    /// Returns the distribution of lengths for a group.
+    /// Returns the distribution of lengths of calls that are bounded by `most` tokens.
     pub fn curve(
         &self,
         workspace: &WorkspaceName,
         model: Option<&ModelName>,
         kind: CallKind,
+        most: u32,
     ) -> LengthCurve {
         let model_key = (model.cloned(), kind);
         let workspace_key = (workspace.clone(), model.cloned(), kind);
+        let workspace_group = self.workspaces.get(&workspace_key);
         let groups = [
             self.kinds.get(&kind),
             self.models.get(&model_key),
-            self.workspaces.get(&workspace_key),
+            workspace_group,
+            self.bounds.get(&(workspace_key, magnitude(most))),
         ];
         let mut curve = LengthCurve::prior();
         for group in groups.into_iter().flatten() {
@@ -63,22 +70,23 @@
         curve
     }
 
-    /// Learns the length of a complete output.
+    /// Learns the length of a complete output of a call that is bounded by `most` tokens.
     pub fn observe(
         &mut self,
         workspace: &WorkspaceName,
         model: Option<&ModelName>,
         kind: CallKind,
+        most: u32,
         tokens: u32,
     ) {
-        let curve = self.curve(workspace, model, kind);
-        let predicted =
-            LengthCalibration::quantiles().map(|share| curve.quantile(share, 0, u32::MAX));
+        let curve = self.curve(workspace, model, kind, most);
+        let predicted = LengthCalibration::quantiles().map(|share| curve.quantile(share, 0, most));
         self.calibration.add(tokens, predicted);
         add_to(&mut self.kinds, kind, tokens);
         add_to(&mut self.models, (model.cloned(), kind), tokens);
         let key = (workspace.clone(), model.cloned(), kind);
-        add_to(&mut self.workspaces, key, tokens);
+        add_to(&mut self.workspaces, key.clone(), tokens);
+        add_to(&mut self.bounds, (key, magnitude(most)), tokens);
     }
 
     /// How well predictions at the start of each output matched.
@@ -87,6 +95,10 @@
     }
 }
 
+fn magnitude(most: u32) -> u32 {
+    most.max(1).ilog2()
+}
+
 fn add_to<K: Eq + std::hash::Hash>(groups: &mut HashMap<K, LengthHistogram>, key: K, tokens: u32) {
     if groups.len() >= GROUP_LIMIT && !groups.contains_key(&key) {
         return;
--- a/crates/sched/src/memory/memory_view.rs
+++ b/crates/sched/src/memory/memory_view.rs
@@ -6,7 +6,8 @@
 /// What one node knows of the memory of one target.
 ///
 /// Own streams are known at once, those of peers from their digests, and the rest is what a report
-/// shows beyond what was known at the moment when the report was taken.
+/// shows beyond what was known at the moment when the report was taken. The rest is negative where
+/// sequences share cached prefixes, which is not known per stream.
 ///
 /// ```
 /// use sched::{GrowthCurve, MemoryView};
@@ -23,7 +24,7 @@
     peer_held: u64,
     peer_peak: u64,
     peer_count: u32,
-    other_held: u64,
+    other_held: i64,
     other_count: u32,
     total: u64,
     preemptions: u64,
@@ -100,7 +101,7 @@
         let used = u64::from(report.used_pages) * page;
         let (known, count) = self.history.at(report.measured_at);
         self.total = u64::from(report.total_pages) * page;
-        self.other_held = used.saturating_sub(known);
+        self.other_held = used as i64 - known as i64;
         self.other_count = (report.running + report.waiting).saturating_sub(count);
         let first = self.measured_at.is_none();
         let restarted = report.preemptions < self.preemptions;
@@ -117,8 +118,12 @@
     /// Largest number of tokens expected if `extra` is added; sequences of others are taken to
     /// grow by the factor `growth`.
     pub fn predicted_peak(&self, extra: &GrowthCurve, growth: f64) -> u64 {
-        let other = (self.other_held as f64 * growth) as u64;
-        self.own.peak_with(extra) + self.peer_peak + other
+        let held = self.peer_held as i64 + self.other_held;
+        let own = self.own.peak_with(extra);
+        if held < 0 {
+            return own.saturating_sub(held.unsigned_abs());
+        }
+        own + (held as f64 * growth) as u64
     }
 
     /// Memory of the target in tokens; 0 before its first report.
--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -117,12 +117,10 @@
     }
 
     fn predict(&self, item: WorkItem) -> QueuedItem {
-        let curve = self
-            .lengths
-            .curve(&item.workspace, item.model.as_ref(), item.kind);
-        let cap = item
-            .max_tokens
-            .map_or(LENGTH_CAP, |most| most.0.min(LENGTH_CAP));
+        let most = item.max_tokens.map(|most| most.0);
+        let cap = most.map_or(LENGTH_CAP, |most| most.min(LENGTH_CAP));
+        let model = item.model.as_ref();
+        let curve = self.lengths.curve(&item.workspace, model, item.kind, cap);
         let mean = curve.mean_remaining(0, cap);
         let prompt = item.prompt_tokens.0;
         let growth = match item.model {
@@ -520,8 +518,9 @@
         }
         if state == FinishState::Complete && stream.model.is_some() {
             let model = stream.model.as_ref();
+            let (workspace, kind) = (&stream.workspace, stream.kind);
             self.lengths
-                .observe(&stream.workspace, model, stream.kind, stream.produced);
+                .observe(workspace, model, kind, stream.cap, stream.produced);
         }
         if let Some(load) = self.workspaces.get_mut(&stream.workspace) {
             load.in_flight -= 1;
--- a/crates/sched/src/peak/stream_state.rs
+++ b/crates/sched/src/peak/stream_state.rs
@@ -29,9 +29,10 @@
     pub priority: WorkPriority,
     /// When the last token arrived.
     pub progress_at: ClockTime,
+    /// Longest possible output.
+    pub cap: u32,
     curve: Box<LengthCurve>,
     prompt: u32,
-    cap: u32,
     predicted_at: u32,
 }
 
--- a/crates/sched/tests/length.rs
+++ b/crates/sched/tests/length.rs
@@ -20,7 +20,7 @@
 #[test]
 fn cold_start_is_bounded_by_max_tokens() {
     let (workspace, name) = names();
-    let curve = LengthModel::new().curve(&workspace, Some(&name), CallKind::Chat);
+    let curve = LengthModel::new().curve(&workspace, Some(&name), CallKind::Chat, 131_071);
     assert_eq!(curve.quantile(0.99, 0, 50), 50);
     let mean = curve.mean_remaining(0, 50);
     assert!(mean > 10.0 && mean <= 50.0, "{mean}");
@@ -35,9 +35,9 @@
     let mut model = LengthModel::new();
     for number in 0..600 {
         let tokens = if number % 2 == 0 { 30 } else { 2_000 };
-        model.observe(&workspace, Some(&name), CallKind::Chat, tokens);
+        model.observe(&workspace, Some(&name), CallKind::Chat, 131_071, tokens);
     }
-    let curve = model.curve(&workspace, Some(&name), CallKind::Chat);
+    let curve = model.curve(&workspace, Some(&name), CallKind::Chat, 131_071);
     let fresh = curve.mean_remaining(0, 131_071);
     let old = curve.mean_remaining(100, 131_071);
     assert!(old > 1.5 * fresh, "{old} {fresh}");
@@ -51,10 +51,10 @@
     let (workspace, name) = names();
     let mut model = LengthModel::new();
     for _ in 0..500 {
-        model.observe(&workspace, Some(&name), CallKind::Chat, 20);
+        model.observe(&workspace, Some(&name), CallKind::Chat, 131_071, 20);
     }
     let other = "w9".parse().unwrap();
-    let curve = model.curve(&other, Some(&name), CallKind::Chat);
+    let curve = model.curve(&other, Some(&name), CallKind::Chat, 131_071);
     assert!(curve.quantile(0.5, 0, 131_071) <= 24);
     let prior = LengthCurve::prior();
     assert!(curve.mean_remaining(0, 4_096) < prior.mean_remaining(0, 4_096) / 2.0);
@@ -67,9 +67,9 @@
     let mut model = LengthModel::new();
     for number in 0..4_000 {
         let tokens = if number < 2_000 { 1_000 } else { 20 };
-        model.observe(&workspace, Some(&name), CallKind::Chat, tokens);
+        model.observe(&workspace, Some(&name), CallKind::Chat, 131_071, tokens);
     }
-    let curve = model.curve(&workspace, Some(&name), CallKind::Chat);
+    let curve = model.curve(&workspace, Some(&name), CallKind::Chat, 131_071);
     assert!(curve.at_least(900) < 0.1);
 }
 
@@ -81,7 +81,7 @@
     for number in 0..4_000_u64 {
         let share = (number * 7_919 % 1_000) as f64 / 1_000.0;
         let tokens = (20.0 * (1.0 / (1.0 - share)).powf(0.7)) as u32;
-        model.observe(&workspace, Some(&name), CallKind::Chat, tokens);
+        model.observe(&workspace, Some(&name), CallKind::Chat, 131_071, tokens);
     }
     let calibration = model.calibration();
     assert_eq!(calibration.count(), 4_000);
