--- a/crates/member/src/table/probe_cycle.rs
+++ b/crates/member/src/table/probe_cycle.rs
@@ -13,7 +13,7 @@
 const BROKEN_MISSES: u32 = 2;
 
 /// One in this many probes goes to the next node by name, so that some node probes each node
-/// every 1.5 s. With random rounds alone the slowest detection of 200 among 26 nodes took 5.5 s.
+/// every 1.5 s. With random rounds alone the slowest of 600 detections among 26 nodes took 6.6 s.
 const SUCCESSOR_TURN: u32 = 3;
 
 /// Unknown nodes that a node without a confirmed view probes at once.
--- a/crates/member/tests/detection.rs
+++ b/crates/member/tests/detection.rs
@@ -8,7 +8,7 @@
 use yare::parameterized;
 
 /// Longest time until every peer declares a killed node dead.
-const KILL_BOUND: TimeSpan = TimeSpan::new(5_000);
+const KILL_BOUND: TimeSpan = TimeSpan::new(4_500);
 
 fn count_links(network: &FakeNetwork, at: usize, of: usize, broken: bool) -> usize {
     let name = &network.nodes[of].name;
@@ -86,10 +86,11 @@
     assert!(network.agrees());
 }
 
-/// Guards against a failure detector that is too slow or never ends a suspicion.
+/// Guards against a failure detector that is too slow or never ends a suspicion. Without probes of
+/// the successor, seeds 466 and 476 take 5.3 s and 6.6 s at 26 nodes.
 #[parameterized(small = { 8 }, large = { 26 })]
 fn killed_node_is_declared_dead_within_the_bound(count: usize) {
-    for seed in 20..30 {
+    for seed in 460..480 {
         let mut network = FakeNetwork::settled(1, count, seed);
         let killed = network.now;
         network.kill(1);
