Ask the owner of a ticket unless a later run of its node is known

Cause: another domain learns a node's new run up to 5.6 s late (measured by the membership example), and a ticket of that run was answered as replaced. Change: only a later known run counts as a replacement; otherwise the call is forwarded and the node itself tells. Conclusion: fewer needless answers with ran unknown; safety is unchanged, as the forwarded call names the run that may take it.

--- a/crates/node/src/claim/claim_handle.rs
+++ b/crates/node/src/claim/claim_handle.rs
@@ -1,6 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
-use base::{ErrorKind, IncarnationNumber, NodeName, RevisionNumber, WorkspaceName};
+use base::{ErrorKind, NodeName, RevisionNumber, WorkspaceName};
 use calls::{
     CallFailure, CallOutcome, ConsentVerdict, InquiryAnswer, KeyArrival, KeyId, OwnerId,
     OwnerReach, TicketKey, TicketRoute, TicketRouting, TicketText, WindowExport,
@@ -156,10 +156,9 @@
         }
         match fleet.find_node(owner.node.clone()).await {
             None => OwnerReach::Unreachable,
-            Some(known) if known.incarnation == owner.incarnation => OwnerReach::Reachable,
-            // The run is not known yet; the node itself tells whether it is this one.
-            Some(known) if known.incarnation == IncarnationNumber(0) => OwnerReach::Reachable,
-            Some(_) => OwnerReach::Replaced,
+            Some(known) if known.incarnation > owner.incarnation => OwnerReach::Replaced,
+            // News of other domains lag; the node itself tells whether it is a later run.
+            Some(_) => OwnerReach::Reachable,
         }
     }
 
