Bound the control traffic of probes and load notes, and count it

Cause: with 11 targets a node, as at 440 nodes before 4,900 runners, probes every 500 ms with two requests each and notes to 25 peers would have exceeded the budget of 11 KB/s (an estimate from message sizes, not a measurement). Change: one request a probe where the engine tells its load with its health; periods that grow with the targets and peers of a node; counters of control messages and bytes by kind.

--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -8,7 +8,7 @@
 /// Least time between two load notes to the peers of the domain.
 const NOTE_PERIOD: TimeSpan = TimeSpan::new(500);
 /// Added to the period for each peer, so that control traffic does not grow with their number.
-const NOTE_PER_PEER: TimeSpan = TimeSpan::new(80);
+const NOTE_PER_PEER: TimeSpan = TimeSpan::new(160);
 /// Notes after which the health of every target is repeated.
 const HEALTH_REPEAT: u64 = 10;
 
--- a/crates/node/src/actor/fleet_state/target_part.rs
+++ b/crates/node/src/actor/fleet_state/target_part.rs
@@ -14,10 +14,14 @@
 
 /// Nodes of a domain that probe the same target, so that one may fail unnoticed for a while.
 const PROBERS: usize = 2;
-/// Time between two probes of a target by its first prober.
+/// Least time between two probes of a target by its first prober.
 const PROBE_PERIOD: TimeSpan = TimeSpan::new(500);
-/// Time between two probes of a target by its second prober.
-const SECOND_PERIOD: TimeSpan = TimeSpan::new(2_000);
+/// Time that each target of a prober adds to that period, which bounds the traffic of a node.
+const PROBE_SHARE: TimeSpan = TimeSpan::new(200);
+/// Longest time between two probes, so that a target that leaves is known within 3 seconds.
+const PROBE_LIMIT: TimeSpan = TimeSpan::new(2_200);
+/// Times that the second prober of a target waits longer than the first one.
+const SECOND_FACTOR: u64 = 3;
 /// Failed probes in a row after which a target counts as down.
 const PROBE_FAILURES: u32 = 2;
 
@@ -101,31 +105,42 @@
             .filter(|(_, probe)| !probe.running && probe.due <= now)
             .map(|(name, _)| name.clone())
             .collect();
+        if due.is_empty() {
+            return;
+        }
+        let live = self.member.live_nodes(&self.parts.identity.domain);
+        let share = self.probes.len().div_ceil(live.len().max(1)) as u64;
+        let period = (PROBE_SHARE * share).max(PROBE_PERIOD).min(PROBE_LIMIT);
         for target in due {
-            self.probe_if_owner(target, now);
+            self.probe_if_owner(target, now, &live, period);
         }
     }
 
-    pub(super) fn probe_if_owner(&mut self, target: TargetName, now: ClockTime) {
-        let own = &self.parts.identity;
-        let live = self.member.live_nodes(&own.domain);
+    fn probe_if_owner(
+        &mut self,
+        target: TargetName,
+        now: ClockTime,
+        live: &[NodeName],
+        period: TimeSpan,
+    ) {
+        let own = &self.parts.identity.node;
         let key = format!("probe/{target}");
         let ranked = base::rank_owners(&key, live.iter().map(NodeName::as_str));
         let rank = ranked
             .iter()
             .take(PROBERS)
-            .position(|name| *name == own.node.as_str());
+            .position(|name| *name == own.as_str());
         let Some(probe) = self.probes.get_mut(&target) else {
             return;
         };
         match rank {
-            None => probe.due = now + PROBE_PERIOD,
+            None => probe.due = now + period,
             Some(0) => {
-                probe.due = now + PROBE_PERIOD;
+                probe.due = now + period;
                 self.start_probe(target);
             }
             Some(_) => {
-                probe.due = now + SECOND_PERIOD;
+                probe.due = now + period * SECOND_FACTOR;
                 self.start_probe(target);
             }
         }
--- a/crates/node/src/gauge/mod.rs
+++ b/crates/node/src/gauge/mod.rs
@@ -1,5 +1,7 @@
-//! Figures of calls for operators.
+//! Figures of calls and of control traffic for operators.
 
 mod call_metrics;
+mod control_metrics;
 
 pub use call_metrics::CallMetrics;
+pub use control_metrics::{ControlKind, ControlMetrics};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,7 +31,7 @@
 pub use clock::SystemClock;
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
-pub use gauge::CallMetrics;
+pub use gauge::{CallMetrics, ControlKind, ControlMetrics};
 pub use journal::EventJournal;
 pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
 pub use peer::{
--- a/crates/node/src/peer/peer_client.rs
+++ b/crates/node/src/peer/peer_client.rs
@@ -12,7 +12,7 @@
 use web::{ConnectionPool, PooledSender, SendPhase, WebBody, WebError, full_body, read_body};
 
 use super::{AddressBook, PeerBody, PeerEnvelope, PeerKey, PeerReply};
-use crate::EventJournal;
+use crate::{ControlMetrics, EventJournal};
 
 /// Path of messages between nodes.
 pub const MESSAGE_PATH: &str = "/peer/message";
@@ -83,6 +83,7 @@
     node: NodeName,
     incarnation: IncarnationNumber,
     journal: EventJournal,
+    metrics: ControlMetrics,
     permits: Arc<Semaphore>,
 }
 
@@ -97,6 +98,7 @@
         journal: EventJournal,
     ) -> Self {
         Self {
+            metrics: ControlMetrics::new(&node),
             pool,
             book,
             key,
@@ -148,6 +150,7 @@
         to: &NodeName,
         body: PeerBody,
     ) -> Result<PeerReply, PeerFailure> {
+        let kind = body.kind();
         let envelope = PeerEnvelope {
             from: self.node.clone(),
             incarnation: self.incarnation,
@@ -158,6 +161,7 @@
         let packed = rmp_serde::to_vec(&envelope).map_err(|error| PeerFailure::Unsent {
             reason: error.to_string(),
         })?;
+        self.metrics.count(kind, packed.len());
         let exchange = self.exchange(address, packed.into());
         let Ok(reply) = timeout(REPLY_WAIT.into(), exchange).await else {
             self.pool.forget(address);
--- a/crates/node/src/peer/peer_message.rs
+++ b/crates/node/src/peer/peer_message.rs
@@ -5,7 +5,7 @@
 use schema::member::MemberMessage;
 use serde::{Deserialize, Serialize};
 
-use crate::{EngineHealth, TargetPhase};
+use crate::{ControlKind, EngineHealth, TargetPhase};
 
 /// A message with its sender and time.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -47,6 +47,21 @@
     Window(Box<WindowExport>),
 }
 
+impl PeerBody {
+    /// What the message is for, as metrics count it.
+    pub fn kind(&self) -> ControlKind {
+        match self {
+            Self::Hello | Self::Member(_) => ControlKind::Member,
+            Self::Digest(_) | Self::Pull(_) => ControlKind::Revision,
+            Self::Load(_) => ControlKind::Load,
+            Self::Order(_) => ControlKind::Order,
+            Self::Crash(_) | Self::Consent(_) | Self::Inquiry(_) | Self::Window(_) => {
+                ControlKind::Claim
+            }
+        }
+    }
+}
+
 /// Asks a witness for its consent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConsentAsk {
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -144,6 +144,10 @@
     /// Reads the state of the engine.
     fn health(&self, address: SocketAddr) -> CallFuture<'_, EngineHealth>;
 
-    /// Reads the load of the engine.
-    fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport>;
+    /// Reads the state and the load of the engine, in one request if the engine allows it.
+    fn state(
+        &self,
+        target: TargetName,
+        address: SocketAddr,
+    ) -> CallFuture<'_, (EngineHealth, LoadReport)>;
 }
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -1,11 +1,12 @@
 use std::net::SocketAddr;
 
-use base::{GenerationId, TargetName, TimeSpan};
+use base::{ClockTime, GenerationId, TargetName, TimeSpan};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use sched::{LoadReport, WorkPriority};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tokio::time::timeout;
@@ -75,6 +76,17 @@
         self.open_stream(response, connection).await
     }
 
+    async fn read_metrics(
+        &self,
+        target: TargetName,
+        address: SocketAddr,
+    ) -> Result<LoadReport, EngineFault> {
+        let request = plain_request(Method::GET, address, "/metrics");
+        let body = self.ask(address, SendPhase::Reuse, request).await?;
+        let text = String::from_utf8_lossy(&body);
+        Ok(parse_load(target, self.clock.now(), &text))
+    }
+
     async fn open_stream(
         &self,
         response: Response<Incoming>,
@@ -255,16 +267,61 @@
         })
     }
 
-    fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport> {
+    fn state(
+        &self,
+        target: TargetName,
+        address: SocketAddr,
+    ) -> CallFuture<'_, (EngineHealth, LoadReport)> {
         Box::pin(async move {
-            let request = plain_request(Method::GET, address, "/metrics");
+            let request = plain_request(Method::GET, address, "/health");
             let body = self.ask(address, SendPhase::Reuse, request).await?;
-            let text = String::from_utf8_lossy(&body);
-            Ok(parse_load(target, self.clock.now(), &text))
+            let page: HealthPage = parse_answer(&body)?;
+            let measured_at = self.clock.now();
+            let report = match page.load {
+                Some(load) => load.into_report(target, measured_at),
+                None => self.read_metrics(target, address).await?,
+            };
+            Ok((page.health, report))
         })
     }
 }
 
+/// State of an engine that may carry its load, which saves the metrics page.
+#[derive(Deserialize)]
+struct HealthPage {
+    #[serde(flatten)]
+    health: EngineHealth,
+    #[serde(default)]
+    load: Option<LoadPage>,
+}
+
+#[derive(Deserialize)]
+struct LoadPage {
+    running: u32,
+    waiting: u32,
+    used_pages: u32,
+    cached_pages: u32,
+    total_pages: u32,
+    page_tokens: u32,
+    preemptions: u64,
+}
+
+impl LoadPage {
+    fn into_report(self, target: TargetName, measured_at: ClockTime) -> LoadReport {
+        LoadReport {
+            target,
+            measured_at,
+            running: self.running,
+            waiting: self.waiting,
+            used_pages: self.used_pages,
+            cached_pages: self.cached_pages,
+            total_pages: self.total_pages,
+            page_tokens: self.page_tokens,
+            preemptions: self.preemptions,
+        }
+    }
+}
+
 fn parse_answer<T: DeserializeOwned>(body: &[u8]) -> Result<T, EngineFault> {
     serde_json::from_slice(body).map_err(|error| EngineFault::Protocol {
         reason: error.to_string(),
--- a/crates/node/src/target/target_probe.rs
+++ b/crates/node/src/target/target_probe.rs
@@ -50,13 +50,9 @@
     }
 
     async fn probe_engine(self, target: TargetName, address: SocketAddr) -> ProbeResult {
-        let health = match self.engine.health(address).await {
-            Ok(health) => health,
-            Err(EngineFault::Refused) => return ProbeResult::Refused,
-            Err(_) => return ProbeResult::Failed,
-        };
-        match self.engine.load(target, address).await {
-            Ok(report) => ProbeResult::Engine { health, report },
+        match self.engine.state(target, address).await {
+            Ok((health, report)) => ProbeResult::Engine { health, report },
+            Err(EngineFault::Refused) => ProbeResult::Refused,
             Err(_) => ProbeResult::Failed,
         }
     }
--- a/crates/standin/src/engine/engine_api.rs
+++ b/crates/standin/src/engine/engine_api.rs
@@ -325,7 +325,17 @@
             })),
         }
     }
+    let figures = state.edit_model(|model, _| model.load_figures());
     Response::new(json_body(&json!({
+        "load": {
+            "running": figures.running,
+            "waiting": figures.waiting,
+            "used_pages": figures.used_pages,
+            "cached_pages": figures.cached_pages,
+            "total_pages": figures.total_pages,
+            "page_tokens": figures.page_tokens,
+            "preemptions": figures.preemptions,
+        },
         "incarnation": state.incarnation.0,
         "leaving": switches.leaving,
         "role": switches.role,
