--- a/crates/calls/examples/refusals.rs
+++ b/crates/calls/examples/refusals.rs
@@ -51,25 +51,20 @@
     );
 }
 
-/// Chance that a node was replaced within the last lifetime of a key.
+/// Refusals of first uses of a key, by the chance that a node is newer than a key's lifetime.
 fn print_estimate() {
-    let replaced = REPLACED_PER_DAY / NODES * KEY_LIFETIME_S / 86_400.0;
-    let any_of = |nodes: f64| 1.0 - (1.0 - replaced).powf(nodes);
+    let new = REPLACED_PER_DAY / NODES * KEY_LIFETIME_S / 86_400.0;
+    let any_of = |nodes: f64| 1.0 - (1.0 - new).powf(nodes);
+    // A home that is not new needs one witness that is not new either.
+    let witnesses = new * any_of(2.0) + (1.0 - new) * new * new;
+    let peers = new * any_of(NODES - 1.0);
+    println!("\nCalculated for {NODES} nodes, {REPLACED_PER_DAY} replacements a day:");
     println!(
-        "\nCalculated, not measured, for {NODES} nodes at {REPLACED_PER_DAY} replacements a day:"
-    );
-    println!(
-        "new home asks 2 witnesses: {:.3}% refused",
-        100.0 * replaced * any_of(2.0)
-    );
-    println!(
-        "new home asks all peers: {:.3}% refused",
-        100.0 * replaced * any_of(NODES - 1.0)
-    );
-    println!(
-        "new home asks nobody and refuses: {:.3}% refused",
-        100.0 * replaced
+        "the home needs 2 witnesses: {:.3}% refused",
+        100.0 * witnesses
     );
+    println!("a new home asks all peers: {:.3}% refused", 100.0 * peers);
+    println!("a new home refuses all: {:.3}% refused", 100.0 * new);
 }
 
 fn main() {
--- /dev/null
+++ b/crates/calls/tests/fake/call.rs
@@ -0,0 +1,342 @@
+use std::sync::Arc;
+
+use base::{ClockTime, ErrorKind, GenerationId, RanState};
+use calls::{
+    AnswerMode, CallAction, CallEvent, CallMachine, CallOutcome, CallPlan, CrashMessage,
+    CrashVerdict, LinkNumber, ResumePoint, RetainedAnswer,
+};
+use rand::Rng;
+
+use super::message::{Addr, CallMsg, Event, LinkRef, Msg, ReplyBody};
+use super::world::{NODES, TARGETS, World, target_index, target_name};
+
+use super::node::{Binding, Call, DEADLINE};
+
+impl World {
+    pub fn call_timer(&mut self, at: usize, id: u64, due: ClockTime) {
+        let call = self.nodes[at].calls.get(&id);
+        if call.is_some_and(|call| call.timer == Some(due)) {
+            self.feed(at, id, CallEvent::Timer, None);
+        }
+    }
+
+    pub fn start_call(&mut self, at: usize, message: CallMsg, binding: Binding) {
+        self.call_count += 1;
+        let id = self.call_count;
+        let keyed = binding != Binding::Free;
+        let mut plan = CallPlan::new(format!("c{id}").parse().unwrap());
+        plan.repeatable = message.idempotent || !self.config.switches.respect_repeatable;
+        plan.uninterruptible = keyed && !message.idempotent;
+        plan.deadline = Some(self.now + DEADLINE);
+        plan.seed = self.random.random();
+        plan.resume = message
+            .resume
+            .clone()
+            .map(|(target, generation, next)| ResumePoint {
+                target,
+                generation,
+                next,
+            });
+        if !message.streamed {
+            plan.mode = AnswerMode::Whole;
+        }
+        let call = Call {
+            machine: CallMachine::new(plan),
+            readers: vec![message.path.clone()],
+            message,
+            binding,
+            collected: Vec::new(),
+            target_incarnation: None,
+            resuming: None,
+            placed: false,
+            watch: None,
+            timer: None,
+        };
+        let now = self.now;
+        self.nodes[at].calls.insert(id, call);
+        self.nodes[at].budget.on_request(now);
+        let mut actions = Vec::new();
+        self.nodes[at]
+            .calls
+            .get_mut(&id)
+            .unwrap()
+            .machine
+            .start(now, &mut actions);
+        self.act(at, id, actions, None);
+    }
+
+    /// Feeds one event, with its token if it has one, and carries out what follows.
+    pub fn feed(
+        &mut self,
+        at: usize,
+        id: u64,
+        event: CallEvent<'_>,
+        token: Option<(GenerationId, u64)>,
+    ) {
+        let now = self.now;
+        let Some(call) = self.nodes[at].calls.get_mut(&id) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        call.machine.on_event(now, event, &mut actions);
+        self.act(at, id, actions, token);
+    }
+
+    pub fn act(
+        &mut self,
+        at: usize,
+        id: u64,
+        actions: Vec<CallAction>,
+        token: Option<(GenerationId, u64)>,
+    ) {
+        for action in actions {
+            if !self.nodes[at].calls.contains_key(&id) {
+                return;
+            }
+            self.carry_out(at, id, action, token.as_ref());
+        }
+    }
+
+    pub fn carry_out(
+        &mut self,
+        at: usize,
+        id: u64,
+        action: CallAction,
+        token: Option<&(GenerationId, u64)>,
+    ) {
+        let now = self.now;
+        let switches = self.config.switches;
+        let node = &mut self.nodes[at];
+        let incarnation = node.incarnation;
+        let call = node.calls.get_mut(&id).unwrap();
+        let views = &node.targets;
+        let takes = call
+            .machine
+            .target()
+            .is_some_and(|target| views[target_index(target)].takes(now));
+        match action {
+            CallAction::ChooseTarget { exclude, retry } => {
+                let event = self.choose_target(at, id, &exclude, retry);
+                self.feed(at, id, event, None);
+            }
+            CallAction::Connect { link, target } => {
+                call.target_incarnation = None;
+                call.resuming = None;
+                self.leave_target(at, id);
+                self.open(at, id, link, target_index(&target));
+            }
+            CallAction::Send { link, target, .. } => {
+                let target_at = target_index(&target);
+                if !takes && switches.heed_leaving {
+                    self.feed(at, id, CallEvent::ConnectFailed { link }, None);
+                    return;
+                }
+                call.placed = true;
+                let message = Box::new(call.message.clone());
+                let print = message.print;
+                if switches.note_first_byte {
+                    let event = CallEvent::FirstByteSent { link };
+                    call.machine.on_event(now, event, &mut Vec::new());
+                }
+                let notice = node.crash.on_placed(now, print, &target);
+                let link = node.link(id, link);
+                self.tell_peers(at, notice);
+                self.send_on(at, link, target_at, Msg::Request(link, message));
+            }
+            CallAction::Resume {
+                link,
+                target,
+                generation,
+                offset,
+            } => {
+                call.resuming = Some((link, generation, offset));
+                self.open(at, id, link, target_index(&target));
+            }
+            CallAction::Deliver { .. } => {
+                if switches.check_offsets {
+                    let (generation, offset) = token.unwrap().clone();
+                    self.deliver(at, id, generation, offset);
+                }
+            }
+            CallAction::DiscardAnswer => call.collected.clear(),
+            CallAction::CloseLink { .. } => call.watch = None,
+            CallAction::Cancel { target, generation } => {
+                let to = Addr::Target(target_index(&target));
+                self.send(Addr::Node(at), to, Msg::Cancel(generation));
+            }
+            CallAction::SetTimer { at: due } => {
+                call.timer = Some(due);
+                self.at(due, Event::CallTimer(at, incarnation, id, due));
+            }
+            CallAction::Detach(failure) => {
+                for path in std::mem::take(&mut call.readers) {
+                    self.reply(at, path, ReplyBody::Fail(failure.ran));
+                }
+            }
+            CallAction::Finish { .. } => self.finish_call(at, id),
+            CallAction::Fail(failure) => {
+                if failure.kind == ErrorKind::CrashSuspect {
+                    let counter = match call.message.poison {
+                        true => &mut self.report.condemned,
+                        false => &mut self.report.innocents_condemned,
+                    };
+                    *counter += 1;
+                }
+                self.fail_call(at, id, failure.ran);
+            }
+            CallAction::Abandon { ran } => self.fail_call(at, id, ran),
+            CallAction::Drop => {}
+        }
+    }
+
+    pub fn choose_target(
+        &mut self,
+        at: usize,
+        id: u64,
+        exclude: &[base::TargetName],
+        retry: bool,
+    ) -> CallEvent<'static> {
+        let now = self.now;
+        let switches = self.config.switches;
+        let node = &mut self.nodes[at];
+        let print = node.calls[&id].message.print;
+        if let CrashVerdict::Condemned { retry_after } = node.crash.judge(now, print) {
+            return CallEvent::NoTarget {
+                kind: ErrorKind::CrashSuspect,
+                retry_after: Some(retry_after),
+            };
+        }
+        let fits = |target: &usize| {
+            let name = target_name(*target);
+            let known = node.targets[*target].takes(now) || !switches.heed_leaving;
+            known && !exclude.contains(&name) && node.crash.allows(now, print, &name)
+        };
+        let all: Vec<_> = (0..TARGETS).filter(fits).collect();
+        let near: Vec<_> = all
+            .iter()
+            .copied()
+            .filter(|target| target % 2 == at % 2)
+            .collect();
+        let pool = if near.is_empty() { all } else { near };
+        if pool.is_empty() {
+            return CallEvent::NoTarget {
+                kind: ErrorKind::NoTarget,
+                retry_after: None,
+            };
+        }
+        let target = pool[self.random.random_range(0..pool.len())];
+        let budget = &mut node.target_budgets[target];
+        if !retry {
+            budget.on_request(now);
+        } else if switches.bound_retries && !node.budget.take_both(budget, now) {
+            return CallEvent::RetryRefused { retry_after: None };
+        }
+        CallEvent::TargetChosen {
+            target: target_name(target),
+        }
+    }
+
+    pub fn open(&mut self, at: usize, id: u64, link: LinkNumber, target: usize) {
+        let link = self.nodes[at].link(id, link);
+        self.send(Addr::Node(at), Addr::Target(target), Msg::Open(link));
+    }
+
+    pub fn send_on(&mut self, at: usize, link: LinkRef, target: usize, msg: Msg) {
+        if !self.silent_out.contains(&link) {
+            self.send(Addr::Node(at), Addr::Target(target), msg);
+        }
+    }
+
+    pub fn deliver(&mut self, at: usize, id: u64, generation: GenerationId, offset: u64) {
+        let call = self.nodes[at].calls.get_mut(&id).unwrap();
+        let target = call.machine.target().unwrap().clone();
+        let item = (target.to_string(), generation.clone(), offset);
+        call.collected.push(item);
+        if !call.message.streamed {
+            return;
+        }
+        for path in call.readers.clone() {
+            let body = ReplyBody::Token(target.clone(), generation.clone(), offset);
+            self.reply(at, path, body);
+        }
+    }
+
+    pub fn finish_call(&mut self, at: usize, id: u64) {
+        self.leave_target(at, id);
+        let node = &mut self.nodes[at];
+        let call = node.calls.remove(&id).unwrap();
+        let notice = node.crash.on_completed(call.message.print);
+        self.tell_peers(at, notice);
+        let resumed = call.message.resume.as_ref().map_or(0, |point| point.2);
+        let count = call.collected.len() as u64 + resumed;
+        let lines = call.collected.iter();
+        let body: String = lines
+            .map(|(target, name, _)| format!("{target} {name}\n"))
+            .collect();
+        let answer = RetainedAnswer {
+            status: 200,
+            content_type: "text/event-stream".into(),
+            body: body.into_bytes().into(),
+        };
+        for path in call.readers {
+            if !call.message.streamed {
+                for (target, generation, offset) in call.collected.clone() {
+                    let target = target.parse().unwrap();
+                    let body = ReplyBody::Token(target, generation, offset);
+                    self.reply(at, path.clone(), body);
+                }
+            }
+            self.reply(at, path, ReplyBody::End(count));
+        }
+        self.settle(at, call.binding, CallOutcome::Answered(Arc::new(answer)));
+    }
+
+    pub fn fail_call(&mut self, at: usize, id: u64, ran: RanState) {
+        self.leave_target(at, id);
+        let call = self.nodes[at].calls.remove(&id).unwrap();
+        for path in call.readers {
+            self.reply(at, path, ReplyBody::Fail(ran));
+        }
+        let outcome = match ran {
+            RanState::No => CallOutcome::NotRun,
+            ran => CallOutcome::Unanswered(ran),
+        };
+        self.settle(at, call.binding, outcome);
+    }
+
+    pub fn settle(&mut self, at: usize, binding: Binding, outcome: CallOutcome) {
+        let node = &mut self.nodes[at];
+        match binding {
+            Binding::Free => {}
+            Binding::Key(key) => node.home.finish(key, outcome),
+            Binding::Ticket(owner, sequence) => {
+                if let Some(window) = node.window(&owner) {
+                    window.finish(sequence, outcome);
+                }
+            }
+        }
+    }
+
+    pub fn leave_target(&mut self, at: usize, id: u64) {
+        let node = &mut self.nodes[at];
+        let call = node.calls.get_mut(&id).unwrap();
+        if !std::mem::take(&mut call.placed) {
+            return;
+        }
+        let print = call.message.print;
+        let Some(target) = call.machine.target().cloned() else {
+            return;
+        };
+        let notice = node.crash.on_left(print, &target);
+        self.tell_peers(at, notice);
+    }
+
+    pub fn tell_peers(&mut self, at: usize, notice: impl IntoIterator<Item = CrashMessage>) {
+        for message in notice {
+            for peer in (0..NODES).filter(|peer| *peer != at) {
+                let msg = Msg::Crash(message.clone());
+                self.send(Addr::Node(at), Addr::Node(peer), msg);
+            }
+        }
+    }
+}
