Reserve memory by the spread of lengths, rate targets for quick requests by step time, try express targets

Cause: one fixed reserve does not fit both workloads; quick requests went where memory was free instead of where steps are short. Change: variance of growth in GrowthCurve and GrowthOutlook; quick requests rate a target by sequences, unprocessed prompts and memory; a share of targets is filled only partly.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,7 +10,7 @@
 pub use length::{
     LENGTH_BINS, LengthCalibration, LengthCurve, LengthHistogram, LengthModel, bin_of, bin_start,
 };
-pub use memory::{GROWTH_STEPS, GrowthCurve, MemoryView, ViewHistory};
+pub use memory::{GROWTH_STEPS, GrowthCurve, GrowthOutlook, MemoryView, ViewHistory};
 pub use peak::{
     CoordinationMode, LimitClass, PeakPolicy, PeerTable, PolicySettings, PoolTable, PriorityLadder,
     StreamState, TargetChoice, TargetRating,
--- a/crates/sched/src/memory/growth_curve.rs
+++ b/crates/sched/src/memory/growth_curve.rs
@@ -20,17 +20,21 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GrowthCurve {
     tokens: [u64; GROWTH_STEPS.len()],
+    variances: [u64; GROWTH_STEPS.len()],
 }
 
 impl GrowthCurve {
     /// Predicts one sequence with `prompt` tokens that has `produced` of at most `cap` tokens.
     pub fn of_stream(curve: &LengthCurve, prompt: u32, produced: u32, cap: u32) -> Self {
         let held = u64::from(prompt) + u64::from(produced);
-        let tokens = GROWTH_STEPS.map(|step| {
-            let share = curve.survival(produced, step, cap);
-            ((held + u64::from(step)) as f64 * share) as u64
-        });
-        Self { tokens }
+        let shares = GROWTH_STEPS.map(|step| curve.survival(produced, step, cap));
+        let size = |at: usize| (held + u64::from(GROWTH_STEPS[at])) as f64;
+        Self {
+            tokens: std::array::from_fn(|at| (size(at) * shares[at]) as u64),
+            variances: std::array::from_fn(|at| {
+                (size(at) * size(at) * shares[at] * (1.0 - shares[at])) as u64
+            }),
+        }
     }
 
     /// Tokens in memory now.
@@ -43,6 +47,11 @@
         self.tokens.into_iter().max().unwrap_or(0)
     }
 
+    /// Largest variance of the number of tokens in memory.
+    pub fn variance(&self) -> u64 {
+        self.variances.into_iter().max().unwrap_or(0)
+    }
+
     /// Largest expected number of tokens together with `other`.
     pub fn peak_with(&self, other: &Self) -> u64 {
         let sums = self.tokens.iter().zip(&other.tokens).map(|(a, b)| a + b);
@@ -55,6 +64,9 @@
         for (own, other) in self.tokens.iter_mut().zip(other.tokens) {
             *own += other;
         }
+        for (own, other) in self.variances.iter_mut().zip(other.variances) {
+            *own += other;
+        }
     }
 }
 
@@ -63,5 +75,8 @@
         for (own, other) in self.tokens.iter_mut().zip(other.tokens) {
             *own = own.saturating_sub(other);
         }
+        for (own, other) in self.variances.iter_mut().zip(other.variances) {
+            *own = own.saturating_sub(other);
+        }
     }
 }
--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -12,9 +12,9 @@
     StreamState, TargetChoice, TargetRating,
 };
 use crate::{
-    FinishState, GrowthCurve, LengthCalibration, LengthModel, LoadReport, PeerDigest, PrefixTable,
-    QueueHead, QueueLane, QueuedItem, RoutePolicy, SchedAction, TargetDigest, TargetInfo,
-    TargetTable, WorkItem,
+    FinishState, GrowthCurve, GrowthOutlook, LengthCalibration, LengthModel, LoadReport,
+    PeerDigest, PrefixTable, QueueHead, QueueLane, QueuedItem, RoutePolicy, SchedAction,
+    TargetDigest, TargetInfo, TargetTable, WorkItem,
 };
 
 /// Longest output that is reckoned with.
@@ -23,10 +23,6 @@
 const PROMPT_PER_COST: u64 = 16;
 /// Requests at the head of workspaces that are tried when the first ones exclude targets.
 const HEAD_TRIES: usize = 4;
-/// Tokens by which the growth of other nodes' sequences is drawn towards the prior.
-const GROWTH_WEIGHT: f64 = 4_096.0;
-/// Growth of other nodes' sequences that is assumed at first.
-const GROWTH_PRIOR: f64 = 1.3;
 /// Bounds of the advice when to come back.
 const RETRY_BOUNDS: (TimeSpan, TimeSpan) = (TimeSpan::from_secs(1), TimeSpan::from_secs(120));
 
@@ -111,11 +107,6 @@
         self.streams.len()
     }
 
-    fn growth_factor(&self) -> f64 {
-        let peak = self.running.peak() as f64 + GROWTH_WEIGHT * GROWTH_PRIOR;
-        peak / (self.running.held() as f64 + GROWTH_WEIGHT)
-    }
-
     fn predict(&self, item: WorkItem) -> QueuedItem {
         let most = item.max_tokens.map(|most| most.0);
         let cap = most.map_or(LENGTH_CAP, |most| most.min(LENGTH_CAP));
@@ -250,7 +241,7 @@
         lane: QueueLane,
         starved: bool,
     ) -> Option<(QueueHead, usize)> {
-        let growth = self.growth_factor();
+        let growth = GrowthOutlook::of_running(&self.running);
         let class = LimitClass::of_lane(lane, starved);
         let pool = self.pools.pool(pool);
         for queued in pool.queue.heads(lane).take(HEAD_TRIES) {
@@ -391,9 +382,10 @@
     }
 
     fn resolve_pool(&mut self, pool: usize) {
+        let share = self.settings.express_share;
         self.pools
             .pool_mut(pool)
-            .resolve(&self.targets, &self.domain);
+            .resolve(&self.targets, &self.domain, share);
     }
 }
 
--- a/crates/sched/src/peak/target_rating.rs
+++ b/crates/sched/src/peak/target_rating.rs
@@ -1,10 +1,16 @@
 use base::ClockTime;
 
 use super::PolicySettings;
-use crate::{QueueLane, QueuedItem, TargetState};
+use crate::{GrowthOutlook, QueueLane, QueuedItem, TargetState};
 
 /// Rating of a target that is full.
 const POINTS_PER_LIMIT: u64 = 1_000;
+/// Points by which a quick request prefers targets that are kept lightly loaded.
+///
+/// Points of quick requests are units of 20 µs of step time, the time to prefill one token.
+const EXPRESS_DETOUR: u64 = 400;
+/// Worth of a held prefix to a quick request over that to others: its prompt is most of its work.
+const QUICK_PREFIX_FACTOR: u64 = 4;
 
 /// Which part of a target's memory a request may fill.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,8 +32,8 @@
     pub queued: &'a QueuedItem,
     /// Which part of the memory the request may fill.
     pub class: LimitClass,
-    /// Growth of sequences of other nodes that sent no digest.
-    pub growth: f64,
+    /// How sequences on a target will grow, as far as it is learned from own streams.
+    pub growth: GrowthOutlook,
 }
 
 impl TargetRating<'_> {
@@ -39,8 +45,22 @@
     }
 
     /// Rates a target in the own failure domain, lower is better; `None` if it has no room.
-    pub fn rate(&self, state: &TargetState, holds_prefix: bool) -> Option<u64> {
-        self.rate_within(state, 1.0, holds_prefix)
+    pub fn rate(&self, state: &TargetState, express: bool, holds_prefix: bool) -> Option<u64> {
+        let long = self.queued.lane == QueueLane::Long;
+        let reduced = express && long && self.class == LimitClass::Reduced;
+        let part = if reduced {
+            self.settings.express_fill
+        } else {
+            1.0
+        };
+        let points = self.rate_within(state, part)?;
+        let detour = if express || long { 0 } else { EXPRESS_DETOUR };
+        let bonus = match (holds_prefix, long) {
+            (false, _) => 0,
+            (true, true) => self.settings.prefix_points,
+            (true, false) => self.settings.prefix_points * QUICK_PREFIX_FACTOR,
+        };
+        Some((points + detour).saturating_sub(bonus))
     }
 
     /// Rates a target in another failure domain; `None` if it has no room for guests.
@@ -50,10 +70,10 @@
         if total > 0 && own as f64 > total as f64 * self.settings.remote_share {
             return None;
         }
-        self.rate_within(state, self.settings.remote_limit, false)
+        self.rate_within(state, self.settings.remote_limit)
     }
 
-    fn rate_within(&self, state: &TargetState, part: f64, holds_prefix: bool) -> Option<u64> {
+    fn rate_within(&self, state: &TargetState, part: f64) -> Option<u64> {
         let sequences = state.view.sequences();
         if self.queued.item.model.is_none() {
             let room = state.view.own_count() < self.settings.service_streams;
@@ -72,18 +92,21 @@
             return None;
         }
         let limit = (total as f64 * part * self.limit_share(state)) as u64;
-        let peak = state.view.predicted_peak(&self.queued.growth, self.growth);
-        if peak > limit && sequences > 0 {
+        let peak = state
+            .view
+            .predicted_peak(&self.queued.growth, self.growth.factor);
+        let spread = (peak as f64 * self.growth.variance).sqrt();
+        let wanted = peak + (spread * self.settings.spread_reserve) as u64;
+        if wanted > limit && sequences > 0 {
             return None;
         }
-        let memory = peak * POINTS_PER_LIMIT / limit.max(1);
-        let bonus = if holds_prefix {
-            self.settings.prefix_points
-        } else {
-            0
-        };
-        let points = memory + u64::from(sequences) * 4 + prefill / 16;
-        Some(points.saturating_sub(bonus))
+        Some(match self.queued.lane {
+            QueueLane::Quick => u64::from(sequences) * 14 + prefill + peak / 500,
+            QueueLane::Long => {
+                let memory = wanted * POINTS_PER_LIMIT / limit.max(1);
+                memory + u64::from(sequences) * 4 + prefill / 16
+            }
+        })
     }
 
     fn limit_share(&self, state: &TargetState) -> f64 {
