--- a/crates/sched/examples/compare.rs
+++ b/crates/sched/examples/compare.rs
@@ -67,8 +67,6 @@
     match key {
         "memory_reserve" => settings.memory_reserve = value.parse()?,
         "spread_reserve" => settings.spread_reserve = value.parse()?,
-        "express_share" => settings.express_share = value.parse()?,
-        "express_fill" => settings.express_fill = value.parse()?,
         "quick_reserve" => settings.quick_reserve = value.parse()?,
         "quick_tokens" => settings.quick_tokens = value.parse()?,
         "sequence_limit" => settings.sequence_limit = value.parse()?,
--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -382,10 +382,9 @@
     }
 
     fn resolve_pool(&mut self, pool: usize) {
-        let share = self.settings.express_share;
         self.pools
             .pool_mut(pool)
-            .resolve(&self.targets, &self.domain, share);
+            .resolve(&self.targets, &self.domain);
     }
 }
 
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -16,10 +16,6 @@
     pub memory_reserve: f64,
     /// Standard deviations of the predicted peak that are left free as well.
     pub spread_reserve: f64,
-    /// Share of the targets that are kept lightly loaded for quick requests.
-    pub express_share: f64,
-    /// Share of the usual limit up to which other requests fill these targets.
-    pub express_fill: f64,
     /// Further share that only quick requests may use.
     pub quick_reserve: f64,
     /// Longest expected output of a quick request, in tokens.
@@ -68,8 +64,6 @@
             mode: CoordinationMode::default(),
             memory_reserve: 0.0,
             spread_reserve: 0.4,
-            express_share: 0.08,
-            express_fill: 0.4,
             quick_reserve: 0.06,
             quick_tokens: 64,
             sequence_limit: 256,
--- a/crates/sched/src/peak/target_choice.rs
+++ b/crates/sched/src/peak/target_choice.rs
@@ -50,8 +50,7 @@
             return None;
         }
         let holders = self.prefixes.holders(self.rating.queued.item.prefix);
-        self.rating
-            .rate(state, self.pool.express[slot], holders.contains(&slot))
+        self.rating.rate(state, holders.contains(&slot))
     }
 
     fn rate_remote(&self, slot: usize) -> Option<u64> {
--- a/crates/sched/src/peak/target_rating.rs
+++ b/crates/sched/src/peak/target_rating.rs
@@ -5,10 +5,6 @@
 
 /// Rating of a target that is full.
 const POINTS_PER_LIMIT: u64 = 1_000;
-/// Points by which a quick request prefers targets that are kept lightly loaded.
-///
-/// Points of quick requests are units of 20 µs of step time, the time to prefill one token.
-const EXPRESS_DETOUR: u64 = 400;
 /// Worth of a held prefix to a quick request over that to others: its prompt is most of its work.
 const QUICK_PREFIX_FACTOR: u64 = 4;
 
@@ -45,22 +41,16 @@
     }
 
     /// Rates a target in the own failure domain, lower is better; `None` if it has no room.
-    pub fn rate(&self, state: &TargetState, express: bool, holds_prefix: bool) -> Option<u64> {
-        let long = self.queued.lane == QueueLane::Long;
-        let reduced = express && long && self.class == LimitClass::Reduced;
-        let part = if reduced {
-            self.settings.express_fill
-        } else {
-            1.0
-        };
-        let points = self.rate_within(state, part)?;
-        let detour = if express || long { 0 } else { EXPRESS_DETOUR };
-        let bonus = match (holds_prefix, long) {
-            (false, _) => 0,
-            (true, true) => self.settings.prefix_points,
-            (true, false) => self.settings.prefix_points * QUICK_PREFIX_FACTOR,
+    pub fn rate(&self, state: &TargetState, holds_prefix: bool) -> Option<u64> {
+        let points = self.rate_within(state, 1.0)?;
+        if !holds_prefix {
+            return Some(points);
+        }
+        let factor = match self.queued.lane {
+            QueueLane::Quick => QUICK_PREFIX_FACTOR,
+            QueueLane::Long => 1,
         };
-        Some((points + detour).saturating_sub(bonus))
+        Some(points.saturating_sub(self.settings.prefix_points * factor))
     }
 
     /// Rates a target in another failure domain; `None` if it has no room for guests.
@@ -101,6 +91,7 @@
             return None;
         }
         Some(match self.queued.lane {
+            // In units of 20 µs of step time, the time to prefill one token.
             QueueLane::Quick => u64::from(sequences) * 14 + prefill + peak / 500,
             QueueLane::Long => {
                 let memory = wanted * POINTS_PER_LIMIT / limit.max(1);
--- a/crates/sched/src/target/target_pool.rs
+++ b/crates/sched/src/target/target_pool.rs
@@ -1,13 +1,10 @@
 use std::sync::Arc;
 
-use base::{ClockTime, DomainName, TargetName, rank_score};
+use base::{ClockTime, DomainName, TargetName};
 
 use super::TargetTable;
 use crate::{DrainRate, WorkQueue};
 
-/// Key by which nodes agree on the targets for quick requests.
-const EXPRESS_KEY: &str = "express";
-
 /// Requests with the same candidates and the slots of these.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -17,10 +14,6 @@
     pub local: Vec<usize>,
     /// Slots of candidates in other failure domains.
     pub remote: Vec<usize>,
-    /// Slots of candidates that are kept lightly loaded for quick requests.
-    ///
-    /// Rendezvous hashing makes all nodes choose the same ones.
-    pub express: Vec<bool>,
     /// Requests that wait.
     pub queue: WorkQueue,
     /// How fast waiting requests leave.
@@ -37,7 +30,6 @@
             candidates,
             local: Vec::new(),
             remote: Vec::new(),
-            express: Vec::new(),
             queue: WorkQueue::default(),
             drain: DrainRate::default(),
             used_at: ClockTime::ZERO,
@@ -46,7 +38,7 @@
     }
 
     /// Looks up the slots again if the list of targets changed.
-    pub fn resolve(&mut self, table: &TargetTable, domain: &DomainName, express_share: f64) {
+    pub fn resolve(&mut self, table: &TargetTable, domain: &DomainName) {
         if self.version == table.version() {
             return;
         }
@@ -60,19 +52,5 @@
                 self.remote.push(slot);
             }
         }
-        self.mark_express(table, express_share);
-    }
-
-    fn mark_express(&mut self, table: &TargetTable, share: f64) {
-        let usable = self.local.iter().filter(|slot| table.state(**slot).usable);
-        let score = |slot: &usize| rank_score(EXPRESS_KEY, table.state(*slot).target.as_str());
-        let mut ranked: Vec<_> = usable.map(|slot| (score(slot), *slot)).collect();
-        ranked.sort_unstable();
-        let count = (ranked.len() as f64 * share).round() as usize;
-        self.express.clear();
-        self.express.resize(table.len(), false);
-        for (_, slot) in ranked.into_iter().take(count) {
-            self.express[slot] = true;
-        }
     }
 }
