--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -14,6 +14,8 @@
     pub mode: CoordinationMode,
     /// Share of a target's memory that predicted peaks leave free.
     pub memory_reserve: f64,
+    /// Standard deviations of the predicted peak that are left free as well.
+    pub spread_reserve: f64,
     /// Further share that only quick requests may use.
     pub quick_reserve: f64,
     /// Longest expected output of a quick request, in tokens.
@@ -60,7 +62,8 @@
     fn default() -> Self {
         Self {
             mode: CoordinationMode::default(),
-            memory_reserve: 0.06,
+            memory_reserve: 0.0,
+            spread_reserve: 0.4,
             quick_reserve: 0.06,
             quick_tokens: 64,
             sequence_limit: 256,
