Report domains that are missing and shorten the tests

Cause: a report could not tell a domain that was silent from one without targets, and some public items had no runnable example. Change: reports list the domains that they cover; expect adds those that are missing and keeps the fleet from counting as converged.

--- a/crates/orders/src/board/board_status.rs
+++ b/crates/orders/src/board/board_status.rs
@@ -27,6 +27,7 @@
             report.missing.push(self.settings.domain.clone());
             return report;
         };
+        report.domains.push(plan.domain.clone());
         for (at, target) in plan.targets.iter().enumerate() {
             let actual = self.actuals[at].as_ref();
             report.targets.push(TargetRow {
--- a/crates/orders/src/reconcile/next_step.rs
+++ b/crates/orders/src/reconcile/next_step.rs
@@ -17,6 +17,26 @@
 ///
 /// A pure function: equal arguments give equal steps, and an order that was carried out is not
 /// needed again.
+///
+/// ```
+/// use base::{ClockTime, IncarnationNumber};
+/// use orders::{BlockReason, GateReader, NeededStep, OrderAction, StepNeed, TargetActual};
+/// use orders::{TargetPlan, WantedVersion, next_step};
+/// struct OpenGates;
+/// impl GateReader for OpenGates {
+///     fn blocks_load(&self, _: &WantedVersion) -> Option<BlockReason> { None }
+///     fn blocks_unload(&self, _: &WantedVersion) -> Option<BlockReason> { None }
+///     fn may_retry(&self, _: &WantedVersion) -> bool { false }
+/// }
+/// let (name, role) = ("e1".parse().unwrap(), "decode".parse().unwrap());
+/// let plan = TargetPlan { name, role: Some(role), fencing: false, wanted: Vec::new() };
+/// let mut actual = TargetActual::new(plan.name.clone(), IncarnationNumber(1), ClockTime::ZERO);
+/// let action = OrderAction::SetRole { role };
+/// let step = NeededStep::Order(action, StepNeed::Free, None);
+/// assert_eq!(next_step(&plan, &actual, &OpenGates), step);
+/// actual.role = Some(role);
+/// assert_eq!(next_step(&plan, &actual, &OpenGates), NeededStep::Converged);
+/// ```
 pub fn next_step(plan: &TargetPlan, actual: &TargetActual, gates: &dyn GateReader) -> NeededStep {
     if actual.leaving {
         return NeededStep::Blocked(BlockReason::TargetLeaving);
--- a/crates/orders/src/report/convergence_report.rs
+++ b/crates/orders/src/report/convergence_report.rs
@@ -21,6 +21,8 @@
     pub targets: Vec<TargetRow>,
     /// Rollouts, sorted by domain and name.
     pub rollouts: Vec<RolloutRow>,
+    /// Domains that reported, sorted.
+    pub domains: Vec<DomainName>,
     /// Domains without a report, if known.
     pub missing: Vec<DomainName>,
 }
@@ -76,13 +78,21 @@
                 }
             }
         }
-        let reported = |domain: &DomainName| self.targets.iter().any(|row| row.domain == *domain);
-        let mut missing = self.missing.clone();
-        missing.extend(other.missing);
-        missing.sort_unstable();
-        missing.dedup();
-        missing.retain(|domain| !reported(domain));
-        self.missing = missing;
+        self.domains.extend(other.domains);
+        self.domains.sort_unstable();
+        self.domains.dedup();
+        let missing = std::mem::take(&mut self.missing);
+        self.expect(missing.into_iter().chain(other.missing))
+    }
+
+    /// Returns this report with those of `domains` as missing that have not reported.
+    #[must_use]
+    pub fn expect(mut self, domains: impl IntoIterator<Item = DomainName>) -> Self {
+        self.missing.extend(domains);
+        self.missing.sort_unstable();
+        self.missing.dedup();
+        self.missing
+            .retain(|domain| self.domains.binary_search(domain).is_err());
         self
     }
 }
--- a/crates/orders/src/rollout/rollout_summary.rs
+++ b/crates/orders/src/rollout/rollout_summary.rs
@@ -7,8 +7,15 @@
 /// Failures of one rollout that a node knows of; nodes merge them by union.
 ///
 /// ```
-/// use orders::RolloutSummary;
-/// let _merge: fn(&mut RolloutSummary, &RolloutSummary) -> bool = RolloutSummary::merge;
+/// use base::RevisionNumber;
+/// use orders::{RolloutKey, RolloutSummary};
+/// let version = "2".parse().unwrap();
+/// let key = RolloutKey { rollout: "quill".into(), version, epoch: 1, content: 7 };
+/// let mut here = RolloutSummary::new(key.clone(), RevisionNumber::new(1, 9));
+/// let mut there = RolloutSummary::new(key, RevisionNumber::new(1, 8));
+/// there.add("e1".parse().unwrap(), "weights are damaged".into());
+/// assert!(here.merge(&there));
+/// assert!(!here.merge(&there));
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutSummary {
--- a/crates/orders/src/slot/loader_of.rs
+++ b/crates/orders/src/slot/loader_of.rs
@@ -6,7 +6,18 @@
 /// if they are a majority of the declared ones.
 ///
 /// ```
-/// let _loader_of = orders::loader_of;
+/// use base::RevisionNumber;
+/// use fleet::{KeySet, KeyText, accept, make_head};
+/// use orders::{DomainPlan, GuardSwitches, loader_of};
+/// let text = "[domain patan]\n\
+///     [node n1]\ndomain = patan\npeer_address = 192.0.2.1:1\n\
+///     [node n2]\ndomain = patan\npeer_address = 192.0.2.1:2\n";
+/// let keys = vec![KeyText::new("fleet.ini", text)];
+/// let fleet = accept(&KeySet::new(make_head(1, &keys), keys)).unwrap();
+/// let plan = DomainPlan::new(&fleet, RevisionNumber::new(1, 1), &"patan".parse().unwrap());
+/// let both = [plan.nodes[0].clone(), plan.nodes[1].clone()];
+/// assert!(loader_of(&plan, &both, &GuardSwitches::default()).is_some());
+/// assert!(loader_of(&plan, &both[..1], &GuardSwitches::default()).is_none());
 /// ```
 pub fn loader_of(plan: &DomainPlan, live: &[NodeName], guards: &GuardSwitches) -> Option<NodeName> {
     let declared = |node: &&NodeName| plan.nodes.binary_search(node).is_ok();
--- a/crates/orders/tests/guards.rs
+++ b/crates/orders/tests/guards.rs
@@ -4,13 +4,7 @@
 
 use base::{ClockTime, IncarnationNumber, TimeSpan};
 use orders::{BoardAction, BoardSettings, GuardSwitches, OrderBoard, OrderOutcome};
-use support::{FakeFleet, FakeTarget, FleetShape};
-
-const LONG: TimeSpan = TimeSpan::from_secs(300);
-
-fn on() -> GuardSwitches {
-    GuardSwitches::default()
-}
+use support::{FakeFleet, FakeTarget, FleetShape, on, without};
 
 /// An owner decides to unload version 1, is paused before it writes the order, and writes it
 /// after a rollback to version 1 has unloaded version 2. Returns whether the target went empty,
@@ -23,7 +17,7 @@
     let mut fleet = FakeFleet::holding(&shape, guards, "1");
     fleet.declare(1, &shape);
     let pending = |fleet: &FakeFleet| fleet.pending_order("unload").is_some();
-    fleet.run_until(LONG, pending).unwrap();
+    fleet.expect_soon(pending);
     let (owner, order) = fleet.pending_order("unload").unwrap();
     fleet.nodes[owner].late_writes = true;
     fleet.pause(owner, TimeSpan::from_secs(pause));
@@ -52,14 +46,11 @@
     for pause in [10, 20, 60] {
         let (went_empty, fleet) = write_late(on(), true, pause);
         assert!(!went_empty, "pause of {pause} s");
-        assert!(fleet.converged(), "{}", fleet.report());
+        fleet.expect_converged();
         let refused =
             |record: &support::OrderRecord| matches!(record.outcome, OrderOutcome::Refused(_));
         assert!(fleet.records.iter().any(refused));
-        let off = GuardSwitches {
-            fencing: false,
-            ..on()
-        };
+        let off = without(|guards| guards.fencing = false);
         let (went_empty, _) = write_late(off, true, pause);
         assert!(went_empty, "pause of {pause} s");
     }
@@ -100,10 +91,7 @@
         let name = fleet.nodes[sleeper].name.clone();
         fleet.taken_since(woken, |record| record.node == name)
     };
-    let off = GuardSwitches {
-        resume_rule: false,
-        ..on()
-    };
+    let off = without(|guards| guards.resume_rule = false);
     for pause in [1, 2, 10, 20, 40, 60] {
         assert_eq!(stale_orders(on(), pause), 0, "pause of {pause} s");
     }
@@ -165,10 +153,7 @@
 /// Guards against an order that rests on an observation from before another node's order.
 #[test]
 fn target_is_read_again_before_an_order() {
-    let off = GuardSwitches {
-        reread: false,
-        ..on()
-    };
+    let off = without(|guards| guards.reread = false);
     assert!(lose_after_observation(on()));
     assert!(!lose_after_observation(off));
 }
@@ -184,7 +169,7 @@
     let mut fleet = FakeFleet::holding(&shape("decode"), guards, "2");
     fleet.declare(1, &shape("decode"));
     fleet.run(TimeSpan::from_secs(10));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
     fleet.split(&[0, 0, 0, 1, 1]);
     fleet.declare_at(&[3, 4], 2, &shape("prefill").declare());
     let start = fleet.now;
@@ -198,10 +183,7 @@
 #[test]
 fn fighting_orderers_slow_down_and_the_older_revision_stops() {
     let (with, mut fleet) = fight(on());
-    let off = GuardSwitches {
-        backoff: false,
-        ..on()
-    };
+    let off = without(|guards| guards.backoff = false);
     let (without, _) = fight(off);
     assert!(with <= 6 * 2 * 10, "{with} orders");
     assert!(without > 3 * with, "{without} against {with} orders");
@@ -222,5 +204,5 @@
         .declare(),
     );
     fleet.run(TimeSpan::from_secs(40));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
 }
--- a/crates/orders/tests/partitions.rs
+++ b/crates/orders/tests/partitions.rs
@@ -6,13 +6,7 @@
 use orders::{BlockReason, GuardSwitches, OrderOutcome};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use support::{FakeFleet, FleetShape};
-
-const LONG: TimeSpan = TimeSpan::from_secs(300);
-
-fn on() -> GuardSwitches {
-    GuardSwitches::default()
-}
+use support::{FakeFleet, FleetShape, on, without};
 
 fn wide(fencing: bool) -> FleetShape {
     FleetShape {
@@ -36,8 +30,7 @@
         fleet.declare_at(&[2, 3, 4], 2, &shape.version("3").declare());
         let moved = |fleet: &FakeFleet| fleet.all_serve("3");
         if fencing {
-            let took = fleet.run_until(LONG, moved);
-            assert!(took.is_some(), "{}", fleet.report());
+            fleet.expect_soon(moved);
         } else {
             fleet.run(TimeSpan::from_secs(60));
         }
@@ -52,9 +45,9 @@
         let mut owned = report.targets.iter().filter(|row| row.owned);
         assert!(owned.all(|row| stopped(&row)), "{report}");
         fleet.declare_at(&[0, 1], 2, &shape.version("3").declare());
-        assert!(fleet.run_until(LONG, moved).is_some(), "{}", fleet.report());
+        fleet.expect_soon(moved);
         fleet.run(TimeSpan::from_secs(20));
-        assert!(fleet.converged(), "{}", fleet.report());
+        fleet.expect_converged();
         assert!(fleet.shortfalls(4).is_empty());
     }
 }
@@ -72,8 +65,7 @@
         fleet.split(&[0; 5]);
         fleet.run(TimeSpan::from_secs(3));
         let healed = fleet.now;
-        let took = fleet.run_until(LONG, FakeFleet::converged);
-        assert!(took.is_some(), "{}", fleet.report());
+        fleet.expect_soon(FakeFleet::converged);
         for target in &fleet.targets {
             let owns = |node: &&support::FakeNode| node.board.owns(&target.name);
             assert_eq!(fleet.nodes.iter().filter(owns).count(), 1);
@@ -107,14 +99,13 @@
             .for_each(|target| target.room = room);
         fleet.declare(1, &shape);
         let pending = |fleet: &FakeFleet| fleet.pending_order("load").is_some();
-        fleet.run_until(LONG, pending).unwrap();
+        fleet.expect_soon(pending);
         let (owner, _) = fleet.pending_order("load").unwrap();
         fleet.nodes[owner].alive = false;
         fleet.run(TimeSpan::from_secs(12));
         let loader = fleet.loader();
         fleet.nodes[loader].alive = false;
-        let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-        assert!(took.is_some(), "room {room}: {}", fleet.report());
+        fleet.expect_soon(|fleet| fleet.all_serve("2"));
         assert!(fleet.shortfalls(4).is_empty());
         assert!(fleet.peak_rate <= shape.rate);
     }
@@ -140,8 +131,7 @@
         fleet.pause(owner, TimeSpan::new(pause));
         fleet.run(TimeSpan::from_secs(3));
         fleet.pause(loader, TimeSpan::new(pause));
-        let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-        assert!(took.is_some(), "pause of {pause} ms: {}", fleet.report());
+        fleet.expect_soon(|fleet| fleet.all_serve("2"));
         assert!(fleet.shortfalls(4).is_empty(), "pause of {pause} ms");
         assert!(fleet.peak_rate <= shape.rate);
     }
@@ -157,8 +147,7 @@
     fleet.run(TimeSpan::from_secs(60));
     assert_eq!(fleet.loaded_on("2"), 0);
     fleet.declare_at(&[0, 1], 2, &shape.version("3").declare());
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("3"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("3"));
     fleet.declare_at(&[0], 1, &shape.declare());
     fleet.run(TimeSpan::from_secs(10));
     assert_eq!(fleet.loaded_on("2"), 0);
@@ -184,10 +173,7 @@
 /// Guards against a loader on each side of a partition.
 #[test]
 fn minority_grants_no_loads() {
-    let off = GuardSwitches {
-        majority_rule: false,
-        ..on()
-    };
+    let off = without(|guards| guards.majority_rule = false);
     let (peak, _) = cut_in_three(on());
     assert_eq!(peak, 0);
     let (peak, limit) = cut_in_three(off);
@@ -263,7 +249,7 @@
         fleet.targets[1].room = 1;
         fleet.declare(1, &shape);
         fleet.run(TimeSpan::from_secs(60));
-        assert!(fleet.converged(), "{}", fleet.report());
+        fleet.expect_converged();
         let taken = fleet.records.iter().map(|record| {
             assert_eq!(record.outcome, OrderOutcome::Taken);
             (record.at, record.order.clone())
--- a/crates/orders/tests/properties.rs
+++ b/crates/orders/tests/properties.rs
@@ -11,7 +11,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use support::{FakeFleet, FleetShape, NaiveEvent, NaiveReconciler};
+use support::{FakeFleet, FleetShape, NaiveEvent, NaiveReconciler, on, without};
 
 const VERSIONS: [&str; 3] = ["1", "2", "3"];
 /// Time in which every node notices that a target went down.
@@ -59,11 +59,8 @@
 /// rule; such orders are told apart by the time of the last loss of a target.
 #[test]
 fn capacity_never_falls_below_the_minimum_by_an_order() {
-    check_capacity(GuardSwitches::default(), 96).unwrap();
-    let off = GuardSwitches {
-        capacity_rule: false,
-        ..GuardSwitches::default()
-    };
+    check_capacity(on(), 96).unwrap();
+    let off = without(|guards| guards.capacity_rule = false);
     let failure = check_capacity(off, 96).unwrap_err();
     assert!(failure.contains("OrderRecord"), "{failure}");
 }
--- a/crates/orders/tests/rollout.rs
+++ b/crates/orders/tests/rollout.rs
@@ -3,14 +3,8 @@
 mod support;
 
 use base::TimeSpan;
-use orders::{GuardSwitches, RolloutState};
-use support::{FakeFleet, FleetShape};
-
-const LONG: TimeSpan = TimeSpan::from_secs(300);
-
-fn on() -> GuardSwitches {
-    GuardSwitches::default()
-}
+use orders::RolloutState;
+use support::{FakeFleet, FleetShape, on, without};
 
 /// Guards against a rollout that takes capacity away or leaves an old version behind.
 #[test]
@@ -18,10 +12,9 @@
     let shape = FleetShape::default();
     let mut fleet = FakeFleet::holding(&shape, on(), "1");
     fleet.declare(1, &shape);
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("2"));
     fleet.run(TimeSpan::from_secs(5));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
     assert_eq!(fleet.count_orders("load"), 6);
     assert_eq!(fleet.count_orders("unload"), 6);
     assert!(fleet.records.iter().all(|record| record.ready.1 == 6));
@@ -37,11 +30,10 @@
     let mut fleet = FakeFleet::holding(&shape, on(), "1");
     fleet.targets.iter_mut().for_each(|target| target.room = 1);
     fleet.declare(1, &shape);
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("2"));
     assert!(fleet.shortfalls(5).is_empty());
     fleet.run(TimeSpan::from_secs(5));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
 }
 
 /// Guards against a migration that an earlier owner left half done.
@@ -60,8 +52,7 @@
     fleet.targets[4].hold("0");
     fleet.targets[5].broken.push("2".parse().unwrap());
     fleet.declare(1, &shape);
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("2"));
     assert_eq!(fleet.count_orders("load"), 3);
     assert!(fleet.shortfalls(6).is_empty());
 }
@@ -76,8 +67,7 @@
     };
     let mut fleet = FakeFleet::holding(&shape, on(), "2");
     fleet.declare(1, &shape);
-    let took = fleet.run_until(LONG, FakeFleet::converged);
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(FakeFleet::converged);
     assert_eq!(fleet.count_orders("load_adapter"), 12);
     assert_eq!(fleet.count_orders("set_role"), 6);
     let less = FleetShape {
@@ -86,7 +76,7 @@
     };
     fleet.declare(2, &less);
     fleet.run(TimeSpan::from_secs(20));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
     assert_eq!(fleet.count_orders("unload_adapter"), 6);
     assert_eq!(fleet.records.len(), 24);
 }
@@ -116,10 +106,9 @@
         "{text}"
     );
     assert!(fleet.targets.iter().all(|target| target.has("1")));
-    let other = shape.clone();
     let with_model = FleetShape {
         extra: "[model reed]\n".to_owned(),
-        ..other
+        ..shape.clone()
     };
     fleet.declare(2, &with_model);
     fleet.run(TimeSpan::from_secs(30));
@@ -130,7 +119,7 @@
     );
     fleet.declare(3, &shape.version("1"));
     fleet.run(TimeSpan::from_secs(20));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
     assert!(fleet.all_serve("1"));
 }
 
@@ -149,8 +138,7 @@
         .iter_mut()
         .for_each(|target| target.broken.clear());
     fleet.declare(2, &FleetShape { limit: 3, ..shape });
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("2"));
 }
 
 /// Guards against a version that is put on all targets before the first of them failed.
@@ -166,10 +154,7 @@
         fleet.run(TimeSpan::from_secs(90));
         fleet.loaded_on("2")
     };
-    let off = GuardSwitches {
-        halt_rule: false,
-        ..on()
-    };
+    let off = without(|guards| guards.halt_rule = false);
     assert_eq!(tried(on()), 2);
     assert_eq!(tried(off), 6);
 }
@@ -190,10 +175,7 @@
         fleet.run(TimeSpan::from_secs(60));
         fleet.shortfalls(3).len()
     };
-    let off = GuardSwitches {
-        capacity_rule: false,
-        ..on()
-    };
+    let off = without(|guards| guards.capacity_rule = false);
     assert_eq!(short(on()), 0);
     assert!(short(off) > 0);
 }
@@ -208,11 +190,10 @@
     fleet.run(TimeSpan::from_secs(6));
     fleet.targets[0].restart();
     fleet.targets[5].restart();
-    let took = fleet.run_until(LONG, |fleet| fleet.all_serve("2"));
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(|fleet| fleet.all_serve("2"));
     fleet.targets[2].restart();
     fleet.run(TimeSpan::from_secs(20));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
 }
 
 /// Guards against orders to a target that leaves, and against a rollout that waits for it.
@@ -223,11 +204,7 @@
     fleet.targets[0].leaving = true;
     fleet.declare(1, &shape);
     let others = |fleet: &FakeFleet| fleet.targets[1..].iter().all(|target| target.has("2"));
-    assert!(
-        fleet.run_until(LONG, others).is_some(),
-        "{}",
-        fleet.report()
-    );
+    fleet.expect_soon(others);
     let first = &fleet.targets[0].name;
     assert!(
         fleet
@@ -255,10 +232,9 @@
     }
     fleet.declare(1, &rollout("even"));
     fleet.run(TimeSpan::from_secs(10));
-    assert!(fleet.converged(), "{}", fleet.report());
+    fleet.expect_converged();
     fleet.declare(2, &rollout("odd"));
-    let took = fleet.run_until(LONG, FakeFleet::converged);
-    assert!(took.is_some(), "{}", fleet.report());
+    fleet.expect_soon(FakeFleet::converged);
     assert!(fleet.shortfalls(3).is_empty());
     let odd = fleet.targets.iter().skip(1).step_by(2);
     assert!(odd.clone().all(|target| target.has("1")));
@@ -285,8 +261,7 @@
         fleet.declare(2, &shape);
         let loads = |fleet: &FakeFleet| fleet.count_orders("load");
         for wave in 0..10 {
-            let began = fleet.run_until(LONG, |fleet| loads(fleet) > wave);
-            assert!(began.is_some(), "{}", fleet.report());
+            fleet.expect_soon(|fleet| loads(fleet) > wave);
             let earlier = &fleet.targets[..wave];
             assert!(
                 earlier.iter().all(|target| target.has("2")),
@@ -297,3 +272,21 @@
         assert_eq!(loads(&fleet), 10);
     }
 }
+
+/// Guards against a fleet that counts as converged while a domain has not reported.
+#[test]
+fn silent_domain_has_not_converged() {
+    let shape = FleetShape {
+        domains: 2,
+        ..FleetShape::default()
+    };
+    let mut fleet = FakeFleet::holding(&shape, on(), "2");
+    fleet.declare(1, &shape);
+    fleet.run(TimeSpan::from_secs(10));
+    let domains = ["d0", "d1"].map(|name| name.parse().unwrap());
+    let half = fleet.nodes[0].board.report(fleet.now);
+    assert!(half.converged());
+    let half = half.expect(domains.clone());
+    assert!(!half.converged() && half.to_string().contains("no report from domain d1"));
+    assert!(fleet.report().expect(domains).converged());
+}
--- a/crates/orders/tests/support/fake_fleet.rs
+++ b/crates/orders/tests/support/fake_fleet.rs
@@ -1,7 +1,7 @@
 use std::ops::Range;
 use std::time::Instant;
 
-use base::{ClockTime, IncarnationNumber, NodeName, RevisionNumber, TimeSpan};
+use base::{ClockTime, NodeName, RevisionNumber, TimeSpan};
 use fleet::{DeclaredDomain, FleetDeclaration};
 use orders::{
     BoardAction, ConvergenceReport, GuardSwitches, OrderAction, OrderMessage, OrderOutcome,
@@ -145,6 +145,16 @@
         None
     }
 
+    /// Runs until `met`; fails if that takes more than five minutes.
+    pub fn expect_soon(&mut self, met: impl Fn(&Self) -> bool) {
+        let took = self.run_until(TimeSpan::from_secs(300), met);
+        assert!(took.is_some(), "{}", self.report());
+    }
+
+    pub fn expect_converged(&self) {
+        assert!(self.converged(), "{}", self.report());
+    }
+
     pub fn report(&self) -> ConvergenceReport {
         let reports = self.nodes.iter().filter(|node| node.runs(self.now));
         let reports = reports.map(|node| node.board.report(self.now));
@@ -165,16 +175,6 @@
         targets.all(|target| target.has(version) && target.versions.len() == 1)
     }
 
-    pub fn node(&mut self, name: &str) -> &mut FakeNode {
-        let mut nodes = self.nodes.iter_mut();
-        nodes.find(|node| node.name.as_str() == name).unwrap()
-    }
-
-    pub fn target(&mut self, name: &str) -> &mut FakeTarget {
-        let mut targets = self.targets.iter_mut();
-        targets.find(|target| target.name.as_str() == name).unwrap()
-    }
-
     /// Position of the node that gives the orders to a target, by its own view.
     pub fn owner(&self, target: &str) -> usize {
         let target = target.parse().unwrap();
@@ -448,8 +448,4 @@
         names.dedup();
         names.len()
     }
-
-    pub fn run_number(&self, node: usize) -> IncarnationNumber {
-        IncarnationNumber(self.nodes[node].run)
-    }
 }
--- a/crates/orders/tests/support/mod.rs
+++ b/crates/orders/tests/support/mod.rs
@@ -14,3 +14,15 @@
 pub use fake_target::FakeTarget;
 pub use fleet_shape::FleetShape;
 pub use naive_reconciler::{NaiveEvent, NaiveReconciler};
+
+/// All mechanisms on.
+pub fn on() -> orders::GuardSwitches {
+    orders::GuardSwitches::default()
+}
+
+/// All mechanisms but those that `switch` turns off.
+pub fn without(switch: impl Fn(&mut orders::GuardSwitches)) -> orders::GuardSwitches {
+    let mut guards = on();
+    switch(&mut guards);
+    guards
+}
--- a/crates/orders/tests/support/naive_reconciler.rs
+++ b/crates/orders/tests/support/naive_reconciler.rs
@@ -105,23 +105,18 @@
                     }
                     LoadState::Loading => None,
                     LoadState::Failed { memory_full, .. } => {
-                        let surplus = actual.versions.iter().filter(|entry| !wanted(entry));
-                        let covered = |entry: &LoadedVersion| {
-                            rollouts.iter().any(|(_, other)| {
+                        let cost = |entry: &LoadedVersion| {
+                            let served = rollouts.iter().any(|(_, other)| {
+                                let known = actual.version(&other.model, &other.version);
                                 other.model == entry.model
-                                    && actual
-                                        .version(&other.model, &other.version)
-                                        .is_some_and(|entry| entry.is_ready())
-                            })
+                                    && known.is_some_and(|known| known.is_ready())
+                            });
+                            u8::from(!served) * 2 + u8::from(entry.model != rollout.model)
                         };
-                        let mut best: Option<(&LoadedVersion, u8)> = None;
-                        for entry in surplus {
-                            let cost = u8::from(!covered(entry)) * 2
-                                + u8::from(entry.model != rollout.model);
-                            if best.is_none_or(|(_, least)| cost < least) {
-                                best = Some((entry, cost));
-                            }
-                        }
+                        let surplus = actual.versions.iter().filter(|entry| !wanted(entry));
+                        let best = surplus
+                            .map(|entry| (entry, cost(entry)))
+                            .min_by_key(|pair| pair.1);
                         match best.filter(|_| *memory_full) {
                             Some((victim, cost)) => {
                                 let need = match cost {
