Keep back-off and ages over revisions that leave a target alone

Cause: each revision cleared the count of repeated orders and the age of every rollout's state. Change: a revision clears the repetitions of a target only if it wants another state of it, and the age of a rollout only if its content changed.

--- a/crates/orders/src/board/order_board.rs
+++ b/crates/orders/src/board/order_board.rs
@@ -98,12 +98,29 @@
                 Some(at) => known.swap_remove(at),
                 None => (OrderLoop::new(target.name.clone(), now), None),
             };
-            state.on_plan(&changed);
+            let before = old.as_ref().and_then(|old| {
+                let at = old.position(&target.name)?;
+                Some(&old.targets[at])
+            });
+            let is_same = before.is_some_and(|before| before.wants_same(target));
+            state.on_plan(is_same, &changed);
             self.loops.push(state);
             self.actuals.push(actual);
         }
         self.stale_rows = vec![true; plan.targets.len()];
-        self.rollout_since = vec![(RolloutState::Pending, now); plan.rollouts.len()];
+        let states = std::mem::take(&mut self.rollout_since);
+        let rollouts = plan.rollouts.iter();
+        self.rollout_since = rollouts
+            .map(|rollout| {
+                let old = old.as_ref()?;
+                let at = old
+                    .rollouts
+                    .iter()
+                    .position(|known| known.key == rollout.key)?;
+                states.get(at).cloned()
+            })
+            .map(|state| state.unwrap_or((RolloutState::Pending, now)))
+            .collect();
         self.view.highest = self.view.highest.max(revision);
         self.plan = Some(plan);
         self.told_failures = self.failures.summaries().is_empty();
--- a/crates/orders/src/plan/target_plan.rs
+++ b/crates/orders/src/plan/target_plan.rs
@@ -72,6 +72,25 @@
         self.wanted.iter().find(|wanted| wanted.is_same(entry))
     }
 
+    /// Tells whether both plans want the same state, whichever rollouts ask for it.
+    pub fn wants_same(&self, other: &Self) -> bool {
+        let state = |wanted: &WantedVersion| {
+            let WantedVersion {
+                model,
+                version,
+                adapters,
+                ..
+            } = wanted.clone();
+            (model, version, adapters)
+        };
+        self.role == other.role
+            && self
+                .wanted
+                .iter()
+                .map(state)
+                .eq(other.wanted.iter().map(state))
+    }
+
     /// Tells whether `actual` has everything that is wanted and nothing else.
     pub fn is_met(&self, actual: &TargetActual) -> bool {
         let role = self.role.is_none() || self.role == actual.role;
--- a/crates/orders/src/reconcile/order_loop.rs
+++ b/crates/orders/src/reconcile/order_loop.rs
@@ -120,9 +120,12 @@
             .collect();
     }
 
-    /// Forgets what followed from an older plan; a rollout that changed may be tried again.
-    pub fn on_plan(&mut self, changed: &[RolloutKey]) {
-        self.repeats.clear();
+    /// Forgets the repetitions if the revision wants another state of this target; a rollout that
+    /// changed may be tried again.
+    pub fn on_plan(&mut self, is_same: bool, changed: &[RolloutKey]) {
+        if !is_same {
+            self.repeats.clear();
+        }
         let free = RETRY_LIMIT.saturating_sub(self.retries.len());
         self.retries.extend(changed.iter().take(free).cloned());
     }
--- a/crates/orders/tests/partitions.rs
+++ b/crates/orders/tests/partitions.rs
@@ -70,17 +70,9 @@
             let owns = |node: &&support::FakeNode| node.board.owns(&target.name);
             assert_eq!(fleet.nodes.iter().filter(owns).count(), 1);
         }
-        let owners: Vec<_> = fleet
-            .targets
-            .iter()
-            .map(|target| fleet.owner(target.name.as_str()))
-            .collect();
         let foreign = |record: &support::OrderRecord| {
-            let at = fleet
-                .targets
-                .iter()
-                .position(|target| target.name == record.order.target);
-            fleet.nodes[owners[at.unwrap()]].name != record.node
+            let owner = fleet.owner(record.order.target.as_str());
+            fleet.nodes[owner].name != record.node
         };
         assert_eq!(fleet.taken_since(healed, foreign), 0);
         assert_eq!(fleet.count_orders("load"), 8, "a load was ordered twice");
--- a/crates/orders/tests/rollout.rs
+++ b/crates/orders/tests/rollout.rs
@@ -290,3 +290,19 @@
     assert!(!half.converged() && half.to_string().contains("no report from domain d1"));
     assert!(fleet.report().expect(domains).converged());
 }
+
+/// Guards against revisions that leave a target alone and yet reset the count of its vain loads.
+#[test]
+fn unrelated_revisions_do_not_hide_a_version_that_never_fits() {
+    let shape = FleetShape::default();
+    let mut fleet = FakeFleet::new(&shape, on());
+    fleet.targets.iter_mut().for_each(|target| target.room = 0);
+    for index in 1..60 {
+        let extra = format!("[model m{index}]\n");
+        let shape = shape.clone();
+        fleet.declare(index, &FleetShape { extra, ..shape });
+        fleet.run(TimeSpan::from_secs(5));
+    }
+    let text = fleet.report().to_string();
+    assert!(text.contains("halted"), "{text}");
+}
--- a/crates/orders/tests/support/naive_reconciler.rs
+++ b/crates/orders/tests/support/naive_reconciler.rs
@@ -207,8 +207,21 @@
                     if known.as_ref().is_some_and(|old| !same(old)) && same(fleet) {
                         retry = true;
                     }
+                    let wants = |fleet: &FleetDeclaration| {
+                        let declared = fleet.target(target).unwrap();
+                        let mut text = format!("{:?}", declared.role);
+                        for rollout in &fleet.rollouts {
+                            if rollout.targets.matches(&declared.labels) {
+                                let (model, version) = (&rollout.model, &rollout.version);
+                                text += &format!(" {model}:{version}{:?}", rollout.adapters);
+                            }
+                        }
+                        text
+                    };
+                    if known.as_ref().is_none_or(|old| wants(old) != wants(fleet)) {
+                        loads.clear();
+                    }
                     known = Some(fleet.clone());
-                    loads.clear();
                 }
                 NaiveEvent::Observed(actual)
                     if actual.target == *target && run != Some(actual.incarnation) =>
