--- a/crates/node/src/journal/event_journal.rs
+++ b/crates/node/src/journal/event_journal.rs
@@ -78,6 +78,8 @@
     fn push(&self, kind: EventKind, request: Option<&RequestId>, detail: &str) {
         let mut state = self.lock();
         let time = state.clock.tick(self.clock.wall());
+        let text: &'static str = kind.into();
+        metrics::counter!("agatemoor_events_total", "kind" => text).increment(1);
         let mut record = EventRecord::new(kind, time, self.node.clone(), self.domain.clone());
         record.request = request.cloned();
         let record = record.with_detail(detail);
--- a/crates/node/src/ops/ops_server.rs
+++ b/crates/node/src/ops/ops_server.rs
@@ -59,6 +59,9 @@
     }
 
     fn answer_metrics(&self) -> Response<WebBody> {
+        let node = self.core.identity.node.to_string();
+        let running = self.core.gate.running() as f64;
+        metrics::gauge!("agatemoor_requests_running", "node" => node).set(running);
         let mut response = Response::new(full_body(MetricsExport::shared().render()));
         let kind = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, kind);
--- a/crates/standin/src/engine/engine_api.rs
+++ b/crates/standin/src/engine/engine_api.rs
@@ -49,7 +49,10 @@
         (&Method::GET, "/metrics", _) => answer_metrics(&state),
         (&Method::GET, "/control/history", _) => Response::new(json_body(&state.log.records())),
         (&Method::PUT, "/control/leave", _) => {
-            state.set_switches(|switches| switches.leaving = true);
+            state.set_switches(|switches| {
+                switches.leaving = true;
+                switches.admit_leaving = query == "admit";
+            });
             Response::new(full_body("ok"))
         }
         (&Method::PUT, "/control/mute", _) => {
@@ -84,7 +87,8 @@
         state.crash();
         return std::future::pending().await;
     }
-    if state.switches().leaving {
+    let switches = state.switches();
+    if switches.leaving && !switches.admit_leaving {
         return refuse_call("engine is leaving");
     }
     let id = call.request_id.clone().unwrap_or_else(unnamed_request);
--- a/crates/standin/src/engine/engine_state.rs
+++ b/crates/standin/src/engine/engine_state.rs
@@ -22,6 +22,8 @@
 pub struct EngineSwitches {
     /// The engine is about to be taken away.
     pub leaving: bool,
+    /// It runs calls while it is leaving, so that its history shows who still sends some.
+    pub admit_leaving: bool,
     /// Streams with a number up to this one send nothing more.
     pub mute_streams: u64,
     /// Role in force.
