Complete chat answers and answer GET /v1/models/ID

Change: the collector adds the role `assistant` to a message without one; the caller interface describes a single model by the same rules as the list.

--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -16,7 +16,7 @@
 use super::forward_call::{forward_call, forward_far};
 use super::generation_call::{generation_kind, make_job};
 use super::keyed_call::{KeyedAnswer, answer_keyed};
-use super::model_list::list_models;
+use super::model_list::{find_model, list_models};
 use super::{CallInput, CallRun, InputFault, error_response};
 use crate::{
     CallRelay, ForwardedCall, NodeCore, NodeView, ServiceBody, ServiceRelay, SharedAnswer,
@@ -25,6 +25,8 @@
 
 /// Path that tells the platform's balancer whether the node serves callers.
 const READY_PATH: &str = "/ready";
+/// Prefix of the paths of single models.
+const MODEL_PREFIX: &str = "/v1/models/";
 /// Prefix of the paths of plain services.
 const SERVICE_PREFIX: &str = "/svc/";
 
@@ -80,6 +82,15 @@
                 let (view, fleet) = (&scene.view, &scene.fleet);
                 Ok(list_models(&self.core, view, fleet, &workspace))
             }
+            (&Method::GET, path) if path.starts_with(MODEL_PREFIX) => {
+                let (view, fleet) = (&scene.view, &scene.fleet);
+                let id = &path[MODEL_PREFIX.len()..];
+                let found = find_model(&self.core, view, fleet, &workspace, id);
+                found.ok_or_else(|| {
+                    let message = format!("model `{id}` is not declared for this workspace");
+                    InputFault::new(ErrorKind::NotFound, message)
+                })
+            }
             (&Method::POST, "/v1/tickets") => self.issue_ticket(&workspace).await,
             (method, path) if generation_kind(path).is_some() => {
                 let resumes = request.headers().contains_key("last-event-id");
--- a/crates/node/src/relay/answer_collector.rs
+++ b/crates/node/src/relay/answer_collector.rs
@@ -62,8 +62,14 @@
     }
 
     /// Returns the whole answer as JSON.
+    ///
+    /// The message of a chat names its role even if no chunk did, since client libraries
+    /// require it.
     pub fn finish(&mut self) -> Bytes {
-        let answer = std::mem::take(&mut self.answer);
+        let mut answer = std::mem::take(&mut self.answer);
+        if let Some(Value::Array(choices)) = answer.get_mut("choices") {
+            choices.iter_mut().for_each(complete_message);
+        }
         serde_json::to_vec(&answer).unwrap_or_default().into()
     }
 
@@ -87,6 +93,14 @@
     }
 }
 
+fn complete_message(choice: &mut Value) {
+    if let Some(Value::Object(message)) = choice.get_mut("message") {
+        message
+            .entry("role")
+            .or_insert_with(|| Value::from("assistant"));
+    }
+}
+
 /// Merges an entry into the one with the same index, or appends it.
 fn merge_entry(known: &mut Vec<Value>, entry: Map<String, Value>) {
     let index = entry.get("index").cloned().unwrap_or(Value::from(0));
