Add the commands status and timeline

Cause: operators could only read the pages of single nodes by hand. Change: `agatemoor status` merges the status pages of several nodes into one verdict, with convergence rows where nodes report them and the probes of targets until then; `agatemoor timeline` merges events by hybrid logical time and writes lines or one HTML page. StatusPage gets `convergence: Vec<StatusRow>`, empty so far, and `/ops/events` names its node. The log level of an event can be asked from outside the node. Conclusion: the rows of the order board can be put into StatusPage without change here.

--- a/crates/agatemoor/src/command/check_command.rs
+++ b/crates/agatemoor/src/command/check_command.rs
@@ -10,7 +10,7 @@
 #[argh(
     subcommand,
     name = "check",
-    example = "Check settings:\n  $ agatemoor check node.ini\nCheck a declaration and print its head:\n  $ agatemoor check --declaration --epoch 1 fleet.ini"
+    example = "Check settings:\n  $ agatemoor check examples/kanchan/entry-patan-1.ini\nCheck a declaration:\n  $ agatemoor check --declaration examples/kanchan/fleet.ini\nPrint the head to publish after the files of a declaration:\n  $ agatemoor check --declaration --epoch 1 examples/kanchan/fleet.ini"
 )]
 pub struct CheckCommand {
     /// the files are a declaration rather than settings of nodes
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -8,6 +8,8 @@
 use super::check_command::CheckCommand;
 use super::node_command::NodeCommand;
 use super::standin_command::StandInCommand;
+use super::status_command::StatusCommand;
+use super::timeline_command::TimelineCommand;
 use crate::demo::DemoCommand;
 use crate::logging::{LogFormat, start_logging};
 
@@ -21,7 +23,7 @@
 /// Serves text generations of unknown length on crowded engines.
 #[derive(FromArgs)]
 #[argh(
-    example = "Show the whole system in one process:\n  $ {command_name} demo",
+    example = "Show the whole system in one process:\n  $ {command_name} demo\nHelp on one command:\n  $ {command_name} status --help",
     error_code(0, "done"),
     error_code(1, "the work failed"),
     error_code(2, "wrong usage or settings")
@@ -44,6 +46,8 @@
 enum SubCommand {
     Node(NodeCommand),
     Check(CheckCommand),
+    Status(StatusCommand),
+    Timeline(TimelineCommand),
     Demo(DemoCommand),
     StandIn(StandInCommand),
 }
@@ -71,6 +75,8 @@
         let code = match self.sub {
             SubCommand::Node(command) => run_async(command.run()),
             SubCommand::Check(command) => command.run(),
+            SubCommand::Status(command) => run_async(command.run()),
+            SubCommand::Timeline(command) => run_async(command.run()),
             SubCommand::Demo(command) => run_async(command.run()),
             SubCommand::StandIn(command) => run_async(command.run()),
         };
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -4,6 +4,8 @@
 mod main_command;
 mod node_command;
 mod standin_command;
+mod status_command;
+mod timeline_command;
 
 pub use main_command::{EXIT_DONE, EXIT_FAILED, MainCommand};
 pub use node_command::stop_signal;
--- a/crates/agatemoor/src/command/node_command.rs
+++ b/crates/agatemoor/src/command/node_command.rs
@@ -12,7 +12,7 @@
 #[argh(
     subcommand,
     name = "node",
-    example = "Run a node:\n  $ agatemoor node examples/kanchan/thapathali-1.ini"
+    example = "Check the settings, then run the node:\n  $ agatemoor check examples/kanchan/entry-thapathali-1.ini\n  $ agatemoor node examples/kanchan/entry-thapathali-1.ini"
 )]
 pub struct NodeCommand {
     /// settings of the node
--- /dev/null
+++ b/crates/agatemoor/src/status/mod.rs
@@ -0,0 +1,6 @@
+//! Convergence of the fleet from the status pages of its nodes.
+
+mod fleet_summary;
+mod status_text;
+
+pub use fleet_summary::{FleetSummary, SilentNode};
--- a/crates/node/src/journal/event_journal.rs
+++ b/crates/node/src/journal/event_journal.rs
@@ -90,8 +90,13 @@
     }
 }
 
-/// Events of single requests are frequent and stand at debug level.
-fn level_of(kind: EventKind) -> Level {
+/// Level at which an event is logged; those of single requests are frequent and stand at debug.
+///
+/// ```
+/// use base::EventKind;
+/// assert_eq!(node::event_level(EventKind::TargetDown), log::Level::Warn);
+/// ```
+pub fn event_level(kind: EventKind) -> Level {
     use EventKind::{
         AttemptSent, CallerGone, GenerationStarted, RequestAccepted, RequestFinished, TicketIssued,
     };
@@ -109,7 +114,7 @@
 }
 
 fn write_log(record: &EventRecord) {
-    let level = level_of(record.kind);
+    let level = event_level(record.kind);
     if level > log::max_level() {
         return;
     }
--- a/crates/node/src/journal/mod.rs
+++ b/crates/node/src/journal/mod.rs
@@ -2,4 +2,4 @@
 
 mod event_journal;
 
-pub use event_journal::EventJournal;
+pub use event_journal::{EventJournal, event_level};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,8 +30,11 @@
 pub use clock::SystemClock;
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
-pub use journal::EventJournal;
-pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
+pub use journal::{EventJournal, event_level};
+pub use ops::{
+    MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusRow, StatusSubject,
+    StatusTarget,
+};
 pub use peer::{
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
     PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, PeerServer, TargetNote,
--- a/crates/node/src/ops/mod.rs
+++ b/crates/node/src/ops/mod.rs
@@ -6,4 +6,6 @@
 
 pub use metrics_export::MetricsExport;
 pub use ops_server::OpsServer;
-pub use status_page::{StatusNode, StatusPage, StatusRevision, StatusTarget};
+pub use status_page::{
+    StatusNode, StatusPage, StatusRevision, StatusRow, StatusSubject, StatusTarget,
+};
--- a/crates/node/src/ops/ops_server.rs
+++ b/crates/node/src/ops/ops_server.rs
@@ -55,7 +55,10 @@
             .and_then(|text| text.parse().ok());
         let events = self.core.journal.since(since.unwrap_or_default());
         let dropped = self.core.journal.dropped();
-        Response::new(json_body(&json!({ "dropped": dropped, "events": events })))
+        let node = &self.core.identity.node;
+        Response::new(json_body(
+            &json!({ "node": node, "dropped": dropped, "events": events }),
+        ))
     }
 
     fn answer_metrics(&self) -> Response<WebBody> {
--- a/crates/node/src/ops/status_page.rs
+++ b/crates/node/src/ops/status_page.rs
@@ -1,5 +1,6 @@
 use base::{DomainName, IncarnationNumber, NodeName, RevisionNumber, TargetName};
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 use crate::{FleetStatus, LoadedVersion, NodeCore, TargetPhase};
 
@@ -28,6 +29,9 @@
     pub domains: Vec<(DomainName, bool)>,
     /// Targets of the domain.
     pub targets: Vec<StatusTarget>,
+    /// Declared against actual state; empty until the node has observed its targets.
+    #[serde(default)]
+    pub convergence: Vec<StatusRow>,
 }
 
 /// What a node knows of revisions.
@@ -73,6 +77,43 @@
     pub loaded: Vec<LoadedVersion>,
 }
 
+/// What a convergence row is about; in JSON the field `target` or `rollout`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StatusSubject {
+    /// One target.
+    Target(TargetName),
+    /// One rollout in one domain.
+    Rollout(SmolStr),
+}
+
+/// Declared against actual state of one target or rollout.
+///
+/// ```
+/// let text = r#"{"domain":"patan","target":"e1","declared":"quill:3","actual":"quill:2",
+///     "converged":false,"reason":"the target is loading","since_ms":1500}"#;
+/// let row: node::StatusRow = serde_json::from_str(text).unwrap();
+/// assert_eq!(row.subject, node::StatusSubject::Target("e1".parse().unwrap()));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusRow {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Target or rollout.
+    #[serde(flatten)]
+    pub subject: StatusSubject,
+    /// Declared state.
+    pub declared: String,
+    /// State as last observed; empty if never observed.
+    pub actual: String,
+    /// Whether the actual state is the declared one.
+    pub converged: bool,
+    /// What blocks convergence; empty if nothing does.
+    pub reason: String,
+    /// How long this has been so, in milliseconds before the answer.
+    pub since_ms: u64,
+}
+
 impl StatusPage {
     /// Creates the page of a node.
     pub fn new(core: &NodeCore, status: FleetStatus) -> Self {
@@ -105,6 +146,7 @@
             domains: status.domains,
             targets: targets.collect(),
             revision: revision_status(status.revision),
+            convergence: Vec::new(),
         }
     }
 }
