--- a/crates/agatemoor/src/lib.rs
+++ b/crates/agatemoor/src/lib.rs
@@ -11,5 +11,5 @@
 pub use demo::{CallAnswer, DemoCaller, DemoEngine, DemoFleet, DemoNode, make_policy};
 pub use logging::{LogFormat, start_logging};
 pub use operator::{NodeAnswer, NodeList, OpsClient, TextTable, plain_text};
-pub use status::{FleetSummary, SilentNode};
+pub use status::{FleetSummary, SilentNode, StatusRow, StatusSubject};
 pub use timeline::{EventFilter, EventPage, EventTimeline, SinceTime, TimelinePage};
--- a/crates/agatemoor/src/status/fleet_summary.rs
+++ b/crates/agatemoor/src/status/fleet_summary.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 
 use base::{DomainName, RevisionNumber};
-use node::{StatusPage, StatusRow, StatusSubject, StatusTarget, TargetPhase};
+use node::StatusPage;
+use orders::ConvergenceReport;
 use serde::Serialize;
 
+use super::StatusRow;
 use crate::operator::NodeAnswer;
 
 /// A named node that did not answer.
@@ -70,52 +72,30 @@
     }
 }
 
-/// Per subject the row of the newest revision; at equal revisions one that has not converged.
+/// Rows of the order boards, then those of targets that only probes observe.
 fn merge_rows(pages: &[StatusPage]) -> Vec<StatusRow> {
-    let mut ranked: Vec<(StatusRow, Option<RevisionNumber>)> = Vec::new();
+    let reports = pages.iter().map(|page| page.convergence.clone());
+    let report = reports.reduce(ConvergenceReport::merge).unwrap_or_default();
+    let targets = report.targets.iter();
+    let rollouts = report.rollouts.iter();
+    let mut rows: Vec<StatusRow> = targets
+        .map(|row| StatusRow::of_target(row, report.now))
+        .chain(rollouts.map(|row| StatusRow::of_rollout(row, report.now)))
+        .collect();
     for page in pages {
-        let revision = page.revision.accepted;
-        ranked.extend(page_rows(page).into_iter().map(|row| (row, revision)));
-    }
-    ranked.sort_by(|(a, a_revision), (b, b_revision)| {
-        let subject = (&a.domain, &a.subject).cmp(&(&b.domain, &b.subject));
-        subject
-            .then_with(|| b_revision.cmp(a_revision))
-            .then_with(|| a.converged.cmp(&b.converged))
-            .then_with(|| b.since_ms.cmp(&a.since_ms))
-    });
-    ranked.dedup_by(|(a, _), (b, _)| a.domain == b.domain && a.subject == b.subject);
-    ranked.into_iter().map(|(row, _)| row).collect()
-}
-
-/// Rows of a page; a page without convergence rows counts a target that answers as converged.
-fn page_rows(page: &StatusPage) -> Vec<StatusRow> {
-    if !page.convergence.is_empty() {
-        return page.convergence.clone();
+        for target in &page.targets {
+            add_probe(&mut rows, StatusRow::of_probe(page, target));
+        }
     }
-    let targets = page.targets.iter();
-    targets.map(|target| probe_row(page, target)).collect()
+    rows.sort_by(|a, b| (&a.domain, &a.subject).cmp(&(&b.domain, &b.subject)));
+    rows
 }
 
-fn probe_row(page: &StatusPage, target: &StatusTarget) -> StatusRow {
-    let mut actual = target.phase.to_string();
-    for version in &target.loaded {
-        actual.push_str(&format!(" {}:{}", version.model, version.version));
-    }
-    let reason = match target.phase {
-        TargetPhase::Up => "",
-        TargetPhase::Unknown => "the target has not answered yet",
-        TargetPhase::Leaving => "the target is leaving",
-        TargetPhase::Down => "the target does not answer",
-    };
-    StatusRow {
-        domain: page.domain.clone(),
-        subject: StatusSubject::Target(target.target.clone()),
-        declared: TargetPhase::Up.to_string(),
-        actual,
-        converged: target.phase == TargetPhase::Up,
-        reason: reason.to_owned(),
-        since_ms: target.phase_age_ms,
+fn add_probe(rows: &mut Vec<StatusRow>, probe: StatusRow) {
+    let same = |row: &&mut StatusRow| row.domain == probe.domain && row.subject == probe.subject;
+    match rows.iter_mut().find(same) {
+        Some(row) => row.note_probe(probe),
+        None => rows.push(probe),
     }
 }
 
--- a/crates/agatemoor/src/status/status_text.rs
+++ b/crates/agatemoor/src/status/status_text.rs
@@ -1,9 +1,9 @@
 use std::fmt;
 
 use base::TimeSpan;
-use node::{StatusPage, StatusSubject};
+use node::StatusPage;
 
-use super::FleetSummary;
+use super::{FleetSummary, StatusSubject};
 use crate::operator::{TextTable, plain_text};
 
 impl fmt::Display for FleetSummary {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod core_parts;
 mod gate;
+mod gauge;
 mod journal;
 mod ops;
 mod peer;
@@ -30,11 +31,9 @@
 pub use clock::SystemClock;
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
+pub use gauge::CallMetrics;
 pub use journal::{EventJournal, event_level};
-pub use ops::{
-    MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusRow, StatusSubject,
-    StatusTarget,
-};
+pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
 pub use peer::{
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
     PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, PeerServer, TargetNote,
--- a/crates/node/src/ops/mod.rs
+++ b/crates/node/src/ops/mod.rs
@@ -6,6 +6,4 @@
 
 pub use metrics_export::MetricsExport;
 pub use ops_server::OpsServer;
-pub use status_page::{
-    StatusNode, StatusPage, StatusRevision, StatusRow, StatusSubject, StatusTarget,
-};
+pub use status_page::{StatusNode, StatusPage, StatusRevision, StatusTarget};
