--- /dev/null
+++ b/crates/agatemoor/tests/reference_pages.rs
@@ -0,0 +1,58 @@
+//! The committed reference pages agree with the code.
+
+#[path = "../examples/reference/error_page.rs"]
+mod error_page;
+#[path = "../examples/reference/event_page.rs"]
+mod event_page;
+
+use base::{ErrorKind, EventKind};
+use strum::IntoEnumIterator;
+
+/// Guards against an event that was added or changed without its entry in the catalogue.
+#[test]
+fn events_page_is_current() {
+    let committed = include_str!("../../../docs/events.md");
+    assert_eq!(committed, event_page::write_events());
+}
+
+/// Guards against an error kind that was added or changed without its row for callers.
+#[test]
+fn errors_page_is_current() {
+    let committed = include_str!("../../../docs/errors.md");
+    assert_eq!(committed, error_page::write_errors());
+}
+
+/// Guards against a number given to two events, which would make the catalogue ambiguous.
+#[test]
+fn event_numbers_are_unique() {
+    let mut numbers: Vec<u16> = EventKind::iter().map(EventKind::number).collect();
+    let count = numbers.len();
+    numbers.sort_unstable();
+    numbers.dedup();
+    assert_eq!(numbers.len(), count);
+}
+
+/// Guards against a kind whose meaning is missing from the table.
+#[test]
+fn every_error_has_a_meaning() {
+    for line in error_page::write_errors().lines() {
+        assert!(!line.ends_with("|  |"), "{line}");
+    }
+    assert!(ErrorKind::iter().count() > 0);
+}
+
+/// Guards against an operator page that names an event which does not exist.
+#[test]
+fn operations_page_names_known_events() {
+    let page = include_str!("../../../docs/operations.md");
+    let rows = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| event `"));
+    let mut count = 0;
+    for row in rows {
+        let name = row.split('`').next().unwrap_or_default();
+        assert!(name.parse::<EventKind>().is_ok(), "{name} is no event");
+        count += 1;
+    }
+    assert!(count > 0, "the page has a table of events");
+}
