Add the load command with callers over HTTP and experiments in virtual time

Cause: the measures could only be taken through examples, and the load tool took every event id of a node for a wrong offset, because a node ends its ids with a dot and the offset.

Change: subcommand load in two modes with checked flags; the field stand_in_tokens tells a stand-in the length of the output; lost tokens are counted as callers see them; event ids of nodes are read.

--- /dev/null
+++ b/crates/agatemoor/src/command/load_virtual.rs
@@ -0,0 +1,103 @@
+use base::{ClockTime, TimeSpan};
+use load::baseline::ChoiceRule;
+use load::{
+    ExperimentPlan, ExperimentReport, FaultEvent, LoadError, PolicyEntry, render_json, render_page,
+    render_text, run_experiment,
+};
+use sched::{CoordinationMode, PeakPolicy, PolicySettings};
+
+use super::load_command::{LoadCommand, parse_list, usage, write_file};
+use super::main_command::{EXIT_DONE, EXIT_FAILED};
+
+/// Policies that are compared if none are named.
+const POLICIES: &str = "random,round_robin,least_in_flight,digests";
+/// Highest offered load; beyond it a trial only grows its queues.
+const MOST_LOAD: f64 = 4.0;
+/// Most faults of a schedule.
+const MOST_FAULTS: usize = 1_000;
+/// Longest warm-up and window.
+const LONGEST_PHASE: TimeSpan = TimeSpan::from_secs(7_200);
+
+/// Runs the experiment in virtual time.
+pub fn run(command: &LoadCommand) -> u8 {
+    let plan = match make_plan(command) {
+        Ok(plan) => plan,
+        Err(mistake) => return usage(&mistake),
+    };
+    match run_experiment(&plan) {
+        Ok(report) => write_report(command, &report).map_or_else(|code| code, |()| EXIT_DONE),
+        Err(error @ LoadError::InvalidPlan { .. }) => usage(&error.to_string()),
+        Err(error) => {
+            eprintln!("{error}");
+            EXIT_FAILED
+        }
+    }
+}
+
+fn make_plan(command: &LoadCommand) -> Result<ExperimentPlan, String> {
+    let mut plan = ExperimentPlan::default();
+    if let Some(workload) = command.workload {
+        plan.workloads = vec![workload];
+    }
+    if let Some(loads) = &command.loads {
+        plan.loads = parse_list("--loads", loads)?;
+    }
+    if let Some(seeds) = &command.seeds {
+        plan.seeds = parse_list("--seeds", seeds)?;
+    }
+    let policies = command.policies.as_deref().unwrap_or(POLICIES);
+    let policies = policies.split(',').map(|name| make_policy(name.trim()));
+    plan.policies = policies.collect::<Result<_, _>>()?;
+    plan.nodes = command.nodes.unwrap_or(plan.nodes);
+    plan.engines = command.engines.unwrap_or(plan.engines);
+    plan.domains = command.domains.unwrap_or(plan.domains);
+    plan.warmup = command.warmup.unwrap_or(plan.warmup);
+    plan.window = command.window.unwrap_or(plan.window);
+    check_bounds(command, &plan)?;
+    let from = ClockTime::ZERO + plan.warmup;
+    let faults = command.faults.unwrap_or(0);
+    let seed = plan.seeds.first().copied().unwrap_or(0);
+    plan.faults = FaultEvent::draw_schedule(plan.engines, from, from + plan.window, faults, seed);
+    Ok(plan)
+}
+
+fn check_bounds(command: &LoadCommand, plan: &ExperimentPlan) -> Result<(), String> {
+    let in_range = |load: &f64| *load > 0.0 && *load <= MOST_LOAD;
+    if !plan.loads.iter().all(in_range) {
+        return Err(format!("--loads: above 0 to {MOST_LOAD}"));
+    }
+    if plan.warmup > LONGEST_PHASE || plan.window > LONGEST_PHASE {
+        return Err(format!("--warmup, --window: at most {LONGEST_PHASE}"));
+    }
+    if command.faults.is_some_and(|faults| faults > MOST_FAULTS) {
+        return Err(format!("--faults: at most {MOST_FAULTS}"));
+    }
+    // The capacity is measured before the first trial, so a wrong bound is found here first.
+    let workload = plan.workloads.first().ok_or("--workload is missing")?;
+    let trial = plan.trial(*workload, 1.0, 0);
+    trial.check().map_err(|error| error.to_string())
+}
+
+fn make_policy(name: &str) -> Result<PolicyEntry, String> {
+    if let Ok(rule) = name.parse::<ChoiceRule>() {
+        return Ok(PolicyEntry::with_rule(rule));
+    }
+    let Ok(mode) = name.parse::<CoordinationMode>() else {
+        return Err(format!("--policies: `{name}` is no policy"));
+    };
+    let settings = PolicySettings::with_mode(mode);
+    Ok(PolicyEntry::new(name, move |seat| {
+        let (node, domain) = (seat.node.clone(), seat.domain.clone());
+        Box::new(PeakPolicy::new(settings.clone(), node, domain, seat.seed))
+    }))
+}
+
+fn write_report(command: &LoadCommand, report: &ExperimentReport) -> Result<(), u8> {
+    println!("{}", render_text(report));
+    write_file(command.json.as_deref(), || render_json(report))?;
+    let page = render_page(report).map_err(|error| {
+        eprintln!("{error}");
+        EXIT_FAILED
+    })?;
+    write_file(command.html.as_deref(), || page)
+}
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -6,6 +6,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use super::check_command::CheckCommand;
+use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
 use super::standin_command::StandInCommand;
 use crate::demo::DemoCommand;
@@ -44,6 +45,7 @@
 enum SubCommand {
     Node(NodeCommand),
     Check(CheckCommand),
+    Load(Box<LoadCommand>),
     Demo(DemoCommand),
     StandIn(StandInCommand),
 }
@@ -71,6 +73,7 @@
         let code = match self.sub {
             SubCommand::Node(command) => run_async(command.run()),
             SubCommand::Check(command) => command.run(),
+            SubCommand::Load(command) => command.run(),
             SubCommand::Demo(command) => run_async(command.run()),
             SubCommand::StandIn(command) => run_async(command.run()),
         };
@@ -91,7 +94,8 @@
     }
 }
 
-fn run_async(work: impl Future<Output = u8>) -> u8 {
+/// Runs asynchronous work on threads of its own.
+pub fn run_async(work: impl Future<Output = u8>) -> u8 {
     let runtime: Result<Runtime, _> = Builder::new_multi_thread().enable_all().build();
     match runtime {
         Ok(runtime) => {
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -1,6 +1,9 @@
 //! The subcommands.
 
 mod check_command;
+mod load_command;
+mod load_over_http;
+mod load_virtual;
 mod main_command;
 mod node_command;
 mod standin_command;
--- a/crates/load/src/http/call_body.rs
+++ b/crates/load/src/http/call_body.rs
@@ -14,10 +14,10 @@
 
 /// JSON body of a call; the prompt has about one word for each token.
 pub fn build_body(plan: &LoadPlan, spec: &CallSpec) -> String {
-    let prompt = build_prompt(plan.hint, spec);
+    let prompt = build_prompt(spec);
     let limit = match plan.hint {
         LengthHint::MaxTokens => Some(spec.output_tokens),
-        LengthHint::PromptText => spec.max_tokens,
+        LengthHint::StandInField => spec.max_tokens,
     };
     let mut body = json!({ "model": plan.model.as_str(), "stream": true });
     match spec.kind {
@@ -27,10 +27,13 @@
     if let Some(limit) = limit {
         body["max_tokens"] = Value::from(limit);
     }
+    if plan.hint == LengthHint::StandInField {
+        body["stand_in_tokens"] = Value::from(spec.output_tokens);
+    }
     body.to_string()
 }
 
-fn build_prompt(hint: LengthHint, spec: &CallSpec) -> String {
+fn build_prompt(spec: &CallSpec) -> String {
     let own = spec.prompt_tokens - spec.prefix_tokens;
     let mut words = Vec::with_capacity(spec.prompt_tokens as usize + 1);
     for at in 0..spec.prefix_tokens {
@@ -42,8 +45,5 @@
             spec.arrival.wrapping_add(at.into()) % 4_096
         ));
     }
-    if hint == LengthHint::PromptText {
-        words.push(format!("output_tokens={}", spec.output_tokens));
-    }
     words.join(" ")
 }
--- a/crates/load/src/http/call_task.rs
+++ b/crates/load/src/http/call_task.rs
@@ -191,9 +191,10 @@
         }
     }
 
-    /// Checks an id of the form `GENERATION:OFFSET` against the one before.
+    /// Checks an id of the form `GENERATION:OFFSET`, as engines write it, or `TOKEN.OFFSET`, as
+    /// nodes do, against the one before.
     fn check_id(&mut self, id: &str) {
-        let parts = id.rsplit_once(':');
+        let parts = id.rsplit_once([':', '.']);
         let parts = parts.and_then(|(name, offset)| Some((name, offset.parse::<u64>().ok()?)));
         let Some((generation, offset)) = parts else {
             self.order_faults += 1;
--- a/crates/load/src/http/load_plan.rs
+++ b/crates/load/src/http/load_plan.rs
@@ -28,9 +28,9 @@
     /// `max_tokens` is the length; any engine keeps to it, and the system sees it as well.
     #[default]
     MaxTokens,
-    /// The prompt ends with `output_tokens=N` for a stand-in that reads it; the system sees
-    /// only the bound that the class of calls gives.
-    PromptText,
+    /// The body's field `stand_in_tokens` tells it to a stand-in; the system sees only the bound
+    /// that the class of calls gives.
+    StandInField,
 }
 
 /// An open-loop run over HTTP, bounded in calls and time.
--- a/crates/load/src/http/load_run.rs
+++ b/crates/load/src/http/load_run.rs
@@ -32,10 +32,27 @@
     pub order_faults: u64,
     /// Complete answers whose announced number of tokens differs from the number received.
     pub count_faults: u64,
+    /// Tokens that callers received.
+    pub tokens: u64,
+    /// Tokens received in answers that did not become complete.
+    pub lost_tokens: u64,
     /// Calls by outcome.
     pub outcomes: BTreeMap<String, u64>,
 }
 
+impl LoadOutcome {
+    /// Share of the received tokens that belong to no complete answer.
+    pub fn lost_share(&self) -> f64 {
+        self.lost_tokens as f64 / self.tokens.max(1) as f64
+    }
+
+    /// Tells whether a caller saw a token out of order, twice, of another generation, or a
+    /// wrong count.
+    pub fn has_wrong_stream(&self) -> bool {
+        self.order_faults + self.count_faults > 0
+    }
+}
+
 /// Makes calls in an open loop: each is due at its own time, whatever happened to the others,
 /// and its times count from then. Ends by itself after the plan's duration and call timeout.
 ///
@@ -66,6 +83,8 @@
     calls: u64,
     order_faults: u64,
     count_faults: u64,
+    tokens: u64,
+    lost_tokens: u64,
     outcomes: BTreeMap<String, u64>,
     next_progress: Instant,
 }
@@ -88,6 +107,8 @@
             calls: 0,
             order_faults: 0,
             count_faults: 0,
+            tokens: 0,
+            lost_tokens: 0,
             outcomes: BTreeMap::new(),
             next_progress: start + PROGRESS_PERIOD,
         }
@@ -133,10 +154,13 @@
             self.book.add_gap(record.timeline.is_quick(), *gap);
         }
         self.order_faults += record.order_faults;
+        let tokens = u64::from(record.timeline.tokens());
+        self.tokens += tokens;
         if record.outcome == CallOutcome::Complete {
             self.count_faults += u64::from(record.count_fault);
-            let tokens = record.timeline.tokens();
-            self.book.add_good_tokens(tokens.into());
+            self.book.add_good_tokens(tokens);
+        } else {
+            self.lost_tokens += tokens;
         }
         self.add_outcome(&record.timeline, &record.outcome);
     }
@@ -160,8 +184,9 @@
         self.next_progress = now + PROGRESS_PERIOD;
         let seconds = self.context.start.elapsed().as_secs();
         let (calls, open) = (self.calls, self.tasks.len());
+        let tokens = self.tokens;
         info!(
-            "{seconds} s: {calls} calls due, {open} open, {:?}",
+            "{seconds} s: {calls} calls due, {open} open, {tokens} tokens, {:?}",
             self.outcomes
         );
     }
@@ -174,6 +199,8 @@
             seconds,
             order_faults: self.order_faults,
             count_faults: self.count_faults,
+            tokens: self.tokens,
+            lost_tokens: self.lost_tokens,
             outcomes: self.outcomes,
         }
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,7 +18,8 @@
 };
 pub use report::{
     ComparisonRow, ExperimentReport, MeasureMetric, RatioSpread, TrialRow, render_json,
-    render_measures, render_page, render_text,
+    render_measures, render_outcome, render_outcome_json, render_outcome_page, render_page,
+    render_text,
 };
 pub use trial::{
     EngineCapacity, NodeSeat, PolicyEntry, PolicyFactory, TrialPlan, measure_capacity, run_trial,
--- a/crates/load/tests/http.rs
+++ b/crates/load/tests/http.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use load::{LoadError, LoadOutcome, LoadPlan, WorkloadKind, run_load};
+use load::{LengthHint, LoadError, LoadOutcome, LoadPlan, WorkloadKind, run_load};
 use tokio::net::TcpListener;
 
 /// What the server answers to its calls in turn.
@@ -23,6 +23,8 @@
     NoDone,
     Overloaded,
     StreamError,
+    NodeIds,
+    StandInLength,
 }
 
 fn stream_text(answer: Answer, tokens: u64) -> String {
@@ -32,7 +34,11 @@
             Answer::DoubledOffset => offset / 2,
             _ => offset,
         };
-        text += &format!("id: g1:{shown}\ndata: {{\"choices\":[{{\"text\":\"t\"}}]}}\n\n");
+        let id = match answer {
+            Answer::NodeIds => format!("e1~g1~mac.{shown}"),
+            _ => format!("g1:{shown}"),
+        };
+        text += &format!("id: {id}\ndata: {{\"choices\":[{{\"text\":\"t\"}}]}}\n\n");
     }
     match answer {
         Answer::StreamError => text += "data: {\"error\":{\"code\":\"generation_lost\"}}\n\n",
@@ -60,7 +66,11 @@
         *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
         return response;
     }
-    let tokens = body["max_tokens"].as_u64().unwrap().clamp(2, 8);
+    let length = match answer {
+        Answer::StandInLength => "stand_in_tokens",
+        _ => "max_tokens",
+    };
+    let tokens = body[length].as_u64().unwrap().clamp(2, 8);
     Response::new(Full::new(Bytes::from(stream_text(answer, tokens))))
 }
 
@@ -103,6 +113,32 @@
     assert!(outcome.measures.goodput_tokens_per_s > 0.0);
 }
 
+/// Guards against event ids of nodes, which end in a dot and the offset, that count as wrong.
+#[tokio::test]
+async fn event_ids_of_nodes_are_read() {
+    let outcome = run(vec![Answer::NodeIds], 10).await;
+    assert_eq!(outcome.outcomes["complete"], 10);
+    assert_eq!(outcome.order_faults, 0);
+    assert_eq!(
+        (outcome.lost_tokens, outcome.has_wrong_stream()),
+        (0, false)
+    );
+}
+
+/// Guards against a stand-in that is not told the length that the workload asks for.
+#[tokio::test]
+async fn stand_in_is_told_the_length() {
+    let address = serve(vec![Answer::StandInLength]).await;
+    let mut plan = LoadPlan::new(WorkloadKind::LanternaSul.mix(), "quill".parse().unwrap())
+        .with_node(address)
+        .with_key("ws-00".parse().unwrap(), "secret");
+    plan.hint = LengthHint::StandInField;
+    plan.rate = 200.0;
+    plan.call_limit = 10;
+    let outcome = run_load(plan).await.unwrap();
+    assert_eq!(outcome.outcomes["complete"], 10);
+}
+
 /// Guards against a check of streams that never fails.
 #[tokio::test]
 async fn faulty_streams_are_told_apart() {
