--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -6,6 +6,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use super::check_command::CheckCommand;
+use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
 use super::standin_command::StandInCommand;
 use super::status_command::StatusCommand;
@@ -48,6 +49,7 @@
     Check(CheckCommand),
     Status(StatusCommand),
     Timeline(TimelineCommand),
+    Load(Box<LoadCommand>),
     Demo(DemoCommand),
     StandIn(StandInCommand),
 }
@@ -77,6 +79,7 @@
             SubCommand::Check(command) => command.run(),
             SubCommand::Status(command) => run_async(command.run()),
             SubCommand::Timeline(command) => run_async(command.run()),
+            SubCommand::Load(command) => command.run(),
             SubCommand::Demo(command) => run_async(command.run()),
             SubCommand::StandIn(command) => run_async(command.run()),
         };
@@ -97,7 +100,8 @@
     }
 }
 
-fn run_async(work: impl Future<Output = u8>) -> u8 {
+/// Runs asynchronous work on threads of its own.
+pub fn run_async(work: impl Future<Output = u8>) -> u8 {
     let runtime: Result<Runtime, _> = Builder::new_multi_thread().enable_all().build();
     match runtime {
         Ok(runtime) => {
