Mark only sent calls on a crash, and say not run only where it is certain

Cause: three rules of the decision logic that the shell did not keep. A call dispatched to a dead engine and refused at connecting was marked as a crash suspect; a refusal of a keyed call at a node that does not own the key said 'ran: no', although an earlier send may have run elsewhere; a call could go to a target that started to leave, or after a pause, between choice and sending. Change: crash marks follow the first byte sent; such refusals say 'unknown'; target and pause are checked right before sending; a stop seals the keys.

--- a/crates/base/src/failure/error_kind.rs
+++ b/crates/base/src/failure/error_kind.rs
@@ -87,6 +87,19 @@
 const CRASH_EXPIRY: RetryAdvice = RetryAdvice::After(TimeSpan::from_secs(600));
 
 impl ErrorKind {
+    /// Tells whether the request itself is at fault, so that no send of it can ever have run.
+    pub const fn is_invalid_input(self) -> bool {
+        matches!(
+            self,
+            Self::BadRequest
+                | Self::UnknownKey
+                | Self::MethodNotAllowed
+                | Self::BodyTooLarge
+                | Self::HeadersTooLarge
+                | Self::RequestTimeout
+        )
+    }
+
     /// Returns the status, run state and retry advice for this kind.
     pub const fn answer(self) -> ErrorAnswer {
         use RanState::{No, Unknown, Yes};
--- a/crates/node/src/actor/sched_actor.rs
+++ b/crates/node/src/actor/sched_actor.rs
@@ -31,6 +31,7 @@
 struct RunningCall {
     target: TargetName,
     print: CrashPrint,
+    sent: bool,
     place: Option<(SocketAddr, GenerationId)>,
 }
 
@@ -69,6 +70,11 @@
     pub request: RequestId,
 }
 
+/// Notes that a call is about to reach its target.
+pub struct NoteSent {
+    pub request: RequestId,
+}
+
 /// Notes where a call runs.
 pub struct AdmitCall {
     pub request: RequestId,
@@ -186,11 +192,10 @@
             return;
         };
         let print = waiting.print;
-        let placed = self.crashes.on_placed(now, print, &target);
-        self.tell_peers(placed);
         let call = RunningCall {
             target: target.clone(),
             print,
+            sent: false,
             place: None,
         };
         self.running.insert(request.clone(), call);
@@ -246,8 +251,10 @@
             // A target that starts to leave tells it first by refusing work.
             self.send_out(SchedOutput::Probe(call.target.clone()));
         }
-        let left = self.crashes.on_left(call.print, &call.target);
-        self.tell_peers(left);
+        if call.sent {
+            let left = self.crashes.on_left(call.print, &call.target);
+            self.tell_peers(left);
+        }
         if state == FinishState::Complete {
             let cleared = self.crashes.on_completed(call.print);
             self.tell_peers(cleared);
@@ -387,6 +394,21 @@
     }
 }
 
+impl Handler<NoteSent> for SchedActor {
+    type Return = ();
+
+    /// Only what was sent can have crashed a target.
+    async fn handle(&mut self, message: NoteSent, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(call) = self.running.get_mut(&message.request) else {
+            return;
+        };
+        call.sent = true;
+        let placed = self.crashes.on_placed(now, call.print, &call.target);
+        self.tell_peers(placed);
+    }
+}
+
 impl Handler<AdmitCall> for SchedActor {
     type Return = ();
 
--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -8,8 +8,8 @@
 
 use super::{SchedActor, post_now};
 use crate::actor::sched_actor::{
-    AdmitCall, FinishCall, NoteTargetFailure, PassTime, ProgressCall, SubmitCall, TakeCrash,
-    TakeDigest, TakeReport, TakeTargets, WithdrawCall,
+    AdmitCall, FinishCall, NoteSent, NoteTargetFailure, PassTime, ProgressCall, SubmitCall,
+    TakeCrash, TakeDigest, TakeReport, TakeTargets, WithdrawCall,
 };
 
 /// Where a call goes, or why it goes nowhere.
@@ -66,6 +66,11 @@
         self.post(WithdrawCall { request });
     }
 
+    /// Notes that a dispatched call is about to reach its target.
+    pub fn note_sent(&self, request: RequestId) {
+        self.post(NoteSent { request });
+    }
+
     /// Notes that a call runs as `generation` at `address`.
     pub fn admit(&self, request: RequestId, address: SocketAddr, generation: GenerationId) {
         let admitted = AdmitCall {
--- a/crates/node/src/caller/call_input.rs
+++ b/crates/node/src/caller/call_input.rs
@@ -8,7 +8,7 @@
 /// Header with the time that the caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "x-request-timeout-ms";
 /// Header with a ticket or a key that the caller generated.
-const KEY_HEADER: &str = "idempotency-key";
+pub const KEY_HEADER: &str = "idempotency-key";
 /// Header with the id of the last event that the caller got.
 const LAST_EVENT_HEADER: &str = "last-event-id";
 /// Longest accepted key in bytes.
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -10,7 +10,7 @@
 use web::{BodyError, HandlerFuture, WebBody, WebHandler, full_body, json_body, read_body};
 
 use super::answer_body::{respond_failure, respond_retained, respond_run, respond_shared};
-use super::call_input::path_of;
+use super::call_input::{KEY_HEADER, path_of};
 use super::call_service::{make_service_job, split_service};
 use super::caller_auth::find_workspace;
 use super::forward_call::{forward_call, forward_far};
@@ -50,8 +50,9 @@
             if request.uri().path() == READY_PATH {
                 return api.answer_ready();
             }
+            let keyed = request.headers().contains_key(KEY_HEADER);
             let answered = api.answer(request).await;
-            answered.unwrap_or_else(|fault| error_response(&fault.failure, &fault.message))
+            answered.unwrap_or_else(|fault| respond_fault(fault, keyed))
         })
     }
 }
@@ -108,8 +109,9 @@
 
     /// Answers a call that another node authenticated and passed on.
     pub async fn answer_forwarded(&self, call: ForwardedCall) -> Response<WebBody> {
+        let keyed = call.headers.contains_key(KEY_HEADER);
         let answered = self.try_forwarded(call).await;
-        answered.unwrap_or_else(|fault| error_response(&fault.failure, &fault.message))
+        answered.unwrap_or_else(|fault| respond_fault(fault, keyed))
     }
 
     async fn try_forwarded(&self, call: ForwardedCall) -> Result<Response<WebBody>, InputFault> {
@@ -235,7 +237,7 @@
     ) -> Result<Response<WebBody>, InputFault> {
         let limit = self.core.limits.body_bytes as u64;
         let known = request.body().size_hint().exact();
-        let keyed = request.headers().contains_key("idempotency-key");
+        let keyed = request.headers().contains_key(KEY_HEADER);
         if keyed || known.is_some_and(|size| size <= limit) {
             let input = self.read_input(request, workspace).await?;
             return self.answer_buffered_service(scene, input).await;
@@ -337,7 +339,7 @@
         match answer_keyed(self.core.clone(), &input, key, make).await {
             KeyedAnswer::Shared(answer) => match respond_shared(answer).await {
                 Ok(response) => Ok(response),
-                Err(failure) => Err(self.refuse(&input, failure)),
+                Err(failure) => Err(self.refuse(&input, failure).with_decision()),
             },
             KeyedAnswer::Retained(answer) => {
                 self.core
@@ -359,6 +361,16 @@
     }
 }
 
+/// A refusal of a call with a key says nothing of earlier sends of the same key, which another
+/// node may have run; only the owner of the key knows, and its verdict is marked as decided.
+fn respond_fault(mut fault: InputFault, keyed: bool) -> Response<WebBody> {
+    let open = keyed && !fault.decided && !fault.failure.kind.is_invalid_input();
+    if open && fault.failure.ran == RanState::No {
+        fault.failure.ran = RanState::Unknown;
+    }
+    error_response(&fault.failure, &fault.message)
+}
+
 /// Another failure domain is asked only if the own one has no target at all.
 fn wants_far(failure: &CallFailure, input: &CallInput) -> bool {
     let unserved = failure.kind == ErrorKind::NoTarget && failure.ran == RanState::No;
--- a/crates/node/src/caller/generation_call.rs
+++ b/crates/node/src/caller/generation_call.rs
@@ -21,6 +21,8 @@
     pub failure: CallFailure,
     /// Message for the caller.
     pub message: String,
+    /// Whether it comes from the owner of the caller's key, who knows of earlier runs.
+    pub decided: bool,
 }
 
 impl InputFault {
@@ -29,14 +31,26 @@
         Self {
             failure: CallFailure::new(kind),
             message: message.into(),
+            decided: false,
         }
     }
+
+    /// Returns this fault as the verdict of the owner of the caller's key.
+    #[must_use]
+    pub fn with_decision(mut self) -> Self {
+        self.decided = true;
+        self
+    }
 }
 
 impl From<CallFailure> for InputFault {
     fn from(failure: CallFailure) -> Self {
         let message = failure.kind.to_string();
-        Self { failure, message }
+        Self {
+            failure,
+            message,
+            decided: false,
+        }
     }
 }
 
--- a/crates/node/src/caller/keyed_call.rs
+++ b/crates/node/src/caller/keyed_call.rs
@@ -68,7 +68,7 @@
         Err(fault) => {
             shared.fail(fault.failure);
             core.claims.finish(id, CallOutcome::NotRun);
-            let _ = reply.send(KeyedAnswer::Failed(fault));
+            let _ = reply.send(KeyedAnswer::Failed(fault.with_decision()));
             return;
         }
     };
@@ -82,6 +82,8 @@
         ClaimDecision::Run(_, shared) | ClaimDecision::Join(shared) => KeyedAnswer::Shared(shared),
         ClaimDecision::Replay(answer) => KeyedAnswer::Retained(answer),
         ClaimDecision::Forward(node, run) => KeyedAnswer::Forward(node, run),
-        ClaimDecision::Fail(failure) => KeyedAnswer::Failed(failure.into()),
+        ClaimDecision::Fail(failure) => {
+            KeyedAnswer::Failed(InputFault::from(failure).with_decision())
+        }
     }
 }
--- a/crates/node/src/claim/claim_actor.rs
+++ b/crates/node/src/claim/claim_actor.rs
@@ -398,6 +398,9 @@
 
     async fn handle(&mut self, _: SealWindows, _: &mut Context<Self>) -> usize {
         self.window.seal();
+        if let Some(keys) = &mut self.keys {
+            keys.seal();
+        }
         let mut running = self.window.in_flight();
         for window in self.imports.iter_mut() {
             window.seal();
--- a/crates/node/src/core_parts/node_core.rs
+++ b/crates/node/src/core_parts/node_core.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use base::{ClockTime, EventKind, IncarnationNumber, NodeName, RequestId, TimeSpan};
+use base::{EventKind, IncarnationNumber, NodeName, RequestId, TimeSpan};
 use fleet::FleetDeclaration;
 use member::NodeState;
 use tokio::sync::Semaphore;
@@ -11,14 +11,12 @@
 
 use super::CallLimits;
 use crate::{
-    ClaimHandle, EventJournal, FleetHandle, NodeIdentity, NodeView, PeerBody, PeerClient,
-    RelayParts, RouteTable, SystemClock, ViewCell, WorkGate,
+    ClaimHandle, EventJournal, FleetHandle, NodeIdentity, NodeView, PauseWatch, PeerBody,
+    PeerClient, RelayParts, RouteTable, SystemClock, ViewCell, WorkGate,
 };
 
 /// Longest wait of a request for a node that starts or was paused.
 const READY_WAIT: TimeSpan = TimeSpan::from_secs(3);
-/// A view whose clock stands still for longer was not read again after a pause.
-const PAUSE_LIMIT: TimeSpan = TimeSpan::from_secs(1);
 
 /// What the listeners of a node share.
 pub struct NodeCore {
@@ -48,19 +46,13 @@
     pub gate: WorkGate,
     /// Calls of other failure domains that this node runs at once.
     pub overflow: Arc<Semaphore>,
-    /// When the fleet actor last let time pass.
-    pub ticked_at: AtomicU64,
+    /// Tells whether the process was paused.
+    pub pause: PauseWatch,
     /// Requests so far, for their identifiers.
     pub requests: AtomicU64,
 }
 
 impl NodeCore {
-    /// Notes that the fleet actor lets time pass.
-    pub fn note_tick(&self) {
-        let now = self.clock.now().as_millis();
-        self.ticked_at.store(now, Ordering::Relaxed);
-    }
-
     /// Makes the identifier of a new request.
     ///
     /// # Panics
@@ -90,14 +82,14 @@
     /// Tells whether the node serves callers now.
     pub fn is_ready(&self) -> bool {
         let view = self.view.get();
-        view.ready && !self.is_paused() && !self.gate.is_closed()
+        view.ready && !self.pause.is_paused() && !self.gate.is_closed()
     }
 
     async fn wait_ready(&self) -> Arc<NodeView> {
         let mut changes = self.view.subscribe();
         loop {
             let view = changes.borrow_and_update().clone();
-            if view.ready && !self.is_paused() {
+            if view.ready && !self.pause.is_paused() {
                 return view;
             }
             let recheck = Duration::from_millis(20);
@@ -106,12 +98,6 @@
         }
     }
 
-    /// After a pause the view is old until the fleet actor has run again.
-    fn is_paused(&self) -> bool {
-        let ticked = ClockTime::new(self.ticked_at.load(Ordering::Relaxed));
-        self.clock.now() - ticked > PAUSE_LIMIT
-    }
-
     /// Returns the other live nodes of the failure domain with their runs.
     pub async fn domain_peers(&self) -> Vec<(NodeName, IncarnationNumber)> {
         let Some(status) = self.fleet.status().await else {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,7 @@
     AnswerHead, AnswerPart, ClaimActor, ClaimDecision, ClaimHandle, ClaimId, ClaimRequest,
     ClaimSettings, SharedAnswer,
 };
-pub use clock::SystemClock;
+pub use clock::{PauseWatch, SystemClock};
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
 pub use gauge::{CallMetrics, ControlKind, ControlMetrics};
--- a/crates/node/src/relay/call_job.rs
+++ b/crates/node/src/relay/call_job.rs
@@ -1,13 +1,14 @@
 use std::sync::Arc;
 
+use base::TargetName;
 use calls::{AnswerMode, CallPlan, CrashPrint};
 use sched::WorkItem;
 use serde_json::{Map, Value};
 
 use super::ResumeKey;
 use crate::{
-    CallMetrics, EngineClient, EventJournal, ModelSpec, RouteChoice, SchedHandle, SystemClock,
-    ViewCell,
+    CallMetrics, EngineClient, EventJournal, ModelSpec, PauseWatch, RouteChoice, SchedHandle,
+    SystemClock, TargetPhase, ViewCell,
 };
 
 /// What every relay of a node shares.
@@ -22,12 +23,23 @@
     pub sched: SchedHandle,
     /// The fleet as the node knows it.
     pub view: ViewCell,
+    /// Tells whether the process was paused.
+    pub pause: PauseWatch,
     /// Figures for operators.
     pub metrics: CallMetrics,
     /// Secret of resume tokens.
     pub resume: ResumeKey,
 }
 
+impl RelayParts {
+    /// Tells whether a call may be sent to a target chosen before, as it may leave meanwhile.
+    pub fn may_send(&self, target: &TargetName) -> bool {
+        let view = self.view.get();
+        let state = view.target(target);
+        !self.pause.is_paused() && state.is_some_and(|state| state.phase == TargetPhase::Up)
+    }
+}
+
 /// One generation to be relayed.
 pub struct CallJob {
     /// Rules of its attempts.
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -190,7 +190,7 @@
     async fn choose_target(&mut self, exclude: Vec<TargetName>, retry: bool) {
         if self.placement == PlacementState::Placed {
             let state = self.attempt_outcome();
-            self.leave_target(state).await;
+            self.leave_target(state);
         }
         let mut item = self.job.item.clone();
         item.excluded = exclude;
@@ -233,7 +233,8 @@
                 self.feed(CallEvent::Connected { link });
             }
             Some(Err(fault)) => {
-                self.note_fault(target, &fault).await;
+                self.leave_target(FinishState::Failed);
+                self.note_fault(target, &fault);
                 self.feed(CallEvent::ConnectFailed { link });
             }
         }
@@ -245,7 +246,13 @@
             self.feed(CallEvent::LinkLost { link });
             return;
         };
+        if !self.parts.may_send(target) {
+            self.leave_target(FinishState::Failed);
+            self.feed(CallEvent::ConnectFailed { link });
+            return;
+        }
         self.feed(CallEvent::FirstByteSent { link });
+        self.parts.sched.note_sent(self.request().clone());
         self.note(EventKind::AttemptSent, target.as_str());
         self.parts.metrics.count_attempt();
         let call = self.engine_call(target);
@@ -331,7 +338,7 @@
 
     async fn take_fault(&mut self, link: LinkNumber, target: &TargetName, fault: EngineFault) {
         self.note(EventKind::AttemptFailed, &format!("{target}: {fault}"));
-        self.note_fault(target, &fault).await;
+        self.note_fault(target, &fault);
         match fault {
             EngineFault::Unsent { .. } => self.feed(CallEvent::NotAdmitted {
                 link,
@@ -357,7 +364,7 @@
         }
     }
 
-    async fn note_fault(&mut self, target: &TargetName, fault: &EngineFault) {
+    fn note_fault(&mut self, target: &TargetName, fault: &EngineFault) {
         let died = matches!(fault, EngineFault::Refused);
         let blamed = !matches!(
             fault,
@@ -591,7 +598,7 @@
     async fn finish(&mut self, count: u64) -> RelayStep {
         let data = self.end_data.take().unwrap_or_default();
         self.writer.write_end(&data);
-        self.leave_target(FinishState::Complete).await;
+        self.leave_target(FinishState::Complete);
         self.note(EventKind::RequestFinished, &format!("{count} tokens"));
         self.parts.metrics.count_outcome("complete");
         self.ended = true;
@@ -603,7 +610,7 @@
             ErrorKind::DeadlineExceeded => FinishState::Cancelled,
             _ => self.attempt_outcome(),
         };
-        self.leave_target(state).await;
+        self.leave_target(state);
         self.note(EventKind::RequestFailed, failure.kind.into());
         self.parts.metrics.count_outcome(failure.kind.into());
         self.ended = true;
@@ -622,7 +629,7 @@
         }
     }
 
-    async fn leave_target(&mut self, state: FinishState) {
+    fn leave_target(&mut self, state: FinishState) {
         let request = self.request().clone();
         match std::mem::replace(&mut self.placement, PlacementState::None) {
             PlacementState::None => {}
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -19,9 +19,9 @@
 use crate::{
     AddressBook, CallLimits, CallMetrics, CallerApi, ClaimActor, ClaimHandle, ClaimSettings,
     EngineClient, EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe,
-    LoadNote, NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer,
-    PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput,
-    SystemClock, ViewCell, WorkGate,
+    LoadNote, NodeCore, NodeIdentity, OpsServer, PauseWatch, PeerBody, PeerClient, PeerKey,
+    PeerServer, PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle,
+    SchedOutput, SystemClock, ViewCell, WorkGate,
 };
 
 /// Time between two ticks of the scheduling actor.
@@ -178,7 +178,9 @@
         let fleet = FleetHandle::new(xtra::spawn_tokio(fleet, Mailbox::unbounded()));
         claims.set_fleet(fleet.clone());
 
+        let pause = PauseWatch::new(clock);
         let relay = Arc::new(RelayParts {
+            pause: pause.clone(),
             clock,
             journal: journal.clone(),
             engine,
@@ -201,7 +203,7 @@
             limits: CallLimits::new(&self.settings.callers),
             gate: WorkGate::new(),
             overflow: Arc::new(Semaphore::new(OVERFLOW_LIMIT)),
-            ticked_at: AtomicU64::new(0),
+            pause,
             requests: AtomicU64::new(0),
         });
         tasks.push(tokio::spawn(tick_sched(sched)));
@@ -267,7 +269,7 @@
         if core.fleet.tick().await.is_none() {
             return;
         }
-        core.note_tick();
+        core.pause.note_tick();
     }
 }
 
--- a/crates/node/src/service/service_relay.rs
+++ b/crates/node/src/service/service_relay.rs
@@ -182,6 +182,7 @@
             }
             Some(Err(error)) => {
                 self.note(EventKind::AttemptFailed, &format!("{target}: {error}"));
+                self.leave_target(FinishState::Failed);
                 self.core.relay.sched.note_failure(target.clone(), None);
                 self.core.fleet.probe(target.clone());
                 self.feed(CallEvent::ConnectFailed { link });
@@ -195,12 +196,18 @@
             self.feed(CallEvent::LinkLost { link });
             return None;
         };
+        if !self.core.relay.may_send(target) {
+            self.leave_target(FinishState::Failed);
+            self.feed(CallEvent::ConnectFailed { link });
+            return None;
+        }
         let Some(body) = self.take_body() else {
             self.feed(CallEvent::LinkLost { link });
             return None;
         };
         let request = self.make_request(address, body);
         self.feed(CallEvent::FirstByteSent { link });
+        self.core.relay.sched.note_sent(self.request().clone());
         self.note(EventKind::AttemptSent, target.as_str());
         self.core.relay.metrics.count_attempt();
         match self.or_timer(connection.send(request)).await {
