--- /dev/null
+++ b/crates/node/tests/sched_actor.rs
@@ -0,0 +1,271 @@
+//! The scheduling actor with a small policy.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::{ByteCount, ClockTime, ErrorKind, IncarnationNumber, TargetName, TimeSpan, TokenCount};
+use calls::CrashPrint;
+use node::{CallPlacement, EventJournal, SchedActor, SchedHandle, SchedOutput, SystemClock};
+use sched::{CallKind, FinishState, LoadReport, TargetInfo, WorkItem, WorkPriority};
+use support::{FakeEngine, FakePolicy, PolicyLog};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// Longest wait for a message to arrive.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+struct ActorScene {
+    sched: SchedHandle,
+    policy: FakePolicy,
+    engine: FakeEngine,
+    outputs: mpsc::Receiver<SchedOutput>,
+}
+
+fn start_actor() -> ActorScene {
+    let clock = SystemClock::new();
+    let (node, domain) = (name("patan-1"), name("patan"));
+    let journal = EventJournal::new(clock, node, domain, 64);
+    let (policy, engine) = (FakePolicy::default(), FakeEngine::default());
+    let (output, outputs) = mpsc::channel(64);
+    let client = Arc::new(engine.clone());
+    let actor = SchedActor::new(clock, journal, client, Box::new(policy.clone()), output);
+    let address = xtra::spawn_tokio(actor, xtra::Mailbox::unbounded());
+    ActorScene {
+        sched: SchedHandle::new(address),
+        policy,
+        engine,
+        outputs,
+    }
+}
+
+fn name<T: std::str::FromStr<Err = base::ParseError>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn item(request: &str, candidates: &[&str]) -> WorkItem {
+    let candidates: Vec<TargetName> = candidates.iter().map(|text| name(text)).collect();
+    WorkItem {
+        request: name(request),
+        workspace: name("tarn"),
+        weight: 1,
+        queue_limit: 8,
+        stream_limit: 8,
+        model: Some(name("quill")),
+        kind: CallKind::Completion,
+        prompt_tokens: TokenCount(4),
+        max_tokens: None,
+        prefix: 0,
+        candidates: candidates.into(),
+        excluded: Vec::new(),
+        arrival: ClockTime::ZERO,
+        deadline: None,
+    }
+}
+
+fn info(target: &str, usable: bool) -> TargetInfo {
+    TargetInfo {
+        target: name(target),
+        domain: name("patan"),
+        usable,
+        weight_bytes: ByteCount(0),
+    }
+}
+
+fn report() -> LoadReport {
+    LoadReport {
+        target: name("e1"),
+        measured_at: ClockTime::ZERO,
+        running: 0,
+        waiting: 0,
+        used_pages: 0,
+        cached_pages: 0,
+        total_pages: 1,
+        page_tokens: 16,
+        preemptions: 0,
+    }
+}
+
+async fn wait_for(policy: &FakePolicy, holds: impl Fn(&PolicyLog) -> bool) {
+    let start = Instant::now();
+    while !holds(&policy.log()) {
+        assert!(start.elapsed() < WAIT_LIMIT, "{:?}", policy.log());
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against a message that is dropped on its way, after which the policy never learns
+/// that a target may get work, as the fleet actor tells it of changes only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_message_arrives_in_order() {
+    let scene = start_actor();
+    let mut tasks = Vec::new();
+    for _ in 0..8 {
+        let sched = scene.sched.clone();
+        tasks.push(tokio::spawn(async move {
+            for _ in 0..500 {
+                sched.take_report(report());
+                tokio::task::yield_now().await;
+            }
+        }));
+    }
+    for round in 0..2_000 {
+        let mut target = info("e1", true);
+        target.weight_bytes = ByteCount(round);
+        scene.sched.set_targets(vec![target]);
+        if round % 7 == 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+    for task in tasks {
+        task.await.expect("no panic");
+    }
+    // This message comes after all others.
+    scene.sched.take_report(report());
+    wait_for(&scene.policy, |log| log.reports == 4_001).await;
+    sleep(Duration::from_millis(100)).await;
+    let seen = scene.policy.log().weights.clone();
+    let expected: Vec<u64> = (0..2_000).collect();
+    let swapped = seen.windows(2).find(|pair| pair[0] + 1 != pair[1]);
+    assert!(seen == expected, "{} messages, {swapped:?}", seen.len());
+}
+
+/// Guards against two messages in a row that an idle actor takes in the wrong order: the policy
+/// would keep the older state of the targets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_messages_to_an_idle_actor_stay_in_order() {
+    let scene = start_actor();
+    for round in 1..=2_000 {
+        let sched = scene.sched.clone();
+        let post = tokio::spawn(async move {
+            sched.set_targets(vec![info("e1", false)]);
+            sched.set_targets(vec![info("e1", true)]);
+            sched.take_report(report());
+        });
+        post.await.expect("no panic");
+        wait_for(&scene.policy, |log| log.reports == round).await;
+        // Whatever is still on its way arrives before the next round.
+        tokio::task::yield_now().await;
+        assert_eq!(scene.policy.log().targets, [info("e1", true)], "{round}");
+    }
+}
+
+/// Guards against messages of one long task that are dropped once its cooperative budget of
+/// the runtime is used up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_of_one_task_arrives_whole() {
+    let scene = start_actor();
+    let sched = scene.sched.clone();
+    let burst = tokio::spawn(async move { (0..1_000).for_each(|_| sched.take_report(report())) });
+    burst.await.expect("no panic");
+    wait_for(&scene.policy, |log| log.reports == 1_000).await;
+}
+
+/// Guards against a placement that is lost between the policy and the call.
+#[tokio::test]
+async fn a_call_gets_its_placement() {
+    let scene = start_actor();
+    let print = CrashPrint::new("quill", b"a");
+    let placed = scene.sched.submit(item("r1", &["e1", "e2"]), print, false);
+    let expected = CallPlacement::Dispatch {
+        target: name("e1"),
+        priority: WorkPriority(3),
+    };
+    assert_eq!(placed.await, expected);
+    let refused = scene.sched.submit(item("r2", &[]), print, false).await;
+    let expected = CallPlacement::Refuse {
+        kind: ErrorKind::NoTarget,
+        retry_after: Some(TimeSpan::from_secs(7)),
+    };
+    assert_eq!(refused, expected);
+}
+
+/// Guards against a priority that is sent to a request that is not admitted yet, or never.
+#[tokio::test]
+async fn a_priority_goes_to_the_running_generation() {
+    let scene = start_actor();
+    let print = CrashPrint::new("quill", b"a");
+    let placed = scene.sched.submit(item("r1", &["e1"]), print, false);
+    assert!(matches!(placed.await, CallPlacement::Dispatch { .. }));
+    let address = "127.0.0.1:9".parse().expect("an address");
+    scene.sched.admit(name("r1"), address, name("g1"));
+    let start = Instant::now();
+    while scene.engine.priorities().is_empty() {
+        assert!(start.elapsed() < WAIT_LIMIT);
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(scene.engine.priorities(), [(name("g1"), WorkPriority(9))]);
+}
+
+/// Guards against work that stays counted after its caller went away, waiting or running.
+#[tokio::test]
+async fn a_withdrawn_call_leaves_nothing_behind() {
+    let scene = start_actor();
+    let print = CrashPrint::new("quill", b"a");
+    let (sched, policy) = (scene.sched.clone(), scene.policy.clone());
+    let waiting = tokio::spawn(async move {
+        let waits = item("wait-1", &["e1"]);
+        sched.submit(waits, print, false).await
+    });
+    wait_for(&policy, |log| log.submitted.len() == 1).await;
+    scene.sched.withdraw(name("wait-1"));
+    wait_for(&policy, |log| log.withdrawn.len() == 1).await;
+    let placement = waiting.await.expect("no panic");
+    assert!(matches!(placement, CallPlacement::Refuse { .. }));
+
+    let placed = scene.sched.submit(item("r1", &["e1"]), print, false);
+    assert!(matches!(placed.await, CallPlacement::Dispatch { .. }));
+    scene.sched.withdraw(name("r1"));
+    wait_for(&policy, |log| log.finished.len() == 1).await;
+    let expected = (name("r1"), FinishState::Cancelled);
+    assert_eq!(policy.log().finished[0], expected);
+    // The second end of the same call counts nothing twice.
+    scene.sched.finish(name("r1"), FinishState::Failed);
+    scene.sched.take_report(report());
+    wait_for(&policy, |log| log.reports == 1).await;
+    assert_eq!(policy.log().finished.len(), 1);
+}
+
+/// Guards against a third target for a request that crashed two, and against silence towards
+/// the peers.
+#[tokio::test]
+async fn a_request_that_crashed_two_targets_is_refused() {
+    let mut scene = start_actor();
+    let print = CrashPrint::new("quill", b"crash");
+    for (request, target) in [("r1", "e1"), ("r2", "e2")] {
+        let placed = scene.sched.submit(item(request, &[target]), print, false);
+        assert!(matches!(placed.await, CallPlacement::Dispatch { .. }));
+        let died = Some(IncarnationNumber(1));
+        scene.sched.note_failure(name(target), died);
+        scene.sched.finish(name(request), FinishState::Failed);
+    }
+    let third = scene.sched.submit(item("r3", &["e3"]), print, false).await;
+    let kind = match third {
+        CallPlacement::Refuse { kind, .. } => Some(kind),
+        _ => None,
+    };
+    assert_eq!(kind, Some(ErrorKind::CrashSuspect));
+    let other = CrashPrint::new("quill", b"innocent");
+    let innocent = scene.sched.submit(item("r4", &["e3"]), other, false).await;
+    assert!(matches!(innocent, CallPlacement::Dispatch { .. }));
+    let mut told = 0;
+    while let Ok(output) = scene.outputs.try_recv() {
+        told += usize::from(matches!(output, SchedOutput::Crash(_)));
+    }
+    assert!(told >= 2, "{told}");
+}
+
+/// Guards against retries beyond the budget of a workspace.
+#[tokio::test]
+async fn retries_end_with_the_budget() {
+    let scene = start_actor();
+    let mut refused = 0;
+    for number in 0..20 {
+        let print = CrashPrint::new("quill", format!("{number}").as_bytes());
+        let retry = item(&format!("r{number}"), &["e1"]);
+        let placed = scene.sched.submit(retry, print, true).await;
+        refused += usize::from(placed == CallPlacement::RetryRefused);
+    }
+    assert!(refused >= 17, "{refused} of 20 retries were refused");
+}
