--- a/crates/calls/src/key/key_home.rs
+++ b/crates/calls/src/key/key_home.rs
@@ -14,7 +14,9 @@
 /// Bounds of the memory for caller-generated keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyPolicy {
-    /// Time from its first use during which a key stands for one request.
+    /// Time for which a key is remembered. It must exceed the sum of the time within which
+    /// callers resend, the longest delay of a message with all pauses, and the time for which
+    /// a replaced process may go on.
     pub lifetime: TimeSpan,
     /// Keys remembered as home, and as many as witness.
     pub keys: usize,
@@ -65,6 +67,7 @@
     former: Vec<FormerNames>,
     /// Former lists were dropped for lack of room; nothing is certain until then.
     uncertain_until: ClockTime,
+    sealed: bool,
     table: KeyTable,
     log: ConsentLog,
 }
@@ -87,6 +90,7 @@
             names,
             former: Vec::new(),
             uncertain_until: ClockTime::ZERO,
+            sealed: false,
             table: KeyTable::new(policy.keys, policy.answer_bytes, policy.lifetime),
             log: ConsentLog::new(policy.keys, policy.lifetime),
         }
@@ -155,13 +159,18 @@
 
     /// As witness: may `home` run `key`?
     pub fn consent(&mut self, now: ClockTime, key: KeyId, home: &OwnerId) -> ConsentVerdict {
-        let witness = self
+        let own = &self.own.node;
+        let ranked = self
             .ranking(key)
-            .is_some_and(|ranking| ranking.witnesses.contains(&self.own.node));
-        match witness {
-            true => self.log.consent(now, key, home),
-            false => ConsentVerdict::NotWitness,
+            .is_some_and(|ranking| ranking.home == home.node && ranking.witnesses.contains(own));
+        if !ranked {
+            return ConsentVerdict::NotWitness;
+        }
+        // A home that lacks this witness in its view could ask others and learn nothing of it.
+        if !self.is_sure_witness(now, key) {
+            return ConsentVerdict::Unsure;
         }
+        self.log.consent(now, key, home)
     }
 
     /// As home: decides on a request that arrived with `key`.
@@ -182,6 +191,9 @@
         if ranking.home != self.own.node {
             return KeyClaim::NotHome(ranking.home);
         }
+        if self.sealed {
+            return KeyClaim::Sealed(self.ran(now, key));
+        }
         let consent = match &arrival {
             KeyArrival::Direct => ranking.witnesses.is_empty(),
             KeyArrival::Granted { by } => ranking.witnesses.contains(by),
@@ -250,6 +262,11 @@
         self.table.finish(key, outcome);
     }
 
+    /// Runs no new key from now on; a planned stop waits for those in flight.
+    pub fn seal(&mut self) {
+        self.sealed = true;
+    }
+
     /// Forgets keys whose lifetime is over.
     pub fn expire(&mut self, now: ClockTime) {
         self.table.expire(now);
@@ -261,6 +278,7 @@
 
     /// Decides by what the table holds; `None` if the key is new or was given up.
     fn claim_known(&mut self, key: KeyId, body: BodyHash) -> Option<KeyClaim> {
+        let sealed = self.sealed;
         let state = self.table.get_mut(key)?;
         let claim = match state {
             KeyState::Given(owner) => KeyClaim::Given(owner.clone()),
@@ -269,6 +287,7 @@
             }
             KeyState::Answered(first, answer) if *first == body => KeyClaim::Replay(answer.clone()),
             KeyState::Finished(first, ran) if *first == body => KeyClaim::Finished(*ran),
+            KeyState::Released(first) if *first == body && sealed => KeyClaim::Sealed(RanState::No),
             KeyState::Released(first) if *first == body => {
                 // The witness that consented first still holds the key for this process.
                 *state = KeyState::InFlight(body);
@@ -337,18 +356,24 @@
         !self.is_new(now) && former.all(|former| homed(&former.names))
     }
 
-    fn witness_trace(&mut self, now: ClockTime, key: KeyId, asker: &OwnerId) -> KeyTrace {
+    /// This process has been a witness of `key` for its whole lifetime, by any list of nodes.
+    fn is_sure_witness(&self, now: ClockTime, key: KeyId) -> bool {
         let own = &self.own.node;
         let count = self.policy.witnesses;
         let witnessed = |names: &[NodeName]| {
             KeyRanking::new(key, names, count).is_some_and(|at| at.witnesses.contains(own))
         };
-        let always = self.former.iter().all(|former| witnessed(&former.names));
-        let always = always && witnessed(&self.names);
-        let unsure = self.is_new(now) || !always;
+        let mut former = self.former.iter();
+        let always = witnessed(&self.names) && former.all(|former| witnessed(&former.names));
+        always && !self.is_new(now)
+    }
+
+    fn witness_trace(&mut self, now: ClockTime, key: KeyId, asker: &OwnerId) -> KeyTrace {
+        let home = self.ranking(key).map(|ranking| ranking.home);
+        let sure = home.as_ref() == Some(&asker.node) && self.is_sure_witness(now, key);
         // Consent is noted in any case, so that no other process gets it from here later.
         match self.log.trace(now, key, asker) {
-            KeyTrace::Unseen if unsure => KeyTrace::Unsure,
+            KeyTrace::Unseen if !sure => KeyTrace::Unsure,
             trace => trace,
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod core_parts;
 mod gate;
+mod gauge;
 mod journal;
 mod ops;
 mod peer;
@@ -30,7 +31,8 @@
 pub use clock::SystemClock;
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
-pub use journal::EventJournal;
+pub use gauge::{CallMetrics, ControlKind, ControlMetrics};
+pub use journal::{EventJournal, event_level};
 pub use ops::{MetricsExport, OpsServer, StatusNode, StatusPage, StatusRevision, StatusTarget};
 pub use peer::{
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -45,6 +45,9 @@
     /// Why it can't be loaded, if it failed.
     #[serde(default)]
     pub failure: Option<String>,
+    /// Bytes a second that a load in progress may read from the weight store.
+    #[serde(default)]
+    pub load_rate: Option<u64>,
 }
 
 /// State of an engine as it reports it.
@@ -60,6 +63,9 @@
     /// Versions in memory.
     #[serde(default)]
     pub loaded: Vec<LoadedVersion>,
+    /// Highest fencing number that the engine has seen, if it tells.
+    #[serde(default)]
+    pub fencing: Option<String>,
 }
 
 /// An order to an engine, as JSON with the fencing number in text form.
@@ -138,6 +144,10 @@
     /// Reads the state of the engine.
     fn health(&self, address: SocketAddr) -> CallFuture<'_, EngineHealth>;
 
-    /// Reads the load of the engine.
-    fn load(&self, target: TargetName, address: SocketAddr) -> CallFuture<'_, LoadReport>;
+    /// Reads the state and the load of the engine, in one request if the engine allows it.
+    fn state(
+        &self,
+        target: TargetName,
+        address: SocketAddr,
+    ) -> CallFuture<'_, (EngineHealth, LoadReport)>;
 }
