--- a/crates/orders/tests/support/fake_target.rs
+++ b/crates/orders/tests/support/fake_target.rs
@@ -59,7 +59,6 @@
         self.alive && self.versions.iter().any(same)
     }
 
-    /// Starts again with empty memory.
     pub fn restart(&mut self) {
         self.run += 1;
         self.alive = true;
--- a/crates/orders/tests/support/fleet_shape.rs
+++ b/crates/orders/tests/support/fleet_shape.rs
@@ -2,7 +2,7 @@
 
 use fleet::{FleetDeclaration, KeySet, KeyText, accept, make_head};
 
-/// A declaration of equal domains with one model.
+/// A declaration of equal domains with one model, and further sections.
 #[derive(Clone)]
 pub struct FleetShape {
     pub domains: usize,
@@ -16,7 +16,6 @@
     pub rate: u64,
     pub bytes: u64,
     pub fencing: bool,
-    /// Further sections.
     pub extra: String,
 }
 
