Test that an unsent call is not marked by a crash

Change: a test of the scheduling actor; the crash test says what was sent. Conclusion: the fix is guarded.

--- a/crates/node/tests/sched_actor.rs
+++ b/crates/node/tests/sched_actor.rs
@@ -227,6 +227,22 @@
     assert_eq!(policy.log().finished.len(), 1);
 }
 
+/// Guards against blame for a crash of a target that a call was chosen for but never sent to.
+#[tokio::test]
+async fn an_unsent_call_is_not_marked() {
+    let scene = start_actor();
+    let print = CrashPrint::new("quill", b"unsent");
+    for (request, target) in [("r1", "e1"), ("r2", "e2")] {
+        let placed = scene.sched.submit(item(request, &[target]), print, false);
+        assert!(matches!(placed.await, CallPlacement::Dispatch { .. }));
+        let died = Some(IncarnationNumber(1));
+        scene.sched.note_failure(name(target), died);
+        scene.sched.finish(name(request), FinishState::Failed);
+    }
+    let third = scene.sched.submit(item("r3", &["e3"]), print, false).await;
+    assert!(matches!(third, CallPlacement::Dispatch { .. }));
+}
+
 /// Guards against a third target for a request that crashed two, and against silence towards
 /// the peers.
 #[tokio::test]
@@ -236,6 +252,7 @@
     for (request, target) in [("r1", "e1"), ("r2", "e2")] {
         let placed = scene.sched.submit(item(request, &[target]), print, false);
         assert!(matches!(placed.await, CallPlacement::Dispatch { .. }));
+        scene.sched.note_sent(name(request));
         let died = Some(IncarnationNumber(1));
         scene.sched.note_failure(name(target), died);
         scene.sched.finish(name(request), FinishState::Failed);
