Learn of leaving targets from the platform's list as well

Cause: the platform lists target VMs that it is about to take away, perhaps before the engine itself knows, and the node read only the list of node VMs. Change: the readers of a domain watch the list of target VMs; gossip tells the others. Conclusion: a leaving target is learned from whichever source knows first.

--- a/crates/node/src/actor/fleet_state/fleet_actor.rs
+++ b/crates/node/src/actor/fleet_state/fleet_actor.rs
@@ -40,6 +40,9 @@
     pub(super) list_index: u64,
     pub(super) list_read: bool,
     pub(super) next_list: ClockTime,
+    pub(super) target_watch: Option<JoinHandle<()>>,
+    pub(super) target_index: u64,
+    pub(super) next_targets: ClockTime,
     pub(super) seeds: BTreeMap<NodeName, DomainName>,
     pub(super) successors: BTreeMap<OwnerId, OwnerId>,
     pub(super) ticked_at: Option<ClockTime>,
@@ -75,6 +78,9 @@
             list_index: 0,
             list_read: false,
             next_list: ClockTime::ZERO,
+            target_watch: None,
+            target_index: 0,
+            next_targets: ClockTime::ZERO,
             seeds: BTreeMap::new(),
             successors: BTreeMap::new(),
             ticked_at: None,
@@ -127,6 +133,7 @@
         actions.extend(self.revision.on_tick(now));
         self.carry_out_revision(actions);
         self.watch_list(reader);
+        self.watch_targets(reader);
         self.probe_targets();
         self.send_note();
         self.tick_board();
--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -9,7 +9,7 @@
 use super::fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, HeadRead, KeysRead, LeaveFleet, NodesRead,
     OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, TakeMember, TakeNote,
-    TakeOrder, TakeRevision, TargetProbed, TellImport, TickFleet,
+    TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport, TickFleet,
 };
 use super::member_part::IMPORT_PAYLOAD;
 
@@ -25,7 +25,7 @@
         for task in self.calls.into_values() {
             task.abort();
         }
-        if let Some(task) = self.list_watch {
+        for task in [self.list_watch, self.target_watch].into_iter().flatten() {
             task.abort();
         }
     }
@@ -159,6 +159,16 @@
     }
 }
 
+impl Handler<TargetsRead> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TargetsRead, _: &mut Context<Self>) {
+        if let Ok((index, targets)) = message.answer {
+            self.take_listed_targets(index, targets);
+        }
+    }
+}
+
 impl Handler<SeedAnswered> for FleetActor {
     type Return = ();
 
--- a/crates/node/src/actor/fleet_state/fleet_message.rs
+++ b/crates/node/src/actor/fleet_state/fleet_message.rs
@@ -8,7 +8,7 @@
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 
 use super::ProbeResult;
-use crate::{LoadNote, PlatformFailure};
+use crate::{ListedTarget, LoadNote, PlatformFailure};
 
 /// Lets time pass.
 pub struct TickFleet;
@@ -114,3 +114,8 @@
     pub order: TargetOrder,
     pub outcome: OrderOutcome,
 }
+
+/// Result of a read of the platform's list of target VMs.
+pub struct TargetsRead {
+    pub answer: Result<(u64, Vec<ListedTarget>), PlatformFailure>,
+}
--- a/crates/node/src/actor/fleet_state/member_part.rs
+++ b/crates/node/src/actor/fleet_state/member_part.rs
@@ -1,11 +1,11 @@
 use base::{EventKind, NodeName, TimeSpan};
 use calls::OwnerId;
 use fleet::FleetPeer;
-use member::{MemberAction, NodeState};
+use member::{MemberAction, NodeState, ObservationSource, TargetObservation, TargetState};
 
 use super::fleet_actor::FleetActor;
-use super::fleet_message::{NodesRead, SeedAnswered};
-use crate::{PeerBody, PeerReply};
+use super::fleet_message::{NodesRead, SeedAnswered, TargetsRead};
+use crate::{ListedTarget, PeerBody, PeerReply};
 
 /// Nodes of another domain that revisions are exchanged with.
 const FAR_PEERS: usize = 2;
@@ -196,4 +196,51 @@
             });
         }
     }
+
+    /// Only readers watch the targets; the others learn of them by gossip.
+    pub(super) fn watch_targets(&mut self, reader: bool) {
+        let now = self.now();
+        let running = self
+            .target_watch
+            .as_ref()
+            .is_some_and(|task| !task.is_finished());
+        if running || !reader || now < self.next_targets {
+            return;
+        }
+        self.next_targets = now + LIST_PAUSE;
+        let Some(address) = self.own.clone() else {
+            return;
+        };
+        let platform = self.parts.platform.clone();
+        let index = self.target_index;
+        self.target_watch = Some(tokio::spawn(async move {
+            let answer = platform.read_targets(index, LIST_WAIT).await;
+            // The actor is gone once the node has stopped.
+            let _ = address.send(TargetsRead { answer }).detach().await;
+        }));
+    }
+
+    pub(super) fn take_listed_targets(&mut self, index: u64, targets: Vec<ListedTarget>) {
+        let now = self.now();
+        self.target_index = index;
+        self.next_targets = now;
+        for listed in targets.into_iter().filter(|listed| listed.leaving) {
+            let view = self.parts.view.get();
+            let fleet = view.fleet.as_ref();
+            let Some(declared) = fleet.and_then(|fleet| fleet.target(&listed.target)) else {
+                continue;
+            };
+            let observation = TargetObservation {
+                target: listed.target,
+                domain: declared.domain.clone(),
+                incarnation: None,
+                state: TargetState::Leaving,
+                source: ObservationSource::Platform,
+            };
+            let mut actions = Vec::new();
+            self.member
+                .on_target_observed(now, &observation, &mut actions);
+            self.carry_out_member(actions);
+        }
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,7 +38,7 @@
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
     PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, PeerServer, TargetNote,
 };
-pub use platform::{PlatformClient, PlatformFailure};
+pub use platform::{ListedTarget, PlatformClient, PlatformFailure};
 pub use relay::{
     AnswerCollector, AnswerWriter, CallJob, CallRelay, RelayParts, RelayStep, ResumeKey,
     ResumeToken,
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -2,4 +2,4 @@
 
 mod platform_client;
 
-pub use platform_client::{PlatformClient, PlatformFailure};
+pub use platform_client::{ListedTarget, PlatformClient, PlatformFailure};
--- a/crates/node/src/platform/platform_client.rs
+++ b/crates/node/src/platform/platform_client.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::TimeSpan;
+use base::{TargetName, TimeSpan};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -19,6 +19,8 @@
 const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(4);
 /// Header with the index that the next watch waits on.
 const INDEX_HEADER: &str = "x-consul-index";
+/// State of a listed VM that is about to be taken away.
+const LEAVING_STATE: &str = "leaving";
 /// Name of the key that lists the others.
 const HEAD_KEY: &str = "head";
 
@@ -37,6 +39,16 @@
     address: SocketAddr,
     prefix: String,
     service: String,
+    target_service: String,
+}
+
+/// One target VM in the platform's list, which lags.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedTarget {
+    /// Target that runs on the VM.
+    pub target: TargetName,
+    /// Whether the VM is about to be taken away.
+    pub leaving: bool,
 }
 
 #[derive(Deserialize)]
@@ -95,9 +107,17 @@
             address,
             prefix: prefix.to_owned(),
             service: service.to_owned(),
+            target_service: String::new(),
         }
     }
 
+    /// Returns this client with the service name of the target VMs.
+    #[must_use]
+    pub fn with_target_service(mut self, service: &str) -> Self {
+        service.clone_into(&mut self.target_service);
+        self
+    }
+
     /// Reads the `head` key; an index above 0 waits up to `wait` for a change.
     ///
     /// # Errors
@@ -160,6 +180,26 @@
         Ok((answer.index, nodes.collect()))
     }
 
+    /// Reads the list of target VMs; an index above 0 waits up to `wait` for a change.
+    ///
+    /// # Errors
+    /// If the platform does not answer in time or answers with something else.
+    pub async fn read_targets(
+        &self,
+        index: u64,
+        wait: TimeSpan,
+    ) -> Result<(u64, Vec<ListedTarget>), PlatformFailure> {
+        let path = format!("/v1/health/service/{}", self.target_service);
+        let answer = self.watch(&path, index, wait).await?;
+        let entries: Vec<ServiceAnswer> = parse_json(&answer.body)?;
+        let targets = entries.into_iter().filter_map(|entry| {
+            let target = entry.service.id.parse().ok()?;
+            let leaving = entry.service.meta.state == LEAVING_STATE;
+            Some(ListedTarget { target, leaving })
+        });
+        Ok((answer.index, targets.collect()))
+    }
+
     async fn read_path(&self, path: &str) -> Result<Vec<KeyText>, PlatformFailure> {
         let answer = self.get(path, ANSWER_WAIT).await?;
         if answer.status == StatusCode::NOT_FOUND {
@@ -233,9 +273,9 @@
         node: service.id.parse().ok()?,
         domain: service.meta.domain.parse().ok(),
         address: address.parse().ok(),
-        state: match service.meta.state.as_str() {
-            "leaving" => PlatformState::Leaving,
-            _ => PlatformState::Live,
+        state: match service.meta.state == LEAVING_STATE {
+            true => PlatformState::Leaving,
+            false => PlatformState::Live,
         },
     })
 }
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -131,7 +131,8 @@
         );
         let section = &self.settings.platform;
         let (prefix, service) = (&section.prefix, &section.service);
-        let platform = PlatformClient::new(pool.clone(), platform, prefix, service);
+        let platform = PlatformClient::new(pool.clone(), platform, prefix, service)
+            .with_target_service(&section.target_service);
         let engine: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(pool.clone(), clock));
         let view = ViewCell::new();
         let mut tasks = Vec::new();
--- a/crates/node/tests/support/fake_engine.rs
+++ b/crates/node/tests/support/fake_engine.rs
@@ -61,11 +61,7 @@
         unreachable()
     }
 
-    fn state(
-        &self,
-        _: TargetName,
-        _: SocketAddr,
-    ) -> CallFuture<'_, (EngineHealth, LoadReport)> {
+    fn state(&self, _: TargetName, _: SocketAddr) -> CallFuture<'_, (EngineHealth, LoadReport)> {
         unreachable()
     }
 }
