--- a/crates/agatemoor/src/command/status_command.rs
+++ b/crates/agatemoor/src/command/status_command.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use base::RevisionNumber;
 use node::StatusPage;
 use tokio::time::sleep;
 
@@ -17,7 +18,7 @@
 #[argh(
     subcommand,
     name = "status",
-    example = "One node of each failure domain is enough:\n  $ agatemoor status --node 127.0.0.1:8081,127.0.0.1:8181\nWait until a published declaration is in effect everywhere:\n  $ agatemoor status --node 127.0.0.1:8081,127.0.0.1:8181 --watch",
+    example = "One node of each failure domain is enough:\n  $ agatemoor status --node 127.0.0.1:8081,127.0.0.1:8181\nWait until a declaration published after revision 1.2 is in effect everywhere:\n  $ agatemoor status --node 127.0.0.1:8081,127.0.0.1:8181 --after 1.2 --watch",
     note = "Exit codes: 0 converged, 1 not converged or a node does not answer, 2 wrong usage."
 )]
 pub struct StatusCommand {
@@ -29,6 +30,10 @@
     #[argh(switch)]
     watch: bool,
 
+    /// revision that was in effect before, such as 1.2; only a newer one counts as converged
+    #[argh(option)]
+    after: Option<RevisionNumber>,
+
     /// print JSON, one object for each look
     #[argh(switch)]
     json: bool,
@@ -58,7 +63,10 @@
 
     async fn look(&self, client: &OpsClient) -> u8 {
         let answers = client.read_all::<StatusPage>(&self.node, "/ops/status");
-        let summary = FleetSummary::new(answers.await);
+        let mut summary = FleetSummary::new(answers.await);
+        if let Some(revision) = self.after {
+            summary.require_after(revision);
+        }
         match self.json {
             true => println!("{}", serde_json::json!(summary)),
             false => print!("{summary}"),
--- a/crates/agatemoor/src/status/fleet_summary.rs
+++ b/crates/agatemoor/src/status/fleet_summary.rs
@@ -70,6 +70,18 @@
             pages,
         }
     }
+
+    /// Does not count as converged unless a revision newer than `revision` is in effect.
+    ///
+    /// Right after a declaration was published, nodes may not yet know of it.
+    pub fn require_after(&mut self, revision: RevisionNumber) {
+        if self.revision.is_some_and(|own| own > revision) {
+            return;
+        }
+        self.converged = false;
+        let reason = format!("no node has a revision newer than {revision}");
+        self.blocked.push(reason);
+    }
 }
 
 /// Rows of the order boards, then those of targets that only probes observe.
--- a/crates/agatemoor/src/status/status_row.rs
+++ b/crates/agatemoor/src/status/status_row.rs
@@ -55,9 +55,9 @@
     pub(super) fn of_rollout(row: &RolloutRow, now: ClockTime) -> Self {
         let reason = match &row.state {
             RolloutState::Done => String::new(),
-            RolloutState::Halted { reason, .. } => format!("the rollout halted: {reason}"),
+            RolloutState::Halted { reason, .. } => format!("The rollout halted: {reason}"),
             RolloutState::Pending | RolloutState::Progressing => {
-                "not every target serves the version".to_owned()
+                "Not every target serves the version.".to_owned()
             }
         };
         Self {
@@ -75,9 +75,9 @@
     pub(super) fn of_probe(page: &StatusPage, target: &StatusTarget) -> Self {
         let reason = match target.phase {
             TargetPhase::Up => "",
-            TargetPhase::Unknown => "the target has not answered yet",
-            TargetPhase::Leaving => "the target is leaving",
-            TargetPhase::Down => "the target does not answer",
+            TargetPhase::Unknown => "The target has not answered yet.",
+            TargetPhase::Leaving => "The target is leaving.",
+            TargetPhase::Down => "The target does not answer.",
         };
         Self {
             domain: page.domain.clone(),
--- a/crates/agatemoor/tests/exit_codes.rs
+++ b/crates/agatemoor/tests/exit_codes.rs
@@ -87,6 +87,8 @@
         assert_eq!(code(&[command, "--node", "balaju-1"]), Some(2));
         assert_eq!(code(&[command, "--node", ""]), Some(2));
     }
+    let status = ["status", "--node", NO_NODE, "--after", "soon"];
+    assert_eq!(code(&status), Some(2));
     let timeline = ["timeline", "--node", NO_NODE];
     assert_eq!(
         code(&[&timeline[..], &["--kind", "nope"]].concat()),
--- a/crates/agatemoor/tests/fleet_summaries.rs
+++ b/crates/agatemoor/tests/fleet_summaries.rs
@@ -110,6 +110,19 @@
     assert!(merge(vec![replaced]).converged);
 }
 
+/// Guards against the old revision being called converged before nodes learn of the new one.
+#[test]
+fn older_revision_does_not_count() {
+    let at = RevisionNumber::new(1, 7);
+    let mut summary = merge(vec![page("n1", 7)]);
+    summary.require_after(at);
+    assert!(!summary.converged);
+    assert!(summary.to_string().contains("newer than 1.7"), "{summary}");
+    let mut newer = merge(vec![page("n1", 8)]);
+    newer.require_after(at);
+    assert!(newer.converged);
+}
+
 /// Guards against a node that does not answer being taken for a converged one.
 #[test]
 fn silent_node_blocks() {
@@ -163,7 +176,7 @@
     down.targets[0].phase = TargetPhase::Down;
     let summary = merge(vec![down]);
     assert!(!summary.converged);
-    assert_eq!(summary.rows[0].reason, "the target does not answer");
+    assert_eq!(summary.rows[0].reason, "The target does not answer.");
 }
 
 /// Guards against a halted rollout that is not shown with its reason.
