--- a/crates/sched/examples/compare.rs
+++ b/crates/sched/examples/compare.rs
@@ -1,6 +1,6 @@
 //! Compares variants of `PeakPolicy` with the baselines in virtual time.
 //!
-//! `cargo run --release -p sched --example compare -- policy=digests policy=two_choices/memory_reserve=0.1`
+//! `cargo run --release -p sched --example compare -- policy=digests policy=two_choices/memory_share=0.1`
 //!
 //! Keys: `policy` (a mode and changed settings, any number of times), `workload`, `loads`,
 //! `seeds`, `nodes`, `engines`, `domains`, `faults` (number drawn with the first seed),
@@ -65,7 +65,7 @@
 
 fn change_setting(settings: &mut PolicySettings, key: &str, value: &str) -> Result<(), AnyError> {
     match key {
-        "memory_reserve" => settings.memory_reserve = value.parse()?,
+        "memory_share" => settings.memory_share = value.parse()?,
         "spread_reserve" => settings.spread_reserve = value.parse()?,
         "quick_reserve" => settings.quick_reserve = value.parse()?,
         "quick_tokens" => settings.quick_tokens = value.parse()?,
--- a/crates/sched/src/memory/memory_view.rs
+++ b/crates/sched/src/memory/memory_view.rs
@@ -22,7 +22,6 @@
     own_running: u32,
     own_prefill: u64,
     peer_held: u64,
-    peer_peak: u64,
     peer_count: u32,
     other_held: i64,
     other_count: u32,
@@ -78,12 +77,10 @@
     ) {
         if let Some(old) = old {
             self.peer_held -= u64::from(old.held_tokens);
-            self.peer_peak -= u64::from(old.peak_tokens);
             self.peer_count -= old.in_flight;
         }
         if let Some(new) = new {
             self.peer_held += u64::from(new.held_tokens);
-            self.peer_peak += u64::from(new.peak_tokens);
             self.peer_count += new.in_flight;
         }
         self.sample(now);
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -6,15 +6,18 @@
 ///
 /// ```
 /// let settings = sched::PolicySettings::default();
-/// assert!(settings.memory_reserve < 0.5);
+/// assert!(settings.quick_reserve < 0.5);
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct PolicySettings {
     /// How nodes that share engines take each other into account.
     pub mode: CoordinationMode,
-    /// Share of a target's memory that predicted peaks leave free.
-    pub memory_reserve: f64,
-    /// Standard deviations of the predicted peak that are left free as well.
+    /// Share of a target's memory that predicted peaks and their reserve may take.
+    ///
+    /// It is above one, since the peaks of own streams, of peers and of the rest are added up
+    /// although they do not coincide.
+    pub memory_share: f64,
+    /// Standard deviations of the predicted peak that are left free.
     pub spread_reserve: f64,
     /// Further share that only quick requests may use.
     pub quick_reserve: f64,
@@ -62,8 +65,8 @@
     fn default() -> Self {
         Self {
             mode: CoordinationMode::default(),
-            memory_reserve: 0.0,
-            spread_reserve: 0.4,
+            memory_share: 1.12,
+            spread_reserve: 0.9,
             quick_reserve: 0.06,
             quick_tokens: 64,
             sequence_limit: 256,
--- a/crates/sched/src/peak/target_choice.rs
+++ b/crates/sched/src/peak/target_choice.rs
@@ -7,6 +7,10 @@
 /// Pairs of random targets that are tried before all are looked at.
 const PAIR_TRIES: usize = 3;
 
+/// Targets looked at for one request as long as one of them has room; bounds the time of a decision
+/// in large fleets and keeps nodes with the same late reports from all choosing the same target.
+const SCAN_LIMIT: usize = 128;
+
 /// Picks the target of one request.
 pub struct TargetChoice<'a> {
     /// Candidates of the request.
@@ -61,7 +65,7 @@
         self.rating.rate_remote(state)
     }
 
-    /// Returns the best of all; the search starts anywhere, so that equals are taken in turn.
+    /// Returns the best of the first targets that have room, from a random start.
     fn best(
         &self,
         slots: &[usize],
@@ -72,13 +76,19 @@
             return None;
         }
         let (tail, head) = slots.split_at(random.random_range(0..slots.len()));
-        let rated = head
-            .iter()
-            .chain(tail)
-            .filter_map(|slot| Some((rate(*slot)?, *slot)));
-        rated
-            .min_by_key(|(points, _)| *points)
-            .map(|(_, slot)| slot)
+        let mut best = None;
+        for (step, slot) in head.iter().chain(tail).enumerate() {
+            if step >= SCAN_LIMIT && best.is_some() {
+                break;
+            }
+            let Some(points) = rate(*slot) else {
+                continue;
+            };
+            if best.is_none_or(|(least, _)| points < least) {
+                best = Some((points, *slot));
+            }
+        }
+        best.map(|(_, slot)| slot)
     }
 
     fn better_of_two(&self, random: &mut Pcg64) -> Option<usize> {
--- a/crates/sched/src/peak/target_rating.rs
+++ b/crates/sched/src/peak/target_rating.rs
@@ -43,7 +43,7 @@
     /// Rates a target in the own failure domain, lower is better; `None` if it has no room.
     pub fn rate(&self, state: &TargetState, holds_prefix: bool) -> Option<u64> {
         let points = self.rate_within(state, 1.0)?;
-        if !holds_prefix {
+        if !holds_prefix || self.queued.item.model.is_none() {
             return Some(points);
         }
         let factor = match self.queued.lane {
@@ -101,12 +101,11 @@
     }
 
     fn limit_share(&self, state: &TargetState) -> f64 {
-        let reserve = match self.class {
-            LimitClass::Full => self.settings.memory_reserve,
-            LimitClass::Reduced => self.settings.memory_reserve + self.settings.quick_reserve,
+        let part = match self.class {
+            LimitClass::Full => self.settings.memory_share,
+            LimitClass::Reduced => self.settings.memory_share - self.settings.quick_reserve,
         };
-        let share = state.health.limit_share(self.now, self.settings.ramp_time);
-        share * (1.0 - reserve)
+        part * state.health.limit_share(self.now, self.settings.ramp_time)
     }
 }
 
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -1,3 +1,5 @@
+//! Shared helpers of the tests.
+
 #![allow(dead_code)]
 
 use std::sync::Arc;
