--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -23,6 +23,10 @@
 const PROMPT_PER_COST: u64 = 16;
 /// Requests at the head of workspaces that are tried when the first ones exclude targets.
 const HEAD_TRIES: usize = 4;
+/// Bytes of a digest on the wire without its entries, with HTTP framing and authentication.
+const DIGEST_BYTES: u64 = 64;
+/// Bytes of one target in a digest on the wire.
+const DIGEST_ENTRY_BYTES: u64 = 20;
 /// Bounds of the advice when to come back.
 const RETRY_BOUNDS: (TimeSpan, TimeSpan) = (TimeSpan::from_secs(1), TimeSpan::from_secs(120));
 
@@ -342,12 +346,17 @@
         }
     }
 
+    /// Time until the next digest, so that sending one of this size to all peers keeps the budget.
+    fn digest_interval(&self, targets: usize) -> TimeSpan {
+        let bytes = DIGEST_BYTES + DIGEST_ENTRY_BYTES * targets as u64;
+        let millis = bytes * self.peers.len() as u64 * 1_000 / self.settings.digest_budget.max(1);
+        self.settings.digest_interval.max(TimeSpan::new(millis))
+    }
+
     fn publish(&mut self, now: ClockTime) {
-        let shares = self.settings.mode == CoordinationMode::Digests;
-        if !shares || now.since(self.digest_at) < self.settings.digest_interval {
+        if self.settings.mode != CoordinationMode::Digests || now < self.digest_at {
             return;
         }
-        self.digest_at = now;
         self.sequence += 1;
         let slots = (0..self.targets.len()).map(|slot| self.targets.state(slot));
         let busy = slots.filter(|state| state.view.own_count() > 0);
@@ -359,6 +368,7 @@
         });
         let mut targets: Vec<_> = digest.collect();
         targets.sort_unstable_by(|left, right| left.target.cmp(&right.target));
+        self.digest_at = now + self.digest_interval(targets.len());
         self.actions.push(SchedAction::Publish(PeerDigest {
             node: self.node.clone(),
             sequence: self.sequence,
--- a/crates/sched/src/peak/peer_table.rs
+++ b/crates/sched/src/peak/peer_table.rs
@@ -44,6 +44,16 @@
         self.peers.insert(digest.node, state);
     }
 
+    /// Peers whose digests are in use.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no digest is in use.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// Drops digests older than `expiry`.
     pub fn expire(&mut self, now: ClockTime, expiry: TimeSpan, targets: &mut TargetTable) {
         let old = |state: &PeerState| now.since(state.received_at) >= expiry;
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -49,7 +49,10 @@
     pub service_streams: u32,
     /// Points taken off the rating of a target that holds the prefix, out of 1,000.
     pub prefix_points: u64,
-    /// Interval between digests.
+    /// Bytes that a node may send in digests each second; with many peers or targets the interval
+    /// grows so that they suffice.
+    pub digest_budget: u64,
+    /// Shortest interval between digests.
     pub digest_interval: TimeSpan,
     /// Age at which a digest of a peer is dropped.
     pub digest_expiry: TimeSpan,
@@ -65,14 +68,14 @@
     fn default() -> Self {
         Self {
             mode: CoordinationMode::default(),
-            memory_share: 1.12,
+            memory_share: 1.11,
             spread_reserve: 0.9,
             quick_reserve: 0.06,
             quick_tokens: 64,
             sequence_limit: 256,
             prefill_limit: 16_384,
             token_delay_ms: 10,
-            starve_after: TimeSpan::from_secs(10),
+            starve_after: TimeSpan::from_secs(30),
             quick_wait: TimeSpan::from_secs(20),
             long_wait: TimeSpan::from_secs(90),
             spill_after: TimeSpan::from_secs(2),
@@ -83,7 +86,8 @@
             service_streams: 128,
             prefix_points: 60,
             digest_interval: TimeSpan::new(200),
-            digest_expiry: TimeSpan::from_secs(2),
+            digest_budget: 8_000,
+            digest_expiry: TimeSpan::from_secs(5),
             probe_count: 2,
             probe_age: TimeSpan::from_secs(1),
             probe_uses: 3,
--- a/crates/sched/src/target/target_health.rs
+++ b/crates/sched/src/target/target_health.rs
@@ -13,7 +13,7 @@
 /// Smallest share of its limit that is left to a target that preempts.
 const SHARE_FLOOR: f64 = 0.6;
 /// Share that is given back in each second without preemption.
-const SHARE_STEP: f64 = 0.01;
+const SHARE_STEP: f64 = 0.004;
 
 /// Whether a target gets work and how much of its memory may be used.
 ///
--- a/crates/sched/tests/naive/mod.rs
+++ b/crates/sched/tests/naive/mod.rs
@@ -779,12 +779,9 @@
             self.refuse(request, kind, wait);
         }
         self.serve_all(now);
-        if self.settings.mode != CoordinationMode::Digests
-            || now.since(self.digest_at) < self.settings.digest_interval
-        {
+        if self.settings.mode != CoordinationMode::Digests || now < self.digest_at {
             return;
         }
-        self.digest_at = now;
         self.sequence += 1;
         let mut names: Vec<_> = self
             .streams
@@ -793,6 +790,10 @@
             .collect();
         names.sort();
         names.dedup();
+        let bytes = 64 + 20 * names.len() as u64;
+        let millis = bytes * self.digests.len() as u64 * 1_000 / self.settings.digest_budget;
+        let interval = self.settings.digest_interval.max(TimeSpan::new(millis));
+        self.digest_at = now + interval;
         let digest = |target: &TargetName| TargetDigest {
             target: target.clone(),
             in_flight: self.own(target).count() as u32,
