Tell other domains of failed versions, and order by own probes alone

Cause: failures of a version stayed within one domain; a note of a peer that waited in a socket while this process was paused looked newer than it is and could have stood for the re-read that precedes an order. Change: bridges pass failure summaries on every 10 s; owned targets are observed by own probes only; a test of a broken version over real nodes.

--- a/crates/agatemoor/src/demo/demo_fleet.rs
+++ b/crates/agatemoor/src/demo/demo_fleet.rs
@@ -22,6 +22,8 @@
 const PEER_SECRET: &str = "peer secret of the demo fleet";
 /// Bearer key of the demo's callers.
 const CALLER_KEY: &str = "demo-key-of-the-valley";
+/// A version whose weights are damaged at every engine.
+const BROKEN_VERSION: &str = "quill:9";
 /// Longest wait for the fleet to come up.
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// Pause between two looks at a state that is waited for.
@@ -371,9 +373,11 @@
     let target: TargetName = parse(name)?;
     let weights = format!("quill:{version}");
     let weights = parse_weights(&weights).ok_or("weights can't be named")?;
+    let broken = parse_weights(BROKEN_VERSION).ok_or("weights can't be named")?;
     let settings = EngineSettings::new(target.clone())
         .with_seed(seed)
-        .with_loaded(weights);
+        .with_loaded(weights)
+        .with_broken(broken);
     // The engine has a runtime of its own, which can't be started inside this one.
     let started = tokio::task::spawn_blocking(move || EngineServer::start(any_port(), settings));
     let handle = started.await.map_err(|error| error.to_string())?;
--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -1,13 +1,13 @@
 use base::{IncarnationNumber, NodeName, TargetName};
 use calls::OwnerId;
 use member::MemberMessage;
-use orders::OrderMessage;
+use orders::{OrderMessage, RolloutSummary};
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 use xtra::{Address, Handler};
 
 use super::fleet_state::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, FleetActor, LeaveFleet, ProbeTarget,
-    ReadFleet, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    ReadFleet, TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
 };
 use super::{FleetStatus, post_now};
 use crate::LoadNote;
@@ -59,6 +59,11 @@
         post_now(&self.address, TakeOrder { from, message });
     }
 
+    /// Takes failures of rollouts that another domain knows of.
+    pub fn take_failures(&self, summaries: Vec<RolloutSummary>) {
+        post_now(&self.address, TakeFailures { summaries });
+    }
+
     /// Asks for a probe of a target now.
     pub fn probe(&self, target: TargetName) {
         post_now(&self.address, ProbeTarget { target });
--- a/crates/node/src/actor/fleet_state/fleet_actor.rs
+++ b/crates/node/src/actor/fleet_state/fleet_actor.rs
@@ -50,6 +50,7 @@
     pub(super) ready: bool,
     pub(super) board: OrderBoard,
     pub(super) next_board: ClockTime,
+    pub(super) next_failures: ClockTime,
     pub(super) own: Option<WeakAddress<Self>>,
 }
 
@@ -66,6 +67,7 @@
         Self {
             board: OrderBoard::new(board.with_wall_offset(offset), now),
             next_board: now,
+            next_failures: now,
             member: MemberTable::new(settings, seed),
             revision: RevisionView::new(node, domain, revision, seed),
             calls: BTreeMap::new(),
--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -8,8 +8,8 @@
 use super::fleet_actor::FleetActor;
 use super::fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, HeadRead, KeysRead, LeaveFleet, NodesRead,
-    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, TakeMember, TakeNote,
-    TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport, TickFleet,
+    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, TakeFailures, TakeMember,
+    TakeNote, TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport, TickFleet,
 };
 use super::member_part::IMPORT_PAYLOAD;
 
@@ -65,6 +65,14 @@
     }
 }
 
+impl Handler<TakeFailures> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeFailures, _: &mut Context<Self>) {
+        self.board.on_failures(self.now(), &message.summaries);
+    }
+}
+
 impl Handler<OrderAnswered> for FleetActor {
     type Return = ();
 
--- a/crates/node/src/actor/fleet_state/fleet_message.rs
+++ b/crates/node/src/actor/fleet_state/fleet_message.rs
@@ -4,7 +4,7 @@
 use calls::OwnerId;
 use fleet::{KeyText, PlatformHeadAnswer};
 use member::{MemberMessage, PlatformEntry};
-use orders::{OrderMessage, OrderOutcome, TargetOrder};
+use orders::{OrderMessage, OrderOutcome, RolloutSummary, TargetOrder};
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 
 use super::ProbeResult;
@@ -109,6 +109,11 @@
     pub message: OrderMessage,
 }
 
+/// Takes failures of rollouts that another domain knows of.
+pub struct TakeFailures {
+    pub summaries: Vec<RolloutSummary>,
+}
+
 /// Result of an order that this actor gave.
 pub struct OrderAnswered {
     pub order: TargetOrder,
--- a/crates/node/src/actor/fleet_state/mod.rs
+++ b/crates/node/src/actor/fleet_state/mod.rs
@@ -16,7 +16,7 @@
 pub use fleet_actor::FleetActor;
 pub use fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, LeaveFleet, ProbeTarget, ReadFleet,
-    TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
 };
 pub use fleet_parts::FleetParts;
 pub use fleet_status::FleetStatus;
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -123,7 +123,11 @@
         let incarnation = health.as_ref().map(|health| health.incarnation);
         if let Some(health) = health.filter(|_| newer) {
             self.take_health(&note.target, &health);
-            self.observe_actual(&note.target, &health, measured_at);
+            // A note that waited while this process was paused looks newer than it is, so that
+            // orders rest on the probes of their own node alone.
+            if !self.board.owns(&note.target) {
+                self.observe_actual(&note.target, &health, measured_at);
+            }
         }
         if unknown && phase == TargetPhase::Up {
             self.observe(note.target, incarnation, TargetState::Alive);
--- a/crates/node/src/actor/fleet_state/order_part.rs
+++ b/crates/node/src/actor/fleet_state/order_part.rs
@@ -11,6 +11,8 @@
 
 /// Time between two ticks of the order board.
 const BOARD_PERIOD: TimeSpan = TimeSpan::new(250);
+/// Time between two messages to other domains about failed versions.
+const FAILURE_PERIOD: TimeSpan = TimeSpan::from_secs(10);
 /// Status of an engine that refuses an order with an old fencing number.
 const CONFLICT: u16 = 409;
 /// How engines begin the reason of a load that failed for lack of memory.
@@ -29,6 +31,30 @@
         for action in self.board.on_tick(now) {
             self.carry_out_board(action);
         }
+        self.tell_failures(now);
+    }
+
+    /// Tells other domains of failed versions, so that a rollout stops there as well.
+    fn tell_failures(&mut self, now: ClockTime) {
+        let summaries = self.board.summaries();
+        if now < self.next_failures || summaries.is_empty() {
+            return;
+        }
+        self.next_failures = now + FAILURE_PERIOD;
+        let own = self.parts.identity.clone();
+        if !self.member.bridges(&own.domain).contains(&own.node) {
+            return;
+        }
+        for (domain, reachable) in self.member.domains() {
+            if domain == own.domain || !reachable {
+                continue;
+            }
+            for node in self.member.live_nodes(&domain) {
+                self.learn_address(&node);
+                let body = PeerBody::Failures(summaries.clone());
+                self.parts.peers.tell(node, body);
+            }
+        }
     }
 
     /// Tells the board what a probe found.
--- a/crates/node/src/peer/peer_message.rs
+++ b/crates/node/src/peer/peer_message.rs
@@ -1,6 +1,6 @@
 use base::{DomainName, HybridTime, IncarnationNumber, NodeName, TargetName};
 use calls::{ConsentVerdict, CrashMessage, InquiryAnswer, KeyId, OwnerId, WindowExport};
-use orders::OrderMessage;
+use orders::{OrderMessage, RolloutSummary};
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 use schema::member::MemberMessage;
 use serde::{Deserialize, Serialize};
@@ -43,6 +43,8 @@
     Inquiry(InquiryAsk),
     /// Reconciliation of targets.
     Order(Box<OrderMessage>),
+    /// Failures of rollouts that another domain knows of.
+    Failures(Vec<RolloutSummary>),
     /// Hands a ticket window over.
     Window(Box<WindowExport>),
 }
@@ -54,7 +56,7 @@
             Self::Hello | Self::Member(_) => ControlKind::Member,
             Self::Digest(_) | Self::Pull(_) => ControlKind::Revision,
             Self::Load(_) => ControlKind::Load,
-            Self::Order(_) => ControlKind::Order,
+            Self::Order(_) | Self::Failures(_) => ControlKind::Order,
             Self::Crash(_) | Self::Consent(_) | Self::Inquiry(_) | Self::Window(_) => {
                 ControlKind::Claim
             }
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -92,6 +92,7 @@
             PeerBody::Load(note) => self.take_load(from, note),
             PeerBody::Crash(message) => self.core.relay.sched.take_crash(message),
             PeerBody::Order(message) => fleet.take_order(from, *message),
+            PeerBody::Failures(summaries) => fleet.take_failures(summaries),
             PeerBody::Consent(ask) => {
                 let verdict = claims.give_consent(ask.key, ask.home).await;
                 return PeerReply::Consent(verdict);
