--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use xtra::Address;
 
-use super::{SchedActor, post_now};
+use super::{ActorQueue, SchedActor};
 use crate::actor::sched_actor::{
     AdmitCall, FinishCall, NoteTargetFailure, PassTime, ProgressCall, SubmitCall, TakeCrash,
     TakeDigest, TakeReport, TakeTargets, WithdrawCall,
@@ -36,13 +36,15 @@
 /// Sends messages to the scheduling actor; clones share it.
 #[derive(Clone)]
 pub struct SchedHandle {
-    address: Address<SchedActor>,
+    queue: ActorQueue<SchedActor>,
 }
 
 impl SchedHandle {
     /// Creates a handle of the actor at `address`.
     pub fn new(address: Address<SchedActor>) -> Self {
-        Self { address }
+        Self {
+            queue: ActorQueue::new(address),
+        }
     }
 
     /// Asks for a target and waits in the node's queue.
@@ -54,7 +56,7 @@
             retry,
             reply,
         };
-        self.post(message);
+        self.queue.post(message);
         placement.await.unwrap_or(CallPlacement::Refuse {
             kind: base::ErrorKind::Stopping,
             retry_after: None,
@@ -63,7 +65,7 @@
 
     /// Takes a waiting call back.
     pub fn withdraw(&self, request: RequestId) {
-        self.post(WithdrawCall { request });
+        self.queue.post(WithdrawCall { request });
     }
 
     /// Notes that a call runs as `generation` at `address`.
@@ -73,54 +75,46 @@
             address,
             generation,
         };
-        self.post(admitted);
+        self.queue.post(admitted);
     }
 
     /// Notes how many tokens a call has produced.
     pub fn progress(&self, request: RequestId, produced: TokenCount) {
-        self.post(ProgressCall { request, produced });
+        self.queue.post(ProgressCall { request, produced });
     }
 
     /// Notes the end of a call at its target.
     pub fn finish(&self, request: RequestId, state: FinishState) {
-        self.post(FinishCall { request, state });
+        self.queue.post(FinishCall { request, state });
     }
 
     /// Notes a failure by the fault of a target; `died` is the run that certainly ended.
     pub fn note_failure(&self, target: TargetName, died: Option<IncarnationNumber>) {
-        self.post(NoteTargetFailure { target, died });
+        self.queue.post(NoteTargetFailure { target, died });
     }
 
     /// Takes what a peer tells of requests that crash their targets.
     pub fn take_crash(&self, message: CrashMessage) {
-        self.post(TakeCrash { message });
+        self.queue.post(TakeCrash { message });
     }
 
     /// Lets time pass.
     pub fn pass_time(&self) {
-        self.post(PassTime);
+        self.queue.post(PassTime);
     }
 
     /// Replaces the known targets.
     pub fn set_targets(&self, targets: Vec<TargetInfo>) {
-        self.post(TakeTargets { targets });
+        self.queue.post(TakeTargets { targets });
     }
 
     /// Takes a load report.
     pub fn take_report(&self, report: LoadReport) {
-        self.post(TakeReport { report });
+        self.queue.post(TakeReport { report });
     }
 
     /// Takes a digest of a peer.
     pub fn take_digest(&self, digest: PeerDigest) {
-        self.post(TakeDigest { digest });
-    }
-
-    fn post<M>(&self, message: M)
-    where
-        M: Send + 'static,
-        SchedActor: xtra::Handler<M>,
-    {
-        post_now(&self.address, message);
+        self.queue.post(TakeDigest { digest });
     }
 }
--- a/crates/node/src/claim/claim_handle.rs
+++ b/crates/node/src/claim/claim_handle.rs
@@ -15,7 +15,7 @@
     SetNodes, TakeInquiry,
 };
 use super::{ClaimDecision, ClaimId, ClaimRequest};
-use crate::actor::{FleetHandle, post_now};
+use crate::actor::{ActorQueue, FleetHandle};
 use crate::{ConsentAsk, InquiryAsk, PeerBody, PeerClient, PeerReply};
 
 /// Attempts to get the consent of a witness; a key home may change meanwhile.
@@ -24,7 +24,7 @@
 /// Asks the claim actor, and other nodes on its behalf; clones share it.
 #[derive(Clone)]
 pub struct ClaimHandle {
-    address: Address<ClaimActor>,
+    queue: ActorQueue<ClaimActor>,
     own: OwnerId,
     routing: TicketRouting,
     peers: PeerClient,
@@ -42,7 +42,7 @@
     ) -> Self {
         let routing = TicketRouting::new(own.clone(), key);
         Self {
-            address,
+            queue: ActorQueue::new(address),
             own,
             routing,
             peers,
@@ -243,7 +243,7 @@
         M: Send + 'static,
         ClaimActor: Handler<M>,
     {
-        self.address.send(message).await.ok()
+        self.queue.ask(message).await
     }
 
     fn tell<M>(&self, message: M)
@@ -251,7 +251,7 @@
         M: Send + 'static,
         ClaimActor: Handler<M>,
     {
-        post_now(&self.address, message);
+        self.queue.post(message);
     }
 }
 
