--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -63,7 +63,7 @@
 
     /// Takes failures of rollouts that another domain knows of.
     pub fn take_failures(&self, summaries: Vec<RolloutSummary>) {
-        post_now(&self.address, TakeFailures { summaries });
+        self.queue.post(TakeFailures { summaries });
     }
 
     /// Asks for a probe of a target now.
--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -70,7 +70,7 @@
 
     /// Notes that a dispatched call is about to reach its target.
     pub fn note_sent(&self, request: RequestId) {
-        self.post(NoteSent { request });
+        self.queue.post(NoteSent { request });
     }
 
     /// Notes that a call runs as `generation` at `address`.
