--- a/crates/sched/examples/compare.rs
+++ b/crates/sched/examples/compare.rs
@@ -78,6 +78,7 @@
         "prefix_points" => settings.prefix_points = value.parse()?,
         "digest_interval" => settings.digest_interval = value.parse()?,
         "probe_count" => settings.probe_count = value.parse()?,
+        "probe_interval" => settings.probe_interval = value.parse()?,
         "probe_age" => settings.probe_age = value.parse()?,
         "probe_uses" => settings.probe_uses = value.parse()?,
         _ => return Err(format!("unknown setting {key}").into()),
--- a/crates/sched/examples/decide.rs
+++ b/crates/sched/examples/decide.rs
@@ -25,7 +25,7 @@
         let mut baseline = BaselinePolicy::new(ChoiceRule::LeastInFlight, 1);
         let (base, base_p99) = measure(&mut baseline, count)?;
         println!("| {count} | least_in_flight | {base:.2} | {base_p99:.2} | 1.00 |");
-        for mode in [CoordinationMode::Digests, CoordinationMode::TwoChoices] {
+        for mode in [CoordinationMode::Probes, CoordinationMode::Digests] {
             let settings = PolicySettings::with_mode(mode);
             let (node, domain) = ("node-1".parse()?, "patan".parse()?);
             let mut policy = PeakPolicy::new(settings, node, domain, 1);
--- a/crates/sched/src/peak/coordination_mode.rs
+++ b/crates/sched/src/peak/coordination_mode.rs
@@ -15,11 +15,25 @@
     ///
     /// Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
     TwoChoices,
-    /// The best among recently probed targets.
+    /// The best among recently probed targets, else the better of two random ones.
     ///
     /// Source: Wydrowski et al., "Load is not what you should balance: Introducing Prequal", 2024.
+    #[default]
     Probes,
     /// The best target by own streams, late reports and digests of the peers in the domain.
-    #[default]
     Digests,
+    /// Digests, with reports refreshed by probes.
+    Combined,
+}
+
+impl CoordinationMode {
+    /// Whether nodes publish digests.
+    pub fn has_digests(self) -> bool {
+        matches!(self, Self::Digests | Self::Combined)
+    }
+
+    /// Whether nodes probe targets.
+    pub fn has_probes(self) -> bool {
+        matches!(self, Self::Probes | Self::Combined)
+    }
 }
--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -8,8 +8,8 @@
 use rand_pcg::Pcg64;
 
 use super::{
-    CoordinationMode, LimitClass, PeerTable, PolicySettings, PoolTable, PriorityLadder,
-    StreamState, TargetChoice, TargetRating,
+    LimitClass, PeerTable, PolicySettings, PoolTable, PriorityLadder, StreamState, TargetChoice,
+    TargetRating,
 };
 use crate::{
     FinishState, GrowthCurve, GrowthOutlook, LengthCalibration, LengthModel, LoadReport,
@@ -27,6 +27,8 @@
 const DIGEST_BYTES: u64 = 64;
 /// Bytes of one target in a digest on the wire.
 const DIGEST_ENTRY_BYTES: u64 = 20;
+/// Time for which unused probes are saved up.
+const PROBE_BURST: TimeSpan = TimeSpan::new(500);
 /// Bounds of the advice when to come back.
 const RETRY_BOUNDS: (TimeSpan, TimeSpan) = (TimeSpan::from_secs(1), TimeSpan::from_secs(120));
 
@@ -68,6 +70,7 @@
     running: GrowthCurve,
     sequence: u64,
     digest_at: ClockTime,
+    probe_at: ClockTime,
     actions: Vec<SchedAction>,
 }
 
@@ -92,6 +95,7 @@
             running: GrowthCurve::default(),
             sequence: 0,
             digest_at: ClockTime::ZERO,
+            probe_at: ClockTime::ZERO,
             actions: Vec::new(),
         }
     }
@@ -354,7 +358,7 @@
     }
 
     fn publish(&mut self, now: ClockTime) {
-        if self.settings.mode != CoordinationMode::Digests || now < self.digest_at {
+        if !self.settings.mode.has_digests() || now < self.digest_at {
             return;
         }
         self.sequence += 1;
@@ -376,15 +380,18 @@
         }));
     }
 
-    fn probe(&mut self, pool: usize) {
-        if self.settings.mode != CoordinationMode::Probes {
-            return;
-        }
+    /// Asks random targets for their load, as often as the budget for probes allows.
+    fn probe(&mut self, now: ClockTime, pool: usize) {
         let local = &self.pools.pool(pool).local;
-        if local.is_empty() {
+        if local.is_empty() || !self.settings.mode.has_probes() {
             return;
         }
         for _ in 0..self.settings.probe_count {
+            if self.probe_at > now {
+                return;
+            }
+            let earliest = ClockTime::ZERO + now.since(ClockTime::ZERO + PROBE_BURST);
+            self.probe_at = self.probe_at.max(earliest) + self.settings.probe_interval;
             let slot = local[self.random.random_range(0..local.len())];
             let target = self.targets.state(slot).target.clone();
             self.actions.push(SchedAction::Probe(target));
@@ -443,7 +450,7 @@
         if !self.has_target(pool, &item.excluded) {
             return self.refuse(request, ErrorKind::NoTarget, TimeSpan::from_secs(5));
         }
-        self.probe(pool);
+        self.probe(now, pool);
         let queue_limit = item.queue_limit;
         let queued = self.predict(item);
         let load = self
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -58,6 +58,8 @@
     pub digest_expiry: TimeSpan,
     /// Probes sent for each request.
     pub probe_count: u32,
+    /// Mean interval between probes of a node at least; a probe and its answer take some 100 bytes.
+    pub probe_interval: TimeSpan,
     /// Age at which the answer to a probe is dropped.
     pub probe_age: TimeSpan,
     /// Dispatches for which an answer to a probe is used.
@@ -88,7 +90,8 @@
             digest_interval: TimeSpan::new(200),
             digest_budget: 8_000,
             digest_expiry: TimeSpan::from_secs(5),
-            probe_count: 2,
+            probe_count: 6,
+            probe_interval: TimeSpan::new(16),
             probe_age: TimeSpan::from_secs(1),
             probe_uses: 3,
         }
--- a/crates/sched/tests/naive/mod.rs
+++ b/crates/sched/tests/naive/mod.rs
@@ -61,6 +61,7 @@
     prefixes: Vec<(u64, TargetName)>,
     sequence: u64,
     digest_at: ClockTime,
+    probe_at: ClockTime,
     actions: Vec<SchedAction>,
 }
 
@@ -81,6 +82,7 @@
             prefixes: Vec::new(),
             sequence: 0,
             digest_at: ClockTime::ZERO,
+            probe_at: ClockTime::ZERO,
             actions: Vec::new(),
         }
     }
@@ -631,14 +633,18 @@
         if !item.candidates.iter().any(usable) {
             return self.refuse(request, ErrorKind::NoTarget, TimeSpan::from_secs(5));
         }
-        if self.settings.mode == CoordinationMode::Probes {
+        if self.settings.mode.has_probes() {
             let local = item.candidates.iter().filter(|name| {
                 let target = self.target(name);
                 target.is_some_and(|at| self.targets[at].info.domain == self.domain)
             });
             let local: Vec<_> = local.cloned().collect();
             for _ in 0..self.settings.probe_count {
-                if !local.is_empty() {
+                if !local.is_empty() && self.probe_at <= now {
+                    let burst = TimeSpan::new(500);
+                    let earliest = ClockTime::ZERO + now.since(ClockTime::ZERO + burst);
+                    let interval = self.settings.probe_interval;
+                    self.probe_at = self.probe_at.max(earliest) + interval;
                     let name = local[self.random.random_range(0..local.len())].clone();
                     self.actions.push(SchedAction::Probe(name));
                 }
@@ -779,7 +785,7 @@
             self.refuse(request, kind, wait);
         }
         self.serve_all(now);
-        if self.settings.mode != CoordinationMode::Digests || now < self.digest_at {
+        if !self.settings.mode.has_digests() || now < self.digest_at {
             return;
         }
         self.sequence += 1;
