Mark a request whose engine died before its generation began

Cause: an engine that a request crashes closes its connections before it refuses new ones. The relay took this for a broken link, ran the request at the next engine and left no crash mark, so that it ended three engines. Change: after such a cut the relay asks on fresh connections whether the run of the engine is gone, and notes the death before the call chooses another target. Conclusion: a cut connection is not yet known to be a mere broken link.

--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -17,12 +17,18 @@
 use tokio::time::sleep;
 
 use super::{AnswerWriter, CallJob, RelayParts, ResumeToken};
-use crate::{CallPlacement, EngineCall, EngineEvent, EngineFault, EngineLink, EngineStream};
+use crate::{
+    CallPlacement, EngineCall, EngineClient, EngineEvent, EngineFault, EngineLink, EngineStream,
+};
 
 /// Tokens after which the policy is told how far a generation has come.
 const PROGRESS_STEP: u64 = 16;
 /// Longest wait for the response head of an engine, which answers as soon as it queues a call.
 const HEAD_WAIT: TimeSpan = TimeSpan::from_secs(10);
+/// Fresh connections on which a relay asks whether an engine died.
+const DEATH_TRIES: usize = 10;
+/// Pause between two of them.
+const DEATH_PAUSE: Duration = Duration::from_millis(30);
 /// Longest wait when nothing is due.
 const IDLE_WAIT: TimeSpan = TimeSpan::from_secs(60);
 
@@ -351,12 +357,37 @@
             }
             EngineFault::UnknownGeneration => self.feed(CallEvent::ResumeRefused { link }),
             EngineFault::Silent => self.feed(CallEvent::LinkSilent { link }),
+            EngineFault::Lost { .. } if self.has_died(target).await => {
+                // The mark has to be there before the call asks for its next target.
+                self.parts.sched.note_failure(target.clone(), self.run);
+                self.feed(CallEvent::TargetDied {
+                    target: target.clone(),
+                });
+            }
             EngineFault::Lost { .. } | EngineFault::Protocol { .. } => {
                 self.feed(CallEvent::LinkLost { link });
             }
         }
     }
 
+    /// Tells whether the engine died when its connection was cut before a generation began.
+    ///
+    /// Later than that the attempt to resume the generation finds out.
+    async fn has_died(&mut self, target: &TargetName) -> bool {
+        if self.machine.generation().is_some() {
+            return false;
+        }
+        let (Some(known), Some(address)) = (self.run, self.address(target)) else {
+            return false;
+        };
+        let engine = self.parts.engine.clone();
+        let died = self.or_timer(find_death(engine, address, known)).await;
+        if died.is_none() {
+            self.feed(CallEvent::Timer);
+        }
+        died.unwrap_or(false)
+    }
+
     async fn note_fault(&mut self, target: &TargetName, fault: &EngineFault) {
         let died = matches!(fault, EngineFault::Refused);
         let blamed = !matches!(
@@ -681,6 +712,26 @@
     }
 }
 
+/// Asks on fresh connections whether the run `known` of an engine is gone.
+async fn find_death(
+    engine: Arc<dyn EngineClient>,
+    address: SocketAddr,
+    known: IncarnationNumber,
+) -> bool {
+    for _ in 0..DEATH_TRIES {
+        match engine.health(address).await {
+            Ok(health) => return health.incarnation != known,
+            Err(EngineFault::Refused) => return true,
+            // A process that ends may accept connections for a moment longer.
+            Err(EngineFault::Lost { .. } | EngineFault::Unsent { .. }) => {
+                sleep(DEATH_PAUSE).await;
+            }
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 /// Time until the timer or the watch is due.
 fn next_wait(now: ClockTime, timer: Option<ClockTime>, watch: Option<&LinkWatch>) -> TimeSpan {
     let due = [timer, watch.map(LinkWatch::next_tick)];
