--- a/crates/agatemoor/examples/relay_bench/memory_run.rs
+++ b/crates/agatemoor/examples/relay_bench/memory_run.rs
@@ -11,8 +11,8 @@
 const OPEN_AT_ONCE: usize = 50;
 /// Tokens that each stream has relayed when the memory is read.
 const TOKENS_BEFORE: u32 = 3;
-/// Milliseconds between the tokens of a stream that stays open.
-const GAP: u32 = 2_000;
+/// Milliseconds between the tokens of a stream that stays open; after 2 s a node would probe it.
+const GAP: u32 = 1_000;
 /// Tokens of a stream, more than are waited for.
 const TOKENS: u32 = 100;
 
--- a/crates/node/src/relay/answer_writer.rs
+++ b/crates/node/src/relay/answer_writer.rs
@@ -6,8 +6,9 @@
 use super::{AnswerCollector, ResumeToken};
 use crate::caller::error_object;
 
-/// Room that a chunk to the caller is given at once, so that few tokens need an allocation.
-const CHUNK_ROOM: usize = 4_096;
+/// Room that a chunk to the caller is given at once. The buffer is used again as soon as the
+/// chunk before was written, so more room only costs memory of every open stream.
+const CHUNK_ROOM: usize = 512;
 
 /// Writes an answer in the form that the caller asked for.
 pub enum AnswerWriter {
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -14,6 +14,7 @@
     WatchPolicy, WatchVerdict,
 };
 use sched::{FinishState, WorkPriority};
+use serde_json::Map;
 use tokio::time::sleep;
 
 use super::{AnswerWriter, CallJob, RelayParts, ResumeToken};
@@ -458,6 +459,7 @@
         if matches!(self.scratch.first(), Some(CallAction::Deliver { .. })) {
             if self.delivered == 0 {
                 self.note(EventKind::GenerationStarted, generation.as_str());
+                self.drop_body();
             }
             self.delivered += 1;
             self.writer.write_token(offset, data);
@@ -469,6 +471,14 @@
         }
     }
 
+    /// A streamed answer that has begun is resumed and never run again, so its stream needs no
+    /// copy of the prompt while it is open.
+    fn drop_body(&mut self) {
+        if self.job.is_streamed() {
+            self.job.body = Map::new();
+        }
+    }
+
     async fn tell_progress(&mut self, received: u64) {
         if received >= self.told + PROGRESS_STEP {
             self.told = received;
