--- a/crates/sched/src/peak/coordination_mode.rs
+++ b/crates/sched/src/peak/coordination_mode.rs
@@ -22,18 +22,4 @@
     Probes,
     /// The best target by own streams, late reports and digests of the peers in the domain.
     Digests,
-    /// Digests, with reports refreshed by probes.
-    Combined,
-}
-
-impl CoordinationMode {
-    /// Whether nodes publish digests.
-    pub fn has_digests(self) -> bool {
-        matches!(self, Self::Digests | Self::Combined)
-    }
-
-    /// Whether nodes probe targets.
-    pub fn has_probes(self) -> bool {
-        matches!(self, Self::Probes | Self::Combined)
-    }
 }
--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -8,8 +8,8 @@
 use rand_pcg::Pcg64;
 
 use super::{
-    LimitClass, PeerTable, PolicySettings, PoolTable, PriorityLadder, StreamState, TargetChoice,
-    TargetRating,
+    CoordinationMode, LimitClass, PeerTable, PolicySettings, PoolTable, PriorityLadder,
+    StreamState, TargetChoice, TargetRating,
 };
 use crate::{
     FinishState, GrowthCurve, GrowthOutlook, LengthCalibration, LengthModel, LoadReport,
@@ -358,7 +358,7 @@
     }
 
     fn publish(&mut self, now: ClockTime) {
-        if !self.settings.mode.has_digests() || now < self.digest_at {
+        if self.settings.mode != CoordinationMode::Digests || now < self.digest_at {
             return;
         }
         self.sequence += 1;
@@ -383,7 +383,7 @@
     /// Asks random targets for their load, as often as the budget for probes allows.
     fn probe(&mut self, now: ClockTime, pool: usize) {
         let local = &self.pools.pool(pool).local;
-        if local.is_empty() || !self.settings.mode.has_probes() {
+        if local.is_empty() || self.settings.mode != CoordinationMode::Probes {
             return;
         }
         for _ in 0..self.settings.probe_count {
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -70,7 +70,7 @@
     fn default() -> Self {
         Self {
             mode: CoordinationMode::default(),
-            memory_share: 1.11,
+            memory_share: 1.12,
             spread_reserve: 0.9,
             quick_reserve: 0.06,
             quick_tokens: 64,
