--- a/crates/node/src/serve/node_handle.rs
+++ b/crates/node/src/serve/node_handle.rs
@@ -102,6 +102,8 @@
         self.stop[2].stop();
         for task in self.tasks {
             task.abort();
+            // The listeners are closed only once their tasks have ended.
+            let _ = task.await;
         }
     }
 
--- a/crates/web/src/body/web_body.rs
+++ b/crates/web/src/body/web_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use serde::Serialize;
 use snafu::ResultExt;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::BodyError;
 use crate::fault::{BrokenSnafu, TimedOutSnafu, TooLargeSnafu};
@@ -61,8 +61,13 @@
     StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
 }
 
+/// Least pace of a body in bytes a second; a slower one could hold a connection for days.
+const LEAST_PACE: u64 = 1_024;
+
 /// Reads a body of at most `limit` bytes; each part has to arrive within `wait`.
 ///
+/// The whole body may take `wait` and a second for each KiB longer.
+///
 /// # Errors
 /// `TooLarge`, `TimedOut`, or `Broken` if the connection fails.
 pub async fn read_body(
@@ -74,9 +79,12 @@
         return TooLargeSnafu { limit }.fail();
     }
     let wait = Duration::from(wait);
+    let start = Instant::now();
     let mut content = BytesMut::new();
     loop {
-        let Ok(next) = timeout(wait, body.frame()).await else {
+        let paced = Duration::from_millis(content.len() as u64 * 1_000 / LEAST_PACE);
+        let due = (start + wait + paced).min(Instant::now() + wait);
+        let Ok(next) = timeout_at(due, body.frame()).await else {
             return TimedOutSnafu.fail();
         };
         let Some(frame) = next else {
