Check the history of real processes under faults

Cause: the guarantees were checked against histories in virtual time only. Stand-ins log their runs at debug level, so that the runs of a killed engine are known too.

--- a/crates/agatemoor/tests/common/child_process.rs
+++ b/crates/agatemoor/tests/common/child_process.rs
@@ -9,7 +9,7 @@
 /// Longest wait for a line of the log or for the end of a process, generous for a busy machine.
 const PROCESS_LIMIT: Duration = Duration::from_secs(30);
 /// Log lines kept for messages of failed tests.
-const LINE_LIMIT: usize = 20_000;
+const LINE_LIMIT: usize = 100_000;
 
 /// A process that is killed by its id when this value goes away, also by a panic.
 pub struct ChildProcess {
--- a/crates/agatemoor/tests/common/process_fleet.rs
+++ b/crates/agatemoor/tests/common/process_fleet.rs
@@ -424,7 +424,15 @@
 }
 
 fn start_standin(kind: &str, listen: SocketAddr, args: &[String]) -> (ChildProcess, SocketAddr) {
-    let mut all = texts(&["stand-in", kind, "--listen", &listen.to_string()]);
+    // At this level a stand-in logs its runs, also those that it can't tell once it is killed.
+    let mut all = texts(&[
+        "--log-level",
+        "debug",
+        "stand-in",
+        kind,
+        "--listen",
+        &listen.to_string(),
+    ]);
     all.extend(args.iter().cloned());
     let child = ChildProcess::start(&all);
     let line = child.wait_line(" listens on ");
--- a/crates/standin/src/history/run_log.rs
+++ b/crates/standin/src/history/run_log.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use base::EventKind;
+use log::Level;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -50,6 +52,7 @@
         if records.len() == self.limit {
             records.pop_front();
         }
+        write_log("started", &record);
         records.push_back(record);
     }
 
@@ -62,6 +65,7 @@
             .find(|record| record.request == request);
         if let Some(record) = found {
             record.finished = true;
+            write_log("finished", record);
         }
     }
 
@@ -80,3 +84,13 @@
         records.iter().cloned().collect()
     }
 }
+
+/// Writes a run to the log, where it outlives a killed process.
+fn write_log(state: &str, record: &RunRecord) {
+    if !log::log_enabled!(target: "event", Level::Debug) {
+        return;
+    }
+    let text = serde_json::to_string(record).unwrap_or_default();
+    let number = EventKind::ProcessMessage.number();
+    log::debug!(target: "event", event = number; "run {state} {text}");
+}
