--- a/crates/agatemoor/tests/reference_pages.rs
+++ b/crates/agatemoor/tests/reference_pages.rs
@@ -5,6 +5,9 @@
 #[path = "../examples/reference/event_page.rs"]
 mod event_page;
 
+use std::fs;
+use std::path::Path;
+
 use base::{ErrorKind, EventKind};
 use strum::IntoEnumIterator;
 
@@ -56,3 +59,30 @@
     }
     assert!(count > 0, "the page has a table of events");
 }
+
+/// Guards against links between pages that lead nowhere.
+#[test]
+fn links_between_pages_resolve() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let pages = [
+        "README.md",
+        "CONTRIBUTING.md",
+        "docs/callers.md",
+        "docs/errors.md",
+        "docs/events.md",
+        "docs/glossary.md",
+        "docs/operations.md",
+    ];
+    let mut count = 0;
+    for name in pages {
+        let page = root.join(name);
+        let text = fs::read_to_string(&page).unwrap();
+        let links = text.split("](").skip(1);
+        for link in links.filter_map(|rest| rest.split(')').next()) {
+            let target = page.with_file_name(link);
+            assert!(target.exists(), "{name} links to {link}");
+            count += 1;
+        }
+    }
+    assert!(count > 0, "the pages have links");
+}
