Make work items in one place

Cause: three calls built the same work item field by field. Change: CallInput::work_item. Conclusion: a new field of a work item has one place.

--- a/crates/node/src/caller/call_input.rs
+++ b/crates/node/src/caller/call_input.rs
@@ -1,9 +1,12 @@
-use base::{ClockTime, ErrorKind, RequestId, TimeSpan};
+use std::sync::Arc;
+
+use base::{ClockTime, ErrorKind, RequestId, TargetName, TimeSpan, TokenCount};
 use bytes::Bytes;
 use calls::{BodyHash, CallFailure};
 use fleet::DeclaredWorkspace;
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Uri};
+use sched::{CallKind, WorkItem};
 
 /// Header with the time that the caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "x-request-timeout-ms";
@@ -81,6 +84,32 @@
         }
     }
 
+    /// Returns what the routing policy needs to know of a call of `kind` that may go to
+    /// `candidates`; what only generations have is added by the caller.
+    pub fn work_item(
+        &self,
+        kind: CallKind,
+        candidates: Arc<[TargetName]>,
+        deadline: Option<ClockTime>,
+    ) -> WorkItem {
+        WorkItem {
+            request: self.request.clone(),
+            workspace: self.workspace.name.clone(),
+            weight: self.workspace.weight,
+            queue_limit: self.workspace.queue,
+            stream_limit: self.workspace.streams,
+            model: None,
+            kind,
+            prompt_tokens: TokenCount(0),
+            max_tokens: None,
+            prefix: 0,
+            candidates,
+            excluded: Vec::new(),
+            arrival: self.arrival,
+            deadline,
+        }
+    }
+
     /// Digest by which a resend is told from another request.
     pub fn body_hash(&self) -> BodyHash {
         BodyHash::new(self.method.as_str(), &self.path, &self.body)
--- a/crates/node/src/caller/call_service.rs
+++ b/crates/node/src/caller/call_service.rs
@@ -1,11 +1,11 @@
-use base::{ErrorKind, ServiceName, TokenCount};
+use base::{ErrorKind, ServiceName};
 use calls::{AnswerMode, CallFailure, CallPlan, CrashPrint};
 use fleet::FleetDeclaration;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, PROXY_AUTHORIZATION,
     TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use sched::{CallKind, WorkItem};
+use sched::CallKind;
 
 use super::{CallInput, InputFault};
 use crate::{NodeCore, NodeView, ServiceBody, ServiceJob};
@@ -69,22 +69,7 @@
         // The body can be handed to one attempt only.
         plan.policy.attempt_limit = 1;
     }
-    let item = WorkItem {
-        request: input.request.clone(),
-        workspace: input.workspace.name.clone(),
-        weight: input.workspace.weight,
-        queue_limit: input.workspace.queue,
-        stream_limit: input.workspace.streams,
-        model: None,
-        kind: CallKind::Service,
-        prompt_tokens: TokenCount(0),
-        max_tokens: None,
-        prefix: 0,
-        candidates: route.candidates.clone(),
-        excluded: Vec::new(),
-        arrival: input.arrival,
-        deadline: plan.deadline,
-    };
+    let item = input.work_item(CallKind::Service, route.candidates.clone(), plan.deadline);
     let scope = format!("{service} {} {path}", input.method);
     Ok(ServiceJob {
         print: CrashPrint::new(&scope, &input.body),
--- a/crates/node/src/caller/generation_call.rs
+++ b/crates/node/src/caller/generation_call.rs
@@ -1,4 +1,5 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 
 use base::{ErrorKind, TokenCount};
 use calls::{AnswerMode, CallFailure, CallPlan, CrashPrint, ResumePoint};
@@ -98,21 +99,13 @@
     plan.mode = answer_mode(streamed);
     plan.deadline = Some(input.deadline(core.limits.deadline)?);
     plan.seed = rand::random();
+    let candidates = route.candidates.clone();
     let item = WorkItem {
-        request: input.request.clone(),
-        workspace: input.workspace.name.clone(),
-        weight: input.workspace.weight,
-        queue_limit: input.workspace.queue,
-        stream_limit: input.workspace.streams,
         model: Some(spec.model.clone()),
-        kind,
         prompt_tokens: count_tokens(&prompt),
         max_tokens,
         prefix: hash_prefix(&prompt),
-        candidates: route.candidates.clone(),
-        excluded: Vec::new(),
-        arrival: input.arrival,
-        deadline: plan.deadline,
+        ..input.work_item(kind, candidates, plan.deadline)
     };
     Ok(CallJob {
         print: CrashPrint::new(spec.model.as_str(), &input.body),
@@ -145,22 +138,7 @@
         generation: token.generation,
         next: offset.saturating_add(1),
     });
-    let item = WorkItem {
-        request: input.request.clone(),
-        workspace: workspace.name.clone(),
-        weight: workspace.weight,
-        queue_limit: workspace.queue,
-        stream_limit: workspace.streams,
-        model: None,
-        kind,
-        prompt_tokens: TokenCount(0),
-        max_tokens: None,
-        prefix: 0,
-        candidates: Vec::new().into(),
-        excluded: Vec::new(),
-        arrival: input.arrival,
-        deadline: plan.deadline,
-    };
+    let item = input.work_item(kind, Arc::from([]), plan.deadline);
     Ok(CallJob {
         print: CrashPrint::new("resume", id.as_bytes()),
         plan,
@@ -168,7 +146,7 @@
         spec: "resumed"
             .parse()
             .map_err(|_| InputFault::new(ErrorKind::Internal, ""))?,
-        route: std::sync::Arc::default(),
+        route: Arc::default(),
         path,
         body: Map::new(),
     })
