Tell peers the revision with each load note

Cause: status showed every node as platform_alone: the shell carried no digests of revisions on its periodic messages, so peers counted as silent after 5 s, and a node would have called itself isolated once the platform was lost. Change: load notes carry the digest; a newer revision seen in a membership message starts a pull.

--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -219,7 +219,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeNote, _: &mut Context<Self>) {
-        self.take_note(message.note);
+        self.take_note(&message.from, message.note);
     }
 }
 
--- a/crates/node/src/actor/fleet_state/member_part.rs
+++ b/crates/node/src/actor/fleet_state/member_part.rs
@@ -1,7 +1,8 @@
-use base::{EventKind, NodeName, TimeSpan};
+use base::{EventKind, NodeName, RevisionNumber, TimeSpan};
 use calls::OwnerId;
-use fleet::FleetPeer;
+use fleet::{FleetPeer, RevisionStamp};
 use member::{MemberAction, NodeState, ObservationSource, TargetObservation, TargetState};
+use schema::fleet::RevisionDigest;
 
 use super::fleet_actor::FleetActor;
 use super::fleet_message::{NodesRead, SeedAnswered, TargetsRead};
@@ -70,8 +71,11 @@
                 };
                 self.note(kind, domain.as_str());
             }
-            // Peers push their digests themselves, and pulls follow from those.
-            MemberAction::RevisionSeen { .. } => {}
+            MemberAction::RevisionSeen {
+                from,
+                revision,
+                digest,
+            } => self.see_revision(&from, revision, digest),
             MemberAction::Payload { kind, bytes, .. } => self.take_payload(kind, &bytes),
             MemberAction::Superseded { incarnation } => {
                 self.note(EventKind::NodeSuperseded, format!("run {incarnation}"));
@@ -84,8 +88,23 @@
         }
     }
 
+    /// A membership message told of a revision that this node does not have.
+    fn see_revision(&mut self, from: &NodeName, revision: RevisionNumber, head_check: u64) {
+        let stamp = RevisionStamp {
+            revision,
+            head_check,
+        };
+        let digest = RevisionDigest {
+            accepted: Some(stamp.into()),
+            rejected: None,
+            confirmed_age_ms: None,
+        };
+        let actions = self.revision.on_digest(self.now(), from, &digest);
+        self.carry_out_revision(actions);
+    }
+
     /// Notes which process took a ticket window over.
-    pub(super) fn take_payload(&mut self, kind: u8, bytes: &[u8]) {
+    fn take_payload(&mut self, kind: u8, bytes: &[u8]) {
         if kind != IMPORT_PAYLOAD {
             return;
         }
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -51,9 +51,6 @@
         self.next_note = now + NOTE_PERIOD.max(spread);
         self.notes += 1;
         let note = self.make_note(now);
-        if note.targets.is_empty() {
-            return;
-        }
         for peer in peers {
             self.learn_address(&peer);
             self.parts.peers.tell(peer, PeerBody::Load(note.clone()));
@@ -80,11 +77,16 @@
             sequence: self.notes,
             in_flight: Vec::new(),
             targets,
+            revision: Some(self.revision.digest(now)),
         }
     }
 
-    pub(super) fn take_note(&mut self, note: LoadNote) {
+    pub(super) fn take_note(&mut self, from: &NodeName, note: LoadNote) {
         let now = self.now();
+        if let Some(digest) = &note.revision {
+            let actions = self.revision.on_digest(now, from, digest);
+            self.carry_out_revision(actions);
+        }
         for target in note.targets {
             let age = u64::from(target.age_ms);
             let measured_at = ClockTime::new(now.as_millis().saturating_sub(age));
--- a/crates/node/src/peer/peer_message.rs
+++ b/crates/node/src/peer/peer_message.rs
@@ -91,6 +91,8 @@
     pub in_flight: Vec<(TargetName, u32, u32, u32)>,
     /// Targets that the sender watches.
     pub targets: Vec<TargetNote>,
+    /// What the sender knows of revisions; absent from notes of work in flight.
+    pub revision: Option<RevisionDigest>,
 }
 
 /// Load and health of one target.
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -114,28 +114,25 @@
         PeerReply::Done
     }
 
-    fn take_load(&self, from: base::NodeName, mut note: LoadNote) {
-        let in_flight = std::mem::take(&mut note.in_flight);
-        if !in_flight.is_empty() || note.targets.is_empty() {
-            let targets = in_flight.into_iter();
-            let targets =
-                targets.map(
-                    |(target, in_flight, held_tokens, peak_tokens)| TargetDigest {
-                        target,
-                        in_flight,
-                        held_tokens,
-                        peak_tokens,
-                    },
-                );
-            self.core.relay.sched.take_digest(PeerDigest {
-                node: from.clone(),
-                sequence: note.sequence,
-                targets: targets.collect(),
-            });
-        }
-        if !note.targets.is_empty() {
+    fn take_load(&self, from: base::NodeName, note: LoadNote) {
+        if note.revision.is_some() {
             self.core.fleet.take_note(from, note);
+            return;
         }
+        let targets = note.in_flight.into_iter();
+        let targets = targets.map(
+            |(target, in_flight, held_tokens, peak_tokens)| TargetDigest {
+                target,
+                in_flight,
+                held_tokens,
+                peak_tokens,
+            },
+        );
+        self.core.relay.sched.take_digest(PeerDigest {
+            node: from,
+            sequence: note.sequence,
+            targets: targets.collect(),
+        });
     }
 
     fn hello(&self) -> PeerHello {
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -298,6 +298,7 @@
                     sequence: digest.sequence,
                     in_flight,
                     targets: Vec::new(),
+                    revision: None,
                 };
                 core.tell_domain(|| PeerBody::Load(note.clone())).await;
             }
