--- a/crates/sched/src/peak/peak_policy.rs
+++ b/crates/sched/src/peak/peak_policy.rs
@@ -296,7 +296,7 @@
             self.pause_workspace(&head.workspace, true);
         }
         self.prefixes.note(queued.item.prefix, slot, true);
-        let stream = StreamState::new(now, slot, queued);
+        let stream = StreamState::new(slot, queued);
         let state = self.targets.state_mut(slot);
         state.view.add_stream(&stream.growth);
         state.report_uses += 1;
@@ -490,7 +490,7 @@
             view.start_stream(now, &stream.growth);
             self.running += &stream.growth;
         }
-        if let Some(growth) = stream.advance(now, produced.0) {
+        if let Some(growth) = stream.advance(produced.0) {
             view.change_stream(now, &stream.growth, &growth);
             self.running -= &stream.growth;
             self.running += &growth;
--- a/crates/sched/src/peak/stream_state.rs
+++ b/crates/sched/src/peak/stream_state.rs
@@ -1,4 +1,4 @@
-use base::{ClockTime, ModelName, WorkspaceName};
+use base::{ModelName, WorkspaceName};
 
 use super::PriorityLadder;
 use crate::{CallKind, GrowthCurve, LengthCurve, QueuedItem, WorkPriority};
@@ -27,8 +27,6 @@
     pub produced: u32,
     /// Priority at the engine.
     pub priority: WorkPriority,
-    /// When the last token arrived.
-    pub progress_at: ClockTime,
     /// Longest possible output.
     pub cap: u32,
     curve: Box<LengthCurve>,
@@ -38,7 +36,7 @@
 
 impl StreamState {
     /// Creates the state of a request that is dispatched now.
-    pub fn new(now: ClockTime, slot: usize, queued: QueuedItem) -> Self {
+    pub fn new(slot: usize, queued: QueuedItem) -> Self {
         Self {
             slot,
             workspace: queued.item.workspace,
@@ -49,7 +47,6 @@
             started: false,
             produced: 0,
             priority: PriorityLadder::level(0),
-            progress_at: now,
             curve: Box::new(queued.curve),
             prompt: queued.item.prompt_tokens.0,
             cap: queued.cap,
@@ -58,9 +55,8 @@
     }
 
     /// Notes tokens and returns a new prediction if the old one is out of date.
-    pub fn advance(&mut self, now: ClockTime, produced: u32) -> Option<GrowthCurve> {
+    pub fn advance(&mut self, produced: u32) -> Option<GrowthCurve> {
         self.produced = produced;
-        self.progress_at = now;
         if produced < self.predicted_at + REFRESH_TOKENS || self.model.is_none() {
             return None;
         }
--- a/crates/sched/src/target/target_state.rs
+++ b/crates/sched/src/target/target_state.rs
@@ -3,9 +3,6 @@
 use super::TargetHealth;
 use crate::{MemoryView, TargetInfo};
 
-/// Smoothing of the time between tokens.
-const GAP_SHARE: f64 = 0.1;
-
 /// What a node knows of one target.
 #[derive(Clone, Debug)]
 pub struct TargetState {
@@ -23,7 +20,6 @@
     pub reported_at: Option<ClockTime>,
     /// Dispatches by the report that is used.
     pub report_uses: u32,
-    gap_ms: f64,
 }
 
 impl TargetState {
@@ -37,18 +33,6 @@
             health: TargetHealth::default(),
             reported_at: None,
             report_uses: 0,
-            gap_ms: 0.0,
         }
     }
-
-    /// Notes that a stream got `tokens` tokens in `millis` milliseconds.
-    pub fn add_gap(&mut self, millis: u64, tokens: u32) {
-        let gap = millis as f64 / f64::from(tokens.max(1));
-        self.gap_ms += (gap - self.gap_ms) * GAP_SHARE;
-    }
-
-    /// Smoothed time between tokens in milliseconds, as this node sees it.
-    pub fn gap_ms(&self) -> f64 {
-        self.gap_ms
-    }
 }
