--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,7 +13,7 @@
 pub use memory::{GROWTH_STEPS, GrowthCurve, GrowthOutlook, MemoryView, ViewHistory};
 pub use peak::{
     CoordinationMode, LimitClass, PeakPolicy, PeerTable, PolicySettings, PoolTable, PriorityLadder,
-    StreamState, TargetChoice, TargetRating,
+    StreamState, TargetChoice, TargetRating, WorkspaceLoad,
 };
 pub use policy::{
     CallKind, FinishState, LoadReport, PeerDigest, RoutePolicy, SchedAction, TargetDigest,
--- a/crates/sched/src/peak/mod.rs
+++ b/crates/sched/src/peak/mod.rs
@@ -2,16 +2,19 @@
 
 mod coordination_mode;
 mod peak_policy;
+mod peer_part;
 mod peer_table;
 mod policy_settings;
 mod pool_table;
 mod priority_ladder;
+mod queue_part;
+mod serve_part;
 mod stream_state;
 mod target_choice;
 mod target_rating;
 
 pub use coordination_mode::CoordinationMode;
-pub use peak_policy::PeakPolicy;
+pub use peak_policy::{PeakPolicy, WorkspaceLoad};
 pub use peer_table::PeerTable;
 pub use policy_settings::PolicySettings;
 pub use pool_table::PoolTable;
