Send work in flight with the load notes, summed up by the probers of the targets

Cause: the policy publishes a digest of its work every 200 ms, which went to each peer of the domain as a message of its own, also when it was empty: 75 messages a second at 16 nodes a domain. With work it names every busy target to every peer. Change: the digest rides on the load note; a note with nothing new is not sent. The period grows with the peers, from 200 ms to 1.75 s. Above 7 peers a node tells each peer its work only at the targets that this peer probes first, and the sum of all others' work at those that it probes itself; reports ride on every second note. The health of a target is told after a change, to a peer that came, and every 20 s, in place of every tenth note whatever was read by then. This changes send_outputs in serve/node_server.rs too, which sent the digests.

--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -2,12 +2,13 @@
 use calls::OwnerId;
 use member::MemberMessage;
 use orders::OrderMessage;
+use sched::TargetDigest;
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 use xtra::{Address, Handler};
 
 use super::fleet_state::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, FleetActor, LeaveFleet, ProbeTarget,
-    ReadFleet, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    ReadFleet, ShareFlight, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
 };
 use super::{FleetStatus, post_now};
 use crate::LoadNote;
@@ -54,6 +55,11 @@
         post_now(&self.address, TakeNote { from, note });
     }
 
+    /// Takes the work in flight of this node, which goes out with the next load note.
+    pub fn share_flight(&self, targets: Vec<TargetDigest>) {
+        post_now(&self.address, ShareFlight { targets });
+    }
+
     /// Takes a message of the order board of a peer.
     pub fn take_order(&self, from: NodeName, message: OrderMessage) {
         post_now(&self.address, TakeOrder { from, message });
--- a/crates/node/src/actor/fleet_state/fleet_actor.rs
+++ b/crates/node/src/actor/fleet_state/fleet_actor.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{ClockTime, DomainName, EventKind, NodeName, TargetName, TimeSpan};
 use calls::OwnerId;
@@ -9,7 +9,8 @@
 use tokio::task::{AbortHandle, JoinHandle};
 use xtra::{Handler, WeakAddress};
 
-use super::FleetParts;
+use super::prober_table::ProberTable;
+use super::{FleetParts, FlightShare};
 use crate::TargetNote;
 
 /// Nodes of a domain that watch the platform.
@@ -32,8 +33,14 @@
     pub(super) calls: BTreeMap<u64, AbortHandle>,
     pub(super) probes: BTreeMap<TargetName, ProbeState>,
     pub(super) fresh_reports: Vec<TargetNote>,
-    /// Targets whose health changed since the last note.
-    pub(super) changed_health: Vec<TargetName>,
+    /// When the peers were last told the health of a target; absent after a change.
+    pub(super) told_health: BTreeMap<TargetName, ClockTime>,
+    /// Peers that the last note went to.
+    pub(super) note_peers: Vec<NodeName>,
+    pub(super) flight: FlightShare,
+    /// Peers that were told work in flight with the last note.
+    pub(super) told_flight: BTreeSet<NodeName>,
+    pub(super) probers: ProberTable,
     pub(super) notes: u64,
     pub(super) next_note: ClockTime,
     pub(super) list_watch: Option<JoinHandle<()>>,
@@ -68,7 +75,11 @@
             calls: BTreeMap::new(),
             probes: BTreeMap::new(),
             fresh_reports: Vec::new(),
-            changed_health: Vec::new(),
+            told_health: BTreeMap::new(),
+            note_peers: Vec::new(),
+            flight: FlightShare::new(),
+            told_flight: BTreeSet::new(),
+            probers: ProberTable::default(),
             notes: 0,
             next_note: ClockTime::ZERO,
             list_watch: None,
--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -8,8 +8,8 @@
 use super::fleet_actor::FleetActor;
 use super::fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, HeadRead, KeysRead, LeaveFleet, NodesRead,
-    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, TakeMember, TakeNote,
-    TakeOrder, TakeRevision, TargetProbed, TellImport, TickFleet,
+    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, ShareFlight, TakeMember,
+    TakeNote, TakeOrder, TakeRevision, TargetProbed, TellImport, TickFleet,
 };
 use super::member_part::IMPORT_PAYLOAD;
 
@@ -201,7 +201,15 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeNote, _: &mut Context<Self>) {
-        self.take_note(message.note);
+        self.take_note(message.from, message.note);
+    }
+}
+
+impl Handler<ShareFlight> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ShareFlight, _: &mut Context<Self>) {
+        self.flight.set_own(message.targets);
     }
 }
 
--- a/crates/node/src/actor/fleet_state/fleet_message.rs
+++ b/crates/node/src/actor/fleet_state/fleet_message.rs
@@ -5,6 +5,7 @@
 use fleet::{KeyText, PlatformHeadAnswer};
 use member::{MemberMessage, PlatformEntry};
 use orders::{OrderMessage, OrderOutcome, TargetOrder};
+use sched::TargetDigest;
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 
 use super::ProbeResult;
@@ -37,6 +38,11 @@
     pub note: LoadNote,
 }
 
+/// Takes the work in flight of this node, to be told to the peers.
+pub struct ShareFlight {
+    pub targets: Vec<TargetDigest>,
+}
+
 /// Announces a planned stop.
 pub struct LeaveFleet;
 
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -1,16 +1,22 @@
 use base::{ClockTime, NodeName, TargetName, TimeSpan};
 use member::TargetState;
-use sched::LoadReport;
+use sched::{LoadReport, TargetDigest};
 
 use super::fleet_actor::FleetActor;
 use crate::{HealthNote, LoadNote, PeerBody, TargetNote, TargetPhase};
 
-/// Least time between two load notes to the peers of the domain.
-const NOTE_PERIOD: TimeSpan = TimeSpan::new(500);
+/// Least time between two load notes to the peers of the domain, that of the policy's digests.
+const NOTE_PERIOD: TimeSpan = TimeSpan::new(200);
 /// Added to the period for each peer, so that control traffic does not grow with their number.
-const NOTE_PER_PEER: TimeSpan = TimeSpan::new(160);
-/// Notes after which the health of every target is repeated.
-const HEALTH_REPEAT: u64 = 10;
+const NOTE_PER_PEER: TimeSpan = TimeSpan::new(70);
+/// Longest period; a digest has to be renewed before the policy drops it after two seconds.
+const NOTE_LIMIT: TimeSpan = TimeSpan::new(1_750);
+/// Time after which the health of every target is repeated.
+const HEALTH_PERIOD: TimeSpan = TimeSpan::from_secs(20);
+/// Notes of which one carries what was read of the targets, in a domain with many peers.
+const REPORT_SHARE: u64 = 2;
+/// Peers up to which each of them is told the whole work in flight directly.
+const DIRECT_PEERS: usize = 7;
 
 impl FleetActor {
     pub(super) fn queue_report(
@@ -48,43 +54,88 @@
         let live = self.member.live_nodes(&own.domain);
         let peers: Vec<NodeName> = live.into_iter().filter(|name| *name != own.node).collect();
         let spread = NOTE_PER_PEER * peers.len() as u64;
-        self.next_note = now + NOTE_PERIOD.max(spread);
+        let period = NOTE_PERIOD.max(spread).min(NOTE_LIMIT);
+        self.next_note = now + period;
         self.notes += 1;
-        let note = self.make_note(now);
-        if note.targets.is_empty() {
-            return;
+        self.welcome_peers(&peers);
+        let direct = peers.len() <= DIRECT_PEERS;
+        let targets = match direct || self.notes.is_multiple_of(REPORT_SHARE) {
+            true => self.take_reports(now),
+            false => Vec::new(),
+        };
+        if !direct {
+            self.rank_probers();
         }
         for peer in peers {
+            let in_flight = match direct {
+                true => self.flight.own().to_vec(),
+                false => self.flight_for(now, &peer),
+            };
+            // An empty note renews nothing, but for the end of the work told last.
+            let quiet = in_flight.is_empty() && targets.is_empty();
+            if quiet && !self.told_flight.contains(&peer) {
+                continue;
+            }
+            match in_flight.is_empty() {
+                true => self.told_flight.remove(&peer),
+                false => self.told_flight.insert(peer.clone()),
+            };
+            let note = LoadNote {
+                sequence: self.notes,
+                in_flight: in_flight.into_iter().map(flight_entry).collect(),
+                targets: targets.clone(),
+            };
             self.learn_address(&peer);
-            self.parts.peers.tell(peer, PeerBody::Load(note.clone()));
+            self.parts.peers.tell(peer, PeerBody::Load(note));
         }
     }
 
-    pub(super) fn make_note(&mut self, now: ClockTime) -> LoadNote {
-        let repeat = self.notes.is_multiple_of(HEALTH_REPEAT);
+    /// A peer that came knows the health of no target yet.
+    fn welcome_peers(&mut self, peers: &[NodeName]) {
+        let known = |peer| self.note_peers.binary_search(peer).is_ok();
+        if !peers.iter().all(known) {
+            self.told_health.clear();
+        }
+        self.note_peers = peers.to_vec();
+        self.note_peers.sort_unstable();
+    }
+
+    /// Work in flight that a peer of a large domain is told.
+    fn flight_for(&mut self, now: ClockTime, peer: &NodeName) -> Vec<TargetDigest> {
+        let (probers, own) = (&self.probers, &self.parts.identity.node);
+        self.flight.entries_for(now, peer, |target| {
+            let first = probers.probers(target).first()?;
+            match first == own {
+                true => Some(true),
+                false => (first == peer).then_some(false),
+            }
+        })
+    }
+
+    /// What was read of the targets since the last note.
+    fn take_reports(&mut self, now: ClockTime) -> Vec<TargetNote> {
         let view = self.parts.view.get();
-        let changed = std::mem::take(&mut self.changed_health);
         let mut targets = std::mem::take(&mut self.fresh_reports);
         for note in &mut targets {
             let measured = ClockTime::new(u64::from(note.age_ms));
             note.age_ms = u32::try_from((now - measured).as_millis()).unwrap_or(u32::MAX);
-            if !repeat && !changed.contains(&note.target) {
+            let told = self.told_health.get(&note.target);
+            if told.is_some_and(|at| now - *at < HEALTH_PERIOD) {
                 continue;
             }
+            self.told_health.insert(note.target.clone(), now);
             note.health = view.target(&note.target).map(|entry| HealthNote {
                 phase: entry.phase,
                 health: entry.health.clone(),
             });
         }
-        LoadNote {
-            sequence: self.notes,
-            in_flight: Vec::new(),
-            targets,
-        }
+        targets
     }
 
-    pub(super) fn take_note(&mut self, note: LoadNote) {
+    pub(super) fn take_note(&mut self, from: NodeName, note: LoadNote) {
         let now = self.now();
+        let in_flight = note.in_flight.into_iter().map(target_digest).collect();
+        self.flight.take_peer(now, from, in_flight);
         for target in note.targets {
             let age = u64::from(target.age_ms);
             let measured_at = ClockTime::new(now.as_millis().saturating_sub(age));
@@ -130,3 +181,23 @@
         }
     }
 }
+
+fn flight_entry(digest: TargetDigest) -> (TargetName, u32, u32, u32) {
+    (
+        digest.target,
+        digest.in_flight,
+        digest.held_tokens,
+        digest.peak_tokens,
+    )
+}
+
+/// Reads one entry of a note.
+pub fn target_digest(entry: (TargetName, u32, u32, u32)) -> TargetDigest {
+    let (target, in_flight, held_tokens, peak_tokens) = entry;
+    TargetDigest {
+        target,
+        in_flight,
+        held_tokens,
+        peak_tokens,
+    }
+}
--- a/crates/node/src/actor/fleet_state/target_part.rs
+++ b/crates/node/src/actor/fleet_state/target_part.rs
@@ -1,8 +1,6 @@
 use std::sync::Arc;
 
-use base::{
-    ByteCount, ClockTime, DomainName, EventKind, IncarnationNumber, NodeName, TargetName, TimeSpan,
-};
+use base::{ByteCount, ClockTime, DomainName, EventKind, IncarnationNumber, TargetName, TimeSpan};
 use fleet::FleetDeclaration;
 use member::{ObservationSource, TargetObservation, TargetState};
 use sched::TargetInfo;
@@ -12,8 +10,6 @@
 use super::fleet_message::TargetProbed;
 use crate::{EngineHealth, TargetPhase, TargetView};
 
-/// Nodes of a domain that probe the same target, so that one may fail unnoticed for a while.
-const PROBERS: usize = 2;
 /// Least time between two probes of a target by its first prober.
 const PROBE_PERIOD: TimeSpan = TimeSpan::new(500);
 /// Time that each target of a prober adds to that period, which bounds the traffic of a node.
@@ -70,9 +66,7 @@
             };
             self.note(kind, target.as_str());
         }
-        if !self.changed_health.contains(target) {
-            self.changed_health.push(target.clone());
-        }
+        self.told_health.remove(target);
         self.parts.view.edit(|view| view.targets[at] = entry);
         self.publish_targets();
     }
@@ -108,28 +102,26 @@
         if due.is_empty() {
             return;
         }
-        let live = self.member.live_nodes(&self.parts.identity.domain);
-        let share = self.probes.len().div_ceil(live.len().max(1)) as u64;
+        self.rank_probers();
+        let live = self.probers.live().len();
+        let share = self.probes.len().div_ceil(live.max(1)) as u64;
         let period = (PROBE_SHARE * share).max(PROBE_PERIOD).min(PROBE_LIMIT);
         for target in due {
-            self.probe_if_owner(target, now, &live, period);
+            self.probe_if_owner(target, now, period);
         }
     }
 
-    fn probe_if_owner(
-        &mut self,
-        target: TargetName,
-        now: ClockTime,
-        live: &[NodeName],
-        period: TimeSpan,
-    ) {
+    /// Ranks the probers of the targets of the domain over the nodes that live now.
+    pub(super) fn rank_probers(&mut self) {
+        let live = self.member.live_nodes(&self.parts.identity.domain);
+        self.probers.set_live(live);
+        self.probers.rank_all(self.probes.keys());
+    }
+
+    fn probe_if_owner(&mut self, target: TargetName, now: ClockTime, period: TimeSpan) {
         let own = &self.parts.identity.node;
-        let key = format!("probe/{target}");
-        let ranked = base::rank_owners(&key, live.iter().map(NodeName::as_str));
-        let rank = ranked
-            .iter()
-            .take(PROBERS)
-            .position(|name| *name == own.as_str());
+        let probers = self.probers.probers(&target);
+        let rank = probers.iter().position(|name| name == own);
         let Some(probe) = self.probes.get_mut(&target) else {
             return;
         };
--- a/crates/node/src/actor/mod.rs
+++ b/crates/node/src/actor/mod.rs
@@ -7,7 +7,9 @@
 mod sched_handle;
 
 pub use fleet_handle::FleetHandle;
-pub use fleet_state::{FleetActor, FleetParts, FleetStatus, NodeIdentity, ProbeResult};
+pub use fleet_state::{
+    FleetActor, FleetParts, FleetStatus, FlightShare, NodeIdentity, ProbeResult, target_digest,
+};
 pub use post::post_now;
 pub use sched_actor::{SchedActor, SchedOutput};
 pub use sched_handle::{CallPlacement, SchedHandle};
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -5,11 +5,12 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use sched::{PeerDigest, TargetDigest};
+use sched::PeerDigest;
 use web::{HandlerFuture, WebBody, WebHandler, full_body, read_body};
 
 use super::peer_client::{CALL_HEADER, CALL_PATH, MAC_HEADER, MESSAGE_PATH, parse_call_fields};
 use super::{LoadNote, PeerBody, PeerEnvelope, PeerHello, PeerKey, PeerReply};
+use crate::actor::target_digest;
 use crate::{CallerApi, NodeCore};
 
 /// Longest message: a part of a declaration, a ticket window or a caller's body.
@@ -113,28 +114,14 @@
         PeerReply::Done
     }
 
-    fn take_load(&self, from: base::NodeName, mut note: LoadNote) {
-        let in_flight = std::mem::take(&mut note.in_flight);
-        if !in_flight.is_empty() || note.targets.is_empty() {
-            let targets = in_flight.into_iter();
-            let targets =
-                targets.map(
-                    |(target, in_flight, held_tokens, peak_tokens)| TargetDigest {
-                        target,
-                        in_flight,
-                        held_tokens,
-                        peak_tokens,
-                    },
-                );
-            self.core.relay.sched.take_digest(PeerDigest {
-                node: from.clone(),
-                sequence: note.sequence,
-                targets: targets.collect(),
-            });
-        }
-        if !note.targets.is_empty() {
-            self.core.fleet.take_note(from, note);
-        }
+    fn take_load(&self, from: base::NodeName, note: LoadNote) {
+        let targets = note.in_flight.iter().cloned().map(target_digest);
+        self.core.relay.sched.take_digest(PeerDigest {
+            node: from.clone(),
+            sequence: note.sequence,
+            targets: targets.collect(),
+        });
+        self.core.fleet.take_note(from, note);
     }
 
     fn hello(&self) -> PeerHello {
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -19,9 +19,9 @@
 use crate::{
     AddressBook, CallLimits, CallMetrics, CallerApi, ClaimActor, ClaimHandle, ClaimSettings,
     EngineClient, EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe,
-    LoadNote, NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer,
-    PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput,
-    SystemClock, ViewCell, WorkGate,
+    NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer, PlatformClient,
+    RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput, SystemClock, ViewCell,
+    WorkGate,
 };
 
 /// Time between two ticks of the scheduling actor.
@@ -279,25 +279,7 @@
             SchedOutput::Crash(message) => {
                 core.tell_domain(|| PeerBody::Crash(message.clone())).await
             }
-            SchedOutput::Publish(digest) => {
-                let targets = digest.targets.into_iter();
-                let in_flight = targets
-                    .map(|entry| {
-                        (
-                            entry.target,
-                            entry.in_flight,
-                            entry.held_tokens,
-                            entry.peak_tokens,
-                        )
-                    })
-                    .collect();
-                let note = LoadNote {
-                    sequence: digest.sequence,
-                    in_flight,
-                    targets: Vec::new(),
-                };
-                core.tell_domain(|| PeerBody::Load(note.clone())).await;
-            }
+            SchedOutput::Publish(digest) => core.fleet.share_flight(digest.targets),
         }
     }
 }
