--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -2,12 +2,14 @@
 use calls::OwnerId;
 use member::MemberMessage;
 use orders::{OrderMessage, RolloutSummary};
+use sched::TargetDigest;
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 use xtra::Address;
 
 use super::fleet_state::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, FleetActor, LeaveFleet, ProbeTarget,
-    ReadFleet, TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    ReadFleet, ShareFlight, TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision,
+    TellImport, TickFleet,
 };
 use super::{ActorQueue, FleetStatus};
 use crate::LoadNote;
@@ -56,6 +58,11 @@
         self.queue.post(TakeNote { from, note });
     }
 
+    /// Takes the work in flight of this node, which goes out with the next load note.
+    pub fn share_flight(&self, targets: Vec<TargetDigest>) {
+        self.queue.post(ShareFlight { targets });
+    }
+
     /// Takes a message of the order board of a peer.
     pub fn take_order(&self, from: NodeName, message: OrderMessage) {
         self.queue.post(TakeOrder { from, message });
--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -8,8 +8,9 @@
 use super::fleet_actor::FleetActor;
 use super::fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, HeadRead, KeysRead, LeaveFleet, NodesRead,
-    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, TakeFailures, TakeMember,
-    TakeNote, TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport, TickFleet,
+    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, ShareFlight, TakeFailures,
+    TakeMember, TakeNote, TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport,
+    TickFleet,
 };
 use super::member_part::IMPORT_PAYLOAD;
 
@@ -219,7 +220,15 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeNote, _: &mut Context<Self>) {
-        self.take_note(&message.from, message.note);
+        self.take_note(message.from, message.note);
+    }
+}
+
+impl Handler<ShareFlight> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ShareFlight, _: &mut Context<Self>) {
+        self.flight.set_own(message.targets);
     }
 }
 
--- a/crates/node/src/actor/mod.rs
+++ b/crates/node/src/actor/mod.rs
@@ -8,6 +8,8 @@
 
 pub use actor_queue::ActorQueue;
 pub use fleet_handle::FleetHandle;
-pub use fleet_state::{FleetActor, FleetParts, FleetStatus, NodeIdentity, ProbeResult};
+pub use fleet_state::{
+    FleetActor, FleetParts, FleetStatus, FlightShare, NodeIdentity, ProbeResult, target_digest,
+};
 pub use sched_actor::{SchedActor, SchedOutput};
 pub use sched_handle::{CallPlacement, SchedHandle};
--- a/crates/node/src/peer/peer_message.rs
+++ b/crates/node/src/peer/peer_message.rs
@@ -83,7 +83,7 @@
 }
 
 /// Load and health of some targets.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LoadNote {
     /// Rises with every note of one run of a node.
     pub sequence: u64,
@@ -91,8 +91,8 @@
     pub in_flight: Vec<(TargetName, u32, u32, u32)>,
     /// Targets that the sender watches.
     pub targets: Vec<TargetNote>,
-    /// What the sender knows of revisions; absent from notes of work in flight.
-    pub revision: Option<RevisionDigest>,
+    /// What the sender knows of revisions.
+    pub revision: RevisionDigest,
 }
 
 /// Load and health of one target.
