--- a/crates/sched/tests/properties.rs
+++ b/crates/sched/tests/properties.rs
@@ -91,3 +91,20 @@
         Ok(())
     });
 }
+
+/// Guards against a check of actions that lets forbidden ones pass.
+#[test]
+fn forbidden_actions_are_found() {
+    let dispatch = |number: u64, name: usize| sched::SchedAction::Dispatch {
+        request: request(number),
+        target: target(name),
+        priority: sched::WorkPriority(0),
+    };
+    let mut driver = Driver::new();
+    let mut policy = new_policy(&driver, CoordinationMode::Probes);
+    driver.apply((0, 1, 1, 0), &mut [&mut policy]);
+    assert!(driver.follow(&[dispatch(0, 0)]).is_err(), "no candidate");
+    assert!(driver.follow(&[dispatch(9, 1)]).is_err(), "unknown request");
+    assert!(driver.follow(&[dispatch(0, 1)]).is_ok());
+    assert!(driver.follow(&[dispatch(0, 1)]).is_err(), "left twice");
+}
