--- a/crates/agatemoor/tests/exit_codes.rs
+++ b/crates/agatemoor/tests/exit_codes.rs
@@ -104,12 +104,13 @@
 /// Guards against a command whose help lacks an example.
 #[test]
 fn every_help_has_an_example() {
-    let commands: [&[&str]; 9] = [
+    let commands: [&[&str]; 10] = [
         &[],
         &["node"],
         &["check"],
         &["status"],
         &["timeline"],
+        &["load"],
         &["demo"],
         &["stand-in", "platform"],
         &["stand-in", "engine"],
