--- a/crates/node/src/relay/answer_collector.rs
+++ b/crates/node/src/relay/answer_collector.rs
@@ -55,7 +55,7 @@
                     let whole = object.strip_suffix(".chunk").unwrap_or(&object);
                     self.answer.insert(name, Value::String(whole.to_owned()));
                 }
-                (_, Value::Null) => {}
+                (_, Value::Null) | ("choices", _) => {}
                 (_, value) => drop(self.answer.insert(name, value)),
             }
         }
@@ -102,8 +102,10 @@
 }
 
 /// Merges an entry into the one with the same index, or appends it.
-fn merge_entry(known: &mut Vec<Value>, entry: Map<String, Value>) {
-    let index = entry.get("index").cloned().unwrap_or(Value::from(0));
+///
+/// An entry without index is the first one, as engines with one choice leave it out.
+fn merge_entry(known: &mut Vec<Value>, mut entry: Map<String, Value>) {
+    let index = entry.entry("index").or_insert(Value::from(0)).clone();
     let same = |value: &&mut Value| value["index"] == index;
     match known.iter_mut().find(same) {
         Some(Value::Object(old)) => merge_fields(old, entry),
--- a/crates/standin/src/engine/engine_api.rs
+++ b/crates/standin/src/engine/engine_api.rs
@@ -144,6 +144,7 @@
 
 fn cancel_call(state: &EngineState, generation: &GenerationId) -> Response<WebBody> {
     let cancelled = state.edit_model(|model, now| model.cancel_generation(now, generation));
+    state.wake_streams();
     match cancelled {
         Some(count) => Response::new(json_body(&json!({ "cancelled_at": count.0 }))),
         None => answer_error(StatusCode::NOT_FOUND, "no such generation"),
--- a/crates/standin/src/engine/engine_state.rs
+++ b/crates/standin/src/engine/engine_state.rs
@@ -146,6 +146,11 @@
         self.lock().switches.clone()
     }
 
+    /// Wakes every stream, as after a generation was cancelled.
+    pub fn wake_streams(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
     /// Changes the switches and wakes every stream.
     pub fn set_switches(&self, edit: impl FnOnce(&mut EngineSwitches)) {
         edit(&mut self.lock().switches);
