--- a/crates/node/src/actor/fleet_handle.rs
+++ b/crates/node/src/actor/fleet_handle.rs
@@ -1,13 +1,13 @@
 use base::{IncarnationNumber, NodeName, TargetName};
 use calls::OwnerId;
 use member::MemberMessage;
-use orders::OrderMessage;
+use orders::{OrderMessage, RolloutSummary};
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 use xtra::Address;
 
 use super::fleet_state::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, FleetActor, LeaveFleet, ProbeTarget,
-    ReadFleet, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    ReadFleet, TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
 };
 use super::{ActorQueue, FleetStatus};
 use crate::LoadNote;
@@ -61,6 +61,11 @@
         self.queue.post(TakeOrder { from, message });
     }
 
+    /// Takes failures of rollouts that another domain knows of.
+    pub fn take_failures(&self, summaries: Vec<RolloutSummary>) {
+        self.queue.post(TakeFailures { summaries });
+    }
+
     /// Asks for a probe of a target now.
     pub fn probe(&self, target: TargetName) {
         self.queue.post(ProbeTarget { target });
--- a/crates/node/src/actor/fleet_state/member_part.rs
+++ b/crates/node/src/actor/fleet_state/member_part.rs
@@ -1,11 +1,12 @@
-use base::{EventKind, NodeName, TimeSpan};
+use base::{EventKind, NodeName, RevisionNumber, TimeSpan};
 use calls::OwnerId;
-use fleet::FleetPeer;
-use member::{MemberAction, NodeState};
+use fleet::{FleetPeer, RevisionStamp};
+use member::{MemberAction, NodeState, ObservationSource, TargetObservation, TargetState};
+use schema::fleet::RevisionDigest;
 
 use super::fleet_actor::FleetActor;
-use super::fleet_message::{NodesRead, SeedAnswered};
-use crate::{PeerBody, PeerReply};
+use super::fleet_message::{NodesRead, SeedAnswered, TargetsRead};
+use crate::{ListedTarget, PeerBody, PeerReply};
 
 /// Nodes of another domain that revisions are exchanged with.
 const FAR_PEERS: usize = 2;
@@ -70,8 +71,11 @@
                 };
                 self.note(kind, domain.as_str());
             }
-            // Peers push their digests themselves, and pulls follow from those.
-            MemberAction::RevisionSeen { .. } => {}
+            MemberAction::RevisionSeen {
+                from,
+                revision,
+                digest,
+            } => self.see_revision(&from, revision, digest),
             MemberAction::Payload { kind, bytes, .. } => self.take_payload(kind, &bytes),
             MemberAction::Superseded { incarnation } => {
                 self.note(EventKind::NodeSuperseded, format!("run {incarnation}"));
@@ -84,8 +88,23 @@
         }
     }
 
+    /// A membership message told of a revision that this node does not have.
+    fn see_revision(&mut self, from: &NodeName, revision: RevisionNumber, head_check: u64) {
+        let stamp = RevisionStamp {
+            revision,
+            head_check,
+        };
+        let digest = RevisionDigest {
+            accepted: Some(stamp.into()),
+            rejected: None,
+            confirmed_age_ms: None,
+        };
+        let actions = self.revision.on_digest(self.now(), from, &digest);
+        self.carry_out_revision(actions);
+    }
+
     /// Notes which process took a ticket window over.
-    pub(super) fn take_payload(&mut self, kind: u8, bytes: &[u8]) {
+    fn take_payload(&mut self, kind: u8, bytes: &[u8]) {
         if kind != IMPORT_PAYLOAD {
             return;
         }
@@ -196,4 +215,51 @@
             });
         }
     }
+
+    /// Only readers watch the targets; the others learn of them by gossip.
+    pub(super) fn watch_targets(&mut self, reader: bool) {
+        let now = self.now();
+        let running = self
+            .target_watch
+            .as_ref()
+            .is_some_and(|task| !task.is_finished());
+        if running || !reader || now < self.next_targets {
+            return;
+        }
+        self.next_targets = now + LIST_PAUSE;
+        let Some(address) = self.own.clone() else {
+            return;
+        };
+        let platform = self.parts.platform.clone();
+        let index = self.target_index;
+        self.target_watch = Some(tokio::spawn(async move {
+            let answer = platform.read_targets(index, LIST_WAIT).await;
+            // The actor is gone once the node has stopped.
+            let _ = address.send(TargetsRead { answer }).detach().await;
+        }));
+    }
+
+    pub(super) fn take_listed_targets(&mut self, index: u64, targets: Vec<ListedTarget>) {
+        let now = self.now();
+        self.target_index = index;
+        self.next_targets = now;
+        for listed in targets.into_iter().filter(|listed| listed.leaving) {
+            let view = self.parts.view.get();
+            let fleet = view.fleet.as_ref();
+            let Some(declared) = fleet.and_then(|fleet| fleet.target(&listed.target)) else {
+                continue;
+            };
+            let observation = TargetObservation {
+                target: listed.target,
+                domain: declared.domain.clone(),
+                incarnation: None,
+                state: TargetState::Leaving,
+                source: ObservationSource::Platform,
+            };
+            let mut actions = Vec::new();
+            self.member
+                .on_target_observed(now, &observation, &mut actions);
+            self.carry_out_member(actions);
+        }
+    }
 }
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -51,9 +51,6 @@
         self.next_note = now + NOTE_PERIOD.max(spread);
         self.notes += 1;
         let note = self.make_note(now);
-        if note.targets.is_empty() {
-            return;
-        }
         for peer in peers {
             self.learn_address(&peer);
             self.parts.peers.tell(peer, PeerBody::Load(note.clone()));
@@ -80,11 +77,16 @@
             sequence: self.notes,
             in_flight: Vec::new(),
             targets,
+            revision: Some(self.revision.digest(now)),
         }
     }
 
-    pub(super) fn take_note(&mut self, note: LoadNote) {
+    pub(super) fn take_note(&mut self, from: &NodeName, note: LoadNote) {
         let now = self.now();
+        if let Some(digest) = &note.revision {
+            let actions = self.revision.on_digest(now, from, digest);
+            self.carry_out_revision(actions);
+        }
         for target in note.targets {
             let age = u64::from(target.age_ms);
             let measured_at = ClockTime::new(now.as_millis().saturating_sub(age));
@@ -123,7 +125,11 @@
         let incarnation = health.as_ref().map(|health| health.incarnation);
         if let Some(health) = health.filter(|_| newer) {
             self.take_health(&note.target, &health);
-            self.observe_actual(&note.target, &health, measured_at);
+            // A note that waited while this process was paused looks newer than it is, so that
+            // orders rest on the probes of their own node alone.
+            if !self.board.owns(&note.target) {
+                self.observe_actual(&note.target, &health, measured_at);
+            }
         }
         if unknown && phase == TargetPhase::Up {
             self.observe(note.target, incarnation, TargetState::Alive);
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -19,9 +19,9 @@
 use crate::{
     AddressBook, CallLimits, CallMetrics, CallerApi, ClaimActor, ClaimHandle, ClaimSettings,
     EngineClient, EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe,
-    LoadNote, NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer,
-    PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput,
-    SystemClock, ViewCell, WorkGate,
+    LoadNote, NodeCore, NodeIdentity, OpsServer, PauseWatch, PeerBody, PeerClient, PeerKey,
+    PeerServer, PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle,
+    SchedOutput, SystemClock, ViewCell, WorkGate,
 };
 
 /// Time between two ticks of the scheduling actor.
@@ -131,7 +131,8 @@
         );
         let section = &self.settings.platform;
         let (prefix, service) = (&section.prefix, &section.service);
-        let platform = PlatformClient::new(pool.clone(), platform, prefix, service);
+        let platform = PlatformClient::new(pool.clone(), platform, prefix, service)
+            .with_target_service(&section.target_service);
         let engine: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(pool.clone(), clock));
         let view = ViewCell::new();
         let mut tasks = Vec::new();
@@ -178,7 +179,9 @@
         let fleet = FleetHandle::new(xtra::spawn_tokio(fleet, Mailbox::unbounded()));
         claims.set_fleet(fleet.clone());
 
+        let pause = PauseWatch::new(clock);
         let relay = Arc::new(RelayParts {
+            pause: pause.clone(),
             clock,
             journal: journal.clone(),
             engine,
@@ -201,7 +204,7 @@
             limits: CallLimits::new(&self.settings.callers),
             gate: WorkGate::new(),
             overflow: Arc::new(Semaphore::new(OVERFLOW_LIMIT)),
-            ticked_at: AtomicU64::new(0),
+            pause,
             requests: AtomicU64::new(0),
         });
         tasks.push(tokio::spawn(tick_sched(sched)));
@@ -267,7 +270,7 @@
         if core.fleet.tick().await.is_none() {
             return;
         }
-        core.note_tick();
+        core.pause.note_tick();
     }
 }
 
@@ -295,6 +298,7 @@
                     sequence: digest.sequence,
                     in_flight,
                     targets: Vec::new(),
+                    revision: None,
                 };
                 core.tell_domain(|| PeerBody::Load(note.clone())).await;
             }
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -28,6 +28,8 @@
     pub priority: WorkPriority,
     /// Longest wait for the response head.
     pub wait: TimeSpan,
+    /// Time left to the deadline of the caller.
+    pub time_left: Option<TimeSpan>,
 }
 
 /// A model version that an engine has in memory.
--- a/crates/sched/src/peak/policy_settings.rs
+++ b/crates/sched/src/peak/policy_settings.rs
@@ -6,15 +6,18 @@
 ///
 /// ```
 /// let settings = sched::PolicySettings::default();
-/// assert!(settings.memory_reserve < 0.5);
+/// assert!(settings.quick_reserve < 0.5);
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct PolicySettings {
     /// How nodes that share engines take each other into account.
     pub mode: CoordinationMode,
-    /// Share of a target's memory that predicted peaks leave free.
-    pub memory_reserve: f64,
-    /// Standard deviations of the predicted peak that are left free as well.
+    /// Share of a target's memory that predicted peaks and their reserve may take.
+    ///
+    /// It is above one, since the peaks of own streams, of peers and of the rest are added up
+    /// although they do not coincide.
+    pub memory_share: f64,
+    /// Standard deviations of the predicted peak that are left free.
     pub spread_reserve: f64,
     /// Further share that only quick requests may use.
     pub quick_reserve: f64,
@@ -46,12 +49,17 @@
     pub service_streams: u32,
     /// Points taken off the rating of a target that holds the prefix, out of 1,000.
     pub prefix_points: u64,
-    /// Interval between digests.
+    /// Bytes that a node may send in digests each second; with many peers or targets the interval
+    /// grows so that they suffice.
+    pub digest_budget: u64,
+    /// Shortest interval between digests.
     pub digest_interval: TimeSpan,
     /// Age at which a digest of a peer is dropped.
     pub digest_expiry: TimeSpan,
     /// Probes sent for each request.
     pub probe_count: u32,
+    /// Mean interval between probes of a node at least; a probe and its answer take some 100 bytes.
+    pub probe_interval: TimeSpan,
     /// Age at which the answer to a probe is dropped.
     pub probe_age: TimeSpan,
     /// Dispatches for which an answer to a probe is used.
@@ -62,14 +70,14 @@
     fn default() -> Self {
         Self {
             mode: CoordinationMode::default(),
-            memory_reserve: 0.0,
-            spread_reserve: 0.4,
+            memory_share: 1.12,
+            spread_reserve: 0.9,
             quick_reserve: 0.06,
             quick_tokens: 64,
             sequence_limit: 256,
             prefill_limit: 16_384,
             token_delay_ms: 10,
-            starve_after: TimeSpan::from_secs(10),
+            starve_after: TimeSpan::from_secs(30),
             quick_wait: TimeSpan::from_secs(20),
             long_wait: TimeSpan::from_secs(90),
             spill_after: TimeSpan::from_secs(2),
@@ -80,8 +88,10 @@
             service_streams: 128,
             prefix_points: 60,
             digest_interval: TimeSpan::new(200),
-            digest_expiry: TimeSpan::from_secs(2),
-            probe_count: 2,
+            digest_budget: 8_000,
+            digest_expiry: TimeSpan::from_secs(5),
+            probe_count: 6,
+            probe_interval: TimeSpan::new(16),
             probe_age: TimeSpan::from_secs(1),
             probe_uses: 3,
         }
