--- a/crates/agatemoor/tests/load_command.rs
+++ b/crates/agatemoor/tests/load_command.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
+use agatemoor::DemoFleet;
 use yare::parameterized;
 
 fn load(args: &[&str]) -> Output {
@@ -103,3 +104,39 @@
     assert!(report["comparisons"].is_array());
     assert!(fs::read_to_string(page).unwrap().contains("<svg"));
 }
+
+/// Guards against a load tool that takes the answers of real nodes for wrong streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nodes_are_driven_over_http() {
+    let fleet = DemoFleet::start().await.unwrap();
+    let nodes = fleet.nodes.iter().map(|node| node.callers.to_string());
+    let nodes = nodes.collect::<Vec<_>>().join(",");
+    let (key, json, page) = (fleet.key(), file("calls.json"), file("calls.html"));
+    let (json_name, page_name) = (json.display().to_string(), page.display().to_string());
+    let called = tokio::task::spawn_blocking(move || {
+        let mut args = vec!["--node", &nodes, "--key", key, "--workload", "lanterna-sul"];
+        args.extend([
+            "--rate",
+            "20",
+            "--seconds",
+            "2",
+            "--calls",
+            "20",
+            "--seed",
+            "3",
+        ]);
+        args.extend(["--call-timeout", "5s"]);
+        args.extend(["--json", &json_name, "--html", &page_name]);
+        load(&args)
+    });
+    let output = called.await.unwrap();
+    fleet.stop().await;
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let run: serde_json::Value = serde_json::from_slice(&fs::read(json).unwrap()).unwrap();
+    assert!(run["outcomes"]["complete"].as_u64() > Some(0), "{run}");
+    assert_eq!(
+        (&run["order_faults"], &run["count_faults"]),
+        (&0.into(), &0.into())
+    );
+    assert!(fs::read_to_string(page).unwrap().contains("gap p99.9"));
+}
