Answer a large request head with the error object

Cause: the HTTP server answered a head over the limit by itself, with status 431 and no body, so that the caller got no error code. Change: the node checks the size of the head and answers `headers_too_large`; the server's own limit is twice as large and still bounds memory. Result: `large_and_slow_input_is_bounded` failed with the old limit and passes.

--- a/crates/agatemoor/tests/bad_input.rs
+++ b/crates/agatemoor/tests/bad_input.rs
@@ -308,6 +308,7 @@
     let head = format!("x-filler: {}\r\n", "h".repeat(12_000));
     let answer = send_raw(node, &raw_call(key, &head, &good)).await;
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert!(answer.contains("headers_too_large"), "{answer}");
     let many: String = (0..400)
         .map(|at| format!("x-filler-{at}: {at}\r\n"))
         .collect();
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -73,6 +73,9 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<WebBody>, InputFault> {
+        if head_size(&request) > self.core.limits.header_bytes {
+            return Err(CallFailure::new(ErrorKind::HeadersTooLarge).into());
+        }
         let scene = self.enter().await?;
         let Some(workspace) = find_workspace(&scene.fleet, request.headers()).cloned() else {
             return Err(CallFailure::new(ErrorKind::UnknownKey).into());
@@ -377,6 +380,13 @@
     unserved && input.hops == 0 && !input.overflow
 }
 
+/// Bytes of a request head, with the separators of each line.
+fn head_size(request: &Request<Incoming>) -> usize {
+    let lines = request.headers().iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    path_of(request.uri()).len() + lines.sum::<usize>()
+}
+
 fn body_fault(error: &BodyError) -> InputFault {
     let kind = match error {
         BodyError::TooLarge { .. } => ErrorKind::BodyTooLarge,
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -78,7 +78,8 @@
         let limits = ServerLimits::new()
             .with_connections(to_usize(section.connections.get()))
             .with_header(
-                to_usize(section.header_limit),
+                // Beyond its own limit the server answers without an error object.
+                to_usize(section.header_limit).saturating_mul(2),
                 millis(section.read_timeout_ms),
             );
         Ok(Self {
