--- a/crates/node/src/actor/fleet_state/fleet_actor.rs
+++ b/crates/node/src/actor/fleet_state/fleet_actor.rs
@@ -23,6 +23,8 @@
     pub due: ClockTime,
     pub running: bool,
     pub failures: u32,
+    /// When a peer last told what it read of the target.
+    pub told_at: Option<ClockTime>,
 }
 
 /// Owns membership, revisions and the state of the targets.
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -163,6 +163,10 @@
             page_tokens,
             preemptions: note.preemptions,
         };
+        let now = self.now();
+        if let Some(probe) = self.probes.get_mut(&note.target) {
+            probe.told_at = Some(now);
+        }
         self.parts.sched.take_report(report);
         let Some(HealthNote { health, phase }) = note.health else {
             return;
