--- a/crates/agatemoor/examples/relay_bench/caller.rs
+++ b/crates/agatemoor/examples/relay_bench/caller.rs
@@ -15,7 +15,7 @@
 use crate::AnyError;
 use crate::fleet::CALLER_KEY;
 
-/// Words of every prompt, about 2,400 bytes.
+/// Words of every prompt, about 2,800 bytes.
 const PROMPT_WORDS: usize = 400;
 /// Longest wait for the next part of an answer.
 const PART_WAIT: Duration = Duration::from_secs(20);
