--- a/crates/agatemoor/tests/common/process_fleet.rs
+++ b/crates/agatemoor/tests/common/process_fleet.rs
@@ -250,9 +250,10 @@
             if answer.status == 200 && lookup.status == 200 {
                 return;
             }
+            let status = self.ops(at, "/ops/status").await.json();
             assert!(
                 start.elapsed() < WAIT_LIMIT,
-                "{} does not serve: {answer:?} {lookup:?} {:#?}",
+                "{} does not serve: {answer:?} {lookup:?} {status} {:#?}",
                 node.name,
                 node.child.lines()
             );
@@ -423,7 +424,15 @@
 }
 
 fn start_standin(kind: &str, listen: SocketAddr, args: &[String]) -> (ChildProcess, SocketAddr) {
-    let mut all = texts(&["stand-in", kind, "--listen", &listen.to_string()]);
+    // At this level a stand-in logs its runs, also those that it can't tell once it is killed.
+    let mut all = texts(&[
+        "--log-level",
+        "debug",
+        "stand-in",
+        kind,
+        "--listen",
+        &listen.to_string(),
+    ]);
     all.extend(args.iter().cloned());
     let child = ChildProcess::start(&all);
     let line = child.wait_line(" listens on ");
--- a/crates/agatemoor/tests/exit_codes.rs
+++ b/crates/agatemoor/tests/exit_codes.rs
@@ -87,6 +87,8 @@
         assert_eq!(code(&[command, "--node", "balaju-1"]), Some(2));
         assert_eq!(code(&[command, "--node", ""]), Some(2));
     }
+    let status = ["status", "--node", NO_NODE, "--after", "soon"];
+    assert_eq!(code(&status), Some(2));
     let timeline = ["timeline", "--node", NO_NODE];
     assert_eq!(
         code(&[&timeline[..], &["--kind", "nope"]].concat()),
@@ -102,12 +104,13 @@
 /// Guards against a command whose help lacks an example.
 #[test]
 fn every_help_has_an_example() {
-    let commands: [&[&str]; 9] = [
+    let commands: [&[&str]; 10] = [
         &[],
         &["node"],
         &["check"],
         &["status"],
         &["timeline"],
+        &["load"],
         &["demo"],
         &["stand-in", "platform"],
         &["stand-in", "engine"],
--- a/crates/node/src/actor/fleet_state/fleet_actor.rs
+++ b/crates/node/src/actor/fleet_state/fleet_actor.rs
@@ -16,7 +16,7 @@
 /// Nodes of a domain that watch the platform.
 const READERS: usize = 2;
 /// A tick that comes later than this finds that the process was paused.
-const PAUSE_LIMIT: TimeSpan = TimeSpan::from_secs(1);
+pub const PAUSE_LIMIT: TimeSpan = TimeSpan::from_secs(1);
 
 /// When a target is probed next, and how that went so far.
 pub struct ProbeState {
@@ -48,13 +48,19 @@
     pub(super) list_index: u64,
     pub(super) list_read: bool,
     pub(super) next_list: ClockTime,
+    pub(super) target_watch: Option<JoinHandle<()>>,
+    pub(super) target_index: u64,
+    pub(super) next_targets: ClockTime,
     pub(super) seeds: BTreeMap<NodeName, DomainName>,
     pub(super) successors: BTreeMap<OwnerId, OwnerId>,
     pub(super) ticked_at: Option<ClockTime>,
+    pub(super) resumed_at: Option<ClockTime>,
     pub(super) published: Vec<TargetInfo>,
     pub(super) ready: bool,
     pub(super) board: OrderBoard,
     pub(super) next_board: ClockTime,
+    pub(super) next_failures: ClockTime,
+    pub(super) next_reminder: ClockTime,
     pub(super) own: Option<WeakAddress<Self>>,
 }
 
@@ -71,6 +77,8 @@
         Self {
             board: OrderBoard::new(board.with_wall_offset(offset), now),
             next_board: now,
+            next_failures: now,
+            next_reminder: now,
             member: MemberTable::new(settings, seed),
             revision: RevisionView::new(node, domain, revision, seed),
             calls: BTreeMap::new(),
@@ -87,9 +95,13 @@
             list_index: 0,
             list_read: false,
             next_list: ClockTime::ZERO,
+            target_watch: None,
+            target_index: 0,
+            next_targets: ClockTime::ZERO,
             seeds: BTreeMap::new(),
             successors: BTreeMap::new(),
             ticked_at: None,
+            resumed_at: None,
             published: Vec::new(),
             ready: false,
             own: None,
@@ -124,6 +136,7 @@
     pub(super) fn tick(&mut self) {
         let now = self.now();
         if self.ticked_at.is_some_and(|last| now - last > PAUSE_LIMIT) {
+            self.resumed_at = Some(now);
             self.note(
                 EventKind::NodeResumed,
                 "membership and revision are compared afresh",
@@ -139,6 +152,7 @@
         actions.extend(self.revision.on_tick(now));
         self.carry_out_revision(actions);
         self.watch_list(reader);
+        self.watch_targets(reader);
         self.probe_targets();
         self.send_note();
         self.tick_board();
--- a/crates/node/src/actor/fleet_state/fleet_handlers.rs
+++ b/crates/node/src/actor/fleet_state/fleet_handlers.rs
@@ -8,8 +8,9 @@
 use super::fleet_actor::FleetActor;
 use super::fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, HeadRead, KeysRead, LeaveFleet, NodesRead,
-    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, ShareFlight, TakeMember,
-    TakeNote, TakeOrder, TakeRevision, TargetProbed, TellImport, TickFleet,
+    OrderAnswered, ProbeTarget, PullAnswered, ReadFleet, SeedAnswered, ShareFlight, TakeFailures,
+    TakeMember, TakeNote, TakeOrder, TakeRevision, TargetProbed, TargetsRead, TellImport,
+    TickFleet,
 };
 use super::member_part::IMPORT_PAYLOAD;
 
@@ -25,7 +26,7 @@
         for task in self.calls.into_values() {
             task.abort();
         }
-        if let Some(task) = self.list_watch {
+        for task in [self.list_watch, self.target_watch].into_iter().flatten() {
             task.abort();
         }
     }
@@ -65,6 +66,14 @@
     }
 }
 
+impl Handler<TakeFailures> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeFailures, _: &mut Context<Self>) {
+        self.board.on_failures(self.now(), &message.summaries);
+    }
+}
+
 impl Handler<OrderAnswered> for FleetActor {
     type Return = ();
 
@@ -159,6 +168,16 @@
     }
 }
 
+impl Handler<TargetsRead> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TargetsRead, _: &mut Context<Self>) {
+        if let Ok((index, targets)) = message.answer {
+            self.take_listed_targets(index, targets);
+        }
+    }
+}
+
 impl Handler<SeedAnswered> for FleetActor {
     type Return = ();
 
@@ -201,7 +220,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeNote, _: &mut Context<Self>) {
-        self.take_note(message.note);
+        self.take_note(&message.from, message.note);
     }
 }
 
--- a/crates/node/src/actor/fleet_state/fleet_message.rs
+++ b/crates/node/src/actor/fleet_state/fleet_message.rs
@@ -4,12 +4,12 @@
 use calls::OwnerId;
 use fleet::{KeyText, PlatformHeadAnswer};
 use member::{MemberMessage, PlatformEntry};
-use orders::{OrderMessage, OrderOutcome, TargetOrder};
+use orders::{OrderMessage, OrderOutcome, RolloutSummary, TargetOrder};
 use sched::TargetDigest;
 use schema::fleet::{PullAnswer, PullRequest, RevisionDigest};
 
 use super::ProbeResult;
-use crate::{LoadNote, PlatformFailure};
+use crate::{ListedTarget, LoadNote, PlatformFailure};
 
 /// Lets time pass.
 pub struct TickFleet;
@@ -115,8 +115,18 @@
     pub message: OrderMessage,
 }
 
+/// Takes failures of rollouts that another domain knows of.
+pub struct TakeFailures {
+    pub summaries: Vec<RolloutSummary>,
+}
+
 /// Result of an order that this actor gave.
 pub struct OrderAnswered {
     pub order: TargetOrder,
     pub outcome: OrderOutcome,
 }
+
+/// Result of a read of the platform's list of target VMs.
+pub struct TargetsRead {
+    pub answer: Result<(u64, Vec<ListedTarget>), PlatformFailure>,
+}
--- a/crates/node/src/actor/fleet_state/mod.rs
+++ b/crates/node/src/actor/fleet_state/mod.rs
@@ -17,7 +17,8 @@
 pub use fleet_actor::FleetActor;
 pub use fleet_message::{
     AnswerPull, FindFarNodes, FindNode, FindSuccessor, LeaveFleet, ProbeTarget, ReadFleet,
-    ShareFlight, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport, TickFleet,
+    ShareFlight, TakeFailures, TakeMember, TakeNote, TakeOrder, TakeRevision, TellImport,
+    TickFleet,
 };
 pub use fleet_parts::FleetParts;
 pub use fleet_status::FleetStatus;
--- a/crates/node/src/actor/fleet_state/note_part.rs
+++ b/crates/node/src/actor/fleet_state/note_part.rs
@@ -2,15 +2,19 @@
 use member::TargetState;
 use sched::{LoadReport, TargetDigest};
 
-use super::fleet_actor::FleetActor;
+use super::fleet_actor::{FleetActor, PAUSE_LIMIT};
 use crate::{HealthNote, LoadNote, PeerBody, TargetNote, TargetPhase};
 
+/// Longest time without a note, as a peer that is not heard for 5 s counts as out of reach.
+const REMINDER_PERIOD: TimeSpan = TimeSpan::from_secs(3);
 /// Least time between two load notes to the peers of the domain, that of the policy's digests.
 const NOTE_PERIOD: TimeSpan = TimeSpan::new(200);
 /// Added to the period for each peer, so that control traffic does not grow with their number.
 const NOTE_PER_PEER: TimeSpan = TimeSpan::new(100);
 /// Time after which the health of every target is repeated.
 const HEALTH_PERIOD: TimeSpan = TimeSpan::from_secs(20);
+/// Time after a pause for which notes may have waited for this process.
+const DISTRUST_TIME: TimeSpan = TimeSpan::from_secs(2);
 /// Peers up to which each of them is told the work in flight. With more, a note comes so late that
 /// the policy does better with reports alone: at 26 nodes and digests 1.75 s apart, stall time was
 /// 4.8 times that without digests.
@@ -55,14 +59,19 @@
         self.next_note = now + NOTE_PERIOD.max(spread);
         self.notes += 1;
         self.welcome_peers(&peers);
+        let reminder = now >= self.next_reminder;
+        if reminder {
+            self.next_reminder = now + REMINDER_PERIOD;
+        }
         let targets = self.take_reports(now);
         let in_flight: Vec<_> = match peers.len() <= DIRECT_PEERS {
             true => self.flight.iter().map(flight_entry).collect(),
             false => Vec::new(),
         };
         for peer in peers {
-            // An empty note renews nothing, but for the end of the work told last.
-            let quiet = in_flight.is_empty() && targets.is_empty();
+            // An empty note renews nothing, but for the end of the work told last and, now and
+            // then, the revision.
+            let quiet = in_flight.is_empty() && targets.is_empty() && !reminder;
             if quiet && !self.told_flight.contains(&peer) {
                 continue;
             }
@@ -74,6 +83,7 @@
                 sequence: self.notes,
                 in_flight: in_flight.clone(),
                 targets: targets.clone(),
+                revision: self.revision.digest(now),
             };
             self.learn_address(&peer);
             self.parts.peers.tell(peer, PeerBody::Load(note));
@@ -110,8 +120,10 @@
         targets
     }
 
-    pub(super) fn take_note(&mut self, note: LoadNote) {
+    pub(super) fn take_note(&mut self, from: &NodeName, note: LoadNote) {
         let now = self.now();
+        let actions = self.revision.on_digest(now, from, &note.revision);
+        self.carry_out_revision(actions);
         for target in note.targets {
             let age = u64::from(target.age_ms);
             let measured_at = ClockTime::new(now.as_millis().saturating_sub(age));
@@ -119,6 +131,15 @@
         }
     }
 
+    /// A note that waited in a socket while this process was paused looks newer than it is, so
+    /// that for a while after a pause orders rest on own probes alone.
+    fn trusts_notes(&self) -> bool {
+        let now = self.now();
+        let late = self.ticked_at.is_some_and(|last| now - last > PAUSE_LIMIT);
+        let resumed = self.resumed_at.is_some_and(|at| now - at < DISTRUST_TIME);
+        !late && !resumed
+    }
+
     pub(super) fn take_target_note(&mut self, note: TargetNote, measured_at: ClockTime) {
         let [
             running,
@@ -150,7 +171,9 @@
         let incarnation = health.as_ref().map(|health| health.incarnation);
         if let Some(health) = health.filter(|_| newer) {
             self.take_health(&note.target, &health);
-            self.observe_actual(&note.target, &health, measured_at);
+            if self.trusts_notes() || !self.board.owns(&note.target) {
+                self.observe_actual(&note.target, &health, measured_at);
+            }
         }
         if unknown && phase == TargetPhase::Up {
             self.observe(note.target, incarnation, TargetState::Alive);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,7 @@
     AnswerHead, AnswerPart, ClaimActor, ClaimDecision, ClaimHandle, ClaimId, ClaimRequest,
     ClaimSettings, SharedAnswer,
 };
-pub use clock::SystemClock;
+pub use clock::{PauseWatch, SystemClock};
 pub use core_parts::{CallLimits, NodeCore};
 pub use gate::{WorkGate, WorkPermit};
 pub use gauge::{CallMetrics, ControlKind, ControlMetrics};
@@ -38,7 +38,7 @@
     AddressBook, ConsentAsk, ForwardedCall, HealthNote, InquiryAsk, LoadNote, PeerBody, PeerClient,
     PeerEnvelope, PeerFailure, PeerHello, PeerKey, PeerReply, PeerServer, TargetNote,
 };
-pub use platform::{PlatformClient, PlatformFailure};
+pub use platform::{ListedTarget, PlatformClient, PlatformFailure};
 pub use relay::{
     AnswerCollector, AnswerWriter, CallJob, CallRelay, RelayParts, RelayStep, ResumeKey,
     ResumeToken,
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -93,6 +93,7 @@
             PeerBody::Load(note) => self.take_load(from, note),
             PeerBody::Crash(message) => self.core.relay.sched.take_crash(message),
             PeerBody::Order(message) => fleet.take_order(from, *message),
+            PeerBody::Failures(summaries) => fleet.take_failures(summaries),
             PeerBody::Consent(ask) => {
                 let verdict = claims.give_consent(ask.key, ask.home).await;
                 return PeerReply::Consent(verdict);
@@ -121,9 +122,7 @@
             sequence: note.sequence,
             targets: targets.collect(),
         });
-        if !note.targets.is_empty() {
-            self.core.fleet.take_note(from, note);
-        }
+        self.core.fleet.take_note(from, note);
     }
 
     fn hello(&self) -> PeerHello {
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -19,9 +19,9 @@
 use crate::{
     AddressBook, CallLimits, CallMetrics, CallerApi, ClaimActor, ClaimHandle, ClaimSettings,
     EngineClient, EventJournal, FleetActor, FleetHandle, FleetParts, HttpEngine, HttpProbe,
-    NodeCore, NodeIdentity, OpsServer, PeerBody, PeerClient, PeerKey, PeerServer, PlatformClient,
-    RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput, SystemClock, ViewCell,
-    WorkGate,
+    NodeCore, NodeIdentity, OpsServer, PauseWatch, PeerBody, PeerClient, PeerKey, PeerServer,
+    PlatformClient, RelayParts, ResumeKey, RouteTable, SchedActor, SchedHandle, SchedOutput,
+    SystemClock, ViewCell, WorkGate,
 };
 
 /// Time between two ticks of the scheduling actor.
@@ -78,7 +78,8 @@
         let limits = ServerLimits::new()
             .with_connections(to_usize(section.connections.get()))
             .with_header(
-                to_usize(section.header_limit),
+                // Beyond its own limit the server answers without an error object.
+                to_usize(section.header_limit).saturating_mul(2),
                 millis(section.read_timeout_ms),
             );
         Ok(Self {
@@ -131,7 +132,8 @@
         );
         let section = &self.settings.platform;
         let (prefix, service) = (&section.prefix, &section.service);
-        let platform = PlatformClient::new(pool.clone(), platform, prefix, service);
+        let platform = PlatformClient::new(pool.clone(), platform, prefix, service)
+            .with_target_service(&section.target_service);
         let engine: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(pool.clone(), clock));
         let view = ViewCell::new();
         let mut tasks = Vec::new();
@@ -178,7 +180,9 @@
         let fleet = FleetHandle::new(xtra::spawn_tokio(fleet, Mailbox::unbounded()));
         claims.set_fleet(fleet.clone());
 
+        let pause = PauseWatch::new(clock);
         let relay = Arc::new(RelayParts {
+            pause: pause.clone(),
             clock,
             journal: journal.clone(),
             engine,
@@ -201,7 +205,7 @@
             limits: CallLimits::new(&self.settings.callers),
             gate: WorkGate::new(),
             overflow: Arc::new(Semaphore::new(OVERFLOW_LIMIT)),
-            ticked_at: AtomicU64::new(0),
+            pause,
             requests: AtomicU64::new(0),
         });
         tasks.push(tokio::spawn(tick_sched(sched)));
@@ -267,7 +271,7 @@
         if core.fleet.tick().await.is_none() {
             return;
         }
-        core.note_tick();
+        core.pause.note_tick();
     }
 }
 
--- a/crates/node/src/service/service_relay.rs
+++ b/crates/node/src/service/service_relay.rs
@@ -20,6 +20,8 @@
 
 /// Name under which the call machine knows the answer of a service, which has no generations.
 const ANSWER_NAME: &str = "answer";
+/// Header with the time that the caller still waits, in milliseconds.
+const DEADLINE_HEADER: &str = "x-request-timeout-ms";
 /// Longest wait when nothing is due.
 const IDLE_WAIT: TimeSpan = TimeSpan::from_secs(3_600);
 /// Header by which a service says that it did not admit a request.
@@ -103,8 +105,12 @@
                     self.choose_target(exclude, retry).await;
                 }
                 CallAction::Connect { link, target } => self.connect(link, &target).await,
-                CallAction::Send { link, target, .. } => {
-                    if let Some(head) = self.send(link, &target).await {
+                CallAction::Send {
+                    link,
+                    target,
+                    time_left,
+                } => {
+                    if let Some(head) = self.send(link, &target, time_left).await {
                         return Some(ServiceStep::Head(head));
                     }
                 }
@@ -182,6 +188,7 @@
             }
             Some(Err(error)) => {
                 self.note(EventKind::AttemptFailed, &format!("{target}: {error}"));
+                self.leave_target(FinishState::Failed);
                 self.core.relay.sched.note_failure(target.clone(), None);
                 self.core.fleet.probe(target.clone());
                 self.feed(CallEvent::ConnectFailed { link });
@@ -189,18 +196,33 @@
         }
     }
 
-    async fn send(&mut self, link: LinkNumber, target: &TargetName) -> Option<AnswerHead> {
+    async fn send(
+        &mut self,
+        link: LinkNumber,
+        target: &TargetName,
+        time_left: Option<TimeSpan>,
+    ) -> Option<AnswerHead> {
         let address = self.core.view.get().address(target);
         let (Some(mut connection), Some(address)) = (self.connection.take(), address) else {
             self.feed(CallEvent::LinkLost { link });
             return None;
         };
+        if !self.core.relay.may_send(target) {
+            self.leave_target(FinishState::Failed);
+            self.feed(CallEvent::ConnectFailed { link });
+            return None;
+        }
         let Some(body) = self.take_body() else {
             self.feed(CallEvent::LinkLost { link });
             return None;
         };
-        let request = self.make_request(address, body);
+        let mut request = self.make_request(address, body);
+        if let Some(left) = time_left {
+            let millis = left.as_millis();
+            request.headers_mut().insert(DEADLINE_HEADER, millis.into());
+        }
         self.feed(CallEvent::FirstByteSent { link });
+        self.core.relay.sched.note_sent(self.request().clone());
         self.note(EventKind::AttemptSent, target.as_str());
         self.core.relay.metrics.count_attempt();
         match self.or_timer(connection.send(request)).await {
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -26,6 +26,8 @@
 const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(2);
 /// Header by which an engine says that it did not admit a request.
 const ADMITTED_HEADER: &str = "x-admitted";
+/// Header with the time that the caller still waits, in milliseconds.
+const DEADLINE_HEADER: &str = "x-request-timeout-ms";
 /// Header in which an engine names the generation before its first token.
 const GENERATION_HEADER: &str = "x-generation-id";
 
@@ -164,7 +166,11 @@
             .insert("request_id".to_owned(), json!(call.request));
         let path = format!("/v1/{}", call.path);
         let body = Value::Object(call.body);
-        let request = json_request(Method::POST, self.address, &path, &body);
+        let mut request = json_request(Method::POST, self.address, &path, &body);
+        if let Some(left) = call.time_left {
+            let millis = left.as_millis();
+            request.headers_mut().insert(DEADLINE_HEADER, millis.into());
+        }
         let sent = timeout(call.wait.into(), self.connection.send(request)).await;
         let Ok(answered) = sent else {
             return Err(EngineFault::Silent);
