Split the scheduling and claim actors by state, messages and handlers

Change: one file each, as in the fleet actor; behaviour is the same. Conclusion: a newcomer finds the messages of an actor in one place.

--- a/crates/node/src/actor/sched_handle.rs
+++ b/crates/node/src/actor/sched_handle.rs
@@ -6,11 +6,11 @@
 use tokio::sync::oneshot;
 use xtra::Address;
 
-use super::{ActorQueue, SchedActor};
-use crate::actor::sched_actor::{
+use super::sched_state::{
     AdmitCall, FinishCall, NoteSent, NoteTargetFailure, PassTime, ProgressCall, SubmitCall,
     TakeCrash, TakeDigest, TakeReport, TakeTargets, WithdrawCall,
 };
+use super::{ActorQueue, SchedActor};
 
 /// Where a call goes, or why it goes nowhere.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/node/src/claim/claim_handle.rs
+++ b/crates/node/src/claim/claim_handle.rs
@@ -9,10 +9,11 @@
 use futures_util::stream::FuturesUnordered;
 use xtra::{Address, Handler};
 
-use super::claim_actor::{
-    ClaimActor, ClaimKey, ClaimTicket, ExportWindows, FinishClaim, GiveConsent, GiveTraces,
-    HasImport, ImportWindow, IssueTicket, KeyDecision, NodeGone, PeerRevision, SealWindows,
-    SetNodes, TakeInquiry,
+use super::claim_actor::ClaimActor;
+use super::claim_message::{
+    ClaimKey, ClaimTicket, ExportWindows, FinishClaim, GiveConsent, GiveTraces, HasImport,
+    ImportWindow, IssueTicket, KeyDecision, NodeGone, PeerRevision, SealWindows, SetNodes,
+    TakeInquiry,
 };
 use super::{ClaimDecision, ClaimId, ClaimRequest};
 use crate::actor::{ActorQueue, FleetHandle};
--- /dev/null
+++ b/crates/node/src/claim/claim_handlers.rs
@@ -0,0 +1,183 @@
+use base::EventKind;
+use calls::{ConsentVerdict, InquiryAnswer, KeyHome, TicketText, WindowExport};
+use xtra::{Context, Handler};
+
+use super::ClaimDecision;
+use super::claim_actor::ClaimActor;
+use super::claim_message::{
+    ClaimKey, ClaimTicket, ExportWindows, FinishClaim, GiveConsent, GiveTraces, HasImport,
+    ImportWindow, IssueTicket, KeyDecision, NodeGone, PeerRevision, SealWindows, SetNodes,
+    TakeInquiry,
+};
+
+impl Handler<IssueTicket> for ClaimActor {
+    type Return = Option<TicketText>;
+
+    async fn handle(&mut self, message: IssueTicket, _: &mut Context<Self>) -> Option<TicketText> {
+        let now = self.clock.now();
+        self.issuer.issue(&mut self.window, now, &message.workspace)
+    }
+}
+
+impl Handler<ClaimTicket> for ClaimActor {
+    type Return = ClaimDecision;
+
+    async fn handle(&mut self, message: ClaimTicket, _: &mut Context<Self>) -> ClaimDecision {
+        self.claim_ticket(message)
+    }
+}
+
+impl Handler<HasImport> for ClaimActor {
+    type Return = bool;
+
+    async fn handle(&mut self, message: HasImport, _: &mut Context<Self>) -> bool {
+        self.imports.get_mut(&message.owner).is_some()
+    }
+}
+
+impl Handler<ClaimKey> for ClaimActor {
+    type Return = KeyDecision;
+
+    async fn handle(&mut self, message: ClaimKey, _: &mut Context<Self>) -> KeyDecision {
+        self.claim_key(message)
+    }
+}
+
+impl Handler<TakeInquiry> for ClaimActor {
+    type Return = Option<ClaimDecision>;
+
+    async fn handle(
+        &mut self,
+        message: TakeInquiry,
+        _: &mut Context<Self>,
+    ) -> Option<ClaimDecision> {
+        self.take_inquiry(message)
+    }
+}
+
+impl Handler<GiveConsent> for ClaimActor {
+    type Return = ConsentVerdict;
+
+    async fn handle(&mut self, message: GiveConsent, _: &mut Context<Self>) -> ConsentVerdict {
+        let now = self.clock.now();
+        match &mut self.keys {
+            Some(keys) => keys.consent(now, message.key, &message.home),
+            None => ConsentVerdict::NotWitness,
+        }
+    }
+}
+
+impl Handler<GiveTraces> for ClaimActor {
+    type Return = Option<InquiryAnswer>;
+
+    async fn handle(
+        &mut self,
+        message: GiveTraces,
+        _: &mut Context<Self>,
+    ) -> Option<InquiryAnswer> {
+        let now = self.clock.now();
+        let keys = self.keys.as_mut()?;
+        Some(keys.on_inquiry(now, message.key, &message.asker))
+    }
+}
+
+impl Handler<FinishClaim> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: FinishClaim, _: &mut Context<Self>) {
+        self.finish(message);
+    }
+}
+
+impl Handler<SetNodes> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: SetNodes, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        match &mut self.keys {
+            Some(keys) => keys.on_revision(now, message.revision, message.names),
+            None => {
+                let (own, policy) = (self.own.clone(), self.settings.keys);
+                let (revision, names) = (message.revision, message.names);
+                self.keys = Some(KeyHome::new(own, now, revision, names, policy));
+            }
+        }
+    }
+}
+
+impl Handler<PeerRevision> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerRevision, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        if let Some(keys) = &mut self.keys {
+            keys.on_peer_revision(now, &message.node, message.revision);
+        }
+    }
+}
+
+impl Handler<NodeGone> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: NodeGone, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        if let Some(keys) = &mut self.keys {
+            keys.on_node_gone(now, &message.node);
+        }
+    }
+}
+
+impl Handler<ImportWindow> for ClaimActor {
+    type Return = bool;
+
+    async fn handle(&mut self, message: ImportWindow, _: &mut Context<Self>) -> bool {
+        let now = self.clock.now();
+        let owner = message.export.owner.clone();
+        match self.imports.import(now, message.export) {
+            Ok(()) => {
+                self.journal
+                    .note(EventKind::WindowTakenOver, owner.to_string());
+                true
+            }
+            // A repeated export of a window that is here was answered by a lost reply.
+            Err(calls::ImportError::AlreadyImported { .. }) => true,
+            Err(error) => {
+                self.journal
+                    .note(EventKind::WindowRefused, error.to_string());
+                false
+            }
+        }
+    }
+}
+
+impl Handler<SealWindows> for ClaimActor {
+    type Return = usize;
+
+    async fn handle(&mut self, _: SealWindows, _: &mut Context<Self>) -> usize {
+        self.window.seal();
+        if let Some(keys) = &mut self.keys {
+            keys.seal();
+        }
+        let mut running = self.window.in_flight();
+        for window in self.imports.iter_mut() {
+            window.seal();
+            running += window.in_flight();
+        }
+        running
+    }
+}
+
+impl Handler<ExportWindows> for ClaimActor {
+    type Return = Vec<WindowExport>;
+
+    async fn handle(&mut self, message: ExportWindows, _: &mut Context<Self>) -> Vec<WindowExport> {
+        let now = self.clock.now();
+        let own = std::iter::once(&mut self.window);
+        let windows = own.chain(self.imports.iter_mut());
+        let fresh = windows.filter_map(|window| window.export(now, message.successor.clone()));
+        self.exports.extend(fresh);
+        let mut exports = self.exports.clone();
+        exports.retain(|export| export.successor == message.successor);
+        exports
+    }
+}
