Move waiting calls off leaving engines, ask engines by request id

Cause: a repeatable call that waited for its first token stayed at an engine that was about to be taken away, and ran again only after the engine had died. A connection that went silent before the response head was noticed only when the head wait of 10 s ended, and a call that is not repeatable then failed although the engine ran it. Besides, for a call without a deadline the timer of the connection attempt stayed in force after the connection was up and ended the wait for the response head after 1 s; calls of the node always have a deadline, so callers did not see this.

Change: until the first token the relay reads the view at least every 500 ms. If the target is leaving, the call is repeatable, it has an attempt left and another candidate is up, the generation is cancelled and the call is tried elsewhere within the retry budget. The attempt ends as cancelled, so the engine gets neither a crash mark nor a failure in its breaker or in the policy. Engines tell the generation, tokens and incarnation of a request with GET /v1/requests/ID (stand-in and EngineClient::request_progress). Without a response head the relay asks every 2 s on a fresh connection: a known request is resumed, an unknown one waits on, another incarnation or a refused connection is a death. The timer of the connection attempt is dropped once the connection is up.

Nothing was measured for the cost of a token; after the first one it is one comparison for each read.

Conclusion: both waits are bounded by seconds. A call that the retry budget refuses after it was cancelled fails, even if the leaving engine might still have finished it.

--- a/crates/node/src/relay/call_job.rs
+++ b/crates/node/src/relay/call_job.rs
@@ -38,6 +38,13 @@
         let state = view.target(target);
         !self.pause.is_paused() && state.is_some_and(|state| state.phase == TargetPhase::Up)
     }
+
+    /// Tells whether a target is about to be taken away.
+    pub fn is_leaving(&self, target: &TargetName) -> bool {
+        let view = self.view.get();
+        let state = view.target(target);
+        state.is_some_and(|state| state.phase == TargetPhase::Leaving)
+    }
 }
 
 /// One generation to be relayed.
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -10,14 +10,14 @@
 };
 use bytes::Bytes;
 use calls::{
-    CallAction, CallEvent, CallFailure, CallMachine, LinkNumber, LinkWatch, ProbeOutcome,
-    WatchPolicy, WatchVerdict,
+    AttemptState, CallAction, CallEvent, CallFailure, CallMachine, LinkNumber, LinkWatch,
+    ProbeOutcome, WatchPolicy, WatchVerdict,
 };
 use sched::{FinishState, WorkPriority};
 use serde_json::Map;
 use tokio::time::sleep;
 
-use super::{AnswerWriter, CallJob, RelayParts, ResumeToken};
+use super::{AnswerWriter, CallJob, HeadOutcome, HeadWait, LeaveWatch, RelayParts, ResumeToken};
 use crate::{
     CallPlacement, EngineCall, EngineClient, EngineEvent, EngineFault, EngineLink, EngineStream,
 };
@@ -87,6 +87,8 @@
     delivered: u64,
     end_data: Option<Bytes>,
     rejected: Option<(u16, Bytes)>,
+    /// The caller has its answer while the work goes on.
+    detached: bool,
     ended: bool,
 }
 
@@ -125,6 +127,7 @@
             delivered: 0,
             end_data: None,
             rejected: None,
+            detached: false,
             ended: false,
         }
     }
@@ -156,6 +159,15 @@
         self.actions.extend(self.scratch.drain(..));
     }
 
+    /// Drops the timer of the connection attempt, which may still be queued; without a deadline
+    /// nothing else would replace it, and it would end the wait for the response head.
+    fn note_connected(&mut self, link: LinkNumber) {
+        self.timer = None;
+        self.actions
+            .retain(|action| !matches!(action, CallAction::SetTimer { .. }));
+        self.feed(CallEvent::Connected { link });
+    }
+
     async fn carry_out(&mut self) -> Option<RelayStep> {
         while let Some(action) = self.actions.pop_front() {
             match action {
@@ -179,7 +191,10 @@
                 CallAction::CloseLink { .. } => self.close_link(),
                 CallAction::Cancel { target, generation } => self.cancel(&target, generation),
                 CallAction::SetTimer { at } => self.timer = Some(at),
-                CallAction::Detach(failure) => return Some(RelayStep::Detached(failure)),
+                CallAction::Detach(failure) => {
+                    self.detached = true;
+                    return Some(RelayStep::Detached(failure));
+                }
                 CallAction::Finish { count } => return Some(self.finish(count).await),
                 CallAction::Fail(failure) => return Some(self.fail(failure).await),
                 CallAction::Abandon { .. } => {
@@ -241,7 +256,7 @@
             None => self.feed(CallEvent::Timer),
             Some(Ok(connection)) => {
                 self.link = LinkState::Open(connection);
-                self.feed(CallEvent::Connected { link });
+                self.note_connected(link);
             }
             Some(Err(fault)) => {
                 self.leave_target(FinishState::Failed);
@@ -267,12 +282,75 @@
         self.note(EventKind::AttemptSent, target.as_str());
         self.parts.metrics.count_attempt();
         let call = self.engine_call(target, time_left);
-        match self.or_timer(connection.start(call)).await {
+        let wait = HeadWait {
+            engine: self.parts.engine.clone(),
+            address: self.address(target),
+            request: self.request().clone(),
+            run: self.run,
+            leave: self.leave_watch(),
+        };
+        match self.or_timer(wait.outcome(connection.start(call))).await {
             // The timer can only be the deadline here, and it ends the call.
             None => self.feed(CallEvent::Timer),
-            Some(Ok(stream)) => self.open_stream(link, target, stream).await,
-            Some(Err(fault)) => self.take_fault(link, target, fault).await,
+            Some(HeadOutcome::Answered(Ok(stream))) => {
+                self.open_stream(link, target, stream).await;
+            }
+            Some(HeadOutcome::Answered(Err(fault))) => self.take_fault(link, target, fault).await,
+            Some(HeadOutcome::Silent(generation)) => {
+                self.resume_unnamed(link, target, generation).await;
+            }
+            Some(HeadOutcome::Died) => self.take_verdict(WatchVerdict::TargetDead).await,
+            Some(HeadOutcome::Reclaimed) => self.move_call(),
+        }
+    }
+
+    /// Resumes a generation whose response head never arrived.
+    async fn resume_unnamed(
+        &mut self,
+        link: LinkNumber,
+        target: &TargetName,
+        generation: GenerationId,
+    ) {
+        self.feed(CallEvent::Accepted {
+            link,
+            generation: generation.as_str(),
+        });
+        self.admit(target, generation).await;
+        self.take_verdict(WatchVerdict::LinkSilent).await;
+    }
+
+    /// The watch for a leaving target, if the call may still be moved to another one.
+    fn leave_watch(&self) -> Option<LeaveWatch> {
+        if !matches!(
+            self.machine.state(),
+            AttemptState::Sent | AttemptState::Accepted
+        ) {
+            return None;
+        }
+        let plan = self.machine.plan();
+        let spent = self.machine.attempts() >= plan.policy.attempt_limit;
+        if !plan.repeatable || self.detached || spent {
+            return None;
+        }
+        let target = self.machine.target()?.clone();
+        let route = self.job.route.clone();
+        Some(LeaveWatch::new(self.parts.clone(), target, route))
+    }
+
+    /// Takes the call away from a leaving target, which is neither blamed nor marked.
+    fn move_call(&mut self) {
+        let Some(target) = self.machine.target().cloned() else {
+            return;
+        };
+        self.note(
+            EventKind::AttemptFailed,
+            &format!("{target}: moved, as the target is leaving"),
+        );
+        if self.machine.generation().is_none() {
+            self.cancel_unnamed(&target);
         }
+        self.leave_target(FinishState::Cancelled);
+        self.feed(CallEvent::TargetDied { target });
     }
 
     async fn resume(
@@ -297,7 +375,7 @@
                 let detail = format!("{target} from offset {offset}");
                 self.note(EventKind::StreamResumed, &detail);
                 self.parts.metrics.count_resume();
-                self.feed(CallEvent::Connected { link });
+                self.note_connected(link);
                 self.open_stream(link, target, stream).await;
             }
             Some(Err(EngineFault::UnknownGeneration)) => {
@@ -419,12 +497,24 @@
     }
 
     async fn read_link(&mut self) -> Option<RelayStep> {
+        let leave = self.leave_watch();
         let LinkState::Reading(stream) = &mut self.link else {
             self.wait_for_timer().await;
             return None;
         };
         let wait = next_wait(self.parts.clock.now(), self.timer, self.watch.as_ref());
-        match stream.fill(wait).await {
+        let filled = match &leave {
+            None => stream.fill(wait).await,
+            Some(leave) => tokio::select! {
+                biased;
+                filled = stream.fill(wait) => filled,
+                () = leave.reclaimed() => {
+                    self.move_call();
+                    return None;
+                }
+            },
+        };
+        match filled {
             Ok(true) => self.take_events().await,
             Ok(false) => {
                 self.feed(CallEvent::LinkLost { link: self.number });
@@ -554,7 +644,10 @@
         };
         let mut verdict = watch.on_tick(now);
         if verdict == WatchVerdict::Probe {
-            let outcome = self.probe_target().await;
+            let Some(outcome) = self.probe_or_leave().await else {
+                self.move_call();
+                return;
+            };
             let now = self.parts.clock.now();
             let Some(watch) = &mut self.watch else {
                 return;
@@ -585,6 +678,18 @@
         }
     }
 
+    /// Probes the target; `None` if it is leaving and the call may be moved.
+    async fn probe_or_leave(&self) -> Option<ProbeOutcome> {
+        let Some(leave) = self.leave_watch() else {
+            return Some(self.probe_target().await);
+        };
+        tokio::select! {
+            biased;
+            outcome = self.probe_target() => Some(outcome),
+            () = leave.reclaimed() => None,
+        }
+    }
+
     async fn probe_target(&self) -> ProbeOutcome {
         let target = self.machine.target();
         let Some(address) = target.and_then(|target| self.address(target)) else {
@@ -699,6 +804,21 @@
         });
     }
 
+    /// Cancels what the engine runs for the request, though it has not named the generation.
+    fn cancel_unnamed(&self, target: &TargetName) {
+        let Some(address) = self.address(target) else {
+            return;
+        };
+        let (engine, request) = (self.parts.engine.clone(), self.request().clone());
+        tokio::spawn(async move {
+            let found = engine.request_progress(address, request).await;
+            if let Some(generation) = found.ok().and_then(|found| found.generation) {
+                // An engine that can't be reached has lost the generation or will end it itself.
+                let _ = engine.cancel(address, generation).await;
+            }
+        });
+    }
+
     fn engine_call(&self, target: &TargetName, time_left: Option<TimeSpan>) -> EngineCall {
         let mut body = self.job.body.clone();
         let version = self.job.route.version(target).cloned();
--- a/crates/node/src/target/engine_client.rs
+++ b/crates/node/src/target/engine_client.rs
@@ -95,12 +95,16 @@
 }
 
 /// How far a generation has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineProgress {
     /// Run of the engine's process.
     pub incarnation: IncarnationNumber,
     /// Tokens that the generation has produced.
+    #[serde(default)]
     pub produced: u64,
+    /// Generation of the request that was asked for; `None` if the engine does not know it.
+    #[serde(default)]
+    pub generation: Option<GenerationId>,
 }
 
 /// A connection on which nothing was sent yet.
@@ -129,6 +133,13 @@
         generation: GenerationId,
     ) -> CallFuture<'_, EngineProgress>;
 
+    /// Asks on a fresh connection which generation answers a request and how far it has come.
+    fn request_progress(
+        &self,
+        address: SocketAddr,
+        request: RequestId,
+    ) -> CallFuture<'_, EngineProgress>;
+
     /// Cancels a generation; an unknown one is no error.
     fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()>;
 
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, GenerationId, TargetName, TimeSpan};
+use base::{ClockTime, GenerationId, RequestId, TargetName, TimeSpan};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
@@ -232,6 +232,25 @@
         })
     }
 
+    fn request_progress(
+        &self,
+        address: SocketAddr,
+        request: RequestId,
+    ) -> CallFuture<'_, EngineProgress> {
+        Box::pin(async move {
+            let path = format!("/v1/requests/{request}");
+            let asked = plain_request(Method::GET, address, &path);
+            match self.ask(address, SendPhase::Fresh, asked).await {
+                // An engine without this path names no incarnation and proves nothing.
+                Err(EngineFault::Failed { status: 404, body }) => {
+                    parse_answer(&body).map_err(|_| EngineFault::UnknownGeneration)
+                }
+                Err(fault) => Err(fault),
+                Ok(body) => parse_answer(&body),
+            }
+        })
+    }
+
     fn cancel(&self, address: SocketAddr, generation: GenerationId) -> CallFuture<'_, ()> {
         Box::pin(async move {
             let path = format!("/v1/generations/{generation}");
--- a/crates/node/tests/support/fake_engine.rs
+++ b/crates/node/tests/support/fake_engine.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use base::{GenerationId, TargetName};
+use base::{GenerationId, RequestId, TargetName};
 use node::{
     CallFuture, EngineClient, EngineFault, EngineHealth, EngineLink, EngineOrder, EngineProgress,
     EngineStream,
@@ -38,6 +38,10 @@
         unreachable()
     }
 
+    fn request_progress(&self, _: SocketAddr, _: RequestId) -> CallFuture<'_, EngineProgress> {
+        unreachable()
+    }
+
     fn cancel(&self, _: SocketAddr, _: GenerationId) -> CallFuture<'_, ()> {
         unreachable()
     }
--- a/crates/standin/src/engine/engine_api.rs
+++ b/crates/standin/src/engine/engine_api.rs
@@ -19,6 +19,8 @@
 
 const BODY_LIMIT: usize = 8 << 20;
 const BODY_WAIT: TimeSpan = TimeSpan::from_secs(10);
+/// Path under which a request is asked for by its identifier.
+const REQUESTS_PATH: &str = "/v1/requests/";
 
 /// Form of the chunks that a call gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +62,9 @@
             Response::new(full_body("ok"))
         }
         (&Method::POST, "/v1/orders", _) => take_order(&state, request).await,
+        (&Method::GET, path, None) if path.starts_with(REQUESTS_PATH) => {
+            answer_request_progress(&state, &path[REQUESTS_PATH.len()..])
+        }
         (&Method::GET, _, Some(generation)) if events => resume_call(state, generation, &query),
         (&Method::GET, _, Some(generation)) => answer_progress(&state, &generation),
         (&Method::DELETE, _, Some(generation)) => cancel_call(&state, &generation),
@@ -142,6 +147,27 @@
     }
 }
 
+/// Names the incarnation in any case, so that a restarted engine is told from a slow request.
+fn answer_request_progress(state: &EngineState, request: &str) -> Response<WebBody> {
+    let generation = state.find_request(request);
+    let view = generation.and_then(|generation| state.read_generation(&generation));
+    let Some(view) = view else {
+        let body = json!({
+            "error": { "message": "no such request", "type": "engine_error" },
+            "incarnation": state.incarnation.0,
+        });
+        let mut response = Response::new(json_body(&body));
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    Response::new(json_body(&json!({
+        "incarnation": state.incarnation.0,
+        "generation": view.generation,
+        "produced": view.produced.0,
+        "ended": view.end.is_some(),
+    })))
+}
+
 fn cancel_call(state: &EngineState, generation: &GenerationId) -> Response<WebBody> {
     let cancelled = state.edit_model(|model, now| model.cancel_generation(now, generation));
     state.wake_streams();
--- a/crates/standin/src/engine/engine_state.rs
+++ b/crates/standin/src/engine/engine_state.rs
@@ -136,6 +136,14 @@
         self.lock().model.read_generation(generation)
     }
 
+    /// Returns the latest generation of a request.
+    pub fn find_request(&self, request: &str) -> Option<GenerationId> {
+        let records = self.log.records();
+        let mut latest = records.iter().rev();
+        let run = latest.find(|record| record.request == request)?;
+        run.generation.parse().ok()
+    }
+
     /// Watches for changes of any generation.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
