Let uncancellable work go on, exempt moved calls from the retry budget

Without a deadline the stale timer of the connection attempt cut a service call off after one second. Change: an uncancellable call has no deadline of its own, its callers have; a moved call needs no retry budget; the timer of a connection attempt ends with it. Conclusion: a caller's deadline ends its wait, not work that must not be cut.

--- a/crates/agatemoor/src/demo/demo_fleet.rs
+++ b/crates/agatemoor/src/demo/demo_fleet.rs
@@ -348,7 +348,7 @@
              service = orders"
         );
         text.push_str("[model quill]\nrepeatable = true\nweight_bytes = 1000000000\n");
-        text.push_str("[service orders]\nrepeatable = GET, HEAD\n");
+        text.push_str("[service orders]\nrepeatable = GET, HEAD\nuncancellable = true\n");
         let hash = hex_hash(CALLER_KEY);
         let _ = writeln!(
             text,
--- a/crates/node/src/caller/call_service.rs
+++ b/crates/node/src/caller/call_service.rs
@@ -63,7 +63,9 @@
     plan.resumable = false;
     plan.uninterruptible = declared.uncancellable;
     plan.mode = AnswerMode::Whole;
-    plan.deadline = Some(input.deadline(core.limits.deadline)?);
+    let deadline = input.deadline(core.limits.deadline)?;
+    // The work of an uncancellable call goes on; only its caller stops waiting.
+    plan.deadline = (!declared.uncancellable).then_some(deadline);
     plan.seed = rand::random();
     if !buffered {
         // The body can be handed to one attempt only.
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{ErrorKind, EventKind, RanState};
+use base::{ClockTime, ErrorKind, EventKind, RanState};
 use bytes::Bytes;
 use calls::CallFailure;
 use fleet::{DeclaredWorkspace, FleetDeclaration};
@@ -8,6 +8,7 @@
 use hyper::{Method, Request, Response};
 use serde_json::json;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::timeout;
 use web::{BodyError, HandlerFuture, WebBody, WebHandler, full_body, json_body, read_body};
 
 use super::answer_body::{respond_failure, respond_retained, respond_run, respond_shared};
@@ -274,8 +275,10 @@
         let Some(key) = key else {
             let run = self.buffered_run(&scene.view, &scene.fleet, &input)?;
             if self.is_uncancellable(&scene, &input) {
+                let deadline = input.deadline(self.core.limits.deadline)?;
                 let answer = self.run_apart(run, input);
-                return respond_shared(answer).await.map_err(InputFault::from);
+                let answered = self.respond_by(answer, deadline).await;
+                return answered.map_err(InputFault::from);
             }
             return self.answer_run(scene, input, run).await;
         };
@@ -353,10 +356,11 @@
         F: FnOnce() -> Result<CallRun, InputFault> + Send + 'static,
     {
         match answer_keyed(self.core.clone(), &input, key, make).await {
-            KeyedAnswer::Shared(answer) => match respond_shared(answer).await {
-                Ok(response) => Ok(response),
-                Err(failure) => Err(self.refuse(&input, failure).with_decision()),
-            },
+            KeyedAnswer::Shared(answer) => {
+                let deadline = input.deadline(self.core.limits.deadline)?;
+                let answered = self.respond_by(answer, deadline).await;
+                answered.map_err(|failure| self.refuse(&input, failure).with_decision())
+            }
             KeyedAnswer::Retained(answer) => {
                 self.core
                     .note(EventKind::AnswerReplayed, &input.request, "");
@@ -370,6 +374,18 @@
         }
     }
 
+    /// Responds from a shared answer; a caller whose deadline passes before its head gets an error
+    /// while the work goes on for others and for a resend.
+    async fn respond_by(
+        &self,
+        answer: SharedAnswer,
+        deadline: ClockTime,
+    ) -> Result<Response<WebBody>, CallFailure> {
+        let left = deadline - self.core.clock.now();
+        let answered = timeout(left.into(), respond_shared(answer)).await;
+        answered.unwrap_or_else(|_| Err(CallFailure::new(ErrorKind::DeadlineExceeded)))
+    }
+
     fn refuse(&self, input: &CallInput, failure: CallFailure) -> InputFault {
         let kind = EventKind::RequestRefused;
         self.core.note(kind, &input.request, failure.kind.into());
--- a/crates/node/src/relay/call_relay.rs
+++ b/crates/node/src/relay/call_relay.rs
@@ -89,6 +89,8 @@
     rejected: Option<(u16, Bytes)>,
     /// The caller has its answer while the work goes on.
     detached: bool,
+    /// The last attempt was cancelled before it began, to be run elsewhere.
+    moved: bool,
     ended: bool,
 }
 
@@ -128,6 +130,7 @@
             end_data: None,
             rejected: None,
             detached: false,
+            moved: false,
             ended: false,
         }
     }
@@ -223,6 +226,8 @@
         let sched = self.parts.sched.clone();
         self.placement = PlacementState::Waiting;
         let print = self.job.print;
+        // A moved call adds nothing to the offered load, so that it needs no retry budget.
+        let retry = retry && !std::mem::replace(&mut self.moved, false);
         let placed = self.or_timer(sched.submit(item, print, retry)).await;
         let Some(placed) = placed else {
             self.feed(CallEvent::Timer);
@@ -350,6 +355,7 @@
             self.cancel_unnamed(&target);
         }
         self.leave_target(FinishState::Cancelled);
+        self.moved = true;
         self.feed(CallEvent::TargetDied { target });
     }
 
--- a/crates/node/src/service/service_relay.rs
+++ b/crates/node/src/service/service_relay.rs
@@ -178,12 +178,19 @@
             self.feed(CallEvent::ConnectFailed { link });
             return;
         };
+        // The machine sets the timer of the connection attempt right behind the attempt itself.
+        if let Some(CallAction::SetTimer { at }) = self.actions.front() {
+            self.timer = Some(*at);
+            self.actions.pop_front();
+        }
         // A fresh connection leaves no doubt whether the request was sent.
         let pool = self.core.pool.clone();
         match self.or_timer(pool.connect(address, SendPhase::Fresh)).await {
             None => self.feed(CallEvent::Timer),
             Some(Ok(connection)) => {
                 self.connection = Some(connection);
+                // The timer of the connection attempt; the machine sets that of the deadline anew.
+                self.timer = None;
                 self.feed(CallEvent::Connected { link });
             }
             Some(Err(error)) => {
