Name shared headers in one place

Cause: three header names and the reading of Retry-After stood in two or three files each. Change: the module wire. Conclusion: a header is renamed in one place.

--- a/crates/node/src/caller/call_input.rs
+++ b/crates/node/src/caller/call_input.rs
@@ -9,12 +9,8 @@
 use sched::{CallKind, WorkItem};
 use tokio::sync::OwnedSemaphorePermit;
 
-/// Header with the time that the caller waits, in milliseconds.
-const DEADLINE_HEADER: &str = "x-request-timeout-ms";
-/// Header with a ticket or a key that the caller generated.
-pub const KEY_HEADER: &str = "idempotency-key";
-/// Header with the id of the last event that the caller got.
-const LAST_EVENT_HEADER: &str = "last-event-id";
+use crate::wire::{DEADLINE_HEADER, KEY_HEADER, LAST_EVENT_HEADER};
+
 /// Longest accepted key in bytes.
 const KEY_LIMIT: usize = 255;
 /// Headers that travel with a call to the node that runs it.
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -12,7 +12,7 @@
 use web::{BodyError, HandlerFuture, WebBody, WebHandler, full_body, json_body, read_body};
 
 use super::answer_body::{respond_failure, respond_retained, respond_run, respond_shared};
-use super::call_input::{KEY_HEADER, path_of};
+use super::call_input::path_of;
 use super::call_service::{make_service_job, split_service};
 use super::caller_auth::find_workspace;
 use super::forward_call::{forward_call, forward_far, wants_far};
@@ -20,6 +20,7 @@
 use super::keyed_call::{KeyedAnswer, answer_keyed};
 use super::model_list::{list_models, show_model};
 use super::{CallInput, CallRun, InputFault, error_response};
+use crate::wire::{KEY_HEADER, LAST_EVENT_HEADER};
 use crate::{
     CallRelay, ForwardedCall, NodeCore, NodeView, ServiceBody, ServiceRelay, SharedAnswer,
     WorkPermit,
@@ -95,7 +96,7 @@
             }
             (&Method::POST, "/v1/tickets") => self.issue_ticket(&workspace).await,
             (method, path) if generation_kind(path).is_some() => {
-                let resumes = request.headers().contains_key("last-event-id");
+                let resumes = request.headers().contains_key(LAST_EVENT_HEADER);
                 if method != Method::POST && !(method == Method::GET && resumes) {
                     return Err(CallFailure::new(ErrorKind::MethodNotAllowed).into());
                 }
--- a/crates/node/src/caller/error_response.rs
+++ b/crates/node/src/caller/error_response.rs
@@ -5,8 +5,7 @@
 use serde_json::{Value, json};
 use web::{WebBody, json_body};
 
-/// Header that tells whether the request ran.
-const RAN_HEADER: &str = "x-request-ran";
+use crate::wire::RAN_HEADER;
 
 /// OpenAI error object of a failure; it also tells whether the request ran and when to return.
 ///
--- a/crates/node/src/caller/forward_call.rs
+++ b/crates/node/src/caller/forward_call.rs
@@ -9,12 +9,10 @@
 use web::{BodyError, PooledSender, WebBody, stream_body};
 
 use super::CallInput;
-use super::call_input::KEY_HEADER;
 use super::call_run::{failed_outcome, whole_outcome};
+use crate::wire::{KEY_HEADER, RAN_HEADER};
 use crate::{AnswerHead, ForwardedCall, NodeCore, PeerFailure, SharedAnswer, WorkPermit};
 
-/// Header that tells whether the request ran.
-const RAN_HEADER: &str = "x-request-ran";
 /// Headers of a response that travel back to the caller.
 const KEPT_HEADERS: [HeaderName; 6] = [
     CONTENT_TYPE,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod service;
 mod target;
 mod view;
+mod wire;
 
 pub use actor::{
     CallPlacement, FleetActor, FleetHandle, FleetParts, FleetStatus, NodeIdentity, ProbeResult,
--- a/crates/node/src/service/service_relay.rs
+++ b/crates/node/src/service/service_relay.rs
@@ -9,23 +9,20 @@
 use calls::{CallAction, CallEvent, CallFailure, CallMachine, LinkNumber};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use sched::FinishState;
 use tokio::time::{sleep, timeout};
 use web::{BodyError, PooledSender, SendPhase, WebBody, WebError, full_body};
 
 use super::{ServiceBody, ServiceJob};
+use crate::wire::{ADMITTED_HEADER, DEADLINE_HEADER, read_retry_after};
 use crate::{AnswerHead, CallPlacement, NodeCore};
 
 /// Name under which the call machine knows the answer of a service, which has no generations.
 const ANSWER_NAME: &str = "answer";
-/// Header with the time that the caller still waits, in milliseconds.
-const DEADLINE_HEADER: &str = "x-request-timeout-ms";
 /// Longest wait when nothing is due.
 const IDLE_WAIT: TimeSpan = TimeSpan::from_secs(3_600);
-/// Header by which a service says that it did not admit a request.
-const ADMITTED_HEADER: &str = "x-admitted";
 
 /// What a service call has for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -265,7 +262,7 @@
         let refused = response.headers().get(ADMITTED_HEADER);
         let unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         if unavailable && refused.is_some_and(|value| value == "no") {
-            let retry_after = read_retry_after(&response);
+            let retry_after = read_retry_after(response.headers());
             self.feed(CallEvent::NotAdmitted { link, retry_after });
             return None;
         }
@@ -425,9 +422,3 @@
     });
     web::stream_body(parts)
 }
-
-fn read_retry_after(response: &Response<Incoming>) -> Option<TimeSpan> {
-    let value = response.headers().get(RETRY_AFTER)?;
-    let secs = value.to_str().ok()?.parse().ok()?;
-    Some(TimeSpan::from_secs(secs))
-}
--- a/crates/node/src/target/http_engine.rs
+++ b/crates/node/src/target/http_engine.rs
@@ -3,7 +3,7 @@
 use base::{ClockTime, GenerationId, RequestId, TargetName, TimeSpan};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use sched::{LoadReport, WorkPriority};
 use serde::Deserialize;
@@ -19,15 +19,12 @@
     EngineProgress, EngineStream, parse_load,
 };
 use crate::SystemClock;
+use crate::wire::{ADMITTED_HEADER, DEADLINE_HEADER, read_retry_after};
 
 /// Longest body of an answer that is not a stream.
 const ANSWER_LIMIT: usize = 1 << 20;
 /// Longest wait for an answer that is not a stream.
 const ANSWER_WAIT: TimeSpan = TimeSpan::from_secs(2);
-/// Header by which an engine says that it did not admit a request.
-const ADMITTED_HEADER: &str = "x-admitted";
-/// Header with the time that the caller still waits, in milliseconds.
-const DEADLINE_HEADER: &str = "x-request-timeout-ms";
 /// Header in which an engine names the generation before its first token.
 const GENERATION_HEADER: &str = "x-generation-id";
 
@@ -102,7 +99,7 @@
         }
         let refused = response.headers().get(ADMITTED_HEADER);
         if refused.is_some_and(|value| value == "no") {
-            let retry_after = read_retry_after(&response);
+            let retry_after = read_retry_after(response.headers());
             return Err(EngineFault::NotAdmitted { retry_after });
         }
         let status = response.status().as_u16();
@@ -379,9 +376,3 @@
     }
     request
 }
-
-fn read_retry_after(response: &Response<Incoming>) -> Option<TimeSpan> {
-    let value = response.headers().get(RETRY_AFTER)?;
-    let secs = value.to_str().ok()?.parse().ok()?;
-    Some(TimeSpan::from_secs(secs))
-}
