Let the history of real processes run callers' own keys

Cause: homes of keys are young for ten minutes, so that no history ran an order under a key of the caller's own. Change: the processes of the tests get a key lifetime of 20 s. The tests faults, smoke and bad_input pass.

--- a/crates/agatemoor/tests/common/process_fleet.rs
+++ b/crates/agatemoor/tests/common/process_fleet.rs
@@ -375,7 +375,7 @@
         };
         let text = format!(
             "[node]\nname = {name}\ndomain = {domain}\n\
-             [callers]\nlisten = {callers}\n\
+             [callers]\nlisten = {callers}\nkey_lifetime_ms = 20000\n\
              [operators]\nlisten = {operators}\n\
              [peers]\nlisten = {peers}\nkey = peer secret of the tests\n{seeds}\
              [platform]\naddress = {platform}\nprefix = {PREFIX}\n"
