--- /dev/null
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -0,0 +1,82 @@
+use argh::FromArgs;
+use base::EventKind;
+use gateway::GatewayServer;
+use platform::{BootFile, make_ports};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::node_command::stop_signal;
+
+/// Run an entry node on the users' platform until SIGTERM or SIGINT; SIGHUP reads the settings again.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "gateway",
+    example = "Run with the settings that AGATEMOOR_BOOT names and serve metrics on port 9464:\n  $ agatemoor gateway --metrics-port 9464",
+    example = "Check settings:\n  $ agatemoor gateway --settings local.json --check"
+)]
+pub struct GatewayCommand {
+    /// settings file; without it, the variable AGATEMOOR_BOOT names it
+    #[argh(option)]
+    settings: Option<String>,
+
+    /// port of the metrics on the node's address; none without it
+    #[argh(option)]
+    metrics_port: Option<u16>,
+
+    /// read the settings, say what is wrong with them and end
+    #[argh(switch)]
+    check: bool,
+}
+
+impl GatewayCommand {
+    /// Runs the node.
+    pub async fn run(self) -> u8 {
+        let boot = match &self.settings {
+            Some(path) => Ok(BootFile::new(path)),
+            None => BootFile::from_env(),
+        };
+        let boot = boot.map(|boot| boot.with_metrics_port(self.metrics_port));
+        let read = boot.and_then(|boot| Ok((boot.read_all()?, boot)));
+        let ((settings, store), boot) = match read {
+            Ok(read) => read,
+            Err(mistake) => {
+                eprintln!("{mistake}");
+                return EXIT_USAGE;
+            }
+        };
+        if self.check {
+            println!("settings of {} are usable", settings.node);
+            return EXIT_DONE;
+        }
+        let started = GatewayServer::start(settings, make_ports(boot, store)).await;
+        let server = match started {
+            Ok(server) => server,
+            Err(failure) => {
+                eprintln!("{failure}");
+                return EXIT_FAILED;
+            }
+        };
+        serve_until_stopped(&server).await;
+        server.stop().await;
+        EXIT_DONE
+    }
+}
+
+async fn serve_until_stopped(server: &GatewayServer) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            let number = EventKind::ProcessMessage.number();
+            log::warn!(event = number; "SIGHUP is not handled: {error}");
+            return stop_signal().await;
+        }
+    };
+    let mut stop = Box::pin(stop_signal());
+    loop {
+        tokio::select! {
+            () = &mut stop => return,
+            _ = hangup.recv() => server.reload("SIGHUP"),
+        }
+    }
+}
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -6,13 +6,14 @@
 use tokio::runtime::{Builder, Runtime};
 
 use super::check_command::CheckCommand;
+use super::gateway_command::GatewayCommand;
 use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
 use super::standin_command::StandInCommand;
 use super::status_command::StatusCommand;
 use super::timeline_command::TimelineCommand;
 use crate::demo::DemoCommand;
-use crate::logging::{LogFormat, start_logging};
+use crate::logging::{LogFormat, start_bounded_logging, start_logging};
 
 /// Exit code of a command that did its work.
 pub const EXIT_DONE: u8 = 0;
@@ -46,6 +47,7 @@
 #[argh(subcommand)]
 enum SubCommand {
     Node(NodeCommand),
+    Gateway(GatewayCommand),
     Check(CheckCommand),
     Status(StatusCommand),
     Timeline(TimelineCommand),
@@ -73,9 +75,14 @@
             true => LevelFilter::Error,
             false => LevelFilter::Info,
         };
-        start_logging(self.log_format, self.log_level.unwrap_or(default));
+        let level = self.log_level.unwrap_or(default);
+        match self.sub {
+            SubCommand::Gateway(_) => start_bounded_logging(level),
+            _ => start_logging(self.log_format, level),
+        }
         let code = match self.sub {
             SubCommand::Node(command) => run_async(command.run()),
+            SubCommand::Gateway(command) => run_on_one_thread(command.run()),
             SubCommand::Check(command) => command.run(),
             SubCommand::Status(command) => run_async(command.run()),
             SubCommand::Timeline(command) => run_async(command.run()),
@@ -102,7 +109,16 @@
 
 /// Runs asynchronous work on threads of its own.
 pub fn run_async(work: impl Future<Output = u8>) -> u8 {
-    let runtime: Result<Runtime, _> = Builder::new_multi_thread().enable_all().build();
+    run_with(Builder::new_multi_thread(), work)
+}
+
+/// Runs asynchronous work on this thread, for processes that have a part of one core.
+fn run_on_one_thread(work: impl Future<Output = u8>) -> u8 {
+    run_with(Builder::new_current_thread(), work)
+}
+
+fn run_with(mut builder: Builder, work: impl Future<Output = u8>) -> u8 {
+    let runtime: Result<Runtime, _> = builder.enable_all().build();
     match runtime {
         Ok(runtime) => {
             let code = runtime.block_on(work);
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod check_command;
+mod gateway_command;
 mod load_command;
 mod load_over_http;
 mod load_virtual;
--- a/crates/agatemoor/src/logging/log_format.rs
+++ b/crates/agatemoor/src/logging/log_format.rs
@@ -21,21 +21,29 @@
 
 /// Sends the log to standard error; a second call changes nothing.
 pub fn start_logging(format: LogFormat, level: LevelFilter) {
-    let started = Dispatch::new()
-        .level(LevelFilter::Warn)
-        .level_for("event", level)
-        .level_for("agatemoor", level)
-        .level_for("web", level)
-        .level_for("node", level)
-        .level_for("load", level)
-        .format(move |out, message, record| match format {
-            LogFormat::Text => out.finish(format_args!("{}", text_line(record, message))),
-            LogFormat::Json => out.finish(format_args!("{}", json_line(record, message))),
-        })
-        .chain(stderr())
-        .apply();
     // A logger that was set before goes on.
-    drop(started);
+    drop(make_dispatch(format, level).chain(stderr()).apply());
+}
+
+/// Formats and filters records for any output.
+pub(super) fn make_dispatch(format: LogFormat, level: LevelFilter) -> Dispatch {
+    let own = [
+        "event",
+        "agatemoor",
+        "web",
+        "node",
+        "load",
+        "gateway",
+        "platform",
+    ];
+    let dispatch = Dispatch::new().level(LevelFilter::Warn);
+    let dispatch = own
+        .into_iter()
+        .fold(dispatch, |dispatch, name| dispatch.level_for(name, level));
+    dispatch.format(move |out, message, record| match format {
+        LogFormat::Text => out.finish(format_args!("{}", text_line(record, message))),
+        LogFormat::Json => out.finish(format_args!("{}", json_line(record, message))),
+    })
 }
 
 /// Fields of a record, such as its event number.
--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -61,6 +61,8 @@
     LoadProgress = 1008, "The load tool reports its progress.";
     ProcessMessage = 1010, "A message of the program that belongs to no other event.";
     NodeReady = 1009, "The node has compared its declaration and serves callers.";
+    SettingsReloaded = 1011, "The settings were read again.";
+    LogLinesDropped = 1012, "Log lines were dropped since the reader of the log was too slow.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
     AttemptSent = 2003, "An attempt may have reached its target.";
@@ -73,6 +75,9 @@
     TicketIssued = 2010, "A ticket was issued.";
     AnswerReplayed = 2011, "A resend got the answer of the first attempt.";
     CallForwarded = 2012, "A call was passed to the node that alone may run it.";
+    MoveStarted = 2013, "The memory of a running generation is being copied to another engine.";
+    MoveFinished = 2014, "A generation goes on at another engine.";
+    MoveFailed = 2015, "A generation could not be moved.";
     TargetUp = 3001, "A target answered a probe for the first time or again.";
     TargetDown = 3002, "A target stopped answering.";
     TargetLeaving = 3003, "A target started to leave and gets no new work.";
@@ -81,6 +86,8 @@
     CrashCondemned = 3006, "A request is refused since it crashed its targets.";
     BreakerOpened = 3007, "The circuit breaker of a target opened.";
     BreakerClosed = 3008, "The circuit breaker of a target closed.";
+    TargetUnreadable = 3009, "The entry of a target could not be read and is passed over.";
+    TargetsRead = 3010, "The list of targets changed and was read.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer missed its probes.";
     PeerDead = 4003, "A peer was declared dead.";
--- /dev/null
+++ b/crates/entry/src/config/mod.rs
@@ -0,0 +1,15 @@
+//! The configuration that operators publish, as decisions use it.
+
+mod config_version;
+mod request_limits;
+mod route_rule;
+mod serve_config;
+mod service_spec;
+mod workspace_rule;
+
+pub use config_version::ConfigVersion;
+pub use request_limits::RequestLimits;
+pub use route_rule::{RepeatRule, RouteRule, ServiceWeight};
+pub use serve_config::{KeyDenial, ServeConfig};
+pub use service_spec::{EngineSpec, ServiceSpec};
+pub use workspace_rule::WorkspaceRule;
--- /dev/null
+++ b/crates/entry/src/config/serve_config.rs
@@ -0,0 +1,115 @@
+use base::ServiceName;
+use smol_str::SmolStr;
+
+use super::{ConfigVersion, RequestLimits, RouteRule, ServiceSpec, WorkspaceRule};
+
+/// The call carries no key that its route accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyDenial;
+
+/// One published configuration.
+///
+/// ```
+/// let config = entry::ServeConfig::default();
+/// assert!(config.route("shop.example", "/orders/1").is_none());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServeConfig {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Bounds of requests.
+    pub limits: RequestLimits,
+    /// Sorted by host, then longest prefix first.
+    routes: Vec<RouteRule>,
+    /// Sorted by name.
+    services: Vec<ServiceSpec>,
+    workspaces: Vec<WorkspaceRule>,
+    /// Sorted keys with the place of their workspace.
+    keys: Vec<(SmolStr, usize)>,
+}
+
+impl ServeConfig {
+    /// Creates a configuration without routes.
+    pub fn new(version: ConfigVersion, limits: RequestLimits) -> Self {
+        Self {
+            version,
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Returns this configuration with these routes.
+    #[must_use]
+    pub fn with_routes(mut self, mut routes: Vec<RouteRule>) -> Self {
+        routes.sort_by(|left, right| {
+            let length = right.prefix.len().cmp(&left.prefix.len());
+            left.host.cmp(&right.host).then(length)
+        });
+        self.routes = routes;
+        self
+    }
+
+    /// Returns this configuration with these services.
+    #[must_use]
+    pub fn with_services(mut self, mut services: Vec<ServiceSpec>) -> Self {
+        services.sort_by(|left, right| left.name.cmp(&right.name));
+        self.services = services;
+        self
+    }
+
+    /// Returns this configuration with these workspaces; without any, no call needs a key.
+    #[must_use]
+    pub fn with_workspaces(mut self, workspaces: Vec<WorkspaceRule>) -> Self {
+        self.keys = Vec::new();
+        for (place, workspace) in workspaces.iter().enumerate() {
+            let keys = workspace.keys.iter().map(|key| (key.clone(), place));
+            self.keys.extend(keys);
+        }
+        self.keys.sort();
+        self.workspaces = workspaces;
+        self
+    }
+
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Finds the route of a host, in lower case and without a port, with the longest prefix of
+    /// `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let start = self.routes.partition_point(|route| *route.host < *host);
+        let routes = self.routes[start..].iter();
+        let mut of_host = routes.take_while(|route| route.host == host);
+        of_host.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        let found = self.services.binary_search_by(|spec| spec.name.cmp(name));
+        found.ok().map(|at| &self.services[at])
+    }
+
+    /// Finds the workspace that a call belongs to.
+    ///
+    /// # Errors
+    /// `KeyDenial` if the route needs a key and none of a workspace is given.
+    pub fn authorize(
+        &self,
+        route: &RouteRule,
+        key: Option<&str>,
+    ) -> Result<Option<&WorkspaceRule>, KeyDenial> {
+        let found = key.and_then(|key| self.workspace_of(key));
+        if found.is_none() && !self.workspaces.is_empty() && !route.is_public {
+            return Err(KeyDenial);
+        }
+        Ok(found)
+    }
+
+    fn workspace_of(&self, key: &str) -> Option<&WorkspaceRule> {
+        let found = self
+            .keys
+            .binary_search_by(|(known, _)| known.as_str().cmp(key));
+        found.ok().map(|at| &self.workspaces[self.keys[at].1])
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config/service_spec.rs
@@ -0,0 +1,25 @@
+use base::{ServiceName, TokenCount};
+
+/// Size of each engine of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit in its memory.
+    pub memory: TokenCount,
+    /// Whether running generations can be moved to another engine.
+    pub can_move: bool,
+    /// Whether the memory of a generation can be copied to another engine as it grows.
+    pub can_back_up: bool,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
+}
+
+/// A service as operators declare it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Present if the targets are model engines.
+    pub engine: Option<EngineSpec>,
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of an entry node that routes by host and path: routes, targets, admission, retries
+//! and moves of running generations.
+//!
+//! Events and a time go in, decisions come out; nothing here does I/O.
+
+mod config;
+mod line;
+mod moves;
+mod retry;
+mod target;
+mod view;
+
+pub use config::{
+    ConfigVersion, EngineSpec, KeyDenial, RepeatRule, RequestLimits, RouteRule, ServeConfig,
+    ServiceSpec, ServiceWeight, WorkspaceRule,
+};
+pub use line::{LineTicket, WaitLine};
+pub use moves::{MovePhase, MovePlan, MoveStep, StreamFacts};
+pub use retry::RetryShare;
+pub use target::{
+    LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetBoard, TargetHealth, TargetOutcome,
+    TargetPhase, TargetRecord, TargetState,
+};
+pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- /dev/null
+++ b/crates/entry/src/moves/mod.rs
@@ -0,0 +1,7 @@
+//! Moves of running generations from engines that leave.
+
+mod move_plan;
+mod stream_facts;
+
+pub use move_plan::{MovePhase, MovePlan, MoveStep};
+pub use stream_facts::StreamFacts;
--- /dev/null
+++ b/crates/entry/src/target/load_sum.rs
@@ -0,0 +1,49 @@
+use std::ops::{AddAssign, SubAssign};
+
+use base::{ClockTime, NodeName, TargetName};
+use serde::{Deserialize, Serialize};
+
+/// Load that calls put on one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSum {
+    /// Calls sent and not ended.
+    pub calls: u32,
+    /// Tokens that these calls are expected to hold at their end.
+    pub tokens: u64,
+    /// Prompt tokens of calls that have produced nothing yet.
+    pub prefill: u64,
+}
+
+impl LoadSum {
+    /// Whether nothing is left.
+    pub fn is_empty(&self) -> bool {
+        self.calls == 0
+    }
+}
+
+impl AddAssign for LoadSum {
+    fn add_assign(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.tokens += other.tokens;
+        self.prefill += other.prefill;
+    }
+}
+
+impl SubAssign for LoadSum {
+    fn sub_assign(&mut self, other: Self) {
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.prefill = self.prefill.saturating_sub(other.prefill);
+    }
+}
+
+/// Load that one peer puts on targets, as it said last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerLoads {
+    /// The peer.
+    pub node: NodeName,
+    /// When it said so.
+    pub heard_at: ClockTime,
+    /// Loads, sorted by target.
+    pub loads: Vec<(TargetName, LoadSum)>,
+}
--- /dev/null
+++ b/crates/entry/src/target/mod.rs
@@ -0,0 +1,15 @@
+//! Targets: what is known of each, its load and health, and the choice of one for a call.
+
+mod load_sum;
+mod place_choice;
+mod target_board;
+mod target_health;
+mod target_record;
+mod target_state;
+
+pub use load_sum::{LoadSum, PeerLoads};
+pub use place_choice::{PlaceChoice, PlaceNeed};
+pub use target_board::TargetBoard;
+pub use target_health::{TargetHealth, TargetOutcome};
+pub use target_record::TargetRecord;
+pub use target_state::{TargetPhase, TargetState};
--- /dev/null
+++ b/crates/entry/src/target/place_choice.rs
@@ -0,0 +1,30 @@
+use base::{DomainName, ServiceName, TargetName};
+
+use super::LoadSum;
+use crate::EngineSpec;
+
+/// What a call needs of a target.
+#[derive(Clone, Debug)]
+pub struct PlaceNeed {
+    /// Service that the call goes to.
+    pub service: ServiceName,
+    /// Sizes of the engines; `None` for a plain service.
+    pub engine: Option<EngineSpec>,
+    /// Load that the call adds.
+    pub load: LoadSum,
+    /// Targets that must not be used.
+    pub excluded: Vec<TargetName>,
+    /// Failure domain that holds the memory of a generation that moves.
+    pub moves_from: Option<DomainName>,
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlaceChoice {
+    /// To this target.
+    Target(TargetName),
+    /// Nowhere now, as every target is full or paused.
+    Full,
+    /// Nowhere, as the service has no target that is up.
+    Absent,
+}
--- /dev/null
+++ b/crates/entry/src/target/target_board.rs
@@ -0,0 +1,299 @@
+use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::{
+    LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetOutcome, TargetPhase, TargetRecord,
+    TargetState,
+};
+use crate::{EngineSpec, LapseGuard};
+
+/// Share of an engine's memory that expected peaks may take; the rest absorbs wrong predictions.
+const MEMORY_SHARE: f64 = 0.95;
+/// Prompt tokens that an engine reads in a millisecond while it also decodes.
+///
+/// Source: 14 tokens/ms alone, in chunks that alternate with steps of about the same length.
+const PREFILL_RATE: f64 = 7.0;
+/// Delay in milliseconds that each further running call adds to the steps of one event.
+const CALL_DELAY_MS: f64 = 3.0;
+/// Cost in milliseconds of a full memory; preemptions become likely there.
+const MEMORY_COST_MS: f64 = 250.0;
+/// Cost in milliseconds of each call on a plain target.
+const PLAIN_CALL_MS: f64 = 12.0;
+/// Cost in milliseconds of a call that fails.
+const FAILURE_COST_MS: f64 = 800.0;
+/// Cost in milliseconds of another failure domain: transfer price and exposure to cuts.
+const DOMAIN_COST_MS: f64 = 6.0;
+/// Cost in milliseconds of moving a generation to another failure domain, which takes twice as long
+/// and delays the moves queued behind it.
+const MOVE_DOMAIN_COST_MS: f64 = 60.0;
+/// Cost in milliseconds of a target that is still slow after its start.
+const COLD_COST_MS: f64 = 40.0;
+/// Costs that differ less than this many milliseconds count as equal, so that nodes with the same
+/// view do not all choose the same target.
+const TIE_MS: f64 = 20.0;
+/// Age at which the loads of a silent peer are dropped.
+const PEER_EXPIRY: TimeSpan = TimeSpan::new(2_500);
+
+/// Targets of all services with their load and health; chooses one for each call.
+#[derive(Debug)]
+pub struct TargetBoard {
+    domain: DomainName,
+    /// Sorted by name.
+    targets: Vec<TargetState>,
+    /// Sorted by node.
+    peers: Vec<PeerLoads>,
+    random: Pcg64,
+}
+
+impl TargetBoard {
+    /// Creates an empty board of a node in `domain`; equal seeds and events give equal choices.
+    ///
+    /// ```
+    /// let board = entry::TargetBoard::new("patan".parse().unwrap(), 7);
+    /// assert_eq!(board.targets().len(), 0);
+    /// ```
+    pub fn new(domain: DomainName, seed: u64) -> Self {
+        Self {
+            domain,
+            targets: Vec::new(),
+            peers: Vec::new(),
+            random: Pcg64::seed_from_u64(seed),
+        }
+    }
+
+    /// Known targets, sorted by name.
+    pub fn targets(&self) -> &[TargetState] {
+        &self.targets
+    }
+
+    /// Finds a target.
+    pub fn target(&self, name: &TargetName) -> Option<&TargetState> {
+        self.find(name).ok().map(|at| &self.targets[at])
+    }
+
+    /// Takes all registered targets; returns those that left or started to leave.
+    pub fn take_records(
+        &mut self,
+        now: ClockTime,
+        records: Vec<TargetRecord>,
+        guard: &LapseGuard,
+    ) -> Vec<TargetName> {
+        let mut listed: Vec<_> = records.iter().map(|record| record.name.clone()).collect();
+        listed.sort();
+        let mut leaving = Vec::new();
+        for record in records {
+            self.take_record(now, record, &mut leaving);
+        }
+        self.drop_missing(now, &listed, guard, &mut leaving);
+        self.sum_peers();
+        leaving
+    }
+
+    /// Lets time pass; returns targets whose entry stayed away.
+    pub fn on_tick(&mut self, now: ClockTime) -> Vec<TargetName> {
+        let mut leaving = Vec::new();
+        for state in &mut self.targets {
+            if matches!(state.phase, TargetPhase::Lapsed(until) if until <= now) {
+                state.phase = TargetPhase::Leaving;
+                leaving.push(state.record.name.clone());
+            }
+        }
+        let before = self.peers.len();
+        self.peers
+            .retain(|peer| now.since(peer.heard_at) < PEER_EXPIRY);
+        if before != self.peers.len() {
+            self.sum_peers();
+        }
+        leaving
+    }
+
+    /// Takes what a peer has in flight.
+    pub fn take_peer(&mut self, loads: PeerLoads) {
+        match self.find_peer(&loads.node) {
+            Ok(at) => self.peers[at] = loads,
+            Err(at) => self.peers.insert(at, loads),
+        }
+        self.sum_peers();
+    }
+
+    /// Load of this node on each target, sorted by target.
+    pub fn own_loads(&self) -> Vec<(TargetName, LoadSum)> {
+        let busy = self.targets.iter().filter(|state| !state.own.is_empty());
+        busy.map(|state| (state.record.name.clone(), state.own))
+            .collect()
+    }
+
+    /// Chooses a target for a call.
+    pub fn place(&mut self, now: ClockTime, need: &PlaceNeed) -> PlaceChoice {
+        let mut is_present = false;
+        let mut costs = Vec::new();
+        for (at, state) in self.targets.iter().enumerate() {
+            if state.record.service != need.service || state.phase == TargetPhase::Leaving {
+                continue;
+            }
+            is_present = true;
+            if need.excluded.contains(&state.record.name) || !state.accepts(now) {
+                continue;
+            }
+            if let Some(cost) = self.cost(now, state, need) {
+                costs.push((cost, at));
+            }
+        }
+        let least = costs.iter().map(|(cost, _)| *cost).reduce(f64::min);
+        let Some(least) = least else {
+            return match is_present {
+                true => PlaceChoice::Full,
+                false => PlaceChoice::Absent,
+            };
+        };
+        costs.retain(|(cost, _)| *cost < least + TIE_MS);
+        let pick = self.random.random_range(0..costs.len());
+        PlaceChoice::Target(self.targets[costs[pick].1].record.name.clone())
+    }
+
+    /// Adds a call to the load of a target.
+    pub fn add(&mut self, name: &TargetName, load: LoadSum) {
+        if let Ok(at) = self.find(name) {
+            self.targets[at].own += load;
+        }
+    }
+
+    /// Takes a call off the load of a target and forgets the target if it has left.
+    pub fn remove(&mut self, name: &TargetName, load: LoadSum) {
+        let Ok(at) = self.find(name) else {
+            return;
+        };
+        let state = &mut self.targets[at];
+        state.own -= load;
+    }
+
+    /// Notes how a call at a target ended.
+    pub fn note(&mut self, now: ClockTime, name: &TargetName, outcome: TargetOutcome) {
+        if let Ok(at) = self.find(name) {
+            self.targets[at].health.note(now, outcome);
+        }
+    }
+
+    fn cost(&self, now: ClockTime, state: &TargetState, need: &PlaceNeed) -> Option<f64> {
+        let mut cost = match need.engine {
+            Some(spec) => engine_cost(state, need, spec)?,
+            None => plain_cost(state)?,
+        };
+        cost += state.health.failure_share(now) * FAILURE_COST_MS;
+        cost += match &need.moves_from {
+            Some(domain) if *domain != state.record.domain => MOVE_DOMAIN_COST_MS,
+            None if self.domain != state.record.domain => DOMAIN_COST_MS,
+            _ => 0.0,
+        };
+        if now < state.warm_at {
+            cost += COLD_COST_MS;
+        }
+        Some(cost)
+    }
+
+    fn take_record(&mut self, now: ClockTime, record: TargetRecord, leaving: &mut Vec<TargetName>) {
+        let at = match self.find(&record.name) {
+            Ok(at) if self.targets[at].record.incarnation == record.incarnation => at,
+            Ok(at) => {
+                // The new process knows nothing of the calls of the old one, which fail by
+                // themselves; their load is taken off as they end.
+                let own = self.targets[at].own;
+                self.targets[at] = TargetState::new(now, record);
+                self.targets[at].own = own;
+                return;
+            }
+            Err(at) => {
+                self.targets.insert(at, TargetState::new(now, record));
+                return;
+            }
+        };
+        let state = &mut self.targets[at];
+        let was_leaving = state.phase == TargetPhase::Leaving;
+        state.phase = match record.is_leaving {
+            true => TargetPhase::Leaving,
+            false => TargetPhase::Ready,
+        };
+        if record.is_leaving && !was_leaving {
+            leaving.push(record.name.clone());
+        }
+        state.record = record;
+    }
+
+    fn drop_missing(
+        &mut self,
+        now: ClockTime,
+        listed: &[TargetName],
+        guard: &LapseGuard,
+        leaving: &mut Vec<TargetName>,
+    ) {
+        let is_missing = |state: &&TargetState| listed.binary_search(&state.record.name).is_err();
+        let ready = |state: &&TargetState| state.phase == TargetPhase::Ready;
+        let count = self.targets.iter().filter(ready).count();
+        let missing = self.targets.iter().filter(ready).filter(is_missing).count();
+        let keep_until = guard.keep_until(now, missing, count);
+        for state in &mut self.targets {
+            if listed.binary_search(&state.record.name).is_ok() {
+                continue;
+            }
+            match (state.phase, keep_until) {
+                (TargetPhase::Ready, Some(until)) => state.phase = TargetPhase::Lapsed(until),
+                (TargetPhase::Ready, None) => {
+                    state.phase = TargetPhase::Leaving;
+                    leaving.push(state.record.name.clone());
+                }
+                (TargetPhase::Lapsed(_) | TargetPhase::Leaving, _) => {}
+            }
+        }
+        self.targets.retain(|state| {
+            let is_listed = listed.binary_search(&state.record.name).is_ok();
+            is_listed || state.phase != TargetPhase::Leaving || !state.own.is_empty()
+        });
+    }
+
+    fn sum_peers(&mut self) {
+        for state in &mut self.targets {
+            state.peers = LoadSum::default();
+        }
+        for peer in &self.peers {
+            for (name, load) in &peer.loads {
+                let found = self
+                    .targets
+                    .binary_search_by(|state| state.record.name.cmp(name));
+                if let Ok(at) = found {
+                    self.targets[at].peers += *load;
+                }
+            }
+        }
+    }
+
+    fn find(&self, name: &TargetName) -> Result<usize, usize> {
+        self.targets
+            .binary_search_by(|state| state.record.name.cmp(name))
+    }
+
+    fn find_peer(&self, node: &NodeName) -> Result<usize, usize> {
+        self.peers.binary_search_by(|peer| peer.node.cmp(node))
+    }
+}
+
+/// Expected delay of a call on an engine; `None` if the engine has no room.
+fn engine_cost(state: &TargetState, need: &PlaceNeed, spec: EngineSpec) -> Option<f64> {
+    let total = state.total();
+    let limit = f64::from(spec.memory.0) * MEMORY_SHARE;
+    let tokens = (total.tokens + need.load.tokens) as f64;
+    if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
+        return None;
+    }
+    let fill = tokens / limit;
+    let prefill = total.prefill as f64 / PREFILL_RATE;
+    Some(prefill + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
+}
+
+/// Expected delay of a call on a plain target; `None` if this node keeps all its slots busy.
+///
+/// Calls of peers are not counted: they end sooner than the peers can tell of them.
+fn plain_cost(state: &TargetState) -> Option<f64> {
+    let has_room = state.own.calls < state.record.slots.max(1);
+    has_room.then(|| f64::from(state.own.calls) * PLAIN_CALL_MS)
+}
--- /dev/null
+++ b/crates/entry/src/target/target_state.rs
@@ -0,0 +1,61 @@
+use base::ClockTime;
+
+use super::{LoadSum, TargetHealth, TargetRecord};
+
+/// Whether a target takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetPhase {
+    /// It takes calls.
+    Ready,
+    /// Its entry vanished, perhaps only since the store was away; it takes calls until then.
+    Lapsed(ClockTime),
+    /// It leaves or left; calls on it may still end.
+    Leaving,
+}
+
+/// What this node knows of one target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// Entry of the target.
+    pub record: TargetRecord,
+    /// Whether it takes calls.
+    pub phase: TargetPhase,
+    /// Calls of this node.
+    pub own: LoadSum,
+    /// Calls of peers.
+    pub peers: LoadSum,
+    /// How its calls ended.
+    pub health: TargetHealth,
+    /// When it is no longer slow after its start.
+    pub warm_at: ClockTime,
+}
+
+impl TargetState {
+    /// Creates the state of a target that has just appeared.
+    pub fn new(now: ClockTime, record: TargetRecord) -> Self {
+        let phase = match record.is_leaving {
+            true => TargetPhase::Leaving,
+            false => TargetPhase::Ready,
+        };
+        Self {
+            warm_at: now + record.cold_left,
+            record,
+            phase,
+            own: LoadSum::default(),
+            peers: LoadSum::default(),
+            health: TargetHealth::default(),
+        }
+    }
+
+    /// Whether new calls may be sent, leaving load aside.
+    pub fn accepts(&self, now: ClockTime) -> bool {
+        self.phase != TargetPhase::Leaving && self.health.accepts(now)
+    }
+
+    /// Load of this node and its peers.
+    pub fn total(&self) -> LoadSum {
+        let mut total = self.own;
+        total += self.peers;
+        total
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -0,0 +1,123 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::EventKind;
+use tokio::time::sleep;
+
+use crate::{GatewayCore, SourceFailure, ViewArea};
+
+/// Pause between two waits for changes, so that changes in quick succession share a call.
+const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a first failure; a waiting call may be cut without any outage.
+const FIRST_PAUSE: Duration = Duration::from_millis(30);
+/// Pause after further failures.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Keeps one area of the published items up to date.
+pub struct ViewFeed {
+    core: Arc<GatewayCore>,
+    area: ViewArea,
+    failures: u32,
+}
+
+impl ViewFeed {
+    /// Creates the feed of an area.
+    pub fn new(core: Arc<GatewayCore>, area: ViewArea) -> Self {
+        Self {
+            core,
+            area,
+            failures: 0,
+        }
+    }
+
+    /// Reads until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            match self.read().await {
+                Ok(()) => {
+                    self.note_answer();
+                    sleep(CHANGE_PAUSE).await;
+                }
+                Err(failure) => {
+                    self.note_failure(&failure);
+                    let pause = match self.failures {
+                        1 => FIRST_PAUSE,
+                        _ => FAILURE_PAUSE,
+                    };
+                    sleep(pause).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), SourceFailure> {
+        let area = self.area;
+        let known = self
+            .core
+            .with_state(|state, _| state.view.mirror(area).revision());
+        let source = &self.core.ports.source;
+        let Some(known) = known.filter(|_| self.failures == 0) else {
+            // After a failure the items are read anew: that shows at once whether the store is
+            // back, while a wait for changes shows nothing until there is one.
+            let (revision, items) = source.read_all(area).await?;
+            self.note_answer();
+            self.core.take_items(area, revision, items, "store");
+            return Ok(());
+        };
+        match source.wait_changes(area, known).await {
+            Ok(batch) => {
+                self.core.take_batch(area, batch);
+                Ok(())
+            }
+            Err(SourceFailure::HistoryGone) => {
+                let (revision, items) = source.read_all(area).await?;
+                self.core.take_items(area, revision, items, "store");
+                Ok(())
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+
+    fn note_answer(&mut self) {
+        self.failures = 0;
+        if self.area != ViewArea::Targets {
+            return;
+        }
+        let was_lost = self
+            .core
+            .with_state(|state, now| state.view.guard.on_regained(now));
+        if was_lost {
+            log::info!(
+                event = EventKind::PlatformFound.number(),
+                node = self.core.node().as_str();
+                "the store answers again"
+            );
+        }
+    }
+
+    fn note_failure(&mut self, failure: &SourceFailure) {
+        self.failures += 1;
+        // A single cut wait is normal.
+        if self.failures != 2 {
+            return;
+        }
+        let area = self.area;
+        let age = self.core.with_state(|state, now| {
+            if area == ViewArea::Targets {
+                state.view.guard.on_lost(now);
+            }
+            let confirmed = match area {
+                ViewArea::Config => state.view.config_at,
+                ViewArea::Targets => state.view.targets_at,
+            };
+            now.since(confirmed).as_millis()
+        });
+        log::warn!(
+            event = EventKind::PlatformLost.number(),
+            node = self.core.node().as_str(),
+            area = area.to_string().as_str(),
+            view_age_ms = age;
+            "{failure}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! An entry node that routes calls by host and path, as a process: servers, relays, the feed of
+//! published items and the exchange with peers.
+
+mod feed;
+mod ops;
+mod peer;
+mod port;
+mod relay;
+mod serve;
+mod settings;
+mod state;
+
+pub use feed::ViewFeed;
+pub use peer::{NodeDigest, PeerAnswer};
+pub use port::{
+    AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, GatewayPorts,
+    GenerationSize, HeadMistake, ItemBatch, PortFuture, ResumePoint, SendHead, SettingsSource,
+    SourceFailure, ViewArea, ViewCodec, ViewSource,
+};
+pub use relay::CallHandler;
+pub use serve::{GatewayServer, StartFailure};
+pub use settings::{GatewaySettings, RetryBounds};
+pub use state::{GatewayCore, PlaceHold, PlaceRefusal};
--- /dev/null
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -0,0 +1,93 @@
+use std::net::SocketAddr;
+
+use base::{NodeName, TargetName};
+use calls::CrashMessage;
+use entry::{ConfigVersion, LoadSum, PeerLoads, PublishedItem};
+use serde::{Deserialize, Serialize};
+
+use crate::{GatewayCore, ViewArea};
+
+/// Addresses of other nodes in one digest; a few suffice, as every exchange carries others.
+const ADDRESS_LIMIT: usize = 16;
+
+/// State of one node, as it tells its peers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeDigest {
+    /// The node.
+    pub node: NodeName,
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Configuration in force.
+    pub version: ConfigVersion,
+    /// Revision up to which it knows the targets.
+    pub targets_revision: u64,
+    /// Its calls in flight on targets.
+    pub loads: Vec<(TargetName, LoadSum)>,
+    /// News of calls that crash targets.
+    pub crashes: Vec<CrashMessage>,
+    /// Some other nodes that are alive.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// Items of one area, as one node passes them to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerAnswer {
+    /// Revision that the items are not older than.
+    pub revision: u64,
+    /// The items.
+    pub items: Vec<PublishedItem>,
+}
+
+impl NodeDigest {
+    /// Describes this node.
+    pub fn of_core(core: &GatewayCore) -> Self {
+        core.with_state(|state, now| {
+            let mut addresses = state.peers.alive(now);
+            addresses.truncate(ADDRESS_LIMIT);
+            Self {
+                node: core.node().clone(),
+                address: core.settings.peer_address,
+                version: state.view.version(),
+                targets_revision: state.view.target_items.revision().unwrap_or(0),
+                loads: state.board.own_loads(),
+                crashes: state.recent_crashes(now),
+                addresses,
+            }
+        })
+    }
+
+    /// Takes what a peer says; returns the areas of which the peer knows more.
+    pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
+        let (is_found, newer) = core.with_state(|state, now| {
+            let is_found = state.peers.hear(now, &self.node, self.address);
+            state.peers.hint(&self.addresses);
+            state.board.take_peer(PeerLoads {
+                node: self.node.clone(),
+                heard_at: now,
+                loads: self.loads,
+            });
+            for message in self.crashes {
+                state.crashes.on_message(now, message);
+            }
+            let mut newer = Vec::new();
+            if self.version > state.view.version() {
+                newer.push(ViewArea::Config);
+            }
+            let revision = state.view.target_items.revision().unwrap_or(0);
+            if state.lags_behind(now, self.targets_revision, revision) {
+                newer.push(ViewArea::Targets);
+            }
+            (is_found, newer)
+        });
+        if is_found {
+            log::info!(
+                event = base::EventKind::PeerAlive.number(),
+                node = core.node().as_str(),
+                peer = self.node.as_str(),
+                address = self.address.to_string().as_str();
+                "peer is alive"
+            );
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -0,0 +1,185 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::EventKind;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use rand::seq::IndexedRandom;
+use serde::de::DeserializeOwned;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use web::{SendPhase, WebBody, empty_body, full_body};
+
+use super::{NodeDigest, PeerAnswer};
+use crate::{GatewayCore, ViewArea};
+
+/// Path of digests.
+pub const DIGEST_PATH: &str = "/peer/digest";
+/// Path of the items of the configuration.
+pub const CONFIG_PATH: &str = "/peer/config";
+/// Path of the entries of targets.
+pub const TARGETS_PATH: &str = "/peer/targets";
+
+/// Time between two rounds of exchanges.
+const ROUND: Duration = Duration::from_millis(250);
+/// Live peers in one round; each exchange tells both sides.
+const ROUND_PEERS: usize = 4;
+/// Rounds between two tries of addresses that did not answer.
+const DOUBT_ROUNDS: u32 = 2;
+/// Longest time for an exchange.
+const EXCHANGE_WAIT: Duration = Duration::from_millis(600);
+/// Largest answer of a peer in bytes: a configuration of a megabyte with its encoding.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Exchanges digests with peers and fetches items of which they know more.
+#[derive(Clone)]
+pub struct PeerExchange {
+    core: Arc<GatewayCore>,
+}
+
+impl PeerExchange {
+    /// Creates the exchange of a node.
+    pub fn new(core: Arc<GatewayCore>) -> Self {
+        Self { core }
+    }
+
+    /// Exchanges digests until the process ends.
+    pub async fn run(self) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count: u32 = 0;
+        loop {
+            rounds.tick().await;
+            count = count.wrapping_add(1);
+            for address in self.pick_peers(count) {
+                let exchange = self.clone();
+                tokio::spawn(async move { exchange.exchange(address).await });
+            }
+        }
+    }
+
+    /// Fetches items from a peer in the background.
+    pub fn spawn_fetch(&self, address: SocketAddr, areas: Vec<ViewArea>) {
+        for area in areas {
+            let exchange = self.clone();
+            tokio::spawn(async move { exchange.fetch(address, area).await });
+        }
+    }
+
+    fn pick_peers(&self, round: u32) -> Vec<SocketAddr> {
+        let (alive, doubtful) = self
+            .core
+            .with_state(|state, now| (state.peers.alive(now), state.peers.doubtful(now)));
+        let mut random = rand::rng();
+        let mut picked: Vec<_> = alive
+            .choose_multiple(&mut random, ROUND_PEERS)
+            .copied()
+            .collect();
+        if round.is_multiple_of(DOUBT_ROUNDS) || alive.is_empty() {
+            picked.extend(doubtful.choose(&mut random).copied());
+        }
+        picked
+    }
+
+    async fn exchange(&self, address: SocketAddr) {
+        let digest = NodeDigest::of_core(&self.core);
+        let body = match rmp_serde::to_vec(&digest) {
+            Ok(body) => full_body(body),
+            Err(error) => {
+                log::error!(
+                    event = EventKind::ProcessMessage.number();
+                    "digest can't be encoded: {error}"
+                );
+                return;
+            }
+        };
+        let answer: Option<NodeDigest> = self.call(address, Method::POST, DIGEST_PATH, body).await;
+        match answer {
+            Some(answer) if answer.node == *self.core.node() => self.drop_hint(address),
+            Some(answer) => {
+                let newer = answer.apply(&self.core);
+                self.spawn_fetch(address, newer);
+            }
+            None => self.drop_hint(address),
+        }
+    }
+
+    fn drop_hint(&self, address: SocketAddr) {
+        self.core
+            .with_state(|state, _| state.peers.drop_hint(address));
+    }
+
+    async fn fetch(&self, address: SocketAddr, area: ViewArea) {
+        let path = match area {
+            ViewArea::Config => CONFIG_PATH,
+            ViewArea::Targets => TARGETS_PATH,
+        };
+        let answer: Option<PeerAnswer> = self.call(address, Method::GET, path, empty_body()).await;
+        if let Some(answer) = answer {
+            self.core
+                .take_items(area, answer.revision, answer.items, "peer");
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: WebBody,
+    ) -> Option<T> {
+        let called = timeout(EXCHANGE_WAIT, self.send(address, method, path, body)).await;
+        let bytes = match called {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(reason)) => return self.note_failure(address, &reason),
+            Err(_) => {
+                self.core.peer_pool.forget(address);
+                return self.note_failure(address, "no answer in time");
+            }
+        };
+        match rmp_serde::from_slice(&bytes) {
+            Ok(value) => Some(value),
+            Err(error) => self.note_failure(address, &error.to_string()),
+        }
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: WebBody,
+    ) -> Result<Bytes, String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address.to_string())
+            .body(body)
+            .map_err(|error| error.to_string())?;
+        let pool = &self.core.peer_pool;
+        let sent = pool.send(address, SendPhase::Reuse, request).await;
+        let (response, connection) = sent.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let collected = Limited::new(response.into_body(), ANSWER_LIMIT)
+            .collect()
+            .await;
+        let body = collected.map_err(|error| error.to_string())?.to_bytes();
+        pool.release(connection);
+        match status {
+            StatusCode::OK => Ok(body),
+            status => Err(format!("status {status}")),
+        }
+    }
+
+    fn note_failure<T>(&self, address: SocketAddr, reason: &str) -> Option<T> {
+        log::debug!(
+            event = EventKind::PeerUnreached.number(),
+            node = self.core.node().as_str(),
+            address = address.to_string().as_str();
+            "{reason}"
+        );
+        None
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -0,0 +1,97 @@
+use std::sync::Arc;
+
+use base::TimeSpan;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
+
+use super::peer_exchange::{CONFIG_PATH, DIGEST_PATH, PeerExchange, TARGETS_PATH};
+use super::{NodeDigest, PeerAnswer};
+use crate::{GatewayCore, ViewArea};
+
+/// Largest digest in bytes: 512 targets of about 100 bytes.
+const DIGEST_LIMIT: usize = 64 << 10;
+/// Longest time for a digest to arrive.
+const DIGEST_WAIT: TimeSpan = TimeSpan::from_secs(2);
+
+/// Answers peers.
+pub struct PeerHandler {
+    core: Arc<GatewayCore>,
+}
+
+impl PeerHandler {
+    /// Creates the handler.
+    pub fn new(core: Arc<GatewayCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl WebHandler for PeerHandler {
+    fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
+        let core = self.core.clone();
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            match (request.method(), path.as_str()) {
+                (&Method::POST, DIGEST_PATH) => take_digest(&core, request).await,
+                (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config),
+                (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets),
+                _ => status_only(StatusCode::NOT_FOUND),
+            }
+        })
+    }
+}
+
+async fn take_digest(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let body = read_body(request.into_body(), DIGEST_LIMIT, DIGEST_WAIT).await;
+    let Ok(body) = body else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let digest: NodeDigest = match rmp_serde::from_slice(&body) {
+        Ok(digest) => digest,
+        Err(error) => {
+            log::warn!(
+                event = base::EventKind::PeerRefused.number(),
+                node = core.node().as_str();
+                "digest can't be read: {error}"
+            );
+            return status_only(StatusCode::BAD_REQUEST);
+        }
+    };
+    let address = digest.address;
+    let newer = digest.apply(core);
+    PeerExchange::new(core.clone()).spawn_fetch(address, newer);
+    encoded(&NodeDigest::of_core(core))
+}
+
+fn items_of(core: &GatewayCore, area: ViewArea) -> Response<WebBody> {
+    let answer = core.with_state(|state, _| {
+        let mirror = state.view.mirror(area);
+        let revision = mirror.revision()?;
+        let items = mirror.items().to_vec();
+        Some(PeerAnswer { revision, items })
+    });
+    match answer {
+        Some(answer) => encoded(&answer),
+        None => status_only(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn encoded(value: &impl Serialize) -> Response<WebBody> {
+    match rmp_serde::to_vec(value) {
+        Ok(bytes) => Response::new(full_body(bytes)),
+        Err(error) => {
+            log::error!(
+                event = base::EventKind::ProcessMessage.number();
+                "answer to a peer can't be encoded: {error}"
+            );
+            status_only(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn status_only(status: StatusCode) -> Response<WebBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/relay/call_audit.rs
@@ -0,0 +1,147 @@
+use std::sync::Arc;
+
+use base::{ClockTime, EventKind, NodeName, RequestId, TargetName};
+use entry::ConfigVersion;
+use metrics::{counter, histogram};
+use smol_str::SmolStr;
+
+use crate::GatewayCore;
+
+/// Milliseconds in a second, as metrics count seconds.
+const SECOND_MS: f64 = 1_000.0;
+
+/// What decided the outcome of one call; written as one log line when the call ends.
+pub struct CallAudit {
+    core: Arc<GatewayCore>,
+    arrived: ClockTime,
+    /// Identifier that the caller gave.
+    pub request: Option<RequestId>,
+    /// Route that was taken.
+    pub route: Option<SmolStr>,
+    /// Configuration that decided.
+    pub version: ConfigVersion,
+    /// Targets to which the call was sent, in order.
+    pub targets: Vec<TargetName>,
+    /// Time until there was room on the first target.
+    pub placed_ms: Option<u64>,
+    /// Time until the first byte of the answer.
+    pub first_ms: Option<u64>,
+    /// Events that were relayed.
+    pub events: u32,
+    /// Moves to other engines.
+    pub moves: u32,
+    status: u16,
+    outcome: &'static str,
+    reason: String,
+}
+
+impl CallAudit {
+    /// Starts the audit of a call that has just arrived.
+    pub fn new(core: Arc<GatewayCore>) -> Self {
+        Self {
+            arrived: core.now(),
+            core,
+            request: None,
+            route: None,
+            version: ConfigVersion::default(),
+            targets: Vec::new(),
+            placed_ms: None,
+            first_ms: None,
+            events: 0,
+            moves: 0,
+            status: 0,
+            outcome: "caller_gone",
+            reason: String::new(),
+        }
+    }
+
+    /// When the call arrived.
+    pub fn arrived(&self) -> ClockTime {
+        self.arrived
+    }
+
+    /// Milliseconds since the call arrived.
+    pub fn elapsed(&self) -> u64 {
+        self.core.now().since(self.arrived).as_millis()
+    }
+
+    /// Notes that the call has room on a target.
+    pub fn note_target(&mut self, target: &TargetName) {
+        if self.placed_ms.is_none() {
+            self.placed_ms = Some(self.elapsed());
+        }
+        self.targets.push(target.clone());
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn note_first(&mut self) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(self.elapsed());
+        }
+    }
+
+    /// Adds what explains the outcome.
+    pub fn explain(&mut self, reason: impl AsRef<str>) {
+        if !self.reason.is_empty() {
+            self.reason.push_str("; ");
+        }
+        self.reason.push_str(reason.as_ref());
+    }
+
+    /// Notes how the call ended; without it, the caller went away.
+    pub fn finish(&mut self, status: u16, outcome: &'static str) {
+        self.status = status;
+        self.outcome = outcome;
+    }
+
+    fn event(&self) -> EventKind {
+        match self.outcome {
+            "answered" => EventKind::RequestFinished,
+            "caller_gone" => EventKind::CallerGone,
+            _ if self.targets.is_empty() => EventKind::RequestRefused,
+            _ => EventKind::RequestFailed,
+        }
+    }
+
+    fn count(&self) {
+        let node = self.core.node().to_string();
+        let route = self.route.as_deref().unwrap_or("none").to_owned();
+        let labels = [("node", node), ("route", route)];
+        counter!("gateway_calls_total", "node" => labels[0].1.clone(), "outcome" => self.outcome)
+            .increment(1);
+        histogram!("gateway_call_seconds", &labels).record(self.elapsed() as f64 / SECOND_MS);
+        if let Some(first) = self.first_ms {
+            histogram!("gateway_first_byte_seconds", &labels).record(first as f64 / SECOND_MS);
+        }
+    }
+}
+
+impl Drop for CallAudit {
+    fn drop(&mut self) {
+        self.count();
+        let (age, lost) = self.core.with_state(|state, now| {
+            let age = now.since(state.view.targets_at).as_millis();
+            (age, state.view.guard.is_lost())
+        });
+        let targets: Vec<_> = self.targets.iter().map(TargetName::as_str).collect();
+        let node: &NodeName = self.core.node();
+        log::info!(
+            event = self.event().number(),
+            node = node.as_str(),
+            request = self.request.as_ref().map_or("", RequestId::as_str),
+            route = self.route.as_deref().unwrap_or(""),
+            version = self.version.0,
+            targets = targets.join(",").as_str(),
+            placed_ms = self.placed_ms.unwrap_or_default(),
+            first_ms = self.first_ms.unwrap_or_default(),
+            total_ms = self.elapsed(),
+            events = self.events,
+            moves = self.moves,
+            status = self.status,
+            outcome = self.outcome,
+            view_age_ms = age,
+            store_lost = lost;
+            "{}", self.reason
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/call_input.rs
@@ -0,0 +1,135 @@
+use std::time::Duration;
+
+use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
+use bytes::Bytes;
+use calls::{CrashPrint, CrashVerdict};
+use entry::{EngineSpec, LoadSum, PlaceNeed, RouteRule};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Version, header};
+use tokio::time::Instant;
+
+use crate::{CallHead, GatewayCore};
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+];
+
+/// A call that was read, matched with its route and admitted by key.
+pub struct CallInput {
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub target: PathAndQuery,
+    /// Headers without those of the connection.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub head: CallHead,
+    /// Route of the call.
+    pub route: RouteRule,
+    /// Service that takes it.
+    pub service: ServiceName,
+    /// Sizes of its engines, if its targets are engines.
+    pub engine: Option<EngineSpec>,
+    /// Workspace of the caller.
+    pub workspace: Option<WorkspaceName>,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// When the call arrived.
+    pub arrived: ClockTime,
+    /// When the caller or the route gives up.
+    pub deadline: ClockTime,
+    /// Fingerprint of what the call makes a target do.
+    pub print: CrashPrint,
+}
+
+impl CallInput {
+    /// Time left until the deadline.
+    pub fn remaining(&self, now: ClockTime) -> TimeSpan {
+        self.deadline.since(now)
+    }
+
+    /// Deadline on the clock of timers.
+    pub fn deadline_instant(&self, now: ClockTime) -> Instant {
+        Instant::now() + Duration::from(self.remaining(now))
+    }
+
+    /// Load that the call puts on a target.
+    pub fn load(&self) -> LoadSum {
+        let Some(size) = self.head.generation.filter(|_| self.engine.is_some()) else {
+            return LoadSum {
+                calls: 1,
+                ..LoadSum::default()
+            };
+        };
+        let limit = size.output_limit.0;
+        let output = size.output_hint.map_or(limit, |hint| hint.0.min(limit));
+        LoadSum {
+            calls: 1,
+            tokens: u64::from(size.prompt.0) + u64::from(output),
+            prefill: u64::from(size.prompt.0),
+        }
+    }
+
+    /// What the call needs of a target; targets where it must not run are excluded.
+    pub fn need(&self, core: &GatewayCore) -> PlaceNeed {
+        PlaceNeed {
+            service: self.service.clone(),
+            engine: self.engine,
+            load: self.load(),
+            excluded: core.with_state(|state, now| {
+                if state.crashes.judge(now, self.print) == CrashVerdict::Free {
+                    return Vec::new();
+                }
+                let names = state.board.targets().iter().map(|one| &one.record.name);
+                let barred = names.filter(|name| !state.crashes.allows(now, self.print, name));
+                barred.cloned().collect()
+            }),
+            moves_from: None,
+        }
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named.iter().map(String::as_str).chain(HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Whether the length of the body is stated in two ways, which is how requests are smuggled.
+pub fn has_ambiguous_length(headers: &HeaderMap, version: Version) -> bool {
+    let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    (is_chunked && (lengths > 0 || version == Version::HTTP_10)) || lengths > 1
+}
+
+/// Host of a request in lower case and without its port.
+pub fn host_of(headers: &HeaderMap) -> String {
+    let value = headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = value.unwrap_or_default();
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/gateway/src/relay/mod.rs
@@ -0,0 +1,13 @@
+//! Calls on their way from a caller to a target and back.
+
+mod call_audit;
+mod call_handler;
+mod call_input;
+mod failure_response;
+mod plain_call;
+mod stream_call;
+mod stream_pump;
+mod target_send;
+
+pub use call_audit::CallAudit;
+pub use call_handler::CallHandler;
--- /dev/null
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -0,0 +1,181 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{ErrorKind, TimeSpan};
+use bytes::Bytes;
+use entry::{RepeatRule, TargetOutcome};
+use http::{HeaderMap, Response, StatusCode};
+use tokio::time::Instant;
+use web::{WebBody, full_body};
+
+use super::CallAudit;
+use super::call_input::CallInput;
+use super::failure_response::{failure_response, note_stop};
+use super::target_send::{SendEnd, note_answered, note_broken, read_answer, send_call};
+use crate::{GatewayCore, PlaceHold};
+
+/// Targets that are tried for one call when nothing was sent or the call was refused.
+const SEND_TRIES: usize = 4;
+/// A call that may be repeated is sent again after this many times its latency target.
+const SECOND_TRY_FACTOR: u64 = 2;
+/// Advice to callers whose call was refused by every target that was tried.
+const REFUSED_RETRY: TimeSpan = TimeSpan::new(250);
+
+type WholeAnswer = (StatusCode, HeaderMap, Bytes);
+
+/// What one attempt means for the call.
+enum AttemptEnd {
+    /// The answer goes to the caller.
+    Deliver(WholeAnswer),
+    /// The target failed the call by itself; another target may do better.
+    Failed(WholeAnswer),
+    /// Nothing was sent.
+    Unsent,
+    /// The target refused the call, which did not run.
+    Refused,
+    /// The call may have run, and no answer arrived.
+    Lost,
+    /// No answer in time.
+    TimedOut,
+}
+
+/// Relays a call whose answer is held back until it is complete.
+pub async fn relay_plain(
+    core: &Arc<GatewayCore>,
+    call: CallInput,
+    mut audit: CallAudit,
+) -> Response<WebBody> {
+    let deadline = call.deadline_instant(core.now());
+    let mut need = call.need(core);
+    let mut runs = 0;
+    let mut failed = None;
+    for _ in 0..SEND_TRIES {
+        let patience = call.route.latency_target.min(call.remaining(core.now()));
+        let mut hold = match core.acquire(need.clone(), call.priority, patience).await {
+            Ok(hold) => hold,
+            Err(refusal) => {
+                if let Some(answer) = failed {
+                    return deliver(core, &mut audit, answer);
+                }
+                let kind = match runs {
+                    0 => refusal.kind,
+                    _ => ErrorKind::TargetLost,
+                };
+                let retry = (runs == 0).then_some(refusal.retry_after);
+                return failure_response(core, &mut audit, kind, retry);
+            }
+        };
+        audit.note_target(&hold.target);
+        let may_repeat = call.route.repeat == RepeatRule::Idempotent;
+        let has_more = may_repeat && runs + 1 < call.route.max_attempts;
+        let until = match has_more {
+            true => second_try_at(&call).min(deadline),
+            false => deadline,
+        };
+        let end = attempt(core, &call, &mut hold, until, &mut audit).await;
+        need.excluded.push(hold.target.clone());
+        drop(hold);
+        let is_over = Instant::now() >= deadline;
+        match end {
+            AttemptEnd::Deliver(answer) => return deliver(core, &mut audit, answer),
+            AttemptEnd::Unsent if !is_over => continue,
+            AttemptEnd::Unsent | AttemptEnd::Refused => {}
+            AttemptEnd::Failed(answer) => {
+                runs += 1;
+                failed = Some(answer);
+            }
+            AttemptEnd::Lost | AttemptEnd::TimedOut => runs += 1,
+        }
+        let can_go_on = runs == 0 || (may_repeat && runs < call.route.max_attempts);
+        if is_over || !can_go_on || !take_retry(core, &call) {
+            return match (failed, runs, is_over) {
+                (Some(answer), _, _) => deliver(core, &mut audit, answer),
+                (None, 0, _) => {
+                    let kind = ErrorKind::Overloaded;
+                    failure_response(core, &mut audit, kind, Some(REFUSED_RETRY))
+                }
+                (None, _, true) => {
+                    failure_response(core, &mut audit, ErrorKind::DeadlineExceeded, None)
+                }
+                (None, _, false) => failure_response(core, &mut audit, ErrorKind::TargetLost, None),
+            };
+        }
+    }
+    match (failed, runs) {
+        (Some(answer), _) => deliver(core, &mut audit, answer),
+        (None, 0) => failure_response(core, &mut audit, ErrorKind::NoTarget, Some(REFUSED_RETRY)),
+        (None, _) => failure_response(core, &mut audit, ErrorKind::TargetLost, None),
+    }
+}
+
+/// When a call that may be repeated is sent to a second target.
+fn second_try_at(call: &CallInput) -> Instant {
+    Instant::now() + Duration::from(call.route.latency_target * SECOND_TRY_FACTOR)
+}
+
+fn take_retry(core: &GatewayCore, call: &CallInput) -> bool {
+    core.with_state(|state, now| {
+        let nodes = state.share_count(now);
+        state.share.take(now, &call.service, nodes)
+    })
+}
+
+async fn attempt(
+    core: &GatewayCore,
+    call: &CallInput,
+    hold: &mut PlaceHold,
+    until: Instant,
+    audit: &mut CallAudit,
+) -> AttemptEnd {
+    let target = hold.target.clone();
+    let head = match send_call(core, call, hold, None, until).await {
+        SendEnd::Head(head) => head,
+        SendEnd::Refused(status) => {
+            audit.explain(format!("{target} refused with {status}"));
+            return AttemptEnd::Refused;
+        }
+        SendEnd::Unsent(reason) => {
+            audit.explain(format!("{target} not reached: {reason}"));
+            return AttemptEnd::Unsent;
+        }
+        SendEnd::Lost(reason) => {
+            audit.explain(format!("{target} lost: {reason}"));
+            return AttemptEnd::Lost;
+        }
+        SendEnd::TimedOut => {
+            audit.explain(format!("{target} gave no answer in time"));
+            return AttemptEnd::TimedOut;
+        }
+    };
+    audit.note_first();
+    match read_answer(*head, until).await {
+        Ok(answer) if answer.0.is_server_error() => {
+            hold.note(TargetOutcome::Failed);
+            audit.explain(format!("{target} failed with {}", answer.0));
+            AttemptEnd::Failed(answer)
+        }
+        Ok(answer) => {
+            note_answered(core, call, hold);
+            AttemptEnd::Deliver(answer)
+        }
+        Err(reason) => {
+            note_broken(core, call, hold);
+            audit.explain(format!("{target} broke off: {reason}"));
+            AttemptEnd::Lost
+        }
+    }
+}
+
+fn deliver(core: &GatewayCore, audit: &mut CallAudit, answer: WholeAnswer) -> Response<WebBody> {
+    let (status, headers, body) = answer;
+    let outcome = match status.is_success() {
+        true => "answered",
+        false => "target_answered_failure",
+    };
+    audit.finish(status.as_u16(), outcome);
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    note_stop(core, response.headers_mut());
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -0,0 +1,146 @@
+use std::sync::Arc;
+
+use base::{ErrorKind, TimeSpan};
+use http::Response;
+use tokio::sync::mpsc;
+use web::{WebBody, stream_body};
+
+use super::CallAudit;
+use super::call_input::{CallInput, strip_hop_headers};
+use super::failure_response::{failure_response, note_stop};
+use super::stream_pump::{PumpParts, StreamPump};
+use super::target_send::{SendEnd, TargetHead, read_answer, send_call};
+use crate::{GatewayCore, PlaceHold};
+
+/// Targets that are tried for one stream when nothing was sent or it was refused.
+const SEND_TRIES: usize = 4;
+/// Chunks that wait for a slow caller before the target is no longer read.
+const CHUNK_LIMIT: usize = 16;
+/// Share of the latency target for which a stream waits for room; the rest is for its prompt.
+const LINE_SHARE: (u64, u64) = (3, 4);
+/// Advice to callers whose stream was refused by every target that was tried.
+const REFUSED_RETRY: TimeSpan = TimeSpan::new(500);
+/// Advice to callers of a node that stops.
+const STOPPING_RETRY: TimeSpan = TimeSpan::new(50);
+
+/// Relays a call whose answer is a stream of events.
+pub async fn relay_stream(
+    core: Arc<GatewayCore>,
+    call: CallInput,
+    mut audit: CallAudit,
+) -> Response<WebBody> {
+    if core.is_stopping() {
+        audit.explain("a stream may outlast the stop");
+        let kind = ErrorKind::Stopping;
+        return failure_response(&core, &mut audit, kind, Some(STOPPING_RETRY));
+    }
+    let deadline = call.deadline_instant(core.now());
+    let mut need = call.need(&core);
+    let line_wait = call.route.latency_target * LINE_SHARE.0 / LINE_SHARE.1;
+    let line_end = call.arrived + line_wait;
+    for _ in 0..SEND_TRIES {
+        let now = core.now();
+        let patience = line_end.since(now).min(call.remaining(now));
+        let acquired = core.acquire(need.clone(), call.priority, patience).await;
+        let mut hold = match acquired {
+            Ok(hold) => hold,
+            Err(refusal) => {
+                let retry = Some(refusal.retry_after);
+                return failure_response(&core, &mut audit, refusal.kind, retry);
+            }
+        };
+        audit.note_target(&hold.target);
+        let target = hold.target.clone();
+        need.excluded.push(target.clone());
+        match send_call(&core, &call, &mut hold, None, deadline).await {
+            SendEnd::Head(head) if head.response.status().is_success() => {
+                return start_pump(core, call, audit, hold, *head);
+            }
+            SendEnd::Head(head) => {
+                return deliver_failure(&core, audit, *head, deadline).await;
+            }
+            SendEnd::Unsent(reason) => {
+                audit.explain(format!("{target} not reached: {reason}"));
+            }
+            SendEnd::Refused(status) => {
+                audit.explain(format!("{target} refused with {status}"));
+                let allowed = core.with_state(|state, now| {
+                    let nodes = state.share_count(now);
+                    state.share.take(now, &call.service, nodes)
+                });
+                if !allowed {
+                    break;
+                }
+            }
+            SendEnd::Lost(reason) => {
+                audit.explain(format!("{target} lost: {reason}"));
+                return failure_response(&core, &mut audit, ErrorKind::TargetLost, None);
+            }
+            SendEnd::TimedOut => {
+                audit.explain(format!("{target} gave no answer in time"));
+                return failure_response(&core, &mut audit, ErrorKind::DeadlineExceeded, None);
+            }
+        }
+    }
+    failure_response(
+        &core,
+        &mut audit,
+        ErrorKind::Overloaded,
+        Some(REFUSED_RETRY),
+    )
+}
+
+fn start_pump(
+    core: Arc<GatewayCore>,
+    call: CallInput,
+    mut audit: CallAudit,
+    hold: PlaceHold,
+    head: TargetHead,
+) -> Response<WebBody> {
+    audit.finish(head.response.status().as_u16(), "caller_gone");
+    let mut headers = head.response.headers().clone();
+    strip_hop_headers(&mut headers);
+    note_stop(&core, &mut headers);
+    let status = head.response.status();
+    let (sender, receiver) = mpsc::channel(CHUNK_LIMIT);
+    let pump = StreamPump::new(PumpParts {
+        core,
+        call,
+        audit,
+        hold,
+        head,
+        sender,
+    });
+    tokio::spawn(pump.run());
+    let chunks = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        let chunk = receiver.recv().await?;
+        Some((chunk, receiver))
+    });
+    let mut response = Response::new(stream_body(chunks));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+async fn deliver_failure(
+    core: &GatewayCore,
+    mut audit: CallAudit,
+    head: TargetHead,
+    deadline: tokio::time::Instant,
+) -> Response<WebBody> {
+    audit.note_first();
+    match read_answer(head, deadline).await {
+        Ok((status, headers, body)) => {
+            audit.finish(status.as_u16(), "target_answered_failure");
+            let mut response = Response::new(web::full_body(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            note_stop(core, response.headers_mut());
+            response
+        }
+        Err(reason) => {
+            audit.explain(reason);
+            failure_response(core, &mut audit, ErrorKind::TargetLost, None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/target_send.rs
@@ -0,0 +1,179 @@
+use bytes::Bytes;
+use calls::TargetDeath;
+use entry::{TargetOutcome, TargetPhase};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+use web::{PooledSender, SendPhase, full_body};
+
+use super::call_input::{CallInput, strip_hop_headers};
+use crate::{GatewayCore, PlaceHold, ResumePoint, SendHead};
+
+/// Largest answer that is held back until it is complete.
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// Rank at an engine of the most urgent route; routes of lower rank follow.
+const URGENCY_BASE: u8 = 3;
+/// Last rank that an engine knows.
+const URGENCY_LIMIT: u8 = 9;
+
+/// How one send to a target went until the head of its answer.
+pub enum SendEnd {
+    /// The target answers.
+    Head(Box<TargetHead>),
+    /// The target states that it did not run the call.
+    Refused(StatusCode),
+    /// Nothing was sent.
+    Unsent(String),
+    /// The call was sent and may have run.
+    Lost(String),
+    /// No head arrived in time; the call may have run.
+    TimedOut,
+}
+
+/// Head of a target's own answer and the connection on which the rest arrives.
+pub struct TargetHead {
+    /// Head with the unread body.
+    pub response: Response<Incoming>,
+    /// Keeps the connection open.
+    pub connection: PooledSender,
+}
+
+impl TargetHead {
+    /// Whether the end of the body can be told from a broken connection.
+    pub fn is_framed(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
+/// Sends a call to the target of `hold` on a connection of its own, so that no late or extra bytes
+/// of another answer can be taken for its answer.
+pub async fn send_call(
+    core: &GatewayCore,
+    call: &CallInput,
+    hold: &mut PlaceHold,
+    resume: Option<&ResumePoint>,
+    until: Instant,
+) -> SendEnd {
+    let connected = timeout_at(until, core.pool.connect(hold.address, SendPhase::Fresh)).await;
+    let mut connection = match connected {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
+            hold.note(TargetOutcome::Unreachable);
+            return SendEnd::Unsent(error.to_string());
+        }
+        Err(_) => return SendEnd::Unsent("no time left to connect".to_owned()),
+    };
+    hold.place_print(call.print);
+    let request = make_request(core, call, hold, resume);
+    let sent = timeout_at(until, connection.send(request)).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err((error, Some(_)))) => {
+            hold.note(TargetOutcome::Unreachable);
+            return SendEnd::Unsent(error.to_string());
+        }
+        Ok(Err((error, None))) => {
+            note_broken(core, call, hold);
+            return SendEnd::Lost(error.to_string());
+        }
+        Err(_) => {
+            hold.note(TargetOutcome::Failed);
+            return SendEnd::TimedOut;
+        }
+    };
+    let status = response.status();
+    let codec = &core.ports.calls;
+    let head = codec.read_answer(&call.head.request, status, response.headers());
+    if head.is_refused {
+        hold.note(TargetOutcome::Refused);
+        return SendEnd::Refused(status);
+    }
+    if !head.is_genuine {
+        note_broken(core, call, hold);
+        return SendEnd::Lost(format!(
+            "answer with status {status} is not the target's own"
+        ));
+    }
+    SendEnd::Head(Box::new(TargetHead {
+        response,
+        connection,
+    }))
+}
+
+/// Reads a whole answer; the error tells why it is not complete.
+pub async fn read_answer(
+    head: TargetHead,
+    until: Instant,
+) -> Result<(StatusCode, HeaderMap, Bytes), String> {
+    let (mut parts, body) = head.response.into_parts();
+    let connection = head.connection;
+    let collected = timeout_at(until, Limited::new(body, ANSWER_LIMIT).collect()).await;
+    drop(connection);
+    let body = match collected {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err("answer not complete in time".to_owned()),
+    };
+    strip_hop_headers(&mut parts.headers);
+    Ok((parts.status, parts.headers, body))
+}
+
+/// Notes that the target gave a whole answer.
+pub fn note_answered(core: &GatewayCore, call: &CallInput, hold: &PlaceHold) {
+    hold.note(TargetOutcome::Answered);
+    core.with_state(|state, now| {
+        if let Some(message) = state.crashes.on_completed(call.print) {
+            state.publish_crash(now, message);
+        }
+    });
+}
+
+/// Notes that the target broke off a call. A target that leaves breaks off by plan, which says
+/// nothing about the call.
+pub fn note_broken(core: &GatewayCore, call: &CallInput, hold: &PlaceHold) {
+    hold.note(TargetOutcome::Failed);
+    core.with_state(|state, now| {
+        let found = state.board.target(&hold.target);
+        let is_leaving = found.is_none_or(|one| one.phase != TargetPhase::Ready);
+        if is_leaving || call.engine.is_none() {
+            return;
+        }
+        let death = TargetDeath {
+            target: hold.target.clone(),
+            incarnation: hold.incarnation,
+        };
+        for message in state.crashes.on_target_died(now, death) {
+            state.publish_crash(now, message);
+        }
+    });
+}
+
+fn make_request(
+    core: &GatewayCore,
+    call: &CallInput,
+    hold: &PlaceHold,
+    resume: Option<&ResumePoint>,
+) -> Request<web::WebBody> {
+    let mut headers = call.headers.clone();
+    let urgency = call.engine.map(|_| {
+        let rank = URGENCY_BASE.saturating_add(call.priority.saturating_mul(2));
+        rank.min(URGENCY_LIMIT)
+    });
+    let head = SendHead {
+        remaining: call.remaining(core.now()),
+        target: &hold.target,
+        workspace: call.workspace.as_ref(),
+        urgency,
+        resume,
+    };
+    core.ports.calls.write_call(&mut headers, &head);
+    let mut request = Request::new(full_body(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from(call.target.clone());
+    *request.headers_mut() = headers;
+    request
+}
--- /dev/null
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -0,0 +1,206 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{EventKind, TimeSpan};
+use node::MetricsExport;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, interval, sleep};
+use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
+
+use crate::feed::ViewFeed;
+use crate::ops::{MetricsHandler, ReadyHandler};
+use crate::peer::{PeerExchange, PeerHandler};
+use crate::relay::CallHandler;
+use crate::{GatewayCore, GatewayPorts, GatewaySettings, ViewArea};
+
+/// Longest time to connect to a target: some round trips between failure domains.
+const TARGET_CONNECT_WAIT: TimeSpan = TimeSpan::new(250);
+/// Longest time to connect to a peer.
+const PEER_CONNECT_WAIT: TimeSpan = TimeSpan::new(300);
+/// Connections of callers at once; targets, peers and the store need the rest of some 3,900.
+const CALLER_CONNECTIONS: usize = 2_400;
+/// Time between two looks at waiting calls and old beliefs.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_TICK: Duration = Duration::from_secs(2);
+/// Least time from a stop signal to the end: the load balancer notices after two misses of a second
+/// each and new connections arrive until then.
+const STOP_LEAST: TimeSpan = TimeSpan::new(3_500);
+/// Time before the end of the grace at which the last streams are cut.
+const STOP_MARGIN: TimeSpan = TimeSpan::new(600);
+
+/// A listener could not be opened.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}"))]
+pub struct StartFailure {
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A running gateway.
+pub struct GatewayServer {
+    core: Arc<GatewayCore>,
+    stop: StopSignal,
+}
+
+impl GatewayServer {
+    /// Opens all listeners and starts to serve.
+    ///
+    /// # Errors
+    /// If a listener can't be opened.
+    pub async fn start(
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+    ) -> Result<Self, StartFailure> {
+        MetricsExport::shared();
+        let targets = PoolSettings::new().with_connect_wait(TARGET_CONNECT_WAIT);
+        let peers = PoolSettings::new().with_connect_wait(PEER_CONNECT_WAIT);
+        let core = GatewayCore::new(settings, ports, rand::random())
+            .with_pools(ConnectionPool::new(targets), ConnectionPool::new(peers));
+        let server = Self {
+            core: Arc::new(core),
+            stop: StopSignal::new(),
+        };
+        server.listen().await?;
+        server.spawn_tasks();
+        let settings = &server.core.settings;
+        log::info!(
+            event = EventKind::NodeStarted.number(),
+            node = settings.node.as_str(),
+            domain = settings.domain.as_str(),
+            callers = settings.caller_address.to_string().as_str(),
+            peers = settings.peer_address.to_string().as_str(),
+            seeds = settings.seeds.len();
+            "listening"
+        );
+        Ok(server)
+    }
+
+    /// State of the node.
+    pub fn core(&self) -> &Arc<GatewayCore> {
+        &self.core
+    }
+
+    /// Reads the settings again.
+    pub fn reload(&self, cause: &str) {
+        reload_settings(&self.core, cause);
+    }
+
+    /// Stops taking callers, lets calls end and returns when the process may exit.
+    pub async fn stop(self) {
+        let core = &self.core;
+        core.begin_stop();
+        let active = core.with_state(|state, _| state.active);
+        log::info!(
+            event = EventKind::NodeStopping.number(),
+            node = core.node().as_str(),
+            active = active;
+            "takes no new callers"
+        );
+        let start = Instant::now();
+        let grace = core.settings.stop_grace.saturating_sub(STOP_MARGIN);
+        let end = start + Duration::from(grace);
+        let least = (start + Duration::from(STOP_LEAST)).min(end);
+        while Instant::now() < end {
+            let is_idle = core.with_state(|state, _| state.active == 0 && state.streams == 0);
+            if is_idle && Instant::now() >= least {
+                break;
+            }
+            sleep(TICK).await;
+        }
+        self.stop.stop();
+        let (active, streams) = core.with_state(|state, _| (state.active, state.streams));
+        log::info!(
+            event = EventKind::NodeStopped.number(),
+            node = core.node().as_str(),
+            active = active,
+            streams = streams;
+            "ends"
+        );
+    }
+
+    async fn listen(&self) -> Result<(), StartFailure> {
+        let settings = &self.core.settings;
+        let callers = ServerLimits::new()
+            .with_connections(CALLER_CONNECTIONS)
+            .with_header(64 << 10, TimeSpan::from_secs(30));
+        let inner = ServerLimits::new();
+        let core = &self.core;
+        self.open(
+            settings.caller_address,
+            callers,
+            CallHandler::new(core.clone()),
+        )
+        .await?;
+        self.open(
+            settings.ready_address,
+            inner,
+            ReadyHandler::new(core.clone()),
+        )
+        .await?;
+        self.open(settings.peer_address, inner, PeerHandler::new(core.clone()))
+            .await?;
+        if let Some(address) = settings.metrics_address {
+            self.open(address, inner, MetricsHandler).await?;
+        }
+        Ok(())
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        limits: ServerLimits,
+        handler: impl WebHandler,
+    ) -> Result<(), StartFailure> {
+        let bound = WebServer::bind(address).await;
+        let server = bound.context(StartFailureSnafu { address })?.with_limits(limits);
+        tokio::spawn(server.serve(Arc::new(handler), self.stop.clone()));
+        Ok(())
+    }
+
+    fn spawn_tasks(&self) {
+        for area in [ViewArea::Config, ViewArea::Targets] {
+            tokio::spawn(ViewFeed::new(self.core.clone(), area).run());
+        }
+        tokio::spawn(PeerExchange::new(self.core.clone()).run());
+        let core = self.core.clone();
+        tokio::spawn(async move {
+            let mut ticks = interval(TICK);
+            loop {
+                ticks.tick().await;
+                core.on_tick();
+            }
+        });
+        let core = self.core.clone();
+        tokio::spawn(async move {
+            let mut ticks = interval(SETTINGS_TICK);
+            loop {
+                ticks.tick().await;
+                reload_settings(&core, "file changed");
+            }
+        });
+    }
+}
+
+/// Puts changed seeds and budgets in force; addresses need a restart.
+fn reload_settings(core: &GatewayCore, cause: &str) {
+    let settings = match core.ports.settings.read() {
+        Ok(settings) => settings,
+        Err(reason) => {
+            core.note_settings_failure(&reason);
+            return;
+        }
+    };
+    if !core.with_state(|state, _| state.take_settings(&settings)) {
+        return;
+    }
+    log::info!(
+        event = EventKind::SettingsReloaded.number(),
+        node = core.node().as_str(),
+        seeds = settings.seeds.len(),
+        cause = cause;
+        "seeds and budgets in force"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of a gateway process.
+
+mod gateway_settings;
+
+pub use gateway_settings::{GatewaySettings, RetryBounds};
--- /dev/null
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -0,0 +1,149 @@
+use base::{ClockTime, TargetName, TimeSpan};
+use calls::{CrashLimits, CrashMessage, CrashTable};
+use entry::{LineTicket, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
+use tokio::sync::oneshot;
+
+use super::{PeerTable, ViewState};
+use crate::{GatewaySettings, RetryBounds};
+
+/// Crash messages that are repeated to peers.
+const CRASH_MESSAGE_LIMIT: usize = 64;
+
+/// Time for which a crash message is repeated; each peer is told in most rounds.
+const CRASH_REPEAT: TimeSpan = TimeSpan::from_secs(3);
+/// Time after which a node takes targets from a peer; the store usually tells it sooner.
+const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
+
+/// Answer to a call that waits in the line: its target, or none if the service has none.
+pub type LineAnswer = Option<TargetName>;
+
+/// A call in the line.
+#[derive(Debug)]
+pub struct LineWaiter {
+    /// Its place.
+    pub ticket: LineTicket,
+    /// What it needs.
+    pub need: PlaceNeed,
+    /// Where it is told its target.
+    pub sender: oneshot::Sender<LineAnswer>,
+}
+
+/// All state that decisions depend on.
+#[derive(Debug)]
+pub struct GatewayState {
+    /// Published items and their meaning.
+    pub view: ViewState,
+    /// Targets with load and health.
+    pub board: TargetBoard,
+    /// Calls that wait.
+    pub line: WaitLine,
+    /// Those calls, sorted by ticket.
+    pub waiters: Vec<LineWaiter>,
+    /// Budget of second sends.
+    pub share: RetryShare,
+    /// Calls that crash targets.
+    pub crashes: CrashTable,
+    /// What peers have to know of such calls.
+    pub crash_messages: Vec<(ClockTime, CrashMessage)>,
+    /// Other nodes.
+    pub peers: PeerTable,
+    /// Calls whose answer has not begun.
+    pub active: usize,
+    /// Streams that are being relayed.
+    pub streams: usize,
+    /// Since when a peer knows newer targets.
+    behind_since: Option<ClockTime>,
+    retry: RetryBounds,
+}
+
+impl GatewayState {
+    /// Creates the state of a node that has read nothing yet.
+    pub fn new(settings: &GatewaySettings, seed: u64) -> Self {
+        let retry = settings.retry;
+        Self {
+            view: ViewState::default(),
+            board: TargetBoard::new(settings.domain.clone(), seed),
+            line: WaitLine::default(),
+            waiters: Vec::new(),
+            share: RetryShare::new(retry.ratio, retry.extra, retry.window),
+            crashes: CrashTable::new(CrashLimits::default()),
+            crash_messages: Vec::new(),
+            peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
+            active: 0,
+            streams: 0,
+            behind_since: None,
+            retry,
+        }
+    }
+
+    /// Gives room on targets to waiting calls, in their order.
+    pub fn serve_line(&mut self, now: ClockTime) {
+        for service in self.line.services() {
+            while let Some(ticket) = self.line.head(&service) {
+                let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
+                    self.line.leave(ticket);
+                    continue;
+                };
+                let choice = self.board.place(now, &self.waiters[at].need);
+                let answer = match choice {
+                    PlaceChoice::Target(name) => Some(name),
+                    PlaceChoice::Absent => None,
+                    PlaceChoice::Full => break,
+                };
+                self.line.leave(ticket);
+                let waiter = self.waiters.remove(at);
+                let load = waiter.need.load;
+                if let Some(name) = &answer {
+                    self.board.add(name, load);
+                }
+                if let Err(Some(name)) = waiter.sender.send(answer) {
+                    self.board.remove(&name, load);
+                }
+            }
+        }
+    }
+
+    /// Keeps a crash message to be repeated to peers.
+    pub fn publish_crash(&mut self, now: ClockTime, message: CrashMessage) {
+        if self.crash_messages.len() >= CRASH_MESSAGE_LIMIT {
+            self.crash_messages.remove(0);
+        }
+        self.crash_messages.push((now, message));
+    }
+
+    /// Crash messages that peers may not have heard.
+    pub fn recent_crashes(&mut self, now: ClockTime) -> Vec<CrashMessage> {
+        self.crash_messages
+            .retain(|(at, _)| now.since(*at) < CRASH_REPEAT);
+        let messages = self.crash_messages.iter();
+        messages.map(|(_, message)| message.clone()).collect()
+    }
+
+    /// Whether a peer has known newer targets for so long that the store does not tell this node.
+    pub fn lags_behind(&mut self, now: ClockTime, told: u64, known: u64) -> bool {
+        if told <= known {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        known == 0 || now.since(since) >= BEHIND_WAIT
+    }
+
+    /// Takes new settings; returns whether anything changed.
+    pub fn take_settings(&mut self, settings: &GatewaySettings) -> bool {
+        let changed = self.peers.set_seeds(settings.seeds.clone());
+        if self.retry == settings.retry {
+            return changed;
+        }
+        self.retry = settings.retry;
+        let retry = settings.retry;
+        self.share
+            .set_bounds(retry.ratio, retry.extra, retry.window);
+        true
+    }
+
+    /// Nodes that share budgets, this one included.
+    pub fn share_count(&self, now: ClockTime) -> usize {
+        self.peers.share_count(now)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/peer_table.rs
@@ -0,0 +1,124 @@
+use std::net::SocketAddr;
+
+use base::{ClockTime, NodeName, TimeSpan};
+
+/// Time since a peer was heard in which it counts as alive.
+const ALIVE_WAIT: TimeSpan = TimeSpan::from_secs(5);
+/// Time for which a peer counts in shares of budgets after it was last heard; a peer that is cut
+/// off goes on using its share.
+const SHARE_WAIT: TimeSpan = TimeSpan::from_secs(60);
+/// Time after which a silent peer is forgotten.
+const FORGET_WAIT: TimeSpan = TimeSpan::from_secs(120);
+/// Peers known at most.
+const PEER_LIMIT: usize = 512;
+
+#[derive(Clone, Debug)]
+struct PeerEntry {
+    address: SocketAddr,
+    node: NodeName,
+    heard_at: ClockTime,
+}
+
+/// Other nodes, as found through seeds and through one another.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    own: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    /// Sorted by address.
+    peers: Vec<PeerEntry>,
+    /// Addresses that peers named and that have not answered yet.
+    hinted: Vec<SocketAddr>,
+}
+
+impl PeerTable {
+    /// Creates a table of a node with its own address and seeds.
+    pub fn new(own: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        let mut table = Self {
+            own: Some(own),
+            ..Self::default()
+        };
+        table.set_seeds(seeds);
+        table
+    }
+
+    /// Replaces the seeds; returns whether they changed.
+    pub fn set_seeds(&mut self, mut seeds: Vec<SocketAddr>) -> bool {
+        seeds.retain(|seed| Some(*seed) != self.own);
+        let changed = self.seeds != seeds;
+        self.seeds = seeds;
+        changed
+    }
+
+    /// Notes that a peer was heard; returns whether it was not alive before.
+    pub fn hear(&mut self, now: ClockTime, node: &NodeName, address: SocketAddr) -> bool {
+        self.hinted.retain(|known| *known != address);
+        let entry = PeerEntry {
+            address,
+            node: node.clone(),
+            heard_at: now,
+        };
+        match self.find(address) {
+            Ok(at) => {
+                let was_alive = now.since(self.peers[at].heard_at) < ALIVE_WAIT;
+                self.peers[at] = entry;
+                !was_alive
+            }
+            Err(at) if self.peers.len() < PEER_LIMIT => {
+                self.peers.insert(at, entry);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Takes addresses that a peer knows.
+    pub fn hint(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            let is_known = self.find(*address).is_ok() || self.hinted.contains(address);
+            if !is_known && Some(*address) != self.own && self.hinted.len() < PEER_LIMIT {
+                self.hinted.push(*address);
+            }
+        }
+    }
+
+    /// Addresses of peers that are alive.
+    pub fn alive(&self, now: ClockTime) -> Vec<SocketAddr> {
+        let peers = self.peers.iter();
+        let alive = peers.filter(|peer| now.since(peer.heard_at) < ALIVE_WAIT);
+        alive.map(|peer| peer.address).collect()
+    }
+
+    /// Addresses that may belong to peers not alive now: seeds, hints and silent peers.
+    pub fn doubtful(&mut self, now: ClockTime) -> Vec<SocketAddr> {
+        self.peers
+            .retain(|peer| now.since(peer.heard_at) < FORGET_WAIT);
+        let alive = self.alive(now);
+        let silent = self.peers.iter().map(|peer| peer.address);
+        let mut doubtful: Vec<_> = self.seeds.iter().chain(&self.hinted).copied().collect();
+        doubtful.extend(silent);
+        doubtful.retain(|address| !alive.contains(address));
+        doubtful.sort();
+        doubtful.dedup();
+        doubtful
+    }
+
+    /// Nodes that share budgets with this one, itself included.
+    pub fn share_count(&self, now: ClockTime) -> usize {
+        let peers = self.peers.iter();
+        let recent = peers.filter(|peer| now.since(peer.heard_at) < SHARE_WAIT);
+        let mut nodes: Vec<_> = recent.map(|peer| &peer.node).collect();
+        nodes.sort();
+        nodes.dedup();
+        nodes.len() + 1
+    }
+
+    /// Drops a hint that led nowhere.
+    pub fn drop_hint(&mut self, address: SocketAddr) {
+        self.hinted.retain(|known| *known != address);
+    }
+
+    fn find(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by(|peer| peer.address.cmp(&address))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/place_hold.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
+use calls::CrashPrint;
+use entry::{LoadSum, TargetOutcome};
+
+use super::GatewayCore;
+
+/// A call gets no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceRefusal {
+    /// Kind of error.
+    pub kind: ErrorKind,
+    /// When the caller may come back.
+    pub retry_after: TimeSpan,
+}
+
+/// Room of one call on a target; given back when dropped.
+pub struct PlaceHold {
+    core: Arc<GatewayCore>,
+    load: LoadSum,
+    print: Option<CrashPrint>,
+    /// The target.
+    pub target: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its run.
+    pub incarnation: IncarnationNumber,
+}
+
+impl PlaceHold {
+    /// Takes over load that was already added to the board.
+    pub(super) fn new(core: Arc<GatewayCore>, target: TargetName, load: LoadSum) -> Option<Self> {
+        let found = core.with_state(|state, _| {
+            let state = state.board.target(&target)?;
+            let record = &state.record;
+            Some((record.address, record.domain.clone(), record.incarnation))
+        });
+        let Some((address, domain, incarnation)) = found else {
+            core.with_state(|state, _| state.board.remove(&target, load));
+            return None;
+        };
+        Some(Self {
+            core,
+            load,
+            print: None,
+            target,
+            address,
+            domain,
+            incarnation,
+        })
+    }
+
+    /// Load that the call puts on the target.
+    pub fn load(&self) -> LoadSum {
+        self.load
+    }
+
+    /// Notes that a call is about to be sent, should it crash the target.
+    pub fn place_print(&mut self, print: CrashPrint) {
+        self.print = Some(print);
+        self.core.with_state(|state, now| {
+            if let Some(message) = state.crashes.on_placed(now, print, &self.target) {
+                state.publish_crash(now, message);
+            }
+        });
+    }
+
+    /// Notes that the prompt was read.
+    pub fn end_prefill(&mut self) {
+        let prefill = LoadSum {
+            prefill: std::mem::take(&mut self.load.prefill),
+            ..LoadSum::default()
+        };
+        self.core.with_state(|state, now| {
+            state.board.remove(&self.target, prefill);
+            state.serve_line(now);
+        });
+    }
+
+    /// Notes how the call ended, for the health of the target.
+    pub fn note(&self, outcome: TargetOutcome) {
+        self.core
+            .with_state(|state, now| state.board.note(now, &self.target, outcome));
+    }
+}
+
+impl Drop for PlaceHold {
+    fn drop(&mut self) {
+        self.core.with_state(|state, now| {
+            state.board.remove(&self.target, self.load);
+            let left = self
+                .print
+                .map(|print| state.crashes.on_left(print, &self.target));
+            if let Some(message) = left.flatten() {
+                state.publish_crash(now, message);
+            }
+            state.serve_line(now);
+        });
+    }
+}
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use crate::fault::{ConnectSnafu, ConnectTimeoutSnafu, SentSnafu, UnsentSnafu};
-use crate::socket::tune_socket;
+use crate::socket::{SocketTuning, tune_socket};
 use crate::{PoolSettings, WebBody, WebError};
 
 /// Which connections a request may use.
@@ -83,7 +83,8 @@
             return Ok(PooledSender { address, sender });
         }
         let wait = Duration::from(self.settings.connect_wait);
-        let Ok(connected) = timeout(wait, open_connection(address)).await else {
+        let Ok(connected) = timeout(wait, open_connection(address, self.settings.tuning)).await
+        else {
             return ConnectTimeoutSnafu { address }.fail();
         };
         let sender = connected?;
@@ -168,10 +169,13 @@
     }
 }
 
-async fn open_connection(address: SocketAddr) -> Result<SendRequest<WebBody>, WebError> {
+async fn open_connection(
+    address: SocketAddr,
+    tuning: SocketTuning,
+) -> Result<SendRequest<WebBody>, WebError> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
-    let stream = match tune_socket(&stream) {
+    let stream = match tune_socket(&stream, tuning) {
         Ok(()) => stream,
         Err(source) => return Err(WebError::Connect { address, source }),
     };
--- a/crates/web/src/client/pool_settings.rs
+++ b/crates/web/src/client/pool_settings.rs
@@ -1,5 +1,7 @@
 use base::TimeSpan;
 
+use crate::SocketTuning;
+
 /// Bounds of a connection pool.
 ///
 /// ```
@@ -16,6 +18,8 @@
     pub idle_wait: TimeSpan,
     /// Idle connections kept for one server.
     pub idle_limit: usize,
+    /// When a silent connection is given up.
+    pub tuning: SocketTuning,
 }
 
 impl PoolSettings {
@@ -30,6 +34,13 @@
         self.connect_wait = wait;
         self
     }
+
+    /// Returns these settings with another bound for silence.
+    #[must_use]
+    pub fn with_tuning(mut self, tuning: SocketTuning) -> Self {
+        self.tuning = tuning;
+        self
+    }
 }
 
 impl Default for PoolSettings {
@@ -38,6 +49,7 @@
             connect_wait: TimeSpan::from_secs(1),
             idle_wait: TimeSpan::from_secs(5),
             idle_limit: 64,
+            tuning: SocketTuning::default(),
         }
     }
 }
--- a/crates/web/src/server/web_server.rs
+++ b/crates/web/src/server/web_server.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
-use crate::socket::tune_socket;
+use crate::socket::{SocketTuning, tune_socket};
 use crate::{ServerLimits, StopSignal, WebHandler};
 
 /// Pause after a failed accept, which mostly means that file descriptors ran out.
@@ -81,7 +81,7 @@
 ) -> io::Result<(TcpStream, Option<OwnedSemaphorePermit>)> {
     let permit = permits.clone().acquire_owned().await.ok();
     let (stream, _) = listener.accept().await?;
-    tune_socket(&stream)?;
+    tune_socket(&stream, SocketTuning::default())?;
     Ok((stream, permit))
 }
 
--- a/crates/web/src/socket/mod.rs
+++ b/crates/web/src/socket/mod.rs
@@ -2,4 +2,4 @@
 
 mod tune_socket;
 
-pub use tune_socket::tune_socket;
+pub use tune_socket::{SocketTuning, tune_socket};
