Let generations of a leaving engine take turns in moving

Cause: all copies of a leaving engine were ordered at once; the short copy after the stop of each generation then queued behind all whole copies, and generations stood still or died with the engine. Change: MoveSlots gives each node a window after its peers, and its generations turns in it.

--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -1,4 +1,4 @@
-use base::{ServiceName, TokenCount};
+use base::{ServiceName, TokenCount, TokenRate};
 
 /// Size of each engine of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub can_back_up: bool,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Tokens whose memory is copied to an engine of the same failure domain in a second.
+    pub copy_rate: TokenRate,
 }
 
 /// A service as operators declare it.
--- a/crates/entry/src/moves/mod.rs
+++ b/crates/entry/src/moves/mod.rs
@@ -1,7 +1,9 @@
 //! Moves of running generations from engines that leave.
 
 mod move_plan;
+mod move_slots;
 mod stream_facts;
 
 pub use move_plan::{MovePhase, MovePlan, MoveStep};
+pub use move_slots::MoveSlots;
 pub use stream_facts::StreamFacts;
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -26,7 +26,7 @@
 const DOMAIN_COST_MS: f64 = 6.0;
 /// Cost in milliseconds of moving a generation to another failure domain, which takes twice as long
 /// and delays the moves queued behind it.
-const MOVE_DOMAIN_COST_MS: f64 = 60.0;
+const MOVE_DOMAIN_COST_MS: f64 = 400.0;
 /// Cost in milliseconds of a target that is still slow after its start.
 const COLD_COST_MS: f64 = 40.0;
 /// Costs that differ less than this many milliseconds count as equal, so that nodes with the same
@@ -124,6 +124,15 @@
             .collect()
     }
 
+    /// Load of each peer on a target.
+    pub fn peer_loads(&self, name: &TargetName) -> Vec<(NodeName, LoadSum)> {
+        let loads = self.peers.iter().filter_map(|peer| {
+            let found = peer.loads.binary_search_by(|(known, _)| known.cmp(name));
+            found.ok().map(|at| (peer.node.clone(), peer.loads[at].1))
+        });
+        loads.collect()
+    }
+
     /// Chooses a target for a call.
     pub fn place(&mut self, now: ClockTime, need: &PlaceNeed) -> PlaceChoice {
         let mut is_present = false;
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{EventKind, TargetName};
+use base::{ClockTime, EventKind, TargetName};
 use bytes::Bytes;
-use entry::{MovePhase, MovePlan, MoveStep, PlaceNeed, StreamFacts, TargetPhase};
+use entry::{EngineSpec, MovePhase, MovePlan, MoveStep, PlaceNeed, StreamFacts, TargetPhase};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -76,6 +76,7 @@
     unused_copy: Option<SmolStr>,
     leaving: watch::Receiver<u64>,
     move_due: Instant,
+    move_start: Option<ClockTime>,
     deadline: Instant,
 }
 
@@ -96,6 +97,7 @@
             },
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + IDLE,
+            move_start: None,
             core: parts.core,
             call: parts.call,
             audit: parts.audit,
@@ -265,14 +267,14 @@
         if !can_move || !self.plan.can_start() || !self.facts.outlives_notice(now) {
             return;
         }
-        let source = &self.hold.target;
-        let is_leaving = self.core.with_state(|state, _| {
-            let found = state.board.target(source);
-            found.is_none_or(|one| one.phase == TargetPhase::Leaving)
-        });
-        if !is_leaving {
+        let Some(start) = self.book_move() else {
+            return;
+        };
+        if start > now {
+            self.move_due = Instant::now() + Duration::from(start - now);
             return;
         }
+        let source = &self.hold.target;
         let mut load = self.hold.load();
         load.prefill = 0;
         let need = PlaceNeed {
@@ -303,6 +305,31 @@
         }
     }
 
+    /// When the generation is to be moved; `None` if its engine stays.
+    fn book_move(&mut self) -> Option<ClockTime> {
+        if self.move_start.is_some() {
+            return self.move_start;
+        }
+        let spec = self.call.engine?;
+        let held = self.held_tokens(spec);
+        let source = &self.hold.target;
+        self.move_start = self.core.with_state(|state, now| {
+            let found = state.board.target(source);
+            if found.is_some_and(|one| one.phase != TargetPhase::Leaving) {
+                return None;
+            }
+            let peers = state.board.peer_loads(source);
+            Some(state.slots.book(now, source, &peers, held, spec.copy_rate))
+        });
+        self.move_start
+    }
+
+    /// Tokens that the generation holds in its engine's memory.
+    fn held_tokens(&self, spec: EngineSpec) -> u64 {
+        let prompt = self.call.head.generation.map_or(0, |size| size.prompt.0);
+        u64::from(prompt) + u64::from(self.facts.events) * u64::from(spec.event_tokens)
+    }
+
     fn spawn_copy(&mut self, stops: bool) {
         let Some(next) = &self.next_hold else {
             return;
@@ -442,6 +469,7 @@
         self.audit.note_target(&next.target);
         self.plan.on_resumed(next.target.clone());
         self.hold = next;
+        self.move_start = None;
         self.consider_move();
     }
 
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -155,7 +155,9 @@
         handler: impl WebHandler,
     ) -> Result<(), StartFailure> {
         let bound = WebServer::bind(address).await;
-        let server = bound.context(StartFailureSnafu { address })?.with_limits(limits);
+        let server = bound
+            .context(StartFailureSnafu { address })?
+            .with_limits(limits);
         tokio::spawn(server.serve(Arc::new(handler), self.stop.clone()));
         Ok(())
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,6 +1,6 @@
 use base::{ClockTime, TargetName, TimeSpan};
 use calls::{CrashLimits, CrashMessage, CrashTable};
-use entry::{LineTicket, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
+use entry::{LineTicket, MoveSlots, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
 use tokio::sync::oneshot;
 
 use super::{PeerTable, ViewState};
@@ -47,6 +47,8 @@
     pub crash_messages: Vec<(ClockTime, CrashMessage)>,
     /// Other nodes.
     pub peers: PeerTable,
+    /// When generations on leaving engines are moved.
+    pub slots: MoveSlots,
     /// Calls whose answer has not begun.
     pub active: usize,
     /// Streams that are being relayed.
@@ -68,6 +70,7 @@
             share: RetryShare::new(retry.ratio, retry.extra, retry.window),
             crashes: CrashTable::new(CrashLimits::default()),
             crash_messages: Vec::new(),
+            slots: MoveSlots::new(settings.node.clone()),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active: 0,
             streams: 0,
