--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -77,6 +77,7 @@
     leaving: watch::Receiver<u64>,
     move_due: Instant,
     move_start: Option<ClockTime>,
+    full_targets: Vec<TargetName>,
     deadline: Instant,
 }
 
@@ -98,6 +99,7 @@
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + IDLE,
             move_start: None,
+            full_targets: Vec::new(),
             core: parts.core,
             call: parts.call,
             audit: parts.audit,
@@ -277,11 +279,13 @@
         let source = &self.hold.target;
         let mut load = self.hold.load();
         load.prefill = 0;
+        let mut excluded = self.full_targets.clone();
+        excluded.push(source.clone());
         let need = PlaceNeed {
             service: self.call.service.clone(),
             engine: self.call.engine,
             load,
-            excluded: vec![source.clone()],
+            excluded,
             moves_from: Some(self.hold.domain.clone()),
         };
         let Some(next) = self.core.try_acquire(&need) else {
@@ -385,8 +389,10 @@
             MoveStep::Copy { .. } => self.spawn_copy(false),
             MoveStep::Stop { .. } => self.spawn_copy(true),
             MoveStep::Replace => {
-                self.next_hold = None;
-                self.move_due = Instant::now() + MOVE_RETRY;
+                let full = self.next_hold.take();
+                self.full_targets
+                    .extend(full.map(|hold| hold.target.clone()));
+                self.move_due = Instant::now();
             }
             MoveStep::Stay => self.next_hold = None,
             MoveStep::Resume { at, handle } => return self.resume(at, handle).await,
@@ -470,6 +476,7 @@
         self.plan.on_resumed(next.target.clone());
         self.hold = next;
         self.move_start = None;
+        self.full_targets.clear();
         self.consider_move();
     }
 
