Let nodes hand on their turns in moving generations

Change: MoveTurns: one generation of an engine at a time in each node, and a node starts when those ahead said that they are done or had enough time. New calls prefer engines of their own domain.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,7 +15,7 @@
     ServiceSpec, ServiceWeight, WorkspaceRule,
 };
 pub use line::{LineTicket, WaitLine};
-pub use moves::{MovePhase, MovePlan, MoveSlots, MoveStep, StreamFacts};
+pub use moves::{MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
 pub use target::{
     LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetBoard, TargetHealth, TargetOutcome,
--- a/crates/entry/src/moves/mod.rs
+++ b/crates/entry/src/moves/mod.rs
@@ -1,9 +1,9 @@
 //! Moves of running generations from engines that leave.
 
 mod move_plan;
-mod move_slots;
+mod move_turns;
 mod stream_facts;
 
 pub use move_plan::{MovePhase, MovePlan, MoveStep};
-pub use move_slots::MoveSlots;
+pub use move_turns::{MoveTurn, MoveTurns};
 pub use stream_facts::StreamFacts;
--- /dev/null
+++ b/crates/entry/src/moves/move_turns.rs
@@ -0,0 +1,189 @@
+use base::{ClockTime, NodeName, TargetName, TimeSpan, TokenRate, rank_score};
+
+use crate::LoadSum;
+
+/// Time for which a leaving engine is remembered; it is gone or back by then.
+const SOURCE_EXPIRY: TimeSpan = TimeSpan::from_secs(20);
+/// Time of a move beyond its transfer: the orders, and the stop of the generation.
+const ORDER_TIME: TimeSpan = TimeSpan::new(12);
+/// Windows are longer than the transfers within a failure domain take, by this factor and this many
+/// parts: some go to other domains, which takes twice as long.
+const WINDOW_FACTOR: (u64, u64) = (3, 2);
+
+#[derive(Clone, Debug)]
+struct SourceTurns {
+    source: TargetName,
+    opened_at: ClockTime,
+    /// Peers that go before this node, with the end of their windows.
+    ahead: Vec<(NodeName, ClockTime)>,
+    waiting: usize,
+    is_moving: bool,
+}
+
+/// Whether a generation may be moved now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveTurn {
+    /// It may, and nothing else of its engine may until its turn ends.
+    Start,
+    /// It may not before this moment, unless the nodes ahead finish sooner.
+    Wait(ClockTime),
+}
+
+/// Who moves generations off a leaving engine, and when.
+///
+/// An engine sends copies one after another. If all were ordered at once, the short copy that
+/// follows the stop of a generation would wait behind all whole copies, and the generation with it.
+/// So nodes take turns, in an order that they agree on by a hash, and the generations of a node take
+/// turns within. A node goes once those ahead have said that they are done, or had enough time.
+///
+/// ```
+/// use base::{ClockTime, TargetName, TokenRate};
+/// use entry::{MoveTurn, MoveTurns};
+/// let mut turns = MoveTurns::new("n1".parse().unwrap());
+/// let source: TargetName = "e1".parse().unwrap();
+/// let now = ClockTime::new(1_000);
+/// turns.open(now, &source, &[], TokenRate(10_000));
+/// turns.join(&source);
+/// turns.join(&source);
+/// assert_eq!(turns.take(now, &source), MoveTurn::Start);
+/// assert!(matches!(turns.take(now, &source), MoveTurn::Wait(_)));
+/// turns.end(&source);
+/// assert_eq!(turns.take(now, &source), MoveTurn::Start);
+/// ```
+#[derive(Clone, Debug)]
+pub struct MoveTurns {
+    node: NodeName,
+    sources: Vec<SourceTurns>,
+    /// Engines that peers have finished with, as they said.
+    finished: Vec<(ClockTime, NodeName, TargetName)>,
+}
+
+impl MoveTurns {
+    /// Creates the turns of a node.
+    pub fn new(node: NodeName) -> Self {
+        Self {
+            node,
+            sources: Vec::new(),
+            finished: Vec::new(),
+        }
+    }
+
+    /// Notes that an engine leaves on which `peers` have load too.
+    pub fn open(
+        &mut self,
+        now: ClockTime,
+        source: &TargetName,
+        peers: &[(NodeName, LoadSum)],
+        rate: TokenRate,
+    ) {
+        self.sources
+            .retain(|turns| now.since(turns.opened_at) < SOURCE_EXPIRY);
+        self.finished
+            .retain(|(at, _, _)| now.since(*at) < SOURCE_EXPIRY);
+        if self.find(source).is_some() {
+            return;
+        }
+        self.sources.push(SourceTurns {
+            source: source.clone(),
+            opened_at: now,
+            ahead: self.windows(now, source, peers, rate),
+            waiting: 0,
+            is_moving: false,
+        });
+    }
+
+    /// Adds a generation that waits for its turn.
+    pub fn join(&mut self, source: &TargetName) {
+        if let Some(turns) = self.find_mut(source) {
+            turns.waiting += 1;
+        }
+    }
+
+    /// Removes a generation that ended while it waited.
+    pub fn leave(&mut self, source: &TargetName) {
+        if let Some(turns) = self.find_mut(source) {
+            turns.waiting = turns.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Takes the turn for a generation that waits.
+    pub fn take(&mut self, now: ClockTime, source: &TargetName) -> MoveTurn {
+        let finished = &self.finished;
+        let Some(turns) = self.sources.iter_mut().find(|one| one.source == *source) else {
+            return MoveTurn::Start;
+        };
+        turns.ahead.retain(|(node, end)| {
+            let is_done = |(at, by, what): &(ClockTime, NodeName, TargetName)| {
+                *at >= turns.opened_at && by == node && what == source
+            };
+            *end > now && !finished.iter().any(is_done)
+        });
+        if let Some(end) = turns.ahead.iter().map(|(_, end)| *end).max() {
+            return MoveTurn::Wait(end);
+        }
+        if turns.is_moving {
+            return MoveTurn::Wait(now + SOURCE_EXPIRY);
+        }
+        turns.is_moving = true;
+        turns.waiting = turns.waiting.saturating_sub(1);
+        MoveTurn::Start
+    }
+
+    /// Ends the turn of a generation.
+    pub fn end(&mut self, source: &TargetName) {
+        if let Some(turns) = self.find_mut(source) {
+            turns.is_moving = false;
+        }
+    }
+
+    /// Takes what a peer says it is done with.
+    pub fn note_finished(&mut self, now: ClockTime, node: &NodeName, sources: Vec<TargetName>) {
+        for source in sources {
+            let is_known =
+                |(_, by, what): &(ClockTime, NodeName, TargetName)| by == node && *what == source;
+            if !self.finished.iter().any(is_known) {
+                self.finished.push((now, node.clone(), source));
+            }
+        }
+    }
+
+    /// Leaving engines that this node has nothing more to move off.
+    pub fn own_finished(&self) -> Vec<TargetName> {
+        let sources = self.sources.iter();
+        let done = sources.filter(|turns| turns.waiting == 0 && !turns.is_moving);
+        done.map(|turns| turns.source.clone()).collect()
+    }
+
+    fn windows(
+        &self,
+        now: ClockTime,
+        source: &TargetName,
+        peers: &[(NodeName, LoadSum)],
+        rate: TokenRate,
+    ) -> Vec<(NodeName, ClockTime)> {
+        let rank = |node: &NodeName| (rank_score(source.as_str(), node.as_str()), node.clone());
+        let own = rank(&self.node);
+        let mut ahead: Vec<_> = peers.iter().filter(|(node, _)| rank(node) < own).collect();
+        ahead.sort_by_key(|(node, _)| rank(node));
+        let mut end = now;
+        let windows = ahead.into_iter().map(|(node, load)| {
+            end += window_time(load, rate);
+            (node.clone(), end)
+        });
+        windows.collect()
+    }
+
+    fn find(&self, source: &TargetName) -> Option<&SourceTurns> {
+        self.sources.iter().find(|turns| turns.source == *source)
+    }
+
+    fn find_mut(&mut self, source: &TargetName) -> Option<&mut SourceTurns> {
+        let mut sources = self.sources.iter_mut();
+        sources.find(|turns| turns.source == *source)
+    }
+}
+
+fn window_time(load: &LoadSum, rate: TokenRate) -> TimeSpan {
+    let transfer = TimeSpan::new(load.tokens * 1_000 / rate.0.max(1));
+    transfer * WINDOW_FACTOR.0 / WINDOW_FACTOR.1 + ORDER_TIME * u64::from(load.calls)
+}
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -22,8 +22,13 @@
 const PLAIN_CALL_MS: f64 = 12.0;
 /// Cost in milliseconds of a call that fails.
 const FAILURE_COST_MS: f64 = 800.0;
-/// Cost in milliseconds of another failure domain: transfer price and exposure to cuts.
-const DOMAIN_COST_MS: f64 = 6.0;
+/// Cost in milliseconds of a plain target in another failure domain: round trips and transfers.
+const PLAIN_DOMAIN_COST_MS: f64 = 6.0;
+/// Cost in milliseconds of an engine in another failure domain: a stream there is lost when the
+/// domains are cut off from each other.
+const ENGINE_DOMAIN_COST_MS: f64 = 250.0;
+/// Cost in milliseconds of a target that could not be reached last time.
+const UNREACHED_COST_MS: f64 = 1_000.0;
 /// Cost in milliseconds of moving a generation to another failure domain, which takes twice as long
 /// and delays the moves queued behind it.
 const MOVE_DOMAIN_COST_MS: f64 = 400.0;
@@ -192,9 +197,15 @@
         cost += state.health.failure_share(now) * FAILURE_COST_MS;
         cost += match &need.moves_from {
             Some(domain) if *domain != state.record.domain => MOVE_DOMAIN_COST_MS,
-            None if self.domain != state.record.domain => DOMAIN_COST_MS,
+            None if self.domain != state.record.domain => match need.engine {
+                Some(_) => ENGINE_DOMAIN_COST_MS,
+                None => PLAIN_DOMAIN_COST_MS,
+            },
             _ => 0.0,
         };
+        if !state.health.is_reachable() {
+            cost += UNREACHED_COST_MS;
+        }
         if now < state.warm_at {
             cost += COLD_COST_MS;
         }
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -23,6 +23,8 @@
     pub targets_revision: u64,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
+    /// Leaving engines off which it has nothing more to move.
+    pub finished: Vec<TargetName>,
     /// News of calls that crash targets.
     pub crashes: Vec<CrashMessage>,
     /// Some other nodes that are alive.
@@ -50,6 +52,7 @@
                 version: state.view.version(),
                 targets_revision: state.view.target_items.revision().unwrap_or(0),
                 loads: state.board.own_loads(),
+                finished: state.turns.own_finished(),
                 crashes: state.recent_crashes(now),
                 addresses,
             }
@@ -58,6 +61,7 @@
 
     /// Takes what a peer says; returns the areas of which the peer knows more.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
+        let has_turns = !self.finished.is_empty();
         let (is_found, newer) = core.with_state(|state, now| {
             let is_found = state.peers.hear(now, &self.node, self.address);
             state.peers.hint(&self.addresses);
@@ -66,6 +70,7 @@
                 heard_at: now,
                 loads: self.loads,
             });
+            state.turns.note_finished(now, &self.node, self.finished);
             for message in self.crashes {
                 state.crashes.on_message(now, message);
             }
@@ -79,6 +84,9 @@
             }
             (is_found, newer)
         });
+        if has_turns {
+            core.wake_pumps();
+        }
         if is_found {
             log::info!(
                 event = base::EventKind::PeerAlive.number(),
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::EventKind;
+use base::{EventKind, TargetName};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
@@ -68,6 +68,19 @@
         }
     }
 
+    /// Tells the peers that also have load on `source` at once that this node is done with it.
+    pub fn push_finished(&self, source: &TargetName) {
+        let addresses = self.core.with_state(|state, now| {
+            let peers = state.board.peer_loads(source);
+            let names: Vec<_> = peers.into_iter().map(|(node, _)| node).collect();
+            state.peers.addresses_of(now, &names)
+        });
+        for address in addresses {
+            let exchange = self.clone();
+            tokio::spawn(async move { exchange.exchange(address).await });
+        }
+    }
+
     fn pick_peers(&self, round: u32) -> Vec<SocketAddr> {
         let (alive, doubtful) = self
             .core
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{ClockTime, EventKind, TargetName};
+use base::{EventKind, TargetName};
 use bytes::Bytes;
-use entry::{EngineSpec, MovePhase, MovePlan, MoveStep, PlaceNeed, StreamFacts, TargetPhase};
+use entry::{MovePhase, MovePlan, MoveStep, MoveTurn, PlaceNeed, StreamFacts, TargetPhase};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -15,6 +15,7 @@
 use super::CallAudit;
 use super::call_input::CallInput;
 use super::target_send::{SendEnd, TargetHead, note_answered, note_broken, send_call};
+use crate::peer::PeerExchange;
 use crate::{CopyAnswer, GatewayCore, PlaceHold, ResumePoint};
 
 /// Largest event in bytes.
@@ -56,6 +57,14 @@
     Ended,
 }
 
+/// Part of a stream in the moves off its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TurnState {
+    Idle,
+    Waiting,
+    Moving,
+}
+
 /// Feeds the events of a generation to its caller, also while it moves between engines.
 pub struct StreamPump {
     core: Arc<GatewayCore>,
@@ -76,7 +85,7 @@
     unused_copy: Option<SmolStr>,
     leaving: watch::Receiver<u64>,
     move_due: Instant,
-    move_start: Option<ClockTime>,
+    turn: TurnState,
     full_targets: Vec<TargetName>,
     deadline: Instant,
 }
@@ -98,7 +107,7 @@
             },
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + IDLE,
-            move_start: None,
+            turn: TurnState::Idle,
             full_targets: Vec::new(),
             core: parts.core,
             call: parts.call,
@@ -125,6 +134,7 @@
                 break;
             }
         }
+        self.end_turn();
         self.free_copy();
         self.core.with_state(|state, _| state.streams -= 1);
     }
@@ -266,14 +276,14 @@
         self.move_due = Instant::now() + IDLE;
         let now = self.core.now();
         let can_move = self.call.engine.is_some_and(|spec| spec.can_move);
-        if !can_move || !self.plan.can_start() || !self.facts.outlives_notice(now) {
+        if !can_move || *self.plan.phase() != MovePhase::Settled {
             return;
         }
-        let Some(start) = self.book_move() else {
+        if !self.plan.can_start() || !self.facts.outlives_notice(now) {
+            self.end_turn();
             return;
-        };
-        if start > now {
-            self.move_due = Instant::now() + Duration::from(start - now);
+        }
+        if self.turn != TurnState::Moving && !self.take_turn() {
             return;
         }
         let source = &self.hold.target;
@@ -289,6 +299,8 @@
             moves_from: Some(self.hold.domain.clone()),
         };
         let Some(next) = self.core.try_acquire(&need) else {
+            self.full_targets.clear();
+            self.end_turn();
             self.move_due = Instant::now() + MOVE_RETRY;
             return;
         };
@@ -309,29 +321,52 @@
         }
     }
 
-    /// When the generation is to be moved; `None` if its engine stays.
-    fn book_move(&mut self) -> Option<ClockTime> {
-        if self.move_start.is_some() {
-            return self.move_start;
-        }
-        let spec = self.call.engine?;
-        let held = self.held_tokens(spec);
-        let source = &self.hold.target;
-        self.move_start = self.core.with_state(|state, now| {
-            let found = state.board.target(source);
+    /// Whether the generation may be moved now; looks again later if it may not yet.
+    fn take_turn(&mut self) -> bool {
+        let source = self.hold.target.clone();
+        let is_queued = self.turn == TurnState::Waiting;
+        let taken = self.core.with_state(|state, now| {
+            let found = state.board.target(&source);
             if found.is_some_and(|one| one.phase != TargetPhase::Leaving) {
                 return None;
             }
-            let peers = state.board.peer_loads(source);
-            Some(state.slots.book(now, source, &peers, held, spec.copy_rate))
+            if !is_queued {
+                state.turns.join(&source);
+            }
+            Some((state.turns.take(now, &source), now))
         });
-        self.move_start
+        match taken {
+            None => false,
+            Some((MoveTurn::Start, _)) => {
+                self.turn = TurnState::Moving;
+                true
+            }
+            Some((MoveTurn::Wait(until), now)) => {
+                self.turn = TurnState::Waiting;
+                self.move_due = Instant::now() + Duration::from(until - now);
+                false
+            }
+        }
     }
 
-    /// Tokens that the generation holds in its engine's memory.
-    fn held_tokens(&self, spec: EngineSpec) -> u64 {
-        let prompt = self.call.head.generation.map_or(0, |size| size.prompt.0);
-        u64::from(prompt) + u64::from(self.facts.events) * u64::from(spec.event_tokens)
+    /// Gives up the place or the turn; the last one of this node tells the peers.
+    fn end_turn(&mut self) {
+        let ended = std::mem::replace(&mut self.turn, TurnState::Idle);
+        if ended == TurnState::Idle {
+            return;
+        }
+        let source = self.hold.target.clone();
+        let is_finished = self.core.with_state(|state, _| {
+            match ended {
+                TurnState::Moving => state.turns.end(&source),
+                TurnState::Idle | TurnState::Waiting => state.turns.leave(&source),
+            }
+            state.turns.own_finished().contains(&source)
+        });
+        self.core.wake_pumps();
+        if is_finished {
+            PeerExchange::new(self.core.clone()).push_finished(&source);
+        }
     }
 
     fn spawn_copy(&mut self, stops: bool) {
@@ -394,7 +429,10 @@
                     .extend(full.map(|hold| hold.target.clone()));
                 self.move_due = Instant::now();
             }
-            MoveStep::Stay => self.next_hold = None,
+            MoveStep::Stay => {
+                self.next_hold = None;
+                self.end_turn();
+            }
             MoveStep::Resume { at, handle } => return self.resume(at, handle).await,
         }
         PumpState::Going
@@ -462,6 +500,7 @@
     }
 
     fn finish_move(&mut self, next: PlaceHold) {
+        self.end_turn();
         log::info!(
             event = EventKind::MoveFinished.number(),
             node = self.core.node().as_str(),
@@ -475,7 +514,6 @@
         self.audit.note_target(&next.target);
         self.plan.on_resumed(next.target.clone());
         self.hold = next;
-        self.move_start = None;
         self.full_targets.clear();
         self.consider_move();
     }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -116,7 +116,7 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Changes with each target that starts to leave.
+    /// Changes with each target that starts to leave and with each turn that ends.
     pub fn watch_leaving(&self) -> watch::Receiver<u64> {
         self.leaving.subscribe()
     }
@@ -305,9 +305,15 @@
             );
         }
         if !leaving.is_empty() {
-            self.leaving.send_modify(|count| *count += 1);
+            self.with_state(|state, now| state.open_turns(now, leaving));
+            self.wake_pumps();
         }
     }
+
+    /// Lets the relays of generations look again whether to move.
+    pub fn wake_pumps(&self) {
+        self.leaving.send_modify(|count| *count += 1);
+    }
 }
 
 /// Place of a call in the line; left when its wait ends, also if its caller goes away.
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,6 +1,6 @@
 use base::{ClockTime, TargetName, TimeSpan};
 use calls::{CrashLimits, CrashMessage, CrashTable};
-use entry::{LineTicket, MoveSlots, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
+use entry::{LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
 use tokio::sync::oneshot;
 
 use super::{PeerTable, ViewState};
@@ -48,7 +48,7 @@
     /// Other nodes.
     pub peers: PeerTable,
     /// When generations on leaving engines are moved.
-    pub slots: MoveSlots,
+    pub turns: MoveTurns,
     /// Calls whose answer has not begun.
     pub active: usize,
     /// Streams that are being relayed.
@@ -70,7 +70,7 @@
             share: RetryShare::new(retry.ratio, retry.extra, retry.window),
             crashes: CrashTable::new(CrashLimits::default()),
             crash_messages: Vec::new(),
-            slots: MoveSlots::new(settings.node.clone()),
+            turns: MoveTurns::new(settings.node.clone()),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active: 0,
             streams: 0,
@@ -106,6 +106,21 @@
         }
     }
 
+    /// Opens the turns of engines that leave.
+    pub fn open_turns(&mut self, now: ClockTime, leaving: &[TargetName]) {
+        let Some(config) = self.view.config.clone() else {
+            return;
+        };
+        for name in leaving {
+            let service = self.board.target(name).map(|one| &one.record.service);
+            let spec = service.and_then(|service| config.service(service));
+            if let Some(engine) = spec.and_then(|spec| spec.engine) {
+                let peers = self.board.peer_loads(name);
+                self.turns.open(now, name, &peers, engine.copy_rate);
+            }
+        }
+    }
+
     /// Keeps a crash message to be repeated to peers.
     pub fn publish_crash(&mut self, now: ClockTime, message: CrashMessage) {
         if self.crash_messages.len() >= CRASH_MESSAGE_LIMIT {
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -88,6 +88,14 @@
         alive.map(|peer| peer.address).collect()
     }
 
+    /// Addresses of these nodes, as far as they are alive.
+    pub fn addresses_of(&self, now: ClockTime, nodes: &[NodeName]) -> Vec<SocketAddr> {
+        let peers = self.peers.iter();
+        let alive = peers.filter(|peer| now.since(peer.heard_at) < ALIVE_WAIT);
+        let named = alive.filter(|peer| nodes.contains(&peer.node));
+        named.map(|peer| peer.address).collect()
+    }
+
     /// Addresses that may belong to peers not alive now: seeds, hints and silent peers.
     pub fn doubtful(&mut self, now: ClockTime) -> Vec<SocketAddr> {
         self.peers
