Take targets from peers at once when the store is lost, ask engines when blind

Cause: nodes turned away or cut off by the store did not hear that engines left (view 2.8 to 9.9 s old); equally blind peers reset the wait before targets were taken from a better one. Change: a node without the store takes newer targets from any peer at once; one that hears nobody asks the engines with its own generations for their report every 400 ms.

--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -166,6 +166,16 @@
         PlaceChoice::Target(self.targets[costs[pick].1].record.name.clone())
     }
 
+    /// Notes that a target said itself that it leaves; returns whether that is new.
+    pub fn mark_leaving(&mut self, name: &TargetName) -> bool {
+        let Ok(at) = self.find(name) else {
+            return false;
+        };
+        let was_leaving = self.targets[at].phase == TargetPhase::Leaving;
+        self.targets[at].phase = TargetPhase::Leaving;
+        !was_leaving
+    }
+
     /// Adds a call to the load of a target.
     pub fn add(&mut self, name: &TargetName, load: LoadSum) {
         if let Ok(at) = self.find(name) {
--- /dev/null
+++ b/crates/gateway/src/feed/engine_watch.rs
@@ -0,0 +1,57 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{EventKind, TargetName};
+use tokio::time::interval;
+
+use crate::GatewayCore;
+
+/// Time between two rounds of questions; notices are short, and each question is paid for.
+const ROUND: Duration = Duration::from_millis(400);
+
+/// Asks engines with own generations whether they leave while nobody else tells this node.
+pub struct EngineWatch {
+    core: Arc<GatewayCore>,
+}
+
+impl EngineWatch {
+    /// Creates the watch of a node.
+    pub fn new(core: Arc<GatewayCore>) -> Self {
+        Self { core }
+    }
+
+    /// Asks until the process ends.
+    pub async fn run(self) {
+        let mut rounds = interval(ROUND);
+        loop {
+            rounds.tick().await;
+            for (target, address) in self.asked() {
+                let core = self.core.clone();
+                tokio::spawn(async move {
+                    match core.ports.engines.ask_report(address).await {
+                        Ok(report) if report.is_leaving => core.take_leaving(&target),
+                        Ok(_) => {}
+                        Err(reason) => log::debug!(
+                            event = EventKind::TargetDown.number(),
+                            node = core.node().as_str(),
+                            target = target.as_str();
+                            "no report: {reason}"
+                        ),
+                    }
+                });
+            }
+        }
+    }
+
+    fn asked(&self) -> Vec<(TargetName, std::net::SocketAddr)> {
+        self.core.with_state(|state, now| {
+            if !state.is_blind(now) {
+                return Vec::new();
+            }
+            let targets = state.board.targets().iter();
+            let busy = targets.filter(|one| one.own.tokens > 0 && one.accepts(now));
+            busy.map(|one| (one.record.name.clone(), one.record.address))
+                .collect()
+        })
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,9 +13,9 @@
 pub use feed::ViewFeed;
 pub use peer::{NodeDigest, PeerAnswer};
 pub use port::{
-    AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, GatewayPorts,
-    GenerationSize, HeadMistake, ItemBatch, PortFuture, ResumePoint, SendHead, SettingsSource,
-    SourceFailure, ViewArea, ViewCodec, ViewSource,
+    AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, EngineReport,
+    GatewayPorts, GenerationSize, HeadMistake, ItemBatch, PortFuture, ResumePoint, SendHead,
+    SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
 };
 pub use relay::CallHandler;
 pub use serve::{GatewayServer, StartFailure};
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -21,6 +21,8 @@
     pub version: ConfigVersion,
     /// Revision up to which it knows the targets.
     pub targets_revision: u64,
+    /// Whether the store answers it.
+    pub has_store: bool,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
     /// Leaving engines off which it has nothing more to move.
@@ -51,6 +53,7 @@
                 address: core.settings.peer_address,
                 version: state.view.version(),
                 targets_revision: state.view.target_items.revision().unwrap_or(0),
+                has_store: !state.view.guard.is_lost(),
                 loads: state.board.own_loads(),
                 finished: state.turns.own_finished(),
                 crashes: state.recent_crashes(now),
@@ -78,9 +81,12 @@
             if self.version > state.view.version() {
                 newer.push(ViewArea::Config);
             }
-            let revision = state.view.target_items.revision().unwrap_or(0);
-            if state.lags_behind(now, self.targets_revision, revision) {
+            if state.lags_behind(now, self.targets_revision) {
                 newer.push(ViewArea::Targets);
+            } else if self.has_store
+                && state.view.target_items.revision() <= Some(self.targets_revision)
+            {
+                state.view.confirm(ViewArea::Targets, now);
             }
             (is_found, newer)
         });
--- a/crates/gateway/src/port/engine_control.rs
+++ b/crates/gateway/src/port/engine_control.rs
@@ -29,6 +29,13 @@
     },
 }
 
+/// What an engine says of itself, some hundred milliseconds late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Whether it leaves and gets no new work.
+    pub is_leaving: bool,
+}
+
 /// Orders to engines about the memory of generations.
 pub trait EngineControl: Send + Sync {
     /// Copies the memory of a generation to another engine; with `stops`, the generation stops
@@ -41,6 +48,9 @@
         stops: bool,
     ) -> PortFuture<'a, CopyAnswer>;
 
+    /// Asks an engine about itself; the error tells why it gave no answer.
+    fn ask_report(&self, engine: SocketAddr) -> PortFuture<'_, Result<EngineReport, String>>;
+
     /// Frees a copy that will not be used, at both ends.
     fn free_copy<'a>(&'a self, source: SocketAddr, handle: &'a str) -> PortFuture<'a, ()>;
 }
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -12,7 +12,7 @@
 pub use call_codec::{
     AnswerHead, CallCodec, CallHead, GenerationSize, HeadMistake, ResumePoint, SendHead,
 };
-pub use engine_control::{CopyAnswer, EngineControl};
+pub use engine_control::{CopyAnswer, EngineControl, EngineReport};
 pub use gateway_ports::{GatewayPorts, SettingsSource};
 pub use view_codec::{DecodeFailure, ViewCodec};
 pub use view_source::{ItemBatch, SourceFailure, ViewArea, ViewSource};
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, interval, sleep};
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
 
-use crate::feed::ViewFeed;
+use crate::feed::{EngineWatch, ViewFeed};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{PeerExchange, PeerHandler};
 use crate::relay::CallHandler;
@@ -166,6 +166,7 @@
         for area in [ViewArea::Config, ViewArea::Targets] {
             tokio::spawn(ViewFeed::new(self.core.clone(), area).run());
         }
+        tokio::spawn(EngineWatch::new(self.core.clone()).run());
         tokio::spawn(PeerExchange::new(self.core.clone()).run());
         let core = self.core.clone();
         tokio::spawn(async move {
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -310,6 +310,13 @@
         }
     }
 
+    /// Takes the word of targets themselves that they leave.
+    pub fn take_leaving(&self, target: &TargetName) {
+        if self.with_state(|state, _| state.board.mark_leaving(target)) {
+            self.announce_leaving(std::slice::from_ref(target), "target");
+        }
+    }
+
     /// Lets the relays of generations look again whether to move.
     pub fn wake_pumps(&self) {
         self.leaving.send_modify(|count| *count += 1);
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -14,6 +14,9 @@
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
+/// Age of the targets, while the store is lost, at which engines are asked whether they leave.
+const BLIND_WAIT: TimeSpan = TimeSpan::new(700);
+
 /// Answer to a call that waits in the line: its target, or none if the service has none.
 pub type LineAnswer = Option<TargetName>;
 
@@ -53,8 +56,8 @@
     pub active: usize,
     /// Streams that are being relayed.
     pub streams: usize,
-    /// Since when a peer knows newer targets.
-    behind_since: Option<ClockTime>,
+    /// Own revision of the targets when a peer first knew newer ones, and when that was.
+    behind: Option<(u64, ClockTime)>,
     retry: RetryBounds,
 }
 
@@ -74,7 +77,7 @@
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active: 0,
             streams: 0,
-            behind_since: None,
+            behind: None,
             retry,
         }
     }
@@ -137,14 +140,29 @@
         messages.map(|(_, message)| message.clone()).collect()
     }
 
-    /// Whether a peer has known newer targets for so long that the store does not tell this node.
-    pub fn lags_behind(&mut self, now: ClockTime, told: u64, known: u64) -> bool {
+    /// Whether to take targets from a peer that knows them up to revision `told`.
+    ///
+    /// Not at once, as the store usually tells this node sooner.
+    pub fn lags_behind(&mut self, now: ClockTime, told: u64) -> bool {
+        let known = self.view.target_items.revision().unwrap_or(0);
         if told <= known {
-            self.behind_since = None;
             return false;
         }
-        let since = *self.behind_since.get_or_insert(now);
-        known == 0 || now.since(since) >= BEHIND_WAIT
+        if known == 0 || self.view.guard.is_lost() {
+            return true;
+        }
+        match self.behind {
+            Some((revision, since)) if revision == known => now.since(since) >= BEHIND_WAIT,
+            _ => {
+                self.behind = Some((known, now));
+                false
+            }
+        }
+    }
+
+    /// Whether neither the store nor a peer tells this node about targets.
+    pub fn is_blind(&self, now: ClockTime) -> bool {
+        self.view.guard.is_lost() && now.since(self.view.targets_at) > BLIND_WAIT
     }
 
     /// Takes new settings; returns whether anything changed.
