--- a/crates/entry/src/view/lapse_guard.rs
+++ b/crates/entry/src/view/lapse_guard.rs
@@ -49,6 +49,8 @@
     }
 
     /// Until when `removed` of `ready` targets that vanished without notice are still used.
+    ///
+    /// While the store is lost, changes come from peers that it answers, and are believed.
     pub fn keep_until(&self, now: ClockTime, removed: usize, ready: usize) -> Option<ClockTime> {
         if let Some(regained) = self.regained_at
             && now < regained + RETURN_WAIT
@@ -56,6 +58,6 @@
             return Some(regained + RETURN_WAIT);
         }
         let is_mass = removed > 1 && removed * MASS_DIVISOR > ready;
-        (self.is_lost || is_mass).then_some(now + DOUBT_WAIT)
+        is_mass.then_some(now + DOUBT_WAIT)
     }
 }
