Read targets by two nodes of a domain, exchange digests within it

Change: two nodes of a domain wait for changes and push them to the others, which read themselves when they are not told for 1.2 s; each round goes to up to 8 peers of the own domain and one of another.

--- a/crates/entry/src/view/lapse_guard.rs
+++ b/crates/entry/src/view/lapse_guard.rs
@@ -43,6 +43,18 @@
         was_lost
     }
 
+    /// Time since the store answered again, while that matters.
+    pub fn regained_age(&self, now: ClockTime) -> Option<TimeSpan> {
+        let age = now.since(self.regained_at?);
+        (age < RETURN_WAIT).then_some(age)
+    }
+
+    /// A peer regained the store `age` ago; its targets are as doubtful as own ones would be.
+    pub fn on_peer_regained(&mut self, now: ClockTime, age: TimeSpan) {
+        let at = ClockTime::new(now.as_millis().saturating_sub(age.as_millis()));
+        self.regained_at = self.regained_at.max(Some(at));
+    }
+
     /// Whether the store does not answer now.
     pub fn is_lost(&self) -> bool {
         self.is_lost
--- a/crates/gateway/src/feed/view_feed.rs
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -4,10 +4,13 @@
 use base::EventKind;
 use tokio::time::sleep;
 
+use crate::peer::PeerExchange;
 use crate::{GatewayCore, SourceFailure, ViewArea};
 
 /// Pause between two waits for changes, so that changes in quick succession share a call.
 const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before a node that is not a reader looks whether it has become one.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a first failure; a waiting call may be cut without any outage.
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
 /// Pause after further failures.
@@ -33,6 +36,10 @@
     /// Reads until the process ends.
     pub async fn run(mut self) {
         loop {
+            if !self.is_reader() {
+                sleep(IDLE_PAUSE).await;
+                continue;
+            }
             match self.read().await {
                 Ok(()) => {
                     self.note_answer();
@@ -50,6 +57,18 @@
         }
     }
 
+    /// Whether this node reads the area itself; others tell it the targets otherwise.
+    fn is_reader(&self) -> bool {
+        self.area == ViewArea::Config || self.core.with_state(|state, now| state.reads_targets(now))
+    }
+
+    fn set_waiting(&self, is_waiting: bool) {
+        if self.area == ViewArea::Targets {
+            self.core
+                .with_state(|state, _| state.is_waiting_at_store = is_waiting);
+        }
+    }
+
     async fn read(&mut self) -> Result<(), SourceFailure> {
         let area = self.area;
         let known = self
@@ -64,9 +83,14 @@
             self.core.take_items(area, revision, items, "store");
             return Ok(());
         };
-        match source.wait_changes(area, known).await {
+        self.set_waiting(true);
+        let waited = source.wait_changes(area, known).await;
+        self.set_waiting(false);
+        match waited {
             Ok(batch) => {
-                self.core.take_batch(area, batch);
+                if self.core.take_batch(area, batch) && area == ViewArea::Targets {
+                    PeerExchange::new(self.core.clone()).push_targets();
+                }
                 Ok(())
             }
             Err(SourceFailure::HistoryGone) => {
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{NodeName, TargetName};
+use base::{DomainName, NodeName, TargetName, TimeSpan};
 use calls::CrashMessage;
 use entry::{ConfigVersion, LoadSum, PeerLoads, PublishedItem};
 use serde::{Deserialize, Serialize};
@@ -21,8 +21,12 @@
     pub version: ConfigVersion,
     /// Revision up to which it knows the targets.
     pub targets_revision: u64,
-    /// Whether the store answers it.
-    pub has_store: bool,
+    /// Failure domain of the node.
+    pub domain: DomainName,
+    /// Milliseconds since it knew its targets to be up to date; `None` if it never did.
+    pub targets_age: Option<TimeSpan>,
+    /// Time since the store answered again after an outage, if that was lately.
+    pub regained_age: Option<TimeSpan>,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
     /// Leaving engines off which it has nothing more to move.
@@ -53,7 +57,9 @@
                 address: core.settings.peer_address,
                 version: state.view.version(),
                 targets_revision: state.view.target_items.revision().unwrap_or(0),
-                has_store: !state.view.guard.is_lost(),
+                domain: core.settings.domain.clone(),
+                targets_age: state.targets_age(now),
+                regained_age: state.view.guard.regained_age(now),
                 loads: state.board.own_loads(),
                 finished: state.turns.own_finished(),
                 crashes: state.recent_crashes(now),
@@ -66,7 +72,9 @@
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_turns = !self.finished.is_empty();
         let (is_found, newer) = core.with_state(|state, now| {
-            let is_found = state.peers.hear(now, &self.node, self.address);
+            let is_found = state
+                .peers
+                .hear(now, &self.node, &self.domain, self.address);
             state.peers.hint(&self.addresses);
             state.board.take_peer(PeerLoads {
                 node: self.node.clone(),
@@ -83,10 +91,10 @@
             }
             if state.lags_behind(now, self.targets_revision) {
                 newer.push(ViewArea::Targets);
-            } else if self.has_store
-                && state.view.target_items.revision() <= Some(self.targets_revision)
-            {
-                state.view.confirm(ViewArea::Targets, now);
+            }
+            state.confirm_targets(now, self.targets_revision, self.targets_age);
+            if let Some(age) = self.regained_age {
+                state.view.guard.on_peer_regained(now, age);
             }
             (is_found, newer)
         });
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{EventKind, TargetName};
+use base::{EventKind, TargetName, TimeSpan};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
@@ -24,8 +24,12 @@
 
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(250);
-/// Live peers in one round; each exchange tells both sides.
+/// Peers of the own failure domain in one round; each exchange tells both sides.
+const ROUND_NEAR: usize = 8;
+/// Peers in one round at least, in any failure domain; one of another domain is always among them.
 const ROUND_PEERS: usize = 4;
+/// Time since a peer of the own domain was heard in which it is told of news at once.
+const NEAR_ALIVE: TimeSpan = TimeSpan::from_secs(5);
 /// Rounds between two tries of addresses that did not answer.
 const DOUBT_ROUNDS: u32 = 2;
 /// Longest time for an exchange.
@@ -81,16 +85,37 @@
         }
     }
 
+    /// Tells the peers of the own failure domain at once that the targets changed.
+    pub fn push_targets(&self) {
+        for address in self.near_peers() {
+            let exchange = self.clone();
+            tokio::spawn(async move { exchange.exchange(address).await });
+        }
+    }
+
+    fn near_peers(&self) -> Vec<SocketAddr> {
+        let domain = &self.core.settings.domain;
+        let near = self
+            .core
+            .with_state(|state, now| state.peers.alive_in(now, domain, NEAR_ALIVE));
+        near.into_iter().map(|(_, address)| address).collect()
+    }
+
     fn pick_peers(&self, round: u32) -> Vec<SocketAddr> {
-        let (alive, doubtful) = self
+        let near = self.near_peers();
+        let (mut far, doubtful) = self
             .core
             .with_state(|state, now| (state.peers.alive(now), state.peers.doubtful(now)));
+        let has_alive = !far.is_empty();
+        far.retain(|address| !near.contains(address));
         let mut random = rand::rng();
-        let mut picked: Vec<_> = alive
-            .choose_multiple(&mut random, ROUND_PEERS)
+        let mut picked: Vec<_> = near
+            .choose_multiple(&mut random, ROUND_NEAR)
             .copied()
             .collect();
-        if round.is_multiple_of(DOUBT_ROUNDS) || alive.is_empty() {
+        let rest = ROUND_PEERS.saturating_sub(picked.len()).max(1);
+        picked.extend(far.choose_multiple(&mut random, rest));
+        if round.is_multiple_of(DOUBT_ROUNDS) || !has_alive {
             picked.extend(doubtful.choose(&mut random).copied());
         }
         picked
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -189,7 +189,9 @@
     }
 
     /// Takes changes of published items.
-    pub fn take_batch(&self, area: ViewArea, batch: ItemBatch) {
+    ///
+    /// Returns whether anything changed.
+    pub fn take_batch(&self, area: ViewArea, batch: ItemBatch) -> bool {
         let changed = self.with_state(|state, now| {
             state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
@@ -198,6 +200,7 @@
         if changed {
             self.adopt(area, "store");
         }
+        changed
     }
 
     /// Takes all items of an area; `from` tells who sent them.
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,4 +1,4 @@
-use base::{ClockTime, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan, rank_owners};
 use calls::{CrashLimits, CrashMessage, CrashTable};
 use entry::{LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
 use tokio::sync::oneshot;
@@ -14,6 +14,14 @@
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
+/// Nodes of a failure domain that read the targets from the store.
+const READERS: usize = 2;
+/// Key by which these nodes are ranked.
+const READER_KEY: &str = "targets";
+/// Time since a reader was heard after which another takes its place.
+const READER_ALIVE: TimeSpan = TimeSpan::new(1_500);
+/// Age of the targets at which any node reads them itself.
+const UNTOLD_WAIT: TimeSpan = TimeSpan::new(1_200);
 /// Age of the targets, while the store is lost, at which engines are asked whether they leave.
 const BLIND_WAIT: TimeSpan = TimeSpan::new(700);
 
@@ -54,11 +62,15 @@
     pub turns: MoveTurns,
     /// Calls whose answer has not begun.
     pub active: usize,
+    /// Whether a call that waits for changes of targets is under way.
+    pub is_waiting_at_store: bool,
     /// Streams that are being relayed.
     pub streams: usize,
     /// Own revision of the targets when a peer first knew newer ones, and when that was.
     behind: Option<(u64, ClockTime)>,
     retry: RetryBounds,
+    node: NodeName,
+    domain: DomainName,
 }
 
 impl GatewayState {
@@ -76,6 +88,9 @@
             turns: MoveTurns::new(settings.node.clone()),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active: 0,
+            is_waiting_at_store: false,
+            node: settings.node.clone(),
+            domain: settings.domain.clone(),
             streams: 0,
             behind: None,
             retry,
@@ -148,7 +163,7 @@
         if told <= known {
             return false;
         }
-        if known == 0 || self.view.guard.is_lost() {
+        if known == 0 || self.view.guard.is_lost() || !self.is_waiting_at_store {
             return true;
         }
         match self.behind {
@@ -160,6 +175,41 @@
         }
     }
 
+    /// Time since the targets were known to be up to date; zero while this node waits for changes
+    /// at the store itself.
+    pub fn targets_age(&self, now: ClockTime) -> Option<TimeSpan> {
+        self.view.target_items.revision()?;
+        if self.is_waiting_at_store && !self.view.guard.is_lost() {
+            return Some(TimeSpan::ZERO);
+        }
+        Some(now.since(self.view.targets_at))
+    }
+
+    /// Takes the word of a peer that its targets are up to date, if it knows no newer ones.
+    pub fn confirm_targets(&mut self, now: ClockTime, revision: u64, age: Option<TimeSpan>) {
+        let is_same = self.view.target_items.revision() == Some(revision);
+        if let Some(age) = age.filter(|_| is_same) {
+            let at = ClockTime::new(now.as_millis().saturating_sub(age.as_millis()));
+            self.view.targets_at = self.view.targets_at.max(at);
+        }
+    }
+
+    /// Whether this node reads the targets from the store itself, for its failure domain.
+    ///
+    /// Two nodes of a domain do, since each call to the store is paid for; every other node does
+    /// as soon as it is not told for a while that its targets are up to date.
+    pub fn reads_targets(&self, now: ClockTime) -> bool {
+        let age = now.since(self.view.targets_at);
+        if self.view.target_items.revision().is_none() || age > UNTOLD_WAIT {
+            return true;
+        }
+        let peers = self.peers.alive_in(now, &self.domain, READER_ALIVE);
+        let names = peers.iter().map(|(node, _)| node.as_str());
+        let ranked = rank_owners(READER_KEY, names.chain([self.node.as_str()]));
+        let place = ranked.iter().position(|name| *name == self.node.as_str());
+        place.is_some_and(|place| place < READERS)
+    }
+
     /// Whether neither the store nor a peer tells this node about targets.
     pub fn is_blind(&self, now: ClockTime) -> bool {
         self.view.guard.is_lost() && now.since(self.view.targets_at) > BLIND_WAIT
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, NodeName, TimeSpan};
+use base::{ClockTime, DomainName, NodeName, TimeSpan};
 
-/// Time since a peer was heard in which it counts as alive.
-const ALIVE_WAIT: TimeSpan = TimeSpan::from_secs(5);
+/// Time since a peer was heard in which it counts as alive; peers of other failure domains are
+/// heard rarely in large fleets.
+const ALIVE_WAIT: TimeSpan = TimeSpan::from_secs(20);
 /// Time for which a peer counts in shares of budgets after it was last heard; a peer that is cut
 /// off goes on using its share.
 const SHARE_WAIT: TimeSpan = TimeSpan::from_secs(60);
@@ -16,6 +17,7 @@
 struct PeerEntry {
     address: SocketAddr,
     node: NodeName,
+    domain: DomainName,
     heard_at: ClockTime,
 }
 
@@ -50,11 +52,18 @@
     }
 
     /// Notes that a peer was heard; returns whether it was not alive before.
-    pub fn hear(&mut self, now: ClockTime, node: &NodeName, address: SocketAddr) -> bool {
+    pub fn hear(
+        &mut self,
+        now: ClockTime,
+        node: &NodeName,
+        domain: &DomainName,
+        address: SocketAddr,
+    ) -> bool {
         self.hinted.retain(|known| *known != address);
         let entry = PeerEntry {
             address,
             node: node.clone(),
+            domain: domain.clone(),
             heard_at: now,
         };
         match self.find(address) {
@@ -88,6 +97,20 @@
         alive.map(|peer| peer.address).collect()
     }
 
+    /// Peers of a failure domain that were heard within `wait`.
+    pub fn alive_in(
+        &self,
+        now: ClockTime,
+        domain: &DomainName,
+        wait: TimeSpan,
+    ) -> Vec<(NodeName, SocketAddr)> {
+        let peers = self.peers.iter();
+        let alive = peers.filter(|peer| now.since(peer.heard_at) < wait && peer.domain == *domain);
+        alive
+            .map(|peer| (peer.node.clone(), peer.address))
+            .collect()
+    }
+
     /// Addresses of these nodes, as far as they are alive.
     pub fn addresses_of(&self, now: ClockTime, nodes: &[NodeName]) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
