--- /dev/null
+++ b/crates/entry/tests/board.rs
@@ -0,0 +1,180 @@
+//! Choice of targets.
+
+mod support;
+
+use base::{ClockTime, DomainName, IncarnationNumber, NodeName, TargetName, TimeSpan};
+use entry::{
+    LapseGuard, LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetOutcome, TargetPhase,
+};
+use proptest::prelude::*;
+use support::{SPEC, board, need, record};
+
+const NOW: ClockTime = ClockTime::new(2_000);
+
+fn name(text: &str) -> TargetName {
+    text.parse().unwrap()
+}
+
+fn chosen(choice: PlaceChoice) -> TargetName {
+    match choice {
+        PlaceChoice::Target(target) => target,
+        other => panic!("expected a target, found {other:?}"),
+    }
+}
+
+// Guards against streams that are lost with a cut between failure domains without need.
+#[test]
+fn prefers_the_own_domain() {
+    let mut board = board(&[record("e1", "balaju"), record("e2", "patan")]);
+    assert_eq!(chosen(board.place(NOW, &need(3_000, 2_000))), name("e2"));
+}
+
+// Guards against a queue in the own domain while another one is idle.
+#[test]
+fn goes_to_another_domain_when_its_own_is_loaded() {
+    let mut board = board(&[record("e1", "balaju"), record("e2", "patan")]);
+    let call = need(4_000, 3_000);
+    board.add(&name("e2"), call.load);
+    assert_eq!(chosen(board.place(NOW, &call)), name("e1"));
+}
+
+// Guards against preemptions: what peers have in flight counts like own calls.
+#[test]
+fn counts_the_loads_of_peers() {
+    let mut board = board(&[record("e1", "patan")]);
+    let node: NodeName = "n2".parse().unwrap();
+    let load = LoadSum {
+        calls: 2,
+        tokens: 8_000,
+        prefill: 0,
+    };
+    let heard_at = NOW;
+    let loads = vec![(name("e1"), load)];
+    board.take_peer(PeerLoads {
+        origin: LoadOrigin::Node(node),
+        heard_at,
+        loads,
+    });
+    assert_eq!(board.place(NOW, &need(3_000, 2_000)), PlaceChoice::Full);
+    board.on_tick(NOW + TimeSpan::from_secs(3));
+    let later = NOW + TimeSpan::from_secs(3);
+    assert_eq!(chosen(board.place(later, &need(3_000, 2_000))), name("e1"));
+}
+
+// Guards against counting loads of another domain twice, or passing them on as own ones.
+#[test]
+fn sums_only_its_own_domain() {
+    let mut board = board(&[record("e1", "patan")]);
+    let load = need(1_000, 0).load;
+    board.add(&name("e1"), load);
+    let domain: DomainName = "balaju".parse().unwrap();
+    for origin in [
+        LoadOrigin::Domain(domain),
+        LoadOrigin::Node("n2".parse().unwrap()),
+    ] {
+        let loads = vec![(name("e1"), load)];
+        let heard_at = NOW;
+        board.take_peer(PeerLoads {
+            origin,
+            heard_at,
+            loads,
+        });
+    }
+    assert_eq!(board.target(&name("e1")).unwrap().total().calls, 3);
+    assert_eq!(board.domain_loads()[0].1.calls, 2);
+}
+
+// Guards against calls to a target that leaves.
+#[test]
+fn sends_nothing_to_leaving_targets() {
+    let mut board = board(&[record("e1", "patan")]);
+    let mut leaving = record("e1", "patan");
+    leaving.is_leaving = true;
+    let guard = LapseGuard::default();
+    let told = board.take_records(NOW, vec![leaving.clone()], &guard);
+    assert_eq!(told, [name("e1")]);
+    assert_eq!(board.place(NOW, &need(100, 100)), PlaceChoice::Absent);
+    assert!(board.take_records(NOW, vec![leaving], &guard).is_empty());
+}
+
+// Guards against the loss of all targets after an outage, and against keeping a dead one for good.
+#[test]
+fn lapsed_targets_take_calls_until_their_time_is_over() {
+    let mut board = board(&[record("e1", "patan")]);
+    let mut guard = LapseGuard::default();
+    guard.on_lost(NOW);
+    guard.on_regained(NOW);
+    assert!(board.take_records(NOW, Vec::new(), &guard).is_empty());
+    assert_eq!(chosen(board.place(NOW, &need(100, 100))), name("e1"));
+    let later = NOW + TimeSpan::from_secs(3);
+    assert_eq!(board.on_tick(later), [name("e1")]);
+    assert_eq!(board.place(later, &need(100, 100)), PlaceChoice::Absent);
+}
+
+// Guards against taking a restarted target for the one that left under its name.
+#[test]
+fn a_new_run_under_an_old_name_takes_calls() {
+    let mut board = board(&[record("e1", "patan")]);
+    board.note(NOW, &name("e1"), TargetOutcome::Unreachable);
+    board.mark_leaving(&name("e1"));
+    let mut reborn = record("e1", "patan");
+    reborn.incarnation = IncarnationNumber(2);
+    board.take_records(NOW, vec![reborn], &LapseGuard::default());
+    assert_eq!(board.target(&name("e1")).unwrap().phase, TargetPhase::Ready);
+    assert_eq!(chosen(board.place(NOW, &need(100, 100))), name("e1"));
+}
+
+// Guards against a call that meets the same unreachable target again and again.
+#[test]
+fn pauses_unreachable_targets_and_avoids_them_afterwards() {
+    let mut board = board(&[record("e1", "patan"), record("e2", "balaju")]);
+    board.note(NOW, &name("e1"), TargetOutcome::Unreachable);
+    let later = NOW + TimeSpan::from_secs(2);
+    assert_eq!(chosen(board.place(later, &need(100, 100))), name("e2"));
+}
+
+// Guards against a target that fails part of its calls while its health answer is good.
+#[test]
+fn avoids_targets_that_fail_calls() {
+    let mut records = [record("a1", "patan"), record("a2", "patan")];
+    records.iter_mut().for_each(|one| one.slots = 6);
+    let mut board = board(&records);
+    for _ in 0..4 {
+        board.note(NOW, &name("a1"), TargetOutcome::Failed);
+        board.note(NOW, &name("a2"), TargetOutcome::Answered);
+    }
+    let call = PlaceNeed {
+        engine: None,
+        ..need(0, 0)
+    };
+    (0..20).for_each(|_| assert_eq!(chosen(board.place(NOW, &call)), name("a2")));
+}
+
+proptest! {
+    // Guards against more calls or tokens on an engine than it holds, whatever comes and goes.
+    #[test]
+    fn engines_are_never_overfilled(steps in prop::collection::vec((0_u64..9_000, any::<bool>()), 1..60)) {
+        let mut board = board(&[record("e1", "patan"), record("e2", "balaju")]);
+        let mut placed = Vec::new();
+        for (tokens, is_ending) in steps {
+            if is_ending && !placed.is_empty() {
+                let (target, load) = placed.remove(0);
+                board.remove(&target, load);
+                continue;
+            }
+            let call = need(tokens, tokens / 2);
+            if let PlaceChoice::Target(target) = board.place(NOW, &call) {
+                board.add(&target, call.load);
+                placed.push((target, call.load));
+            }
+            for state in board.targets() {
+                prop_assert!(state.own.calls <= SPEC.slots);
+                prop_assert!(state.own.calls <= 1 || state.own.tokens <= u64::from(SPEC.memory.0));
+            }
+        }
+        for (target, load) in placed {
+            board.remove(&target, load);
+        }
+        prop_assert!(board.own_loads().is_empty());
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/config.rs
@@ -0,0 +1,82 @@
+//! Routes and keys.
+
+use base::TimeSpan;
+use entry::{
+    ConfigVersion, KeyDenial, RepeatRule, RequestLimits, RouteRule, ServeConfig, ServiceWeight,
+    WorkspaceRule,
+};
+use yare::parameterized;
+
+fn route(host: &str, prefix: &str, service: &str) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        services: vec![ServiceWeight {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        repeat: RepeatRule::Idempotent,
+        timeout: TimeSpan::from_secs(1),
+        latency_target: TimeSpan::new(100),
+        gap_target: None,
+        priority: 0,
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+fn config() -> ServeConfig {
+    ServeConfig::new(ConfigVersion(3), RequestLimits::default())
+        .with_routes(vec![
+            route("a.example", "/", "root"),
+            route("b.example", "/x/", "other"),
+            route("a.example", "/x/y/", "deep"),
+            route("a.example", "/x/", "shallow"),
+        ])
+        .with_workspaces(vec![WorkspaceRule {
+            name: "depot".parse().unwrap(),
+            keys: vec!["k2".into(), "k1".into()],
+            priority: Some(1),
+        }])
+}
+
+// Guards against a call that goes to the service of a shorter prefix or of another host.
+#[parameterized(
+    deep = { "a.example", "/x/y/z", Some("deep") },
+    shallow = { "a.example", "/x/yz", Some("shallow") },
+    root = { "a.example", "/x", Some("root") },
+    other_host = { "b.example", "/x/1", Some("other") },
+    no_prefix = { "b.example", "/y/", None },
+    no_host = { "c.example", "/x/", None },
+)]
+fn finds_longest_prefix(host: &str, path: &str, expected: Option<&str>) {
+    let config = config();
+    let found = config.route(host, path).and_then(|one| one.pick_service(0));
+    assert_eq!(found.map(|name| name.as_str()), expected);
+}
+
+// Guards against calls with a revoked key, or against refusing a valid one.
+#[parameterized(
+    first = { Some("k1"), Ok(Some("depot")) },
+    second = { Some("k2"), Ok(Some("depot")) },
+    unknown = { Some("k3"), Err(KeyDenial) },
+    missing = { None, Err(KeyDenial) },
+)]
+fn checks_keys(key: Option<&str>, expected: Result<Option<&str>, KeyDenial>) {
+    let config = config();
+    let found = config.authorize(&route("a.example", "/", "root"), key);
+    let found = found.map(|rule| rule.map(|rule| rule.name.as_str()));
+    assert_eq!(found, expected);
+}
+
+// Guards against asking for a key where the route is public or no workspace is declared.
+#[test]
+fn needs_no_key_on_public_routes_or_without_workspaces() {
+    let mut public = route("a.example", "/", "root");
+    public.is_public = true;
+    assert_eq!(config().authorize(&public, None), Ok(None));
+    let open = ServeConfig::new(ConfigVersion(1), RequestLimits::default());
+    let closed = route("a.example", "/", "root");
+    assert_eq!(open.authorize(&closed, Some("k9")), Ok(None));
+}
--- /dev/null
+++ b/crates/entry/tests/moves.rs
@@ -0,0 +1,166 @@
+//! Moves of running generations.
+
+use base::{ClockTime, NodeName, TargetName, TimeSpan, TokenRate};
+use entry::{LoadSum, MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
+use proptest::prelude::*;
+
+const RATE: TokenRate = TokenRate(10_000);
+const NOW: ClockTime = ClockTime::new(1_000);
+
+fn name(text: &str) -> TargetName {
+    text.parse().unwrap()
+}
+
+#[derive(Clone, Debug)]
+enum PlanEvent {
+    Start,
+    Copied(bool),
+    Stopped(bool, bool),
+    SourceClosed,
+}
+
+fn plan_event() -> impl Strategy<Value = PlanEvent> {
+    prop_oneof![
+        Just(PlanEvent::Start),
+        any::<bool>().prop_map(PlanEvent::Copied),
+        any::<(bool, bool)>().prop_map(|(handle, whole)| PlanEvent::Stopped(handle, whole)),
+        Just(PlanEvent::SourceClosed),
+    ]
+}
+
+proptest! {
+    // Guards against two engines at work on one generation: it goes on only after its source
+    // confirmed that it stopped and closed its stream, and only from the copy that it named.
+    #[test]
+    fn resumes_only_after_the_source_stopped(events in prop::collection::vec(plan_event(), 1..20)) {
+        let mut plan = MovePlan::new(name("e1"));
+        let (mut stopped, mut closed) = (false, false);
+        for event in events {
+            let step = match event {
+                PlanEvent::Start => Some(plan.start(name("e2"))),
+                PlanEvent::Copied(whole) => Some(plan.on_copied(whole)),
+                PlanEvent::Stopped(handle, whole) => {
+                    let was_stopping = matches!(plan.phase(), MovePhase::Stopping { .. });
+                    stopped |= was_stopping && handle;
+                    plan.on_stopped(handle.then(|| "h".into()), whole)
+                }
+                PlanEvent::SourceClosed => {
+                    closed = true;
+                    plan.on_source_closed()
+                }
+            };
+            if let Some(MoveStep::Resume { handle, .. }) = step {
+                prop_assert!(stopped && closed);
+                prop_assert_eq!(handle.as_str(), "h");
+            }
+        }
+    }
+}
+
+// Guards against a generation that is given up though its source keeps its memory.
+#[test]
+fn goes_on_at_the_source_when_the_destination_has_no_room() {
+    let mut plan = MovePlan::new(name("e1"));
+    plan.start(name("e2"));
+    plan.on_copied(true);
+    assert_eq!(plan.on_source_closed(), None);
+    assert!(plan.awaits_stop());
+    let step = plan.on_stopped(Some("h".into()), false);
+    let at = name("e1");
+    let handle = "h".into();
+    assert_eq!(step, Some(MoveStep::Resume { at, handle }));
+}
+
+// Guards against a generation that tries full engines until its own one is gone.
+#[test]
+fn asks_for_another_destination_a_few_times() {
+    let mut plan = MovePlan::new(name("e1"));
+    for step in [MoveStep::Replace, MoveStep::Replace, MoveStep::Stay] {
+        plan.start(name("e2"));
+        assert_eq!(plan.on_copied(false), step);
+    }
+    assert!(!plan.can_start());
+}
+
+fn peer(node: &str, tokens: u64) -> (NodeName, LoadSum) {
+    let load = LoadSum {
+        calls: 1,
+        tokens,
+        prefill: 0,
+    };
+    (node.parse().unwrap(), load)
+}
+
+// Guards against copies of several nodes that queue on one link: exactly one node starts at once.
+#[test]
+fn one_node_goes_first() {
+    let nodes = ["n1", "n2", "n3", "n4"];
+    let source = name("e1");
+    let mut starts = 0;
+    for node in nodes {
+        let peers: Vec<_> = nodes
+            .iter()
+            .filter(|other| **other != node)
+            .map(|other| peer(other, 2_000))
+            .collect();
+        let mut turns = MoveTurns::new(node.parse().unwrap());
+        turns.open(NOW, &source, &peers, RATE);
+        turns.join(&source);
+        starts += usize::from(turns.take(NOW, &source) == MoveTurn::Start);
+    }
+    assert_eq!(starts, 1);
+}
+
+/// Turns of the node that goes after `n2`, whichever name that is.
+fn turns_after_peer(source: &TargetName) -> (MoveTurns, NodeName) {
+    for (own, other) in [("n1", "n2"), ("n2", "n1")] {
+        let mut turns = MoveTurns::new(own.parse().unwrap());
+        turns.open(NOW, source, &[peer(other, 2_000)], RATE);
+        turns.join(source);
+        if turns.take(NOW, source) != MoveTurn::Start {
+            return (turns, other.parse().unwrap());
+        }
+    }
+    panic!("neither node goes second");
+}
+
+// Guards against idle time on the link: a node starts as soon as the one ahead says it is done.
+#[test]
+fn starts_when_the_peer_ahead_is_done() {
+    let source = name("e1");
+    let (mut turns, peer) = turns_after_peer(&source);
+    turns.note_finished(NOW + TimeSpan::new(20), &peer, vec![source.clone()]);
+    let soon = NOW + TimeSpan::new(21);
+    assert_eq!(turns.take(soon, &source), MoveTurn::Start);
+}
+
+// Guards against a wait without end for a peer that died or does not know that the engine leaves.
+#[test]
+fn starts_when_the_peer_ahead_had_its_time() {
+    let source = name("e1");
+    let (mut turns, _) = turns_after_peer(&source);
+    let MoveTurn::Wait(until) = turns.take(NOW, &source) else {
+        panic!("the peer ahead still has time");
+    };
+    assert!(until - NOW < TimeSpan::new(400));
+    assert_eq!(turns.take(until, &source), MoveTurn::Start);
+    assert!(turns.own_finished().is_empty());
+    turns.end(&source);
+    assert_eq!(turns.own_finished(), [source]);
+}
+
+// Guards against moving a generation that ends by itself sooner.
+#[test]
+fn short_rests_stay() {
+    let facts = StreamFacts {
+        first_at: Some(ClockTime::new(0)),
+        events: 100,
+        event_limit: 105,
+    };
+    assert!(!facts.outlives_notice(ClockTime::new(3_000)));
+    let waiting = StreamFacts {
+        first_at: None,
+        ..facts
+    };
+    assert!(!waiting.outlives_notice(ClockTime::new(3_000)));
+}
--- /dev/null
+++ b/crates/entry/tests/view.rs
@@ -0,0 +1,100 @@
+//! Copies of published items and lapsed entries.
+
+use std::collections::BTreeMap;
+
+use base::ClockTime;
+use entry::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
+use proptest::prelude::*;
+
+fn item(key: &str, revision: u64) -> PublishedItem {
+    PublishedItem {
+        key: key.into(),
+        revision,
+        value: revision.to_le_bytes().to_vec(),
+    }
+}
+
+// Guards against a late answer of the store or of a peer that brings an older state back.
+#[test]
+fn never_goes_back() {
+    let mut mirror = ItemMirror::default();
+    assert!(mirror.replace(10, vec![item("a", 9)]));
+    assert!(!mirror.replace(8, vec![item("a", 7)]));
+    assert!(!mirror.apply(9, vec![ItemChange::Written(item("a", 8))]));
+    let key = "a".into();
+    assert!(!mirror.apply(10, vec![ItemChange::Removed { key, revision: 9 }]));
+    assert_eq!(mirror.item("a"), Some(&item("a", 9)));
+    assert_eq!(mirror.revision(), Some(10));
+}
+
+proptest! {
+    // Guards against lost or repeated changes: any overlapping batches give the newest items.
+    #[test]
+    fn overlapping_batches_give_the_newest_items(
+        writes in prop::collection::vec((0_u8..4, any::<bool>()), 1..40),
+        cuts in prop::collection::vec((0_usize..40, 0_usize..40), 1..12),
+    ) {
+        let changes: Vec<_> = writes.iter().enumerate().map(|(at, (key, is_written))| {
+            let (key, revision) = (key.to_string(), at as u64 + 1);
+            match is_written {
+                true => ItemChange::Written(item(&key, revision)),
+                false => ItemChange::Removed { key: key.into(), revision },
+            }
+        }).collect();
+        let mut mirror = ItemMirror::default();
+        mirror.replace(0, Vec::new());
+        for (start, end) in cuts {
+            let known = mirror.revision().unwrap_or(0) as usize;
+            let start = start.min(known).min(changes.len());
+            let end = end.clamp(start, changes.len());
+            mirror.apply(end as u64, changes[start..end].to_vec());
+        }
+        let known = mirror.revision().unwrap_or(0) as usize;
+        let mut naive = BTreeMap::new();
+        for change in &changes[..known.min(changes.len())] {
+            match change {
+                ItemChange::Written(item) => naive.insert(item.key.clone(), item.clone()),
+                ItemChange::Removed { key, .. } => naive.remove(key),
+            };
+        }
+        let expected: Vec<_> = naive.into_values().collect();
+        prop_assert_eq!(mirror.items(), expected);
+    }
+}
+
+// Guards against dropping all targets when leases ran out while the store was away.
+#[test]
+fn keeps_vanished_targets_for_a_while_after_an_outage() {
+    let mut guard = LapseGuard::default();
+    guard.on_lost(ClockTime::new(1_000));
+    assert!(guard.on_regained(ClockTime::new(5_000)));
+    let until = guard.keep_until(ClockTime::new(5_010), 1, 12).unwrap();
+    assert_eq!(until, ClockTime::new(7_200));
+    assert_eq!(guard.keep_until(ClockTime::new(7_300), 1, 12), None);
+}
+
+// Guards against using an engine that peers with the store know to be gone.
+#[test]
+fn believes_removals_while_the_store_is_lost() {
+    let mut guard = LapseGuard::default();
+    guard.on_lost(ClockTime::new(1_000));
+    assert_eq!(guard.keep_until(ClockTime::new(2_000), 2, 12), None);
+}
+
+// Guards against a node that drops lapsed targets since only its peers noticed the outage.
+#[test]
+fn takes_the_return_of_the_store_from_peers() {
+    let mut guard = LapseGuard::default();
+    let age = base::TimeSpan::new(400);
+    guard.on_peer_regained(ClockTime::new(5_400), age);
+    assert!(guard.keep_until(ClockTime::new(5_500), 1, 12).is_some());
+    assert_eq!(guard.regained_age(ClockTime::new(7_300)), None);
+}
+
+// Guards against an outage that no call noticed: more than half vanish at once.
+#[test]
+fn doubts_mass_removals() {
+    let guard = LapseGuard::default();
+    assert!(guard.keep_until(ClockTime::new(5_000), 7, 12).is_some());
+    assert!(guard.keep_until(ClockTime::new(5_000), 2, 12).is_none());
+}
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -10,7 +10,7 @@
 use web::{BodyError, HandlerFuture, WebBody, WebHandler, read_body};
 
 use super::CallAudit;
-use super::call_input::{CallInput, has_ambiguous_length, host_of, strip_hop_headers};
+use super::call_input::{CallInput, host_of, strip_hop_headers};
 use super::failure_response::failure_response;
 use super::plain_call::relay_plain;
 use super::stream_call::relay_stream;
@@ -86,10 +86,6 @@
         return Err(refuse(core, audit, ErrorKind::NotReady));
     };
     audit.version = config.version;
-    if has_ambiguous_length(&parts.headers, parts.version) {
-        audit.explain("length stated in two ways");
-        return Err(refuse(core, audit, ErrorKind::BadRequest));
-    }
     let target = parts.uri.path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let host = host_of(&parts.headers);
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -5,7 +5,7 @@
 use calls::{CrashPrint, CrashVerdict};
 use entry::{EngineSpec, LoadSum, PlaceNeed, RouteRule};
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Version, header};
+use http::{HeaderMap, Method, header};
 use tokio::time::Instant;
 
 use crate::{CallHead, GatewayCore};
@@ -114,13 +114,6 @@
     }
 }
 
-/// Whether the length of the body is stated in two ways, which is how requests are smuggled.
-pub fn has_ambiguous_length(headers: &HeaderMap, version: Version) -> bool {
-    let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
-    (is_chunked && (lengths > 0 || version == Version::HTTP_10)) || lengths > 1
-}
-
 /// Host of a request in lower case and without its port.
 pub fn host_of(headers: &HeaderMap) -> String {
     let value = headers
--- /dev/null
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -0,0 +1,203 @@
+//! What callers and targets see of plain calls.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, open_stream, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
+
+async fn start(modes: &[TargetMode]) -> (Arc<FakeStore>, Vec<FakeTarget>, Gateway) {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let mut targets = Vec::new();
+    for mode in modes {
+        let target = FakeTarget::start("app", *mode).await;
+        store.put_target(&target, "ready");
+        targets.push(target);
+    }
+    let gateway = Gateway::start_ready(&store).await;
+    (store, targets, gateway)
+}
+
+fn arrivals(targets: &[FakeTarget]) -> usize {
+    targets.iter().map(|target| target.calls().len()).sum()
+}
+
+// Guards against a changed method, path, body or caller's header, and against a passed-on key.
+#[tokio::test]
+async fn relays_calls_unchanged() {
+    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let headers = "x-id: a1\r\nx-other: yes\r\nx-key: key-1\r\n";
+    let answer = call(gateway.callers, "/once/2?q=%20x", headers, "body").await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.text.ends_with("hello"));
+    let seen = targets[0].calls().remove(0);
+    assert!(seen.starts_with("POST /once/2?q=%20x HTTP/1.1\r\n"));
+    assert!(seen.contains("x-other: yes") && seen.ends_with("\r\n\r\nbody"));
+    assert!(seen.contains("x-workspace: depot"));
+    assert!(!seen.contains("key-1") && !seen.contains("connection: close"));
+}
+
+// Guards against a second run of a call that may have run, and against a refusal that says it did not.
+#[tokio::test]
+async fn a_broken_call_runs_at_most_once() {
+    for mode in [TargetMode::Break, TargetMode::Truncate, TargetMode::Foreign] {
+        let (_store, targets, gateway) = start(&[mode, mode]).await;
+        let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+        assert_eq!(answer.status, 502, "{mode:?}");
+        assert!(!answer.text.contains("hel"), "{mode:?}");
+        assert_eq!(arrivals(&targets), 1, "{mode:?}");
+    }
+}
+
+// Guards against giving up a call that another target can serve.
+#[tokio::test]
+async fn a_refused_call_goes_to_another_target() {
+    let (_store, targets, gateway) = start(&[TargetMode::Refuse, TargetMode::Answer]).await;
+    for id in ["a1", "a2", "a3"] {
+        let headers = format!("x-id: {id}\r\n");
+        let answer = call(gateway.callers, "/once/1", &headers, "").await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(targets[1].calls().len(), 3);
+}
+
+// Guards against an answer that leaves open whether a call ran that no target ran.
+#[tokio::test]
+async fn a_call_that_all_refuse_is_told_to_come_back() {
+    let (_store, _targets, gateway) = start(&[TargetMode::Refuse, TargetMode::Refuse]).await;
+    let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+    assert!(matches!(answer.status, 429 | 503), "{}", answer.text);
+    assert!(answer.text.contains("retry-after"));
+}
+
+// Guards against failing a call that may be repeated, and against more runs than allowed.
+#[tokio::test]
+async fn an_idempotent_call_is_repeated_as_often_as_allowed() {
+    let (_store, targets, gateway) = start(&[TargetMode::Break; 4]).await;
+    let answer = call(gateway.callers, "/read/1", "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(arrivals(&targets), 2);
+    targets
+        .iter()
+        .for_each(|target| target.set_mode(TargetMode::Answer));
+    let answer = call(gateway.callers, "/read/1", "x-id: a2\r\n", "").await;
+    assert_eq!(answer.status, 200);
+}
+
+// Guards against a caller that waits for a target that hangs while another would answer.
+#[tokio::test]
+async fn an_idempotent_call_leaves_a_target_that_hangs() {
+    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let pending = tokio::spawn(call_owned(gateway.callers));
+    until("the call hangs", || targets[0].open_calls() == 1).await;
+    let second = FakeTarget::start("app", TargetMode::Answer).await;
+    _store.put_target(&second, "ready");
+    assert_eq!(pending.await.unwrap(), 200);
+    until("the first run is cancelled", || {
+        targets[0].open_calls() == 0
+    })
+    .await;
+}
+
+async fn call_owned(address: std::net::SocketAddr) -> u16 {
+    call(address, "/read/1", "x-id: a1\r\n", "").await.status
+}
+
+// Guards against a caller that is held past the time that its route allows.
+#[tokio::test]
+async fn the_route_timeout_gives_a_final_answer() {
+    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let start = Instant::now();
+    let answer = call(gateway.callers, "/short/1", "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 504);
+    assert!(start.elapsed().as_millis() >= 150);
+    until("the run is cancelled", || targets[0].open_calls() == 0).await;
+}
+
+// Guards against work for a caller that has gone.
+#[tokio::test]
+async fn a_call_is_cancelled_when_its_caller_leaves() {
+    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let stream = open_stream(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+    until("the call arrives", || targets[0].open_calls() == 1).await;
+    drop(stream);
+    until("the run is cancelled", || targets[0].open_calls() == 0).await;
+}
+
+// Guards against requests that are smuggled in the body of another, where the length is stated in two
+// ways: the HTTP library has to close the connection.
+#[tokio::test]
+async fn nothing_is_read_after_an_ambiguous_length() {
+    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let hidden = "POST /once/9 HTTP/1.1\r\nhost: shop.example\r\nx-id: a2\r\n\r\n";
+    let text = format!(
+        "POST /once/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: a1\r\ncontent-length: 77\r\n\
+         transfer-encoding: chunked\r\n\r\n0\r\n\r\n{hidden}"
+    );
+    let answer = send_raw(gateway.callers, &text).await;
+    assert!(answer.contains("connection: close"));
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1);
+    assert!(targets[0].calls().iter().all(|call| !call.contains("a2")));
+}
+
+/// Sends bytes as they are and reads until the node closes.
+async fn send_raw(address: std::net::SocketAddr, text: &str) -> String {
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // Closing with unread bytes resets the connection, after what was read already.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+// Guards against calls to a target whose entry was removed without notice.
+#[tokio::test]
+async fn a_removed_target_gets_no_calls() {
+    let (store, targets, gateway) = start(&[TargetMode::Answer; 3]).await;
+    store.remove_target(&targets[0]);
+    let core = gateway.server.core();
+    until("the removal is known", || {
+        core.with_state(|state, _| state.board.targets().len() == 2)
+    })
+    .await;
+    for id in ["a1", "a2", "a3", "a4"] {
+        let headers = format!("x-id: {id}\r\n");
+        let answer = call(gateway.callers, "/once/1", &headers, "").await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(targets[0].calls().len(), 0);
+}
+
+// Guards against serving calls that the configuration does not allow.
+#[tokio::test]
+async fn refuses_unknown_routes_and_keys() {
+    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let none = call(gateway.callers, "/none/1", "x-id: a1\r\n", "").await;
+    let locked = call(gateway.callers, "/locked/1", "x-id: a2\r\n", "").await;
+    let unnamed = call(gateway.callers, "/once/1", "", "").await;
+    assert_eq!(
+        [none.status, locked.status, unnamed.status],
+        [404, 401, 400]
+    );
+    assert_eq!(arrivals(&targets), 0);
+    let headers = "x-id: a3\r\nx-key: key-1\r\n";
+    let open = call(gateway.callers, "/locked/1", headers, "").await;
+    assert_eq!(open.status, 200);
+}
+
+// Guards against callers at a node that knows no configuration, and against a 404 from it.
+#[tokio::test]
+async fn a_node_without_configuration_is_not_ready() {
+    let store = FakeStore::new();
+    store.is_down.store(true, Ordering::Relaxed);
+    let gateway = Gateway::start(&store, "patan", Vec::new()).await;
+    let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(call(gateway.ready, "/", "", "").await.status, 503);
+    store.is_down.store(false, Ordering::Relaxed);
+    store.put_config(1);
+    gateway.wait_ready().await;
+    assert_eq!(call(gateway.ready, "/", "", "").await.status, 200);
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -0,0 +1,117 @@
+//! What nodes do for one another.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+use entry::{ConfigVersion, LoadSum};
+
+fn version(gateway: &Gateway) -> ConfigVersion {
+    let core = gateway.server.core();
+    core.with_state(|state, _| state.view.version())
+}
+
+fn target_count(gateway: &Gateway) -> usize {
+    let core = gateway.server.core();
+    core.with_state(|state, _| state.board.targets().len())
+}
+
+/// A store with the same items that only some nodes reach.
+async fn start_pair() -> (Arc<FakeStore>, Arc<FakeStore>, Gateway, Gateway) {
+    let store = FakeStore::new();
+    store.put_config(3);
+    let cut = FakeStore::new();
+    cut.is_down.store(true, Ordering::Relaxed);
+    let first = Gateway::start_ready(&store).await;
+    let second = Gateway::start(&cut, "patan", vec![first.peers]).await;
+    (store, cut, first, second)
+}
+
+// Guards against a node that the store turns away while its peers know what is in force.
+#[tokio::test]
+async fn a_node_without_the_store_takes_items_from_peers() {
+    let (store, _cut, _first, second) = start_pair().await;
+    second.wait_ready().await;
+    assert_eq!(version(&second), ConfigVersion(3));
+    let target = FakeTarget::start("app", TargetMode::Answer).await;
+    store.put_target(&target, "ready");
+    until("the target is known", || target_count(&second) == 1).await;
+    let answer = call(second.callers, "/once/1", "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 200);
+    store.put_config(5);
+    until("the change is in force", || {
+        version(&second) == ConfigVersion(5)
+    })
+    .await;
+}
+
+// Guards against a store or peer that brings back an older configuration.
+#[tokio::test]
+async fn an_older_configuration_never_returns() {
+    let (store, cut, _first, second) = start_pair().await;
+    second.wait_ready().await;
+    store.put_config(7);
+    until("the change is in force", || {
+        version(&second) == ConfigVersion(7)
+    })
+    .await;
+    cut.put_config(2);
+    cut.is_down.store(false, Ordering::Relaxed);
+    until("the stale store was read", || {
+        cut.target_calls.load(Ordering::Relaxed) > 3
+    })
+    .await;
+    assert_eq!(version(&second), ConfigVersion(7));
+}
+
+// Guards against calls to the store that grow with the nodes of a domain.
+#[tokio::test]
+async fn two_nodes_of_a_domain_read_the_targets() {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let first = Gateway::start_ready(&store).await;
+    let mut nodes = vec![first];
+    for _ in 0..4 {
+        let seeds = vec![nodes[0].peers];
+        nodes.push(Gateway::start(&store, "patan", seeds).await);
+    }
+    for node in &nodes {
+        node.wait_ready().await;
+    }
+    let readers = || {
+        let reads = |node: &&Gateway| {
+            let core = node.server.core();
+            core.with_state(|state, now| state.reads_targets(now))
+        };
+        nodes.iter().filter(reads).count()
+    };
+    until("two nodes read", || readers() == 2).await;
+    let target = FakeTarget::start("app", TargetMode::Answer).await;
+    store.put_target(&target, "ready");
+    until("all know the target", || {
+        nodes.iter().all(|node| target_count(node) == 1)
+    })
+    .await;
+}
+
+// Guards against engines that are overfilled since nodes do not see each other's calls.
+#[tokio::test]
+async fn peers_hear_of_calls_in_flight() {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let target = FakeTarget::start("app", TargetMode::Hang).await;
+    store.put_target(&target, "ready");
+    let first = Gateway::start_ready(&store).await;
+    let second = Gateway::start(&store, "patan", vec![first.peers]).await;
+    second.wait_ready().await;
+    let callers = first.callers;
+    let pending =
+        tokio::spawn(async move { call(callers, "/once/1", "x-id: a1\r\n", "").await.status });
+    let heard = || {
+        let core = second.server.core();
+        core.with_state(|state, _| state.board.targets()[0].peers)
+    };
+    until("the call is heard of", || heard().calls == 1).await;
+    pending.abort();
+    until("its end is heard of", || heard() == LoadSum::default()).await;
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -0,0 +1,117 @@
+//! Streams that move, and what ends them.
+
+use std::sync::Arc;
+
+use crate::support::{CallerAnswer, FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+
+const EVENTS: u64 = 150;
+
+async fn start(modes: &[TargetMode]) -> (Arc<FakeStore>, Vec<FakeTarget>, Gateway) {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let mut targets = Vec::new();
+    for mode in modes {
+        let target = FakeTarget::start("pool", *mode).await;
+        store.put_target(&target, "ready");
+        targets.push(target);
+    }
+    let gateway = Gateway::start_ready(&store).await;
+    (store, targets, gateway)
+}
+
+/// Events that a caller got, and whether the stream ended as complete.
+fn events(answer: &CallerAnswer) -> (Vec<u64>, bool) {
+    let lines = answer.text.lines();
+    let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+    let ids = ids.map(|id| id.parse().unwrap()).collect();
+    (ids, answer.text.ends_with("0\r\n\r\n"))
+}
+
+async fn stream(address: std::net::SocketAddr) -> CallerAnswer {
+    call(address, "/stream/1", "x-id: g1\r\nx-size: 1\r\n", "").await
+}
+
+// Guards against lost, repeated or disordered events, and against two engines at work, when the
+// engine of a generation leaves.
+#[tokio::test]
+async fn a_stream_goes_on_at_another_engine() {
+    let (store, mut targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let pending = tokio::spawn(stream(gateway.callers));
+    until("the stream runs", || targets[0].open_calls() == 1).await;
+    let second = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
+    store.put_target(&second, "ready");
+    targets.push(second);
+    let core = gateway.server.core();
+    until("the second engine is known", || {
+        core.with_state(|state, _| state.board.targets().len() == 2)
+    })
+    .await;
+    store.put_target(&targets[0], "leaving");
+    let answer = pending.await.unwrap();
+    let expected: Vec<u64> = (1..=EVENTS).collect();
+    assert_eq!(events(&answer), (expected, true));
+    assert_eq!(targets[1].calls().len(), 1);
+    assert_eq!(targets[0].open_calls(), 0);
+}
+
+// Guards against a blind node that learns of a leaving engine only when its streams are cut.
+#[tokio::test]
+async fn a_blind_node_asks_its_engines() {
+    let (store, targets, gateway) =
+        start(&[TargetMode::Stream(320), TargetMode::Stream(320)]).await;
+    let pending = tokio::spawn(stream(gateway.callers));
+    let running = |target: &&FakeTarget| target.open_calls() == 1;
+    until("the stream runs", || {
+        targets.iter().any(|one| running(&one))
+    })
+    .await;
+    store
+        .is_down
+        .store(true, std::sync::atomic::Ordering::Relaxed);
+    let source = targets.iter().find(running).unwrap();
+    source.set_leaving();
+    let answer = pending.await.unwrap();
+    assert_eq!(events(&answer), ((1..=320).collect(), true));
+    assert!(targets.iter().all(|target| target.calls().len() == 1));
+}
+
+// Guards against a stream that is cut off and looks complete.
+#[tokio::test]
+async fn a_lost_stream_does_not_look_complete() {
+    let (_store, targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let pending = tokio::spawn(stream(gateway.callers));
+    until("the stream runs", || targets[0].open_calls() == 1).await;
+    // The engine stops by itself, which no node asked for.
+    let _ = gateway::GatewayPorts::clone(&gateway.server.core().ports)
+        .engines
+        .copy_memory(
+            targets[0].address,
+            &"g1".parse().unwrap(),
+            targets[0].address,
+            true,
+        )
+        .await;
+    let answer = pending.await.unwrap();
+    let (ids, is_complete) = events(&answer);
+    assert!(!is_complete);
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+}
+
+// Guards against new streams at a node that stops, which it could not finish.
+#[tokio::test]
+async fn a_stopping_node_finishes_streams_and_takes_no_new_ones() {
+    let (_store, targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let pending = tokio::spawn(stream(gateway.callers));
+    until("the stream runs", || targets[0].open_calls() == 1).await;
+    let (callers, ready) = (gateway.callers, gateway.ready);
+    let core = gateway.server.core().clone();
+    let stopping = tokio::spawn(gateway.server.stop());
+    until("the node stops", || core.is_stopping()).await;
+    assert_eq!(call(ready, "/", "", "").await.status, 503);
+    let refused = call(callers, "/stream/1", "x-id: g2\r\nx-size: 1\r\n", "").await;
+    assert_eq!(refused.status, 503);
+    let answer = pending.await.unwrap();
+    assert_eq!(events(&answer), ((1..=EVENTS).collect(), true));
+    stopping.await.unwrap();
+    assert_eq!(targets[0].calls().len(), 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -0,0 +1,318 @@
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::{ErrorKind, IncarnationNumber, RequestId, ServiceName, TimeSpan, TokenCount, TokenRate};
+use entry::{
+    ConfigVersion, EngineSpec, ItemChange, PublishedItem, RepeatRule, RequestLimits, RouteRule,
+    ServeConfig, ServiceSpec, ServiceWeight, TargetRecord, WorkspaceRule,
+};
+use gateway::{
+    AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, EngineReport,
+    GatewayPorts, GatewaySettings, GenerationSize, HeadMistake, ItemBatch, PortFuture, SendHead,
+    SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
+};
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::fake_target::FakeTarget;
+
+/// A store in memory that tests write and break.
+pub struct FakeStore {
+    items: Mutex<Vec<(ViewArea, PublishedItem)>>,
+    revision: watch::Sender<u64>,
+    pub is_down: AtomicBool,
+    pub target_calls: AtomicUsize,
+}
+
+impl FakeStore {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            items: Mutex::new(Vec::new()),
+            revision: watch::Sender::new(0),
+            is_down: AtomicBool::new(false),
+            target_calls: AtomicUsize::new(0),
+        })
+    }
+
+    /// Publishes a configuration: plain routes, a stream route, and a key for `/locked/`.
+    pub fn put_config(&self, version: u64) {
+        self.put(ViewArea::Config, "config", &version.to_string());
+    }
+
+    pub fn put_target(&self, target: &FakeTarget, state: &str) {
+        let value = format!("{} {} {state}", target.service, target.address);
+        self.put(ViewArea::Targets, &target.name, &value);
+    }
+
+    pub fn remove_target(&self, target: &FakeTarget) {
+        let mut items = self.items.lock().unwrap();
+        items.retain(|(_, item)| item.key != target.name);
+        drop(items);
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+
+    fn put(&self, area: ViewArea, key: &str, value: &str) {
+        let mut items = self.items.lock().unwrap();
+        items.retain(|(_, item)| item.key != key);
+        let revision = *self.revision.borrow() + 1;
+        let item = PublishedItem {
+            key: key.into(),
+            revision,
+            value: value.as_bytes().to_vec(),
+        };
+        items.push((area, item));
+        drop(items);
+        self.revision.send_replace(revision);
+    }
+
+    fn all(&self, area: ViewArea) -> (u64, Vec<PublishedItem>) {
+        let items = self.items.lock().unwrap();
+        let of_area = items.iter().filter(|(of, _)| *of == area);
+        let items = of_area.map(|(_, item)| item.clone()).collect();
+        (*self.revision.borrow(), items)
+    }
+
+    fn check(&self, area: ViewArea) -> Result<(), SourceFailure> {
+        if area == ViewArea::Targets {
+            self.target_calls.fetch_add(1, Ordering::Relaxed);
+        }
+        match self.is_down.load(Ordering::Relaxed) {
+            true => Err(SourceFailure::TurnedAway { status: 503 }),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Access of one gateway to the store, which can be cut.
+pub struct StoreAccess {
+    pub store: Arc<FakeStore>,
+}
+
+impl ViewSource for StoreAccess {
+    fn read_all(
+        &self,
+        area: ViewArea,
+    ) -> PortFuture<'_, Result<(u64, Vec<PublishedItem>), SourceFailure>> {
+        Box::pin(async move {
+            self.store.check(area)?;
+            Ok(self.store.all(area))
+        })
+    }
+
+    fn wait_changes(
+        &self,
+        area: ViewArea,
+        after: u64,
+    ) -> PortFuture<'_, Result<ItemBatch, SourceFailure>> {
+        Box::pin(async move {
+            self.store.check(area)?;
+            let mut revision = self.store.revision.subscribe();
+            let newer = revision.wait_for(|revision| *revision > after);
+            let _ = timeout(Duration::from_millis(500), newer).await;
+            self.store.check(area)?;
+            // A removal is told by reading anew.
+            let (revision, items) = self.store.all(area);
+            if revision > after {
+                let is_whole = items.iter().all(|item| item.revision > after);
+                if !is_whole || items.is_empty() {
+                    return Err(SourceFailure::HistoryGone);
+                }
+            }
+            let changes = items.into_iter().map(ItemChange::Written).collect();
+            Ok(ItemBatch { revision, changes })
+        })
+    }
+}
+
+struct FakeCodec;
+
+impl ViewCodec for FakeCodec {
+    fn read_config(&self, items: &[PublishedItem]) -> Result<Option<ServeConfig>, DecodeFailure> {
+        let Some(item) = items.first() else {
+            return Ok(None);
+        };
+        let version = String::from_utf8_lossy(&item.value).parse();
+        let version = version.map_err(|_| DecodeFailure {
+            key: item.key.to_string(),
+            reason: "no number".to_owned(),
+        })?;
+        Ok(Some(make_config(version)))
+    }
+
+    fn read_target(&self, item: &PublishedItem) -> Result<TargetRecord, DecodeFailure> {
+        let text = String::from_utf8_lossy(&item.value);
+        let parts: Vec<&str> = text.split(' ').collect();
+        let [service, address, state] = parts[..] else {
+            return Err(DecodeFailure {
+                key: item.key.to_string(),
+                reason: format!("found {text:?}"),
+            });
+        };
+        Ok(TargetRecord {
+            name: item.key.parse().unwrap(),
+            service: service.parse().unwrap(),
+            address: address.parse().unwrap(),
+            domain: "patan".parse().unwrap(),
+            is_leaving: state == "leaving",
+            slots: 4,
+            cold_left: TimeSpan::ZERO,
+            incarnation: IncarnationNumber(1),
+        })
+    }
+}
+
+fn make_config(version: u64) -> ServeConfig {
+    let route = |prefix: &str, service: &str, repeat, max_attempts| RouteRule {
+        name: prefix.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        services: vec![ServiceWeight {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        repeat,
+        timeout: TimeSpan::from_secs(5),
+        latency_target: TimeSpan::new(400),
+        gap_target: None,
+        priority: 0,
+        max_attempts,
+        is_public: prefix != "/locked/",
+    };
+    let mut short = route("/short/", "app", RepeatRule::AtMostOnce, 1);
+    short.timeout = TimeSpan::new(150);
+    let engine = EngineSpec {
+        slots: 8,
+        memory: TokenCount(50_000),
+        can_move: true,
+        can_back_up: false,
+        event_tokens: 1,
+        copy_rate: TokenRate(100_000),
+    };
+    let pool: ServiceName = "pool".parse().unwrap();
+    ServeConfig::new(ConfigVersion(version), RequestLimits::default())
+        .with_routes(vec![
+            route("/once/", "app", RepeatRule::AtMostOnce, 1),
+            route("/read/", "app", RepeatRule::Idempotent, 2),
+            route("/stream/", "pool", RepeatRule::Stream, 1),
+            route("/locked/", "app", RepeatRule::Idempotent, 1),
+            short,
+        ])
+        .with_services(vec![ServiceSpec {
+            name: pool,
+            engine: Some(engine),
+        }])
+        .with_workspaces(vec![WorkspaceRule {
+            name: "depot".parse().unwrap(),
+            keys: vec!["key-1".into()],
+            priority: None,
+        }])
+}
+
+struct FakeHeaders;
+
+impl CallCodec for FakeHeaders {
+    fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, HeadMistake> {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        let request = text("x-id").unwrap_or_default();
+        let request: RequestId = request.parse().map_err(|_| HeadMistake {
+            name: "x-id",
+            found: request.to_owned(),
+            expected: "an identifier",
+        })?;
+        Ok(CallHead {
+            request,
+            remaining: None,
+            key: text("x-key").map(Into::into),
+            generation: text("x-size").map(|_| GenerationSize {
+                prompt: TokenCount(100),
+                output_limit: TokenCount(1_000),
+                output_hint: None,
+            }),
+        })
+    }
+
+    fn write_call(&self, headers: &mut HeaderMap, head: &SendHead<'_>) {
+        headers.remove("x-key");
+        let mut set = |name: &'static str, value: &str| {
+            headers.insert(name, HeaderValue::from_str(value).unwrap());
+        };
+        set("x-target", head.target.as_str());
+        if let Some(workspace) = head.workspace {
+            set("x-workspace", workspace.as_str());
+        }
+        if let Some(point) = head.resume {
+            set("x-resume", &point.handle);
+            set("x-last", point.last_event.as_deref().unwrap_or("0"));
+        }
+    }
+
+    fn read_answer(
+        &self,
+        request: &RequestId,
+        _status: StatusCode,
+        headers: &HeaderMap,
+    ) -> AnswerHead {
+        let id = headers.get("x-id").and_then(|value| value.to_str().ok());
+        AnswerHead {
+            is_refused: headers.contains_key("x-not-run"),
+            is_genuine: id == Some(request.as_str()),
+        }
+    }
+
+    fn failure_status(&self, kind: ErrorKind) -> StatusCode {
+        StatusCode::from_u16(kind.answer().status).unwrap()
+    }
+
+    fn promises_not_run(&self, status: StatusCode) -> bool {
+        matches!(status.as_u16(), 429 | 503)
+    }
+
+    fn write_retry_after(&self, headers: &mut HeaderMap, wait: TimeSpan) {
+        let seconds = wait.as_secs_ceil().to_string();
+        headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).unwrap());
+    }
+}
+
+struct FakeEngines;
+
+impl EngineControl for FakeEngines {
+    fn copy_memory<'a>(
+        &'a self,
+        source: SocketAddr,
+        request: &'a RequestId,
+        _destination: SocketAddr,
+        stops: bool,
+    ) -> PortFuture<'a, CopyAnswer> {
+        Box::pin(async move { FakeTarget::copy(source, request.as_str(), stops) })
+    }
+
+    fn ask_report(&self, engine: SocketAddr) -> PortFuture<'_, Result<EngineReport, String>> {
+        Box::pin(async move { FakeTarget::report(engine) })
+    }
+
+    fn free_copy<'a>(&'a self, _source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
+struct FixedSettings(GatewaySettings);
+
+impl SettingsSource for FixedSettings {
+    fn read(&self) -> Result<GatewaySettings, String> {
+        Ok(self.0.clone())
+    }
+}
+
+pub fn ports(store: Arc<FakeStore>, settings: GatewaySettings) -> GatewayPorts {
+    GatewayPorts {
+        calls: Arc::new(FakeHeaders),
+        items: Arc::new(FakeCodec),
+        source: Arc::new(StoreAccess { store }),
+        engines: Arc::new(FakeEngines),
+        settings: Arc::new(FixedSettings(settings)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -0,0 +1,229 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use gateway::{CopyAnswer, EngineReport};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How a target treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetMode {
+    /// Answers with its name.
+    Answer,
+    /// States that it did not run the call.
+    Refuse,
+    /// Closes the connection after it read the call.
+    Break,
+    /// Closes the connection in the middle of its answer.
+    Truncate,
+    /// Never answers.
+    Hang,
+    /// Gives the answer to another call.
+    Foreign,
+    /// Streams events with these many in all.
+    Stream(u64),
+}
+
+#[derive(Default)]
+struct TargetState {
+    mode: Option<TargetMode>,
+    heads: Vec<String>,
+    /// Calls at work now.
+    open: usize,
+    /// Generations told to stop.
+    stopped: Vec<String>,
+    /// Events made by each generation.
+    made: BTreeMap<String, u64>,
+    is_leaving: bool,
+}
+
+type Registry = Mutex<BTreeMap<SocketAddr, Arc<Mutex<TargetState>>>>;
+
+fn registry() -> &'static Registry {
+    static REGISTRY: OnceLock<Registry> = OnceLock::new();
+    REGISTRY.get_or_init(Registry::default)
+}
+
+fn state_of(address: SocketAddr) -> Option<Arc<Mutex<TargetState>>> {
+    registry().lock().unwrap().get(&address).cloned()
+}
+
+/// A target that speaks raw HTTP, so that it can misbehave.
+pub struct FakeTarget {
+    pub name: String,
+    pub service: &'static str,
+    pub address: SocketAddr,
+    state: Arc<Mutex<TargetState>>,
+}
+
+impl FakeTarget {
+    pub async fn start(service: &'static str, mode: TargetMode) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(TargetState {
+            mode: Some(mode),
+            ..TargetState::default()
+        }));
+        registry().lock().unwrap().insert(address, state.clone());
+        let shared = state.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+        });
+        Self {
+            name: format!("t-{}", address.port()),
+            service,
+            address,
+            state,
+        }
+    }
+
+    pub fn set_mode(&self, mode: TargetMode) {
+        self.state.lock().unwrap().mode = Some(mode);
+    }
+
+    /// Heads and bodies of the calls that arrived.
+    pub fn calls(&self) -> Vec<String> {
+        self.state.lock().unwrap().heads.clone()
+    }
+
+    /// Calls that it works on.
+    pub fn open_calls(&self) -> usize {
+        self.state.lock().unwrap().open
+    }
+
+    pub fn set_leaving(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+    }
+
+    pub(super) fn copy(source: SocketAddr, request: &str, stops: bool) -> CopyAnswer {
+        let Some(state) = state_of(source) else {
+            return CopyAnswer::Unknown;
+        };
+        let mut state = state.lock().unwrap();
+        if stops {
+            state.stopped.push(request.to_owned());
+        }
+        let made = state.made.get(request).copied().unwrap_or(0);
+        CopyAnswer::Whole {
+            handle: made.to_string().into(),
+        }
+    }
+
+    pub(super) fn report(engine: SocketAddr) -> Result<EngineReport, String> {
+        let state = state_of(engine).ok_or("unknown")?;
+        let is_leaving = state.lock().unwrap().is_leaving;
+        Ok(EngineReport { is_leaving })
+    }
+}
+
+/// Counts a call as long as it is at work.
+struct OpenCall(Arc<Mutex<TargetState>>);
+
+impl OpenCall {
+    fn new(state: Arc<Mutex<TargetState>>) -> Self {
+        state.lock().unwrap().open += 1;
+        Self(state)
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.lock().unwrap().open -= 1;
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
+    let Some(head) = read_call(&mut stream).await else {
+        return;
+    };
+    let _open = OpenCall::new(state.clone());
+    let id = header(&head, "x-id").unwrap_or_default();
+    let mode = {
+        let mut state = state.lock().unwrap();
+        state.heads.push(head.clone());
+        state.mode
+    };
+    let whole =
+        |id: &str| format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 5\r\n\r\nhello");
+    let text = match mode {
+        Some(TargetMode::Answer) => whole(&id),
+        Some(TargetMode::Foreign) => whole("other"),
+        Some(TargetMode::Refuse) => {
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+        }
+        Some(TargetMode::Truncate) => whole(&id)[..whole(&id).len() - 2].to_owned(),
+        Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
+        Some(TargetMode::Hang) => {
+            // Ends when the gateway closes the connection.
+            let _ = stream.read(&mut [0; 1]).await;
+            return;
+        }
+        Some(TargetMode::Break) | None => return,
+    };
+    let _ = stream.write_all(text.as_bytes()).await;
+}
+
+async fn stream_events(
+    mut stream: TcpStream,
+    state: Arc<Mutex<TargetState>>,
+    head: &str,
+    count: u64,
+) {
+    let id = header(head, "x-id").unwrap_or_default();
+    let last: u64 = header(head, "x-last").map_or(0, |last| last.parse().unwrap());
+    let start = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    for number in last + 1..=count {
+        {
+            let mut state = state.lock().unwrap();
+            if state.stopped.contains(&id) {
+                return;
+            }
+            state.made.insert(id.clone(), number);
+        }
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if stream.write_all(chunk.as_bytes()).await.is_err() {
+            return;
+        }
+        sleep(EVENT_PAUSE).await;
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+}
+
+/// Reads a head and the body that it announces.
+async fn read_call(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4_096];
+        let count = stream.read(&mut part).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&part[..count]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some(end) = text.find("\r\n\r\n") else {
+            continue;
+        };
+        let length = header(&text, "content-length").map_or(0, |length| length.parse().unwrap());
+        if bytes.len() >= end + 4 + length {
+            return Some(text);
+        }
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.trim().to_owned())
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -0,0 +1,81 @@
+//! Stand-ins for what a platform supplies, and gateways of one process on loopback ports.
+
+mod fake_ports;
+mod fake_target;
+mod test_caller;
+
+pub use fake_ports::{FakeStore, ports};
+pub use fake_target::{FakeTarget, TargetMode};
+pub use test_caller::{CallerAnswer, call, open_stream};
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::TimeSpan;
+use gateway::{GatewayServer, GatewaySettings, RetryBounds};
+use tokio::time::{Instant, sleep};
+
+/// Longest wait of a test for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running gateway and its address for callers.
+pub struct Gateway {
+    pub server: GatewayServer,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+impl Gateway {
+    pub async fn start(store: &Arc<FakeStore>, domain: &str, seeds: Vec<SocketAddr>) -> Self {
+        let [callers, ready, peers] = [(); 3].map(|()| free_address());
+        let settings = GatewaySettings {
+            node: format!("node-{}", callers.port()).parse().unwrap(),
+            domain: domain.parse().unwrap(),
+            caller_address: callers,
+            ready_address: ready,
+            peer_address: peers,
+            metrics_address: None,
+            seeds,
+            stop_grace: TimeSpan::from_secs(8),
+            retry: RetryBounds {
+                ratio: 0.2,
+                extra: 100.0,
+                window: TimeSpan::from_secs(10),
+            },
+        };
+        let ports = ports(store.clone(), settings.clone());
+        let server = GatewayServer::start(settings, ports).await.unwrap();
+        Self {
+            server,
+            callers,
+            ready,
+            peers,
+        }
+    }
+
+    pub async fn start_ready(store: &Arc<FakeStore>) -> Self {
+        let gateway = Self::start(store, "patan", Vec::new()).await;
+        gateway.wait_ready().await;
+        gateway
+    }
+
+    pub async fn wait_ready(&self) {
+        until("the gateway is ready", || self.server.core().is_ready()).await;
+    }
+}
+
+/// Waits until `check` holds.
+pub async fn until(what: &str, check: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !check() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -38,7 +38,7 @@
 /// `release`, so that one that went silent is never used again.
 #[derive(Clone)]
 pub struct ConnectionPool {
-    settings: PoolSettings,
+    settings: Arc<PoolSettings>,
     idle: Arc<Mutex<BTreeMap<SocketAddr, IdleList>>>,
 }
 
@@ -57,7 +57,7 @@
     /// ```
     pub fn new(settings: PoolSettings) -> Self {
         Self {
-            settings,
+            settings: Arc::new(settings),
             idle: Arc::default(),
         }
     }
