--- a/crates/entry/src/target/load_sum.rs
+++ b/crates/entry/src/target/load_sum.rs
@@ -44,6 +44,8 @@
     Node(NodeName),
     /// All nodes of another failure domain together.
     Domain(DomainName),
+    /// One node of another failure domain, which its domain's sum contains.
+    FarNode(NodeName),
 }
 
 /// Load that peers put on targets, as one of them said last.
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -129,10 +129,10 @@
             .collect()
     }
 
-    /// Load of each peer of the own failure domain on a target.
+    /// Load of each peer on a target.
     pub fn peer_loads(&self, name: &TargetName) -> Vec<(NodeName, LoadSum)> {
         let loads = self.peers.iter().filter_map(|peer| {
-            let LoadOrigin::Node(node) = &peer.origin else {
+            let (LoadOrigin::Node(node) | LoadOrigin::FarNode(node)) = &peer.origin else {
                 return None;
             };
             let found = peer.loads.binary_search_by(|(known, _)| known.cmp(name));
@@ -145,7 +145,7 @@
     pub fn domain_loads(&self) -> Vec<(TargetName, LoadSum)> {
         let mut sums = self.own_loads();
         for peer in &self.peers {
-            if let LoadOrigin::Domain(_) = peer.origin {
+            if !matches!(peer.origin, LoadOrigin::Node(_)) {
                 continue;
             }
             for (name, load) in &peer.loads {
@@ -306,6 +306,9 @@
             state.peers = LoadSum::default();
         }
         for peer in &self.peers {
+            if let LoadOrigin::FarNode(_) = peer.origin {
+                continue;
+            }
             for (name, load) in &peer.loads {
                 let found = self
                     .targets
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -70,6 +70,7 @@
     let domain: DomainName = "balaju".parse().unwrap();
     for origin in [
         LoadOrigin::Domain(domain),
+        LoadOrigin::FarNode("n3".parse().unwrap()),
         LoadOrigin::Node("n2".parse().unwrap()),
     ] {
         let loads = vec![(name("e1"), load)];
@@ -82,6 +83,7 @@
     }
     assert_eq!(board.target(&name("e1")).unwrap().total().calls, 3);
     assert_eq!(board.domain_loads()[0].1.calls, 2);
+    assert_eq!(board.peer_loads(&name("e1")).len(), 2);
 }
 
 // Guards against calls to a target that leaves.
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -79,15 +79,21 @@
                 .peers
                 .hear(now, &self.node, &self.domain, self.address);
             state.peers.hint(&self.addresses);
-            let (origin, loads) = match self.domain == core.settings.domain {
-                true => (LoadOrigin::Node(self.node.clone()), self.loads),
-                false => (LoadOrigin::Domain(self.domain.clone()), self.domain_loads),
-            };
-            state.board.take_peer(PeerLoads {
-                origin,
-                heard_at: now,
-                loads,
-            });
+            let node = self.node.clone();
+            let mut told = Vec::new();
+            if self.domain == core.settings.domain {
+                told.push((LoadOrigin::Node(node), self.loads));
+            } else {
+                told.push((LoadOrigin::FarNode(node), self.loads));
+                told.push((LoadOrigin::Domain(self.domain.clone()), self.domain_loads));
+            }
+            for (origin, loads) in told {
+                state.board.take_peer(PeerLoads {
+                    origin,
+                    heard_at: now,
+                    loads,
+                });
+            }
             state.turns.note_finished(now, &self.node, self.finished);
             for message in self.crashes {
                 state.crashes.on_message(now, message);
