--- a/crates/agatemoor/examples/reference/event_page.rs
+++ b/crates/agatemoor/examples/reference/event_page.rs
@@ -10,7 +10,7 @@
 
 Every event has a number that never changes its meaning. `/ops/events` of a node returns its latest
 events, `agatemoor timeline` merges those of several nodes, and the log has each event at the level
-given here. [operations.md](operations.md) says what to do about those that ask for action.
+given here. [OPERATIONS.md](OPERATIONS.md) says what to do about those that ask for action.
 
 | number | name | scope | level | meaning |
 |---|---|---|---|---|
--- a/crates/agatemoor/tests/reference_pages.rs
+++ b/crates/agatemoor/tests/reference_pages.rs
@@ -47,7 +47,7 @@
 /// Guards against an operator page that names an event which does not exist.
 #[test]
 fn operations_page_names_known_events() {
-    let page = include_str!("../../../docs/operations.md");
+    let page = include_str!("../../../docs/OPERATIONS.md");
     let rows = page
         .lines()
         .filter_map(|line| line.strip_prefix("| event `"));
@@ -71,7 +71,7 @@
         "docs/errors.md",
         "docs/events.md",
         "docs/glossary.md",
-        "docs/operations.md",
+        "docs/OPERATIONS.md",
     ];
     let mut count = 0;
     for name in pages {
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -23,7 +23,8 @@
 const CALLER_CONNECTIONS: usize = 2_400;
 /// Time between two looks at waiting calls and old beliefs.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between two looks at the settings file, which may change without a signal.
+/// Time between two looks at the settings file, which may change without a signal, and between two
+/// sums of the metrics.
 const SETTINGS_TICK: Duration = Duration::from_secs(2);
 /// Least time from a stop signal to the end: the load balancer notices after two misses of a second
 /// each and new connections arrive until then.
@@ -181,6 +182,7 @@
             let mut ticks = interval(SETTINGS_TICK);
             loop {
                 ticks.tick().await;
+                MetricsExport::shared().keep_up();
                 reload_settings(&core, "file changed");
             }
         });
--- a/crates/node/src/ops/metrics_export.rs
+++ b/crates/node/src/ops/metrics_export.rs
@@ -27,9 +27,14 @@
         })
     }
 
+    /// Sums up what was recorded; histograms hold every value until then.
+    pub fn keep_up(&self) {
+        self.handle.run_upkeep();
+    }
+
     /// Returns all metrics as text.
     pub fn render(&self) -> String {
-        self.handle.run_upkeep();
+        self.keep_up();
         self.handle.render()
     }
 }
