Refuse calls just before the end of a stop, serve short generations until then

It refused every generation, though short ones end in time, and with two rolling restarts callers met a second stopping node. Change: a call is served if it can be expected to end before the process does; in the last 0.4 s all are refused. Tests that fail without the change were added.

--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -115,7 +115,7 @@
     let print = CrashPrint::new(&scope, &body);
     check_crashes(core, audit, print)?;
     core.with_state(|state, now| state.share.on_call(now, &service));
-    Ok(CallInput {
+    let input = CallInput {
         method: parts.method,
         target,
         headers: parts.headers,
@@ -129,7 +129,14 @@
         arrived: audit.arrived(),
         deadline: audit.arrived() + wait,
         print,
-    })
+    };
+    match core.can_finish(input.expected_time()) {
+        true => Ok(input),
+        false => {
+            audit.explain("the call may outlast the stop");
+            Err(refuse(core, audit, ErrorKind::Stopping))
+        }
+    }
 }
 
 fn engine_of(config: &ServeConfig, service: &base::ServiceName) -> Option<entry::EngineSpec> {
@@ -163,7 +170,7 @@
 
 fn refuse(core: &GatewayCore, audit: &mut CallAudit, kind: ErrorKind) -> Box<Response<WebBody>> {
     let retry_after = match kind {
-        ErrorKind::NotReady | ErrorKind::NoTarget => Some(ELSEWHERE_RETRY),
+        ErrorKind::NotReady | ErrorKind::NoTarget | ErrorKind::Stopping => Some(ELSEWHERE_RETRY),
         _ => None,
     };
     Box::new(failure_response(core, audit, kind, retry_after))
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -20,8 +20,6 @@
 const LINE_SHARE: (u64, u64) = (3, 4);
 /// Advice to callers whose stream was refused by every target that was tried.
 const REFUSED_RETRY: TimeSpan = TimeSpan::new(500);
-/// Advice to callers of a node that stops.
-const STOPPING_RETRY: TimeSpan = TimeSpan::new(50);
 
 /// Relays a call whose answer is a stream of events.
 pub async fn relay_stream(
@@ -29,11 +27,6 @@
     call: CallInput,
     mut audit: CallAudit,
 ) -> Response<WebBody> {
-    if core.is_stopping() {
-        audit.explain("a stream may outlast the stop");
-        let kind = ErrorKind::Stopping;
-        return failure_response(&core, &mut audit, kind, Some(STOPPING_RETRY));
-    }
     let deadline = call.deadline_instant(core.now());
     let mut need = call.need(&core);
     let line_wait = call.route.latency_target * LINE_SHARE.0 / LINE_SHARE.1;
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -29,8 +29,10 @@
 /// Least time from a stop signal to the end: the load balancer notices after two misses of a second
 /// each and new connections arrive until then.
 const STOP_LEAST: TimeSpan = TimeSpan::new(3_500);
-/// Time before the end of the grace at which the last streams are cut.
-const STOP_MARGIN: TimeSpan = TimeSpan::new(600);
+/// Time before the end of the grace at which calls have to be over.
+const STOP_MARGIN: TimeSpan = TimeSpan::new(900);
+/// Time for which arriving calls are refused before the process ends; answers reach callers in it.
+const CLOSE_WAIT: Duration = Duration::from_millis(400);
 
 /// A listener could not be opened.
 #[derive(Debug, Snafu)]
@@ -90,9 +92,15 @@
     }
 
     /// Stops taking callers, lets calls end and returns when the process may exit.
+    ///
+    /// New calls are served as long as they can be expected to end in time. Then they are refused
+    /// for a moment, so that no call is cut off that arrives just before the end.
     pub async fn stop(self) {
         let core = &self.core;
-        core.begin_stop();
+        let grace = core.settings.stop_grace.saturating_sub(STOP_MARGIN);
+        let end = Instant::now() + Duration::from(grace);
+        let least = (Instant::now() + Duration::from(STOP_LEAST)).min(end);
+        core.begin_stop(core.now() + grace);
         let active = core.with_state(|state, _| state.active);
         log::info!(
             event = EventKind::NodeStopping.number(),
@@ -100,17 +108,10 @@
             active = active;
             "takes no new callers"
         );
-        let start = Instant::now();
-        let grace = core.settings.stop_grace.saturating_sub(STOP_MARGIN);
-        let end = start + Duration::from(grace);
-        let least = (start + Duration::from(STOP_LEAST)).min(end);
-        while Instant::now() < end {
-            let is_idle = core.with_state(|state, _| state.active == 0 && state.streams == 0);
-            if is_idle && Instant::now() >= least {
-                break;
-            }
-            sleep(TICK).await;
-        }
+        self.wait_idle(least, end).await;
+        core.close();
+        let last = Instant::now() + CLOSE_WAIT;
+        self.wait_idle(last, last).await;
         self.stop.stop();
         let (active, streams) = core.with_state(|state, _| (state.active, state.streams));
         log::info!(
@@ -122,6 +123,19 @@
         );
     }
 
+    /// Waits until no call is under way, at least until `least` and at most until `end`.
+    async fn wait_idle(&self, least: Instant, end: Instant) {
+        while Instant::now() < end {
+            let is_idle = self
+                .core
+                .with_state(|state, _| state.active == 0 && state.streams == 0);
+            if is_idle && Instant::now() >= least {
+                return;
+            }
+            sleep(TICK).await;
+        }
+    }
+
     async fn listen(&self) -> Result<(), StartFailure> {
         let settings = &self.core.settings;
         let callers = ServerLimits::new()
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -106,11 +106,22 @@
             })
     }
 
-    /// Stops taking new callers.
-    pub fn begin_stop(&self) {
+    /// Stops taking new callers; calls that are over by `end` are still served.
+    pub fn begin_stop(&self, end: ClockTime) {
+        self.with_state(|state, _| state.stop_end = Some(end));
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Serves no call any more; those that arrive are refused.
+    pub fn close(&self) {
+        self.with_state(|state, now| state.stop_end = Some(now));
+    }
+
+    /// Whether a call that takes `span` can end before this process does.
+    pub fn can_finish(&self, span: TimeSpan) -> bool {
+        self.with_state(|state, now| state.stop_end.is_none_or(|end| now + span < end))
+    }
+
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -62,6 +62,8 @@
     pub turns: MoveTurns,
     /// Calls whose answer has not begun.
     pub active: usize,
+    /// When calls have to be over, once the process stops.
+    pub stop_end: Option<ClockTime>,
     /// Whether a call that waits for changes of targets is under way.
     pub is_waiting_at_store: bool,
     /// Streams that are being relayed.
@@ -88,6 +90,7 @@
             turns: MoveTurns::new(settings.node.clone()),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active: 0,
+            stop_end: None,
             is_waiting_at_store: false,
             node: settings.node.clone(),
             domain: settings.domain.clone(),
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -28,7 +28,7 @@
 }
 
 async fn stream(address: std::net::SocketAddr) -> CallerAnswer {
-    call(address, "/stream/1", "x-id: g1\r\nx-size: 1\r\n", "").await
+    call(address, "/stream/1", "x-id: g1\r\nx-size: 1000\r\n", "").await
 }
 
 // Guards against lost, repeated or disordered events, and against two engines at work, when the
@@ -97,7 +97,8 @@
     assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
 }
 
-// Guards against new streams at a node that stops, which it could not finish.
+// Guards against new streams at a node that stops, which it could not finish, and against refusing
+// those that it can.
 #[tokio::test]
 async fn a_stopping_node_finishes_streams_and_takes_no_new_ones() {
     let (_store, targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
@@ -108,10 +109,28 @@
     let stopping = tokio::spawn(gateway.server.stop());
     until("the node stops", || core.is_stopping()).await;
     assert_eq!(call(ready, "/", "", "").await.status, 503);
-    let refused = call(callers, "/stream/1", "x-id: g2\r\nx-size: 1\r\n", "").await;
+    let refused = call(callers, "/stream/1", "x-id: g2\r\nx-size: 1000\r\n", "").await;
     assert_eq!(refused.status, 503);
+    targets[0].set_mode(TargetMode::Stream(3));
+    let short = call(callers, "/stream/1", "x-id: g3\r\nx-size: 9\r\n", "").await;
+    assert_eq!(events(&short), (vec![1, 2, 3], true));
     let answer = pending.await.unwrap();
     assert_eq!(events(&answer), ((1..=EVENTS).collect(), true));
     stopping.await.unwrap();
-    assert_eq!(targets[0].calls().len(), 1);
+    assert_eq!(targets[0].calls().len(), 2);
+}
+
+// Guards against a call that is sent to a target just before the process ends, and cut off.
+#[tokio::test]
+async fn a_closing_node_refuses_what_arrives() {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let target = FakeTarget::start("app", TargetMode::Answer).await;
+    store.put_target(&target, "ready");
+    let gateway = Gateway::start_ready(&store).await;
+    gateway.server.core().close();
+    let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.text.contains("retry-after"));
+    assert!(target.calls().is_empty());
 }
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -227,9 +227,9 @@
             request,
             remaining: None,
             key: text("x-key").map(Into::into),
-            generation: text("x-size").map(|_| GenerationSize {
+            generation: text("x-size").map(|size| GenerationSize {
                 prompt: TokenCount(100),
-                output_limit: TokenCount(1_000),
+                output_limit: TokenCount(size.parse().unwrap()),
                 output_hint: None,
             }),
         })
