Split the stream pump and the gateway core, break an import circle

Change: moves stand in stream_move, the place in the line in line_place, exit codes and runtimes in files of their own; unused parts are gone; a stream keeps the status that its engine gave in the log. Result: linter clean, tests of the three crates pass.

--- a/crates/agatemoor/src/command/check_command.rs
+++ b/crates/agatemoor/src/command/check_command.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use fleet::{KeySet, KeyText, accept, make_head};
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
 
 /// Check settings of a node, or the files of a declaration together.
 #[derive(FromArgs)]
--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -4,7 +4,7 @@
 use platform::{BootFile, make_ports};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
 use super::node_command::stop_signal;
 
 /// Run an entry node on the users' platform until SIGTERM or SIGINT; SIGHUP reads the settings again.
--- a/crates/agatemoor/src/command/load_command.rs
+++ b/crates/agatemoor/src/command/load_command.rs
@@ -5,9 +5,9 @@
 use base::TimeSpan;
 use load::WorkloadKind;
 
+use super::exit_code::{EXIT_FAILED, EXIT_USAGE};
 use super::load_over_http;
 use super::load_virtual;
-use super::main_command::{EXIT_FAILED, EXIT_USAGE};
 
 /// Longest run in seconds.
 pub const LONGEST_RUN: u64 = 3_600;
--- a/crates/agatemoor/src/command/load_over_http.rs
+++ b/crates/agatemoor/src/command/load_over_http.rs
@@ -6,8 +6,9 @@
     run_load,
 };
 
+use super::async_runtime::run_async;
+use super::exit_code::{EXIT_DONE, EXIT_FAILED};
 use super::load_command::{LONGEST_RUN, LoadCommand, parse_list, usage, write_file};
-use super::main_command::{EXIT_DONE, EXIT_FAILED, run_async};
 
 /// Most requests of a run that names no bound.
 const CALL_LIMIT: usize = 100_000;
--- a/crates/agatemoor/src/command/load_virtual.rs
+++ b/crates/agatemoor/src/command/load_virtual.rs
@@ -6,8 +6,8 @@
 };
 use sched::{CoordinationMode, PeakPolicy, PolicySettings};
 
+use super::exit_code::{EXIT_DONE, EXIT_FAILED};
 use super::load_command::{LoadCommand, parse_list, usage, write_file};
-use super::main_command::{EXIT_DONE, EXIT_FAILED};
 
 /// Policies that are compared if none are named.
 const POLICIES: &str = "random,round_robin,least_in_flight,digests";
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -3,9 +3,10 @@
 
 use argh::{EarlyExit, FromArgs};
 use log::LevelFilter;
-use tokio::runtime::{Builder, Runtime};
 
+use super::async_runtime::{run_async, run_on_one_thread};
 use super::check_command::CheckCommand;
+use super::exit_code::{EXIT_DONE, EXIT_USAGE};
 use super::gateway_command::GatewayCommand;
 use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
@@ -15,13 +16,6 @@
 use crate::demo::DemoCommand;
 use crate::logging::{LogFormat, start_bounded_logging, start_logging};
 
-/// Exit code of a command that did its work.
-pub const EXIT_DONE: u8 = 0;
-/// Exit code of a command whose work failed.
-pub const EXIT_FAILED: u8 = 1;
-/// Exit code after wrong usage or settings.
-pub const EXIT_USAGE: u8 = 2;
-
 /// Serves text generations of unknown length on crowded engines.
 #[derive(FromArgs)]
 #[argh(
@@ -106,28 +100,3 @@
         }
     }
 }
-
-/// Runs asynchronous work on threads of its own.
-pub fn run_async(work: impl Future<Output = u8>) -> u8 {
-    run_with(Builder::new_multi_thread(), work)
-}
-
-/// Runs asynchronous work on this thread, for processes that have a part of one core.
-fn run_on_one_thread(work: impl Future<Output = u8>) -> u8 {
-    run_with(Builder::new_current_thread(), work)
-}
-
-fn run_with(mut builder: Builder, work: impl Future<Output = u8>) -> u8 {
-    let runtime: Result<Runtime, _> = builder.enable_all().build();
-    match runtime {
-        Ok(runtime) => {
-            let code = runtime.block_on(work);
-            runtime.shutdown_background();
-            code
-        }
-        Err(error) => {
-            eprintln!("cannot start threads: {error}");
-            EXIT_FAILED
-        }
-    }
-}
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -1,6 +1,8 @@
 //! The subcommands.
 
+mod async_runtime;
 mod check_command;
+mod exit_code;
 mod gateway_command;
 mod load_command;
 mod load_over_http;
@@ -11,5 +13,6 @@
 mod status_command;
 mod timeline_command;
 
-pub use main_command::{EXIT_DONE, EXIT_FAILED, MainCommand};
+pub use exit_code::{EXIT_DONE, EXIT_FAILED};
+pub use main_command::MainCommand;
 pub use node_command::stop_signal;
--- a/crates/agatemoor/src/command/node_command.rs
+++ b/crates/agatemoor/src/command/node_command.rs
@@ -4,7 +4,7 @@
 use node::{MetricsExport, NodeServer};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
 use crate::demo::make_policy;
 
 /// Run an entry node until SIGTERM or SIGINT, then stop gracefully.
--- a/crates/agatemoor/src/command/standin_command.rs
+++ b/crates/agatemoor/src/command/standin_command.rs
@@ -5,7 +5,7 @@
 use engine::WeightKey;
 use standin::{AppServer, EngineServer, EngineSettings, PlatformServer};
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED, EXIT_USAGE};
 use super::node_command::stop_signal;
 
 /// Run a stand-in for what surrounds the system.
--- a/crates/agatemoor/src/command/status_command.rs
+++ b/crates/agatemoor/src/command/status_command.rs
@@ -5,7 +5,7 @@
 use node::StatusPage;
 use tokio::time::sleep;
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED};
 use super::stop_signal;
 use crate::operator::{NodeList, OpsClient};
 use crate::status::FleetSummary;
--- a/crates/agatemoor/src/command/timeline_command.rs
+++ b/crates/agatemoor/src/command/timeline_command.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use base::{EventKind, RequestId};
 
-use super::main_command::{EXIT_DONE, EXIT_FAILED};
+use super::exit_code::{EXIT_DONE, EXIT_FAILED};
 use crate::operator::{NodeList, OpsClient};
 use crate::timeline::{EventFilter, EventPage, EventTimeline, SinceTime, TimelinePage};
 
--- a/crates/entry/src/config/route_rule.rs
+++ b/crates/entry/src/config/route_rule.rs
@@ -40,8 +40,6 @@
     pub timeout: TimeSpan,
     /// Time to the whole answer, or to the first event of a stream, that callers are promised.
     pub latency_target: TimeSpan,
-    /// Longest pause between events of a stream that callers are promised.
-    pub gap_target: Option<TimeSpan>,
     /// Rank among routes; 0 goes first.
     pub priority: u8,
     /// Targets on which one call may run.
@@ -60,7 +58,7 @@
     /// #     name: "r".into(), host: "h".into(), prefix: "/".into(),
     /// #     services: vec![weight("a", 9), weight("b", 1)], repeat: RepeatRule::Stream,
     /// #     timeout: base::TimeSpan::from_secs(1), latency_target: base::TimeSpan::from_secs(1),
-    /// #     gap_target: None, priority: 0, max_attempts: 1, is_public: false,
+    /// #     priority: 0, max_attempts: 1, is_public: false,
     /// # };
     /// assert_eq!(rule.pick_service(8).unwrap().as_str(), "a");
     /// assert_eq!(rule.pick_service(9).unwrap().as_str(), "b");
--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -9,8 +9,6 @@
     pub memory: TokenCount,
     /// Whether running generations can be moved to another engine.
     pub can_move: bool,
-    /// Whether the memory of a generation can be copied to another engine as it grows.
-    pub can_back_up: bool,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
     /// Tokens whose memory is copied to an engine of the same failure domain in a second.
--- a/crates/entry/src/view/lapse_guard.rs
+++ b/crates/entry/src/view/lapse_guard.rs
@@ -17,7 +17,7 @@
 /// ```
 /// use base::ClockTime;
 /// let mut guard = entry::LapseGuard::default();
-/// guard.on_lost(ClockTime::new(1_000));
+/// guard.on_lost();
 /// guard.on_regained(ClockTime::new(5_000));
 /// assert!(guard.keep_until(ClockTime::new(5_100), 1, 12).is_some());
 /// assert!(guard.keep_until(ClockTime::new(9_000), 1, 12).is_none());
@@ -30,7 +30,7 @@
 
 impl LapseGuard {
     /// The store stopped answering.
-    pub fn on_lost(&mut self, _now: ClockTime) {
+    pub fn on_lost(&mut self) {
         self.is_lost = true;
     }
 
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -104,7 +104,7 @@
 fn lapsed_targets_take_calls_until_their_time_is_over() {
     let mut board = board(&[record("e1", "patan")]);
     let mut guard = LapseGuard::default();
-    guard.on_lost(NOW);
+    guard.on_lost();
     guard.on_regained(NOW);
     assert!(board.take_records(NOW, Vec::new(), &guard).is_empty());
     assert_eq!(chosen(board.place(NOW, &need(100, 100))), name("e1"));
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -19,7 +19,6 @@
         repeat: RepeatRule::Idempotent,
         timeout: TimeSpan::from_secs(1),
         latency_target: TimeSpan::new(100),
-        gap_target: None,
         priority: 0,
         max_attempts: 2,
         is_public: false,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -7,7 +7,6 @@
     slots: 4,
     memory: TokenCount(10_000),
     can_move: true,
-    can_back_up: false,
     event_tokens: 4,
     copy_rate: TokenRate(10_000),
 };
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -66,7 +66,7 @@
 #[test]
 fn keeps_vanished_targets_for_a_while_after_an_outage() {
     let mut guard = LapseGuard::default();
-    guard.on_lost(ClockTime::new(1_000));
+    guard.on_lost();
     assert!(guard.on_regained(ClockTime::new(5_000)));
     let until = guard.keep_until(ClockTime::new(5_010), 1, 12).unwrap();
     assert_eq!(until, ClockTime::new(7_200));
@@ -77,7 +77,7 @@
 #[test]
 fn believes_removals_while_the_store_is_lost() {
     let mut guard = LapseGuard::default();
-    guard.on_lost(ClockTime::new(1_000));
+    guard.on_lost();
     assert_eq!(guard.keep_until(ClockTime::new(2_000), 2, 12), None);
 }
 
--- a/crates/gateway/src/feed/view_feed.rs
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -128,7 +128,7 @@
         let area = self.area;
         let age = self.core.with_state(|state, now| {
             if area == ViewArea::Targets {
-                state.view.guard.on_lost(now);
+                state.view.guard.on_lost();
             }
             let confirmed = match area {
                 ViewArea::Config => state.view.config_at,
--- a/crates/gateway/src/port/call_codec.rs
+++ b/crates/gateway/src/port/call_codec.rs
@@ -102,9 +102,6 @@
     /// Status with which callers are told of a failure.
     fn failure_status(&self, kind: ErrorKind) -> StatusCode;
 
-    /// Whether `status` tells callers that a call did not run.
-    fn promises_not_run(&self, status: StatusCode) -> bool;
-
     /// Tells the caller when to come back.
     fn write_retry_after(&self, headers: &mut HeaderMap, wait: TimeSpan);
 }
--- a/crates/gateway/src/relay/call_audit.rs
+++ b/crates/gateway/src/relay/call_audit.rs
@@ -94,6 +94,11 @@
         self.outcome = outcome;
     }
 
+    /// Notes how a stream ended whose status was noted before.
+    pub fn end_stream(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
     fn event(&self) -> EventKind {
         match self.outcome {
             "answered" => EventKind::RequestFinished,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod failure_response;
 mod plain_call;
 mod stream_call;
+mod stream_move;
 mod stream_pump;
 mod target_send;
 
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,23 +1,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use base::{ClockTime, ErrorKind, EventKind, NodeName, TargetName, TimeSpan};
-use entry::{LineTicket, LoadSum, PlaceChoice, PlaceNeed, ServeConfig};
+use entry::{PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
 use web::{ConnectionPool, PoolSettings};
 
-use super::gateway_state::{LineAnswer, LineWaiter};
+use super::gateway_state::LineWaiter;
+use super::line_place::LinePlace;
 use super::{GatewayState, PlaceHold, PlaceRefusal};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Advice to callers of a service that has no target: new ones register within seconds.
 const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
-/// Advice to callers that found every target full.
-const FULL_RETRY: TimeSpan = TimeSpan::new(600);
-
 /// What all tasks of a gateway share.
 pub struct GatewayCore {
     /// Settings at the start.
@@ -171,12 +167,7 @@
             Ok(target) => Some(target),
             Err(None) => None,
             Err(Some((ticket, receiver))) => {
-                let place = LinePlace {
-                    core: self,
-                    ticket,
-                    load,
-                    receiver,
-                };
+                let place = LinePlace::new(self, ticket, load, receiver);
                 place.wait(patience).await?
             }
         };
@@ -336,38 +327,3 @@
         self.leaving.send_modify(|count| *count += 1);
     }
 }
-
-/// Place of a call in the line; left when its wait ends, also if its caller goes away.
-struct LinePlace<'a> {
-    core: &'a GatewayCore,
-    ticket: LineTicket,
-    load: LoadSum,
-    receiver: oneshot::Receiver<LineAnswer>,
-}
-
-impl LinePlace<'_> {
-    async fn wait(mut self, patience: TimeSpan) -> Result<Option<TargetName>, PlaceRefusal> {
-        match timeout(Duration::from(patience), &mut self.receiver).await {
-            Ok(Ok(answer)) => Ok(answer),
-            // The sender stays in the line until it is used, so both mean that time ran out.
-            Ok(Err(_)) | Err(_) => Err(PlaceRefusal {
-                kind: ErrorKind::Overloaded,
-                retry_after: FULL_RETRY,
-            }),
-        }
-    }
-}
-
-impl Drop for LinePlace<'_> {
-    fn drop(&mut self) {
-        let unused = self.receiver.try_recv();
-        self.core.with_state(|state, now| {
-            state.line.leave(self.ticket);
-            state.waiters.retain(|waiter| waiter.ticket != self.ticket);
-            if let Ok(Some(target)) = unused {
-                state.board.remove(&target, self.load);
-            }
-            state.serve_line(now);
-        });
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/state/line_place.rs
@@ -0,0 +1,66 @@
+use std::time::Duration;
+
+use base::{ErrorKind, TargetName, TimeSpan};
+use entry::{LineTicket, LoadSum};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::gateway_state::LineAnswer;
+use super::{GatewayCore, PlaceRefusal};
+
+/// Advice to callers that found every target full.
+const FULL_RETRY: TimeSpan = TimeSpan::new(600);
+
+/// Place of a call in the line; left when its wait ends, also if its caller goes away.
+pub struct LinePlace<'a> {
+    core: &'a GatewayCore,
+    ticket: LineTicket,
+    load: LoadSum,
+    receiver: oneshot::Receiver<LineAnswer>,
+}
+
+impl<'a> LinePlace<'a> {
+    /// Creates the place of a call that joined the line.
+    pub fn new(
+        core: &'a GatewayCore,
+        ticket: LineTicket,
+        load: LoadSum,
+        receiver: oneshot::Receiver<LineAnswer>,
+    ) -> Self {
+        Self {
+            core,
+            ticket,
+            load,
+            receiver,
+        }
+    }
+
+    /// Waits for room on a target; the load is on the board when there is one.
+    ///
+    /// # Errors
+    /// If no target has room in time.
+    pub async fn wait(mut self, patience: TimeSpan) -> Result<Option<TargetName>, PlaceRefusal> {
+        match timeout(Duration::from(patience), &mut self.receiver).await {
+            Ok(Ok(answer)) => Ok(answer),
+            // The sender stays in the line until it is used, so both mean that time ran out.
+            Ok(Err(_)) | Err(_) => Err(PlaceRefusal {
+                kind: ErrorKind::Overloaded,
+                retry_after: FULL_RETRY,
+            }),
+        }
+    }
+}
+
+impl Drop for LinePlace<'_> {
+    fn drop(&mut self) {
+        let unused = self.receiver.try_recv();
+        self.core.with_state(|state, now| {
+            state.line.leave(self.ticket);
+            state.waiters.retain(|waiter| waiter.ticket != self.ticket);
+            if let Ok(Some(target)) = unused {
+                state.board.remove(&target, self.load);
+            }
+            state.serve_line(now);
+        });
+    }
+}
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod gateway_core;
 mod gateway_state;
+mod line_place;
 mod peer_table;
 mod place_hold;
 mod view_state;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -177,7 +177,6 @@
         repeat,
         timeout: TimeSpan::from_secs(5),
         latency_target: TimeSpan::new(400),
-        gap_target: None,
         priority: 0,
         max_attempts,
         is_public: prefix != "/locked/",
@@ -190,7 +189,6 @@
         slots: 8,
         memory: TokenCount(50_000),
         can_move: true,
-        can_back_up: false,
         event_tokens: 1,
         copy_rate: TokenRate(100_000),
     };
@@ -269,10 +267,6 @@
         StatusCode::from_u16(kind.answer().status).unwrap()
     }
 
-    fn promises_not_run(&self, status: StatusCode) -> bool {
-        matches!(status.as_u16(), 429 | 503)
-    }
-
     fn write_retry_after(&self, headers: &mut HeaderMap, wait: TimeSpan) {
         let seconds = wait.as_secs_ceil().to_string();
         headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).unwrap());
