Share what the relays of calls wrote twice

Cause: a last reading of the change: the answer of a target was given to callers in two places, the reason of a failed send was worded in two, a second send was taken in three, the store was read anew in two, a flag repeated what the end of a stop says, and two test files set up the same scene. Change: WholeAnswer with deliver_answer, SendEnd::explain, GatewayCore::take_retry, ViewFeed::read_anew; the stop has one field; start_scene.

--- a/crates/gateway/src/feed/view_feed.rs
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -78,10 +78,7 @@
         let Some(known) = known.filter(|_| self.failures == 0) else {
             // After a failure the items are read anew: that shows at once whether the store is
             // back, while a wait for changes shows nothing until there is one.
-            let (revision, items) = source.read_all(area).await?;
-            self.note_answer();
-            self.core.take_items(area, revision, items, "store");
-            return Ok(());
+            return self.read_anew().await;
         };
         self.set_waiting(true);
         let waited = source.wait_changes(area, known).await;
@@ -93,15 +90,20 @@
                 }
                 Ok(())
             }
-            Err(SourceFailure::HistoryGone) => {
-                let (revision, items) = source.read_all(area).await?;
-                self.core.take_items(area, revision, items, "store");
-                Ok(())
-            }
+            Err(SourceFailure::HistoryGone) => self.read_anew().await,
             Err(failure) => Err(failure),
         }
     }
 
+    async fn read_anew(&mut self) -> Result<(), SourceFailure> {
+        let area = self.area;
+        let (revision, items) = self.core.ports.source.read_all(area).await?;
+        // Before the items are taken: whether vanished targets are doubted depends on it.
+        self.note_answer();
+        self.core.take_items(area, revision, items, "store");
+        Ok(())
+    }
+
     fn note_answer(&mut self) {
         self.failures = 0;
         if self.area != ViewArea::Targets {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod stream_move;
 mod stream_pump;
 mod target_send;
+mod whole_answer;
 
 pub use call_audit::CallAudit;
 pub use call_handler::CallHandler;
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -2,16 +2,16 @@
 use std::time::Duration;
 
 use base::{ErrorKind, TimeSpan};
-use bytes::Bytes;
 use entry::{RepeatRule, TargetOutcome};
-use http::{HeaderMap, Response, StatusCode};
+use http::Response;
 use tokio::time::Instant;
-use web::{WebBody, full_body};
+use web::WebBody;
 
 use super::CallAudit;
 use super::call_input::CallInput;
-use super::failure_response::{failure_response, note_stop};
+use super::failure_response::failure_response;
 use super::target_send::{SendEnd, note_answered, note_broken, read_answer, send_call};
+use super::whole_answer::{WholeAnswer, deliver_answer};
 use crate::{GatewayCore, PlaceHold};
 
 /// Targets that are tried for one call when nothing was sent or the call was refused.
@@ -21,8 +21,6 @@
 /// Advice to callers whose call was refused by every target that was tried.
 const REFUSED_RETRY: TimeSpan = TimeSpan::new(250);
 
-type WholeAnswer = (StatusCode, HeaderMap, Bytes);
-
 /// What one attempt means for the call.
 enum AttemptEnd {
     /// The answer goes to the caller.
@@ -55,7 +53,7 @@
             Ok(hold) => hold,
             Err(refusal) => {
                 if let Some(answer) = failed {
-                    return deliver(core, &mut audit, answer);
+                    return deliver_answer(core, &mut audit, answer);
                 }
                 let kind = match runs {
                     0 => refusal.kind,
@@ -77,7 +75,7 @@
         drop(hold);
         let is_over = Instant::now() >= deadline;
         match end {
-            AttemptEnd::Deliver(answer) => return deliver(core, &mut audit, answer),
+            AttemptEnd::Deliver(answer) => return deliver_answer(core, &mut audit, answer),
             AttemptEnd::Unsent if !is_over => continue,
             AttemptEnd::Unsent | AttemptEnd::Refused => {}
             AttemptEnd::Failed(answer) => {
@@ -87,9 +85,9 @@
             AttemptEnd::Lost | AttemptEnd::TimedOut => runs += 1,
         }
         let can_go_on = runs == 0 || (may_repeat && runs < call.route.max_attempts);
-        if is_over || !can_go_on || !take_retry(core, &call) {
+        if is_over || !can_go_on || !core.take_retry(&call.service) {
             return match (failed, runs, is_over) {
-                (Some(answer), _, _) => deliver(core, &mut audit, answer),
+                (Some(answer), _, _) => deliver_answer(core, &mut audit, answer),
                 (None, 0, _) => {
                     let kind = ErrorKind::Overloaded;
                     failure_response(core, &mut audit, kind, Some(REFUSED_RETRY))
@@ -102,7 +100,7 @@
         }
     }
     match (failed, runs) {
-        (Some(answer), _) => deliver(core, &mut audit, answer),
+        (Some(answer), _) => deliver_answer(core, &mut audit, answer),
         (None, 0) => failure_response(core, &mut audit, ErrorKind::NoTarget, Some(REFUSED_RETRY)),
         (None, _) => failure_response(core, &mut audit, ErrorKind::TargetLost, None),
     }
@@ -113,13 +111,6 @@
     Instant::now() + Duration::from(call.route.latency_target * SECOND_TRY_FACTOR)
 }
 
-fn take_retry(core: &GatewayCore, call: &CallInput) -> bool {
-    core.with_state(|state, now| {
-        let nodes = state.share_count(now);
-        state.share.take(now, &call.service, nodes)
-    })
-}
-
 async fn attempt(
     core: &GatewayCore,
     call: &CallInput,
@@ -128,30 +119,20 @@
     audit: &mut CallAudit,
 ) -> AttemptEnd {
     let target = hold.target.clone();
-    let head = match send_call(core, call, hold, None, until).await {
+    let end = send_call(core, call, hold, None, until).await;
+    end.explain(&target, audit);
+    let head = match end {
         SendEnd::Head(head) => head,
-        SendEnd::Refused(status) => {
-            audit.explain(format!("{target} refused with {status}"));
-            return AttemptEnd::Refused;
-        }
-        SendEnd::Unsent(reason) => {
-            audit.explain(format!("{target} not reached: {reason}"));
-            return AttemptEnd::Unsent;
-        }
-        SendEnd::Lost(reason) => {
-            audit.explain(format!("{target} lost: {reason}"));
-            return AttemptEnd::Lost;
-        }
-        SendEnd::TimedOut => {
-            audit.explain(format!("{target} gave no answer in time"));
-            return AttemptEnd::TimedOut;
-        }
+        SendEnd::Refused(_) => return AttemptEnd::Refused,
+        SendEnd::Unsent(_) => return AttemptEnd::Unsent,
+        SendEnd::Lost(_) => return AttemptEnd::Lost,
+        SendEnd::TimedOut => return AttemptEnd::TimedOut,
     };
     audit.note_first();
     match read_answer(*head, until).await {
-        Ok(answer) if answer.0.is_server_error() => {
+        Ok(answer) if answer.status.is_server_error() => {
             hold.note(TargetOutcome::Failed);
-            audit.explain(format!("{target} failed with {}", answer.0));
+            audit.explain(format!("{target} failed with {}", answer.status));
             AttemptEnd::Failed(answer)
         }
         Ok(answer) => {
@@ -165,17 +146,3 @@
         }
     }
 }
-
-fn deliver(core: &GatewayCore, audit: &mut CallAudit, answer: WholeAnswer) -> Response<WebBody> {
-    let (status, headers, body) = answer;
-    let outcome = match status.is_success() {
-        true => "answered",
-        false => "target_answered_failure",
-    };
-    audit.finish(status.as_u16(), outcome);
-    let mut response = Response::new(full_body(body));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    note_stop(core, response.headers_mut());
-    response
-}
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -10,6 +10,7 @@
 use super::failure_response::{failure_response, note_stop};
 use super::stream_pump::{PumpParts, StreamPump};
 use super::target_send::{SendEnd, TargetHead, read_answer, send_call};
+use super::whole_answer::deliver_answer;
 use crate::{GatewayCore, PlaceHold};
 
 /// Targets that are tried for one stream when nothing was sent or it was refused.
@@ -45,32 +46,22 @@
         audit.note_target(&hold.target);
         let target = hold.target.clone();
         need.excluded.push(target.clone());
-        match send_call(&core, &call, &mut hold, None, deadline).await {
+        let end = send_call(&core, &call, &mut hold, None, deadline).await;
+        end.explain(&target, &mut audit);
+        match end {
             SendEnd::Head(head) if head.response.status().is_success() => {
                 return start_pump(core, call, audit, hold, *head);
             }
             SendEnd::Head(head) => {
                 return deliver_failure(&core, audit, *head, deadline).await;
             }
-            SendEnd::Unsent(reason) => {
-                audit.explain(format!("{target} not reached: {reason}"));
-            }
-            SendEnd::Refused(status) => {
-                audit.explain(format!("{target} refused with {status}"));
-                let allowed = core.with_state(|state, now| {
-                    let nodes = state.share_count(now);
-                    state.share.take(now, &call.service, nodes)
-                });
-                if !allowed {
-                    break;
-                }
-            }
-            SendEnd::Lost(reason) => {
-                audit.explain(format!("{target} lost: {reason}"));
+            SendEnd::Unsent(_) => {}
+            SendEnd::Refused(_) if core.take_retry(&call.service) => {}
+            SendEnd::Refused(_) => break,
+            SendEnd::Lost(_) => {
                 return failure_response(&core, &mut audit, ErrorKind::TargetLost, None);
             }
             SendEnd::TimedOut => {
-                audit.explain(format!("{target} gave no answer in time"));
                 return failure_response(&core, &mut audit, ErrorKind::DeadlineExceeded, None);
             }
         }
@@ -123,14 +114,7 @@
 ) -> Response<WebBody> {
     audit.note_first();
     match read_answer(head, deadline).await {
-        Ok((status, headers, body)) => {
-            audit.finish(status.as_u16(), "target_answered_failure");
-            let mut response = Response::new(web::full_body(body));
-            *response.status_mut() = status;
-            *response.headers_mut() = headers;
-            note_stop(core, response.headers_mut());
-            response
-        }
+        Ok(answer) => deliver_answer(core, &mut audit, answer),
         Err(reason) => {
             audit.explain(reason);
             failure_response(core, &mut audit, ErrorKind::TargetLost, None)
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -191,11 +191,8 @@
         };
         self.unused_copy = None;
         let is_elsewhere = at != self.hold.target;
-        self.core.with_state(|state, now| {
-            let nodes = state.share_count(now);
-            // Moves count as second sends; they are never refused, as the generation would be lost.
-            state.share.take(now, &self.call.service, nodes)
-        });
+        // Moves count as second sends; they are never refused, as the generation would be lost.
+        self.core.take_retry(&self.call.service);
         if is_elsewhere && let Some(mut next) = self.next_hold.take() {
             let deadline = self.deadline;
             let end = send_call(&self.core, &self.call, &mut next, Some(&point), deadline).await;
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -1,14 +1,16 @@
-use bytes::Bytes;
+use base::TargetName;
 use calls::TargetDeath;
 use entry::{TargetOutcome, TargetPhase};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use web::{PooledSender, SendPhase, full_body};
 
+use super::CallAudit;
 use super::call_input::{CallInput, strip_hop_headers};
+use super::whole_answer::WholeAnswer;
 use crate::{GatewayCore, PlaceHold, ResumePoint, SendHead};
 
 /// Largest answer that is held back until it is complete.
@@ -33,6 +35,19 @@
     TimedOut,
 }
 
+impl SendEnd {
+    /// Adds to the audit why there is no head.
+    pub fn explain(&self, target: &TargetName, audit: &mut CallAudit) {
+        match self {
+            Self::Head(_) => {}
+            Self::Refused(status) => audit.explain(format!("{target} refused with {status}")),
+            Self::Unsent(reason) => audit.explain(format!("{target} not reached: {reason}")),
+            Self::Lost(reason) => audit.explain(format!("{target} lost: {reason}")),
+            Self::TimedOut => audit.explain(format!("{target} gave no answer in time")),
+        }
+    }
+}
+
 /// Head of a target's own answer and the connection on which the rest arrives.
 pub struct TargetHead {
     /// Head with the unread body.
@@ -105,10 +120,7 @@
 }
 
 /// Reads a whole answer; the error tells why it is not complete.
-pub async fn read_answer(
-    head: TargetHead,
-    until: Instant,
-) -> Result<(StatusCode, HeaderMap, Bytes), String> {
+pub async fn read_answer(head: TargetHead, until: Instant) -> Result<WholeAnswer, String> {
     let (mut parts, body) = head.response.into_parts();
     let connection = head.connection;
     let collected = timeout_at(until, Limited::new(body, ANSWER_LIMIT).collect()).await;
@@ -119,7 +131,11 @@
         Err(_) => return Err("answer not complete in time".to_owned()),
     };
     strip_hop_headers(&mut parts.headers);
-    Ok((parts.status, parts.headers, body))
+    Ok(WholeAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
 }
 
 /// Notes that the target gave a whole answer.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,7 +1,6 @@
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use base::{ClockTime, ErrorKind, EventKind, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, ErrorKind, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
@@ -14,6 +13,7 @@
 
 /// Advice to callers of a service that has no target: new ones register within seconds.
 const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
+
 /// What all tasks of a gateway share.
 pub struct GatewayCore {
     /// Settings at the start.
@@ -27,7 +27,6 @@
     clock: SystemClock,
     state: Mutex<GatewayState>,
     leaving: watch::Sender<u64>,
-    is_stopping: AtomicBool,
     settings_failure: Mutex<Option<String>>,
 }
 
@@ -38,7 +37,6 @@
             state: Mutex::new(GatewayState::new(&settings, seed)),
             clock: SystemClock::new(),
             leaving: watch::Sender::new(0),
-            is_stopping: AtomicBool::new(false),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -105,7 +103,6 @@
     /// Stops taking new callers; calls that are over by `end` are still served.
     pub fn begin_stop(&self, end: ClockTime) {
         self.with_state(|state, _| state.stop_end = Some(end));
-        self.is_stopping.store(true, Ordering::Relaxed);
     }
 
     /// Serves no call any more; those that arrive are refused.
@@ -120,7 +117,12 @@
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.with_state(|state, _| state.stop_end.is_some())
+    }
+
+    /// Takes one second send to a service from this node's share; `false` if there is none.
+    pub fn take_retry(&self, service: &ServiceName) -> bool {
+        self.with_state(|state, now| state.take_retry(now, service))
     }
 
     /// Changes with each target that starts to leave and with each turn that ends.
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,4 +1,4 @@
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan, rank_owners};
+use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners};
 use calls::{CrashLimits, CrashMessage, CrashTable};
 use entry::{LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
 use tokio::sync::oneshot;
@@ -231,8 +231,9 @@
         true
     }
 
-    /// Nodes that share budgets, this one included.
-    pub fn share_count(&self, now: ClockTime) -> usize {
-        self.peers.share_count(now)
+    /// Takes one second send to a service from this node's share; `false` if there is none.
+    pub fn take_retry(&mut self, now: ClockTime, service: &ServiceName) -> bool {
+        let nodes = self.peers.share_count(now);
+        self.share.take(now, service, nodes)
     }
 }
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -1,25 +1,13 @@
 //! What callers and targets see of plain calls.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, open_stream, until};
+use crate::support::{
+    FakeStore, FakeTarget, Gateway, TargetMode, call, open_stream, start_scene, until,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 
-async fn start(modes: &[TargetMode]) -> (Arc<FakeStore>, Vec<FakeTarget>, Gateway) {
-    let store = FakeStore::new();
-    store.put_config(1);
-    let mut targets = Vec::new();
-    for mode in modes {
-        let target = FakeTarget::start("app", *mode).await;
-        store.put_target(&target, "ready");
-        targets.push(target);
-    }
-    let gateway = Gateway::start_ready(&store).await;
-    (store, targets, gateway)
-}
-
 fn arrivals(targets: &[FakeTarget]) -> usize {
     targets.iter().map(|target| target.calls().len()).sum()
 }
@@ -27,7 +15,7 @@
 // Guards against a changed method, path, body or caller's header, and against a passed-on key.
 #[tokio::test]
 async fn relays_calls_unchanged() {
-    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Answer]).await;
     let headers = "x-id: a1\r\nx-other: yes\r\nx-key: key-1\r\n";
     let answer = call(gateway.callers, "/once/2?q=%20x", headers, "body").await;
     assert_eq!(answer.status, 200);
@@ -43,7 +31,7 @@
 #[tokio::test]
 async fn a_broken_call_runs_at_most_once() {
     for mode in [TargetMode::Break, TargetMode::Truncate, TargetMode::Foreign] {
-        let (_store, targets, gateway) = start(&[mode, mode]).await;
+        let (_store, targets, gateway) = start_scene("app", &[mode, mode]).await;
         let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
         assert_eq!(answer.status, 502, "{mode:?}");
         assert!(!answer.text.contains("hel"), "{mode:?}");
@@ -54,7 +42,8 @@
 // Guards against giving up a call that another target can serve.
 #[tokio::test]
 async fn a_refused_call_goes_to_another_target() {
-    let (_store, targets, gateway) = start(&[TargetMode::Refuse, TargetMode::Answer]).await;
+    let (_store, targets, gateway) =
+        start_scene("app", &[TargetMode::Refuse, TargetMode::Answer]).await;
     for id in ["a1", "a2", "a3"] {
         let headers = format!("x-id: {id}\r\n");
         let answer = call(gateway.callers, "/once/1", &headers, "").await;
@@ -66,7 +55,8 @@
 // Guards against an answer that leaves open whether a call ran that no target ran.
 #[tokio::test]
 async fn a_call_that_all_refuse_is_told_to_come_back() {
-    let (_store, _targets, gateway) = start(&[TargetMode::Refuse, TargetMode::Refuse]).await;
+    let (_store, _targets, gateway) =
+        start_scene("app", &[TargetMode::Refuse, TargetMode::Refuse]).await;
     let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
     assert!(matches!(answer.status, 429 | 503), "{}", answer.text);
     assert!(answer.text.contains("retry-after"));
@@ -75,7 +65,7 @@
 // Guards against failing a call that may be repeated, and against more runs than allowed.
 #[tokio::test]
 async fn an_idempotent_call_is_repeated_as_often_as_allowed() {
-    let (_store, targets, gateway) = start(&[TargetMode::Break; 4]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Break; 4]).await;
     let answer = call(gateway.callers, "/read/1", "x-id: a1\r\n", "").await;
     assert_eq!(answer.status, 502);
     assert_eq!(arrivals(&targets), 2);
@@ -89,7 +79,7 @@
 // Guards against a caller that waits for a target that hangs while another would answer.
 #[tokio::test]
 async fn an_idempotent_call_leaves_a_target_that_hangs() {
-    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Hang]).await;
     let pending = tokio::spawn(call_owned(gateway.callers));
     until("the call hangs", || targets[0].open_calls() == 1).await;
     let second = FakeTarget::start("app", TargetMode::Answer).await;
@@ -108,7 +98,7 @@
 // Guards against a caller that is held past the time that its route allows.
 #[tokio::test]
 async fn the_route_timeout_gives_a_final_answer() {
-    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Hang]).await;
     let start = Instant::now();
     let answer = call(gateway.callers, "/short/1", "x-id: a1\r\n", "").await;
     assert_eq!(answer.status, 504);
@@ -119,7 +109,7 @@
 // Guards against work for a caller that has gone.
 #[tokio::test]
 async fn a_call_is_cancelled_when_its_caller_leaves() {
-    let (_store, targets, gateway) = start(&[TargetMode::Hang]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Hang]).await;
     let stream = open_stream(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
     until("the call arrives", || targets[0].open_calls() == 1).await;
     drop(stream);
@@ -130,7 +120,7 @@
 // ways: the HTTP library has to close the connection.
 #[tokio::test]
 async fn nothing_is_read_after_an_ambiguous_length() {
-    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Answer]).await;
     let hidden = "POST /once/9 HTTP/1.1\r\nhost: shop.example\r\nx-id: a2\r\n\r\n";
     let text = format!(
         "POST /once/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: a1\r\ncontent-length: 77\r\n\
@@ -155,7 +145,7 @@
 // Guards against calls to a target whose entry was removed without notice.
 #[tokio::test]
 async fn a_removed_target_gets_no_calls() {
-    let (store, targets, gateway) = start(&[TargetMode::Answer; 3]).await;
+    let (store, targets, gateway) = start_scene("app", &[TargetMode::Answer; 3]).await;
     store.remove_target(&targets[0]);
     let core = gateway.server.core();
     until("the removal is known", || {
@@ -173,7 +163,7 @@
 // Guards against serving calls that the configuration does not allow.
 #[tokio::test]
 async fn refuses_unknown_routes_and_keys() {
-    let (_store, targets, gateway) = start(&[TargetMode::Answer]).await;
+    let (_store, targets, gateway) = start_scene("app", &[TargetMode::Answer]).await;
     let none = call(gateway.callers, "/none/1", "x-id: a1\r\n", "").await;
     let locked = call(gateway.callers, "/locked/1", "x-id: a2\r\n", "").await;
     let unnamed = call(gateway.callers, "/once/1", "", "").await;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -1,24 +1,11 @@
 //! Streams that move, and what ends them.
 
-use std::sync::Arc;
-
-use crate::support::{CallerAnswer, FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+use crate::support::{
+    CallerAnswer, FakeStore, FakeTarget, Gateway, TargetMode, call, start_scene, until,
+};
 
 const EVENTS: u64 = 150;
 
-async fn start(modes: &[TargetMode]) -> (Arc<FakeStore>, Vec<FakeTarget>, Gateway) {
-    let store = FakeStore::new();
-    store.put_config(1);
-    let mut targets = Vec::new();
-    for mode in modes {
-        let target = FakeTarget::start("pool", *mode).await;
-        store.put_target(&target, "ready");
-        targets.push(target);
-    }
-    let gateway = Gateway::start_ready(&store).await;
-    (store, targets, gateway)
-}
-
 /// Events that a caller got, and whether the stream ended as complete.
 fn events(answer: &CallerAnswer) -> (Vec<u64>, bool) {
     let lines = answer.text.lines();
@@ -35,7 +22,7 @@
 // engine of a generation leaves.
 #[tokio::test]
 async fn a_stream_goes_on_at_another_engine() {
-    let (store, mut targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let (store, mut targets, gateway) = start_scene("pool", &[TargetMode::Stream(EVENTS)]).await;
     let pending = tokio::spawn(stream(gateway.callers));
     until("the stream runs", || targets[0].open_calls() == 1).await;
     let second = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
@@ -58,7 +45,7 @@
 #[tokio::test]
 async fn a_blind_node_asks_its_engines() {
     let (store, targets, gateway) =
-        start(&[TargetMode::Stream(320), TargetMode::Stream(320)]).await;
+        start_scene("pool", &[TargetMode::Stream(320), TargetMode::Stream(320)]).await;
     let pending = tokio::spawn(stream(gateway.callers));
     let running = |target: &&FakeTarget| target.open_calls() == 1;
     until("the stream runs", || {
@@ -78,7 +65,7 @@
 // Guards against a stream that is cut off and looks complete.
 #[tokio::test]
 async fn a_lost_stream_does_not_look_complete() {
-    let (_store, targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let (_store, targets, gateway) = start_scene("pool", &[TargetMode::Stream(EVENTS)]).await;
     let pending = tokio::spawn(stream(gateway.callers));
     until("the stream runs", || targets[0].open_calls() == 1).await;
     // The engine stops by itself, which no node asked for.
@@ -101,7 +88,7 @@
 // those that it can.
 #[tokio::test]
 async fn a_stopping_node_finishes_streams_and_takes_no_new_ones() {
-    let (_store, targets, gateway) = start(&[TargetMode::Stream(EVENTS)]).await;
+    let (_store, targets, gateway) = start_scene("pool", &[TargetMode::Stream(EVENTS)]).await;
     let pending = tokio::spawn(stream(gateway.callers));
     until("the stream runs", || targets[0].open_calls() == 1).await;
     let (callers, ready) = (gateway.callers, gateway.ready);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -66,6 +66,23 @@
     }
 }
 
+/// A store with one target of `service` for each mode, and a gateway that is ready.
+pub async fn start_scene(
+    service: &'static str,
+    modes: &[TargetMode],
+) -> (Arc<FakeStore>, Vec<FakeTarget>, Gateway) {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let mut targets = Vec::new();
+    for mode in modes {
+        let target = FakeTarget::start(service, *mode).await;
+        store.put_target(&target, "ready");
+        targets.push(target);
+    }
+    let gateway = Gateway::start_ready(&store).await;
+    (store, targets, gateway)
+}
+
 /// Waits until `check` holds.
 pub async fn until(what: &str, check: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
