Tell peers of the domain at once of loads on engines

Change: a node pushes its loads to the peers of its domain when they change, at most every 20 ms and one push at a time for each peer. What a node says is ordered by its clock, as pushes and digests cross. The log line of a call names the load it puts on its target, the load of others seen there, and its longest pause; the line of a move names how long copy, stop and resume took.

--- a/crates/entry/src/target/load_sum.rs
+++ b/crates/entry/src/target/load_sum.rs
@@ -15,6 +15,11 @@
 }
 
 impl LoadSum {
+    /// Whether it takes memory or time of an engine.
+    pub fn is_on_engine(&self) -> bool {
+        self.tokens > 0 || self.prefill > 0
+    }
+
     /// Whether nothing is left.
     pub fn is_empty(&self) -> bool {
         self.calls == 0
@@ -53,8 +58,10 @@
 pub struct PeerLoads {
     /// Whose load it is.
     pub origin: LoadOrigin,
-    /// When it said so.
+    /// When this node heard it.
     pub heard_at: ClockTime,
+    /// When it was said, on the clock of the node that said it; orders what one node says.
+    pub told_at: ClockTime,
     /// Loads, sorted by target.
     pub loads: Vec<(TargetName, LoadSum)>,
 }
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -48,6 +48,7 @@
     targets: Vec<TargetState>,
     /// Sorted by origin.
     peers: Vec<PeerLoads>,
+    own_version: u64,
     random: Pcg64,
 }
 
@@ -63,6 +64,7 @@
             domain,
             targets: Vec::new(),
             peers: Vec::new(),
+            own_version: 0,
             random: Pcg64::seed_from_u64(seed),
         }
     }
@@ -113,9 +115,12 @@
         leaving
     }
 
-    /// Takes what a peer has in flight.
+    /// Takes what a peer has in flight, unless newer word of that peer came first.
     pub fn take_peer(&mut self, loads: PeerLoads) {
+        let is_single = !matches!(loads.origin, LoadOrigin::Domain(_));
         match self.find_peer(&loads.origin) {
+            // Several nodes tell of a domain, each by its own clock.
+            Ok(at) if is_single && loads.told_at < self.peers[at].told_at => return,
             Ok(at) => self.peers[at] = loads,
             Err(at) => self.peers.insert(at, loads),
         }
@@ -129,6 +134,11 @@
             .collect()
     }
 
+    /// Changes with the load of this node on engines.
+    pub fn own_version(&self) -> u64 {
+        self.own_version
+    }
+
     /// Load of each peer on a target.
     pub fn peer_loads(&self, name: &TargetName) -> Vec<(NodeName, LoadSum)> {
         let loads = self.peers.iter().filter_map(|peer| {
@@ -200,16 +210,17 @@
     pub fn add(&mut self, name: &TargetName, load: LoadSum) {
         if let Ok(at) = self.find(name) {
             self.targets[at].own += load;
+            self.own_version += u64::from(load.is_on_engine());
         }
     }
 
-    /// Takes a call off the load of a target and forgets the target if it has left.
+    /// Takes a call off the load of a target.
     pub fn remove(&mut self, name: &TargetName, load: LoadSum) {
         let Ok(at) = self.find(name) else {
             return;
         };
-        let state = &mut self.targets[at];
-        state.own -= load;
+        self.targets[at].own -= load;
+        self.own_version += u64::from(load.is_on_engine());
     }
 
     /// Notes how a call at a target ended.
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -53,6 +53,7 @@
     board.take_peer(PeerLoads {
         origin: LoadOrigin::Node(node),
         heard_at,
+        told_at: heard_at,
         loads,
     });
     assert_eq!(board.place(NOW, &need(3_000, 2_000)), PlaceChoice::Full);
@@ -61,6 +62,25 @@
     assert_eq!(chosen(board.place(later, &need(3_000, 2_000))), name("e1"));
 }
 
+// Guards against loads that an exchange under way brings back after newer ones arrived.
+#[test]
+fn older_word_of_a_peer_is_ignored() {
+    let mut board = board(&[record("e1", "patan")]);
+    let mut tell = |told_at: u64, loads: Vec<(TargetName, LoadSum)>| {
+        board.take_peer(PeerLoads {
+            origin: LoadOrigin::Node("n2".parse().unwrap()),
+            heard_at: NOW,
+            told_at: ClockTime::new(told_at),
+            loads,
+        });
+        board.target(&name("e1")).unwrap().peers.calls
+    };
+    let busy = vec![(name("e1"), need(1_000, 0).load)];
+    assert_eq!(tell(20, busy.clone()), 1);
+    assert_eq!(tell(40, Vec::new()), 0);
+    assert_eq!(tell(30, busy), 0);
+}
+
 // Guards against counting loads of another domain twice, or passing them on as own ones.
 #[test]
 fn sums_only_its_own_domain() {
@@ -78,6 +98,7 @@
         board.take_peer(PeerLoads {
             origin,
             heard_at,
+            told_at: heard_at,
             loads,
         });
     }
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
 use calls::CrashMessage;
 use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads, PublishedItem};
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,8 @@
     pub node: NodeName,
     /// Its address for peers.
     pub address: SocketAddr,
+    /// Time on its clock, which orders what it says.
+    pub told_at: ClockTime,
     /// Configuration in force.
     pub version: ConfigVersion,
     /// Revision up to which it knows the targets.
@@ -57,6 +59,7 @@
             Self {
                 node: core.node().clone(),
                 address: core.settings.peer_address,
+                told_at: now,
                 version: state.view.version(),
                 targets_revision: state.view.target_items.revision().unwrap_or(0),
                 domain: core.settings.domain.clone(),
@@ -91,6 +94,7 @@
                 state.board.take_peer(PeerLoads {
                     origin,
                     heard_at: now,
+                    told_at: self.told_at,
                     loads,
                 });
             }
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -8,15 +8,18 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use rand::seq::IndexedRandom;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use web::{SendPhase, WebBody, empty_body, full_body};
 
-use super::{NodeDigest, PeerAnswer};
+use super::{LoadNews, NodeDigest, PeerAnswer};
 use crate::{GatewayCore, ViewArea};
 
 /// Path of digests.
 pub const DIGEST_PATH: &str = "/peer/digest";
+/// Path of loads on engines.
+pub const LOADS_PATH: &str = "/peer/loads";
 /// Path of the items of the configuration.
 pub const CONFIG_PATH: &str = "/peer/config";
 /// Path of the entries of targets.
@@ -93,7 +96,8 @@
         }
     }
 
-    fn near_peers(&self) -> Vec<SocketAddr> {
+    /// Peers of the own failure domain that were heard lately.
+    pub fn near_peers(&self) -> Vec<SocketAddr> {
         let domain = &self.core.settings.domain;
         let near = self
             .core
@@ -121,17 +125,21 @@
         picked
     }
 
+    /// Tells a peer the loads of this node.
+    pub async fn tell_loads(&self, address: SocketAddr) {
+        let news = LoadNews::of_core(&self.core);
+        let Some(body) = encode_body(&news) else {
+            return;
+        };
+        let answer: Option<()> = self.call(address, Method::POST, LOADS_PATH, body).await;
+        // A failure was logged; the next digest tells the same.
+        let _ = answer;
+    }
+
     async fn exchange(&self, address: SocketAddr) {
         let digest = NodeDigest::of_core(&self.core);
-        let body = match rmp_serde::to_vec(&digest) {
-            Ok(body) => full_body(body),
-            Err(error) => {
-                log::error!(
-                    event = EventKind::ProcessMessage.number();
-                    "digest can't be encoded: {error}"
-                );
-                return;
-            }
+        let Some(body) = encode_body(&digest) else {
+            return;
         };
         let answer: Option<NodeDigest> = self.call(address, Method::POST, DIGEST_PATH, body).await;
         match answer {
@@ -221,3 +229,16 @@
         None
     }
 }
+
+fn encode_body(value: &impl Serialize) -> Option<WebBody> {
+    match rmp_serde::to_vec(value) {
+        Ok(body) => Some(full_body(body)),
+        Err(error) => {
+            log::error!(
+                event = EventKind::ProcessMessage.number();
+                "message to a peer can't be encoded: {error}"
+            );
+            None
+        }
+    }
+}
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -4,10 +4,11 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
-use super::peer_exchange::{CONFIG_PATH, DIGEST_PATH, PeerExchange, TARGETS_PATH};
-use super::{NodeDigest, PeerAnswer};
+use super::peer_exchange::{CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, TARGETS_PATH};
+use super::{LoadNews, NodeDigest, PeerAnswer};
 use crate::{GatewayCore, ViewArea};
 
 /// Largest digest in bytes: 512 targets of about 100 bytes.
@@ -34,6 +35,7 @@
             let path = request.uri().path().to_owned();
             match (request.method(), path.as_str()) {
                 (&Method::POST, DIGEST_PATH) => take_digest(&core, request).await,
+                (&Method::POST, LOADS_PATH) => take_loads(&core, request).await,
                 (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config),
                 (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets),
                 _ => status_only(StatusCode::NOT_FOUND),
@@ -43,25 +45,39 @@
 }
 
 async fn take_digest(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
-    let body = read_body(request.into_body(), DIGEST_LIMIT, DIGEST_WAIT).await;
-    let Ok(body) = body else {
+    let Some(digest) = read_message::<NodeDigest>(core, request).await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let address = digest.address;
+    let newer = digest.apply(core);
+    PeerExchange::new(core.clone()).spawn_fetch(address, newer);
+    encoded(&NodeDigest::of_core(core))
+}
+
+async fn take_loads(core: &GatewayCore, request: Request<Incoming>) -> Response<WebBody> {
+    let Some(news) = read_message::<LoadNews>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
-    let digest: NodeDigest = match rmp_serde::from_slice(&body) {
-        Ok(digest) => digest,
+    news.apply(core);
+    encoded(&())
+}
+
+async fn read_message<T: DeserializeOwned>(
+    core: &GatewayCore,
+    request: Request<Incoming>,
+) -> Option<T> {
+    let body = read_body(request.into_body(), DIGEST_LIMIT, DIGEST_WAIT).await;
+    match rmp_serde::from_slice(&body.ok()?) {
+        Ok(message) => Some(message),
         Err(error) => {
             log::warn!(
                 event = base::EventKind::PeerRefused.number(),
                 node = core.node().as_str();
-                "digest can't be read: {error}"
+                "message can't be read: {error}"
             );
-            return status_only(StatusCode::BAD_REQUEST);
+            None
         }
-    };
-    let address = digest.address;
-    let newer = digest.apply(core);
-    PeerExchange::new(core.clone()).spawn_fetch(address, newer);
-    encoded(&NodeDigest::of_core(core))
+    }
 }
 
 fn items_of(core: &GatewayCore, area: ViewArea) -> Response<WebBody> {
--- a/crates/gateway/src/relay/call_audit.rs
+++ b/crates/gateway/src/relay/call_audit.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, NodeName, RequestId, TargetName};
-use entry::ConfigVersion;
+use entry::{ConfigVersion, LoadSum};
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
-use crate::GatewayCore;
+use crate::{GatewayCore, PlaceHold};
 
 /// Milliseconds in a second, as metrics count seconds.
 const SECOND_MS: f64 = 1_000.0;
@@ -24,10 +24,17 @@
     pub targets: Vec<TargetName>,
     /// Time until there was room on the first target.
     pub placed_ms: Option<u64>,
+    /// Load that the call puts on a target.
+    pub load: LoadSum,
+    /// Load of others on the last target when it was chosen.
+    pub load_seen: LoadSum,
     /// Time until the first byte of the answer.
     pub first_ms: Option<u64>,
     /// Events that were relayed.
     pub events: u32,
+    /// Longest time between two events, in milliseconds.
+    pub pause_ms: u64,
+    last_event: Option<ClockTime>,
     /// Moves to other engines.
     pub moves: u32,
     status: u16,
@@ -46,8 +53,12 @@
             version: ConfigVersion::default(),
             targets: Vec::new(),
             placed_ms: None,
+            load: LoadSum::default(),
+            load_seen: LoadSum::default(),
             first_ms: None,
             events: 0,
+            pause_ms: 0,
+            last_event: None,
             moves: 0,
             status: 0,
             outcome: "caller_gone",
@@ -66,11 +77,13 @@
     }
 
     /// Notes that the call has room on a target.
-    pub fn note_target(&mut self, target: &TargetName) {
+    pub fn note_target(&mut self, hold: &PlaceHold) {
         if self.placed_ms.is_none() {
             self.placed_ms = Some(self.elapsed());
         }
-        self.targets.push(target.clone());
+        self.load = hold.load();
+        self.load_seen = hold.load_seen;
+        self.targets.push(hold.target.clone());
     }
 
     /// Notes the first byte of the answer.
@@ -80,6 +93,15 @@
         }
     }
 
+    /// Notes an event of a stream.
+    pub fn note_event(&mut self) {
+        let now = self.core.now();
+        if let Some(last) = self.last_event.replace(now) {
+            self.pause_ms = self.pause_ms.max(now.since(last).as_millis());
+        }
+        self.events += 1;
+    }
+
     /// Adds what explains the outcome.
     pub fn explain(&mut self, reason: impl AsRef<str>) {
         if !self.reason.is_empty() {
@@ -138,9 +160,14 @@
             version = self.version.0,
             targets = targets.join(",").as_str(),
             placed_ms = self.placed_ms.unwrap_or_default(),
+            load_tokens = self.load.tokens,
+            seen_calls = self.load_seen.calls,
+            seen_tokens = self.load_seen.tokens,
+            seen_prefill = self.load_seen.prefill,
             first_ms = self.first_ms.unwrap_or_default(),
             total_ms = self.elapsed(),
             events = self.events,
+            pause_ms = self.pause_ms,
             moves = self.moves,
             status = self.status,
             outcome = self.outcome,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod call_handler;
 mod call_input;
 mod failure_response;
+mod move_times;
 mod plain_call;
 mod stream_call;
 mod stream_move;
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -63,7 +63,7 @@
                 return failure_response(core, &mut audit, kind, retry);
             }
         };
-        audit.note_target(&hold.target);
+        audit.note_target(&hold);
         let may_repeat = call.route.repeat == RepeatRule::Idempotent;
         let has_more = may_repeat && runs + 1 < call.route.max_attempts;
         let until = match has_more {
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -43,7 +43,7 @@
                 return failure_response(&core, &mut audit, refusal.kind, retry);
             }
         };
-        audit.note_target(&hold.target);
+        audit.note_target(&hold);
         let target = hold.target.clone();
         need.excluded.push(target.clone());
         let end = send_call(&core, &call, &mut hold, None, deadline).await;
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use super::move_times::MoveTimes;
 use super::stream_pump::{IDLE, PumpState, StreamPump, TurnState};
 use super::target_send::{SendEnd, send_call};
 use crate::peer::PeerExchange;
@@ -60,6 +61,7 @@
             "engine leaves"
         );
         self.next_hold = Some(next);
+        self.move_times = MoveTimes::new(now);
         if let MoveStep::Copy { .. } = step {
             self.spawn_copy(false);
         }
@@ -128,6 +130,7 @@
     }
 
     pub(super) async fn on_copied(&mut self, answer: CopyAnswer) -> PumpState {
+        self.move_times.end_copy(self.core.now());
         if let CopyAnswer::Whole { handle } = &answer {
             self.unused_copy = Some(handle.clone());
         }
@@ -242,17 +245,21 @@
 
     fn finish_move(&mut self, next: PlaceHold) {
         self.end_turn();
+        let times = &self.move_times;
         log::info!(
             event = EventKind::MoveFinished.number(),
             node = self.core.node().as_str(),
             request = self.call.head.request.as_str(),
             source = self.hold.target.as_str(),
             destination = next.target.as_str(),
-            events = self.facts.events;
+            events = self.facts.events,
+            copy_ms = times.copy().as_millis(),
+            stop_ms = times.stop().as_millis(),
+            resume_ms = times.resume(self.core.now()).as_millis();
             "generation goes on"
         );
         self.audit.moves += 1;
-        self.audit.note_target(&next.target);
+        self.audit.note_target(&next);
         self.plan.on_resumed(next.target.clone());
         self.hold = next;
         self.full_targets.clear();
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -14,6 +14,7 @@
 
 use super::CallAudit;
 use super::call_input::CallInput;
+use super::move_times::MoveTimes;
 use super::target_send::{TargetHead, note_answered, note_broken};
 use crate::{CopyAnswer, GatewayCore, PlaceHold};
 
@@ -80,6 +81,7 @@
     pub(super) next_hold: Option<PlaceHold>,
     pub(super) copying: Option<JoinHandle<CopyAnswer>>,
     pub(super) unused_copy: Option<SmolStr>,
+    pub(super) move_times: MoveTimes,
     pub(super) leaving: watch::Receiver<u64>,
     pub(super) move_due: Instant,
     pub(super) turn: TurnState,
@@ -119,6 +121,7 @@
             next_hold: None,
             copying: None,
             unused_copy: None,
+            move_times: MoveTimes::default(),
         }
     }
 
@@ -210,7 +213,7 @@
 
     fn note_progress(&mut self) {
         self.facts.events += 1;
-        self.audit.events += 1;
+        self.audit.note_event();
         if self.facts.first_at.is_none() {
             self.facts.first_at = Some(self.core.now());
             self.hold.end_prefill();
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -11,7 +11,7 @@
 
 use crate::feed::{EngineWatch, ViewFeed};
 use crate::ops::{MetricsHandler, ReadyHandler};
-use crate::peer::{PeerExchange, PeerHandler};
+use crate::peer::{LoadPush, PeerExchange, PeerHandler};
 use crate::relay::CallHandler;
 use crate::{GatewayCore, GatewayPorts, GatewaySettings, ViewArea};
 
@@ -183,6 +183,7 @@
         }
         tokio::spawn(EngineWatch::new(self.core.clone()).run());
         tokio::spawn(PeerExchange::new(self.core.clone()).run());
+        tokio::spawn(LoadPush::new(self.core.clone()).run());
         let core = self.core.clone();
         tokio::spawn(async move {
             let mut ticks = interval(TICK);
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -27,6 +27,7 @@
     clock: SystemClock,
     state: Mutex<GatewayState>,
     leaving: watch::Sender<u64>,
+    loads: watch::Sender<u64>,
     settings_failure: Mutex<Option<String>>,
 }
 
@@ -37,6 +38,7 @@
             state: Mutex::new(GatewayState::new(&settings, seed)),
             clock: SystemClock::new(),
             leaving: watch::Sender::new(0),
+            loads: watch::Sender::new(0),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -84,7 +86,11 @@
     pub fn with_state<T>(&self, work: impl FnOnce(&mut GatewayState, ClockTime) -> T) -> T {
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        work(&mut state, now)
+        let result = work(&mut state, now);
+        let version = state.board.own_version();
+        self.loads
+            .send_if_modified(|known| std::mem::replace(known, version) != version);
+        result
     }
 
     /// Configuration in force.
@@ -130,6 +136,11 @@
         self.leaving.subscribe()
     }
 
+    /// Changes with the load of this node on engines.
+    pub fn watch_loads(&self) -> watch::Receiver<u64> {
+        self.loads.subscribe()
+    }
+
     /// Gets room for a call, waiting in the line for at most `patience`.
     ///
     /// # Errors
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -29,6 +29,8 @@
     pub domain: DomainName,
     /// Its run.
     pub incarnation: IncarnationNumber,
+    /// Load of others on the target when it was chosen, as known here.
+    pub load_seen: LoadSum,
 }
 
 impl PlaceHold {
@@ -37,9 +39,12 @@
         let found = core.with_state(|state, _| {
             let state = state.board.target(&target)?;
             let record = &state.record;
-            Some((record.address, record.domain.clone(), record.incarnation))
+            let mut seen = state.total();
+            seen -= load;
+            let place = (record.address, record.domain.clone(), record.incarnation);
+            Some((place, seen))
         });
-        let Some((address, domain, incarnation)) = found else {
+        let Some(((address, domain, incarnation), load_seen)) = found else {
             core.with_state(|state, _| state.board.remove(&target, load));
             return None;
         };
@@ -51,6 +56,7 @@
             address,
             domain,
             incarnation,
+            load_seen,
         })
     }
 
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -1,9 +1,10 @@
 //! What nodes do for one another.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use std::sync::atomic::Ordering;
 
-use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, start_scene, until};
 use entry::{ConfigVersion, LoadSum};
 
 fn version(gateway: &Gateway) -> ConfigVersion {
@@ -115,3 +116,37 @@
     pending.abort();
     until("its end is heard of", || heard() == LoadSum::default()).await;
 }
+
+// Guards against nodes that choose engines by loads of a quarter of a second ago: most changes are
+// heard sooner than rounds of digests would tell them.
+#[tokio::test]
+async fn peers_hear_at_once_of_generations() {
+    const BOUND: Duration = Duration::from_millis(80);
+    let (store, _targets, first) = start_scene("pool", &[TargetMode::Hang]).await;
+    let second = Gateway::start(&store, "patan", vec![first.peers]).await;
+    second.wait_ready().await;
+    let heard = || {
+        let core = second.server.core();
+        core.with_state(|state, _| state.board.targets()[0].peers.calls)
+    };
+    let sent = || {
+        let core = first.server.core();
+        core.with_state(|state, _| state.board.targets()[0].own.calls)
+    };
+    until("the nodes know each other", || {
+        let core = first.server.core();
+        core.with_state(|state, now| !state.peers.alive(now).is_empty())
+    })
+    .await;
+    let mut soon = 0;
+    for count in 1..=8 {
+        let callers = first.callers;
+        let headers = format!("x-id: g{count}\r\nx-size: 10\r\n");
+        tokio::spawn(async move { call(callers, "/stream/1", &headers, "").await });
+        until("the generation is sent", || sent() == count).await;
+        let sent_at = Instant::now();
+        until("it is heard of", || heard() == count).await;
+        soon += u32::from(sent_at.elapsed() < BOUND);
+    }
+    assert!(soon >= 6, "{soon} of 8 were heard of at once");
+}
