Let nodes announce moves and tell far domains of loads on their engines

Change: a node says which engines it is moving generations off, with its loads; others wait for it for a second at most. Copies under way count for the choice of a destination. Nodes that use engines of another domain push their loads there too, and repeat them every second; loads on engines of the own domain are the sum of what single nodes said, no longer of sums that are half a second old.

--- a/crates/entry/src/moves/move_turns.rs
+++ b/crates/entry/src/moves/move_turns.rs
@@ -4,6 +4,9 @@
 
 /// Time for which a leaving engine is remembered; it is gone or back by then.
 const SOURCE_EXPIRY: TimeSpan = TimeSpan::from_secs(20);
+/// Time for which the word of a peer holds that it moves something off an engine: four copies of a
+/// generation of average size.
+const MOVING_EXPIRY: TimeSpan = TimeSpan::from_secs(1);
 /// Time of a move beyond its transfer: the orders, and the stop of the generation.
 const ORDER_TIME: TimeSpan = TimeSpan::new(12);
 /// Windows are longer than the transfers within a failure domain take, by this factor and this many
@@ -34,7 +37,8 @@
 /// An engine sends copies one after another. If all were ordered at once, the short copy that
 /// follows the stop of a generation would wait behind all whole copies, and the generation with it.
 /// So nodes take turns, in an order that they agree on by a hash, and the generations of a node take
-/// turns within. A node goes once those ahead have said that they are done, or had enough time.
+/// turns within. A node goes once those ahead have said that they are done, or had enough time, and
+/// no other says that it is at it.
 ///
 /// ```
 /// use base::{ClockTime, TargetName, TokenRate};
@@ -56,6 +60,8 @@
     sources: Vec<SourceTurns>,
     /// Engines that peers have finished with, as they said.
     finished: Vec<(ClockTime, NodeName, TargetName)>,
+    /// Engines off which peers move something, as they said, and since when.
+    moving: Vec<(ClockTime, NodeName, TargetName)>,
 }
 
 impl MoveTurns {
@@ -65,6 +71,7 @@
             node,
             sources: Vec::new(),
             finished: Vec::new(),
+            moving: Vec::new(),
         }
     }
 
@@ -124,6 +131,11 @@
         if turns.is_moving {
             return MoveTurn::Wait(now + SOURCE_EXPIRY);
         }
+        let moving = self.moving.iter().filter(|(_, _, what)| what == source);
+        let ends = moving.map(|(since, _, _)| *since + MOVING_EXPIRY);
+        if let Some(end) = ends.filter(|end| *end > now).max() {
+            return MoveTurn::Wait(end);
+        }
         turns.is_moving = true;
         turns.waiting = turns.waiting.saturating_sub(1);
         MoveTurn::Start
@@ -147,6 +159,30 @@
         }
     }
 
+    /// Takes the engines off which a peer moves something now; returns whether they changed.
+    pub fn note_moving(&mut self, now: ClockTime, node: &NodeName, sources: &[TargetName]) -> bool {
+        let is_over = |(_, by, what): &(ClockTime, NodeName, TargetName)| {
+            by == node && !sources.contains(what)
+        };
+        let before = self.moving.len();
+        self.moving.retain(|entry| !is_over(entry));
+        let mut changed = before != self.moving.len();
+        for source in sources {
+            let mut known = self.moving.iter();
+            if !known.any(|(_, by, what)| by == node && what == source) {
+                self.moving.push((now, node.clone(), source.clone()));
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Engines off which this node moves something now.
+    pub fn own_moving(&self) -> Vec<TargetName> {
+        let moving = self.sources.iter().filter(|turns| turns.is_moving);
+        moving.map(|turns| turns.source.clone()).collect()
+    }
+
     /// Leaving engines that this node has nothing more to move off.
     pub fn own_finished(&self) -> Vec<TargetName> {
         let sources = self.sources.iter();
--- a/crates/entry/src/target/load_sum.rs
+++ b/crates/entry/src/target/load_sum.rs
@@ -12,12 +12,14 @@
     pub tokens: u64,
     /// Prompt tokens of calls that have produced nothing yet.
     pub prefill: u64,
+    /// Tokens that are being copied to the target.
+    pub incoming: u64,
 }
 
 impl LoadSum {
     /// Whether it takes memory or time of an engine.
     pub fn is_on_engine(&self) -> bool {
-        self.tokens > 0 || self.prefill > 0
+        self.tokens > 0 || self.prefill > 0 || self.incoming > 0
     }
 
     /// Whether nothing is left.
@@ -31,6 +33,7 @@
         self.calls += other.calls;
         self.tokens += other.tokens;
         self.prefill += other.prefill;
+        self.incoming += other.incoming;
     }
 }
 
@@ -39,6 +42,7 @@
         self.calls = self.calls.saturating_sub(other.calls);
         self.tokens = self.tokens.saturating_sub(other.tokens);
         self.prefill = self.prefill.saturating_sub(other.prefill);
+        self.incoming = self.incoming.saturating_sub(other.incoming);
     }
 }
 
@@ -49,7 +53,7 @@
     Node(NodeName),
     /// All nodes of another failure domain together.
     Domain(DomainName),
-    /// One node of another failure domain, which its domain's sum contains.
+    /// One node of another failure domain.
     FarNode(NodeName),
 }
 
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -32,6 +32,9 @@
 /// Cost in milliseconds of moving a generation to another failure domain, which takes twice as long
 /// and delays the moves queued behind it.
 const MOVE_DOMAIN_COST_MS: f64 = 400.0;
+/// Times that a move waits behind other copies to the same engine: with its whole copy, and with the
+/// rest while the generation stands still.
+const COPY_WAITS: f64 = 2.0;
 /// Cost in milliseconds of a target that is still slow after its start.
 const COLD_COST_MS: f64 = 40.0;
 /// Costs that differ less than this many milliseconds count as equal, so that nodes with the same
@@ -116,15 +119,18 @@
     }
 
     /// Takes what a peer has in flight, unless newer word of that peer came first.
-    pub fn take_peer(&mut self, loads: PeerLoads) {
+    ///
+    /// Returns whether it was taken.
+    pub fn take_peer(&mut self, loads: PeerLoads) -> bool {
         let is_single = !matches!(loads.origin, LoadOrigin::Domain(_));
         match self.find_peer(&loads.origin) {
             // Several nodes tell of a domain, each by its own clock.
-            Ok(at) if is_single && loads.told_at < self.peers[at].told_at => return,
+            Ok(at) if is_single && loads.told_at < self.peers[at].told_at => return false,
             Ok(at) => self.peers[at] = loads,
             Err(at) => self.peers.insert(at, loads),
         }
         self.sum_peers();
+        true
     }
 
     /// Load of this node on each target, sorted by target.
@@ -134,6 +140,16 @@
             .collect()
     }
 
+    /// Other failure domains on whose engines this node has load, sorted.
+    pub fn far_domains(&self) -> Vec<DomainName> {
+        let used = self.targets.iter().filter(|state| state.own.is_on_engine());
+        let domains = used.map(|state| &state.record.domain);
+        let mut far: Vec<_> = domains.filter(|name| **name != self.domain).collect();
+        far.sort();
+        far.dedup();
+        far.into_iter().cloned().collect()
+    }
+
     /// Changes with the load of this node on engines.
     pub fn own_version(&self) -> u64 {
         self.own_version
@@ -244,6 +260,10 @@
             },
             _ => 0.0,
         };
+        if let Some(spec) = need.engine.filter(|_| need.moves_from.is_some()) {
+            let incoming = state.total().incoming as f64 * 1_000.0;
+            cost += COPY_WAITS * incoming / spec.copy_rate.0.max(1) as f64;
+        }
         if !state.health.is_reachable() {
             cost += UNREACHED_COST_MS;
         }
@@ -317,15 +337,24 @@
             state.peers = LoadSum::default();
         }
         for peer in &self.peers {
-            if let LoadOrigin::FarNode(_) = peer.origin {
-                continue;
-            }
             for (name, load) in &peer.loads {
                 let found = self
                     .targets
                     .binary_search_by(|state| state.record.name.cmp(name));
-                if let Ok(at) = found {
-                    self.targets[at].peers += *load;
+                let Ok(at) = found else {
+                    continue;
+                };
+                let state = &mut self.targets[at];
+                let is_near = state.record.domain == self.domain;
+                // Nodes of other domains tell at once what they put on engines of this one; of
+                // engines elsewhere, only the sums of their domains are known completely.
+                let counts = match peer.origin {
+                    LoadOrigin::Node(_) => true,
+                    LoadOrigin::FarNode(_) => is_near,
+                    LoadOrigin::Domain(_) => !is_near,
+                };
+                if counts {
+                    state.peers += *load;
                 }
             }
         }
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -47,6 +47,7 @@
         calls: 2,
         tokens: 8_000,
         prefill: 0,
+        incoming: 0,
     };
     let heard_at = NOW;
     let loads = vec![(name("e1"), load)];
@@ -201,3 +202,39 @@
         prop_assert!(board.own_loads().is_empty());
     }
 }
+
+// Guards against moves that queue on the link of one engine, which stand still for the queue.
+#[test]
+fn moves_avoid_an_engine_that_takes_a_copy() {
+    let mut board = board(&[record("e1", "patan"), record("e2", "patan")]);
+    let mut moving = need(1_000, 0);
+    moving.moves_from = Some("patan".parse().unwrap());
+    moving.load.incoming = 1_000;
+    let first = chosen(board.place(NOW, &moving));
+    board.add(&first, moving.load);
+    for _ in 0..8 {
+        assert_ne!(chosen(board.place(NOW, &moving)), first);
+    }
+}
+
+// Guards against engines of the own domain that look empty since only the sums of other domains
+// tell what their nodes put there.
+#[test]
+fn counts_what_far_nodes_put_on_near_engines() {
+    let mut board = board(&[record("e1", "patan"), record("e2", "balaju")]);
+    let load = need(1_000, 0).load;
+    for origin in [
+        LoadOrigin::Domain("balaju".parse().unwrap()),
+        LoadOrigin::FarNode("n3".parse().unwrap()),
+        LoadOrigin::FarNode("n4".parse().unwrap()),
+    ] {
+        board.take_peer(PeerLoads {
+            origin,
+            heard_at: NOW,
+            told_at: NOW,
+            loads: vec![(name("e1"), load), (name("e2"), load)],
+        });
+    }
+    let calls = |engine: &str| board.target(&name(engine)).unwrap().peers.calls;
+    assert_eq!((calls("e1"), calls("e2")), (2, 1));
+}
--- a/crates/entry/tests/moves.rs
+++ b/crates/entry/tests/moves.rs
@@ -87,6 +87,7 @@
         calls: 1,
         tokens,
         prefill: 0,
+        incoming: 0,
     };
     (node.parse().unwrap(), load)
 }
@@ -164,3 +165,24 @@
     };
     assert!(!waiting.outlives_notice(ClockTime::new(3_000)));
 }
+
+// Guards against two copies at once off one engine, by a node that does not know of the other.
+#[test]
+fn waits_while_a_peer_says_that_it_moves() {
+    let source = name("e1");
+    let mut turns = MoveTurns::new("n1".parse().unwrap());
+    turns.open(NOW, &source, &[], RATE);
+    turns.join(&source);
+    let peer: NodeName = "n2".parse().unwrap();
+    assert!(turns.note_moving(NOW, &peer, std::slice::from_ref(&source)));
+    let later = NOW + TimeSpan::new(300);
+    let MoveTurn::Wait(until) = turns.take(later, &source) else {
+        panic!("the peer is at it");
+    };
+    assert!(!turns.note_moving(later, &peer, std::slice::from_ref(&source)));
+    let mut silent = turns.clone();
+    assert_eq!(silent.take(until, &source), MoveTurn::Start);
+    assert!(turns.note_moving(later, &peer, &[]));
+    assert_eq!(turns.take(later, &source), MoveTurn::Start);
+    assert_eq!(turns.own_moving(), [source]);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -39,6 +39,7 @@
             calls: 1,
             tokens,
             prefill,
+            incoming: 0,
         },
         excluded: Vec::new(),
         moves_from: None,
--- a/crates/gateway/src/peer/load_news.rs
+++ b/crates/gateway/src/peer/load_news.rs
@@ -1,18 +1,23 @@
-use base::{ClockTime, NodeName, TargetName};
+use base::{ClockTime, DomainName, NodeName, TargetName};
 use entry::{LoadOrigin, LoadSum, PeerLoads};
 use serde::{Deserialize, Serialize};
 
 use crate::GatewayCore;
 
-/// Loads of a node on engines, as it tells the peers of its failure domain when they change.
+/// Loads of a node on engines, as it tells peers when they change: those of its failure domain, and
+/// those of the domains whose engines it uses.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadNews {
     /// The node.
     pub node: NodeName,
+    /// Its failure domain.
+    pub domain: DomainName,
     /// Time on its clock, which orders what it says.
     pub told_at: ClockTime,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
+    /// Leaving engines off which it moves something now.
+    pub moving: Vec<TargetName>,
 }
 
 impl LoadNews {
@@ -20,20 +25,30 @@
     pub fn of_core(core: &GatewayCore) -> Self {
         core.with_state(|state, now| Self {
             node: core.node().clone(),
+            domain: core.settings.domain.clone(),
             told_at: now,
             loads: state.board.own_loads(),
+            moving: state.turns.own_moving(),
         })
     }
 
-    /// Takes what a peer of the own domain says.
+    /// Takes what a peer says.
     pub fn apply(self, core: &GatewayCore) {
-        core.with_state(|state, now| {
-            state.board.take_peer(PeerLoads {
-                origin: LoadOrigin::Node(self.node),
+        let origin = match self.domain == core.settings.domain {
+            true => LoadOrigin::Node(self.node.clone()),
+            false => LoadOrigin::FarNode(self.node.clone()),
+        };
+        let turns_changed = core.with_state(|state, now| {
+            let is_newest = state.board.take_peer(PeerLoads {
+                origin,
                 heard_at: now,
                 told_at: self.told_at,
                 loads: self.loads,
             });
+            is_newest && state.turns.note_moving(now, &self.node, &self.moving)
         });
+        if turns_changed {
+            core.wake_pumps();
+        }
     }
 }
--- a/crates/gateway/src/peer/load_push.rs
+++ b/crates/gateway/src/peer/load_push.rs
@@ -2,8 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::{DomainName, TimeSpan};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::PeerExchange;
 use crate::GatewayCore;
@@ -12,7 +13,14 @@
 /// 18 nodes and 16 generations a second.
 const PUSH_GAP: Duration = Duration::from_millis(20);
 
-/// Tells the peers of the own failure domain at once when the load of this node on engines changes.
+/// Time after which peers of other domains are told again what has not changed; they drop what they
+/// have not heard for 2.5 s.
+const REPEAT_GAP: Duration = Duration::from_secs(1);
+/// Time since a peer of another domain was heard in which it is told.
+const FAR_ALIVE: TimeSpan = TimeSpan::from_secs(20);
+
+/// Tells peers at once when the load of this node on engines changes: those of its own failure
+/// domain, and those of the domains whose engines it uses.
 ///
 /// Nodes that choose engines by loads of a quarter of a second ago send their prompts to the same
 /// ones.
@@ -24,6 +32,8 @@
     busy: Vec<SocketAddr>,
     /// Busy peers that have to be told more.
     missed: Vec<SocketAddr>,
+    /// Other domains that were told of load on their engines.
+    told: Vec<DomainName>,
 }
 
 impl LoadPush {
@@ -35,14 +45,18 @@
             sending: JoinSet::new(),
             busy: Vec::new(),
             missed: Vec::new(),
+            told: Vec::new(),
         }
     }
 
     /// Pushes until the process ends.
     pub async fn run(mut self) {
         let mut changes = self.core.watch_loads();
+        let mut repeats = interval(REPEAT_GAP);
+        repeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = repeats.tick() => self.push_far(),
                 changed = changes.changed() => {
                     if changed.is_err() {
                         return;
@@ -63,6 +77,26 @@
         for address in self.exchange.near_peers() {
             self.push(address);
         }
+        self.push_far();
+    }
+
+    /// Tells the domains whose engines this node uses, and those where it has just stopped to.
+    fn push_far(&mut self) {
+        let (used, addresses) = self.core.with_state(|state, now| {
+            let used = state.board.far_domains();
+            let mut domains = used.clone();
+            domains.extend(self.told.iter().cloned());
+            domains.sort();
+            domains.dedup();
+            let peers = domains.iter();
+            let peers = peers.flat_map(|domain| state.peers.alive_in(now, domain, FAR_ALIVE));
+            let addresses: Vec<_> = peers.map(|(_, address)| address).collect();
+            (used, addresses)
+        });
+        self.told = used;
+        for address in addresses {
+            self.push(address);
+        }
     }
 
     fn push(&mut self, address: SocketAddr) {
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -92,6 +92,7 @@
             calls: 1,
             tokens: u64::from(size.prompt.0) + u64::from(output),
             prefill: u64::from(size.prompt.0),
+            incoming: 0,
         }
     }
 
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -34,6 +34,7 @@
         let source = &self.hold.target;
         let mut load = self.hold.load();
         load.prefill = 0;
+        load.incoming = load.tokens;
         let mut excluded = self.full_targets.clone();
         excluded.push(source.clone());
         let need = PlaceNeed {
@@ -243,8 +244,9 @@
         None
     }
 
-    fn finish_move(&mut self, next: PlaceHold) {
+    fn finish_move(&mut self, mut next: PlaceHold) {
         self.end_turn();
+        next.end_copy();
         let times = &self.move_times;
         log::info!(
             event = EventKind::MoveFinished.number(),
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -87,6 +87,16 @@
         });
     }
 
+    /// Notes that nothing more is copied to the target for this call.
+    pub fn end_copy(&mut self) {
+        let incoming = LoadSum {
+            incoming: std::mem::take(&mut self.load.incoming),
+            ..LoadSum::default()
+        };
+        self.core
+            .with_state(|state, _| state.board.remove(&self.target, incoming));
+    }
+
     /// Notes how the call ended, for the health of the target.
     pub fn note(&self, outcome: TargetOutcome) {
         self.core
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -1,8 +1,8 @@
 //! What nodes do for one another.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, start_scene, until};
 use entry::{ConfigVersion, LoadSum};
