Let domains tell each other what is on their engines, in fewer digests

Change: a digest to another domain tells what is on the engines of the own one, without the calls of the receiver's domain, which that one knows better. Each round of digests goes to 4 near and 2 far peers instead of 8 and 1, since pushes tell loads; a push shows that its sender is alive.

--- a/crates/entry/src/target/load_sum.rs
+++ b/crates/entry/src/target/load_sum.rs
@@ -51,10 +51,10 @@
 pub enum LoadOrigin {
     /// One node of the own failure domain.
     Node(NodeName),
-    /// All nodes of another failure domain together.
+    /// Another failure domain, which tells what is on its own engines.
     Domain(DomainName),
     /// One node of another failure domain.
-    FarNode(NodeName),
+    FarNode(DomainName, NodeName),
 }
 
 /// Load that peers put on targets, as one of them said last.
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -158,7 +158,7 @@
     /// Load of each peer on a target.
     pub fn peer_loads(&self, name: &TargetName) -> Vec<(NodeName, LoadSum)> {
         let loads = self.peers.iter().filter_map(|peer| {
-            let (LoadOrigin::Node(node) | LoadOrigin::FarNode(node)) = &peer.origin else {
+            let (LoadOrigin::Node(node) | LoadOrigin::FarNode(_, node)) = &peer.origin else {
                 return None;
             };
             let found = peer.loads.binary_search_by(|(known, _)| known.cmp(name));
@@ -167,20 +167,27 @@
         loads.collect()
     }
 
-    /// Load of all nodes of the own failure domain on each target, sorted by target.
-    pub fn domain_loads(&self) -> Vec<(TargetName, LoadSum)> {
-        let mut sums = self.own_loads();
+    /// Load on each target of the own failure domain, sorted by target, as nodes of `receiver` have
+    /// to know it: without the calls of that domain, which they know better.
+    pub fn sums_for(&self, receiver: &DomainName) -> Vec<(TargetName, LoadSum)> {
+        let near = self.targets.iter();
+        let near = near.filter(|state| state.record.domain == self.domain);
+        let mut sums: Vec<_> = near
+            .map(|state| (state.record.name.clone(), state.own))
+            .collect();
         for peer in &self.peers {
-            if !matches!(peer.origin, LoadOrigin::Node(_)) {
-                continue;
+            match &peer.origin {
+                LoadOrigin::Node(_) => {}
+                LoadOrigin::FarNode(domain, _) if domain != receiver => {}
+                LoadOrigin::FarNode(..) | LoadOrigin::Domain(_) => continue,
             }
             for (name, load) in &peer.loads {
-                match sums.binary_search_by(|(known, _)| known.cmp(name)) {
-                    Ok(at) => sums[at].1 += *load,
-                    Err(at) => sums.insert(at, (name.clone(), *load)),
+                if let Ok(at) = sums.binary_search_by(|(known, _)| known.cmp(name)) {
+                    sums[at].1 += *load;
                 }
             }
         }
+        sums.retain(|(_, load)| !load.is_empty());
         sums
     }
 
@@ -346,11 +353,11 @@
                 };
                 let state = &mut self.targets[at];
                 let is_near = state.record.domain == self.domain;
-                // Nodes of other domains tell at once what they put on engines of this one; of
-                // engines elsewhere, only the sums of their domains are known completely.
+                // All nodes tell at once what they put on engines of this domain; what is on
+                // engines elsewhere, only their own domain knows completely.
                 let counts = match peer.origin {
                     LoadOrigin::Node(_) => true,
-                    LoadOrigin::FarNode(_) => is_near,
+                    LoadOrigin::FarNode(..) => is_near,
                     LoadOrigin::Domain(_) => !is_near,
                 };
                 if counts {
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -82,30 +82,39 @@
     assert_eq!(tell(30, busy), 0);
 }
 
-// Guards against counting loads of another domain twice, or passing them on as own ones.
+// Guards against loads that count twice, or that are told back to the domain that told them.
 #[test]
-fn sums_only_its_own_domain() {
-    let mut board = board(&[record("e1", "patan")]);
+fn tells_a_domain_what_others_put_on_its_engines() {
+    let mut board = board(&[record("e1", "patan"), record("e2", "balaju")]);
     let load = need(1_000, 0).load;
     board.add(&name("e1"), load);
-    let domain: DomainName = "balaju".parse().unwrap();
+    board.add(&name("e2"), load);
+    let (balaju, thimi): (DomainName, DomainName) =
+        ("balaju".parse().unwrap(), "thimi".parse().unwrap());
     for origin in [
-        LoadOrigin::Domain(domain),
-        LoadOrigin::FarNode("n3".parse().unwrap()),
+        LoadOrigin::Domain(balaju.clone()),
+        LoadOrigin::FarNode(balaju.clone(), "n3".parse().unwrap()),
+        LoadOrigin::FarNode(thimi.clone(), "n4".parse().unwrap()),
         LoadOrigin::Node("n2".parse().unwrap()),
     ] {
-        let loads = vec![(name("e1"), load)];
-        let heard_at = NOW;
         board.take_peer(PeerLoads {
             origin,
-            heard_at,
-            told_at: heard_at,
-            loads,
+            heard_at: NOW,
+            told_at: NOW,
+            loads: vec![(name("e1"), load)],
         });
     }
-    assert_eq!(board.target(&name("e1")).unwrap().total().calls, 3);
-    assert_eq!(board.domain_loads()[0].1.calls, 2);
-    assert_eq!(board.peer_loads(&name("e1")).len(), 2);
+    assert_eq!(board.target(&name("e1")).unwrap().total().calls, 4);
+    let told = |receiver: &str| board.sums_for(&receiver.parse().unwrap());
+    let calls = |count: u32| {
+        let mut sum = LoadSum::default();
+        (0..count).for_each(|_| sum += load);
+        vec![(name("e1"), sum)]
+    };
+    assert_eq!(told("balaju"), calls(3));
+    assert_eq!(told("thimi"), calls(3));
+    assert_eq!(told("bhaktapur"), calls(4));
+    assert_eq!(board.peer_loads(&name("e1")).len(), 3);
 }
 
 // Guards against calls to a target that leaves.
@@ -225,8 +234,8 @@
     let load = need(1_000, 0).load;
     for origin in [
         LoadOrigin::Domain("balaju".parse().unwrap()),
-        LoadOrigin::FarNode("n3".parse().unwrap()),
-        LoadOrigin::FarNode("n4".parse().unwrap()),
+        LoadOrigin::FarNode("balaju".parse().unwrap(), "n3".parse().unwrap()),
+        LoadOrigin::FarNode("balaju".parse().unwrap(), "n4".parse().unwrap()),
     ] {
         board.take_peer(PeerLoads {
             origin,
--- a/crates/gateway/src/peer/load_news.rs
+++ b/crates/gateway/src/peer/load_news.rs
@@ -1,17 +1,21 @@
+use std::net::SocketAddr;
+
 use base::{ClockTime, DomainName, NodeName, TargetName};
-use entry::{LoadOrigin, LoadSum, PeerLoads};
+use entry::{LoadSum, PeerLoads};
 use serde::{Deserialize, Serialize};
 
+use super::node_digest::peer_origin;
 use crate::GatewayCore;
 
-/// Loads of a node on engines, as it tells peers when they change: those of its failure domain, and
-/// those of the domains whose engines it uses.
+/// Loads of a node on engines, as it tells peers when they change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadNews {
     /// The node.
     pub node: NodeName,
     /// Its failure domain.
     pub domain: DomainName,
+    /// Its address for peers.
+    pub address: SocketAddr,
     /// Time on its clock, which orders what it says.
     pub told_at: ClockTime,
     /// Its calls in flight on targets.
@@ -26,6 +30,7 @@
         core.with_state(|state, now| Self {
             node: core.node().clone(),
             domain: core.settings.domain.clone(),
+            address: core.settings.peer_address,
             told_at: now,
             loads: state.board.own_loads(),
             moving: state.turns.own_moving(),
@@ -34,13 +39,10 @@
 
     /// Takes what a peer says.
     pub fn apply(self, core: &GatewayCore) {
-        let origin = match self.domain == core.settings.domain {
-            true => LoadOrigin::Node(self.node.clone()),
-            false => LoadOrigin::FarNode(self.node.clone()),
-        };
         let turns_changed = core.with_state(|state, now| {
+            state.peers.refresh(now, self.address, &self.node);
             let is_newest = state.board.take_peer(PeerLoads {
-                origin,
+                origin: peer_origin(core, &self.domain, &self.node),
                 heard_at: now,
                 told_at: self.told_at,
                 loads: self.loads,
--- a/crates/gateway/src/peer/load_push.rs
+++ b/crates/gateway/src/peer/load_push.rs
@@ -8,6 +8,7 @@
 
 use super::PeerExchange;
 use crate::GatewayCore;
+use crate::state::GatewayState;
 
 /// Time from one push to the next; a third of the time between two placements in a domain of
 /// 18 nodes and 16 generations a second.
@@ -82,23 +83,24 @@
 
     /// Tells the domains whose engines this node uses, and those where it has just stopped to.
     fn push_far(&mut self) {
-        let (used, addresses) = self.core.with_state(|state, now| {
-            let used = state.board.far_domains();
-            let mut domains = used.clone();
-            domains.extend(self.told.iter().cloned());
-            domains.sort();
-            domains.dedup();
-            let peers = domains.iter();
-            let peers = peers.flat_map(|domain| state.peers.alive_in(now, domain, FAR_ALIVE));
-            let addresses: Vec<_> = peers.map(|(_, address)| address).collect();
-            (used, addresses)
-        });
-        self.told = used;
-        for address in addresses {
-            self.push(address);
+        let used = self.core.with_state(|state, _| state.board.far_domains());
+        let mut domains = std::mem::replace(&mut self.told, used.clone());
+        domains.extend(used);
+        domains.sort();
+        domains.dedup();
+        for domain in domains {
+            for address in self.far_peers(&domain) {
+                self.push(address);
+            }
         }
     }
 
+    fn far_peers(&self, domain: &DomainName) -> Vec<SocketAddr> {
+        let alive = |state: &mut GatewayState, now| state.peers.alive_in(now, domain, FAR_ALIVE);
+        let peers = self.core.with_state(alive);
+        peers.into_iter().map(|(_, address)| address).collect()
+    }
+
     fn push(&mut self, address: SocketAddr) {
         if self.busy.contains(&address) {
             if !self.missed.contains(&address) {
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -9,6 +9,9 @@
 
 /// Addresses of other nodes in one digest; a few suffice, as every exchange carries others.
 const ADDRESS_LIMIT: usize = 16;
+/// Time after its start from which a node can tell what is on the engines of its domain: until
+/// then, it has not heard all others.
+const SUMS_AFTER: TimeSpan = TimeSpan::from_secs(2);
 
 /// State of one node, as it tells its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -31,8 +34,8 @@
     pub regained_age: Option<TimeSpan>,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
-    /// Calls in flight of all nodes of its failure domain, as it knows them.
-    pub domain_loads: Vec<(TargetName, LoadSum)>,
+    /// To another domain: what is on the engines of its own, without the calls of that domain.
+    pub sums: Option<Vec<(TargetName, LoadSum)>>,
     /// Leaving engines off which it has nothing more to move.
     pub finished: Vec<TargetName>,
     /// News of calls that crash targets.
@@ -51,9 +54,12 @@
 }
 
 impl NodeDigest {
-    /// Describes this node.
-    pub fn of_core(core: &GatewayCore) -> Self {
+    /// Describes this node to a node of the domain `receiver`, if that is known.
+    pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
+        let far = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
+            let knows_all = now.since(ClockTime::default()) > SUMS_AFTER;
+            let far = far.filter(|_| knows_all);
             let mut addresses = state.peers.alive(now);
             addresses.truncate(ADDRESS_LIMIT);
             Self {
@@ -66,7 +72,7 @@
                 targets_age: state.targets_age(now),
                 regained_age: state.view.guard.regained_age(now),
                 loads: state.board.own_loads(),
-                domain_loads: state.board.domain_loads(),
+                sums: far.map(|domain| state.board.sums_for(domain)),
                 finished: state.turns.own_finished(),
                 crashes: state.recent_crashes(now),
                 addresses,
@@ -82,22 +88,20 @@
                 .peers
                 .hear(now, &self.node, &self.domain, self.address);
             state.peers.hint(&self.addresses);
-            let node = self.node.clone();
-            let mut told = Vec::new();
-            if self.domain == core.settings.domain {
-                told.push((LoadOrigin::Node(node), self.loads));
-            } else {
-                told.push((LoadOrigin::FarNode(node), self.loads));
-                told.push((LoadOrigin::Domain(self.domain.clone()), self.domain_loads));
-            }
-            for (origin, loads) in told {
+            if let Some(loads) = self.sums {
                 state.board.take_peer(PeerLoads {
-                    origin,
+                    origin: LoadOrigin::Domain(self.domain.clone()),
                     heard_at: now,
                     told_at: self.told_at,
                     loads,
                 });
             }
+            state.board.take_peer(PeerLoads {
+                origin: peer_origin(core, &self.domain, &self.node),
+                heard_at: now,
+                told_at: self.told_at,
+                loads: self.loads,
+            });
             state.turns.note_finished(now, &self.node, self.finished);
             for message in self.crashes {
                 state.crashes.on_message(now, message);
@@ -130,3 +134,11 @@
         newer
     }
 }
+
+/// Whose loads a message of a node tells.
+pub(super) fn peer_origin(core: &GatewayCore, domain: &DomainName, node: &NodeName) -> LoadOrigin {
+    match *domain == core.settings.domain {
+        true => LoadOrigin::Node(node.clone()),
+        false => LoadOrigin::FarNode(domain.clone(), node.clone()),
+    }
+}
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -27,10 +27,11 @@
 
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(250);
-/// Peers of the own failure domain in one round; each exchange tells both sides.
-const ROUND_NEAR: usize = 8;
-/// Peers in one round at least, in any failure domain; one of another domain is always among them.
-const ROUND_PEERS: usize = 4;
+/// Peers of the own failure domain in one round; each exchange tells both sides, so that news
+/// reaches the 18 nodes of a domain in two rounds.
+const ROUND_NEAR: usize = 4;
+/// Peers of other failure domains in one round.
+const ROUND_FAR: usize = 2;
 /// Time since a peer of the own domain was heard in which it is told of news at once.
 const NEAR_ALIVE: TimeSpan = TimeSpan::from_secs(5);
 /// Rounds between two tries of addresses that did not answer.
@@ -117,8 +118,7 @@
             .choose_multiple(&mut random, ROUND_NEAR)
             .copied()
             .collect();
-        let rest = ROUND_PEERS.saturating_sub(picked.len()).max(1);
-        picked.extend(far.choose_multiple(&mut random, rest));
+        picked.extend(far.choose_multiple(&mut random, ROUND_FAR));
         if round.is_multiple_of(DOUBT_ROUNDS) || !has_alive {
             picked.extend(doubtful.choose(&mut random).copied());
         }
@@ -127,17 +127,18 @@
 
     /// Tells a peer the loads of this node.
     pub async fn tell_loads(&self, address: SocketAddr) {
-        let news = LoadNews::of_core(&self.core);
-        let Some(body) = encode_body(&news) else {
+        let Some(body) = encode_body(&LoadNews::of_core(&self.core)) else {
             return;
         };
-        let answer: Option<()> = self.call(address, Method::POST, LOADS_PATH, body).await;
-        // A failure was logged; the next digest tells the same.
-        let _ = answer;
+        // A failure is logged there; a later push or digest tells the same.
+        let _: Option<()> = self.call(address, Method::POST, LOADS_PATH, body).await;
     }
 
     async fn exchange(&self, address: SocketAddr) {
-        let digest = NodeDigest::of_core(&self.core);
+        let domain = self
+            .core
+            .with_state(|state, _| state.peers.domain_of(address));
+        let digest = NodeDigest::new(&self.core, domain.as_ref());
         let Some(body) = encode_body(&digest) else {
             return;
         };
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -48,10 +48,10 @@
     let Some(digest) = read_message::<NodeDigest>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
-    let address = digest.address;
+    let (address, domain) = (digest.address, digest.domain.clone());
     let newer = digest.apply(core);
     PeerExchange::new(core.clone()).spawn_fetch(address, newer);
-    encoded(&NodeDigest::of_core(core))
+    encoded(&NodeDigest::new(core, Some(&domain)))
 }
 
 async fn take_loads(core: &GatewayCore, request: Request<Incoming>) -> Response<WebBody> {
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -97,6 +97,21 @@
         alive.map(|peer| peer.address).collect()
     }
 
+    /// Notes that a known peer was heard again.
+    pub fn refresh(&mut self, now: ClockTime, address: SocketAddr, node: &NodeName) {
+        if let Ok(at) = self.find(address)
+            && self.peers[at].node == *node
+        {
+            self.peers[at].heard_at = now;
+        }
+    }
+
+    /// Failure domain of the peer that was heard at an address.
+    pub fn domain_of(&self, address: SocketAddr) -> Option<DomainName> {
+        let found = self.find(address).ok();
+        found.map(|at| self.peers[at].domain.clone())
+    }
+
     /// Peers of a failure domain that were heard within `wait`.
     pub fn alive_in(
         &self,
