--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,11 +14,11 @@
     ConfigVersion, EngineSpec, KeyDenial, RepeatRule, RequestLimits, RouteRule, ServeConfig,
     ServiceSpec, ServiceWeight, WorkspaceRule,
 };
-pub use line::{LineTicket, WaitLine};
+pub use line::{LinePace, LineTicket, WaitLine};
 pub use moves::{MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
 pub use target::{
-    LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetBoard, TargetHealth,
+    LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetBoard, TargetHealth,
     TargetOutcome, TargetPhase, TargetRecord, TargetState,
 };
 pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- a/crates/entry/src/target/place_choice.rs
+++ b/crates/entry/src/target/place_choice.rs
@@ -3,6 +3,16 @@
 use super::LoadSum;
 use crate::EngineSpec;
 
+/// Which targets a call may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlaceReach {
+    /// Those of all failure domains.
+    #[default]
+    Any,
+    /// Those of the own failure domain.
+    Near,
+}
+
 /// What a call needs of a target.
 #[derive(Clone, Debug)]
 pub struct PlaceNeed {
@@ -16,6 +26,8 @@
     pub excluded: Vec<TargetName>,
     /// Failure domain that holds the memory of a generation that moves.
     pub moves_from: Option<DomainName>,
+    /// Which targets it may use.
+    pub reach: PlaceReach,
 }
 
 /// Where a call goes.
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -3,7 +3,7 @@
 use rand_pcg::Pcg64;
 
 use super::{
-    LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, TargetOutcome, TargetPhase,
+    LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetOutcome, TargetPhase,
     TargetRecord, TargetState,
 };
 use crate::{EngineSpec, LapseGuard};
@@ -14,6 +14,9 @@
 ///
 /// Source: 14 tokens/ms alone, in chunks that alternate with steps of about the same length.
 const PREFILL_RATE: f64 = 7.0;
+/// Prompt tokens before an engine beyond which a call waits at the node instead, where it can still go
+/// to the engine that is free first: half a second of reading.
+const PREFILL_LIMIT: u64 = 3_500;
 /// Delay in milliseconds that each further running call adds to the steps of one event.
 const CALL_DELAY_MS: f64 = 3.0;
 /// Cost in milliseconds of a full memory; preemptions become likely there.
@@ -200,6 +203,9 @@
                 continue;
             }
             is_present = true;
+            if state.record.domain != self.domain && need.reach == PlaceReach::Near {
+                continue;
+            }
             if need.excluded.contains(&state.record.name) || !state.accepts(now) {
                 continue;
             }
@@ -385,6 +391,9 @@
     if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
         return None;
     }
+    if need.moves_from.is_none() && total.prefill >= PREFILL_LIMIT {
+        return None;
+    }
     let fill = tokens / limit;
     let prefill = total.prefill as f64 / PREFILL_RATE;
     Some(prefill + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -247,3 +247,27 @@
     let calls = |engine: &str| board.target(&name(engine)).unwrap().peers.calls;
     assert_eq!((calls("e1"), calls("e2")), (2, 1));
 }
+
+// Guards against calls that are bound to one engine while prompts before it take longer than those
+// before others: they wait at the node instead, and their generation may still move there.
+#[test]
+fn waits_where_many_prompts_are_to_be_read() {
+    let mut board = board(&[record("e1", "patan")]);
+    board.add(&name("e1"), need(2_000, 2_000).load);
+    assert_eq!(chosen(board.place(NOW, &need(2_000, 2_000))), name("e1"));
+    board.add(&name("e1"), need(2_000, 2_000).load);
+    assert_eq!(board.place(NOW, &need(2_000, 2_000)), PlaceChoice::Full);
+    let mut moving = need(2_000, 0);
+    moving.moves_from = Some("patan".parse().unwrap());
+    assert_eq!(chosen(board.place(NOW, &moving)), name("e1"));
+}
+
+// Guards against turns of the line that send calls to engines whose load is known late.
+#[test]
+fn near_calls_stay_in_the_domain() {
+    let mut board = board(&[record("e1", "balaju")]);
+    let mut call = need(1_000, 1_000);
+    assert_eq!(chosen(board.place(NOW, &call)), name("e1"));
+    call.reach = entry::PlaceReach::Near;
+    assert_eq!(board.place(NOW, &call), PlaceChoice::Full);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Builders that the tests of this crate share.
 
 use base::{ClockTime, IncarnationNumber, TimeSpan, TokenCount, TokenRate};
-use entry::{EngineSpec, LapseGuard, LoadSum, PlaceNeed, TargetBoard, TargetRecord};
+use entry::{EngineSpec, LapseGuard, LoadSum, PlaceNeed, PlaceReach, TargetBoard, TargetRecord};
 
 pub const SPEC: EngineSpec = EngineSpec {
     slots: 4,
@@ -43,5 +43,6 @@
         },
         excluded: Vec::new(),
         moves_from: None,
+        reach: PlaceReach::Any,
     }
 }
--- a/crates/gateway/src/peer/load_news.rs
+++ b/crates/gateway/src/peer/load_news.rs
@@ -20,6 +20,8 @@
     pub told_at: ClockTime,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
+    /// Whether calls wait there for engines.
+    pub is_waiting: bool,
     /// Leaving engines off which it moves something now.
     pub moving: Vec<TargetName>,
 }
@@ -33,6 +35,7 @@
             address: core.settings.peer_address,
             told_at: now,
             loads: state.board.own_loads(),
+            is_waiting: state.is_waiting(),
             moving: state.turns.own_moving(),
         })
     }
@@ -40,7 +43,9 @@
     /// Takes what a peer says.
     pub fn apply(self, core: &GatewayCore) {
         let turns_changed = core.with_state(|state, now| {
-            state.peers.refresh(now, self.address, &self.node);
+            state
+                .peers
+                .refresh(now, self.address, &self.node, self.is_waiting);
             let is_newest = state.board.take_peer(PeerLoads {
                 origin: peer_origin(core, &self.domain, &self.node),
                 heard_at: now,
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -3,7 +3,7 @@
 use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
 use bytes::Bytes;
 use calls::{CrashPrint, CrashVerdict};
-use entry::{EngineSpec, LoadSum, PlaceNeed, RouteRule};
+use entry::{EngineSpec, LoadSum, PlaceNeed, PlaceReach, RouteRule};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
 use tokio::time::Instant;
@@ -111,6 +111,7 @@
                 barred.cloned().collect()
             }),
             moves_from: None,
+            reach: PlaceReach::Any,
         }
     }
 }
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use base::{EventKind, TargetName};
-use entry::{MovePhase, MoveStep, MoveTurn, PlaceNeed, TargetPhase};
+use entry::{MovePhase, MoveStep, MoveTurn, PlaceNeed, PlaceReach, TargetPhase};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -43,6 +43,7 @@
             load,
             excluded,
             moves_from: Some(self.hold.domain.clone()),
+            reach: PlaceReach::Any,
         };
         let Some(next) = self.core.try_acquire(&need) else {
             self.full_targets.clear();
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -87,7 +87,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let result = work(&mut state, now);
-        let version = state.board.own_version();
+        let version = state.news_version();
         self.loads
             .send_if_modified(|known| std::mem::replace(known, version) != version);
         result
@@ -136,7 +136,7 @@
         self.leaving.subscribe()
     }
 
-    /// Changes with the load of this node on engines.
+    /// Changes with what peers are told at once: loads on engines, and whether calls wait for them.
     pub fn watch_loads(&self) -> watch::Receiver<u64> {
         self.loads.subscribe()
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,6 +1,8 @@
 use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners};
 use calls::{CrashLimits, CrashMessage, CrashTable};
-use entry::{LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine};
+use entry::{
+    LinePace, LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine,
+};
 use tokio::sync::oneshot;
 
 use super::{PeerTable, ViewState};
@@ -48,6 +50,8 @@
     pub board: TargetBoard,
     /// Calls that wait.
     pub line: WaitLine,
+    /// When waiting calls get room on engines.
+    pub pace: LinePace,
     /// Those calls, sorted by ticket.
     pub waiters: Vec<LineWaiter>,
     /// Budget of second sends.
@@ -70,6 +74,8 @@
     pub streams: usize,
     /// Own revision of the targets when a peer first knew newer ones, and when that was.
     behind: Option<(u64, ClockTime)>,
+    waiting_changes: u64,
+    was_waiting: bool,
     retry: RetryBounds,
     node: NodeName,
     domain: DomainName,
@@ -83,6 +89,9 @@
             view: ViewState::default(),
             board: TargetBoard::new(settings.domain.clone(), seed),
             line: WaitLine::default(),
+            pace: LinePace::new(seed),
+            waiting_changes: 0,
+            was_waiting: false,
             waiters: Vec::new(),
             share: RetryShare::new(retry.ratio, retry.extra, retry.window),
             crashes: CrashTable::new(CrashLimits::default()),
@@ -108,6 +117,14 @@
                     self.line.leave(ticket);
                     continue;
                 };
+                let need = &mut self.waiters[at].need;
+                if need.engine.is_some() {
+                    let rivals = self.peers.waiting_in(now, &self.domain);
+                    match self.pace.take_turn(now, rivals) {
+                        Some(reach) => need.reach = reach,
+                        None => break,
+                    }
+                }
                 let choice = self.board.place(now, &self.waiters[at].need);
                 let answer = match choice {
                     PlaceChoice::Target(name) => Some(name),
@@ -127,6 +144,20 @@
         }
     }
 
+    /// Whether calls wait for engines.
+    pub fn is_waiting(&self) -> bool {
+        self.waiters.iter().any(|one| one.need.engine.is_some())
+    }
+
+    /// Changes with what peers are told at once: loads on engines, and whether calls wait for them.
+    pub fn news_version(&mut self) -> u64 {
+        let is_waiting = self.is_waiting();
+        if std::mem::replace(&mut self.was_waiting, is_waiting) != is_waiting {
+            self.waiting_changes += 1;
+        }
+        self.board.own_version() + self.waiting_changes
+    }
+
     /// Opens the turns of engines that leave.
     pub fn open_turns(&mut self, now: ClockTime, leaving: &[TargetName]) {
         let Some(config) = self.view.config.clone() else {
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -10,6 +10,8 @@
 const SHARE_WAIT: TimeSpan = TimeSpan::from_secs(60);
 /// Time after which a silent peer is forgotten.
 const FORGET_WAIT: TimeSpan = TimeSpan::from_secs(120);
+/// Time for which the word of a peer holds that its calls wait: digests are heard that often.
+const WAITING_EXPIRY: TimeSpan = TimeSpan::from_secs(2);
 /// Peers known at most.
 const PEER_LIMIT: usize = 512;
 
@@ -19,6 +21,7 @@
     node: NodeName,
     domain: DomainName,
     heard_at: ClockTime,
+    is_waiting: bool,
 }
 
 /// Other nodes, as found through seeds and through one another.
@@ -65,11 +68,16 @@
             node: node.clone(),
             domain: domain.clone(),
             heard_at: now,
+            is_waiting: false,
         };
         match self.find(address) {
             Ok(at) => {
+                let is_waiting = self.peers[at].is_waiting;
                 let was_alive = now.since(self.peers[at].heard_at) < ALIVE_WAIT;
-                self.peers[at] = entry;
+                self.peers[at] = PeerEntry {
+                    is_waiting,
+                    ..entry
+                };
                 !was_alive
             }
             Err(at) if self.peers.len() < PEER_LIMIT => {
@@ -97,15 +105,29 @@
         alive.map(|peer| peer.address).collect()
     }
 
-    /// Notes that a known peer was heard again.
-    pub fn refresh(&mut self, now: ClockTime, address: SocketAddr, node: &NodeName) {
+    /// Notes that a known peer was heard again, and whether its calls wait for engines.
+    pub fn refresh(
+        &mut self,
+        now: ClockTime,
+        address: SocketAddr,
+        node: &NodeName,
+        is_waiting: bool,
+    ) {
         if let Ok(at) = self.find(address)
             && self.peers[at].node == *node
         {
             self.peers[at].heard_at = now;
+            self.peers[at].is_waiting = is_waiting;
         }
     }
 
+    /// Peers of a failure domain whose calls wait for engines.
+    pub fn waiting_in(&self, now: ClockTime, domain: &DomainName) -> usize {
+        let peers = self.peers.iter().filter(|peer| peer.domain == *domain);
+        let recent = peers.filter(|peer| now.since(peer.heard_at) < WAITING_EXPIRY);
+        recent.filter(|peer| peer.is_waiting).count()
+    }
+
     /// Failure domain of the peer that was heard at an address.
     pub fn domain_of(&self, address: SocketAddr) -> Option<DomainName> {
         let found = self.find(address).ok();
