Test the only reader of a domain and its loss

Cause: with one reader of targets, two tests asked for what no longer holds. One waited for two readers and passed in the moment at the start in which there are two. The other took reads of targets as a proof that a stale store was read for its configuration; the node that it watches may read no targets now, and reads that were turned away counted too.

Change: one test waits for one reader; a new one takes the store from the reader and asks that all nodes know a change within the users' two seconds; the stale store has to have answered two reads of the configuration, of which the first was taken before the second began.

--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -58,41 +58,84 @@
     .await;
     cut.put_config(2);
     cut.is_down.store(false, Ordering::Relaxed);
+    // A second read begins only after the answer to the first was taken.
     until("the stale store was read", || {
-        cut.target_calls.load(Ordering::Relaxed) > 3
+        cut.config_reads.load(Ordering::Relaxed) > 1
     })
     .await;
     assert_eq!(version(&second), ConfigVersion(7));
 }
 
-// Guards against calls to the store that grow with the nodes of a domain.
-#[tokio::test]
-async fn two_nodes_of_a_domain_read_the_targets() {
-    let store = FakeStore::new();
-    store.put_config(1);
-    let first = Gateway::start_ready(&store).await;
-    let mut nodes = vec![first];
-    for _ in 0..4 {
-        let seeds = vec![nodes[0].peers];
-        nodes.push(Gateway::start(&store, "patan", seeds).await);
+/// Nodes of one domain, each with a store of its own that holds the same items.
+async fn start_domain(count: usize) -> Vec<(Arc<FakeStore>, Gateway)> {
+    let mut nodes: Vec<(Arc<FakeStore>, Gateway)> = Vec::new();
+    for _ in 0..count {
+        let store = FakeStore::new();
+        store.put_config(1);
+        let seeds = nodes.iter().map(|(_, node)| node.peers).take(1).collect();
+        let node = Gateway::start(&store, "patan", seeds).await;
+        nodes.push((store, node));
     }
-    for node in &nodes {
+    for (_, node) in &nodes {
         node.wait_ready().await;
     }
-    let readers = || {
-        let reads = |node: &&Gateway| {
-            let core = node.server.core();
-            core.with_state(|state, now| state.reads_targets(now))
-        };
-        nodes.iter().filter(reads).count()
+    nodes
+}
+
+fn is_reader(gateway: &Gateway) -> bool {
+    let core = gateway.server.core();
+    core.with_state(|state, now| state.reads_targets(now))
+}
+
+/// Waits until all nodes hear one another, as many readers are seen before.
+async fn settle(nodes: &[(Arc<FakeStore>, Gateway)]) {
+    let peers = |gateway: &Gateway| {
+        let core = gateway.server.core();
+        core.with_state(|state, now| state.peers.alive(now).len())
     };
-    until("two nodes read", || readers() == 2).await;
+    until("all nodes know each other", || {
+        nodes.iter().all(|(_, node)| peers(node) == nodes.len() - 1)
+    })
+    .await;
+    until("one node reads", || {
+        nodes.iter().filter(|(_, node)| is_reader(node)).count() == 1
+    })
+    .await;
+}
+
+// Guards against calls to the store that grow with the nodes of a domain.
+#[tokio::test]
+async fn one_node_of_a_domain_reads_the_targets() {
+    let nodes = start_domain(5).await;
+    settle(&nodes).await;
     let target = FakeTarget::start("app", TargetMode::Answer).await;
-    store.put_target(&target, "ready");
+    for (store, _) in &nodes {
+        store.put_target(&target, "ready");
+    }
+    until("all know the target", || {
+        nodes.iter().all(|(_, node)| target_count(node) == 1)
+    })
+    .await;
+}
+
+// Guards against a domain that goes on using targets that left, since its reader lost the store:
+// the users allow two seconds from the store's word.
+#[tokio::test]
+async fn a_reader_without_the_store_is_replaced() {
+    let nodes = start_domain(3).await;
+    settle(&nodes).await;
+    let reader = nodes.iter().position(|(_, node)| is_reader(node)).unwrap();
+    nodes[reader].0.is_down.store(true, Ordering::Relaxed);
+    let target = FakeTarget::start("app", TargetMode::Answer).await;
+    for (store, _) in &nodes {
+        store.put_target(&target, "ready");
+    }
+    let published_at = Instant::now();
     until("all know the target", || {
-        nodes.iter().all(|node| target_count(node) == 1)
+        nodes.iter().all(|(_, node)| target_count(node) == 1)
     })
     .await;
+    assert!(published_at.elapsed() < Duration::from_secs(2));
 }
 
 // Guards against engines that are overfilled since nodes do not see each other's calls.
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -25,7 +25,8 @@
     items: Mutex<Vec<(ViewArea, PublishedItem)>>,
     revision: watch::Sender<u64>,
     pub is_down: AtomicBool,
-    pub target_calls: AtomicUsize,
+    /// Reads of the configuration that were not turned away.
+    pub config_reads: AtomicUsize,
 }
 
 impl FakeStore {
@@ -34,7 +35,7 @@
             items: Mutex::new(Vec::new()),
             revision: watch::Sender::new(0),
             is_down: AtomicBool::new(false),
-            target_calls: AtomicUsize::new(0),
+            config_reads: AtomicUsize::new(0),
         })
     }
 
@@ -77,13 +78,13 @@
     }
 
     fn check(&self, area: ViewArea) -> Result<(), SourceFailure> {
-        if area == ViewArea::Targets {
-            self.target_calls.fetch_add(1, Ordering::Relaxed);
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(SourceFailure::TurnedAway { status: 503 });
         }
-        match self.is_down.load(Ordering::Relaxed) {
-            true => Err(SourceFailure::TurnedAway { status: 503 }),
-            false => Ok(()),
+        if area == ViewArea::Config {
+            self.config_reads.fetch_add(1, Ordering::Relaxed);
         }
+        Ok(())
     }
 }
 
