Let two nodes of a domain read the targets again

In a release every node of the domain fetches the whole list from the one reader at each change, over a link of 10 Mbit/s. That this link is the cause follows from the sizes, not from a trace.

Change: two readers share that work as before.

--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -17,7 +17,7 @@
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
 /// Nodes of a failure domain that read the targets from the store.
-const READERS: usize = 1;
+const READERS: usize = 2;
 /// Key by which these nodes are ranked.
 const READER_KEY: &str = "targets";
 /// Time since a reader was heard after which another takes its place.
