--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -6,12 +6,11 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use rand::seq::IndexedRandom;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::{MissedTickBehavior, interval, timeout};
-use web::{SendPhase, WebBody, empty_body, full_body};
+use tokio::time::{MissedTickBehavior, interval};
+use web::{WebBody, WebError, empty_body, full_body};
 
 use super::{LoadNews, NodeDigest, PeerAnswer};
 use crate::{GatewayCore, ViewArea};
@@ -40,7 +39,7 @@
 /// Rounds between two tries of addresses that did not answer.
 const DOUBT_ROUNDS: u32 = 2;
 /// Longest time for an exchange.
-const EXCHANGE_WAIT: Duration = Duration::from_millis(600);
+const EXCHANGE_WAIT: TimeSpan = TimeSpan::new(600);
 /// Largest answer of a peer in bytes: a configuration of a megabyte with its encoding.
 const ANSWER_LIMIT: usize = 4 << 20;
 
@@ -184,14 +183,9 @@
         path: &str,
         body: WebBody,
     ) -> Option<T> {
-        let called = timeout(EXCHANGE_WAIT, self.send(address, method, path, body)).await;
-        let bytes = match called {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(reason)) => return self.note_failure(address, &reason),
-            Err(_) => {
-                self.core.peer_pool.forget(address);
-                return self.note_failure(address, "no answer in time");
-            }
+        let bytes = match self.send(address, method, path, body).await {
+            Ok(bytes) => bytes,
+            Err(reason) => return self.note_failure(address, &reason),
         };
         match rmp_serde::from_slice(&bytes) {
             Ok(value) => Some(value),
@@ -213,17 +207,18 @@
             .body(body)
             .map_err(|error| error.to_string())?;
         let pool = &self.core.peer_pool;
-        let sent = pool.send(address, SendPhase::Reuse, request).await;
-        let (response, connection) = sent.map_err(|error| error.to_string())?;
-        let status = response.status();
-        let collected = Limited::new(response.into_body(), ANSWER_LIMIT)
-            .collect()
+        let answered = pool
+            .exchange(address, request, ANSWER_LIMIT, EXCHANGE_WAIT)
             .await;
-        let body = collected.map_err(|error| error.to_string())?.to_bytes();
-        pool.release(connection);
-        match status {
-            StatusCode::OK => Ok(body),
-            status => Err(format!("status {status}")),
+        match answered {
+            Ok(response) if response.status() == StatusCode::OK => Ok(response.into_body()),
+            Ok(response) => Err(format!("status {}", response.status())),
+            Err(error) => {
+                if let WebError::ResponseTimeout = error {
+                    pool.forget(address);
+                }
+                Err(error.to_string())
+            }
         }
     }
 
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::EventKind;
+use base::{EventKind, TimeSpan};
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -12,9 +13,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::fault::{ConnectSnafu, ConnectTimeoutSnafu, SentSnafu, UnsentSnafu};
+use crate::fault::{
+    BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnsentSnafu,
+};
 use crate::socket::{SocketTuning, tune_socket};
-use crate::{PoolSettings, WebBody, WebError};
+use crate::{PoolSettings, WebBody, WebError, read_body};
 
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +116,30 @@
         }
     }
 
+    /// Sends a request and reads its whole response, of at most `limit` bytes, within `wait`.
+    ///
+    /// The connection is kept only after a whole response.
+    ///
+    /// # Errors
+    /// `ResponseTimeout`, `Body`, or those of `send`.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<WebBody>,
+        limit: usize,
+        wait: TimeSpan,
+    ) -> Result<Response<Bytes>, WebError> {
+        let whole = async {
+            let (response, connection) = self.send(address, SendPhase::Reuse, request).await?;
+            let (parts, body) = response.into_parts();
+            let body = read_body(body, limit, wait).await.context(BodySnafu)?;
+            self.release(connection);
+            Ok(Response::from_parts(parts, body))
+        };
+        let answered = timeout(wait.into(), whole).await;
+        answered.unwrap_or_else(|_| ResponseTimeoutSnafu.fail())
+    }
+
     /// Gives back a connection whose response was read to the end.
     pub fn release(&self, connection: PooledSender) {
         if connection.sender.is_closed() {
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use base::TimeSpan;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -157,3 +159,33 @@
         .for_each(|connection| pool.release(connection));
     assert_eq!(pool.idle_count(), 2);
 }
+
+/// Guards against answers without a bound in size or time, and against connections that are used
+/// again although their answer was not read to the end.
+#[tokio::test]
+async fn an_exchange_keeps_the_connection_after_a_whole_answer_only() {
+    let slow = |request: Request<Incoming>| -> HandlerFuture {
+        Box::pin(async move {
+            if request.uri().path() == "/slow" {
+                sleep(Duration::from_secs(5)).await;
+            }
+            Response::new(full_body("answer"))
+        })
+    };
+    let server = WebServer::bind(any_port()).await.expect("a port");
+    let address = server.address();
+    tokio::spawn(server.serve(Arc::new(slow), StopSignal::new()));
+    let pool = ConnectionPool::new(PoolSettings::new());
+    let wait = TimeSpan::new(400);
+    let whole = pool.exchange(address, request(address), 6, wait).await;
+    assert_eq!(whole.expect("an answer").into_body(), "answer");
+    assert_eq!(pool.idle_count(), 1);
+    let large = pool.exchange(address, request(address), 5, wait).await;
+    assert!(matches!(large, Err(WebError::Body { .. })), "{large:?}");
+    assert_eq!(pool.idle_count(), 0);
+    let mut late = request(address);
+    *late.uri_mut() = "/slow".parse().expect("a path");
+    let late = pool.exchange(address, late, 6, wait).await;
+    assert!(matches!(late, Err(WebError::ResponseTimeout)), "{late:?}");
+    assert_eq!(pool.idle_count(), 0);
+}
