Derive from the state what peers are told at once

Cause: two fields and a counter in the state of a node only told the pushes that the loads or the waiting had changed; PlaceReach had a default that nothing used; the time for which a far peer counts as alive stood in two constants.

Change: the watch holds the version of the loads and whether calls wait, and compares them; one constant.

Conclusion: no change of behaviour.

--- a/crates/entry/src/target/place_choice.rs
+++ b/crates/entry/src/target/place_choice.rs
@@ -4,10 +4,9 @@
 use crate::EngineSpec;
 
 /// Which targets a call may use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlaceReach {
     /// Those of all failure domains.
-    #[default]
     Any,
     /// Those of the own failure domain.
     Near,
--- a/crates/gateway/src/peer/load_push.rs
+++ b/crates/gateway/src/peer/load_push.rs
@@ -2,13 +2,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{DomainName, TimeSpan};
+use base::DomainName;
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::PeerExchange;
 use crate::GatewayCore;
-use crate::state::GatewayState;
+use crate::state::{ALIVE_WAIT, GatewayState};
 
 /// Time from one push to the next; a third of the time between two placements in a domain of
 /// 18 nodes and 16 generations a second.
@@ -17,8 +17,6 @@
 /// Time after which peers of other domains are told again what has not changed; they drop what they
 /// have not heard for 2.5 s.
 const REPEAT_GAP: Duration = Duration::from_secs(1);
-/// Time since a peer of another domain was heard in which it is told.
-const FAR_ALIVE: TimeSpan = TimeSpan::from_secs(20);
 
 /// Tells peers at once when the load of this node on engines changes: those of its own failure
 /// domain, and those of the domains whose engines it uses.
@@ -96,7 +94,7 @@
     }
 
     fn far_peers(&self, domain: &DomainName) -> Vec<SocketAddr> {
-        let alive = |state: &mut GatewayState, now| state.peers.alive_in(now, domain, FAR_ALIVE);
+        let alive = |state: &mut GatewayState, now| state.peers.alive_in(now, domain, ALIVE_WAIT);
         let peers = self.core.with_state(alive);
         peers.into_iter().map(|(_, address)| address).collect()
     }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -14,6 +14,9 @@
 /// Advice to callers of a service that has no target: new ones register within seconds.
 const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
 
+/// Version of the own loads on engines, and whether calls wait for engines.
+type LoadMark = (u64, bool);
+
 /// What all tasks of a gateway share.
 pub struct GatewayCore {
     /// Settings at the start.
@@ -27,7 +30,7 @@
     clock: SystemClock,
     state: Mutex<GatewayState>,
     leaving: watch::Sender<u64>,
-    loads: watch::Sender<u64>,
+    loads: watch::Sender<LoadMark>,
     settings_failure: Mutex<Option<String>>,
 }
 
@@ -38,7 +41,7 @@
             state: Mutex::new(GatewayState::new(&settings, seed)),
             clock: SystemClock::new(),
             leaving: watch::Sender::new(0),
-            loads: watch::Sender::new(0),
+            loads: watch::Sender::new((0, false)),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -87,9 +90,9 @@
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let result = work(&mut state, now);
-        let version = state.news_version();
+        let mark = (state.board.own_version(), state.is_waiting());
         self.loads
-            .send_if_modified(|known| std::mem::replace(known, version) != version);
+            .send_if_modified(|known| std::mem::replace(known, mark) != mark);
         result
     }
 
@@ -137,7 +140,7 @@
     }
 
     /// Changes with what peers are told at once: loads on engines, and whether calls wait for them.
-    pub fn watch_loads(&self) -> watch::Receiver<u64> {
+    pub fn watch_loads(&self) -> watch::Receiver<LoadMark> {
         self.loads.subscribe()
     }
 
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -74,8 +74,6 @@
     pub streams: usize,
     /// Own revision of the targets when a peer first knew newer ones, and when that was.
     behind: Option<(u64, ClockTime)>,
-    waiting_changes: u64,
-    was_waiting: bool,
     retry: RetryBounds,
     node: NodeName,
     domain: DomainName,
@@ -90,8 +88,6 @@
             board: TargetBoard::new(settings.domain.clone(), seed),
             line: WaitLine::default(),
             pace: LinePace::new(seed),
-            waiting_changes: 0,
-            was_waiting: false,
             waiters: Vec::new(),
             share: RetryShare::new(retry.ratio, retry.extra, retry.window),
             crashes: CrashTable::new(CrashLimits::default()),
@@ -149,15 +145,6 @@
         self.waiters.iter().any(|one| one.need.engine.is_some())
     }
 
-    /// Changes with what peers are told at once: loads on engines, and whether calls wait for them.
-    pub fn news_version(&mut self) -> u64 {
-        let is_waiting = self.is_waiting();
-        if std::mem::replace(&mut self.was_waiting, is_waiting) != is_waiting {
-            self.waiting_changes += 1;
-        }
-        self.board.own_version() + self.waiting_changes
-    }
-
     /// Opens the turns of engines that leave.
     pub fn open_turns(&mut self, now: ClockTime, leaving: &[TargetName]) {
         let Some(config) = self.view.config.clone() else {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -9,6 +9,6 @@
 
 pub use gateway_core::GatewayCore;
 pub use gateway_state::GatewayState;
-pub use peer_table::PeerTable;
+pub use peer_table::{ALIVE_WAIT, PeerTable};
 pub use place_hold::{PlaceHold, PlaceRefusal};
 pub use view_state::ViewState;
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -4,7 +4,7 @@
 
 /// Time since a peer was heard in which it counts as alive; peers of other failure domains are
 /// heard rarely in large fleets.
-const ALIVE_WAIT: TimeSpan = TimeSpan::from_secs(20);
+pub const ALIVE_WAIT: TimeSpan = TimeSpan::from_secs(20);
 /// Time for which a peer counts in shares of budgets after it was last heard; a peer that is cut
 /// off goes on using its share.
 const SHARE_WAIT: TimeSpan = TimeSpan::from_secs(60);
