End calls whose target sends bytes without end, and streams that nobody reads

Cause: interim answers (1xx) without end kept a connection reading until the caller's deadline. A caller that did not read held its engine until the kernel gave up the connection after 16 s, whatever its deadline, since the pump waited for the full channel only.

Change: a connection may bring 1 MiB until the head of a response; the pump waits for its caller until the deadline and looks at the deadline before the engine's bytes; a stream ends as complete only by an explicit mark, so that a dropped feed always breaks it off.

Result: tests with endless heads, interim answers, bodies, comments, a dripping stream and a caller that does not read.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod call_audit;
 mod call_handler;
 mod call_input;
+mod caller_feed;
 mod failure_response;
 mod move_times;
 mod plain_call;
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -2,11 +2,11 @@
 
 use base::{ErrorKind, TimeSpan};
 use http::Response;
-use tokio::sync::mpsc;
-use web::{WebBody, stream_body};
+use web::WebBody;
 
 use super::CallAudit;
 use super::call_input::{CallInput, strip_hop_headers};
+use super::caller_feed::CallerFeed;
 use super::failure_response::{failure_response, note_stop};
 use super::stream_pump::{PumpParts, StreamPump};
 use super::target_send::{SendEnd, TargetHead, read_answer, send_call};
@@ -15,8 +15,6 @@
 
 /// Targets that are tried for one stream when nothing was sent or it was refused.
 const SEND_TRIES: usize = 4;
-/// Chunks that wait for a slow caller before the target is no longer read.
-const CHUNK_LIMIT: usize = 16;
 /// Share of the latency target for which a stream waits for room; the rest is for its prompt.
 const LINE_SHARE: (u64, u64) = (3, 4);
 /// Advice to callers whose stream was refused by every target that was tried.
@@ -86,21 +84,17 @@
     strip_hop_headers(&mut headers);
     note_stop(&core, &mut headers);
     let status = head.response.status();
-    let (sender, receiver) = mpsc::channel(CHUNK_LIMIT);
+    let (feed, body) = CallerFeed::new();
     let pump = StreamPump::new(PumpParts {
         core,
         call,
         audit,
         hold,
         head,
-        sender,
+        feed,
     });
     tokio::spawn(pump.run());
-    let chunks = futures_util::stream::unfold(receiver, |mut receiver| async move {
-        let chunk = receiver.recv().await?;
-        Some((chunk, receiver))
-    });
-    let mut response = Response::new(stream_body(chunks));
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -7,13 +7,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
-use web::{BodyError, EventFrame, EventSplitter, PooledSender};
+use web::{EventFrame, EventSplitter, PooledSender};
 
 use super::CallAudit;
 use super::call_input::CallInput;
+use super::caller_feed::{CallerFeed, FeedEnd};
 use super::move_times::MoveTimes;
 use super::target_send::{TargetHead, note_answered, note_broken};
 use crate::{CopyAnswer, GatewayCore, PlaceHold};
@@ -36,7 +37,7 @@
     /// Stream of the engine.
     pub head: TargetHead,
     /// Where the caller's stream is fed.
-    pub sender: mpsc::Sender<Result<Bytes, BodyError>>,
+    pub feed: CallerFeed,
 }
 
 /// What happens next to a stream.
@@ -71,7 +72,7 @@
     pub(super) hold: PlaceHold,
     pub(super) body: Option<Incoming>,
     pub(super) connection: Option<PooledSender>,
-    pub(super) sender: mpsc::Sender<Result<Bytes, BodyError>>,
+    pub(super) feed: CallerFeed,
     pub(super) splitter: EventSplitter,
     pub(super) is_framed: bool,
     pub(super) facts: StreamFacts,
@@ -114,7 +115,7 @@
             hold: parts.hold,
             body: Some(parts.head.response.into_body()),
             connection: Some(parts.head.connection),
-            sender: parts.sender,
+            feed: parts.feed,
             splitter: EventSplitter::new(EVENT_LIMIT),
             last_event: None,
             last_number: None,
@@ -144,7 +145,9 @@
         let copying = self.copying.as_mut();
         tokio::select! {
             biased;
-            () = self.sender.closed() => PumpEvent::CallerGone,
+            () = self.feed.closed() => PumpEvent::CallerGone,
+            // Before the bytes of the engine, which may come without end.
+            () = sleep_until(self.deadline) => PumpEvent::DeadlineReached,
             frame = next_chunk(body) => PumpEvent::Frame(frame),
             answer = join_copy(copying) => {
                 self.copying = None;
@@ -152,7 +155,6 @@
             }
             _ = self.leaving.changed() => PumpEvent::TargetsLeft,
             () = sleep_until(self.move_due) => PumpEvent::MoveDue,
-            () = sleep_until(self.deadline) => PumpEvent::DeadlineReached,
         }
     }
 
@@ -185,8 +187,16 @@
                 continue;
             }
             self.note_progress();
-            if self.sender.send(Ok(block)).await.is_err() {
-                return PumpState::Ended;
+            match self.feed.send(block, self.deadline).await {
+                FeedEnd::Taken => {}
+                FeedEnd::CallerGone => {
+                    self.audit.explain("caller closed the stream");
+                    return PumpState::Ended;
+                }
+                FeedEnd::TimedOut => {
+                    self.fail("deadline_exceeded", "caller does not read");
+                    return PumpState::Ended;
+                }
             }
         }
         if self.splitter.is_overfull() {
@@ -236,6 +246,7 @@
             return PumpState::Ended;
         }
         note_answered(&self.core, &self.call, &self.hold);
+        self.feed.complete();
         self.audit.end_stream("answered");
         PumpState::Ended
     }
@@ -260,15 +271,6 @@
     pub(super) fn fail(&mut self, outcome: &'static str, reason: &str) {
         self.audit.explain(reason);
         self.audit.end_stream(outcome);
-        let error = BodyError::Aborted {
-            reason: reason.to_owned(),
-        };
-        // A full channel means a caller that reads slowly; dropping the sender without an end
-        // would look complete, so the error has to get through.
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let _ = sender.send(Err(error)).await;
-        });
     }
 }
 
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -226,7 +226,7 @@
         })?;
         Ok(CallHead {
             request,
-            remaining: None,
+            remaining: text("x-wait").map(|wait| TimeSpan::new(wait.parse().unwrap())),
             key: text("x-key").map(Into::into),
             generation: text("x-size").map(|size| GenerationSize {
                 prompt: TokenCount(100),
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -28,6 +28,18 @@
     Foreign,
     /// Streams events with these many in all.
     Stream(u64),
+    /// Sends a line of a head without end.
+    EndlessHead,
+    /// Sends interim answers without end.
+    EndlessInterim,
+    /// Sends a body of small chunks without end.
+    EndlessBody,
+    /// Streams one event, and then comments without end.
+    EndlessComments,
+    /// Streams one event, and then a comment now and then.
+    Drip,
+    /// Streams large events without end.
+    LargeEvents,
 }
 
 #[derive(Default)]
@@ -36,6 +48,8 @@
     heads: Vec<String>,
     /// Calls at work now.
     open: usize,
+    /// Bytes of endless answers that were sent.
+    endless: usize,
     /// Generations told to stop.
     stopped: Vec<String>,
     /// Events made by each generation.
@@ -99,6 +113,11 @@
         self.state.lock().unwrap().open
     }
 
+    /// Bytes of endless answers that the gateway took.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.lock().unwrap().endless
+    }
+
     pub fn set_leaving(&self) {
         self.state.lock().unwrap().is_leaving = true;
     }
@@ -167,10 +186,50 @@
             return;
         }
         Some(TargetMode::Break) | None => return,
+        Some(mode) => return send_endless(stream, state, mode, &id).await,
     };
     let _ = stream.write_all(text.as_bytes()).await;
 }
 
+/// Sends bytes that are no answer until the gateway closes.
+async fn send_endless(
+    mut stream: TcpStream,
+    state: Arc<Mutex<TargetState>>,
+    mode: TargetMode,
+    id: &str,
+) {
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+    let event = "6\r\nid: 1\n\r\n9\r\ndata: a\n\n\r\n";
+    let (start, part, pause) = match mode {
+        TargetMode::EndlessHead => (
+            "HTTP/1.1 200 OK\r\nx-line: ".to_owned(),
+            "a".repeat(4_096),
+            0,
+        ),
+        TargetMode::EndlessInterim => {
+            let part = "HTTP/1.1 100 Continue\r\n\r\n".repeat(100);
+            (String::new(), part, 0)
+        }
+        TargetMode::EndlessBody => (head, "1\r\na\r\n".repeat(500), 0),
+        TargetMode::EndlessComments => (head + event, "3\r\n:\n\n\r\n".repeat(500), 0),
+        TargetMode::Drip => (head + event, "3\r\n:\n\n\r\n".to_owned(), 50),
+        _ => {
+            let data = "a".repeat(60_000);
+            let event = format!("id: NUMBER\ndata: {data}\n\n");
+            (head, format!("{:x}\r\n{event}\r\n", event.len() + 3), 0)
+        }
+    };
+    let mut next = start;
+    for number in 1.. {
+        if stream.write_all(next.as_bytes()).await.is_err() {
+            return;
+        }
+        state.lock().unwrap().endless += next.len();
+        next = part.replace("NUMBER", &format!("{number:09}"));
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 async fn stream_events(
     mut stream: TcpStream,
     state: Arc<Mutex<TargetState>>,
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -13,12 +13,16 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::head_budget::{BudgetedStream, HeadBudget};
 use crate::fault::{
     BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnsentSnafu,
 };
 use crate::socket::{SocketTuning, tune_socket};
 use crate::{PoolSettings, WebBody, WebError, read_body};
 
+/// Bytes of a response that are held before they are parsed, and so the largest head.
+const BUFFER_BYTES: usize = 64 << 10;
+
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendPhase {
@@ -29,10 +33,15 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<WebBody>,
+    connection: OpenConnection,
     since: Instant,
 }
 
+struct OpenConnection {
+    sender: SendRequest<WebBody>,
+    budget: HeadBudget,
+}
+
 type IdleList = Vec<IdleConnection>;
 
 /// Connections to many servers; clones share one pool.
@@ -48,7 +57,7 @@
 /// A connection that a response is being read from.
 pub struct PooledSender {
     address: SocketAddr,
-    sender: SendRequest<WebBody>,
+    connection: OpenConnection,
 }
 
 impl ConnectionPool {
@@ -81,17 +90,23 @@
         phase: SendPhase,
     ) -> Result<PooledSender, WebError> {
         if phase == SendPhase::Reuse
-            && let Some(sender) = self.take_idle(address)
+            && let Some(connection) = self.take_idle(address)
         {
-            return Ok(PooledSender { address, sender });
+            return Ok(PooledSender {
+                address,
+                connection,
+            });
         }
         let wait = Duration::from(self.settings.connect_wait);
         let Ok(connected) = timeout(wait, open_connection(address, self.settings.tuning)).await
         else {
             return ConnectTimeoutSnafu { address }.fail();
         };
-        let sender = connected?;
-        Ok(PooledSender { address, sender })
+        let connection = connected?;
+        Ok(PooledSender {
+            address,
+            connection,
+        })
     }
 
     /// Sends a request on a connection of its own or an idle one and returns the response head.
@@ -142,14 +157,18 @@
 
     /// Gives back a connection whose response was read to the end.
     pub fn release(&self, connection: PooledSender) {
+        let PooledSender {
+            address,
+            connection,
+        } = connection;
         if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(connection.address).or_default();
+        let list = idle.entry(address).or_default();
         if list.len() < self.settings.idle_limit {
             list.push(IdleConnection {
-                sender: connection.sender,
+                connection,
                 since: Instant::now(),
             });
         }
@@ -161,13 +180,13 @@
         idle.remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<WebBody>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         let oldest = Duration::from(self.settings.idle_wait);
-        list.retain(|entry| !entry.sender.is_closed() && entry.since.elapsed() < oldest);
+        list.retain(|entry| !entry.connection.sender.is_closed() && entry.since.elapsed() < oldest);
         // The one used last is the least likely to have been forgotten on the way.
-        list.pop().map(|entry| entry.sender)
+        list.pop().map(|entry| entry.connection)
     }
 }
 
@@ -180,11 +199,16 @@
         &mut self,
         request: Request<WebBody>,
     ) -> Result<Response<Incoming>, (WebError, Option<Request<WebBody>>)> {
-        if self.sender.ready().await.is_err() {
+        let OpenConnection { sender, budget } = &mut self.connection;
+        if sender.ready().await.is_err() {
             return Err((WebError::Unsent, Some(request)));
         }
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+        budget.begin();
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                budget.end();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err((UnsentSnafu.build(), Some(request))),
                 None => {
@@ -199,14 +223,19 @@
 async fn open_connection(
     address: SocketAddr,
     tuning: SocketTuning,
-) -> Result<SendRequest<WebBody>, WebError> {
+) -> Result<OpenConnection, WebError> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.context(ConnectSnafu { address })?;
     let stream = match tune_socket(&stream, tuning) {
         Ok(()) => stream,
         Err(source) => return Err(WebError::Connect { address, source }),
     };
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let budget = HeadBudget::new();
+    let stream = BudgetedStream::new(stream, budget.clone());
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let Ok((sender, connection)) = handshake else {
         return UnsentSnafu.fail();
     };
@@ -216,5 +245,5 @@
             log::debug!(event = number; "connection to {address} ended: {error}");
         }
     });
-    Ok(sender)
+    Ok(OpenConnection { sender, budget })
 }
