Pass on what changed of the targets instead of whole lists

Cause: a node that lagged behind fetched all targets from its reader.

Change: copies of items remember removals and tell what changed since a revision; readers push the changes themselves; a node that lags behind asks for what came after its revision.

A property test compares news of changes with the state of the store.

--- a/crates/entry/src/view/item_mirror.rs
+++ b/crates/entry/src/view/item_mirror.rs
@@ -1,6 +1,11 @@
+use std::collections::VecDeque;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// Removals that a copy remembers to tell others; a large release replaces some hundred targets.
+const REMOVAL_LIMIT: usize = 1_024;
+
 /// One item of the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedItem {
@@ -13,7 +18,7 @@
 }
 
 /// One change of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemChange {
     /// The item was written.
     Written(PublishedItem),
@@ -39,6 +44,10 @@
     revision: Option<u64>,
     /// Sorted by key.
     items: Vec<PublishedItem>,
+    /// Latest removals, oldest first, with revisions up to which they had happened.
+    removals: VecDeque<(u64, SmolStr)>,
+    /// Revision from which on all removals are remembered.
+    removals_since: u64,
 }
 
 impl ItemMirror {
@@ -63,11 +72,48 @@
             return false;
         }
         items.sort_by(|left, right| left.key.cmp(&right.key));
-        self.items = items;
+        let before = std::mem::replace(&mut self.items, items);
+        match self.revision {
+            Some(_) => {
+                for item in before {
+                    if self.find(&item.key).is_err() {
+                        self.note_removal(revision, item.key);
+                    }
+                }
+            }
+            None => self.removals_since = revision,
+        }
         self.revision = Some(revision);
         true
     }
 
+    /// Changes that bring a copy as of `after` to the state of this one; `None` if this copy does
+    /// not remember them all.
+    ///
+    /// ```
+    /// let mut mirror = entry::ItemMirror::default();
+    /// mirror.replace(5, Vec::new());
+    /// assert_eq!(mirror.changes_since(5), Some(Vec::new()));
+    /// assert_eq!(mirror.changes_since(4), None);
+    /// ```
+    pub fn changes_since(&self, after: u64) -> Option<Vec<ItemChange>> {
+        if self.revision.is_none() || after < self.removals_since {
+            return None;
+        }
+        let removals = self.removals.iter().filter(|(at, _)| *at > after);
+        let removed = removals.map(|(revision, key)| ItemChange::Removed {
+            key: key.clone(),
+            revision: *revision,
+        });
+        let items = self.items.iter().filter(|item| item.revision > after);
+        // Removals first, as a key may have been written anew.
+        Some(
+            removed
+                .chain(items.cloned().map(ItemChange::Written))
+                .collect(),
+        )
+    }
+
     /// Takes changes up to `revision`; `false` if none of them is new.
     pub fn apply(&mut self, revision: u64, changes: Vec<ItemChange>) -> bool {
         let known = self.revision.unwrap_or(0);
@@ -91,6 +137,7 @@
             ItemChange::Removed { key, revision } if revision > known => match self.find(&key) {
                 Ok(at) => {
                     self.items.remove(at);
+                    self.note_removal(revision, key);
                     true
                 }
                 Err(_) => false,
@@ -99,6 +146,15 @@
         }
     }
 
+    fn note_removal(&mut self, revision: u64, key: SmolStr) {
+        if self.removals.len() >= REMOVAL_LIMIT
+            && let Some((oldest, _)) = self.removals.pop_front()
+        {
+            self.removals_since = oldest;
+        }
+        self.removals.push_back((revision, key));
+    }
+
     fn find(&self, key: &str) -> Result<usize, usize> {
         self.items
             .binary_search_by(|item| item.key.as_str().cmp(key))
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -62,6 +62,50 @@
     }
 }
 
+proptest! {
+    // Guards against a node that misses a change, or brings a removed target back, since it hears
+    // only of changes: any sequence of reads, changes and news gives the state of the store.
+    #[test]
+    fn news_of_changes_give_the_state_of_the_sender(
+        writes in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..4), 1..60),
+    ) {
+        let mut state = BTreeMap::new();
+        let mut sender = ItemMirror::default();
+        let mut receiver = ItemMirror::default();
+        for (at, (key, is_written, step)) in writes.into_iter().enumerate() {
+            let (key, revision) = (key.to_string(), at as u64 + 1);
+            let change = match is_written {
+                true => {
+                    state.insert(key.clone(), item(&key, revision));
+                    ItemChange::Written(item(&key, revision))
+                }
+                false => {
+                    state.remove(&key);
+                    ItemChange::Removed { key: key.into(), revision }
+                }
+            };
+            let all: Vec<_> = state.values().cloned().collect();
+            match step {
+                0 => { sender.replace(revision, all.clone()); }
+                _ if sender.revision() == Some(revision - 1) => { sender.apply(revision, vec![change]); }
+                _ => {}
+            }
+            let (Some(told), Some(known), 1) = (sender.revision(), receiver.revision(), step) else {
+                if step == 2 && receiver.revision().is_none() {
+                    receiver.replace(revision, all);
+                }
+                continue;
+            };
+            if let Some(changes) = sender.changes_since(known) {
+                receiver.apply(told, changes);
+                if known <= told {
+                    prop_assert_eq!(receiver.items(), sender.items());
+                }
+            }
+        }
+    }
+}
+
 // Guards against dropping all targets when leases ran out while the store was away.
 #[test]
 fn keeps_vanished_targets_for_a_while_after_an_outage() {
--- a/crates/gateway/src/feed/view_feed.rs
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -85,8 +85,8 @@
         self.set_waiting(false);
         match waited {
             Ok(batch) => {
-                if self.core.take_batch(area, batch) && area == ViewArea::Targets {
-                    PeerExchange::new(self.core.clone()).push_targets();
+                if self.core.take_batch(area, batch, "store") && area == ViewArea::Targets {
+                    PeerExchange::new(self.core.clone()).push_changes(known);
                 }
                 Ok(())
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 mod state;
 
 pub use feed::ViewFeed;
-pub use peer::{NodeDigest, PeerAnswer};
+pub use peer::{ItemNews, NodeDigest};
 pub use port::{
     AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, EngineReport,
     GatewayPorts, GenerationSize, HeadMistake, ItemBatch, PortFuture, ResumePoint, SendHead,
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -1,13 +1,15 @@
 //! What nodes tell one another: loads, versions, crash marks, addresses.
 
+mod item_news;
 mod load_news;
 mod load_push;
 mod node_digest;
 mod peer_exchange;
 mod peer_server;
 
+pub use item_news::ItemNews;
 pub use load_news::LoadNews;
 pub use load_push::LoadPush;
-pub use node_digest::{NodeDigest, PeerAnswer};
+pub use node_digest::NodeDigest;
 pub use peer_exchange::PeerExchange;
 pub use peer_server::PeerHandler;
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -2,7 +2,7 @@
 
 use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
 use calls::CrashMessage;
-use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads, PublishedItem};
+use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads};
 use serde::{Deserialize, Serialize};
 
 use crate::{GatewayCore, ViewArea};
@@ -44,15 +44,6 @@
     pub addresses: Vec<SocketAddr>,
 }
 
-/// Items of one area, as one node passes them to another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PeerAnswer {
-    /// Revision that the items are not older than.
-    pub revision: u64,
-    /// The items.
-    pub items: Vec<PublishedItem>,
-}
-
 impl NodeDigest {
     /// Describes this node to a node of the domain `receiver`, if that is known.
     pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -12,7 +12,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use web::{WebBody, WebError, empty_body, full_body};
 
-use super::{LoadNews, NodeDigest, PeerAnswer};
+use super::{ItemNews, LoadNews, NodeDigest};
 use crate::{GatewayCore, ViewArea};
 
 /// Path of digests.
@@ -23,6 +23,8 @@
 pub const CONFIG_PATH: &str = "/peer/config";
 /// Path of the entries of targets.
 pub const TARGETS_PATH: &str = "/peer/targets";
+/// Path of changes of the entries of targets.
+pub const CHANGES_PATH: &str = "/peer/changes";
 
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(250);
@@ -91,11 +93,24 @@
         }
     }
 
-    /// Tells the peers of the own failure domain at once that the targets changed.
-    pub fn push_targets(&self) {
+    /// Tells the peers of the own failure domain at once what changed of the targets after `base`.
+    ///
+    /// Only the changes: in a release, whole lists for a domain of 50 nodes fill a link of
+    /// 10 Mbit/s for seconds.
+    pub fn push_changes(&self, base: u64) {
+        let Some(news) = ItemNews::of_core(&self.core, ViewArea::Targets, Some(base)) else {
+            return;
+        };
         for address in self.near_peers() {
+            let Some(body) = encode_body(&news) else {
+                return;
+            };
             let exchange = self.clone();
-            tokio::spawn(async move { exchange.exchange(address).await });
+            // A failure is logged there; a later digest tells that the peer lags behind.
+            tokio::spawn(async move {
+                let path = CHANGES_PATH;
+                let _: Option<()> = exchange.call(address, Method::POST, path, body).await;
+            });
         }
     }
 
@@ -169,10 +184,17 @@
             ViewArea::Config => CONFIG_PATH,
             ViewArea::Targets => TARGETS_PATH,
         };
-        let answer: Option<PeerAnswer> = self.call(address, Method::GET, path, empty_body()).await;
-        if let Some(answer) = answer {
-            self.core
-                .take_items(area, answer.revision, answer.items, "peer");
+        let known = self
+            .core
+            .with_state(|state, _| state.view.mirror(area).revision());
+        let path = match known {
+            Some(known) => format!("{path}?after={known}"),
+            None => path.to_owned(),
+        };
+        let news: Option<ItemNews> = self.call(address, Method::GET, &path, empty_body()).await;
+        if let Some(news) = news {
+            // Revisions only grow, so the answer fits what is known by now.
+            news.apply(&self.core, area);
         }
     }
 
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -7,8 +7,10 @@
 use serde::de::DeserializeOwned;
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
-use super::peer_exchange::{CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, TARGETS_PATH};
-use super::{LoadNews, NodeDigest, PeerAnswer};
+use super::peer_exchange::{
+    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, TARGETS_PATH,
+};
+use super::{ItemNews, LoadNews, NodeDigest};
 use crate::{GatewayCore, ViewArea};
 
 /// Largest digest in bytes: 512 targets of about 100 bytes.
@@ -36,8 +38,9 @@
             match (request.method(), path.as_str()) {
                 (&Method::POST, DIGEST_PATH) => take_digest(&core, request).await,
                 (&Method::POST, LOADS_PATH) => take_loads(&core, request).await,
-                (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config),
-                (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets),
+                (&Method::POST, CHANGES_PATH) => take_changes(&core, request).await,
+                (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config, &request),
+                (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets, &request),
                 _ => status_only(StatusCode::NOT_FOUND),
             }
         })
@@ -80,15 +83,23 @@
     }
 }
 
-fn items_of(core: &GatewayCore, area: ViewArea) -> Response<WebBody> {
-    let answer = core.with_state(|state, _| {
-        let mirror = state.view.mirror(area);
-        let revision = mirror.revision()?;
-        let items = mirror.items().to_vec();
-        Some(PeerAnswer { revision, items })
-    });
-    match answer {
-        Some(answer) => encoded(&answer),
+async fn take_changes(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let Some(news) = read_message::<ItemNews>(core, request).await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let address = news.address;
+    if news.apply(core, ViewArea::Targets) {
+        PeerExchange::new(core.clone()).spawn_fetch(address, vec![ViewArea::Targets]);
+    }
+    encoded(&())
+}
+
+fn items_of(core: &GatewayCore, area: ViewArea, request: &Request<Incoming>) -> Response<WebBody> {
+    let query = request.uri().query().unwrap_or_default();
+    let after = query.strip_prefix("after=");
+    let after = after.and_then(|after| after.parse().ok());
+    match ItemNews::of_core(core, area, after) {
+        Some(news) => encoded(&news),
         None => status_only(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -206,17 +206,17 @@
         PlaceHold::new(self.clone(), target, need.load)
     }
 
-    /// Takes changes of published items.
+    /// Takes changes of published items; `from` tells who sent them.
     ///
     /// Returns whether anything changed.
-    pub fn take_batch(&self, area: ViewArea, batch: ItemBatch) -> bool {
+    pub fn take_batch(&self, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
         let changed = self.with_state(|state, now| {
             state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
             mirror.apply(batch.revision, batch.changes)
         });
         if changed {
-            self.adopt(area, "store");
+            self.adopt(area, from);
         }
         changed
     }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, start_scene, until};
+use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, get, start_scene, until};
 use entry::{ConfigVersion, LoadSum};
 
 fn version(gateway: &Gateway) -> ConfigVersion {
@@ -194,3 +194,37 @@
     }
     assert!(soon >= 6, "{soon} of 8 were heard of at once");
 }
+
+// Guards against releases that fill the links of nodes with whole lists of targets: what a node
+// tells of one change does not grow with the fleet.
+#[tokio::test]
+async fn a_change_is_told_without_the_other_targets() {
+    const TARGETS: usize = 120;
+    const NEWS_BYTES: usize = 1_024;
+    let store = FakeStore::new();
+    store.put_config(1);
+    for _ in 0..TARGETS {
+        let target = FakeTarget::start("app", TargetMode::Answer).await;
+        store.put_target(&target, "ready");
+    }
+    let first = Gateway::start_ready(&store).await;
+    let revision = || {
+        let core = first.server.core();
+        core.with_state(|state, _| state.view.target_items.revision().unwrap())
+    };
+    until("the targets are known", || target_count(&first) == TARGETS).await;
+    let known = revision();
+    let second = Gateway::start(&store, "patan", vec![first.peers]).await;
+    second.wait_ready().await;
+    let target = FakeTarget::start("app", TargetMode::Answer).await;
+    store.put_target(&target, "ready");
+    until("both know the target", || {
+        target_count(&first) > TARGETS && target_count(&second) > TARGETS
+    })
+    .await;
+    let news = get(first.peers, &format!("/peer/targets?after={known}")).await;
+    assert!(news.text.contains(&target.name));
+    assert!(news.text.len() < NEWS_BYTES, "{} bytes", news.text.len());
+    let all = get(first.peers, "/peer/targets").await;
+    assert!(all.text.len() > TARGETS * 30);
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,7 +6,7 @@
 
 pub use fake_ports::{FakeStore, ports};
 pub use fake_target::{FakeTarget, TargetMode};
-pub use test_caller::{CallerAnswer, call, open_stream};
+pub use test_caller::{CallerAnswer, call, get, open_stream};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/gateway/tests/gateway/support/test_caller.rs
+++ b/crates/gateway/tests/gateway/support/test_caller.rs
@@ -11,7 +11,18 @@
 
 /// Makes a call with extra header lines and a body, and reads until the node closes.
 pub async fn call(address: SocketAddr, path: &str, headers: &str, body: &str) -> CallerAnswer {
-    let mut stream = open_stream(address, path, headers, body).await;
+    read_answer(open_stream(address, path, headers, body).await).await
+}
+
+/// Asks for a path and reads until the server closes.
+pub async fn get(address: SocketAddr, path: &str) -> CallerAnswer {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = format!("GET {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    read_answer(stream).await
+}
+
+async fn read_answer(mut stream: TcpStream) -> CallerAnswer {
     let mut bytes = Vec::new();
     // A reset shows as what arrived before it.
     let _ = stream.read_to_end(&mut bytes).await;
