--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -16,5 +16,7 @@
     VersionName, WorkspaceName,
 };
 pub use rank::{rank_owners, rank_score, top_owner};
-pub use size::{ByteCount, ByteRate, IncarnationNumber, RevisionNumber, TokenCount, TokenRate};
+pub use size::{
+    ByteCount, ByteRate, CoreShare, IncarnationNumber, RevisionNumber, TokenCount, TokenRate,
+};
 pub use time::{ClockTime, HybridClock, HybridTime, TimeSpan};
--- a/crates/base/src/size/number.rs
+++ b/crates/base/src/size/number.rs
@@ -55,6 +55,10 @@
     /// Bytes in a second.
     ByteRate(u64), "byte rate", "B/s", "11264B/s"
 );
+unit_number!(
+    /// Share of a processor core in thousandths.
+    CoreShare(u32), "core share", "mcore", "250mcore"
+);
 unit_number!(
     /// One run of a process: its start time in the high bits, random bits below.
     ///
--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -1,7 +1,8 @@
 use base::{ServiceName, TokenCount, TokenRate};
+use serde::{Deserialize, Serialize};
 
 /// Size of each engine of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! Events and a time go in, decisions come out; nothing here does I/O.
 
 mod config;
+mod desk;
 mod line;
 mod moves;
 mod retry;
@@ -14,6 +15,7 @@
     ConfigVersion, EngineSpec, KeyDenial, RepeatRule, RequestLimits, RouteRule, ServeConfig,
     ServiceSpec, ServiceWeight, WorkspaceRule,
 };
+pub use desk::{DeskCandidate, GrantId, GrantLedger, RoomGrant, rank_desks};
 pub use line::{LinePace, LineTicket, WaitLine};
 pub use moves::{MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
--- a/crates/entry/src/moves/move_turns.rs
+++ b/crates/entry/src/moves/move_turns.rs
@@ -62,6 +62,7 @@
     finished: Vec<(ClockTime, NodeName, TargetName)>,
     /// Engines off which peers move something, as they said, and since when.
     moving: Vec<(ClockTime, NodeName, TargetName)>,
+    version: u64,
 }
 
 impl MoveTurns {
@@ -72,6 +73,7 @@
             sources: Vec::new(),
             finished: Vec::new(),
             moving: Vec::new(),
+            version: 0,
         }
     }
 
@@ -138,6 +140,7 @@
         }
         turns.is_moving = true;
         turns.waiting = turns.waiting.saturating_sub(1);
+        self.version += 1;
         MoveTurn::Start
     }
 
@@ -145,6 +148,7 @@
     pub fn end(&mut self, source: &TargetName) {
         if let Some(turns) = self.find_mut(source) {
             turns.is_moving = false;
+            self.version += 1;
         }
     }
 
@@ -177,6 +181,11 @@
         changed
     }
 
+    /// Changes with the engines off which this node moves something.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Engines off which this node moves something now.
     pub fn own_moving(&self) -> Vec<TargetName> {
         let moving = self.sources.iter().filter(|turns| turns.is_moving);
--- a/crates/entry/src/target/place_choice.rs
+++ b/crates/entry/src/target/place_choice.rs
@@ -1,10 +1,11 @@
-use base::{DomainName, ServiceName, TargetName};
+use base::{DomainName, ServiceName, TargetName, TimeSpan};
+use serde::{Deserialize, Serialize};
 
 use super::LoadSum;
 use crate::EngineSpec;
 
 /// Which targets a call may use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceReach {
     /// Those of all failure domains.
     Any,
@@ -13,7 +14,7 @@
 }
 
 /// What a call needs of a target.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlaceNeed {
     /// Service that the call goes to.
     pub service: ServiceName,
@@ -27,6 +28,8 @@
     pub moves_from: Option<DomainName>,
     /// Which targets it may use.
     pub reach: PlaceReach,
+    /// Expected delays by failures that the node of the call saw itself, sorted by target.
+    pub delays: Vec<(TargetName, TimeSpan)>,
 }
 
 /// Where a call goes.
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -1,6 +1,6 @@
 use std::ops::{AddAssign, SubAssign};
 
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -8,7 +8,7 @@
     LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetOutcome, TargetPhase,
     TargetRecord, TargetState,
 };
-use crate::{EngineSpec, LapseGuard};
+use crate::{EngineSpec, LapseGuard, RoomGrant};
 
 /// Share of an engine's memory that expected peaks may take; the rest absorbs wrong predictions.
 const MEMORY_SHARE: f64 = 0.95;
@@ -45,6 +45,8 @@
 /// Costs that differ less than this many milliseconds count as equal, so that nodes with the same
 /// view do not all choose the same target.
 const TIE_MS: f64 = 20.0;
+/// Least delay by failures that a desk is told of; a target without failures has 40 ms.
+const NOTED_DELAY: TimeSpan = TimeSpan::new(80);
 /// Age at which the loads of a silent peer are dropped.
 const PEER_EXPIRY: TimeSpan = TimeSpan::new(2_500);
 
@@ -187,7 +189,11 @@
         let near = self.targets.iter();
         let near = near.filter(|state| state.record.domain == self.domain);
         let mut sums: Vec<_> = near
-            .map(|state| (state.record.name.clone(), state.own))
+            .map(|state| {
+                let mut load = state.own;
+                load += state.granted;
+                (state.record.name.clone(), load)
+            })
             .collect();
         for peer in &self.peers {
             match &peer.origin {
@@ -263,6 +269,54 @@
         self.own_version += u64::from(load.is_on_engine());
     }
 
+    /// Adds room granted to a peer to the load of a target.
+    pub fn add_granted(&mut self, name: &TargetName, load: LoadSum) {
+        if let Ok(at) = self.find(name) {
+            self.targets[at].granted += load;
+        }
+    }
+
+    /// Takes granted room off the load of a target.
+    pub fn remove_granted(&mut self, grants: &[RoomGrant]) {
+        for grant in grants {
+            if let Ok(at) = self.find(&grant.target) {
+                self.targets[at].granted -= grant.load;
+            }
+        }
+    }
+
+    /// Targets of a service that get no calls of this node now.
+    pub fn barred(&self, now: ClockTime, service: &ServiceName) -> Vec<TargetName> {
+        let known = self.targets.iter();
+        let known = known.filter(|state| state.record.service == *service);
+        let barred = known.filter(|state| !state.accepts(now));
+        barred.map(|state| state.record.name.clone()).collect()
+    }
+
+    /// Whether a target of a service in the own failure domain takes calls.
+    pub fn has_near(&self, now: ClockTime, service: &ServiceName) -> bool {
+        let mut near = self
+            .targets
+            .iter()
+            .filter(|state| state.record.service == *service && state.record.domain == self.domain);
+        near.any(|state| state.accepts(now))
+    }
+
+    /// Expected delays by failures at the targets of a service, where they matter, sorted by target.
+    pub fn failure_delays(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+    ) -> Vec<(TargetName, TimeSpan)> {
+        let known = self.targets.iter();
+        let known = known.filter(|state| state.record.service == *service);
+        let delays = known.filter_map(|state| {
+            let delay = TimeSpan::new(failure_cost(now, state) as u64);
+            (delay >= NOTED_DELAY).then(|| (state.record.name.clone(), delay))
+        });
+        delays.collect()
+    }
+
     /// Notes how a call at a target ended.
     pub fn note(&mut self, now: ClockTime, name: &TargetName, outcome: TargetOutcome) {
         if let Ok(at) = self.find(name) {
@@ -275,7 +329,11 @@
             Some(spec) => engine_cost(state, need, spec)?,
             None => plain_cost(state)?,
         };
-        cost += state.health.failure_share(now) * FAILURE_COST_MS;
+        let told = need
+            .delays
+            .binary_search_by(|(name, _)| name.cmp(&state.record.name));
+        let told = told.map_or(0, |at| need.delays[at].1.as_millis());
+        cost += failure_cost(now, state).max(told as f64);
         cost += match &need.moves_from {
             Some(domain) if *domain != state.record.domain => MOVE_DOMAIN_COST_MS,
             None if self.domain != state.record.domain => match need.engine {
@@ -288,9 +346,6 @@
             let incoming = state.total().incoming as f64 * 1_000.0;
             cost += COPY_WAITS * incoming / spec.copy_rate.0.max(1) as f64;
         }
-        if !state.health.is_reachable() {
-            cost += UNREACHED_COST_MS;
-        }
         if now < state.warm_at {
             cost += COLD_COST_MS;
         }
@@ -303,9 +358,10 @@
             Ok(at) => {
                 // The new process knows nothing of the calls of the old one, which fail by
                 // themselves; their load is taken off as they end.
-                let own = self.targets[at].own;
+                let (own, granted) = (self.targets[at].own, self.targets[at].granted);
                 self.targets[at] = TargetState::new(now, record);
                 self.targets[at].own = own;
+                self.targets[at].granted = granted;
                 return;
             }
             Err(at) => {
@@ -401,6 +457,15 @@
     }
 }
 
+/// Expected delay by failures of a target, as this node saw them.
+fn failure_cost(now: ClockTime, state: &TargetState) -> f64 {
+    let failures = state.health.failure_share(now) * FAILURE_COST_MS;
+    match state.health.is_reachable() {
+        true => failures,
+        false => failures + UNREACHED_COST_MS,
+    }
+}
+
 /// Expected delay of a call on an engine; `None` if the engine has no room.
 fn engine_cost(state: &TargetState, need: &PlaceNeed, spec: EngineSpec) -> Option<f64> {
     let total = state.total();
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -24,6 +24,8 @@
     pub own: LoadSum,
     /// Calls of peers.
     pub peers: LoadSum,
+    /// Room granted to peers that they have not told as their load yet.
+    pub granted: LoadSum,
     /// How its calls ended.
     pub health: TargetHealth,
     /// When it is no longer slow after its start.
@@ -43,6 +45,7 @@
             phase,
             own: LoadSum::default(),
             peers: LoadSum::default(),
+            granted: LoadSum::default(),
             health: TargetHealth::default(),
         }
     }
@@ -56,6 +59,7 @@
     pub fn total(&self) -> LoadSum {
         let mut total = self.own;
         total += self.peers;
+        total += self.granted;
         total
     }
 }
--- a/crates/entry/tests/rush.rs
+++ b/crates/entry/tests/rush.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use base::{ClockTime, TimeSpan};
-use entry::{LinePace, LoadOrigin, PeerLoads, PlaceChoice, PlaceReach, TargetBoard};
+use entry::{GrantLedger, LinePace, LoadOrigin, PeerLoads, PlaceChoice, PlaceReach, TargetBoard};
 use support::{need, record};
 
 const NODES: usize = 18;
@@ -100,3 +100,34 @@
         assert!(second < TimeSpan::new(400), "{placed:?}");
     }
 }
+
+// Guards against the same rush when one node places for all: each placement counts from the grant
+// on, before the node that asked has told its load, and counts once afterwards.
+#[test]
+fn a_desk_counts_what_it_granted() {
+    let mut desk = support::board(&[record("e1", "patan")]);
+    let mut ledger = GrantLedger::new(1);
+    let call = need(PROMPT, PROMPT);
+    let now = ClockTime::new(5_000);
+    let mut granted = Vec::new();
+    for at in 0..NODES {
+        let PlaceChoice::Target(target) = desk.place(now, &call) else {
+            continue;
+        };
+        let node = format!("n{at}").parse().unwrap();
+        desk.add_granted(&target, call.load);
+        granted.push(ledger.grant(now, node, target, call.load));
+    }
+    assert_eq!(granted.len(), ROOM);
+    desk.take_peer(PeerLoads {
+        origin: LoadOrigin::Node("n0".parse().unwrap()),
+        heard_at: now,
+        told_at: now,
+        loads: vec![("e1".parse().unwrap(), call.load)],
+    });
+    desk.remove_granted(&ledger.confirm(&granted[..1]));
+    assert_eq!(desk.targets()[0].total().calls, ROOM as u32);
+    // The other answer was lost on the way.
+    desk.remove_granted(&ledger.expire(now + TimeSpan::from_secs(1)));
+    assert_eq!(desk.targets()[0].total().calls, 1);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -44,5 +44,6 @@
         excluded: Vec::new(),
         moves_from: None,
         reach: PlaceReach::Any,
+        delays: Vec::new(),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! An entry node that routes calls by host and path, as a process: servers, relays, the feed of
 //! published items and the exchange with peers.
 
+mod desk;
 mod feed;
 mod ops;
 mod peer;
--- a/crates/gateway/src/peer/load_news.rs
+++ b/crates/gateway/src/peer/load_news.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, DomainName, NodeName, TargetName};
-use entry::{LoadSum, PeerLoads};
+use entry::{GrantId, LoadSum, PeerLoads};
 use serde::{Deserialize, Serialize};
 
 use super::node_digest::peer_origin;
@@ -20,6 +20,8 @@
     pub told_at: ClockTime,
     /// Its calls in flight on targets.
     pub loads: Vec<(TargetName, LoadSum)>,
+    /// Grants of desks among these loads.
+    pub accepted: Vec<GrantId>,
     /// Whether calls wait there for engines.
     pub is_waiting: bool,
     /// Leaving engines off which it moves something now.
@@ -35,6 +37,7 @@
             address: core.settings.peer_address,
             told_at: now,
             loads: state.board.own_loads(),
+            accepted: state.desk.accepted(now),
             is_waiting: state.is_waiting(),
             moving: state.turns.own_moving(),
         })
@@ -52,6 +55,8 @@
                 told_at: self.told_at,
                 loads: self.loads,
             });
+            state.confirm_grants(&self.accepted);
+            state.serve_line(now);
             is_newest && state.turns.note_moving(now, &self.node, &self.moving)
         });
         if turns_changed {
--- a/crates/gateway/src/peer/load_push.rs
+++ b/crates/gateway/src/peer/load_push.rs
@@ -8,21 +8,20 @@
 
 use super::PeerExchange;
 use crate::GatewayCore;
-use crate::state::{ALIVE_WAIT, GatewayState};
 
 /// Time from one push to the next; a third of the time between two placements in a domain of
-/// 18 nodes and 16 generations a second.
+/// 16 generations a second.
 const PUSH_GAP: Duration = Duration::from_millis(20);
 
 /// Time after which peers of other domains are told again what has not changed; they drop what they
 /// have not heard for 2.5 s.
 const REPEAT_GAP: Duration = Duration::from_secs(1);
 
-/// Tells peers at once when the load of this node on engines changes: those of its own failure
+/// Tells peers at once when the load of this node on engines changes: the desks of its own failure
 /// domain, and those of the domains whose engines it uses.
 ///
-/// Nodes that choose engines by loads of a quarter of a second ago send their prompts to the same
-/// ones.
+/// A desk that chooses engines by loads of a quarter of a second ago sends prompts to the same ones.
+/// Which generations are being moved is told to all nodes of the failure domain.
 pub struct LoadPush {
     core: Arc<GatewayCore>,
     exchange: PeerExchange,
@@ -51,6 +50,7 @@
     /// Pushes until the process ends.
     pub async fn run(mut self) {
         let mut changes = self.core.watch_loads();
+        let mut moves = 0;
         let mut repeats = interval(REPEAT_GAP);
         repeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -60,7 +60,9 @@
                     if changed.is_err() {
                         return;
                     }
-                    self.push_all();
+                    let mark = *changes.borrow_and_update();
+                    self.push_near(mark.moves != moves);
+                    moves = mark.moves;
                     sleep(PUSH_GAP).await;
                 }
                 Some(done) = self.sending.join_next() => {
@@ -72,8 +74,12 @@
         }
     }
 
-    fn push_all(&mut self) {
-        for address in self.exchange.near_peers() {
+    fn push_near(&mut self, has_moves: bool) {
+        let near = match has_moves {
+            true => self.exchange.near_peers(),
+            false => self.exchange.own_desks(),
+        };
+        for address in near {
             self.push(address);
         }
         self.push_far();
@@ -87,18 +93,12 @@
         domains.sort();
         domains.dedup();
         for domain in domains {
-            for address in self.far_peers(&domain) {
+            for address in self.exchange.desks_of(&domain) {
                 self.push(address);
             }
         }
     }
 
-    fn far_peers(&self, domain: &DomainName) -> Vec<SocketAddr> {
-        let alive = |state: &mut GatewayState, now| state.peers.alive_in(now, domain, ALIVE_WAIT);
-        let peers = self.core.with_state(alive);
-        peers.into_iter().map(|(_, address)| address).collect()
-    }
-
     fn push(&mut self, address: SocketAddr) {
         if self.busy.contains(&address) {
             if !self.missed.contains(&address) {
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,14 +1,17 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
 use calls::CrashMessage;
 use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads};
 use serde::{Deserialize, Serialize};
 
+use crate::state::PeerFacts;
 use crate::{GatewayCore, ViewArea};
 
 /// Addresses of other nodes in one digest; a few suffice, as every exchange carries others.
 const ADDRESS_LIMIT: usize = 16;
+/// Desks of a failure domain that tell others what is on its engines; other nodes hear less.
+const SUM_DESKS: usize = 2;
 /// Time after its start from which a node can tell what is on the engines of its domain: until
 /// then, it has not heard all others.
 const SUMS_AFTER: TimeSpan = TimeSpan::from_secs(2);
@@ -28,6 +31,12 @@
     pub targets_revision: u64,
     /// Failure domain of the node.
     pub domain: DomainName,
+    /// Processor that the node may use.
+    pub capacity: CoreShare,
+    /// Whether calls wait there for engines.
+    pub is_waiting: bool,
+    /// Whether the node is stopping.
+    pub is_stopping: bool,
     /// Milliseconds since it knew its targets to be up to date; `None` if it never did.
     pub targets_age: Option<TimeSpan>,
     /// Time since the store answered again after an outage, if that was lately.
@@ -49,7 +58,8 @@
     pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
         let far = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
-            let knows_all = now.since(ClockTime::default()) > SUMS_AFTER;
+            let is_desk = state.desk_place(now).is_some_and(|place| place < SUM_DESKS);
+            let knows_all = is_desk && now.since(ClockTime::default()) > SUMS_AFTER;
             let far = far.filter(|_| knows_all);
             let mut addresses = state.peers.alive(now);
             addresses.truncate(ADDRESS_LIMIT);
@@ -60,6 +70,9 @@
                 version: state.view.version(),
                 targets_revision: state.view.target_items.revision().unwrap_or(0),
                 domain: core.settings.domain.clone(),
+                capacity: core.settings.capacity,
+                is_waiting: state.is_waiting(),
+                is_stopping: state.stop_end.is_some(),
                 targets_age: state.targets_age(now),
                 regained_age: state.view.guard.regained_age(now),
                 loads: state.board.own_loads(),
@@ -75,9 +88,17 @@
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_turns = !self.finished.is_empty();
         let (is_found, newer) = core.with_state(|state, now| {
-            let is_found = state
-                .peers
-                .hear(now, &self.node, &self.domain, self.address);
+            let is_found = state.peers.hear(
+                now,
+                PeerFacts {
+                    address: self.address,
+                    node: self.node.clone(),
+                    domain: self.domain.clone(),
+                    capacity: self.capacity,
+                    is_waiting: self.is_waiting,
+                    is_stopping: self.is_stopping,
+                },
+            );
             state.peers.hint(&self.addresses);
             if let Some(loads) = self.sums {
                 state.board.take_peer(PeerLoads {
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{EventKind, TargetName, TimeSpan};
+use base::{DomainName, EventKind, TargetName, TimeSpan};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
@@ -13,12 +13,15 @@
 use web::{WebBody, WebError, empty_body, full_body};
 
 use super::{ItemNews, LoadNews, NodeDigest};
+use crate::desk::{RoomAnswer, RoomQuestion};
 use crate::{GatewayCore, ViewArea};
 
 /// Path of digests.
 pub const DIGEST_PATH: &str = "/peer/digest";
 /// Path of loads on engines.
 pub const LOADS_PATH: &str = "/peer/loads";
+/// Path of questions for room on engines.
+pub const ROOM_PATH: &str = "/peer/room";
 /// Path of the items of the configuration.
 pub const CONFIG_PATH: &str = "/peer/config";
 /// Path of the entries of targets.
@@ -28,11 +31,12 @@
 
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(250);
-/// Peers of the own failure domain in one round; each exchange tells both sides, so that news
-/// reaches the 18 nodes of a domain in two rounds.
-const ROUND_NEAR: usize = 4;
-/// Peers of other failure domains in one round.
-const ROUND_FAR: usize = 2;
+/// Peers of the own failure domain in one round, beside a desk.
+const ROUND_NEAR: usize = 2;
+/// Desks of the own failure domain, which hear each node in every second round.
+const DESKS: usize = 2;
+/// Peers of other failure domains in one round of a node that is no desk.
+const ROUND_FAR: usize = 1;
 /// Silent peers of the own failure domain in one round; nodes that were cut off are heard by all of
 /// their domain within a second after that ends.
 const ROUND_SILENT: usize = 2;
@@ -42,6 +46,8 @@
 const DOUBT_ROUNDS: u32 = 2;
 /// Longest time for an exchange.
 const EXCHANGE_WAIT: TimeSpan = TimeSpan::new(600);
+/// Longest time for the answer of a desk, which holds questions for 150 ms.
+const ROOM_WAIT: TimeSpan = TimeSpan::new(450);
 /// Largest answer of a peer in bytes: a configuration of a megabyte with its encoding.
 const ANSWER_LIMIT: usize = 4 << 20;
 
@@ -117,10 +123,10 @@
     /// Peers of the own failure domain that were heard lately.
     pub fn near_peers(&self) -> Vec<SocketAddr> {
         let domain = &self.core.settings.domain;
-        let near = self
-            .core
-            .with_state(|state, now| state.peers.alive_in(now, domain, NEAR_ALIVE));
-        near.into_iter().map(|(_, address)| address).collect()
+        self.core.with_state(|state, now| {
+            let alive = state.peers.alive_in(now, domain, NEAR_ALIVE);
+            alive.into_iter().map(|peer| peer.address).collect()
+        })
     }
 
     fn pick_peers(&self, round: u32) -> Vec<SocketAddr> {
@@ -138,14 +144,55 @@
             .choose_multiple(&mut random, ROUND_NEAR)
             .copied()
             .collect();
+        picked.extend(self.pick_desks(round));
         picked.extend(far.choose_multiple(&mut random, ROUND_FAR));
         picked.extend(silent.choose_multiple(&mut random, ROUND_SILENT));
         if round.is_multiple_of(DOUBT_ROUNDS) || !has_alive {
             picked.extend(doubtful.choose(&mut random).copied());
         }
+        picked.sort();
+        picked.dedup();
         picked
     }
 
+    /// Desks of the own failure domain in turns, and those of the others if this node is one.
+    fn pick_desks(&self, round: u32) -> Vec<SocketAddr> {
+        self.core.with_state(|state, now| {
+            let own = state.peers.own_address();
+            let desks = state.desks(now).iter().copied().take(DESKS);
+            let near = desks.filter(|desk| Some(*desk) != own);
+            let near: Vec<_> = near.collect();
+            let turn = round as usize % DESKS;
+            let mut picked: Vec<_> = near.get(turn).copied().into_iter().collect();
+            if state.desk_place(now).is_some_and(|place| place < DESKS) {
+                let domains = state.peers.domains(now).into_iter();
+                let far = domains.filter(|domain| *domain != self.core.settings.domain);
+                picked.extend(
+                    far.filter_map(|domain| state.far_desks(now, &domain).first().copied()),
+                );
+            }
+            picked
+        })
+    }
+
+    /// Addresses of the desks of the own failure domain other than this node.
+    pub fn own_desks(&self) -> Vec<SocketAddr> {
+        self.core.with_state(|state, now| {
+            let own = state.peers.own_address();
+            let desks = state.desks(now).iter().copied().take(DESKS);
+            desks.filter(|desk| Some(*desk) != own).collect()
+        })
+    }
+
+    /// Addresses of the desks of another failure domain.
+    pub fn desks_of(&self, domain: &DomainName) -> Vec<SocketAddr> {
+        let mut desks = self
+            .core
+            .with_state(|state, now| state.far_desks(now, domain));
+        desks.truncate(DESKS);
+        desks
+    }
+
     /// Tells a peer the loads of this node.
     pub async fn tell_loads(&self, address: SocketAddr) {
         let Some(body) = encode_body(&LoadNews::of_core(&self.core)) else {
@@ -155,6 +202,13 @@
         let _: Option<()> = self.call(address, Method::POST, LOADS_PATH, body).await;
     }
 
+    /// Asks a desk for room; `None` if it does not answer.
+    pub async fn ask_room(&self, desk: SocketAddr, question: &RoomQuestion) -> Option<RoomAnswer> {
+        let body = encode_body(question)?;
+        self.call_within(desk, Method::POST, ROOM_PATH, body, ROOM_WAIT)
+            .await
+    }
+
     async fn exchange(&self, address: SocketAddr) {
         let domain = self
             .core
@@ -170,7 +224,11 @@
                 let newer = answer.apply(&self.core);
                 self.spawn_fetch(address, newer);
             }
-            None => self.drop_hint(address),
+            None => {
+                self.drop_hint(address);
+                self.core
+                    .with_state(|state, now| state.desk.doubt(now, address));
+            }
         }
     }
 
@@ -205,7 +263,19 @@
         path: &str,
         body: WebBody,
     ) -> Option<T> {
-        let bytes = match self.send(address, method, path, body).await {
+        self.call_within(address, method, path, body, EXCHANGE_WAIT)
+            .await
+    }
+
+    async fn call_within<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: WebBody,
+        wait: TimeSpan,
+    ) -> Option<T> {
+        let bytes = match self.send(address, method, path, body, wait).await {
             Ok(bytes) => bytes,
             Err(reason) => return self.note_failure(address, &reason),
         };
@@ -221,6 +291,7 @@
         method: Method,
         path: &str,
         body: WebBody,
+        wait: TimeSpan,
     ) -> Result<Bytes, String> {
         let request = Request::builder()
             .method(method)
@@ -229,9 +300,7 @@
             .body(body)
             .map_err(|error| error.to_string())?;
         let pool = &self.core.peer_pool;
-        let answered = pool
-            .exchange(address, request, ANSWER_LIMIT, EXCHANGE_WAIT)
-            .await;
+        let answered = pool.exchange(address, request, ANSWER_LIMIT, wait).await;
         match answered {
             Ok(response) if response.status() == StatusCode::OK => Ok(response.into_body()),
             Ok(response) => Err(format!("status {}", response.status())),
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -8,9 +8,10 @@
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
 use super::peer_exchange::{
-    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, TARGETS_PATH,
+    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, ROOM_PATH, TARGETS_PATH,
 };
 use super::{ItemNews, LoadNews, NodeDigest};
+use crate::desk::take_ask;
 use crate::{GatewayCore, ViewArea};
 
 /// Largest digest in bytes: 512 targets of about 100 bytes.
@@ -38,6 +39,7 @@
             match (request.method(), path.as_str()) {
                 (&Method::POST, DIGEST_PATH) => take_digest(&core, request).await,
                 (&Method::POST, LOADS_PATH) => take_loads(&core, request).await,
+                (&Method::POST, ROOM_PATH) => answer_ask(&core, request).await,
                 (&Method::POST, CHANGES_PATH) => take_changes(&core, request).await,
                 (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config, &request),
                 (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets, &request),
@@ -65,6 +67,16 @@
     encoded(&())
 }
 
+async fn answer_ask(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let Some(question) = read_message(core, request).await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    match take_ask(core, question).await {
+        Some(answer) => encoded(&answer),
+        None => status_only(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
 async fn read_message<T: DeserializeOwned>(
     core: &GatewayCore,
     request: Request<Incoming>,
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -112,6 +112,7 @@
             }),
             moves_from: None,
             reach: PlaceReach::Any,
+            delays: Vec::new(),
         }
     }
 }
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -12,6 +12,7 @@
 use super::failure_response::failure_response;
 use super::target_send::{SendEnd, note_answered, note_broken, read_answer, send_call};
 use super::whole_answer::{WholeAnswer, deliver_answer};
+use crate::desk::acquire_room;
 use crate::{GatewayCore, PlaceHold};
 
 /// Targets that are tried for one call when nothing was sent or the call was refused.
@@ -49,7 +50,7 @@
     let mut failed = None;
     for _ in 0..SEND_TRIES {
         let patience = call.route.latency_target.min(call.remaining(core.now()));
-        let mut hold = match core.acquire(need.clone(), call.priority, patience).await {
+        let mut hold = match acquire_room(core, &need, call.priority, patience).await {
             Ok(hold) => hold,
             Err(refusal) => {
                 if let Some(answer) = failed {
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -11,6 +11,7 @@
 use super::stream_pump::{PumpParts, StreamPump};
 use super::target_send::{SendEnd, TargetHead, read_answer, send_call};
 use super::whole_answer::deliver_answer;
+use crate::desk::acquire_room;
 use crate::{GatewayCore, PlaceHold};
 
 /// Targets that are tried for one stream when nothing was sent or it was refused.
@@ -33,7 +34,7 @@
     for _ in 0..SEND_TRIES {
         let now = core.now();
         let patience = line_end.since(now).min(call.remaining(now));
-        let acquired = core.acquire(need.clone(), call.priority, patience).await;
+        let acquired = acquire_room(&core, &need, call.priority, patience).await;
         let mut hold = match acquired {
             Ok(hold) => hold,
             Err(refusal) => {
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -8,6 +8,7 @@
 use super::move_times::MoveTimes;
 use super::stream_pump::{IDLE, PumpState, StreamPump, TurnState};
 use super::target_send::{SendEnd, send_call};
+use crate::desk::acquire_now;
 use crate::peer::PeerExchange;
 use crate::{CopyAnswer, PlaceHold, ResumePoint};
 
@@ -21,7 +22,7 @@
         self.move_due = Instant::now() + IDLE;
         let now = self.core.now();
         let can_move = self.call.engine.is_some_and(|spec| spec.can_move);
-        if !can_move || *self.plan.phase() != MovePhase::Settled {
+        if !can_move || *self.plan.phase() != MovePhase::Settled || self.placing.is_some() {
             return;
         }
         if !self.plan.can_start() || !self.facts.outlives_notice(now) {
@@ -44,13 +45,21 @@
             excluded,
             moves_from: Some(self.hold.domain.clone()),
             reach: PlaceReach::Any,
+            delays: Vec::new(),
         };
-        let Some(next) = self.core.try_acquire(&need) else {
+        let core = self.core.clone();
+        self.placing = Some(tokio::spawn(async move { acquire_now(&core, &need).await }));
+    }
+
+    /// Starts the move to an engine with room, or looks again later.
+    pub(super) fn on_placed(&mut self, next: Option<PlaceHold>) {
+        let Some(next) = next else {
             self.full_targets.clear();
             self.end_turn();
             self.move_due = Instant::now() + MOVE_RETRY;
             return;
         };
+        let source = &self.hold.target;
         let step = self.plan.start(next.target.clone());
         log::info!(
             event = EventKind::MoveStarted.number(),
@@ -59,11 +68,11 @@
             source = source.as_str(),
             destination = next.target.as_str(),
             events = self.facts.events,
-            tokens = load.tokens;
+            tokens = next.load().tokens;
             "engine leaves"
         );
         self.next_hold = Some(next);
-        self.move_times = MoveTimes::new(now);
+        self.move_times = MoveTimes::new(self.core.now());
         if let MoveStep::Copy { .. } = step {
             self.spawn_copy(false);
         }
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -46,6 +46,7 @@
     CallerGone,
     TargetsLeft,
     Copied(CopyAnswer),
+    Placed(Option<PlaceHold>),
     MoveDue,
     DeadlineReached,
 }
@@ -80,6 +81,7 @@
     pub(super) last_number: Option<u64>,
     pub(super) plan: MovePlan,
     pub(super) next_hold: Option<PlaceHold>,
+    pub(super) placing: Option<JoinHandle<Option<PlaceHold>>>,
     pub(super) copying: Option<JoinHandle<CopyAnswer>>,
     pub(super) unused_copy: Option<SmolStr>,
     pub(super) move_times: MoveTimes,
@@ -120,6 +122,7 @@
             last_event: None,
             last_number: None,
             next_hold: None,
+            placing: None,
             copying: None,
             unused_copy: None,
             move_times: MoveTimes::default(),
@@ -143,6 +146,7 @@
     async fn next_event(&mut self) -> PumpEvent {
         let body = self.body.as_mut();
         let copying = self.copying.as_mut();
+        let placing = self.placing.as_mut();
         tokio::select! {
             biased;
             () = self.feed.closed() => PumpEvent::CallerGone,
@@ -153,6 +157,10 @@
                 self.copying = None;
                 PumpEvent::Copied(answer)
             }
+            next = join_placing(placing) => {
+                self.placing = None;
+                PumpEvent::Placed(next)
+            }
             _ = self.leaving.changed() => PumpEvent::TargetsLeft,
             () = sleep_until(self.move_due) => PumpEvent::MoveDue,
         }
@@ -176,6 +184,10 @@
                 PumpState::Going
             }
             PumpEvent::Copied(answer) => self.on_copied(answer).await,
+            PumpEvent::Placed(next) => {
+                self.on_placed(next);
+                PumpState::Going
+            }
         }
     }
 
@@ -297,3 +309,11 @@
         reason: error.to_string(),
     })
 }
+
+/// A question that failed counts as no room.
+async fn join_placing(placing: Option<&mut JoinHandle<Option<PlaceHold>>>) -> Option<PlaceHold> {
+    let Some(placing) = placing else {
+        return std::future::pending().await;
+    };
+    placing.await.unwrap_or(None)
+}
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{DomainName, NodeName, TimeSpan};
+use base::{CoreShare, DomainName, NodeName, TimeSpan};
 
 /// Budget of second sends that all nodes share.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -20,6 +20,8 @@
     pub node: NodeName,
     /// Failure domain of the node.
     pub domain: DomainName,
+    /// Processor that the process may use.
+    pub capacity: CoreShare,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address at which the load balancer asks whether the node takes callers.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,21 +1,51 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use base::{ClockTime, ErrorKind, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
-use entry::{PlaceChoice, PlaceNeed, ServeConfig};
+use entry::{LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use web::{ConnectionPool, PoolSettings};
 
-use super::gateway_state::LineWaiter;
+use super::gateway_state::{LineAnswer, LineWaiter};
 use super::line_place::LinePlace;
-use super::{GatewayState, PlaceHold, PlaceRefusal};
+use super::{GatewayState, LineGrant, PlaceHold, PlaceRefusal};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Advice to callers of a service that has no target: new ones register within seconds.
 const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
 
-/// Version of the own loads on engines, and whether calls wait for engines.
-type LoadMark = (u64, bool);
+/// Changes with what peers are told at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadMark {
+    /// Version of the own loads on engines.
+    pub loads: u64,
+    /// Whether calls wait for engines.
+    pub is_waiting: bool,
+    /// Version of the moves off engines that leave.
+    pub moves: u64,
+}
+
+/// A call that needs room on a target.
+#[derive(Clone, Debug)]
+pub struct RoomAsk {
+    /// What it needs.
+    pub need: PlaceNeed,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Time for which it has waited.
+    pub waited: TimeSpan,
+    /// Time for which it can wait; a call without patience passes over the line.
+    pub patience: TimeSpan,
+    /// Node that asks; `None` for a call of this node.
+    pub asker: Option<NodeName>,
+}
+
+/// How a call came into the line.
+enum LineEntry {
+    Placed(LineGrant),
+    Absent,
+    Joined(LineTicket, oneshot::Receiver<LineAnswer>),
+}
 
 /// What all tasks of a gateway share.
 pub struct GatewayCore {
@@ -41,7 +71,7 @@
             state: Mutex::new(GatewayState::new(&settings, seed)),
             clock: SystemClock::new(),
             leaving: watch::Sender::new(0),
-            loads: watch::Sender::new((0, false)),
+            loads: watch::Sender::new(LoadMark::default()),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -90,7 +120,11 @@
         let now = self.clock.now();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let result = work(&mut state, now);
-        let mark = (state.board.own_version(), state.is_waiting());
+        let mark = LoadMark {
+            loads: state.board.own_version(),
+            is_waiting: state.is_waiting(),
+            moves: state.turns.version(),
+        };
         self.loads
             .send_if_modified(|known| std::mem::replace(known, mark) != mark);
         result
@@ -144,66 +178,39 @@
         self.loads.subscribe()
     }
 
-    /// Gets room for a call, waiting in the line for at most `patience`.
+    /// Gets room for a call by what this node knows, waiting in the line for at most its patience.
     ///
     /// # Errors
     /// If there is no target, or none has room in time; the call was not sent.
-    pub async fn acquire(
-        self: &Arc<Self>,
-        need: PlaceNeed,
-        priority: u8,
-        patience: TimeSpan,
-    ) -> Result<PlaceHold, PlaceRefusal> {
-        let load = need.load;
-        let entered = self.with_state(|state, now| {
-            let is_first = state.line.count(&need.service) == 0;
-            let choice = match is_first {
-                true => state.board.place(now, &need),
-                false => PlaceChoice::Full,
-            };
-            match choice {
-                PlaceChoice::Target(name) => {
-                    state.board.add(&name, load);
-                    Ok(name)
-                }
-                PlaceChoice::Absent => Err(None),
-                PlaceChoice::Full => {
-                    let ticket = state.line.join(now, &need.service, priority);
-                    let (sender, receiver) = oneshot::channel();
-                    state.waiters.push(LineWaiter {
-                        ticket,
-                        need,
-                        sender,
-                    });
-                    Err(Some((ticket, receiver)))
-                }
-            }
-        });
-        let target = match entered {
-            Ok(target) => Some(target),
-            Err(None) => None,
-            Err(Some((ticket, receiver))) => {
+    pub async fn take_room(&self, ask: RoomAsk) -> Result<LineGrant, PlaceRefusal> {
+        let load = ask.need.load;
+        let patience = ask.patience;
+        let entered = self.with_state(|state, now| enter_line(state, now, ask));
+        let grant = match entered {
+            LineEntry::Placed(grant) => Some(grant),
+            LineEntry::Absent => None,
+            LineEntry::Joined(ticket, receiver) => {
                 let place = LinePlace::new(self, ticket, load, receiver);
                 place.wait(patience).await?
             }
         };
-        let hold = target.and_then(|target| PlaceHold::new(self.clone(), target, load));
-        hold.ok_or(PlaceRefusal {
+        grant.ok_or(PlaceRefusal {
             kind: ErrorKind::NoTarget,
             retry_after: ABSENT_RETRY,
         })
     }
 
-    /// Gets room for a call at once or not at all.
-    pub fn try_acquire(self: &Arc<Self>, need: &PlaceNeed) -> Option<PlaceHold> {
-        let target = self.with_state(|state, now| match state.board.place(now, need) {
-            PlaceChoice::Target(name) => {
-                state.board.add(&name, need.load);
-                Some(name)
-            }
-            PlaceChoice::Full | PlaceChoice::Absent => None,
-        })?;
-        PlaceHold::new(self.clone(), target, need.load)
+    /// Gets room for a call of this node by what it knows itself.
+    ///
+    /// # Errors
+    /// Those of `take_room`.
+    pub async fn acquire(self: &Arc<Self>, ask: RoomAsk) -> Result<PlaceHold, PlaceRefusal> {
+        let load = ask.need.load;
+        let grant = self.take_room(ask).await?;
+        PlaceHold::new(self.clone(), grant.target, load).ok_or(PlaceRefusal {
+            kind: ErrorKind::NoTarget,
+            retry_after: ABSENT_RETRY,
+        })
     }
 
     /// Takes changes of published items; `from` tells who sent them.
@@ -243,6 +250,7 @@
         let leaving = self.with_state(|state, now| {
             let leaving = state.board.on_tick(now);
             state.crashes.expire(now);
+            state.expire_grants(now);
             state.serve_line(now);
             leaving
         });
@@ -343,3 +351,30 @@
         self.leaving.send_modify(|count| *count += 1);
     }
 }
+
+fn enter_line(state: &mut GatewayState, now: ClockTime, ask: RoomAsk) -> LineEntry {
+    let is_next = ask.patience == TimeSpan::ZERO || state.line.count(&ask.need.service) == 0;
+    let choice = match is_next {
+        true => state.board.place(now, &ask.need),
+        false => PlaceChoice::Full,
+    };
+    match choice {
+        PlaceChoice::Target(target) => {
+            let id = state.take_room(now, ask.asker.as_ref(), &target, ask.need.load);
+            LineEntry::Placed(LineGrant { target, id })
+        }
+        PlaceChoice::Absent => LineEntry::Absent,
+        PlaceChoice::Full => {
+            let joined_at = ClockTime::new(now.as_millis().saturating_sub(ask.waited.as_millis()));
+            let ticket = state.line.join(joined_at, &ask.need.service, ask.priority);
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.push(LineWaiter {
+                ticket,
+                need: ask.need,
+                asker: ask.asker,
+                sender,
+            });
+            LineEntry::Joined(ticket, receiver)
+        }
+    }
+}
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,11 +1,12 @@
-use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners};
+use base::{ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
 use calls::{CrashLimits, CrashMessage, CrashTable};
 use entry::{
-    LinePace, LineTicket, MoveTurns, PlaceChoice, PlaceNeed, RetryShare, TargetBoard, WaitLine,
+    DeskCandidate, LinePace, LineTicket, MoveTurns, PlaceChoice, PlaceNeed, PlaceReach, RetryShare,
+    TargetBoard, WaitLine,
 };
 use tokio::sync::oneshot;
 
-use super::{PeerTable, ViewState};
+use super::{DeskState, LineGrant, PeerTable, ViewState};
 use crate::{GatewaySettings, RetryBounds};
 
 /// Crash messages that are repeated to peers.
@@ -16,19 +17,15 @@
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
-/// Nodes of a failure domain that read the targets from the store.
+/// Desks of a failure domain that read the targets from the store for its other nodes.
 const READERS: usize = 2;
-/// Key by which these nodes are ranked.
-const READER_KEY: &str = "targets";
-/// Time since a reader was heard after which another takes its place.
-const READER_ALIVE: TimeSpan = TimeSpan::new(1_500);
 /// Age of the targets at which any node reads them itself.
 const UNTOLD_WAIT: TimeSpan = TimeSpan::new(1_200);
 /// Age of the targets, while the store is lost, at which engines are asked whether they leave.
 const BLIND_WAIT: TimeSpan = TimeSpan::new(700);
 
-/// Answer to a call that waits in the line: its target, or none if the service has none.
-pub type LineAnswer = Option<TargetName>;
+/// Answer to a call that waits in the line: its room, or none if the service has no target.
+pub type LineAnswer = Option<LineGrant>;
 
 /// A call in the line.
 #[derive(Debug)]
@@ -37,6 +34,8 @@
     pub ticket: LineTicket,
     /// What it needs.
     pub need: PlaceNeed,
+    /// Node that asked for it; `None` for a call of this node.
+    pub asker: Option<NodeName>,
     /// Where it is told its target.
     pub sender: oneshot::Sender<LineAnswer>,
 }
@@ -60,6 +59,8 @@
     pub crashes: CrashTable,
     /// What peers have to know of such calls.
     pub crash_messages: Vec<(ClockTime, CrashMessage)>,
+    /// Who places generations.
+    pub desk: DeskState,
     /// Other nodes.
     pub peers: PeerTable,
     /// When generations on leaving engines are moved.
@@ -76,7 +77,8 @@
     behind: Option<(u64, ClockTime)>,
     retry: RetryBounds,
     node: NodeName,
-    domain: DomainName,
+    pub(super) domain: DomainName,
+    capacity: CoreShare,
 }
 
 impl GatewayState {
@@ -99,6 +101,8 @@
             is_waiting_at_store: false,
             node: settings.node.clone(),
             domain: settings.domain.clone(),
+            capacity: settings.capacity,
+            desk: DeskState::new(seed),
             streams: 0,
             behind: None,
             retry,
@@ -113,16 +117,14 @@
                     self.line.leave(ticket);
                     continue;
                 };
-                let need = &mut self.waiters[at].need;
-                if need.engine.is_some() {
-                    let rivals = self.peers.waiting_in(now, &self.domain);
-                    match self.pace.take_turn(now, rivals) {
-                        Some(reach) => need.reach = reach,
+                if self.waiters[at].need.engine.is_some() {
+                    match self.take_turn(now) {
+                        Some(reach) => self.waiters[at].need.reach = reach,
                         None => break,
                     }
                 }
                 let choice = self.board.place(now, &self.waiters[at].need);
-                let answer = match choice {
+                let target = match choice {
                     PlaceChoice::Target(name) => Some(name),
                     PlaceChoice::Absent => None,
                     PlaceChoice::Full => break,
@@ -130,19 +132,39 @@
                 self.line.leave(ticket);
                 let waiter = self.waiters.remove(at);
                 let load = waiter.need.load;
-                if let Some(name) = &answer {
-                    self.board.add(name, load);
-                }
-                if let Err(Some(name)) = waiter.sender.send(answer) {
-                    self.board.remove(&name, load);
+                let answer = target.map(|target| LineGrant {
+                    id: self.take_room(now, waiter.asker.as_ref(), &target, load),
+                    target,
+                });
+                if let Err(Some(unused)) = waiter.sender.send(answer) {
+                    self.give_back(unused.id, &unused.target, load);
                 }
             }
         }
     }
 
-    /// Whether calls wait for engines.
+    /// Engines that a waiting call may use now; `None` if it is not this node's turn. A desk places
+    /// alone.
+    fn take_turn(&mut self, now: ClockTime) -> Option<PlaceReach> {
+        if self.is_desk(now) {
+            return Some(PlaceReach::Any);
+        }
+        let rivals = self.peers.waiting_in(now, &self.domain);
+        self.pace.take_turn(now, rivals)
+    }
+
+    /// Whether calls of this node wait for engines.
     pub fn is_waiting(&self) -> bool {
-        self.waiters.iter().any(|one| one.need.engine.is_some())
+        let mut own = self.waiters.iter().filter(|one| one.asker.is_none());
+        own.any(|one| one.need.engine.is_some())
+    }
+
+    /// This node as one that places generations.
+    pub(super) fn own_candidate(&self) -> DeskCandidate {
+        DeskCandidate {
+            node: self.node.clone(),
+            capacity: self.capacity,
+        }
     }
 
     /// Opens the turns of engines that leave.
@@ -219,16 +241,12 @@
     ///
     /// Two nodes of a domain do, since each call to the store is paid for; every other node does
     /// as soon as it is not told for a while that its targets are up to date.
-    pub fn reads_targets(&self, now: ClockTime) -> bool {
+    pub fn reads_targets(&mut self, now: ClockTime) -> bool {
         let age = now.since(self.view.targets_at);
         if self.view.target_items.revision().is_none() || age > UNTOLD_WAIT {
             return true;
         }
-        let peers = self.peers.alive_in(now, &self.domain, READER_ALIVE);
-        let names = peers.iter().map(|(node, _)| node.as_str());
-        let ranked = rank_owners(READER_KEY, names.chain([self.node.as_str()]));
-        let place = ranked.iter().position(|name| *name == self.node.as_str());
-        place.is_some_and(|place| place < READERS)
+        self.desk_place(now).is_some_and(|place| place < READERS)
     }
 
     /// Whether neither the store nor a peer tells this node about targets.
--- a/crates/gateway/src/state/line_place.rs
+++ b/crates/gateway/src/state/line_place.rs
@@ -1,15 +1,15 @@
 use std::time::Duration;
 
-use base::{ErrorKind, TargetName, TimeSpan};
+use base::{ErrorKind, TimeSpan};
 use entry::{LineTicket, LoadSum};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::gateway_state::LineAnswer;
-use super::{GatewayCore, PlaceRefusal};
+use super::{GatewayCore, LineGrant, PlaceRefusal};
 
 /// Advice to callers that found every target full.
-const FULL_RETRY: TimeSpan = TimeSpan::new(600);
+pub const FULL_RETRY: TimeSpan = TimeSpan::new(600);
 
 /// Place of a call in the line; left when its wait ends, also if its caller goes away.
 pub struct LinePlace<'a> {
@@ -39,7 +39,7 @@
     ///
     /// # Errors
     /// If no target has room in time.
-    pub async fn wait(mut self, patience: TimeSpan) -> Result<Option<TargetName>, PlaceRefusal> {
+    pub async fn wait(mut self, patience: TimeSpan) -> Result<Option<LineGrant>, PlaceRefusal> {
         match timeout(Duration::from(patience), &mut self.receiver).await {
             Ok(Ok(answer)) => Ok(answer),
             // The sender stays in the line until it is used, so both mean that time ran out.
@@ -57,8 +57,8 @@
         self.core.with_state(|state, now| {
             state.line.leave(self.ticket);
             state.waiters.retain(|waiter| waiter.ticket != self.ticket);
-            if let Ok(Some(target)) = unused {
-                state.board.remove(&target, self.load);
+            if let Ok(Some(grant)) = unused {
+                state.give_back(grant.id, &grant.target, self.load);
             }
             state.serve_line(now);
         });
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,14 +1,19 @@
 //! State that the tasks of a gateway share.
 
+mod desk_state;
 mod gateway_core;
 mod gateway_state;
+mod line_grant;
 mod line_place;
 mod peer_table;
 mod place_hold;
 mod view_state;
 
-pub use gateway_core::GatewayCore;
+pub use desk_state::DeskState;
+pub use gateway_core::{GatewayCore, RoomAsk};
 pub use gateway_state::GatewayState;
-pub use peer_table::{ALIVE_WAIT, PeerTable};
+pub use line_grant::LineGrant;
+pub use line_place::FULL_RETRY;
+pub use peer_table::{ALIVE_WAIT, PeerFacts, PeerTable};
 pub use place_hold::{PlaceHold, PlaceRefusal};
 pub use view_state::ViewState;
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, DomainName, NodeName, TimeSpan};
+use base::{ClockTime, CoreShare, DomainName, NodeName, TimeSpan};
 
 /// Time since a peer was heard in which it counts as alive; peers of other failure domains are
 /// heard rarely in large fleets.
@@ -15,13 +15,27 @@
 /// Peers known at most.
 const PEER_LIMIT: usize = 512;
 
+/// What a peer says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerFacts {
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// The node.
+    pub node: NodeName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Processor that it may use.
+    pub capacity: CoreShare,
+    /// Whether calls wait there for engines.
+    pub is_waiting: bool,
+    /// Whether it is stopping.
+    pub is_stopping: bool,
+}
+
 #[derive(Clone, Debug)]
 struct PeerEntry {
-    address: SocketAddr,
-    node: NodeName,
-    domain: DomainName,
+    facts: PeerFacts,
     heard_at: ClockTime,
-    is_waiting: bool,
 }
 
 /// Other nodes, as found through seeds and through one another.
@@ -46,6 +60,11 @@
         table
     }
 
+    /// Address of this node for peers.
+    pub fn own_address(&self) -> Option<SocketAddr> {
+        self.own
+    }
+
     /// Replaces the seeds; returns whether they changed.
     pub fn set_seeds(&mut self, mut seeds: Vec<SocketAddr>) -> bool {
         seeds.retain(|seed| Some(*seed) != self.own);
@@ -54,30 +73,18 @@
         changed
     }
 
-    /// Notes that a peer was heard; returns whether it was not alive before.
-    pub fn hear(
-        &mut self,
-        now: ClockTime,
-        node: &NodeName,
-        domain: &DomainName,
-        address: SocketAddr,
-    ) -> bool {
-        self.hinted.retain(|known| *known != address);
+    /// Notes what a peer says of itself; returns whether it was not alive before.
+    pub fn hear(&mut self, now: ClockTime, facts: PeerFacts) -> bool {
+        self.hinted.retain(|known| *known != facts.address);
+        let found = self.find(facts.address);
         let entry = PeerEntry {
-            address,
-            node: node.clone(),
-            domain: domain.clone(),
+            facts,
             heard_at: now,
-            is_waiting: false,
         };
-        match self.find(address) {
+        match found {
             Ok(at) => {
-                let is_waiting = self.peers[at].is_waiting;
                 let was_alive = now.since(self.peers[at].heard_at) < ALIVE_WAIT;
-                self.peers[at] = PeerEntry {
-                    is_waiting,
-                    ..entry
-                };
+                self.peers[at] = entry;
                 !was_alive
             }
             Err(at) if self.peers.len() < PEER_LIMIT => {
@@ -102,7 +109,7 @@
     pub fn alive(&self, now: ClockTime) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
         let alive = peers.filter(|peer| now.since(peer.heard_at) < ALIVE_WAIT);
-        alive.map(|peer| peer.address).collect()
+        alive.map(|peer| peer.facts.address).collect()
     }
 
     /// Notes that a known peer was heard again, and whether its calls wait for engines.
@@ -114,52 +121,62 @@
         is_waiting: bool,
     ) {
         if let Ok(at) = self.find(address)
-            && self.peers[at].node == *node
+            && self.peers[at].facts.node == *node
         {
             self.peers[at].heard_at = now;
-            self.peers[at].is_waiting = is_waiting;
+            self.peers[at].facts.is_waiting = is_waiting;
         }
     }
 
     /// Peers of a failure domain whose calls wait for engines.
     pub fn waiting_in(&self, now: ClockTime, domain: &DomainName) -> usize {
-        let peers = self.peers.iter().filter(|peer| peer.domain == *domain);
+        let peers = self
+            .peers
+            .iter()
+            .filter(|peer| peer.facts.domain == *domain);
         let recent = peers.filter(|peer| now.since(peer.heard_at) < WAITING_EXPIRY);
-        recent.filter(|peer| peer.is_waiting).count()
+        recent.filter(|peer| peer.facts.is_waiting).count()
     }
 
     /// Failure domain of the peer that was heard at an address.
     pub fn domain_of(&self, address: SocketAddr) -> Option<DomainName> {
         let found = self.find(address).ok();
-        found.map(|at| self.peers[at].domain.clone())
+        found.map(|at| self.peers[at].facts.domain.clone())
     }
 
     /// Peers of a failure domain that were heard within `wait`.
-    pub fn alive_in(
-        &self,
-        now: ClockTime,
-        domain: &DomainName,
-        wait: TimeSpan,
-    ) -> Vec<(NodeName, SocketAddr)> {
+    pub fn alive_in(&self, now: ClockTime, domain: &DomainName, wait: TimeSpan) -> Vec<&PeerFacts> {
         let peers = self.peers.iter();
-        let alive = peers.filter(|peer| now.since(peer.heard_at) < wait && peer.domain == *domain);
-        alive
-            .map(|peer| (peer.node.clone(), peer.address))
-            .collect()
+        let alive =
+            peers.filter(|peer| now.since(peer.heard_at) < wait && peer.facts.domain == *domain);
+        alive.map(|peer| &peer.facts).collect()
+    }
+
+    /// Failure domains of peers that are alive, sorted.
+    pub fn domains(&self, now: ClockTime) -> Vec<DomainName> {
+        let peers = self.peers.iter();
+        let alive = peers.filter(|peer| now.since(peer.heard_at) < ALIVE_WAIT);
+        let mut domains: Vec<_> = alive.map(|peer| &peer.facts.domain).collect();
+        domains.sort();
+        domains.dedup();
+        domains.into_iter().cloned().collect()
     }
 
     /// Addresses of all peers of a failure domain that are not forgotten yet.
     pub fn known_in(&self, domain: &DomainName) -> Vec<SocketAddr> {
-        let peers = self.peers.iter().filter(|peer| peer.domain == *domain);
-        peers.map(|peer| peer.address).collect()
+        let peers = self
+            .peers
+            .iter()
+            .filter(|peer| peer.facts.domain == *domain);
+        peers.map(|peer| peer.facts.address).collect()
     }
 
     /// Addresses of these nodes, as far as they are alive.
     pub fn addresses_of(&self, now: ClockTime, nodes: &[NodeName]) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
         let alive = peers.filter(|peer| now.since(peer.heard_at) < ALIVE_WAIT);
-        let named = alive.filter(|peer| nodes.contains(&peer.node));
-        named.map(|peer| peer.address).collect()
+        let named = alive.filter(|peer| nodes.contains(&peer.facts.node));
+        named.map(|peer| peer.facts.address).collect()
     }
 
     /// Addresses that may belong to peers not alive now: seeds, hints and silent peers.
@@ -167,7 +184,7 @@
         self.peers
             .retain(|peer| now.since(peer.heard_at) < FORGET_WAIT);
         let alive = self.alive(now);
-        let silent = self.peers.iter().map(|peer| peer.address);
+        let silent = self.peers.iter().map(|peer| peer.facts.address);
         let mut doubtful: Vec<_> = self.seeds.iter().chain(&self.hinted).copied().collect();
         doubtful.extend(silent);
         doubtful.retain(|address| !alive.contains(address));
@@ -180,7 +197,7 @@
     pub fn share_count(&self, now: ClockTime) -> usize {
         let peers = self.peers.iter();
         let recent = peers.filter(|peer| now.since(peer.heard_at) < SHARE_WAIT);
-        let mut nodes: Vec<_> = recent.map(|peer| &peer.node).collect();
+        let mut nodes: Vec<_> = recent.map(|peer| &peer.facts.node).collect();
         nodes.sort();
         nodes.dedup();
         nodes.len() + 1
@@ -193,6 +210,6 @@
 
     fn find(&self, address: SocketAddr) -> Result<usize, usize> {
         self.peers
-            .binary_search_by(|peer| peer.address.cmp(&address))
+            .binary_search_by(|peer| peer.facts.address.cmp(&address))
     }
 }
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -3,7 +3,7 @@
 
 use base::{DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
 use calls::CrashPrint;
-use entry::{LoadSum, TargetOutcome};
+use entry::{GrantId, LoadSum, TargetOutcome, TargetPhase};
 
 use super::GatewayCore;
 
@@ -60,6 +60,28 @@
         })
     }
 
+    /// Takes over room that a desk granted; `None` if this node knows that the target is not there.
+    pub(crate) fn accept(
+        core: Arc<GatewayCore>,
+        target: TargetName,
+        id: GrantId,
+        load: LoadSum,
+    ) -> Option<Self> {
+        let is_usable = core.with_state(|state, now| {
+            let found = state.board.target(&target);
+            let is_usable = found.is_some_and(|one| one.phase != TargetPhase::Leaving);
+            if is_usable {
+                state.board.add(&target, load);
+                state.desk.accept(now, id);
+            }
+            is_usable
+        });
+        match is_usable {
+            true => Self::new(core, target, load),
+            false => None,
+        }
+    }
+
     /// Load that the call puts on the target.
     pub fn load(&self) -> LoadSum {
         self.load
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,13 +6,13 @@
 
 pub use fake_ports::{FakeStore, ports};
 pub use fake_target::{FakeTarget, TargetMode};
-pub use test_caller::{CallerAnswer, call, get, open_stream};
+pub use test_caller::{CallerAnswer, call, get, open_stream, post};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::TimeSpan;
+use base::{CoreShare, TimeSpan};
 use gateway::{GatewayServer, GatewaySettings, RetryBounds};
 use tokio::time::{Instant, sleep};
 
@@ -33,6 +33,7 @@
         let settings = GatewaySettings {
             node: format!("node-{}", callers.port()).parse().unwrap(),
             domain: domain.parse().unwrap(),
+            capacity: CoreShare(250),
             caller_address: callers,
             ready_address: ready,
             peer_address: peers,
--- a/crates/gateway/tests/gateway/support/test_caller.rs
+++ b/crates/gateway/tests/gateway/support/test_caller.rs
@@ -22,6 +22,18 @@
     read_answer(stream).await
 }
 
+/// Sends bytes to a path and reads until the server closes.
+pub async fn post(address: SocketAddr, path: &str, body: &[u8]) -> CallerAnswer {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let length = body.len();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body).await.unwrap();
+    read_answer(stream).await
+}
+
 async fn read_answer(mut stream: TcpStream) -> CallerAnswer {
     let mut bytes = Vec::new();
     // A reset shows as what arrived before it.
