Serve what can be on time before what is late, and guess lengths instead of believing hints

The line was served by arrival: in overload each call waited until it was late.

Change: the length is guessed from the limit and, weakly, the estimate, and corrected with progress. Engines are filled by what calls hold on average; long outputs leave room for quick ones. The line has lanes: quick and long calls that can still be on time, then late ones, which wait up to three times their latency target instead of being refused. Log lines name prompt, limit and estimate.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod desk;
+mod length;
 mod line;
 mod moves;
 mod retry;
@@ -16,11 +17,12 @@
     ServiceSpec, ServiceWeight, WorkspaceRule,
 };
 pub use desk::{DeskCandidate, GrantId, GrantLedger, RoomGrant, rank_desks};
-pub use line::{LinePace, LineTicket, WaitLine};
+pub use length::OutputGuess;
+pub use line::{LineCall, LinePace, LineTicket, WaitLine};
 pub use moves::{MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
 pub use target::{
     LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetBoard, TargetHealth,
-    TargetOutcome, TargetPhase, TargetRecord, TargetState,
+    TargetOutcome, TargetPhase, TargetRecord, TargetState, reading_time,
 };
 pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- a/crates/entry/src/line/mod.rs
+++ b/crates/entry/src/line/mod.rs
@@ -4,4 +4,4 @@
 mod wait_line;
 
 pub use line_pace::LinePace;
-pub use wait_line::{LineTicket, WaitLine};
+pub use wait_line::{LineCall, LineTicket, WaitLine};
--- a/crates/entry/src/target/load_sum.rs
+++ b/crates/entry/src/target/load_sum.rs
@@ -1,8 +1,22 @@
 use std::ops::{AddAssign, SubAssign};
 
-use base::{ClockTime, DomainName, NodeName, TargetName};
+use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
 use serde::{Deserialize, Serialize};
 
+/// Prompt tokens that an engine reads in a millisecond while it also decodes.
+///
+/// Source: 14 tokens/ms alone, in chunks that alternate with steps of about the same length.
+const PREFILL_RATE: u64 = 7;
+
+/// Time that a busy engine takes to read a prompt of `tokens` tokens.
+///
+/// ```
+/// assert_eq!(entry::reading_time(3_500).as_millis(), 500);
+/// ```
+pub fn reading_time(tokens: u64) -> TimeSpan {
+    TimeSpan::new(tokens / PREFILL_RATE)
+}
+
 /// Load that calls put on one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadSum {
--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -7,7 +7,7 @@
 mod target_record;
 mod target_state;
 
-pub use load_sum::{LoadOrigin, LoadSum, PeerLoads};
+pub use load_sum::{LoadOrigin, LoadSum, PeerLoads, reading_time};
 pub use place_choice::{PlaceChoice, PlaceNeed, PlaceReach};
 pub use target_board::TargetBoard;
 pub use target_health::{TargetHealth, TargetOutcome};
--- a/crates/entry/src/target/place_choice.rs
+++ b/crates/entry/src/target/place_choice.rs
@@ -22,6 +22,8 @@
     pub engine: Option<EngineSpec>,
     /// Load that the call adds.
     pub load: LoadSum,
+    /// Whether its output is short.
+    pub is_quick: bool,
     /// Targets that must not be used.
     pub excluded: Vec<TargetName>,
     /// Failure domain that holds the memory of a generation that moves.
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -6,16 +6,14 @@
 
 use super::{
     LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetOutcome, TargetPhase,
-    TargetRecord, TargetState,
+    TargetRecord, TargetState, reading_time,
 };
 use crate::{EngineSpec, LapseGuard, RoomGrant};
 
-/// Share of an engine's memory that expected peaks may take; the rest absorbs wrong predictions.
-const MEMORY_SHARE: f64 = 0.95;
-/// Prompt tokens that an engine reads in a millisecond while it also decodes.
-///
-/// Source: 14 tokens/ms alone, in chunks that alternate with steps of about the same length.
-const PREFILL_RATE: f64 = 7.0;
+/// Share of an engine's memory that calls may hold on average; the rest absorbs wrong predictions.
+const MEMORY_SHARE: f64 = 0.90;
+/// Share of it that long outputs may hold: what they leave is room for a quick call at any time.
+const LONG_SHARE: f64 = 0.77;
 /// Prompt tokens before an engine beyond which a call waits at the node instead, where it can still go
 /// to the engine that is free first: half a second of reading.
 const PREFILL_LIMIT: u64 = 3_500;
@@ -469,7 +467,12 @@
 /// Expected delay of a call on an engine; `None` if the engine has no room.
 fn engine_cost(state: &TargetState, need: &PlaceNeed, spec: EngineSpec) -> Option<f64> {
     let total = state.total();
-    let limit = f64::from(spec.memory.0) * MEMORY_SHARE;
+    // A generation that moves is lost if it finds no room.
+    let share = match need.is_quick || need.moves_from.is_some() {
+        true => MEMORY_SHARE,
+        false => LONG_SHARE,
+    };
+    let limit = f64::from(spec.memory.0) * share;
     let tokens = (total.tokens + need.load.tokens) as f64;
     if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
         return None;
@@ -478,7 +481,7 @@
         return None;
     }
     let fill = tokens / limit;
-    let prefill = total.prefill as f64 / PREFILL_RATE;
+    let prefill = reading_time(total.prefill).as_millis() as f64;
     Some(prefill + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
 }
 
--- a/crates/entry/tests/queue.rs
+++ b/crates/entry/tests/queue.rs
@@ -1,24 +1,38 @@
 //! The line of waiting calls and the share of second sends.
 
 use base::{ClockTime, ServiceName, TimeSpan};
-use entry::{RetryShare, WaitLine};
+use entry::{LineCall, LineTicket, RetryShare, WaitLine};
 use proptest::prelude::*;
 
 fn service() -> ServiceName {
     "pool".parse().unwrap()
 }
 
+const START_WITHIN: TimeSpan = TimeSpan::from_secs(1);
+
+fn join(line: &mut WaitLine, arrived: u64, service: &ServiceName, priority: u8) -> LineTicket {
+    let arrived = ClockTime::new(arrived);
+    line.join(LineCall {
+        service: service.clone(),
+        priority,
+        arrived,
+        start_by: arrived + START_WITHIN,
+        is_quick: false,
+    })
+}
+
 // Guards against plans that starve behind an endless stream of more urgent calls.
 #[test]
 fn a_call_that_waited_goes_before_more_urgent_ones() {
     let mut line = WaitLine::default();
-    let plan = line.join(ClockTime::new(0), &service(), 2);
-    let early = line.join(ClockTime::new(700), &service(), 0);
-    line.join(ClockTime::new(900), &service(), 0);
-    assert_eq!(line.head(&service()), Some(early));
+    let plan = join(&mut line, 0, &service(), 2);
+    let early = join(&mut line, 700, &service(), 0);
+    join(&mut line, 900, &service(), 0);
+    let now = ClockTime::new(950);
+    assert_eq!(line.head(now, &service()), Some(early));
     line.leave(early);
-    assert_eq!(line.head(&service()), Some(plan));
-    assert_eq!(line.count(&service()), 2);
+    assert_eq!(line.head(now, &service()), Some(plan));
+    assert_eq!(line.count_ahead(now, &service(), false), 2);
 }
 
 // Guards against one service that waits for room and blocks another.
@@ -26,12 +40,59 @@
 fn services_wait_apart() {
     let other: ServiceName = "app".parse().unwrap();
     let mut line = WaitLine::default();
-    line.join(ClockTime::new(0), &service(), 0);
-    let quick = line.join(ClockTime::new(5), &other, 0);
-    assert_eq!(line.head(&other), Some(quick));
+    join(&mut line, 0, &service(), 0);
+    let quick = join(&mut line, 5, &other, 0);
+    assert_eq!(line.head(ClockTime::new(6), &other), Some(quick));
     assert_eq!(line.services().len(), 2);
 }
 
+// Guards against a line in which each call waits for room until it is late, since those that are
+// late already go first: 1.5 times as many calls as there is room for, for 30 s.
+#[test]
+fn calls_that_can_be_on_time_go_before_late_ones() {
+    let mut line = WaitLine::default();
+    let mut waiting = Vec::new();
+    let (mut on_time, mut late) = (0, 0);
+    for ms in 0..30_000 {
+        if ms % 20 == 0 {
+            waiting.push((join(&mut line, ms, &service(), 0), ms));
+        }
+        if ms % 30 == 0
+            && let Some(ticket) = line.head(ClockTime::new(ms), &service())
+        {
+            line.leave(ticket);
+            let at = waiting
+                .iter()
+                .position(|(known, _)| *known == ticket)
+                .unwrap();
+            let (_, arrived) = waiting.remove(at);
+            match ms - arrived <= START_WITHIN.as_millis() {
+                true => on_time += 1,
+                false => late += 1,
+            }
+        }
+    }
+    assert!(late * 50 < on_time, "{on_time} on time, {late} late");
+}
+
+// Guards against quick calls that wait behind long ones.
+#[test]
+fn quick_calls_go_before_long_ones() {
+    let mut line = WaitLine::default();
+    let plan = join(&mut line, 0, &service(), 0);
+    let quick = line.join(LineCall {
+        service: service(),
+        priority: 0,
+        arrived: ClockTime::new(400),
+        start_by: ClockTime::new(900),
+        is_quick: true,
+    });
+    assert_eq!(line.head(ClockTime::new(500), &service()), Some(quick));
+    assert_eq!(line.count_ahead(ClockTime::new(500), &service(), true), 1);
+    // A quick call that is late anyway does not delay one that is not.
+    assert_eq!(line.head(ClockTime::new(950), &service()), Some(plan));
+}
+
 proptest! {
     // Guards against retry storms: all nodes together stay in the budget in every window.
     #[test]
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -41,6 +41,7 @@
             prefill,
             incoming: 0,
         },
+        is_quick: true,
         excluded: Vec::new(),
         moves_from: None,
         reach: PlaceReach::Any,
--- a/crates/gateway/src/desk/desk_client.rs
+++ b/crates/gateway/src/desk/desk_client.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{ErrorKind, TimeSpan};
+use base::{ClockTime, ErrorKind, TargetName, TimeSpan};
 use entry::{PlaceNeed, PlaceReach};
 
 use super::{RoomAnswer, RoomQuestion};
@@ -9,6 +9,21 @@
 use crate::state::{FULL_RETRY, RoomAsk};
 use crate::{GatewayCore, PlaceHold, PlaceRefusal};
 
+/// A call that asks for room.
+#[derive(Clone, Debug)]
+pub struct RoomWish {
+    /// What it needs.
+    pub need: PlaceNeed,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived: ClockTime,
+    /// Time after its arrival within which it has to be placed to be on time.
+    pub start_within: TimeSpan,
+    /// Time for which it waits from now on.
+    pub patience: TimeSpan,
+}
+
 /// What came of asking desks.
 enum DeskEnd {
     Placed(PlaceHold),
@@ -17,21 +32,18 @@
     Alone,
 }
 
-/// Gets room for a call, waiting for at most `patience`: from the desk of the failure domain for a
-/// generation, by what this node knows otherwise.
+/// Gets room for a call: from the desk of the failure domain for a generation, by what this node
+/// knows otherwise.
 ///
 /// # Errors
 /// If there is no target, or none has room in time; the call was not sent.
 pub async fn acquire_room(
     core: &Arc<GatewayCore>,
-    need: &PlaceNeed,
-    priority: u8,
-    patience: TimeSpan,
+    mut wish: RoomWish,
 ) -> Result<PlaceHold, PlaceRefusal> {
     let start = core.now();
-    let mut need = need.clone();
-    if need.engine.is_some() {
-        match ask_desks(core, &need, priority, patience).await {
+    if wish.need.engine.is_some() {
+        match ask_desks(core, &wish).await {
             DeskEnd::Placed(hold) => return Ok(hold),
             DeskEnd::Full => {
                 return Err(PlaceRefusal {
@@ -39,23 +51,31 @@
                     retry_after: FULL_RETRY,
                 });
             }
-            DeskEnd::Alone => need.reach = own_reach(core, &need),
+            DeskEnd::Alone => wish.need.reach = own_reach(core, &wish.need),
         }
     }
-    let waited = core.now().since(start);
+    let now = core.now();
     let ask = RoomAsk {
-        need,
-        priority,
-        waited,
-        patience: patience.saturating_sub(waited),
+        need: wish.need,
+        priority: wish.priority,
+        waited: now.since(wish.arrived),
+        start_within: wish.start_within,
+        patience: wish.patience.saturating_sub(now.since(start)),
         asker: None,
     };
     core.acquire(ask).await
 }
 
 /// Gets room for a generation that moves, at once or not at all.
-pub async fn acquire_now(core: &Arc<GatewayCore>, need: &PlaceNeed) -> Option<PlaceHold> {
-    acquire_room(core, need, 0, TimeSpan::ZERO).await.ok()
+pub async fn acquire_now(core: &Arc<GatewayCore>, need: PlaceNeed) -> Option<PlaceHold> {
+    let wish = RoomWish {
+        need,
+        priority: 0,
+        arrived: core.now(),
+        start_within: TimeSpan::ZERO,
+        patience: TimeSpan::ZERO,
+    };
+    acquire_room(core, wish).await.ok()
 }
 
 /// Engines that a node without a desk may use: it knows what is on those of other domains only if it
@@ -70,26 +90,23 @@
     })
 }
 
-async fn ask_desks(
-    core: &Arc<GatewayCore>,
-    need: &PlaceNeed,
-    priority: u8,
-    patience: TimeSpan,
-) -> DeskEnd {
+async fn ask_desks(core: &Arc<GatewayCore>, wish: &RoomWish) -> DeskEnd {
     let exchange = PeerExchange::new(core.clone());
-    let start = core.now();
+    let need = &wish.need;
+    let end = core.now() + wish.patience;
     let mut declined = Vec::new();
     loop {
         let Some(desk) = find_desk(core) else {
             return DeskEnd::Alone;
         };
-        let waited = core.now().since(start);
+        let now = core.now();
         let question = RoomQuestion {
             node: core.node().clone(),
             need: told_need(core, need, &declined),
-            priority,
-            waited,
-            patience: patience.saturating_sub(waited),
+            priority: wish.priority,
+            waited: now.since(wish.arrived),
+            start_within: wish.start_within,
+            patience: end.since(now),
         };
         match exchange.ask_room(desk, &question).await {
             Some(RoomAnswer::Granted { target, id }) => {
@@ -99,7 +116,7 @@
                     None => declined.push(target),
                 }
             }
-            Some(RoomAnswer::Waiting) if core.now().since(start) < patience => {}
+            Some(RoomAnswer::Waiting) if core.now() < end => {}
             Some(RoomAnswer::Waiting) => return DeskEnd::Full,
             Some(RoomAnswer::Absent) => return DeskEnd::Alone,
             None => core.with_state(|state, now| state.desk.doubt(now, desk)),
@@ -117,7 +134,7 @@
 }
 
 /// The need with what only this node knows of targets.
-fn told_need(core: &GatewayCore, need: &PlaceNeed, declined: &[base::TargetName]) -> PlaceNeed {
+fn told_need(core: &GatewayCore, need: &PlaceNeed, declined: &[TargetName]) -> PlaceNeed {
     let mut need = need.clone();
     core.with_state(|state, now| {
         need.excluded.extend(state.board.barred(now, &need.service));
--- a/crates/gateway/src/desk/desk_server.rs
+++ b/crates/gateway/src/desk/desk_server.rs
@@ -19,6 +19,7 @@
         need: question.need,
         priority: question.priority,
         waited: question.waited,
+        start_within: question.start_within,
         patience: question.patience.min(HOLD_TIME),
         asker: Some(question.node),
     });
--- a/crates/gateway/src/desk/room_message.rs
+++ b/crates/gateway/src/desk/room_message.rs
@@ -11,8 +11,10 @@
     pub need: PlaceNeed,
     /// Rank; 0 goes first.
     pub priority: u8,
-    /// Time for which the call has waited, which keeps its place in the line.
+    /// Time since the call arrived, which keeps its place in the line.
     pub waited: TimeSpan,
+    /// Time after its arrival within which the call has to be placed to be on time.
+    pub start_within: TimeSpan,
     /// Time for which it can wait.
     pub patience: TimeSpan,
 }
--- a/crates/gateway/src/port/call_codec.rs
+++ b/crates/gateway/src/port/call_codec.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use base::{ErrorKind, RequestId, TargetName, TimeSpan, TokenCount, WorkspaceName};
+use entry::OutputGuess;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -16,6 +17,13 @@
     pub output_hint: Option<TokenCount>,
 }
 
+impl GenerationSize {
+    /// Expected length of the output.
+    pub fn guess(&self) -> OutputGuess {
+        OutputGuess::new(self.output_limit, self.output_hint)
+    }
+}
+
 /// What the headers of a caller's request say.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallHead {
--- a/crates/gateway/src/relay/call_audit.rs
+++ b/crates/gateway/src/relay/call_audit.rs
@@ -5,7 +5,7 @@
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
-use crate::{GatewayCore, PlaceHold};
+use crate::{GatewayCore, GenerationSize, PlaceHold};
 
 /// Milliseconds in a second, as metrics count seconds.
 const SECOND_MS: f64 = 1_000.0;
@@ -24,6 +24,8 @@
     pub targets: Vec<TargetName>,
     /// Time until there was room on the first target.
     pub placed_ms: Option<u64>,
+    /// Size of the generation as its caller states it.
+    pub size: Option<GenerationSize>,
     /// Load that the call puts on a target.
     pub load: LoadSum,
     /// Load of others on the last target when it was chosen.
@@ -53,6 +55,7 @@
             version: ConfigVersion::default(),
             targets: Vec::new(),
             placed_ms: None,
+            size: None,
             load: LoadSum::default(),
             load_seen: LoadSum::default(),
             first_ms: None,
@@ -160,6 +163,9 @@
             version = self.version.0,
             targets = targets.join(",").as_str(),
             placed_ms = self.placed_ms.unwrap_or_default(),
+            prompt = self.size.map_or(0, |size| size.prompt.0),
+            output_limit = self.size.map_or(0, |size| size.output_limit.0),
+            output_hint = self.size.and_then(|size| size.output_hint).map_or(0, |hint| hint.0),
             load_tokens = self.load.tokens,
             seen_calls = self.load_seen.calls,
             seen_tokens = self.load_seen.tokens,
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -82,6 +82,7 @@
         }
     };
     audit.request = Some(head.request.clone());
+    audit.size = head.generation;
     let Some(config) = core.config() else {
         return Err(refuse(core, audit, ErrorKind::NotReady));
     };
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -3,11 +3,12 @@
 use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
 use bytes::Bytes;
 use calls::{CrashPrint, CrashVerdict};
-use entry::{EngineSpec, LoadSum, PlaceNeed, PlaceReach, RouteRule};
+use entry::{EngineSpec, LoadSum, PlaceNeed, PlaceReach, RouteRule, reading_time};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
 use tokio::time::Instant;
 
+use crate::desk::RoomWish;
 use crate::{CallHead, GatewayCore};
 
 /// Headers that concern one connection only.
@@ -26,6 +27,9 @@
 /// Time of an engine for one output token beside others.
 const TOKEN_TIME: TimeSpan = TimeSpan::new(12);
 
+/// Time until an engine begins with a prompt, and until its first event is made and relayed.
+const ENGINE_DELAY: TimeSpan = TimeSpan::new(450);
+
 /// A call that was read, matched with its route and admitted by key.
 pub struct CallInput {
     /// Method of the request.
@@ -78,6 +82,22 @@
         (latency + output).min(self.route.timeout)
     }
 
+    /// Whether the output is short.
+    pub fn is_quick(&self) -> bool {
+        let size = self.head.generation.filter(|_| self.engine.is_some());
+        size.is_none_or(|size| size.guess().is_quick())
+    }
+
+    /// Time after the arrival within which the call has to be placed to be on time.
+    pub fn start_within(&self) -> TimeSpan {
+        let target = self.route.latency_target;
+        let Some(size) = self.head.generation.filter(|_| self.engine.is_some()) else {
+            return target;
+        };
+        let reading = reading_time(u64::from(size.prompt.0));
+        target.saturating_sub(reading + ENGINE_DELAY)
+    }
+
     /// Load that the call puts on a target.
     pub fn load(&self) -> LoadSum {
         let Some(size) = self.head.generation.filter(|_| self.engine.is_some()) else {
@@ -86,22 +106,32 @@
                 ..LoadSum::default()
             };
         };
-        let limit = size.output_limit.0;
-        let output = size.output_hint.map_or(limit, |hint| hint.0.min(limit));
         LoadSum {
             calls: 1,
-            tokens: u64::from(size.prompt.0) + u64::from(output),
+            tokens: u64::from(size.prompt.0) + size.guess().held(),
             prefill: u64::from(size.prompt.0),
             incoming: 0,
         }
     }
 
+    /// The call as one that waits for room for at most `patience`.
+    pub fn wish(&self, need: PlaceNeed, patience: TimeSpan) -> RoomWish {
+        RoomWish {
+            need,
+            priority: self.priority,
+            arrived: self.arrived,
+            start_within: self.start_within(),
+            patience,
+        }
+    }
+
     /// What the call needs of a target; targets where it must not run are excluded.
     pub fn need(&self, core: &GatewayCore) -> PlaceNeed {
         PlaceNeed {
             service: self.service.clone(),
             engine: self.engine,
             load: self.load(),
+            is_quick: self.is_quick(),
             excluded: core.with_state(|state, now| {
                 if state.crashes.judge(now, self.print) == CrashVerdict::Free {
                     return Vec::new();
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -50,7 +50,7 @@
     let mut failed = None;
     for _ in 0..SEND_TRIES {
         let patience = call.route.latency_target.min(call.remaining(core.now()));
-        let mut hold = match acquire_room(core, &need, call.priority, patience).await {
+        let mut hold = match acquire_room(core, call.wish(need.clone(), patience)).await {
             Ok(hold) => hold,
             Err(refusal) => {
                 if let Some(answer) = failed {
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -16,8 +16,9 @@
 
 /// Targets that are tried for one stream when nothing was sent or it was refused.
 const SEND_TRIES: usize = 4;
-/// Share of the latency target for which a stream waits for room; the rest is for its prompt.
-const LINE_SHARE: (u64, u64) = (3, 4);
+/// Times its latency target for which a stream waits for room; callers give up at four times, and
+/// the prompt has to be read by then.
+const LINE_TARGETS: u64 = 3;
 /// Advice to callers whose stream was refused by every target that was tried.
 const REFUSED_RETRY: TimeSpan = TimeSpan::new(500);
 
@@ -29,12 +30,13 @@
 ) -> Response<WebBody> {
     let deadline = call.deadline_instant(core.now());
     let mut need = call.need(&core);
-    let line_wait = call.route.latency_target * LINE_SHARE.0 / LINE_SHARE.1;
+    let line_wait = call.route.latency_target * LINE_TARGETS;
     let line_end = call.arrived + line_wait;
     for _ in 0..SEND_TRIES {
         let now = core.now();
         let patience = line_end.since(now).min(call.remaining(now));
-        let acquired = acquire_room(&core, &need, call.priority, patience).await;
+        let wish = call.wish(need.clone(), patience);
+        let acquired = acquire_room(&core, wish).await;
         let mut hold = match acquired {
             Ok(hold) => hold,
             Err(refusal) => {
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -42,13 +42,14 @@
             service: self.call.service.clone(),
             engine: self.call.engine,
             load,
+            is_quick: false,
             excluded,
             moves_from: Some(self.hold.domain.clone()),
             reach: PlaceReach::Any,
             delays: Vec::new(),
         };
         let core = self.core.clone();
-        self.placing = Some(tokio::spawn(async move { acquire_now(&core, &need).await }));
+        self.placing = Some(tokio::spawn(async move { acquire_now(&core, need).await }));
     }
 
     /// Starts the move to an engine with room, or looks again later.
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::TargetName;
+use base::{TargetName, TokenCount};
 use bytes::Bytes;
-use entry::{MovePhase, MovePlan, StreamFacts};
+use entry::{MovePhase, MovePlan, OutputGuess, StreamFacts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -77,6 +77,8 @@
     pub(super) splitter: EventSplitter,
     pub(super) is_framed: bool,
     pub(super) facts: StreamFacts,
+    guess: OutputGuess,
+    event_tokens: u32,
     pub(super) last_event: Option<SmolStr>,
     pub(super) last_number: Option<u64>,
     pub(super) plan: MovePlan,
@@ -97,7 +99,8 @@
     pub fn new(parts: PumpParts) -> Self {
         let size = parts.call.head.generation;
         let event_tokens = parts.call.engine.map_or(1, |spec| spec.event_tokens.max(1));
-        let limit = size.map_or(u32::MAX, |size| size.output_limit.0);
+        let limit = size.map_or(TokenCount(u32::MAX), |size| size.output_limit);
+        let guess = size.map_or(OutputGuess::new(limit, None), |size| size.guess());
         Self {
             is_framed: parts.head.is_framed(),
             leaving: parts.core.watch_leaving(),
@@ -105,8 +108,10 @@
             facts: StreamFacts {
                 first_at: None,
                 events: 0,
-                event_limit: limit.div_ceil(event_tokens),
+                event_limit: limit.0.div_ceil(event_tokens),
             },
+            guess,
+            event_tokens,
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + IDLE,
             turn: TurnState::Idle,
@@ -241,6 +246,18 @@
             self.hold.end_prefill();
             self.consider_move();
         }
+        self.note_length();
+    }
+
+    /// Corrects the load of a generation that outgrows its guess.
+    fn note_length(&mut self) {
+        let made = self.facts.events.saturating_mul(self.event_tokens);
+        let guess = self.guess.after(TokenCount(made));
+        if guess != self.guess {
+            let more = guess.held().saturating_sub(self.guess.held());
+            self.hold.add_tokens(more);
+            self.guess = guess;
+        }
     }
 
     /// The stream ended with its end.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use base::{ClockTime, ErrorKind, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
-use entry::{LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
+use entry::{LineCall, LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use web::{ConnectionPool, PoolSettings};
@@ -32,8 +32,10 @@
     pub need: PlaceNeed,
     /// Rank; 0 goes first.
     pub priority: u8,
-    /// Time for which it has waited.
+    /// Time since it arrived.
     pub waited: TimeSpan,
+    /// Time after its arrival within which it has to be placed to be on time.
+    pub start_within: TimeSpan,
     /// Time for which it can wait; a call without patience passes over the line.
     pub patience: TimeSpan,
     /// Node that asks; `None` for a call of this node.
@@ -353,7 +355,11 @@
 }
 
 fn enter_line(state: &mut GatewayState, now: ClockTime, ask: RoomAsk) -> LineEntry {
-    let is_next = ask.patience == TimeSpan::ZERO || state.line.count(&ask.need.service) == 0;
+    let service = ask.need.service.clone();
+    let arrived = ClockTime::new(now.as_millis().saturating_sub(ask.waited.as_millis()));
+    let is_quick = ask.need.is_quick;
+    let is_next =
+        ask.patience == TimeSpan::ZERO || state.line.count_ahead(now, &service, is_quick) == 0;
     let choice = match is_next {
         true => state.board.place(now, &ask.need),
         false => PlaceChoice::Full,
@@ -365,8 +371,13 @@
         }
         PlaceChoice::Absent => LineEntry::Absent,
         PlaceChoice::Full => {
-            let joined_at = ClockTime::new(now.as_millis().saturating_sub(ask.waited.as_millis()));
-            let ticket = state.line.join(joined_at, &ask.need.service, ask.priority);
+            let ticket = state.line.join(LineCall {
+                service,
+                priority: ask.priority,
+                arrived,
+                start_by: arrived + ask.start_within,
+                is_quick,
+            });
             let (sender, receiver) = oneshot::channel();
             state.waiters.push(LineWaiter {
                 ticket,
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -112,7 +112,7 @@
     /// Gives room on targets to waiting calls, in their order.
     pub fn serve_line(&mut self, now: ClockTime) {
         for service in self.line.services() {
-            while let Some(ticket) = self.line.head(&service) {
+            while let Some(ticket) = self.line.head(now, &service) {
                 let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                     self.line.leave(ticket);
                     continue;
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -109,6 +109,17 @@
         });
     }
 
+    /// Notes that the call holds more memory than was expected.
+    pub fn add_tokens(&mut self, tokens: u64) {
+        self.load.tokens += tokens;
+        let more = LoadSum {
+            tokens,
+            ..LoadSum::default()
+        };
+        self.core
+            .with_state(|state, _| state.board.add(&self.target, more));
+    }
+
     /// Notes that nothing more is copied to the target for this call.
     pub fn end_copy(&mut self) {
         let incoming = LoadSum {
