Let two desks read targets for the whole fleet, and new nodes ask peers first

Change: the desks of two domains read for all; they pass changes to the desks of the other domains, which pass them on. Their calls wait 0.6 s at most, so the age that the fleet is told is that of the store's last answer. Who is not told for 1.1 s reads itself, in the order in which nodes can be desks, so that an outage is probed by a few nodes first. Nodes that start ask peers for 0.8 s before the store. Calls for the configuration wait 25 s instead of 12.

--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -11,7 +11,7 @@
 use crate::{EngineSpec, LapseGuard, RoomGrant};
 
 /// Share of an engine's memory that calls may hold on average; the rest absorbs wrong predictions.
-const MEMORY_SHARE: f64 = 0.90;
+const MEMORY_SHARE: f64 = 0.9;
 /// Share of it that long outputs may hold: what they leave is room for a quick call at any time.
 const LONG_SHARE: f64 = 0.77;
 /// Prompt tokens before an engine beyond which a call waits at the node instead, where it can still go
--- a/crates/gateway/src/feed/view_feed.rs
+++ b/crates/gateway/src/feed/view_feed.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::EventKind;
+use base::{EventKind, TimeSpan};
 use tokio::time::sleep;
 
 use crate::peer::PeerExchange;
@@ -9,6 +9,11 @@
 
 /// Pause between two waits for changes, so that changes in quick succession share a call.
 const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// Time for which the store holds a call for changes of the configuration.
+const CONFIG_WAIT: TimeSpan = TimeSpan::from_secs(25);
+/// Time for which it holds one for changes of targets: each answer shows that the targets are up to
+/// date, which the fleet is told.
+const TARGETS_WAIT: TimeSpan = TimeSpan::new(600);
 /// Pause before a node that is not a reader looks whether it has become one.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a first failure; a waiting call may be cut without any outage.
@@ -57,9 +62,10 @@
         }
     }
 
-    /// Whether this node reads the area itself; others tell it the targets otherwise.
+    /// Whether this node reads the area itself now.
     fn is_reader(&self) -> bool {
-        self.area == ViewArea::Config || self.core.with_state(|state, now| state.reads_targets(now))
+        let area = self.area;
+        self.core.with_state(|state, now| state.reads(now, area))
     }
 
     fn set_waiting(&self, is_waiting: bool) {
@@ -81,7 +87,7 @@
             return self.read_anew().await;
         };
         self.set_waiting(true);
-        let waited = source.wait_changes(area, known).await;
+        let waited = source.wait_changes(area, known, wait_of(area)).await;
         self.set_waiting(false);
         match waited {
             Ok(batch) => {
@@ -147,3 +153,10 @@
         );
     }
 }
+
+fn wait_of(area: ViewArea) -> TimeSpan {
+    match area {
+        ViewArea::Config => CONFIG_WAIT,
+        ViewArea::Targets => TARGETS_WAIT,
+    }
+}
--- a/crates/gateway/src/peer/item_news.rs
+++ b/crates/gateway/src/peer/item_news.rs
@@ -5,6 +5,17 @@
 
 use crate::{GatewayCore, ViewArea};
 
+/// What news of a peer meant for this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsEnd {
+    /// They changed something.
+    New,
+    /// Everything was known.
+    Known,
+    /// Changes before these are missing.
+    Missing,
+}
+
 /// Changes of the items of one area, as one node passes them to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ItemNews {
@@ -42,8 +53,8 @@
         })
     }
 
-    /// Takes what a peer says; returns whether changes before these are missing.
-    pub fn apply(self, core: &GatewayCore, area: ViewArea) -> bool {
+    /// Takes what a peer says.
+    pub fn apply(self, core: &GatewayCore, area: ViewArea) -> NewsEnd {
         let known = core.with_state(|state, _| state.view.mirror(area).revision());
         match (self.base, known) {
             (None, _) => {
@@ -51,18 +62,22 @@
                     ItemChange::Written(item) => Some(item),
                     ItemChange::Removed { .. } => None,
                 });
-                core.take_items(area, self.revision, items.collect(), "peer");
-                false
+                match core.take_items(area, self.revision, items.collect(), "peer") {
+                    true => NewsEnd::New,
+                    false => NewsEnd::Known,
+                }
             }
             (Some(base), Some(known)) if known >= base => {
                 let batch = crate::ItemBatch {
                     revision: self.revision,
                     changes: self.changes,
                 };
-                core.take_batch(area, batch, "peer");
-                false
+                match core.take_batch(area, batch, "peer") {
+                    true => NewsEnd::New,
+                    false => NewsEnd::Known,
+                }
             }
-            (Some(_), _) => true,
+            (Some(_), _) => NewsEnd::Missing,
         }
     }
 }
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -7,7 +7,7 @@
 mod peer_exchange;
 mod peer_server;
 
-pub use item_news::ItemNews;
+pub use item_news::{ItemNews, NewsEnd};
 pub use load_news::LoadNews;
 pub use load_push::LoadPush;
 pub use node_digest::NodeDigest;
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -99,19 +99,41 @@
         }
     }
 
-    /// Tells the peers of the own failure domain at once what changed of the targets after `base`.
+    /// Tells the own failure domain and the desks of the others at once what changed of the targets
+    /// after `base`.
     ///
     /// Only the changes: in a release, whole lists for a domain of 50 nodes fill a link of
     /// 10 Mbit/s for seconds.
     pub fn push_changes(&self, base: u64) {
+        let mut addresses = self.near_peers();
+        let domains = self.core.with_state(|state, now| state.peers.domains(now));
+        let own = &self.core.settings.domain;
+        for domain in domains.iter().filter(|domain| *domain != own) {
+            addresses.extend(self.desks_of(domain));
+        }
+        self.send_changes(base, &addresses);
+    }
+
+    /// Passes on what another failure domain told of changes of targets, if this node is the desk.
+    pub fn pass_on(&self, sender: SocketAddr, base: u64) {
+        let is_ours = self.core.with_state(|state, now| {
+            let is_far = state.peers.domain_of(sender).as_ref() != Some(&self.core.settings.domain);
+            is_far && state.is_desk(now)
+        });
+        if is_ours {
+            self.send_changes(base, &self.near_peers());
+        }
+    }
+
+    fn send_changes(&self, base: u64, addresses: &[SocketAddr]) {
         let Some(news) = ItemNews::of_core(&self.core, ViewArea::Targets, Some(base)) else {
             return;
         };
-        for address in self.near_peers() {
+        for address in addresses {
             let Some(body) = encode_body(&news) else {
                 return;
             };
-            let exchange = self.clone();
+            let (exchange, address) = (self.clone(), *address);
             // A failure is logged there; a later digest tells that the peer lags behind.
             tokio::spawn(async move {
                 let path = CHANGES_PATH;
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -10,7 +10,7 @@
 use super::peer_exchange::{
     CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, ROOM_PATH, TARGETS_PATH,
 };
-use super::{ItemNews, LoadNews, NodeDigest};
+use super::{ItemNews, LoadNews, NewsEnd, NodeDigest};
 use crate::desk::take_ask;
 use crate::{GatewayCore, ViewArea};
 
@@ -99,9 +99,12 @@
     let Some(news) = read_message::<ItemNews>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
-    let address = news.address;
-    if news.apply(core, ViewArea::Targets) {
-        PeerExchange::new(core.clone()).spawn_fetch(address, vec![ViewArea::Targets]);
+    let (address, base) = (news.address, news.base);
+    let exchange = PeerExchange::new(core.clone());
+    match (news.apply(core, ViewArea::Targets), base) {
+        (NewsEnd::New, Some(base)) => exchange.pass_on(address, base),
+        (NewsEnd::Missing, _) => exchange.spawn_fetch(address, vec![ViewArea::Targets]),
+        (NewsEnd::New | NewsEnd::Known, _) => {}
     }
     encoded(&())
 }
--- a/crates/gateway/src/port/view_source.rs
+++ b/crates/gateway/src/port/view_source.rs
@@ -1,3 +1,4 @@
+use base::TimeSpan;
 use entry::{ItemChange, PublishedItem};
 use snafu::Snafu;
 use strum::{Display, EnumString};
@@ -58,10 +59,11 @@
         area: ViewArea,
     ) -> PortFuture<'_, Result<(u64, Vec<PublishedItem>), SourceFailure>>;
 
-    /// Waits for changes after a revision; an empty batch after some time without any.
+    /// Waits for changes after a revision; an empty batch after `wait` without any.
     fn wait_changes(
         &self,
         area: ViewArea,
         after: u64,
+        wait: TimeSpan,
     ) -> PortFuture<'_, Result<ItemBatch, SourceFailure>>;
 }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -231,13 +231,15 @@
     }
 
     /// Takes all items of an area; `from` tells who sent them.
+    ///
+    /// Returns whether anything changed.
     pub fn take_items(
         &self,
         area: ViewArea,
         revision: u64,
         items: Vec<entry::PublishedItem>,
         from: &str,
-    ) {
+    ) -> bool {
         let changed = self.with_state(|state, now| {
             state.view.confirm(area, now);
             state.view.mirror_mut(area).replace(revision, items)
@@ -245,6 +247,7 @@
         if changed {
             self.adopt(area, from);
         }
+        changed
     }
 
     /// Lets time pass.
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,4 +1,6 @@
-use base::{ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
+use base::{
+    ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
+};
 use calls::{CrashLimits, CrashMessage, CrashTable};
 use entry::{
     DeskCandidate, LinePace, LineTicket, MoveTurns, PlaceChoice, PlaceNeed, PlaceReach, RetryShare,
@@ -7,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::{DeskState, LineGrant, PeerTable, ViewState};
-use crate::{GatewaySettings, RetryBounds};
+use crate::{GatewaySettings, RetryBounds, ViewArea};
 
 /// Crash messages that are repeated to peers.
 const CRASH_MESSAGE_LIMIT: usize = 64;
@@ -17,13 +19,25 @@
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
-/// Desks of a failure domain that read the targets from the store for its other nodes.
+/// Nodes that read the targets from the store for the whole fleet.
 const READERS: usize = 2;
-/// Age of the targets at which any node reads them itself.
-const UNTOLD_WAIT: TimeSpan = TimeSpan::new(1_200);
+/// Key by which the failure domains of these nodes are ranked.
+const READER_KEY: &str = "targets";
+/// Time after the start in which a node waits for peers to tell it what is published.
+const FIRST_WAIT: TimeSpan = TimeSpan::new(800);
+/// Age of the targets at which the desk of a failure domain reads them itself.
+const UNTOLD_WAIT: TimeSpan = TimeSpan::new(1_100);
+/// Time by which each further node of the domain does so later.
+const UNTOLD_STEP: TimeSpan = TimeSpan::new(150);
+/// Steps at most.
+const UNTOLD_STEPS: u64 = 20;
 /// Age of the targets, while the store is lost, at which engines are asked whether they leave.
 const BLIND_WAIT: TimeSpan = TimeSpan::new(700);
 
+/// Age of the targets at which they are asked by a node that does not read the store; it is told
+/// within 1.4 s through desks.
+const UNTOLD_BLIND_WAIT: TimeSpan = TimeSpan::new(1_600);
+
 /// Answer to a call that waits in the line: its room, or none if the service has no target.
 pub type LineAnswer = Option<LineGrant>;
 
@@ -218,13 +232,9 @@
         }
     }
 
-    /// Time since the targets were known to be up to date; zero while this node waits for changes
-    /// at the store itself.
+    /// Time since the targets were known to be up to date.
     pub fn targets_age(&self, now: ClockTime) -> Option<TimeSpan> {
         self.view.target_items.revision()?;
-        if self.is_waiting_at_store && !self.view.guard.is_lost() {
-            return Some(TimeSpan::ZERO);
-        }
         Some(now.since(self.view.targets_at))
     }
 
@@ -237,21 +247,57 @@
         }
     }
 
-    /// Whether this node reads the targets from the store itself, for its failure domain.
+    /// Whether this node reads an area from the store itself, rather than hearing of it from peers.
+    pub fn reads(&mut self, now: ClockTime, area: ViewArea) -> bool {
+        if self.view.mirror(area).revision().is_none() {
+            // Peers answer sooner than the store to a node that restarts, and at no price.
+            return self.peers.is_seed() || now.since(ClockTime::ZERO) > FIRST_WAIT;
+        }
+        match area {
+            ViewArea::Config => true,
+            ViewArea::Targets => self.reads_targets(now),
+        }
+    }
+
+    /// Whether this node reads changes of targets.
     ///
-    /// Two nodes of a domain do, since each call to the store is paid for; every other node does
-    /// as soon as it is not told for a while that its targets are up to date.
+    /// The desks of two failure domains do for the whole fleet, since each call to the store is paid
+    /// for. Every other node does when it is not told for a while that its targets are up to date,
+    /// in the order in which they can be desks: the first that the store answers tells the others.
     pub fn reads_targets(&mut self, now: ClockTime) -> bool {
-        let age = now.since(self.view.targets_at);
-        if self.view.target_items.revision().is_none() || age > UNTOLD_WAIT {
+        if self.is_target_reader(now) {
             return true;
         }
-        self.desk_place(now).is_some_and(|place| place < READERS)
+        let place = self.desk_place(now).map_or(u64::MAX, |place| place as u64);
+        let later = UNTOLD_STEP * place.min(UNTOLD_STEPS);
+        now.since(self.view.targets_at) > UNTOLD_WAIT + later
+    }
+
+    /// Whether this node is one of those that read targets for the whole fleet.
+    pub fn is_target_reader(&mut self, now: ClockTime) -> bool {
+        let Some(place) = self.desk_place(now) else {
+            return false;
+        };
+        let mut domains = self.peers.domains(now);
+        domains.push(self.domain.clone());
+        domains.sort();
+        domains.dedup();
+        let names = domains.iter().map(DomainName::as_str);
+        let ranked = rank_owners(READER_KEY, names);
+        let rank = ranked.iter().position(|name| *name == self.domain.as_str());
+        match domains.len() {
+            1 => place < READERS,
+            _ => place == 0 && rank.is_some_and(|rank| rank < READERS),
+        }
     }
 
     /// Whether neither the store nor a peer tells this node about targets.
     pub fn is_blind(&self, now: ClockTime) -> bool {
-        self.view.guard.is_lost() && now.since(self.view.targets_at) > BLIND_WAIT
+        let limit = match self.view.guard.is_lost() {
+            true => BLIND_WAIT,
+            false => UNTOLD_BLIND_WAIT,
+        };
+        now.since(self.view.targets_at) > limit
     }
 
     /// Takes new settings; returns whether anything changed.
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     own: Option<SocketAddr>,
+    is_seed: bool,
     seeds: Vec<SocketAddr>,
     /// Sorted by address.
     peers: Vec<PeerEntry>,
@@ -65,9 +66,17 @@
         self.own
     }
 
+    /// Whether others find the fleet through this node.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
     /// Replaces the seeds; returns whether they changed.
     pub fn set_seeds(&mut self, mut seeds: Vec<SocketAddr>) -> bool {
+        let count = seeds.len();
         seeds.retain(|seed| Some(*seed) != self.own);
+        // A node without seeds has nobody to wait for.
+        self.is_seed = seeds.len() < count || seeds.is_empty();
         let changed = self.seeds != seeds;
         self.seeds = seeds;
         changed
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -84,7 +84,7 @@
 
 fn is_reader(gateway: &Gateway) -> bool {
     let core = gateway.server.core();
-    core.with_state(|state, now| state.reads_targets(now))
+    core.with_state(|state, now| state.is_target_reader(now))
 }
 
 /// Waits until all nodes hear one another, as other numbers of readers are seen before.
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -108,12 +108,13 @@
         &self,
         area: ViewArea,
         after: u64,
+        wait: TimeSpan,
     ) -> PortFuture<'_, Result<ItemBatch, SourceFailure>> {
         Box::pin(async move {
             self.store.check(area)?;
             let mut revision = self.store.revision.subscribe();
             let newer = revision.wait_for(|revision| *revision > after);
-            let _ = timeout(Duration::from_millis(500), newer).await;
+            let _ = timeout(Duration::from(wait), newer).await;
             self.store.check(area)?;
             // A removal is told by reading anew.
             let (revision, items) = self.store.all(area);
