Let nodes find their desk in a large fleet, with fewer digests

Change: a digest names desks of all domains and some nodes of the receiver's own, drawn anew; nodes try four named peers a round. Nodes that are no desks meet one near peer and a desk in a round, and a far desk every two seconds. Entries that did not change are not read again.

Tests listen on hosts of their own: with 39 nodes, a port chosen as free was taken by a connection of another test once.

--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -3,13 +3,17 @@
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
 use calls::CrashMessage;
 use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
-use crate::state::PeerFacts;
+use crate::state::{GatewayState, PeerFacts};
 use crate::{GatewayCore, ViewArea};
 
-/// Addresses of other nodes in one digest; a few suffice, as every exchange carries others.
-const ADDRESS_LIMIT: usize = 16;
+/// Addresses of nodes of the receiver's failure domain in one digest; a few suffice, as every
+/// exchange carries others.
+const NEAR_ADDRESSES: usize = 12;
+/// Addresses of desks of each failure domain in one digest.
+const DESK_ADDRESSES: usize = 2;
 /// Desks of a failure domain that tell others what is on its engines; other nodes hear less.
 const SUM_DESKS: usize = 2;
 /// Time after its start from which a node can tell what is on the engines of its domain: until
@@ -61,8 +65,7 @@
             let is_desk = state.desk_place(now).is_some_and(|place| place < SUM_DESKS);
             let knows_all = is_desk && now.since(ClockTime::default()) > SUMS_AFTER;
             let far = far.filter(|_| knows_all);
-            let mut addresses = state.peers.alive(now);
-            addresses.truncate(ADDRESS_LIMIT);
+            let addresses = known_addresses(state, now, receiver);
             Self {
                 node: core.node().clone(),
                 address: core.settings.peer_address,
@@ -147,6 +150,25 @@
     }
 }
 
+/// Addresses that help a node of the domain `receiver`: its desks and some of its other nodes, drawn
+/// anew each time so that all become known, and the desks of other domains.
+fn known_addresses(
+    state: &mut GatewayState,
+    now: ClockTime,
+    receiver: Option<&DomainName>,
+) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for domain in state.peers.domains(now) {
+        let mut ranked = state.far_desks(now, &domain);
+        let rest = ranked.split_off(ranked.len().min(DESK_ADDRESSES));
+        addresses.extend(ranked);
+        if receiver.is_none_or(|receiver| *receiver == domain) {
+            addresses.extend(rest.choose_multiple(&mut rand::rng(), NEAR_ADDRESSES));
+        }
+    }
+    addresses
+}
+
 /// Whose loads a message of a node tells.
 pub(super) fn peer_origin(core: &GatewayCore, domain: &DomainName, node: &NodeName) -> LoadOrigin {
     match *domain == core.settings.domain {
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -32,14 +32,16 @@
 /// Time between two rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(250);
 /// Peers of the own failure domain in one round, beside a desk.
-const ROUND_NEAR: usize = 2;
+const ROUND_NEAR: usize = 1;
 /// Desks of the own failure domain, which hear each node in every second round.
 const DESKS: usize = 2;
-/// Peers of other failure domains in one round of a node that is no desk.
-const ROUND_FAR: usize = 1;
-/// Silent peers of the own failure domain in one round; nodes that were cut off are heard by all of
-/// their domain within a second after that ends.
-const ROUND_SILENT: usize = 2;
+/// Rounds between two exchanges of a node that is no desk with a desk of another failure domain.
+const FAR_ROUNDS: u32 = 8;
+/// Silent peers of the own failure domain in one round; a node that was cut off tries its desk and
+/// seeds, too, and is heard by all of its domain through them.
+const ROUND_SILENT: usize = 1;
+/// Peers that others named and that this node has not heard yet, in one round.
+const ROUND_HINTED: usize = 4;
 /// Time since a peer of the own domain was heard in which it is told of news at once.
 const NEAR_ALIVE: TimeSpan = TimeSpan::from_secs(5);
 /// Rounds between two tries of addresses that did not answer.
@@ -154,12 +156,11 @@
     fn pick_peers(&self, round: u32) -> Vec<SocketAddr> {
         let near = self.near_peers();
         let domain = &self.core.settings.domain;
-        let (mut far, mut silent, doubtful) = self.core.with_state(|state, now| {
+        let (mut silent, doubtful, hinted) = self.core.with_state(|state, now| {
             let silent = state.peers.known_in(domain);
-            (state.peers.alive(now), silent, state.peers.doubtful(now))
+            let hinted = state.peers.hinted().to_vec();
+            (silent, state.peers.doubtful(now), hinted)
         });
-        let has_alive = !far.is_empty();
-        far.retain(|address| !silent.contains(address));
         silent.retain(|address| !near.contains(address));
         let mut random = rand::rng();
         let mut picked: Vec<_> = near
@@ -167,9 +168,9 @@
             .copied()
             .collect();
         picked.extend(self.pick_desks(round));
-        picked.extend(far.choose_multiple(&mut random, ROUND_FAR));
+        picked.extend(hinted.choose_multiple(&mut random, ROUND_HINTED));
         picked.extend(silent.choose_multiple(&mut random, ROUND_SILENT));
-        if round.is_multiple_of(DOUBT_ROUNDS) || !has_alive {
+        if round.is_multiple_of(DOUBT_ROUNDS) || near.is_empty() {
             picked.extend(doubtful.choose(&mut random).copied());
         }
         picked.sort();
@@ -186,13 +187,15 @@
             let near: Vec<_> = near.collect();
             let turn = round as usize % DESKS;
             let mut picked: Vec<_> = near.get(turn).copied().into_iter().collect();
-            if state.desk_place(now).is_some_and(|place| place < DESKS) {
-                let domains = state.peers.domains(now).into_iter();
-                let far = domains.filter(|domain| *domain != self.core.settings.domain);
-                picked.extend(
-                    far.filter_map(|domain| state.far_desks(now, &domain).first().copied()),
-                );
+            let mut far = state.peers.domains(now);
+            far.retain(|domain| *domain != self.core.settings.domain);
+            if state.desk_place(now).is_none_or(|place| place >= DESKS) {
+                let is_due = round.is_multiple_of(FAR_ROUNDS);
+                let one = far.choose(&mut rand::rng()).filter(|_| is_due).cloned();
+                far = one.into_iter().collect();
             }
+            let first = |domain: &DomainName| state.far_desks(now, domain).first().copied();
+            picked.extend(far.iter().filter_map(first));
             picked
         })
     }
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Addresses that peers named and that have not answered yet.
+    pub fn hinted(&self) -> &[SocketAddr] {
+        &self.hinted
+    }
+
     /// Addresses of peers that are alive.
     pub fn alive(&self, now: ClockTime) -> Vec<SocketAddr> {
         let peers = self.peers.iter();
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -2,9 +2,19 @@
 
 use base::ClockTime;
 use entry::{ConfigVersion, ItemMirror, LapseGuard, ServeConfig, TargetRecord};
+use smol_str::SmolStr;
 
 use crate::{DecodeFailure, ViewArea, ViewCodec};
 
+/// What one version of the entry of a target means.
+#[derive(Clone, Debug)]
+struct ReadEntry {
+    key: SmolStr,
+    revision: u64,
+    /// `None` if it can't be read.
+    record: Option<TargetRecord>,
+}
+
 /// The published items as read, and what they mean.
 #[derive(Debug, Default)]
 pub struct ViewState {
@@ -20,8 +30,8 @@
     pub config_at: ClockTime,
     /// When the store or a peer last confirmed the targets.
     pub targets_at: ClockTime,
-    /// Entries that could not be read, so that each is logged once.
-    unreadable: Vec<(String, u64)>,
+    /// What the entries of targets mean, as read last; sorted by key.
+    read: Vec<ReadEntry>,
 }
 
 impl ViewState {
@@ -76,26 +86,33 @@
     }
 
     /// Reads the entries of targets; returns those that can't be read and were not seen before.
+    ///
+    /// Entries that did not change are not read again, since each change of one target comes here.
     pub fn read_targets(
         &mut self,
         codec: &dyn ViewCodec,
     ) -> (Vec<TargetRecord>, Vec<DecodeFailure>) {
-        let mut records = Vec::new();
         let mut failures = Vec::new();
-        let mut unreadable = Vec::new();
+        let mut read = Vec::new();
         for item in self.target_items.items() {
-            match codec.read_target(item) {
-                Ok(record) => records.push(record),
-                Err(failure) => {
-                    let seen = (item.key.to_string(), item.revision);
-                    if !self.unreadable.contains(&seen) {
-                        failures.push(failure);
-                    }
-                    unreadable.push(seen);
-                }
+            let known = self.read.binary_search_by(|entry| entry.key.cmp(&item.key));
+            let known = known.map(|at| &self.read[at]);
+            if let Ok(entry) = known
+                && entry.revision == item.revision
+            {
+                read.push(entry.clone());
+                continue;
             }
+            let record = codec.read_target(item);
+            read.push(ReadEntry {
+                key: item.key.clone(),
+                revision: item.revision,
+                record: record.map_err(|failure| failures.push(failure)).ok(),
+            });
         }
-        self.unreadable = unreadable;
+        let records = read.iter().filter_map(|entry| entry.record.clone());
+        let records = records.collect();
+        self.read = read;
         (records, failures)
     }
 }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, get, start_scene, until};
 use entry::{ConfigVersion, LoadSum};
+use gateway::NodeDigest;
 
 fn version(gateway: &Gateway) -> ConfigVersion {
     let core = gateway.server.core();
@@ -228,3 +229,43 @@
     let all = get(first.peers, "/peer/targets").await;
     assert!(all.text.len() > TARGETS * 30);
 }
+
+// Guards against large fleets whose nodes do not find the desk of their domain, since nodes name
+// others by the order of their addresses.
+#[tokio::test]
+async fn nodes_find_their_domain_in_a_large_fleet() {
+    const DOMAINS: [&str; 3] = ["patan", "balaju", "boudha"];
+    const NODES: usize = 13;
+    let store = FakeStore::new();
+    store.put_config(1);
+    let first = Gateway::start(&store, DOMAINS[0], Vec::new()).await;
+    let mut nodes = Vec::new();
+    for at in 1..NODES * DOMAINS.len() {
+        let domain = DOMAINS[at % DOMAINS.len()];
+        nodes.push(Gateway::start(&store, domain, vec![first.peers]).await);
+    }
+    nodes.push(first);
+    let desks_seen = || {
+        let mut desks: Vec<_> = nodes.iter().map(desk_of).collect();
+        desks.sort();
+        desks.dedup();
+        desks.len()
+    };
+    let all_near = |gateway: &Gateway| {
+        let core = gateway.server.core();
+        core.with_state(|state, now| state.desks(now).len()) >= NODES - 1
+    };
+    until("all know their domain", || nodes.iter().all(all_near)).await;
+    until("each domain has one desk", || desks_seen() == DOMAINS.len()).await;
+    let receiver = DOMAINS[2].parse().unwrap();
+    let told = NodeDigest::new(nodes[0].server.core(), Some(&receiver)).addresses;
+    let of_receiver = nodes.iter().filter(|node| {
+        node.server.core().settings.domain == receiver && told.contains(&node.peers)
+    });
+    assert!(of_receiver.count() >= NODES - 1);
+}
+
+fn desk_of(gateway: &Gateway) -> std::net::SocketAddr {
+    let core = gateway.server.core();
+    core.with_state(|state, now| state.desks(now)[0])
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -8,8 +8,9 @@
 pub use fake_target::{FakeTarget, TargetMode};
 pub use test_caller::{CallerAnswer, call, get, open_stream, post};
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use base::{CoreShare, TimeSpan};
@@ -29,9 +30,12 @@
 
 impl Gateway {
     pub async fn start(store: &Arc<FakeStore>, domain: &str, seeds: Vec<SocketAddr>) -> Self {
-        let [callers, ready, peers] = [(); 3].map(|()| free_address());
+        let [callers, ready, peers] = free_addresses();
         let settings = GatewaySettings {
-            node: format!("node-{}", callers.port()).parse().unwrap(),
+            node: format!("node-{}", callers.ip())
+                .replace('.', "-")
+                .parse()
+                .unwrap(),
             domain: domain.parse().unwrap(),
             capacity: CoreShare(250),
             caller_address: callers,
@@ -93,7 +97,10 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Addresses of one gateway, on a host of the loopback network that no other connection uses.
+fn free_addresses() -> [SocketAddr; 3] {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let host = IpAddr::from([127, 77, count[2], count[3]]);
+    [20_001, 20_002, 20_003].map(|port| SocketAddr::new(host, port))
 }
