--- a/crates/gateway/src/desk/desk_client.rs
+++ b/crates/gateway/src/desk/desk_client.rs
@@ -113,7 +113,7 @@
         };
         match exchange.ask_room(desk, &question).await {
             Some(RoomAnswer::Granted { target, id }) => {
-                let hold = PlaceHold::accept(core.clone(), target.clone(), id, need.load);
+                let hold = PlaceHold::accept(core.clone(), desk, target.clone(), id, need.load);
                 match hold {
                     Some(hold) => return DeskEnd::Placed(hold),
                     None => declined.push(target),
--- a/crates/gateway/src/relay/call_audit.rs
+++ b/crates/gateway/src/relay/call_audit.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, NodeName, RequestId, TargetName};
@@ -22,6 +23,8 @@
     pub version: ConfigVersion,
     /// Targets to which the call was sent, in order.
     pub targets: Vec<TargetName>,
+    /// Desk that chose the last target; `None` if this node did.
+    pub desk: Option<SocketAddr>,
     /// Time until there was room on the first target.
     pub placed_ms: Option<u64>,
     /// Size of the generation as its caller states it.
@@ -54,6 +57,7 @@
             route: None,
             version: ConfigVersion::default(),
             targets: Vec::new(),
+            desk: None,
             placed_ms: None,
             size: None,
             load: LoadSum::default(),
@@ -84,6 +88,7 @@
         if self.placed_ms.is_none() {
             self.placed_ms = Some(self.elapsed());
         }
+        self.desk = hold.desk;
         self.load = hold.load();
         self.load_seen = hold.load_seen;
         self.targets.push(hold.target.clone());
@@ -162,6 +167,7 @@
             route = self.route.as_deref().unwrap_or(""),
             version = self.version.0,
             targets = targets.join(",").as_str(),
+            desk = self.desk.map_or_else(String::new, |desk| desk.to_string()).as_str(),
             placed_ms = self.placed_ms.unwrap_or_default(),
             prompt = self.size.map_or(0, |size| size.prompt.0),
             output_limit = self.size.map_or(0, |size| size.output_limit.0),
--- a/crates/gateway/src/state/desk_state.rs
+++ b/crates/gateway/src/state/desk_state.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, EventKind, NodeName, TargetName, TimeSpan};
 use entry::{DeskCandidate, GrantId, GrantLedger, LoadSum, PlaceNeed, rank_desks};
 
 use super::{ALIVE_WAIT, GatewayState};
@@ -26,6 +26,8 @@
     doubted: Vec<(ClockTime, SocketAddr)>,
     /// Nodes of the own failure domain, best desk first, and when they were ranked.
     ranking: Option<(ClockTime, Vec<SocketAddr>)>,
+    /// Desk that was logged last.
+    chosen: Option<SocketAddr>,
 }
 
 impl DeskState {
@@ -36,6 +38,7 @@
             accepted: Vec::new(),
             doubted: Vec::new(),
             ranking: None,
+            chosen: None,
         }
     }
 
@@ -73,6 +76,7 @@
             Some(ranking) => ranking,
             None => (now, self.rank_own(now)),
         };
+        self.note_desk(now, &ranking.1);
         &self.desk.ranking.insert(ranking).1
     }
 
@@ -145,6 +149,23 @@
         self.board.remove_granted(&over);
     }
 
+    fn note_desk(&mut self, now: ClockTime, ranking: &[SocketAddr]) {
+        let desk = ranking.first().copied();
+        if desk == self.desk.chosen {
+            return;
+        }
+        self.desk.chosen = desk;
+        let doubted = self.desk.doubted.iter().filter(|(until, _)| *until > now);
+        log::info!(
+            event = EventKind::DeskChosen.number(),
+            node = self.node.as_str(),
+            desk = desk.map_or_else(String::new, |desk| desk.to_string()).as_str(),
+            candidates = ranking.len(),
+            doubted = doubted.count();
+            "places the generations of the domain"
+        );
+    }
+
     fn rank_own(&self, now: ClockTime) -> Vec<SocketAddr> {
         let own = self.peers.own_address().filter(|_| self.stop_end.is_none());
         let own = own.map(|address| (self.own_candidate(), address));
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -31,6 +31,8 @@
     pub incarnation: IncarnationNumber,
     /// Load of others on the target when it was chosen, as known here.
     pub load_seen: LoadSum,
+    /// Desk that chose the target; `None` if this node did.
+    pub desk: Option<SocketAddr>,
 }
 
 impl PlaceHold {
@@ -57,12 +59,14 @@
             domain,
             incarnation,
             load_seen,
+            desk: None,
         })
     }
 
     /// Takes over room that a desk granted; `None` if this node knows that the target is not there.
     pub(crate) fn accept(
         core: Arc<GatewayCore>,
+        desk: SocketAddr,
         target: TargetName,
         id: GrantId,
         load: LoadSum,
@@ -76,10 +80,12 @@
             }
             is_usable
         });
-        match is_usable {
-            true => Self::new(core, target, load),
-            false => None,
+        if !is_usable {
+            return None;
         }
+        let mut hold = Self::new(core, target, load)?;
+        hold.desk = Some(desk);
+        Some(hold)
     }
 
     /// Load that the call puts on the target.
