--- a/crates/gateway/src/desk/desk_client.rs
+++ b/crates/gateway/src/desk/desk_client.rs
@@ -29,7 +29,7 @@
 
 /// What came of asking desks.
 enum DeskEnd {
-    Placed(PlaceHold),
+    Placed(Box<PlaceHold>),
     Full,
     /// No desk answers, or this node is the desk.
     Alone,
@@ -47,7 +47,7 @@
     let start = core.now();
     if wish.need.engine.is_some() {
         match ask_desks(core, &wish).await {
-            DeskEnd::Placed(hold) => return Ok(hold),
+            DeskEnd::Placed(hold) => return Ok(*hold),
             DeskEnd::Full => {
                 return Err(PlaceRefusal {
                     kind: ErrorKind::Overloaded,
@@ -115,7 +115,7 @@
             Some(RoomAnswer::Granted { target, id }) => {
                 let hold = PlaceHold::accept(core.clone(), desk, target.clone(), id, need.load);
                 match hold {
-                    Some(hold) => return DeskEnd::Placed(hold),
+                    Some(hold) => return DeskEnd::Placed(Box::new(hold)),
                     None => declined.push(target),
                 }
             }
