Name the number of desks once

Cause: the last read found one figure under three names, and the desks of the own domain picked in two places.

Change: DESKS stands beside the ranking; rounds pick desks through own_desks. No change of behaviour.

--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -6,16 +6,12 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{GatewayState, PeerFacts};
+use crate::state::{DESKS, GatewayState, PeerFacts};
 use crate::{GatewayCore, ViewArea};
 
 /// Addresses of nodes of the receiver's failure domain in one digest; a few suffice, as every
 /// exchange carries others.
 const NEAR_ADDRESSES: usize = 12;
-/// Addresses of desks of each failure domain in one digest.
-const DESK_ADDRESSES: usize = 2;
-/// Desks of a failure domain that tell others what is on its engines; other nodes hear less.
-const SUM_DESKS: usize = 2;
 /// Time after its start from which a node can tell what is on the engines of its domain: until
 /// then, it has not heard all others.
 const SUMS_AFTER: TimeSpan = TimeSpan::from_secs(2);
@@ -62,7 +58,7 @@
     pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
         let far = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
-            let is_desk = state.desk_place(now).is_some_and(|place| place < SUM_DESKS);
+            let is_desk = state.desk_place(now).is_some_and(|place| place < DESKS);
             let knows_all = is_desk && now.since(ClockTime::default()) > SUMS_AFTER;
             let far = far.filter(|_| knows_all);
             let addresses = known_addresses(state, now, receiver);
@@ -160,7 +156,7 @@
     let mut addresses = Vec::new();
     for domain in state.peers.domains(now) {
         let mut ranked = state.far_desks(now, &domain);
-        let rest = ranked.split_off(ranked.len().min(DESK_ADDRESSES));
+        let rest = ranked.split_off(ranked.len().min(DESKS));
         addresses.extend(ranked);
         if receiver.is_none_or(|receiver| *receiver == domain) {
             addresses.extend(rest.choose_multiple(&mut rand::rng(), NEAR_ADDRESSES));
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -14,6 +14,7 @@
 
 use super::{ItemNews, LoadNews, NodeDigest};
 use crate::desk::{RoomAnswer, RoomQuestion};
+use crate::state::DESKS;
 use crate::{GatewayCore, ViewArea};
 
 /// Path of digests.
@@ -33,8 +34,6 @@
 const ROUND: Duration = Duration::from_millis(250);
 /// Peers of the own failure domain in one round, beside a desk.
 const ROUND_NEAR: usize = 1;
-/// Desks of the own failure domain, which hear each node in every second round.
-const DESKS: usize = 2;
 /// Rounds between two exchanges of a node that is no desk with a desk of another failure domain.
 const FAR_ROUNDS: u32 = 8;
 /// Silent peers of the own failure domain in one round; a node that was cut off tries its desk and
@@ -180,11 +179,8 @@
 
     /// Desks of the own failure domain in turns, and those of the others if this node is one.
     fn pick_desks(&self, round: u32) -> Vec<SocketAddr> {
+        let near = self.own_desks();
         self.core.with_state(|state, now| {
-            let own = state.peers.own_address();
-            let desks = state.desks(now).iter().copied().take(DESKS);
-            let near = desks.filter(|desk| Some(*desk) != own);
-            let near: Vec<_> = near.collect();
             let turn = round as usize % DESKS;
             let mut picked: Vec<_> = near.get(turn).copied().into_iter().collect();
             let mut far = state.peers.domains(now);
--- a/crates/gateway/src/state/desk_state.rs
+++ b/crates/gateway/src/state/desk_state.rs
@@ -8,6 +8,8 @@
 /// Time since a node was heard in which it can be the desk of its failure domain; desks are asked
 /// or told something at least twice a second.
 const DESK_ALIVE: TimeSpan = TimeSpan::new(1_500);
+/// First in rank of the nodes of a failure domain, which are told what a desk has to know.
+pub const DESKS: usize = 2;
 /// Time for which a node that did not answer is no desk.
 const DOUBT_TIME: TimeSpan = TimeSpan::from_secs(2);
 /// Time for which a node repeats which grants it took over; desks give up others after a second.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -9,7 +9,7 @@
 mod place_hold;
 mod view_state;
 
-pub use desk_state::DeskState;
+pub use desk_state::{DESKS, DeskState};
 pub use gateway_core::{GatewayCore, RoomAsk};
 pub use gateway_state::GatewayState;
 pub use line_grant::LineGrant;
