--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Gateways in one process against targets and a store that misbehave.
 
 mod calls;
+mod crashes;
 mod desks;
 mod endless;
 mod peers;
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -6,6 +6,8 @@
 use gateway::{CopyAnswer, EngineReport};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 /// Pause between two events of a stream.
@@ -24,6 +26,8 @@
     Truncate,
     /// Never answers.
     Hang,
+    /// Dies as soon as it read the call, as `FakeTarget::crash` does.
+    Crash,
     /// Gives the answer to another call.
     Foreign,
     /// Streams events with these many in all.
@@ -55,6 +59,8 @@
     /// Events made by each generation.
     made: BTreeMap<String, u64>,
     is_leaving: bool,
+    /// Times that it died.
+    crashes: usize,
 }
 
 type Registry = Mutex<BTreeMap<SocketAddr, Arc<Mutex<TargetState>>>>;
@@ -74,6 +80,7 @@
     pub service: &'static str,
     pub address: SocketAddr,
     state: Arc<Mutex<TargetState>>,
+    down: Arc<Notify>,
 }
 
 impl FakeTarget {
@@ -85,18 +92,50 @@
             ..TargetState::default()
         }));
         registry().lock().unwrap().insert(address, state.clone());
-        let shared = state.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, shared.clone()));
-            }
-        });
-        Self {
+        let target = Self {
             name: format!("t-{}", address.port()),
             service,
             address,
             state,
-        }
+            down: Arc::new(Notify::new()),
+        };
+        target.listen(listener);
+        target
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let (state, down) = (self.state.clone(), self.down.clone());
+        tokio::spawn(async move {
+            let mut calls = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        calls.spawn(serve(stream, state.clone(), down.clone()));
+                    }
+                    () = down.notified() => break,
+                }
+            }
+            // Refuses connections before the calls break off, as a process that dies does.
+            drop(listener);
+            calls.shutdown().await;
+            state.lock().unwrap().crashes += 1;
+        });
+    }
+
+    /// Dies: all its connections break, and new ones are refused.
+    pub fn crash(&self) {
+        self.down.notify_one();
+    }
+
+    /// Times that it died.
+    pub fn crashes(&self) -> usize {
+        self.state.lock().unwrap().crashes
+    }
+
+    /// Starts again at the same address.
+    pub async fn restart(&self) {
+        self.listen(TcpListener::bind(self.address).await.unwrap());
     }
 
     pub fn set_mode(&self, mode: TargetMode) {
@@ -159,7 +198,7 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<TargetState>>, down: Arc<Notify>) {
     let Some(head) = read_call(&mut stream).await else {
         return;
     };
@@ -185,6 +224,10 @@
             let _ = stream.read(&mut [0; 1]).await;
             return;
         }
+        Some(TargetMode::Crash) => {
+            down.notify_one();
+            std::future::pending().await
+        }
         Some(TargetMode::Break) | None => return,
         Some(mode) => return send_endless(stream, state, mode, &id).await,
     };
