--- a/crates/calls/src/crash/crash_print.rs
+++ b/crates/calls/src/crash/crash_print.rs
@@ -26,6 +26,12 @@
 }
 
 impl fmt::Debug for CrashPrint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for CrashPrint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
     }
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -1,4 +1,4 @@
-use base::TargetName;
+use base::{EventKind, TargetName};
 use calls::TargetDeath;
 use entry::{TargetOutcome, TargetPhase};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -143,6 +143,7 @@
     hold.note(TargetOutcome::Answered);
     core.with_state(|state, now| {
         if let Some(message) = state.crashes.on_completed(call.print) {
+            log_mark(core, call, hold, "completed");
             state.publish_crash(now, message);
         }
     });
@@ -156,6 +157,7 @@
         let found = state.board.target(&hold.target);
         let is_leaving = found.is_none_or(|one| one.phase != TargetPhase::Ready);
         if is_leaving || call.engine.is_none() {
+            log_mark(core, call, hold, "passed_over");
             return;
         }
         let death = TargetDeath {
@@ -165,9 +167,24 @@
         for message in state.crashes.on_target_died(now, death) {
             state.publish_crash(now, message);
         }
+        log_mark(core, call, hold, "marked");
     });
 }
 
+/// Logs what the end of a call says of its marks.
+fn log_mark(core: &GatewayCore, call: &CallInput, hold: &PlaceHold, outcome: &'static str) {
+    log::info!(
+        event = EventKind::CrashMarked.number(),
+        node = core.node().as_str(),
+        request = call.head.request.as_str(),
+        print = call.print.to_string().as_str(),
+        target = hold.target.as_str(),
+        incarnation = hold.incarnation.0,
+        outcome = outcome;
+        "a call broke off or completed"
+    );
+}
+
 fn make_request(
     core: &GatewayCore,
     call: &CallInput,
