Keep crashing calls as facts that nodes compare, and check every send

Cause: what nodes must agree on was told as news for 3 s by the one node that saw it, never passed on and never given to a node that joins; plain services were not marked; a verdict was taken once, when the call arrived. One class: a fact that is told or read once and is old when it matters. Change: crate facts, bounded sets with a lifetime that pairs of nodes compare by hash and complete; a node that joins gets them before it serves. A call that broke off is a sign against it only if a connection shows that its target died, also for plain services and for silence; the verdict is judged by check_send, which every send passes, with withdrawn keys and leaving targets.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod desk;
+mod fact;
 mod length;
 mod line;
 mod moves;
@@ -17,12 +18,15 @@
     ServiceSpec, ServiceWeight, WorkspaceRule,
 };
 pub use desk::{DeskCandidate, GrantId, GrantLedger, RoomGrant, rank_desks};
+pub use fact::{
+    AttemptLog, CrashSign, FactBook, LeaveWord, NodeFact, OpenAttempt, SuspectPlace, SuspectPlaces,
+};
 pub use length::OutputGuess;
 pub use line::{LineCall, LinePace, LineTicket, WaitLine};
 pub use moves::{CopyLocks, MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
 pub use target::{
-    LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetBoard,
-    TargetHealth, TargetOutcome, TargetPhase, TargetRecord, TargetState, reading_time,
+    BoardChanges, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach,
+    TargetBoard, TargetHealth, TargetOutcome, TargetPhase, TargetRecord, TargetState, reading_time,
 };
 pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! Targets: what is known of each, its load and health, and the choice of one for a call.
 
+mod board_changes;
 mod load_sum;
 mod place_choice;
 mod target_board;
@@ -7,6 +8,7 @@
 mod target_record;
 mod target_state;
 
+pub use board_changes::BoardChanges;
 pub use load_sum::{LoadOrigin, LoadSum, PeerLoads, reading_time};
 pub use place_choice::{MoveSource, PlaceChoice, PlaceNeed, PlaceReach};
 pub use target_board::TargetBoard;
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -5,8 +5,8 @@
 use rand_pcg::Pcg64;
 
 use super::{
-    LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach, TargetOutcome, TargetPhase,
-    TargetRecord, TargetState, reading_time,
+    BoardChanges, LoadOrigin, LoadSum, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach,
+    TargetOutcome, TargetPhase, TargetRecord, TargetState, reading_time,
 };
 use crate::{EngineSpec, LapseGuard, RoomGrant};
 
@@ -87,31 +87,31 @@
         self.find(name).ok().map(|at| &self.targets[at])
     }
 
-    /// Takes all registered targets; returns those that left or started to leave.
+    /// Takes all registered targets; returns what that changes.
     pub fn take_records(
         &mut self,
         now: ClockTime,
         records: Vec<TargetRecord>,
         guard: &LapseGuard,
-    ) -> Vec<TargetName> {
+    ) -> BoardChanges {
         let mut listed: Vec<_> = records.iter().map(|record| record.name.clone()).collect();
         listed.sort();
-        let mut leaving = Vec::new();
+        let mut changes = BoardChanges::default();
         for record in records {
-            self.take_record(now, record, &mut leaving);
+            self.take_record(now, record, &mut changes);
         }
-        self.drop_missing(now, &listed, guard, &mut leaving);
+        self.drop_missing(now, &listed, guard, &mut changes);
         self.sum_peers();
-        leaving
+        changes
     }
 
-    /// Lets time pass; returns targets whose entry stayed away.
-    pub fn on_tick(&mut self, now: ClockTime) -> Vec<TargetName> {
-        let mut leaving = Vec::new();
+    /// Lets time pass; returns what changes for targets whose entry stayed away.
+    pub fn on_tick(&mut self, now: ClockTime) -> BoardChanges {
+        let mut changes = BoardChanges::default();
         for state in &mut self.targets {
             if matches!(state.phase, TargetPhase::Lapsed(until) if until <= now) {
+                changes.note_vanished(state);
                 state.phase = TargetPhase::Leaving;
-                leaving.push(state.record.name.clone());
             }
         }
         let before = self.peers.len();
@@ -120,7 +120,7 @@
         if before != self.peers.len() {
             self.sum_peers();
         }
-        leaving
+        changes
     }
 
     /// Takes what a peer has in flight, unless newer word of that peer came first.
@@ -350,12 +350,13 @@
         Some(cost)
     }
 
-    fn take_record(&mut self, now: ClockTime, record: TargetRecord, leaving: &mut Vec<TargetName>) {
+    fn take_record(&mut self, now: ClockTime, record: TargetRecord, changes: &mut BoardChanges) {
         let at = match self.find(&record.name) {
             Ok(at) if self.targets[at].record.incarnation == record.incarnation => at,
             Ok(at) => {
                 // The new process knows nothing of the calls of the old one, which fail by
                 // themselves; their load is taken off as they end.
+                changes.ended.push(self.targets[at].run());
                 let (own, granted) = (self.targets[at].own, self.targets[at].granted);
                 self.targets[at] = TargetState::new(now, record);
                 self.targets[at].own = own;
@@ -374,7 +375,7 @@
             false => TargetPhase::Ready,
         };
         if record.is_leaving && !was_leaving {
-            leaving.push(record.name.clone());
+            changes.leaving.push(record.name.clone());
         }
         state.record = record;
     }
@@ -384,7 +385,7 @@
         now: ClockTime,
         listed: &[TargetName],
         guard: &LapseGuard,
-        leaving: &mut Vec<TargetName>,
+        changes: &mut BoardChanges,
     ) {
         let is_missing = |state: &&TargetState| listed.binary_search(&state.record.name).is_err();
         let ready = |state: &&TargetState| state.phase == TargetPhase::Ready;
@@ -398,8 +399,8 @@
             match (state.phase, keep_until) {
                 (TargetPhase::Ready, Some(until)) => state.phase = TargetPhase::Lapsed(until),
                 (TargetPhase::Ready, None) => {
+                    changes.note_vanished(state);
                     state.phase = TargetPhase::Leaving;
-                    leaving.push(state.record.name.clone());
                 }
                 (TargetPhase::Lapsed(_) | TargetPhase::Leaving, _) => {}
             }
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -1,4 +1,4 @@
-use base::ClockTime;
+use base::{ClockTime, IncarnationNumber, TargetName};
 
 use super::{LoadSum, TargetHealth, TargetRecord};
 
@@ -50,6 +50,11 @@
         }
     }
 
+    /// The target and its run.
+    pub fn run(&self) -> (TargetName, IncarnationNumber) {
+        (self.record.name.clone(), self.record.incarnation)
+    }
+
     /// Whether new calls may be sent, leaving load aside.
     pub fn accepts(&self, now: ClockTime) -> bool {
         self.phase != TargetPhase::Leaving && self.health.accepts(now)
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -4,8 +4,8 @@
 
 use base::{ClockTime, DomainName, IncarnationNumber, NodeName, TargetName, TimeSpan};
 use entry::{
-    LapseGuard, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed, TargetOutcome,
-    TargetPhase,
+    BoardChanges, LapseGuard, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed,
+    TargetOutcome, TargetPhase,
 };
 use proptest::prelude::*;
 use support::{SPEC, board, need, record};
@@ -126,9 +126,11 @@
     leaving.is_leaving = true;
     let guard = LapseGuard::default();
     let told = board.take_records(NOW, vec![leaving.clone()], &guard);
-    assert_eq!(told, [name("e1")]);
+    assert_eq!(told.leaving, [name("e1")]);
+    assert!(told.ended.is_empty());
     assert_eq!(board.place(NOW, &need(100, 100)), PlaceChoice::Absent);
-    assert!(board.take_records(NOW, vec![leaving], &guard).is_empty());
+    let again = board.take_records(NOW, vec![leaving], &guard);
+    assert_eq!(again, BoardChanges::default());
 }
 
 // Guards against the loss of all targets after an outage, and against keeping a dead one for good.
@@ -138,10 +140,13 @@
     let mut guard = LapseGuard::default();
     guard.on_lost();
     guard.on_regained(NOW);
-    assert!(board.take_records(NOW, Vec::new(), &guard).is_empty());
+    let changes = board.take_records(NOW, Vec::new(), &guard);
+    assert_eq!(changes, BoardChanges::default());
     assert_eq!(chosen(board.place(NOW, &need(100, 100))), name("e1"));
     let later = NOW + TimeSpan::from_secs(3);
-    assert_eq!(board.on_tick(later), [name("e1")]);
+    let changes = board.on_tick(later);
+    assert_eq!(changes.leaving, [name("e1")]);
+    assert_eq!(changes.ended.len(), 1);
     assert_eq!(board.place(later, &need(100, 100)), PlaceChoice::Absent);
 }
 
--- /dev/null
+++ b/crates/facts/src/set/fact_id.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a fact in comparisons of two sets: the hash of its encoding (BLAKE3, 64 bits).
+///
+/// ```
+/// use facts::FactId;
+/// assert_eq!(FactId::of(&"a"), FactId::of(&"a"));
+/// assert_ne!(FactId::of(&"a"), FactId::of(&"b"));
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct FactId(pub u64);
+
+impl FactId {
+    /// Hashes a fact.
+    ///
+    /// # Panics
+    /// If the fact has no encoding, which is a mistake of its type.
+    pub fn of(fact: &impl Serialize) -> Self {
+        let bytes = rmp_serde::to_vec(fact).expect("facts can be encoded");
+        let hash = blake3::hash(&bytes);
+        let mut id = [0; 8];
+        id.copy_from_slice(&hash.as_bytes()[..8]);
+        Self(u64::from_le_bytes(id))
+    }
+}
+
+impl fmt::Debug for FactId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/gateway/src/peer/item_news.rs
+++ b/crates/gateway/src/peer/item_news.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use entry::ItemChange;
 use serde::{Deserialize, Serialize};
@@ -54,7 +55,7 @@
     }
 
     /// Takes what a peer says.
-    pub fn apply(self, core: &GatewayCore, area: ViewArea) -> NewsEnd {
+    pub fn apply(self, core: &Arc<GatewayCore>, area: ViewArea) -> NewsEnd {
         let known = core.with_state(|state, _| state.view.mirror(area).revision());
         match (self.base, known) {
             (None, _) => {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -1,5 +1,6 @@
-//! What nodes tell one another: loads, versions, crash marks, addresses.
+//! What nodes tell one another: loads, versions, facts, addresses.
 
+mod fact_exchange;
 mod item_news;
 mod load_news;
 mod load_push;
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
-use calls::CrashMessage;
-use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads};
+use entry::{ConfigVersion, LoadOrigin, LoadSum, PeerLoads, SuspectPlace};
+use facts::FactRoot;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
@@ -47,8 +47,10 @@
     pub sums: Option<Vec<(TargetName, LoadSum)>>,
     /// Leaving engines off which it has nothing more to move.
     pub finished: Vec<TargetName>,
-    /// News of calls that crash targets.
-    pub crashes: Vec<CrashMessage>,
+    /// Hash of the facts that it knows.
+    pub facts: FactRoot,
+    /// Where its calls run that may crash their targets.
+    pub suspects: Vec<SuspectPlace>,
     /// Some other nodes that are alive.
     pub addresses: Vec<SocketAddr>,
 }
@@ -77,7 +79,8 @@
                 loads: state.board.own_loads(),
                 sums: far.map(|domain| state.board.sums_for(domain)),
                 finished: state.turns.own_finished(),
-                crashes: state.recent_crashes(now),
+                facts: FactRoot::of(&state.facts.set, now),
+                suspects: state.suspects.own().to_vec(),
                 addresses,
             }
         })
@@ -114,9 +117,7 @@
                 loads: self.loads,
             });
             state.turns.note_finished(now, &self.node, self.finished);
-            for message in self.crashes {
-                state.crashes.on_message(now, message);
-            }
+            state.suspects.take_peer(now, &self.node, self.suspects);
             let mut newer = Vec::new();
             if self.version > state.view.version() {
                 newer.push(ViewArea::Config);
--- a/crates/gateway/src/peer/peer_exchange.rs
+++ b/crates/gateway/src/peer/peer_exchange.rs
@@ -27,6 +27,8 @@
 pub const CONFIG_PATH: &str = "/peer/config";
 /// Path of the entries of targets.
 pub const TARGETS_PATH: &str = "/peer/targets";
+/// Path of questions about facts.
+pub const FACTS_PATH: &str = "/peer/facts";
 /// Path of changes of the entries of targets.
 pub const CHANGES_PATH: &str = "/peer/changes";
 
@@ -64,6 +66,11 @@
         Self { core }
     }
 
+    /// State of the node.
+    pub(super) fn core(&self) -> &Arc<GatewayCore> {
+        &self.core
+    }
+
     /// Exchanges digests until the process ends.
     pub async fn run(self) {
         let mut rounds = interval(ROUND);
@@ -242,8 +249,10 @@
         match answer {
             Some(answer) if answer.node == *self.core.node() => self.drop_hint(address),
             Some(answer) => {
+                let facts = answer.facts;
                 let newer = answer.apply(&self.core);
                 self.spawn_fetch(address, newer);
+                self.compare_facts(address, facts).await;
             }
             None => {
                 self.drop_hint(address);
@@ -277,7 +286,7 @@
         }
     }
 
-    async fn call<T: DeserializeOwned>(
+    pub(super) async fn call<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
         method: Method,
@@ -345,7 +354,7 @@
     }
 }
 
-fn encode_body(value: &impl Serialize) -> Option<WebBody> {
+pub(super) fn encode_body(value: &impl Serialize) -> Option<WebBody> {
     match rmp_serde::to_vec(value) {
         Ok(body) => Some(full_body(body)),
         Err(error) => {
--- a/crates/gateway/src/peer/peer_server.rs
+++ b/crates/gateway/src/peer/peer_server.rs
@@ -7,8 +7,10 @@
 use serde::de::DeserializeOwned;
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
+use super::fact_exchange::take_question;
 use super::peer_exchange::{
-    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, LOADS_PATH, PeerExchange, ROOM_PATH, TARGETS_PATH,
+    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PeerExchange, ROOM_PATH,
+    TARGETS_PATH,
 };
 use super::{ItemNews, LoadNews, NewsEnd, NodeDigest};
 use crate::desk::take_ask;
@@ -40,6 +42,7 @@
                 (&Method::POST, DIGEST_PATH) => take_digest(&core, request).await,
                 (&Method::POST, LOADS_PATH) => take_loads(&core, request).await,
                 (&Method::POST, ROOM_PATH) => answer_ask(&core, request).await,
+                (&Method::POST, FACTS_PATH) => answer_question(&core, request).await,
                 (&Method::POST, CHANGES_PATH) => take_changes(&core, request).await,
                 (&Method::GET, CONFIG_PATH) => items_of(&core, ViewArea::Config, &request),
                 (&Method::GET, TARGETS_PATH) => items_of(&core, ViewArea::Targets, &request),
@@ -77,6 +80,16 @@
     }
 }
 
+async fn answer_question(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let Some(question) = read_message(core, request).await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    match take_question(core, question) {
+        Some(answer) => encoded(&answer),
+        None => status_only(StatusCode::TOO_MANY_REQUESTS),
+    }
+}
+
 async fn read_message<T: DeserializeOwned>(
     core: &GatewayCore,
     request: Request<Incoming>,
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -83,7 +83,9 @@
     };
     audit.request = Some(head.request.clone());
     audit.size = head.generation;
-    let Some(config) = core.config() else {
+    let config = core.config();
+    let config = config.filter(|_| core.with_state(|state, now| state.is_informed(now)));
+    let Some(config) = config else {
         return Err(refuse(core, audit, ErrorKind::NotReady));
     };
     audit.version = config.version;
@@ -118,6 +120,8 @@
     core.with_state(|state, now| state.share.on_call(now, &service));
     let input = CallInput {
         method: parts.method,
+        host,
+        version: config.version,
         target,
         headers: parts.headers,
         body,
@@ -149,7 +153,7 @@
     audit: &mut CallAudit,
     print: CrashPrint,
 ) -> Result<(), Box<Response<WebBody>>> {
-    let verdict = core.with_state(|state, now| state.crashes.judge(now, print));
+    let verdict = core.with_state(|state, now| state.facts.judge(now, print));
     let CrashVerdict::Condemned { retry_after } = verdict else {
         return Ok(());
     };
--- a/crates/gateway/src/relay/call_input.rs
+++ b/crates/gateway/src/relay/call_input.rs
@@ -3,7 +3,7 @@
 use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
 use bytes::Bytes;
 use calls::{CrashPrint, CrashVerdict};
-use entry::{EngineSpec, LoadSum, PlaceNeed, PlaceReach, RouteRule, reading_time};
+use entry::{ConfigVersion, EngineSpec, LoadSum, PlaceNeed, PlaceReach, RouteRule, reading_time};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
 use tokio::time::Instant;
@@ -34,6 +34,10 @@
 pub struct CallInput {
     /// Method of the request.
     pub method: Method,
+    /// Host that the caller named, in lower case and without its port.
+    pub host: String,
+    /// Configuration by which the call was admitted.
+    pub version: ConfigVersion,
     /// Path and query as the caller sent them.
     pub target: PathAndQuery,
     /// Headers without those of the connection.
@@ -132,13 +136,11 @@
             engine: self.engine,
             load: self.load(),
             is_quick: self.is_quick(),
-            excluded: core.with_state(|state, now| {
-                if state.crashes.judge(now, self.print) == CrashVerdict::Free {
-                    return Vec::new();
+            excluded: core.with_state(|state, now| match state.facts.judge(now, self.print) {
+                CrashVerdict::Free => Vec::new(),
+                CrashVerdict::Isolated | CrashVerdict::Condemned { .. } => {
+                    state.suspects.occupied(now, self.print)
                 }
-                let names = state.board.targets().iter().map(|one| &one.record.name);
-                let barred = names.filter(|name| !state.crashes.allows(now, self.print, name));
-                barred.cloned().collect()
             }),
             moves_from: None,
             reach: PlaceReach::Any,
--- /dev/null
+++ b/crates/gateway/src/relay/crash_watch.rs
@@ -0,0 +1,107 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{EventKind, IncarnationNumber, RequestId, TargetName};
+use entry::{CrashSign, OpenAttempt, TargetOutcome, TargetPhase};
+use http::StatusCode;
+use metrics::counter;
+use web::SendPhase;
+
+use super::call_input::CallInput;
+use crate::{GatewayCore, PlaceHold};
+
+/// Notes that the target gave a whole answer. Only a success shows that the call can run.
+pub fn note_answered(
+    core: &GatewayCore,
+    call: &CallInput,
+    hold: &mut PlaceHold,
+    status: StatusCode,
+) {
+    hold.note(TargetOutcome::Answered);
+    let Some(sign) = hold.settle() else {
+        return;
+    };
+    if !status.is_success() {
+        return;
+    }
+    let cleared = core.with_state(|state, now| state.facts.complete(now, call.print));
+    if cleared > 0 {
+        let request = Some(&call.head.request);
+        log_sign(core, request, &sign, "cleared", "the call ran to its end");
+    }
+}
+
+/// Notes that the target broke off a call or is silent, and finds out whether it died.
+///
+/// A target that leaves breaks off by plan, which says nothing about the call.
+pub fn note_broken(core: &Arc<GatewayCore>, call: &CallInput, hold: &mut PlaceHold) {
+    hold.note(TargetOutcome::Failed);
+    let Some(sign) = hold.settle() else {
+        return;
+    };
+    let is_leaving = core.with_state(|state, _| {
+        let found = state.board.target(&hold.target);
+        found.is_some_and(|one| one.phase == TargetPhase::Leaving)
+    });
+    let request = Some(&call.head.request);
+    match is_leaving {
+        true => log_sign(core, request, &sign, "passed_over", "the target leaves"),
+        false => suspect_death(core, request, sign, hold.address),
+    }
+}
+
+/// Finds out whether a target whose run ended without notice took calls with it.
+pub fn end_run(core: &Arc<GatewayCore>, target: &TargetName, incarnation: IncarnationNumber) {
+    let lost = core.with_state(|state, _| state.attempts.end_run(target, incarnation));
+    for OpenAttempt { sign, address, .. } in lost {
+        suspect_death(core, None, sign, address);
+    }
+}
+
+/// Counts the death of a target against a call until a connection shows that the target lives.
+fn suspect_death(
+    core: &Arc<GatewayCore>,
+    request: Option<&RequestId>,
+    sign: CrashSign,
+    address: SocketAddr,
+) {
+    core.with_state(|state, _| state.facts.suspect(sign.clone()));
+    let (core, request) = (core.clone(), request.cloned());
+    tokio::spawn(async move {
+        let connected = core.pool.connect(address, SendPhase::Fresh).await;
+        let (outcome, reason) = match connected {
+            Ok(_connection) => {
+                core.with_state(|state, _| state.facts.acquit(&sign));
+                ("acquitted", "the target lives".to_owned())
+            }
+            Err(error) => {
+                core.with_state(|state, now| state.facts.confirm(now, sign.clone()));
+                ("marked", error.to_string())
+            }
+        };
+        log_sign(&core, request.as_ref(), &sign, outcome, &reason);
+    });
+}
+
+/// Logs what became known of a call and the death of its target; `request` is the attempt of this
+/// node, if it was one.
+pub fn log_sign(
+    core: &GatewayCore,
+    request: Option<&RequestId>,
+    sign: &CrashSign,
+    outcome: &'static str,
+    reason: &str,
+) {
+    counter!("gateway_crash_signs_total", "outcome" => outcome).increment(1);
+    log::info!(
+        event = EventKind::CrashMarked.number(),
+        node = core.node().as_str(),
+        request = request.map_or("", RequestId::as_str),
+        print = sign.print.to_string().as_str(),
+        target = sign.target.as_str(),
+        incarnation = sign.incarnation.0,
+        earlier = sign.earlier,
+        outcome = outcome;
+        "{reason}"
+    );
+}
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod call_handler;
 mod call_input;
 mod caller_feed;
+mod crash_watch;
 mod failure_response;
 mod move_times;
 mod plain_call;
@@ -15,3 +16,4 @@
 
 pub use call_audit::CallAudit;
 pub use call_handler::CallHandler;
+pub use crash_watch::{end_run, log_sign};
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -9,8 +9,9 @@
 
 use super::CallAudit;
 use super::call_input::CallInput;
+use super::crash_watch::{note_answered, note_broken};
 use super::failure_response::failure_response;
-use super::target_send::{SendEnd, note_answered, note_broken, read_answer, send_call};
+use super::target_send::{SendEnd, read_answer, send_call};
 use super::whole_answer::{WholeAnswer, deliver_answer};
 use crate::desk::acquire_room;
 use crate::{GatewayCore, PlaceHold};
@@ -30,6 +31,8 @@
     Failed(WholeAnswer),
     /// Nothing was sent.
     Unsent,
+    /// The call must not be sent any more.
+    Barred(ErrorKind, Option<TimeSpan>),
     /// The target refused the call, which did not run.
     Refused,
     /// The call may have run, and no answer arrived.
@@ -78,6 +81,13 @@
         match end {
             AttemptEnd::Deliver(answer) => return deliver_answer(core, &mut audit, answer),
             AttemptEnd::Unsent if !is_over => continue,
+            AttemptEnd::Barred(kind, retry) => {
+                return match (failed, runs) {
+                    (Some(answer), _) => deliver_answer(core, &mut audit, answer),
+                    (None, 0) => failure_response(core, &mut audit, kind, retry),
+                    (None, _) => failure_response(core, &mut audit, ErrorKind::TargetLost, None),
+                };
+            }
             AttemptEnd::Unsent | AttemptEnd::Refused => {}
             AttemptEnd::Failed(answer) => {
                 runs += 1;
@@ -113,7 +123,7 @@
 }
 
 async fn attempt(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallInput,
     hold: &mut PlaceHold,
     until: Instant,
@@ -126,18 +136,25 @@
         SendEnd::Head(head) => head,
         SendEnd::Refused(_) => return AttemptEnd::Refused,
         SendEnd::Unsent(_) => return AttemptEnd::Unsent,
+        SendEnd::Barred(bar) => {
+            return match bar.refusal() {
+                Some((kind, retry)) => AttemptEnd::Barred(kind, retry),
+                None => AttemptEnd::Unsent,
+            };
+        }
         SendEnd::Lost(_) => return AttemptEnd::Lost,
         SendEnd::TimedOut => return AttemptEnd::TimedOut,
     };
     audit.note_first();
     match read_answer(*head, until).await {
         Ok(answer) if answer.status.is_server_error() => {
+            hold.settle();
             hold.note(TargetOutcome::Failed);
             audit.explain(format!("{target} failed with {}", answer.status));
             AttemptEnd::Failed(answer)
         }
         Ok(answer) => {
-            note_answered(core, call, hold);
+            note_answered(core, call, hold, answer.status);
             AttemptEnd::Deliver(answer)
         }
         Err(reason) => {
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -56,6 +56,11 @@
             SendEnd::Head(head) => {
                 return deliver_failure(&core, audit, *head, deadline).await;
             }
+            SendEnd::Barred(bar) => {
+                if let Some((kind, retry)) = bar.refusal() {
+                    return failure_response(&core, &mut audit, kind, retry);
+                }
+            }
             SendEnd::Unsent(_) => {}
             SendEnd::Refused(_) if core.take_retry(&call.service) => {}
             SendEnd::Refused(_) => break,
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -256,6 +256,7 @@
             SendEnd::Head(head) => return Some(format!("status {}", head.response.status())),
             SendEnd::Refused(status) => return Some(format!("refused with {status}")),
             SendEnd::Unsent(reason) | SendEnd::Lost(reason) => return Some(reason),
+            SendEnd::Barred(bar) => return Some(bar.to_string()),
             SendEnd::TimedOut => return Some("no answer in time".to_owned()),
         };
         self.is_framed = head.is_framed();
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -4,6 +4,7 @@
 use base::{TargetName, TokenCount};
 use bytes::Bytes;
 use entry::{MovePhase, MovePlan, OutputGuess, StreamFacts};
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -15,8 +16,9 @@
 use super::CallAudit;
 use super::call_input::CallInput;
 use super::caller_feed::{CallerFeed, FeedEnd};
+use super::crash_watch::{note_answered, note_broken};
 use super::move_times::MoveTimes;
-use super::target_send::{TargetHead, note_answered, note_broken};
+use super::target_send::TargetHead;
 use crate::{CopyAnswer, GatewayCore, PlaceHold};
 
 /// Largest event in bytes.
@@ -274,7 +276,7 @@
             self.fail("target_lost", "stream ended within an event");
             return PumpState::Ended;
         }
-        note_answered(&self.core, &self.call, &self.hold);
+        note_answered(&self.core, &self.call, &mut self.hold, StatusCode::OK);
         self.feed.complete();
         self.audit.end_stream("answered");
         PumpState::Ended
@@ -291,7 +293,7 @@
         if self.plan.awaits_stop() {
             return PumpState::Going;
         }
-        note_broken(&self.core, &self.call, &self.hold);
+        note_broken(&self.core, &self.call, &mut self.hold);
         let target = self.hold.target.clone();
         self.fail("generation_lost", &format!("{target} broke off: {reason}"));
         PumpState::Ended
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -1,6 +1,7 @@
-use base::{EventKind, TargetName};
-use calls::TargetDeath;
-use entry::{TargetOutcome, TargetPhase};
+use std::sync::Arc;
+
+use base::TargetName;
+use entry::TargetOutcome;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
@@ -10,7 +11,9 @@
 
 use super::CallAudit;
 use super::call_input::{CallInput, strip_hop_headers};
+use super::crash_watch::note_broken;
 use super::whole_answer::WholeAnswer;
+use crate::state::{SendBar, SendCheck};
 use crate::{GatewayCore, PlaceHold, ResumePoint, SendHead};
 
 /// Largest answer that is held back until it is complete.
@@ -29,6 +32,8 @@
     Refused(StatusCode),
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, as it must not be any more.
+    Barred(SendBar),
     /// The call was sent and may have run.
     Lost(String),
     /// No head arrived in time; the call may have run.
@@ -42,6 +47,7 @@
             Self::Head(_) => {}
             Self::Refused(status) => audit.explain(format!("{target} refused with {status}")),
             Self::Unsent(reason) => audit.explain(format!("{target} not reached: {reason}")),
+            Self::Barred(bar) => audit.explain(format!("not sent to {target}: {bar}")),
             Self::Lost(reason) => audit.explain(format!("{target} lost: {reason}")),
             Self::TimedOut => audit.explain(format!("{target} gave no answer in time")),
         }
@@ -67,12 +73,15 @@
 /// Sends a call to the target of `hold` on a connection of its own, so that no late or extra bytes
 /// of another answer can be taken for its answer.
 pub async fn send_call(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     call: &CallInput,
     hold: &mut PlaceHold,
     resume: Option<&ResumePoint>,
     until: Instant,
 ) -> SendEnd {
+    if let Err(bar) = check_now(core, call, hold, resume.is_some()) {
+        return SendEnd::Barred(bar);
+    }
     let connected = timeout_at(until, core.pool.connect(hold.address, SendPhase::Fresh)).await;
     let mut connection = match connected {
         Ok(Ok(connection)) => connection,
@@ -82,12 +91,17 @@
         }
         Err(_) => return SendEnd::Unsent("no time left to connect".to_owned()),
     };
-    hold.place_print(call.print);
+    // Connecting takes time as well.
+    if let Err(bar) = check_now(core, call, hold, resume.is_some()) {
+        return SendEnd::Barred(bar);
+    }
+    hold.begin_send(call.print);
     let request = make_request(core, call, hold, resume);
     let sent = timeout_at(until, connection.send(request)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err((error, Some(_)))) => {
+            hold.settle();
             hold.note(TargetOutcome::Unreachable);
             return SendEnd::Unsent(error.to_string());
         }
@@ -96,7 +110,7 @@
             return SendEnd::Lost(error.to_string());
         }
         Err(_) => {
-            hold.note(TargetOutcome::Failed);
+            note_broken(core, call, hold);
             return SendEnd::TimedOut;
         }
     };
@@ -104,6 +118,7 @@
     let codec = &core.ports.calls;
     let head = codec.read_answer(&call.head.request, status, response.headers());
     if head.is_refused {
+        hold.settle();
         hold.note(TargetOutcome::Refused);
         return SendEnd::Refused(status);
     }
@@ -119,6 +134,24 @@
     }))
 }
 
+/// Whether the call may be sent by what is known now.
+fn check_now(
+    core: &GatewayCore,
+    call: &CallInput,
+    hold: &PlaceHold,
+    is_resume: bool,
+) -> Result<(), SendBar> {
+    let check = SendCheck {
+        print: call.print,
+        target: &hold.target,
+        route: (&call.host, call.target.path()),
+        key: call.head.key.as_ref(),
+        version: call.version,
+        is_resume,
+    };
+    core.with_state(|state, now| state.check_send(now, &check))
+}
+
 /// Reads a whole answer; the error tells why it is not complete.
 pub async fn read_answer(head: TargetHead, until: Instant) -> Result<WholeAnswer, String> {
     let (mut parts, body) = head.response.into_parts();
@@ -138,53 +171,6 @@
     })
 }
 
-/// Notes that the target gave a whole answer.
-pub fn note_answered(core: &GatewayCore, call: &CallInput, hold: &PlaceHold) {
-    hold.note(TargetOutcome::Answered);
-    core.with_state(|state, now| {
-        if let Some(message) = state.crashes.on_completed(call.print) {
-            log_mark(core, call, hold, "completed");
-            state.publish_crash(now, message);
-        }
-    });
-}
-
-/// Notes that the target broke off a call. A target that leaves breaks off by plan, which says
-/// nothing about the call.
-pub fn note_broken(core: &GatewayCore, call: &CallInput, hold: &PlaceHold) {
-    hold.note(TargetOutcome::Failed);
-    core.with_state(|state, now| {
-        let found = state.board.target(&hold.target);
-        let is_leaving = found.is_none_or(|one| one.phase != TargetPhase::Ready);
-        if is_leaving || call.engine.is_none() {
-            log_mark(core, call, hold, "passed_over");
-            return;
-        }
-        let death = TargetDeath {
-            target: hold.target.clone(),
-            incarnation: hold.incarnation,
-        };
-        for message in state.crashes.on_target_died(now, death) {
-            state.publish_crash(now, message);
-        }
-        log_mark(core, call, hold, "marked");
-    });
-}
-
-/// Logs what the end of a call says of its marks.
-fn log_mark(core: &GatewayCore, call: &CallInput, hold: &PlaceHold, outcome: &'static str) {
-    log::info!(
-        event = EventKind::CrashMarked.number(),
-        node = core.node().as_str(),
-        request = call.head.request.as_str(),
-        print = call.print.to_string().as_str(),
-        target = hold.target.as_str(),
-        incarnation = hold.incarnation.0,
-        outcome = outcome;
-        "a call broke off or completed"
-    );
-}
-
 fn make_request(
     core: &GatewayCore,
     call: &CallInput,
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use base::{ClockTime, ErrorKind, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
-use entry::{LineCall, LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
+use entry::{BoardChanges, LineCall, LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use web::{ConnectionPool, PoolSettings};
@@ -9,6 +9,7 @@
 use super::gateway_state::{LineAnswer, LineWaiter};
 use super::line_place::LinePlace;
 use super::{GatewayState, LineGrant, PlaceHold, PlaceRefusal};
+use crate::relay::end_run;
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Advice to callers of a service that has no target: new ones register within seconds.
@@ -140,8 +141,9 @@
     /// Whether callers should come to this node.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && self.with_state(|state, _| {
-                state.view.config.is_some() && state.view.target_items.revision().is_some()
+            && self.with_state(|state, now| {
+                let has_view = state.view.config.is_some();
+                has_view && state.view.target_items.revision().is_some() && state.is_informed(now)
             })
     }
 
@@ -218,7 +220,7 @@
     /// Takes changes of published items; `from` tells who sent them.
     ///
     /// Returns whether anything changed.
-    pub fn take_batch(&self, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
+    pub fn take_batch(self: &Arc<Self>, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
         let changed = self.with_state(|state, now| {
             state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
@@ -234,7 +236,7 @@
     ///
     /// Returns whether anything changed.
     pub fn take_items(
-        &self,
+        self: &Arc<Self>,
         area: ViewArea,
         revision: u64,
         items: Vec<entry::PublishedItem>,
@@ -251,18 +253,19 @@
     }
 
     /// Lets time pass.
-    pub fn on_tick(&self) {
-        let leaving = self.with_state(|state, now| {
-            let leaving = state.board.on_tick(now);
-            state.crashes.expire(now);
+    pub fn on_tick(self: &Arc<Self>) {
+        let changes = self.with_state(|state, now| {
+            let changes = state.board.on_tick(now);
+            state.facts.set.expire(now);
+            state.attempts.expire(now);
             state.expire_grants(now);
             state.serve_line(now);
-            leaving
+            changes
         });
-        self.announce_leaving(&leaving, "entry did not come back");
+        self.announce(&changes, "entry did not come back");
     }
 
-    fn adopt(&self, area: ViewArea, from: &str) {
+    fn adopt(self: &Arc<Self>, area: ViewArea, from: &str) {
         match area {
             ViewArea::Config => self.adopt_config(from),
             ViewArea::Targets => self.adopt_targets(from),
@@ -301,14 +304,14 @@
         }
     }
 
-    fn adopt_targets(&self, from: &str) {
-        let (leaving, failures, known) = self.with_state(|state, now| {
+    fn adopt_targets(self: &Arc<Self>, from: &str) {
+        let (changes, failures, known) = self.with_state(|state, now| {
             let (records, failures) = state.view.read_targets(&*self.ports.items);
             let guard = state.view.guard;
-            let leaving = state.board.take_records(now, records, &guard);
+            let changes = state.board.take_records(now, records, &guard);
             state.serve_line(now);
             let known = state.board.targets().len();
-            (leaving, failures, known)
+            (changes, failures, known)
         });
         for failure in failures {
             log::warn!(
@@ -325,7 +328,14 @@
             from = from;
             "targets read"
         );
-        self.announce_leaving(&leaving, from);
+        self.announce(&changes, from);
+    }
+
+    fn announce(self: &Arc<Self>, changes: &BoardChanges, from: &str) {
+        self.announce_leaving(&changes.leaving, from);
+        for (target, incarnation) in &changes.ended {
+            end_run(self, target, *incarnation);
+        }
     }
 
     fn announce_leaving(&self, leaving: &[TargetName], from: &str) {
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,21 +1,16 @@
 use base::{
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
-use calls::{CrashLimits, CrashMessage, CrashTable};
 use entry::{
-    CopyLocks, DeskCandidate, LinePace, LineTicket, MoveTurns, PlaceChoice, PlaceNeed, PlaceReach,
-    RetryShare, TargetBoard, WaitLine,
+    AttemptLog, CopyLocks, DeskCandidate, FactBook, LinePace, LineTicket, MoveTurns, PlaceChoice,
+    PlaceNeed, PlaceReach, RetryShare, SuspectPlaces, TargetBoard, WaitLine,
 };
+use facts::FactPace;
 use tokio::sync::oneshot;
 
 use super::{DeskState, LineGrant, PeerTable, ViewState};
 use crate::{GatewaySettings, RetryBounds, ViewArea};
 
-/// Crash messages that are repeated to peers.
-const CRASH_MESSAGE_LIMIT: usize = 64;
-
-/// Time for which a crash message is repeated; each peer is told in most rounds.
-const CRASH_REPEAT: TimeSpan = TimeSpan::from_secs(3);
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
 const BEHIND_WAIT: TimeSpan = TimeSpan::new(300);
 
@@ -38,6 +33,15 @@
 /// within 1.4 s through desks.
 const UNTOLD_BLIND_WAIT: TimeSpan = TimeSpan::new(1_600);
 
+/// Bounds of the bytes for comparing facts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FactPaces {
+    /// Of what this node asks.
+    pub asking: FactPace,
+    /// Of what it answers.
+    pub answering: FactPace,
+}
+
 /// Answer to a call that waits in the line: its room, or none if the service has no target.
 pub type LineAnswer = Option<LineGrant>;
 
@@ -69,10 +73,16 @@
     pub waiters: Vec<LineWaiter>,
     /// Budget of second sends.
     pub share: RetryShare,
-    /// Calls that crash targets.
-    pub crashes: CrashTable,
-    /// What peers have to know of such calls.
-    pub crash_messages: Vec<(ClockTime, CrashMessage)>,
+    /// Facts that nodes agree on.
+    pub facts: FactBook,
+    /// Bytes that comparing facts with peers may take: as asker, and when asked.
+    pub fact_paces: FactPaces,
+    /// Whether a peer told its facts since the start.
+    pub has_facts: bool,
+    /// Where calls run that may crash their targets.
+    pub suspects: SuspectPlaces,
+    /// Calls that were sent and have no answer.
+    pub attempts: AttemptLog,
     /// Who places generations.
     pub desk: DeskState,
     /// Other nodes.
@@ -108,8 +118,11 @@
             pace: LinePace::new(seed),
             waiters: Vec::new(),
             share: RetryShare::new(retry.ratio, retry.extra, retry.window),
-            crashes: CrashTable::new(CrashLimits::default()),
-            crash_messages: Vec::new(),
+            facts: FactBook::default(),
+            fact_paces: FactPaces::default(),
+            has_facts: false,
+            suspects: SuspectPlaces::default(),
+            attempts: AttemptLog::default(),
             turns: MoveTurns::new(settings.node.clone()),
             locks: CopyLocks::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
@@ -236,20 +249,10 @@
         }
     }
 
-    /// Keeps a crash message to be repeated to peers.
-    pub fn publish_crash(&mut self, now: ClockTime, message: CrashMessage) {
-        if self.crash_messages.len() >= CRASH_MESSAGE_LIMIT {
-            self.crash_messages.remove(0);
-        }
-        self.crash_messages.push((now, message));
-    }
-
-    /// Crash messages that peers may not have heard.
-    pub fn recent_crashes(&mut self, now: ClockTime) -> Vec<CrashMessage> {
-        self.crash_messages
-            .retain(|(at, _)| now.since(*at) < CRASH_REPEAT);
-        let messages = self.crash_messages.iter();
-        messages.map(|(_, message)| message.clone()).collect()
+    /// Whether this node knows what its peers agree on, so that it may send calls: a peer told it, or
+    /// none did in time.
+    pub fn is_informed(&self, now: ClockTime) -> bool {
+        self.has_facts || !self.peers.has_seeds() || now.since(ClockTime::ZERO) > FIRST_WAIT
     }
 
     /// Whether to take targets from a peer that knows them up to revision `told`.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod line_place;
 mod peer_table;
 mod place_hold;
+mod send_check;
 mod view_state;
 
 pub use desk_state::{DESKS, DeskState};
@@ -16,4 +17,5 @@
 pub use line_place::FULL_RETRY;
 pub use peer_table::{ALIVE_WAIT, PeerFacts, PeerTable};
 pub use place_hold::{PlaceHold, PlaceRefusal};
+pub use send_check::{SendBar, SendCheck};
 pub use view_state::ViewState;
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -71,6 +71,11 @@
         self.is_seed
     }
 
+    /// Whether this node can find others.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     /// Replaces the seeds; returns whether they changed.
     pub fn set_seeds(&mut self, mut seeds: Vec<SocketAddr>) -> bool {
         let count = seeds.len();
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -2,8 +2,8 @@
 use std::sync::Arc;
 
 use base::{DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
-use calls::CrashPrint;
-use entry::{GrantId, LoadSum, TargetOutcome, TargetPhase};
+use calls::{CrashPrint, CrashVerdict};
+use entry::{CrashSign, GrantId, LoadSum, SuspectPlace, TargetOutcome, TargetPhase};
 
 use super::GatewayCore;
 
@@ -20,7 +20,8 @@
 pub struct PlaceHold {
     core: Arc<GatewayCore>,
     load: LoadSum,
-    print: Option<CrashPrint>,
+    sign: Option<Box<CrashSign>>,
+    suspect: Option<CrashPrint>,
     /// The target.
     pub target: TargetName,
     /// Its address.
@@ -53,7 +54,8 @@
         Some(Self {
             core,
             load,
-            print: None,
+            sign: None,
+            suspect: None,
             target,
             address,
             domain,
@@ -94,13 +96,28 @@
     }
 
     /// Notes that a call is about to be sent, should it crash the target.
-    pub fn place_print(&mut self, print: CrashPrint) {
-        self.print = Some(print);
-        self.core.with_state(|state, now| {
-            if let Some(message) = state.crashes.on_placed(now, print, &self.target) {
-                state.publish_crash(now, message);
+    pub fn begin_send(&mut self, print: CrashPrint) {
+        let target = self.target.clone();
+        let (sign, suspect) = self.core.with_state(|state, now| {
+            let sign = state.facts.sign(print, &target, self.incarnation);
+            state.attempts.begin(sign.clone(), self.address);
+            if state.facts.judge(now, print) == CrashVerdict::Free {
+                return (sign, None);
             }
+            state.suspects.enter(SuspectPlace { print, target });
+            (sign, Some(print))
         });
+        self.sign = Some(Box::new(sign));
+        self.suspect = suspect;
+    }
+
+    /// Notes that the target answers, or that it is known why not; returns the sign that the call
+    /// leaves if the target died.
+    pub fn settle(&mut self) -> Option<CrashSign> {
+        let sign = self.sign.take()?;
+        self.core
+            .with_state(|state, _| state.attempts.settle(&sign));
+        Some(*sign)
     }
 
     /// Notes that the prompt was read.
@@ -147,11 +164,12 @@
     fn drop(&mut self) {
         self.core.with_state(|state, now| {
             state.board.remove(&self.target, self.load);
-            let left = self
-                .print
-                .map(|print| state.crashes.on_left(print, &self.target));
-            if let Some(message) = left.flatten() {
-                state.publish_crash(now, message);
+            if let Some(print) = self.suspect {
+                let target = self.target.clone();
+                state.suspects.leave(&SuspectPlace { print, target });
+            }
+            if let Some(sign) = &self.sign {
+                state.attempts.abandon(now, sign);
             }
             state.serve_line(now);
         });
--- a/crates/gateway/tests/gateway/desks.rs
+++ b/crates/gateway/tests/gateway/desks.rs
@@ -5,6 +5,7 @@
 
 use base::{ClockTime, CoreShare, TimeSpan};
 use entry::ConfigVersion;
+use facts::FactRoot;
 use gateway::NodeDigest;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -116,7 +117,8 @@
         loads: Vec::new(),
         sums: None,
         finished: Vec::new(),
-        crashes: Vec::new(),
+        facts: FactRoot::default(),
+        suspects: Vec::new(),
         addresses: Vec::new(),
     };
     let body = rmp_serde::to_vec(&digest).unwrap();
