Stop using targets that say in their answers that they leave

Cause: the word of a target was read only from its entry in the store, and from reports while a node was blind; an entry that still said ready undid the latter.

--- a/crates/entry/src/target/board_changes.rs
+++ b/crates/entry/src/target/board_changes.rs
@@ -7,6 +7,8 @@
 pub struct BoardChanges {
     /// Targets that left or started to leave.
     pub leaving: Vec<TargetName>,
+    /// Runs that the platform lists as ready again after it listed them as leaving.
+    pub stayed: Vec<(TargetName, IncarnationNumber)>,
     /// Runs that ended without notice.
     pub ended: Vec<(TargetName, IncarnationNumber)>,
 }
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -1,6 +1,6 @@
 use std::ops::{AddAssign, SubAssign};
 
-use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -240,16 +240,36 @@
         PlaceChoice::Target(self.targets[costs[pick].1].record.name.clone())
     }
 
-    /// Notes that a target said itself that it leaves; returns whether that is new.
-    pub fn mark_leaving(&mut self, name: &TargetName) -> bool {
-        let Ok(at) = self.find(name) else {
+    /// Notes that a run of a target said itself that it leaves; returns whether that changes anything.
+    pub fn mark_leaving(&mut self, name: &TargetName, incarnation: IncarnationNumber) -> bool {
+        let Some(state) = self.run_mut(name, incarnation) else {
             return false;
         };
-        let was_leaving = self.targets[at].phase == TargetPhase::Leaving;
-        self.targets[at].phase = TargetPhase::Leaving;
+        let was_leaving = state.phase == TargetPhase::Leaving;
+        state.has_said = true;
+        state.phase = TargetPhase::Leaving;
         !was_leaving
     }
 
+    /// Notes that the platform took back that a run leaves, as a peer saw.
+    pub fn mark_stayed(&mut self, name: &TargetName, incarnation: IncarnationNumber) {
+        if let Some(state) = self.run_mut(name, incarnation)
+            && std::mem::take(&mut state.has_said)
+        {
+            state.phase = state.listed_phase();
+        }
+    }
+
+    fn run_mut(
+        &mut self,
+        name: &TargetName,
+        incarnation: IncarnationNumber,
+    ) -> Option<&mut TargetState> {
+        let at = self.find(name).ok()?;
+        let state = &mut self.targets[at];
+        (state.record.incarnation == incarnation).then_some(state)
+    }
+
     /// Adds a call to the load of a target.
     pub fn add(&mut self, name: &TargetName, load: LoadSum) {
         if let Ok(at) = self.find(name) {
@@ -370,14 +390,15 @@
         };
         let state = &mut self.targets[at];
         let was_leaving = state.phase == TargetPhase::Leaving;
-        state.phase = match record.is_leaving {
-            true => TargetPhase::Leaving,
-            false => TargetPhase::Ready,
-        };
-        if record.is_leaving && !was_leaving {
-            changes.leaving.push(record.name.clone());
+        if state.record.is_leaving && !record.is_leaving {
+            state.has_said = false;
+            changes.stayed.push(state.run());
         }
         state.record = record;
+        state.phase = state.listed_phase();
+        if state.phase == TargetPhase::Leaving && !was_leaving {
+            changes.leaving.push(state.record.name.clone());
+        }
     }
 
     fn drop_missing(
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -28,6 +28,8 @@
     pub granted: LoadSum,
     /// How its calls ended.
     pub health: TargetHealth,
+    /// Whether this run said itself that it leaves.
+    pub has_said: bool,
     /// When it is no longer slow after its start.
     pub warm_at: ClockTime,
 }
@@ -40,6 +42,7 @@
             false => TargetPhase::Ready,
         };
         Self {
+            has_said: false,
             warm_at: now + record.cold_left,
             record,
             phase,
@@ -50,6 +53,14 @@
         }
     }
 
+    /// Phase of a target whose entry is there.
+    pub(super) fn listed_phase(&self) -> TargetPhase {
+        match self.record.is_leaving || self.has_said {
+            true => TargetPhase::Leaving,
+            false => TargetPhase::Ready,
+        }
+    }
+
     /// The target and its run.
     pub fn run(&self) -> (TargetName, IncarnationNumber) {
         (self.record.name.clone(), self.record.incarnation)
--- a/crates/entry/tests/board.rs
+++ b/crates/entry/tests/board.rs
@@ -155,7 +155,7 @@
 fn a_new_run_under_an_old_name_takes_calls() {
     let mut board = board(&[record("e1", "patan")]);
     board.note(NOW, &name("e1"), TargetOutcome::Unreachable);
-    board.mark_leaving(&name("e1"));
+    board.mark_leaving(&name("e1"), record("e1", "patan").incarnation);
     let mut reborn = record("e1", "patan");
     reborn.incarnation = IncarnationNumber(2);
     board.take_records(NOW, vec![reborn], &LapseGuard::default());
--- a/crates/gateway/src/feed/engine_watch.rs
+++ b/crates/gateway/src/feed/engine_watch.rs
@@ -1,7 +1,8 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{EventKind, TargetName};
+use base::{EventKind, IncarnationNumber, TargetName};
 use tokio::time::interval;
 
 use crate::GatewayCore;
@@ -25,11 +26,13 @@
         let mut rounds = interval(ROUND);
         loop {
             rounds.tick().await;
-            for (target, address) in self.asked() {
+            for (target, incarnation, address) in self.asked() {
                 let core = self.core.clone();
                 tokio::spawn(async move {
                     match core.ports.engines.ask_report(address).await {
-                        Ok(report) if report.is_leaving => core.take_leaving(&target),
+                        Ok(report) if report.is_leaving => {
+                            core.take_leaving(&target, incarnation, "report");
+                        }
                         Ok(_) => {}
                         Err(reason) => log::debug!(
                             event = EventKind::TargetDown.number(),
@@ -43,14 +46,15 @@
         }
     }
 
-    fn asked(&self) -> Vec<(TargetName, std::net::SocketAddr)> {
+    fn asked(&self) -> Vec<(TargetName, IncarnationNumber, SocketAddr)> {
         self.core.with_state(|state, now| {
             if !state.is_blind(now) {
                 return Vec::new();
             }
             let targets = state.board.targets().iter();
             let busy = targets.filter(|one| one.own.tokens > 0 && one.accepts(now));
-            busy.map(|one| (one.record.name.clone(), one.record.address))
+            let busy = busy.map(|one| &one.record);
+            busy.map(|record| (record.name.clone(), record.incarnation, record.address))
                 .collect()
         })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,8 +15,8 @@
 pub use peer::{ItemNews, NodeDigest};
 pub use port::{
     AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, EngineReport,
-    GatewayPorts, GenerationSize, HeadMistake, ItemBatch, PortFuture, ResumePoint, SendHead,
-    SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
+    GatewayPorts, GenerationSize, HeadMistake, ItemBatch, PortFuture, QuietAsk, ResumePoint,
+    SendHead, SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
 };
 pub use relay::CallHandler;
 pub use serve::{GatewayServer, StartFailure};
--- a/crates/gateway/src/peer/fact_exchange.rs
+++ b/crates/gateway/src/peer/fact_exchange.rs
@@ -86,6 +86,7 @@
 
 /// Lets facts take effect that a peer told.
 fn note_news(core: &Arc<GatewayCore>, news: Vec<NodeFact>) {
+    core.take_facts(&news);
     for fact in news {
         log::debug!(
             event = EventKind::FactTold.number(),
--- a/crates/gateway/src/port/call_codec.rs
+++ b/crates/gateway/src/port/call_codec.rs
@@ -63,6 +63,15 @@
     pub resume: Option<&'a ResumePoint>,
 }
 
+/// How long a target that turned a call away wants nothing from this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuietAsk {
+    /// For this time.
+    For(TimeSpan),
+    /// For a time that can't be understood.
+    Unclear(SmolStr),
+}
+
 /// What the head of a target's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -70,6 +79,10 @@
     pub is_refused: bool,
     /// The answer is marked as the target's own, for this call, in a form that callers accept.
     pub is_genuine: bool,
+    /// The target says that it leaves.
+    pub is_leaving: bool,
+    /// The target turned the call away and wants nothing for a while.
+    pub quiet: Option<QuietAsk>,
 }
 
 /// The headers of a request can't be understood.
@@ -107,6 +120,9 @@
         headers: &HeaderMap,
     ) -> AnswerHead;
 
+    /// Whether headers or trailers of an answer say that its target leaves.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Status with which callers are told of a failure.
     fn failure_status(&self, kind: ErrorKind) -> StatusCode;
 
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -10,7 +10,7 @@
 use std::pin::Pin;
 
 pub use call_codec::{
-    AnswerHead, CallCodec, CallHead, GenerationSize, HeadMistake, ResumePoint, SendHead,
+    AnswerHead, CallCodec, CallHead, GenerationSize, HeadMistake, QuietAsk, ResumePoint, SendHead,
 };
 pub use engine_control::{CopyAnswer, EngineControl, EngineReport};
 pub use gateway_ports::{GatewayPorts, SettingsSource};
--- /dev/null
+++ b/crates/gateway/src/relay/answer_word.rs
@@ -0,0 +1,37 @@
+use base::{IncarnationNumber, TargetName};
+use http::HeaderMap;
+
+use crate::{AnswerHead, GatewayCore, PlaceHold};
+
+/// A run of a target, to which what its answers say applies.
+#[derive(Clone, Debug)]
+pub struct TargetRun {
+    /// The target.
+    pub target: TargetName,
+    /// Its run.
+    pub incarnation: IncarnationNumber,
+}
+
+impl TargetRun {
+    /// The run on which a call has room.
+    pub fn of(hold: &PlaceHold) -> Self {
+        Self {
+            target: hold.target.clone(),
+            incarnation: hold.incarnation,
+        }
+    }
+
+    /// Takes what the head of an answer says of the target.
+    pub fn note_head(&self, core: &GatewayCore, head: &AnswerHead) {
+        if head.is_leaving {
+            core.take_leaving(&self.target, self.incarnation, "answer");
+        }
+    }
+
+    /// Takes what the trailers of an answer say of the target.
+    pub fn note_trailers(&self, core: &GatewayCore, trailers: &HeaderMap) {
+        if core.ports.calls.says_leaving(trailers) {
+            core.take_leaving(&self.target, self.incarnation, "trailer");
+        }
+    }
+}
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Calls on their way from a caller to a target and back.
 
+mod answer_word;
 mod call_audit;
 mod call_handler;
 mod call_input;
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -146,7 +146,7 @@
         SendEnd::TimedOut => return AttemptEnd::TimedOut,
     };
     audit.note_first();
-    match read_answer(*head, until).await {
+    match read_answer(core, *head, until).await {
         Ok(answer) if answer.status.is_server_error() => {
             hold.settle();
             hold.note(TargetOutcome::Failed);
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -115,7 +115,7 @@
     deadline: tokio::time::Instant,
 ) -> Response<WebBody> {
     audit.note_first();
-    match read_answer(head, deadline).await {
+    match read_answer(core, head, deadline).await {
         Ok(answer) => deliver_answer(core, &mut audit, answer),
         Err(reason) => {
             audit.explain(reason);
--- a/crates/gateway/src/relay/stream_pump.rs
+++ b/crates/gateway/src/relay/stream_pump.rs
@@ -6,7 +6,7 @@
 use entry::{MovePhase, MovePlan, OutputGuess, StreamFacts};
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -14,6 +14,7 @@
 use web::{EventFrame, EventSplitter, PooledSender};
 
 use super::CallAudit;
+use super::answer_word::TargetRun;
 use super::call_input::CallInput;
 use super::caller_feed::{CallerFeed, FeedEnd};
 use super::crash_watch::{note_answered, note_broken};
@@ -44,7 +45,7 @@
 
 /// What happens next to a stream.
 enum PumpEvent {
-    Frame(Option<Result<Bytes, String>>),
+    Frame(Option<Result<Frame<Bytes>, String>>),
     CallerGone,
     TargetsLeft,
     Copied(CopyAnswer),
@@ -159,7 +160,7 @@
             () = self.feed.closed() => PumpEvent::CallerGone,
             // Before the bytes of the engine, which may come without end.
             () = sleep_until(self.deadline) => PumpEvent::DeadlineReached,
-            frame = next_chunk(body) => PumpEvent::Frame(frame),
+            frame = next_frame(body) => PumpEvent::Frame(frame),
             answer = join_copy(copying) => {
                 self.copying = None;
                 PumpEvent::Copied(answer)
@@ -175,7 +176,15 @@
 
     async fn on_event(&mut self, event: PumpEvent) -> PumpState {
         match event {
-            PumpEvent::Frame(Some(Ok(chunk))) => self.on_chunk(chunk).await,
+            PumpEvent::Frame(Some(Ok(frame))) => match frame.into_data() {
+                Ok(chunk) => self.on_chunk(chunk).await,
+                Err(frame) => {
+                    if let Some(trailers) = frame.trailers_ref() {
+                        TargetRun::of(&self.hold).note_trailers(&self.core, trailers);
+                    }
+                    PumpState::Going
+                }
+            },
             PumpEvent::Frame(Some(Err(reason))) => self.on_broken(reason).await,
             PumpEvent::Frame(None) => self.on_end().await,
             PumpEvent::CallerGone => {
@@ -305,19 +314,12 @@
     }
 }
 
-async fn next_chunk(body: Option<&mut Incoming>) -> Option<Result<Bytes, String>> {
+async fn next_frame(body: Option<&mut Incoming>) -> Option<Result<Frame<Bytes>, String>> {
     let Some(body) = body else {
         return std::future::pending().await;
     };
-    loop {
-        return match body.frame().await? {
-            Ok(frame) => match frame.into_data() {
-                Ok(data) => Some(Ok(data)),
-                Err(_) => continue,
-            },
-            Err(error) => Some(Err(error.to_string())),
-        };
-    }
+    let frame = body.frame().await?;
+    Some(frame.map_err(|error| error.to_string()))
 }
 
 async fn join_copy(copying: Option<&mut JoinHandle<CopyAnswer>>) -> CopyAnswer {
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -10,6 +10,7 @@
 use web::{PooledSender, SendPhase, full_body};
 
 use super::CallAudit;
+use super::answer_word::TargetRun;
 use super::call_input::{CallInput, strip_hop_headers};
 use super::crash_watch::note_broken;
 use super::whole_answer::WholeAnswer;
@@ -60,6 +61,8 @@
     pub response: Response<Incoming>,
     /// Keeps the connection open.
     pub connection: PooledSender,
+    /// Who answers.
+    pub run: TargetRun,
 }
 
 impl TargetHead {
@@ -117,6 +120,8 @@
     let status = response.status();
     let codec = &core.ports.calls;
     let head = codec.read_answer(&call.head.request, status, response.headers());
+    let run = TargetRun::of(hold);
+    run.note_head(core, &head);
     if head.is_refused {
         hold.settle();
         hold.note(TargetOutcome::Refused);
@@ -131,6 +136,7 @@
     SendEnd::Head(Box::new(TargetHead {
         response,
         connection,
+        run,
     }))
 }
 
@@ -153,13 +159,22 @@
 }
 
 /// Reads a whole answer; the error tells why it is not complete.
-pub async fn read_answer(head: TargetHead, until: Instant) -> Result<WholeAnswer, String> {
+pub async fn read_answer(
+    core: &GatewayCore,
+    head: TargetHead,
+    until: Instant,
+) -> Result<WholeAnswer, String> {
     let (mut parts, body) = head.response.into_parts();
     let connection = head.connection;
     let collected = timeout_at(until, Limited::new(body, ANSWER_LIMIT).collect()).await;
     drop(connection);
     let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => {
+            if let Some(trailers) = body.trailers() {
+                head.run.note_trailers(core, trailers);
+            }
+            body.to_bytes()
+        }
         Ok(Err(error)) => return Err(error.to_string()),
         Err(_) => return Err("answer not complete in time".to_owned()),
     };
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,7 +1,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
-use base::{ClockTime, ErrorKind, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
-use entry::{BoardChanges, LineCall, LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
+use base::{
+    ClockTime, ErrorKind, EventKind, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan,
+};
+use entry::{
+    BoardChanges, LeaveWord, LineCall, LineTicket, NodeFact, PlaceChoice, PlaceNeed, ServeConfig,
+};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use web::{ConnectionPool, PoolSettings};
@@ -308,7 +312,15 @@
         let (changes, failures, known) = self.with_state(|state, now| {
             let (records, failures) = state.view.read_targets(&*self.ports.items);
             let guard = state.view.guard;
-            let changes = state.board.take_records(now, records, &guard);
+            let mut changes = state.board.take_records(now, records, &guard);
+            for (target, incarnation) in &changes.stayed {
+                state.facts.note_stayed(now, target, *incarnation);
+            }
+            for (target, incarnation) in state.facts.leaving(now) {
+                if state.board.mark_leaving(&target, incarnation) {
+                    changes.leaving.push(target);
+                }
+            }
             state.serve_line(now);
             let known = state.board.targets().len();
             (changes, failures, known)
@@ -354,13 +366,51 @@
         }
     }
 
-    /// Takes the word of targets themselves that they leave.
-    pub fn take_leaving(&self, target: &TargetName) {
-        if self.with_state(|state, _| state.board.mark_leaving(target)) {
-            self.announce_leaving(std::slice::from_ref(target), "target");
+    /// Takes the word of a target itself that it leaves; `from` tells where it said so.
+    pub fn take_leaving(&self, target: &TargetName, incarnation: IncarnationNumber, from: &str) {
+        let is_new = self.with_state(|state, now| {
+            state.facts.note_leaving(now, target, incarnation);
+            state.board.mark_leaving(target, incarnation)
+        });
+        if is_new {
+            self.announce_leaving(std::slice::from_ref(target), from);
         }
     }
 
+    /// Lets facts take effect that a peer told.
+    pub fn take_facts(&self, news: &[NodeFact]) {
+        let leaving = self.with_state(|state, now| {
+            let mut leaving = Vec::new();
+            for fact in news {
+                match fact {
+                    NodeFact::Leaving(LeaveWord {
+                        target,
+                        incarnation,
+                        ..
+                    }) => {
+                        let is_leaving = state.facts.is_leaving(now, target, *incarnation);
+                        if is_leaving && state.board.mark_leaving(target, *incarnation) {
+                            leaving.push(target.clone());
+                        }
+                    }
+                    NodeFact::Stayed(LeaveWord {
+                        target,
+                        incarnation,
+                        ..
+                    }) => {
+                        if !state.facts.is_leaving(now, target, *incarnation) {
+                            state.board.mark_stayed(target, *incarnation);
+                        }
+                    }
+                    // The book judges calls by them.
+                    NodeFact::Crashed(_) | NodeFact::Completed(_) => {}
+                }
+            }
+            leaving
+        });
+        self.announce_leaving(&leaving, "facts of a peer");
+    }
+
     /// Lets the relays of generations look again whether to move.
     pub fn wake_pumps(&self) {
         self.leaving.send_modify(|count| *count += 1);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod crashes;
 mod desks;
 mod endless;
+mod leaving;
 mod peers;
+mod quiet;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/quiet.rs
@@ -0,0 +1,1 @@
+//! Targets that turn calls away and want nothing for a while.
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -10,8 +10,8 @@
 };
 use gateway::{
     AnswerHead, CallCodec, CallHead, CopyAnswer, DecodeFailure, EngineControl, EngineReport,
-    GatewayPorts, GatewaySettings, GenerationSize, HeadMistake, ItemBatch, PortFuture, SendHead,
-    SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
+    GatewayPorts, GatewaySettings, GenerationSize, HeadMistake, ItemBatch, PortFuture, QuietAsk,
+    SendHead, SettingsSource, SourceFailure, ViewArea, ViewCodec, ViewSource,
 };
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
@@ -45,7 +45,12 @@
     }
 
     pub fn put_target(&self, target: &FakeTarget, state: &str) {
-        let value = format!("{} {} {state}", target.service, target.address);
+        self.put_run(target, state, 1);
+    }
+
+    /// Publishes a target as the run `run` of its process.
+    pub fn put_run(&self, target: &FakeTarget, state: &str, run: u64) {
+        let value = format!("{} {} {state} {run}", target.service, target.address);
         self.put(ViewArea::Targets, &target.name, &value);
     }
 
@@ -148,7 +153,7 @@
     fn read_target(&self, item: &PublishedItem) -> Result<TargetRecord, DecodeFailure> {
         let text = String::from_utf8_lossy(&item.value);
         let parts: Vec<&str> = text.split(' ').collect();
-        let [service, address, state] = parts[..] else {
+        let [service, address, state, run] = parts[..] else {
             return Err(DecodeFailure {
                 key: item.key.to_string(),
                 reason: format!("found {text:?}"),
@@ -162,7 +167,7 @@
             is_leaving: state == "leaving",
             slots: 4,
             cold_left: TimeSpan::ZERO,
-            incarnation: IncarnationNumber(1),
+            incarnation: IncarnationNumber(run.parse().unwrap()),
         })
     }
 }
@@ -255,16 +260,29 @@
     fn read_answer(
         &self,
         request: &RequestId,
-        _status: StatusCode,
+        status: StatusCode,
         headers: &HeaderMap,
     ) -> AnswerHead {
         let id = headers.get("x-id").and_then(|value| value.to_str().ok());
         AnswerHead {
             is_refused: headers.contains_key("x-not-run"),
             is_genuine: id == Some(request.as_str()),
+            is_leaving: self.says_leaving(headers),
+            quiet: headers.get(RETRY_AFTER).map(|value| {
+                assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+                let millis = value.to_str().unwrap().parse();
+                millis.map_or_else(
+                    |_| QuietAsk::Unclear("unclear".into()),
+                    |millis| QuietAsk::For(TimeSpan::new(millis)),
+                )
+            }),
         }
     }
 
+    fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("x-leaving")
+    }
+
     fn failure_status(&self, kind: ErrorKind) -> StatusCode {
         StatusCode::from_u16(kind.answer().status).unwrap()
     }
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -48,6 +48,13 @@
     LargeEvents,
 }
 
+/// Where a target says that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeavingWord {
+    Head,
+    Trailer,
+}
+
 #[derive(Default)]
 struct TargetState {
     mode: Option<TargetMode>,
@@ -61,6 +68,10 @@
     /// Events made by each generation.
     made: BTreeMap<String, u64>,
     is_leaving: bool,
+    /// Says in the heads or the trailers of answers that it leaves.
+    leaving_word: Option<LeavingWord>,
+    /// Value of `Retry-After` in refusals.
+    quiet: Option<&'static str>,
     /// Times that it died.
     crashes: usize,
 }
@@ -159,6 +170,16 @@
         self.state.lock().unwrap().endless
     }
 
+    /// Says from now on in its answers that it leaves.
+    pub fn say_leaving(&self, word: LeavingWord) {
+        self.state.lock().unwrap().leaving_word = Some(word);
+    }
+
+    /// Asks for milliseconds of quiet in its refusals, in the form of the fake platform.
+    pub fn ask_quiet(&self, value: &'static str) {
+        self.state.lock().unwrap().quiet = Some(value);
+    }
+
     pub fn set_leaving(&self) {
         self.state.lock().unwrap().is_leaving = true;
     }
@@ -206,21 +227,35 @@
     };
     let _open = OpenCall::new(state.clone());
     let id = header(&head, "x-id").unwrap_or_default();
-    let mode = {
+    let (mode, word, quiet) = {
         let mut state = state.lock().unwrap();
         state.heads.push(head.clone());
-        state.mode
+        (state.mode, state.leaving_word, state.quiet)
+    };
+    let leaving = match word {
+        Some(LeavingWord::Head) => "x-leaving: 1\r\n",
+        Some(LeavingWord::Trailer) | None => "",
+    };
+    let whole = |id: &str| match word {
+        Some(LeavingWord::Trailer) => format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntrailer: x-leaving\r\n\
+             transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-leaving: 1\r\n\r\n"
+        ),
+        Some(LeavingWord::Head) | None => {
+            format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n{leaving}content-length: 5\r\n\r\nhello")
+        }
     };
-    let whole =
-        |id: &str| format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 5\r\n\r\nhello");
     let text = match mode {
         Some(TargetMode::Answer) => whole(&id),
         Some(TargetMode::Foreign) => whole("other"),
         Some(TargetMode::Fail(status)) => {
-            format!("HTTP/1.1 {status} Failed\r\nx-id: {id}\r\ncontent-length: 0\r\n\r\n")
+            let head = format!("HTTP/1.1 {status} Failed\r\nx-id: {id}\r\n{leaving}");
+            head + "content-length: 0\r\n\r\n"
         }
         Some(TargetMode::Refuse) => {
-            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+            let quiet = quiet.map_or(String::new(), |value| format!("retry-after: {value}\r\n"));
+            let head = format!("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{leaving}{quiet}");
+            head + "content-length: 0\r\n\r\n"
         }
         Some(TargetMode::Truncate) => whole(&id)[..whole(&id).len() - 2].to_owned(),
         Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
@@ -286,7 +321,13 @@
 ) {
     let id = header(head, "x-id").unwrap_or_default();
     let last: u64 = header(head, "x-last").map_or(0, |last| last.parse().unwrap());
-    let start = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+    let word = state.lock().unwrap().leaving_word;
+    let leaving = match word {
+        Some(LeavingWord::Head) => "x-leaving: 1\r\n",
+        Some(LeavingWord::Trailer) | None => "",
+    };
+    let start =
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n{leaving}transfer-encoding: chunked\r\n\r\n");
     if stream.write_all(start.as_bytes()).await.is_err() {
         return;
     }
@@ -305,7 +346,11 @@
         }
         sleep(EVENT_PAUSE).await;
     }
-    let _ = stream.write_all(b"0\r\n\r\n").await;
+    let end: &[u8] = match word {
+        Some(LeavingWord::Trailer) => b"0\r\nx-leaving: 1\r\n\r\n",
+        Some(LeavingWord::Head) | None => b"0\r\n\r\n",
+    };
+    let _ = stream.write_all(end).await;
 }
 
 /// Reads a head and the body that it announces.
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -5,7 +5,7 @@
 mod test_caller;
 
 pub use fake_ports::{FakeStore, ports};
-pub use fake_target::{FakeTarget, TargetMode};
+pub use fake_target::{FakeTarget, LeavingWord, TargetMode};
 pub use test_caller::{CallerAnswer, call, get, open_stream, post};
 
 use std::net::{IpAddr, SocketAddr};
