Send nothing to a target that turned a call away for a time

Cause: the header was not read; a full target was left alone for 60 ms. Change: the time holds for the run on this node: first sends, second tries, calls in the line, calls that a desk placed, moves and reports wait for its end; if all targets of a service want quiet, callers hear at once when to come back, spread over a second; after it calls start one by one. It is no fault of the target. The check of every send has a table test of what forbids it.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -88,6 +88,7 @@
     BreakerClosed = 3008, "The circuit breaker of a target closed.";
     TargetUnreadable = 3009, "The entry of a target could not be read and is passed over.";
     TargetsRead = 3010, "The list of targets changed and was read.";
+    TargetQuiet = 3011, "A target turned a call away and wants nothing for a while.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer missed its probes.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub use retry::RetryShare;
 pub use target::{
     BoardChanges, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach,
-    TargetBoard, TargetHealth, TargetOutcome, TargetPhase, TargetRecord, TargetState, reading_time,
+    TargetBoard, TargetHealth, TargetOutcome, TargetPhase, TargetQuiet, TargetRecord, TargetState,
+    reading_time,
 };
 pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- a/crates/entry/src/target/place_choice.rs
+++ b/crates/entry/src/target/place_choice.rs
@@ -50,6 +50,8 @@
     Target(TargetName),
     /// Nowhere now, as every target is full or paused.
     Full,
+    /// Nowhere, as every target wants quiet from this node; the first one for this time.
+    Quiet(TimeSpan),
     /// Nowhere, as the service has no target that is up.
     Absent,
 }
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -230,9 +230,10 @@
         }
         let least = costs.iter().map(|(cost, _)| *cost).reduce(f64::min);
         let Some(least) = least else {
-            return match is_present {
-                true => PlaceChoice::Full,
-                false => PlaceChoice::Absent,
+            return match (is_present, self.quiet_left(now, &need.service)) {
+                (false, _) => PlaceChoice::Absent,
+                (true, Some(left)) => PlaceChoice::Quiet(left),
+                (true, None) => PlaceChoice::Full,
             };
         };
         costs.retain(|(cost, _)| *cost < least + TIE_MS);
@@ -240,6 +241,36 @@
         PlaceChoice::Target(self.targets[costs[pick].1].record.name.clone())
     }
 
+    /// Time until the first target of a service may be sent anything, if all want quiet from this node.
+    pub fn quiet_left(&self, now: ClockTime, service: &ServiceName) -> Option<TimeSpan> {
+        let known = self.targets.iter();
+        let open =
+            known.filter(|one| one.record.service == *service && one.phase != TargetPhase::Leaving);
+        let left = open
+            .map(|one| one.quiet.left(now))
+            .collect::<Option<Vec<_>>>()?;
+        left.into_iter().min()
+    }
+
+    /// A run of a target wants quiet from this node; returns the time that counts, `None` if it is not
+    /// known.
+    pub fn ask_quiet(
+        &mut self,
+        now: ClockTime,
+        name: &TargetName,
+        incarnation: IncarnationNumber,
+        span: TimeSpan,
+    ) -> Option<TimeSpan> {
+        let state = self.run_mut(name, incarnation)?;
+        Some(state.quiet.ask(now, span))
+    }
+
+    /// Takes one move off a target; `false` if it wants quiet and there were too many.
+    pub fn take_move(&mut self, now: ClockTime, name: &TargetName) -> bool {
+        let found = self.find(name);
+        found.is_err() || found.is_ok_and(|at| self.targets[at].quiet.take_move(now))
+    }
+
     /// Notes that a run of a target said itself that it leaves; returns whether that changes anything.
     pub fn mark_leaving(&mut self, name: &TargetName, incarnation: IncarnationNumber) -> bool {
         let Some(state) = self.run_mut(name, incarnation) else {
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -1,6 +1,6 @@
 use base::{ClockTime, IncarnationNumber, TargetName};
 
-use super::{LoadSum, TargetHealth, TargetRecord};
+use super::{LoadSum, TargetHealth, TargetQuiet, TargetRecord};
 
 /// Whether a target takes calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     pub granted: LoadSum,
     /// How its calls ended.
     pub health: TargetHealth,
+    /// Time in which it wants nothing from this node.
+    pub quiet: TargetQuiet,
     /// Whether this run said itself that it leaves.
     pub has_said: bool,
     /// When it is no longer slow after its start.
@@ -42,6 +44,7 @@
             false => TargetPhase::Ready,
         };
         Self {
+            quiet: TargetQuiet::default(),
             has_said: false,
             warm_at: now + record.cold_left,
             record,
@@ -68,7 +71,8 @@
 
     /// Whether new calls may be sent, leaving load aside.
     pub fn accepts(&self, now: ClockTime) -> bool {
-        self.phase != TargetPhase::Leaving && self.health.accepts(now)
+        let is_open = self.phase != TargetPhase::Leaving && self.health.accepts(now);
+        is_open && self.quiet.allows(now, self.own.calls)
     }
 
     /// Load of this node and its peers.
--- a/crates/gateway/src/desk/desk_client.rs
+++ b/crates/gateway/src/desk/desk_client.rs
@@ -1,12 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{ClockTime, ErrorKind, TargetName, TimeSpan};
+use base::{ClockTime, TargetName, TimeSpan};
 use entry::{PlaceNeed, PlaceReach};
 
 use super::{RoomAnswer, RoomQuestion};
 use crate::peer::PeerExchange;
-use crate::state::{FULL_RETRY, RoomAsk};
+use crate::state::RoomAsk;
 use crate::{GatewayCore, PlaceHold, PlaceRefusal};
 
 /// Time for which a generation waits to be moved before it asks anew with what it knows then.
@@ -30,7 +30,7 @@
 /// What came of asking desks.
 enum DeskEnd {
     Placed(Box<PlaceHold>),
-    Full,
+    Refused(PlaceRefusal),
     /// No desk answers, or this node is the desk.
     Alone,
 }
@@ -48,12 +48,7 @@
     if wish.need.engine.is_some() {
         match ask_desks(core, &wish).await {
             DeskEnd::Placed(hold) => return Ok(*hold),
-            DeskEnd::Full => {
-                return Err(PlaceRefusal {
-                    kind: ErrorKind::Overloaded,
-                    retry_after: FULL_RETRY,
-                });
-            }
+            DeskEnd::Refused(refusal) => return Err(refusal),
             DeskEnd::Alone => wish.need.reach = own_reach(core, &wish.need),
         }
     }
@@ -102,6 +97,10 @@
         let Some(desk) = find_desk(core, need) else {
             return DeskEnd::Alone;
         };
+        let quiet = core.with_state(|state, now| state.board.quiet_left(now, &need.service));
+        if let Some(left) = quiet {
+            return DeskEnd::Refused(PlaceRefusal::Quiet(left));
+        }
         let now = core.now();
         let question = RoomQuestion {
             node: core.node().clone(),
@@ -120,7 +119,7 @@
                 }
             }
             Some(RoomAnswer::Waiting) if core.now() < end => {}
-            Some(RoomAnswer::Waiting) => return DeskEnd::Full,
+            Some(RoomAnswer::Waiting) => return DeskEnd::Refused(PlaceRefusal::Full),
             Some(RoomAnswer::Absent) => return DeskEnd::Alone,
             None => core.with_state(|state, now| state.desk.doubt(now, desk)),
         }
--- a/crates/gateway/src/desk/desk_server.rs
+++ b/crates/gateway/src/desk/desk_server.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
-use base::{ErrorKind, TimeSpan};
+use base::TimeSpan;
 
 use super::{RoomAnswer, RoomQuestion};
-use crate::GatewayCore;
 use crate::state::RoomAsk;
+use crate::{GatewayCore, PlaceRefusal};
 
 /// Time for which a question waits at the desk; a node that hears nothing for longer knows that its
 /// desk is gone.
@@ -28,7 +28,8 @@
             let (target, id) = (grant.target, grant.id?);
             Some(RoomAnswer::Granted { target, id })
         }
-        Err(refusal) if refusal.kind == ErrorKind::NoTarget => Some(RoomAnswer::Absent),
-        Err(_) => Some(RoomAnswer::Waiting),
+        // What targets want from this node does not bind the one that asks.
+        Err(PlaceRefusal::Absent | PlaceRefusal::Quiet(_)) => Some(RoomAnswer::Absent),
+        Err(PlaceRefusal::Full) => Some(RoomAnswer::Waiting),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,4 @@
 pub use relay::CallHandler;
 pub use serve::{GatewayServer, StartFailure};
 pub use settings::{GatewaySettings, RetryBounds};
-pub use state::{GatewayCore, PlaceHold, PlaceRefusal};
+pub use state::{GatewayCore, GatewayState, PlaceHold, PlaceRefusal, SendBar, SendCheck};
--- a/crates/gateway/src/relay/answer_word.rs
+++ b/crates/gateway/src/relay/answer_word.rs
@@ -26,6 +26,9 @@
         if head.is_leaving {
             core.take_leaving(&self.target, self.incarnation, "answer");
         }
+        if let Some(ask) = &head.quiet {
+            core.take_quiet(&self.target, self.incarnation, ask);
+        }
     }
 
     /// Takes what the trailers of an answer say of the target.
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -60,10 +60,10 @@
                     return deliver_answer(core, &mut audit, answer);
                 }
                 let kind = match runs {
-                    0 => refusal.kind,
+                    0 => refusal.kind(),
                     _ => ErrorKind::TargetLost,
                 };
-                let retry = (runs == 0).then_some(refusal.retry_after);
+                let retry = (runs == 0).then(|| refusal.retry_after());
                 return failure_response(core, &mut audit, kind, retry);
             }
         };
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -40,8 +40,8 @@
         let mut hold = match acquired {
             Ok(hold) => hold,
             Err(refusal) => {
-                let retry = Some(refusal.retry_after);
-                return failure_response(&core, &mut audit, refusal.kind, retry);
+                let retry = Some(refusal.retry_after());
+                return failure_response(&core, &mut audit, refusal.kind(), retry);
             }
         };
         audit.note_target(&hold);
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use base::{EventKind, TargetName};
+use base::{EventKind, TargetName, TimeSpan};
 use entry::{MovePhase, MoveSource, MoveStep, MoveTurn, PlaceNeed, PlaceReach, TargetPhase};
 use smol_str::SmolStr;
 use tokio::time::Instant;
@@ -63,6 +63,11 @@
             self.move_due = Instant::now() + MOVE_RETRY;
             return;
         };
+        if let Some(left) = self.quiet_left() {
+            self.end_turn();
+            self.move_due = Instant::now() + Duration::from(left);
+            return;
+        }
         let source = &self.hold.target;
         self.core
             .with_state(|state, _| state.turns.begin_copy(source));
@@ -84,6 +89,15 @@
         }
     }
 
+    /// Time for which the engine of the generation wants no more moves; takes one if it may.
+    fn quiet_left(&self) -> Option<TimeSpan> {
+        let source = &self.hold.target;
+        self.core.with_state(|state, now| {
+            let left = state.board.target(source)?.quiet.left(now)?;
+            (!state.board.take_move(now, source)).then_some(left)
+        })
+    }
+
     /// Whether the generation may be moved now; looks again later if it may not yet.
     fn take_turn(&mut self) -> bool {
         let source = self.hold.target.clone();
@@ -304,6 +318,14 @@
         let Some(handle) = self.unused_copy.take() else {
             return;
         };
+        let is_quiet = self.core.with_state(|state, now| {
+            let found = state.board.target(&self.hold.target);
+            found.is_some_and(|one| one.quiet.left(now).is_some())
+        });
+        if is_quiet {
+            // The copy expires by itself.
+            return;
+        }
         let source = self.hold.address;
         let engines = self.core.ports.engines.clone();
         tokio::spawn(async move { engines.free_copy(source, &handle).await });
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -124,7 +124,9 @@
     run.note_head(core, &head);
     if head.is_refused {
         hold.settle();
-        hold.note(TargetOutcome::Refused);
+        if head.quiet.is_none() {
+            hold.note(TargetOutcome::Refused);
+        }
         return SendEnd::Refused(status);
     }
     if !head.is_genuine {
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,8 +1,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
-use base::{
-    ClockTime, ErrorKind, EventKind, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan,
-};
+use base::{ClockTime, EventKind, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{
     BoardChanges, LeaveWord, LineCall, LineTicket, NodeFact, PlaceChoice, PlaceNeed, ServeConfig,
 };
@@ -14,10 +12,10 @@
 use super::line_place::LinePlace;
 use super::{GatewayState, LineGrant, PlaceHold, PlaceRefusal};
 use crate::relay::end_run;
-use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
+use crate::{GatewayPorts, GatewaySettings, ItemBatch, QuietAsk, ViewArea};
 
-/// Advice to callers of a service that has no target: new ones register within seconds.
-const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
+/// Quiet time of a target that asks for it in a form that can't be read.
+const UNCLEAR_QUIET: TimeSpan = TimeSpan::from_secs(1);
 
 /// Changes with what peers are told at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -49,8 +47,7 @@
 
 /// How a call came into the line.
 enum LineEntry {
-    Placed(LineGrant),
-    Absent,
+    Ended(LineAnswer),
     Joined(LineTicket, oneshot::Receiver<LineAnswer>),
 }
 
@@ -189,23 +186,18 @@
     /// Gets room for a call by what this node knows, waiting in the line for at most its patience.
     ///
     /// # Errors
-    /// If there is no target, or none has room in time; the call was not sent.
-    pub async fn take_room(&self, ask: RoomAsk) -> Result<LineGrant, PlaceRefusal> {
+    /// If there is no target, none has room in time, or all want quiet; the call was not sent.
+    pub async fn take_room(&self, ask: RoomAsk) -> LineAnswer {
         let load = ask.need.load;
         let patience = ask.patience;
         let entered = self.with_state(|state, now| enter_line(state, now, ask));
-        let grant = match entered {
-            LineEntry::Placed(grant) => Some(grant),
-            LineEntry::Absent => None,
+        match entered {
+            LineEntry::Ended(answer) => answer,
             LineEntry::Joined(ticket, receiver) => {
                 let place = LinePlace::new(self, ticket, load, receiver);
-                place.wait(patience).await?
+                place.wait(patience).await
             }
-        };
-        grant.ok_or(PlaceRefusal {
-            kind: ErrorKind::NoTarget,
-            retry_after: ABSENT_RETRY,
-        })
+        }
     }
 
     /// Gets room for a call of this node by what it knows itself.
@@ -215,10 +207,7 @@
     pub async fn acquire(self: &Arc<Self>, ask: RoomAsk) -> Result<PlaceHold, PlaceRefusal> {
         let load = ask.need.load;
         let grant = self.take_room(ask).await?;
-        PlaceHold::new(self.clone(), grant.target, load).ok_or(PlaceRefusal {
-            kind: ErrorKind::NoTarget,
-            retry_after: ABSENT_RETRY,
-        })
+        PlaceHold::new(self.clone(), grant.target, load).ok_or(PlaceRefusal::Absent)
     }
 
     /// Takes changes of published items; `from` tells who sent them.
@@ -377,6 +366,27 @@
         }
     }
 
+    /// Sends a run of a target nothing for the time that it asked for.
+    pub fn take_quiet(&self, target: &TargetName, incarnation: IncarnationNumber, ask: &QuietAsk) {
+        let (span, asked) = match ask {
+            QuietAsk::For(span) => (*span, span.to_string()),
+            QuietAsk::Unclear(text) => (UNCLEAR_QUIET, text.to_string()),
+        };
+        let counted = self.with_state(|state, now| {
+            let ask = state.board.ask_quiet(now, target, incarnation, span);
+            state.serve_line(now);
+            ask
+        });
+        log::info!(
+            event = EventKind::TargetQuiet.number(),
+            node = self.node().as_str(),
+            target = target.as_str(),
+            asked = asked.as_str(),
+            quiet_ms = counted.unwrap_or_default().as_millis();
+            "target wants nothing for a while"
+        );
+    }
+
     /// Lets facts take effect that a peer told.
     pub fn take_facts(&self, news: &[NodeFact]) {
         let leaving = self.with_state(|state, now| {
@@ -433,9 +443,10 @@
     match choice {
         PlaceChoice::Target(target) => {
             let id = state.take_room(now, ask.asker.as_ref(), &ask.need, &target);
-            LineEntry::Placed(LineGrant { target, id })
+            LineEntry::Ended(Ok(LineGrant { target, id }))
         }
-        PlaceChoice::Absent => LineEntry::Absent,
+        PlaceChoice::Absent => LineEntry::Ended(Err(PlaceRefusal::Absent)),
+        PlaceChoice::Quiet(left) => LineEntry::Ended(Err(PlaceRefusal::Quiet(left))),
         PlaceChoice::Full => {
             let ticket = state.line.join(LineCall {
                 service,
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -8,7 +8,7 @@
 use facts::FactPace;
 use tokio::sync::oneshot;
 
-use super::{DeskState, LineGrant, PeerTable, ViewState};
+use super::{DeskState, LineGrant, PeerTable, PlaceRefusal, ViewState};
 use crate::{GatewaySettings, RetryBounds, ViewArea};
 
 /// Time after which a node takes targets from a peer; the store usually tells it sooner.
@@ -42,8 +42,8 @@
     pub answering: FactPace,
 }
 
-/// Answer to a call that waits in the line: its room, or none if the service has no target.
-pub type LineAnswer = Option<LineGrant>;
+/// Answer to a call that waits in the line: its room, or why there will be none.
+pub type LineAnswer = Result<LineGrant, PlaceRefusal>;
 
 /// A call in the line.
 #[derive(Debug)]
@@ -155,12 +155,13 @@
                     }
                 }
                 let choice = self.board.place(now, &self.waiters[at].need);
-                let target = match choice {
-                    PlaceChoice::Target(name) => Some(name),
-                    PlaceChoice::Absent => None,
+                let end = match choice {
+                    PlaceChoice::Target(name) => Ok(name),
+                    PlaceChoice::Absent => Err(PlaceRefusal::Absent),
+                    PlaceChoice::Quiet(left) => Err(PlaceRefusal::Quiet(left)),
                     PlaceChoice::Full => break,
                 };
-                self.answer_waiter(now, at, target);
+                self.answer_waiter(now, at, end);
             }
         }
     }
@@ -179,7 +180,7 @@
                 continue;
             }
             if let PlaceChoice::Target(target) = self.board.place(now, &waiter.need) {
-                self.answer_waiter(now, at, Some(target));
+                self.answer_waiter(now, at, Ok(target));
             }
         }
     }
@@ -196,16 +197,16 @@
         source.is_none_or(|source| self.locks.is_free(now, &source.target, node))
     }
 
-    /// Tells a waiting call its target, or that there is none.
-    fn answer_waiter(&mut self, now: ClockTime, at: usize, target: Option<TargetName>) {
+    /// Tells a waiting call its target, or why there is none.
+    fn answer_waiter(&mut self, now: ClockTime, at: usize, end: Result<TargetName, PlaceRefusal>) {
         let waiter = self.waiters.remove(at);
         self.line.leave(waiter.ticket);
         let load = waiter.need.load;
-        let answer = target.map(|target| LineGrant {
+        let answer = end.map(|target| LineGrant {
             id: self.take_room(now, waiter.asker.as_ref(), &waiter.need, &target),
             target,
         });
-        if let Err(Some(unused)) = waiter.sender.send(answer) {
+        if let Err(Ok(unused)) = waiter.sender.send(answer) {
             self.give_back(unused.id, &unused.target, load);
         }
     }
--- a/crates/gateway/src/state/line_place.rs
+++ b/crates/gateway/src/state/line_place.rs
@@ -1,15 +1,12 @@
 use std::time::Duration;
 
-use base::{ErrorKind, TimeSpan};
+use base::TimeSpan;
 use entry::{LineTicket, LoadSum};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::gateway_state::LineAnswer;
-use super::{GatewayCore, LineGrant, PlaceRefusal};
-
-/// Advice to callers that found every target full.
-pub const FULL_RETRY: TimeSpan = TimeSpan::new(600);
+use super::{GatewayCore, PlaceRefusal};
 
 /// Place of a call in the line; left when its wait ends, also if its caller goes away.
 pub struct LinePlace<'a> {
@@ -38,15 +35,12 @@
     /// Waits for room on a target; the load is on the board when there is one.
     ///
     /// # Errors
-    /// If no target has room in time.
-    pub async fn wait(mut self, patience: TimeSpan) -> Result<Option<LineGrant>, PlaceRefusal> {
+    /// If no target has room in time, or all want quiet.
+    pub async fn wait(mut self, patience: TimeSpan) -> LineAnswer {
         match timeout(Duration::from(patience), &mut self.receiver).await {
-            Ok(Ok(answer)) => Ok(answer),
+            Ok(Ok(answer)) => answer,
             // The sender stays in the line until it is used, so both mean that time ran out.
-            Ok(Err(_)) | Err(_) => Err(PlaceRefusal {
-                kind: ErrorKind::Overloaded,
-                retry_after: FULL_RETRY,
-            }),
+            Ok(Err(_)) | Err(_) => Err(PlaceRefusal::Full),
         }
     }
 }
@@ -57,7 +51,7 @@
         self.core.with_state(|state, now| {
             state.line.leave(self.ticket);
             state.waiters.retain(|waiter| waiter.ticket != self.ticket);
-            if let Ok(Some(grant)) = unused {
+            if let Ok(Ok(grant)) = unused {
                 state.give_back(grant.id, &grant.target, self.load);
             }
             state.serve_line(now);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -14,7 +14,6 @@
 pub use gateway_core::{GatewayCore, RoomAsk};
 pub use gateway_state::GatewayState;
 pub use line_grant::LineGrant;
-pub use line_place::FULL_RETRY;
 pub use peer_table::{ALIVE_WAIT, PeerFacts, PeerTable};
 pub use place_hold::{PlaceHold, PlaceRefusal};
 pub use send_check::{SendBar, SendCheck};
--- a/crates/gateway/src/state/place_hold.rs
+++ b/crates/gateway/src/state/place_hold.rs
@@ -7,13 +7,43 @@
 
 use super::GatewayCore;
 
-/// A call gets no target.
+/// Advice to callers of a service that has no target: new ones register within seconds.
+const ABSENT_RETRY: TimeSpan = TimeSpan::from_secs(1);
+/// Advice to callers that found every target full.
+const FULL_RETRY: TimeSpan = TimeSpan::new(600);
+/// Time over which the return of callers is spread after targets wanted quiet.
+const QUIET_SPREAD: TimeSpan = TimeSpan::from_secs(1);
+
+/// Why a call gets no target; it was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PlaceRefusal {
+pub enum PlaceRefusal {
+    /// The service has none.
+    Absent,
+    /// None had room in time.
+    Full,
+    /// All want quiet from this node, the first one for this time.
+    Quiet(TimeSpan),
+}
+
+impl PlaceRefusal {
     /// Kind of error.
-    pub kind: ErrorKind,
-    /// When the caller may come back.
-    pub retry_after: TimeSpan,
+    pub fn kind(self) -> ErrorKind {
+        match self {
+            Self::Absent => ErrorKind::NoTarget,
+            Self::Full | Self::Quiet(_) => ErrorKind::Overloaded,
+        }
+    }
+
+    /// When the caller may come back; callers that targets kept away do not come back together.
+    pub fn retry_after(self) -> TimeSpan {
+        match self {
+            Self::Absent => ABSENT_RETRY,
+            Self::Full => FULL_RETRY,
+            Self::Quiet(left) => {
+                left + TimeSpan::new(rand::random_range(0..=QUIET_SPREAD.as_millis()))
+            }
+        }
+    }
 }
 
 /// Room of one call on a target; given back when dropped.
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -88,6 +88,9 @@
         if target.phase == TargetPhase::Leaving && !check.is_resume {
             return Err(SendBar::Target("the target leaves"));
         }
+        if target.quiet.left(now).is_some() {
+            return Err(SendBar::Target("the target wants nothing now"));
+        }
         Ok(())
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,5 +7,6 @@
 mod leaving;
 mod peers;
 mod quiet;
+mod sends;
 mod streams;
 mod support;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -15,6 +15,7 @@
 };
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
+use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -44,6 +45,11 @@
         self.put(ViewArea::Config, "config", &version.to_string());
     }
 
+    /// Publishes a configuration without one of its keys or routes.
+    pub fn put_config_without(&self, version: u64, name: &str) {
+        self.put(ViewArea::Config, "config", &format!("{version} {name}"));
+    }
+
     pub fn put_target(&self, target: &FakeTarget, state: &str) {
         self.put_run(target, state, 1);
     }
@@ -142,12 +148,13 @@
         let Some(item) = items.first() else {
             return Ok(None);
         };
-        let version = String::from_utf8_lossy(&item.value).parse();
-        let version = version.map_err(|_| DecodeFailure {
+        let text = String::from_utf8_lossy(&item.value);
+        let (version, without) = text.split_once(' ').unwrap_or((&text, ""));
+        let version = version.parse().map_err(|_| DecodeFailure {
             key: item.key.to_string(),
             reason: "no number".to_owned(),
         })?;
-        Ok(Some(make_config(version)))
+        Ok(Some(make_config(version, without)))
     }
 
     fn read_target(&self, item: &PublishedItem) -> Result<TargetRecord, DecodeFailure> {
@@ -172,7 +179,8 @@
     }
 }
 
-fn make_config(version: u64) -> ServeConfig {
+/// Makes the configuration of the tests, without one key or route if it is named.
+fn make_config(version: u64, without: &str) -> ServeConfig {
     let route = |prefix: &str, service: &str, repeat, max_attempts| RouteRule {
         name: prefix.into(),
         host: "shop.example".into(),
@@ -200,21 +208,25 @@
         copy_rate: TokenRate(100_000),
     };
     let pool: ServiceName = "pool".parse().unwrap();
+    let mut routes = vec![
+        route("/once/", "app", RepeatRule::AtMostOnce, 1),
+        route("/read/", "app", RepeatRule::Idempotent, 2),
+        stream,
+        route("/locked/", "app", RepeatRule::Idempotent, 1),
+        short,
+    ];
+    routes.retain(|route| route.name != without);
+    let mut keys = vec!["key-1".into()];
+    keys.retain(|key: &SmolStr| key != without);
     ServeConfig::new(ConfigVersion(version), RequestLimits::default())
-        .with_routes(vec![
-            route("/once/", "app", RepeatRule::AtMostOnce, 1),
-            route("/read/", "app", RepeatRule::Idempotent, 2),
-            stream,
-            route("/locked/", "app", RepeatRule::Idempotent, 1),
-            short,
-        ])
+        .with_routes(routes)
         .with_services(vec![ServiceSpec {
             name: pool,
             engine: Some(engine),
         }])
         .with_workspaces(vec![WorkspaceRule {
             name: "depot".parse().unwrap(),
-            keys: vec!["key-1".into()],
+            keys,
             priority: None,
         }])
 }
