Soak real gateways under faults that overlap, with calls that crash their targets

Cause: no test of this repository plays real processes on the users' wire, so nothing but the bench could find a call that is sent on, and the bench plays no such call. Change: a seeded soak with stand-ins for the store and for targets that die of a call, leave by their answers, drain, want quiet, lose and spoil answers; gateways are stopped, killed and frozen in series that overlap, callers keep their connections; a checker of histories with a planted fault for each rule.

--- /dev/null
+++ b/crates/agatemoor/tests/soak/raw_http.rs
@@ -0,0 +1,75 @@
+use std::future::Future;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A request with its whole body.
+pub struct RawRequest {
+    text: String,
+    pub body: String,
+}
+
+impl RawRequest {
+    pub fn path(&self) -> &str {
+        let target = self.target();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
+
+    pub fn query(&self, name: &str) -> Option<String> {
+        let (_, query) = self.target().split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let found = pairs.find(|(key, _)| *key == name);
+        found.map(|(_, value)| value.to_owned())
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.text.lines().filter_map(|line| line.split_once(':'));
+        let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.trim())
+    }
+
+    fn target(&self) -> &str {
+        self.text.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+/// Answers the requests of a connection one after the other, until an answer is `None`.
+pub async fn serve_raw<A>(mut stream: TcpStream, answer: impl Fn(RawRequest) -> A)
+where
+    A: Future<Output = Option<Vec<u8>>>,
+{
+    while let Some(request) = read_request(&mut stream).await {
+        let Some(bytes) = answer(request).await else {
+            return;
+        };
+        if stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a head and the body that it announces; `None` at the end of the connection.
+pub async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4_096];
+        let count = stream.read(&mut part).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&part[..count]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let request = RawRequest {
+            text: head.to_owned(),
+            body: body.to_owned(),
+        };
+        let length = request.header("content-length");
+        let length = length.map_or(0, |length| length.parse().unwrap());
+        if body.len() >= length {
+            return Some(request);
+        }
+    }
+}
