Settle calls that a target answered or passed on, and measure the check of a send

Cause: found in reading the change: a generation that moved off an engine, and a stream answered with a failure, stayed among the open calls and could count as signs if the target died soon after. Change: both are settled; an example measures what each send pays.

--- a/crates/entry/src/fact/attempt_log.rs
+++ b/crates/entry/src/fact/attempt_log.rs
@@ -10,7 +10,7 @@
 /// Calls remembered at most.
 const ATTEMPT_LIMIT: usize = 4_096;
 
-/// A call that was sent and has no answer.
+/// A call that was sent and has no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenAttempt {
     /// The sign that it leaves if its target died.
@@ -20,7 +20,8 @@
     abandoned_at: Option<ClockTime>,
 }
 
-/// Calls of this node without an answer, also those given up lately, for targets that die in silence.
+/// Calls of this node without a whole answer, also those given up lately, for targets that die in
+/// silence.
 ///
 /// ```
 /// use base::{ClockTime, IncarnationNumber};
@@ -51,21 +52,21 @@
         }
     }
 
-    /// A call got an answer, or it is known why not.
+    /// A call got its whole answer, or it is known why not.
     pub fn settle(&mut self, sign: &CrashSign) {
         if let Some(at) = self.find(sign) {
             self.attempts.swap_remove(at);
         }
     }
 
-    /// A call was given up without an answer.
+    /// A call was given up without a whole answer.
     pub fn abandon(&mut self, now: ClockTime, sign: &CrashSign) {
         if let Some(at) = self.find(sign) {
             self.attempts[at].abandoned_at = Some(now);
         }
     }
 
-    /// A run of a target ended; returns the calls that it left without an answer.
+    /// A run of a target ended; returns the calls that it left without a whole answer.
     pub fn end_run(
         &mut self,
         target: &TargetName,
--- /dev/null
+++ b/crates/gateway/examples/send_cost.rs
@@ -0,0 +1,91 @@
+//! Measures what the check of a send and its sign cost, with full sets.
+//!
+//! `cargo run --release -p gateway --example send_cost`
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use base::{ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
+use calls::CrashPrint;
+use entry::{ConfigVersion, LapseGuard, TargetRecord};
+use gateway::{GatewaySettings, GatewayState, RetryBounds, SendCheck};
+
+const TARGETS: u16 = 300;
+const FACTS: u32 = 512;
+const SENDS: u32 = 200_000;
+/// Calls of a second to which the cost is compared, each with two checks.
+const CALLS: f64 = 1_000.0;
+
+fn main() {
+    for facts in [0, FACTS] {
+        let mut state = make_state(facts);
+        let target: TargetName = "e7".parse().expect("a name");
+        let now = ClockTime::new(5_000);
+        let start = Instant::now();
+        for number in 0..SENDS {
+            let print = CrashPrint::new("/plans", &number.to_le_bytes());
+            let check = SendCheck {
+                print,
+                target: &target,
+                route: ("depot.example", "/plans"),
+                key: None,
+                version: ConfigVersion::default(),
+                is_resume: false,
+            };
+            for _ in 0..2 {
+                black_box(state.check_send(now, &check)).expect("it may be sent");
+            }
+            let sign = state.facts.sign(print, &target, IncarnationNumber(1));
+            let address = ([127, 0, 0, 1], 9_101).into();
+            state.attempts.begin(sign.clone(), address);
+            state.attempts.settle(&sign);
+        }
+        let each = start.elapsed().as_secs_f64() / f64::from(SENDS);
+        println!(
+            "{facts} facts, {TARGETS} targets: {:.2} us a call, {:.3}% of a core at {CALLS} calls a second",
+            each * 1e6,
+            each * CALLS * 100.0
+        );
+    }
+}
+
+fn make_state(facts: u32) -> GatewayState {
+    let settings = GatewaySettings {
+        node: "n1".parse().expect("a name"),
+        domain: "patan".parse().expect("a name"),
+        capacity: CoreShare(250),
+        caller_address: ([127, 0, 0, 1], 1).into(),
+        ready_address: ([127, 0, 0, 1], 2).into(),
+        peer_address: ([127, 0, 0, 1], 3).into(),
+        metrics_address: None,
+        seeds: Vec::new(),
+        stop_grace: TimeSpan::from_secs(8),
+        retry: RetryBounds {
+            ratio: 0.2,
+            extra: 100.0,
+            window: TimeSpan::from_secs(10),
+        },
+    };
+    let mut state = GatewayState::new(&settings, 7);
+    let now = ClockTime::new(1_000);
+    let records = (0..TARGETS).map(|number| TargetRecord {
+        name: format!("e{number}").parse().expect("a name"),
+        service: "pool".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        domain: "patan".parse().expect("a name"),
+        is_leaving: false,
+        slots: 24,
+        cold_left: TimeSpan::ZERO,
+        incarnation: IncarnationNumber(1),
+    });
+    state
+        .board
+        .take_records(now, records.collect(), &LapseGuard::default());
+    for number in 0..facts {
+        let print = CrashPrint::new("/crash", &number.to_le_bytes());
+        let target = format!("e{}", number % 64 + 100).parse().expect("a name");
+        let sign = state.facts.sign(print, &target, IncarnationNumber(1));
+        state.facts.confirm(now, sign);
+    }
+    state
+}
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -54,6 +54,7 @@
                 return start_pump(core, call, audit, hold, *head);
             }
             SendEnd::Head(head) => {
+                hold.settle();
                 return deliver_failure(&core, audit, *head, deadline).await;
             }
             SendEnd::Barred(bar) => {
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -296,6 +296,8 @@
             "generation goes on"
         );
         self.audit.moves += 1;
+        // The generation ran well there.
+        self.hold.settle();
         self.audit.note_target(&next);
         self.plan.on_resumed(next.target.clone());
         self.hold = next;
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -81,7 +81,7 @@
     pub has_facts: bool,
     /// Where calls run that may crash their targets.
     pub suspects: SuspectPlaces,
-    /// Calls that were sent and have no answer.
+    /// Calls that were sent and have no whole answer.
     pub attempts: AttemptLog,
     /// Who places generations.
     pub desk: DeskState,
