Count the death of a target whose place another run has

Callers that leave before a target dies in silence leave no broken connection; by the time its entry is gone, a new run may answer at its name or address, and a connection to that was taken for life. Change: a run that another one replaces by name or address is surely gone; only where nothing replaced it a connection decides. Measured: a_call_given_up_on_targets_that_came_back_is_refused failed before (a third call reached the target) and passes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,8 +26,8 @@
 pub use moves::{CopyLocks, MovePhase, MovePlan, MoveStep, MoveTurn, MoveTurns, StreamFacts};
 pub use retry::RetryShare;
 pub use target::{
-    BoardChanges, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed, PlaceReach,
-    TargetBoard, TargetHealth, TargetOutcome, TargetPhase, TargetQuiet, TargetRecord, TargetState,
-    reading_time,
+    BoardChanges, EndedRun, LoadOrigin, LoadSum, MoveSource, PeerLoads, PlaceChoice, PlaceNeed,
+    PlaceReach, TargetBoard, TargetHealth, TargetOutcome, TargetPhase, TargetQuiet, TargetRecord,
+    TargetState, reading_time,
 };
 pub use view::{ItemChange, ItemMirror, LapseGuard, PublishedItem};
--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -9,7 +9,7 @@
 mod target_record;
 mod target_state;
 
-pub use board_changes::BoardChanges;
+pub use board_changes::{BoardChanges, EndedRun};
 pub use load_sum::{LoadOrigin, LoadSum, PeerLoads, reading_time};
 pub use place_choice::{MoveSource, PlaceChoice, PlaceNeed, PlaceReach};
 pub use target_board::TargetBoard;
--- a/crates/entry/src/target/target_board.rs
+++ b/crates/entry/src/target/target_board.rs
@@ -108,10 +108,12 @@
     /// Lets time pass; returns what changes for targets whose entry stayed away.
     pub fn on_tick(&mut self, now: ClockTime) -> BoardChanges {
         let mut changes = BoardChanges::default();
-        for state in &mut self.targets {
-            if matches!(state.phase, TargetPhase::Lapsed(until) if until <= now) {
-                changes.note_vanished(state);
-                state.phase = TargetPhase::Leaving;
+        let lapsed =
+            |state: &TargetState| matches!(state.phase, TargetPhase::Lapsed(until) if until <= now);
+        for at in 0..self.targets.len() {
+            if lapsed(&self.targets[at]) {
+                changes.note_vanished(&self.targets[at], self.is_replaced(at));
+                self.targets[at].phase = TargetPhase::Leaving;
             }
         }
         let before = self.peers.len();
@@ -407,7 +409,7 @@
             Ok(at) => {
                 // The new process knows nothing of the calls of the old one, which fail by
                 // themselves; their load is taken off as they end.
-                changes.ended.push(self.targets[at].run());
+                changes.note_ended(&self.targets[at], true);
                 let (own, granted) = (self.targets[at].own, self.targets[at].granted);
                 self.targets[at] = TargetState::new(now, record);
                 self.targets[at].own = own;
@@ -444,18 +446,19 @@
         let count = self.targets.iter().filter(ready).count();
         let missing = self.targets.iter().filter(ready).filter(is_missing).count();
         let keep_until = guard.keep_until(now, missing, count);
-        for state in &mut self.targets {
+        for at in 0..self.targets.len() {
+            let state = &self.targets[at];
             if listed.binary_search(&state.record.name).is_ok() {
                 continue;
             }
-            match (state.phase, keep_until) {
-                (TargetPhase::Ready, Some(until)) => state.phase = TargetPhase::Lapsed(until),
+            self.targets[at].phase = match (state.phase, keep_until) {
+                (TargetPhase::Ready, Some(until)) => TargetPhase::Lapsed(until),
                 (TargetPhase::Ready, None) => {
-                    changes.note_vanished(state);
-                    state.phase = TargetPhase::Leaving;
+                    changes.note_vanished(state, self.is_replaced(at));
+                    TargetPhase::Leaving
                 }
-                (TargetPhase::Lapsed(_) | TargetPhase::Leaving, _) => {}
-            }
+                (phase @ (TargetPhase::Lapsed(_) | TargetPhase::Leaving), _) => phase,
+            };
         }
         self.targets.retain(|state| {
             let is_listed = listed.binary_search(&state.record.name).is_ok();
@@ -463,6 +466,15 @@
         });
     }
 
+    /// Whether another target is listed at the address of one.
+    fn is_replaced(&self, at: usize) -> bool {
+        let address = self.targets[at].record.address;
+        let mut others = self.targets.iter().enumerate();
+        others.any(|(other, state)| {
+            other != at && state.record.address == address && state.phase == TargetPhase::Ready
+        })
+    }
+
     fn sum_peers(&mut self) {
         for state in &mut self.targets {
             state.peers = LoadSum::default();
--- a/crates/gateway/src/relay/crash_watch.rs
+++ b/crates/gateway/src/relay/crash_watch.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{EventKind, IncarnationNumber, RequestId, TargetName};
-use entry::{CrashSign, OpenAttempt, TargetOutcome, TargetPhase};
+use base::{EventKind, RequestId};
+use entry::{CrashSign, EndedRun, OpenAttempt, TargetOutcome, TargetPhase};
 use http::StatusCode;
 use metrics::counter;
 use web::SendPhase;
@@ -51,13 +51,23 @@
 }
 
 /// Finds out whether a target whose run ended without notice took calls with it.
-pub fn end_run(core: &Arc<GatewayCore>, target: &TargetName, incarnation: IncarnationNumber) {
-    let lost = core.with_state(|state, _| state.attempts.end_run(target, incarnation));
+pub fn end_run(core: &Arc<GatewayCore>, run: &EndedRun) {
+    let lost = core.with_state(|state, _| state.attempts.end_run(&run.target, run.incarnation));
     for OpenAttempt { sign, address, .. } in lost {
-        suspect_death(core, None, sign, address);
+        match run.is_replaced {
+            // A connection would reach the other run.
+            true => note_death(core, None, &sign, "another run has its place"),
+            false => suspect_death(core, None, sign, address),
+        }
     }
 }
 
+/// Notes that the target of a call died.
+fn note_death(core: &GatewayCore, request: Option<&RequestId>, sign: &CrashSign, reason: &str) {
+    core.with_state(|state, now| state.facts.confirm(now, sign.clone()));
+    log_sign(core, request, sign, "marked", reason);
+}
+
 /// Counts the death of a target against a call until a connection shows that the target lives.
 fn suspect_death(
     core: &Arc<GatewayCore>,
@@ -69,17 +79,19 @@
     let (core, request) = (core.clone(), request.cloned());
     tokio::spawn(async move {
         let connected = core.pool.connect(address, SendPhase::Fresh).await;
-        let (outcome, reason) = match connected {
+        match connected {
             Ok(_connection) => {
                 core.with_state(|state, _| state.facts.acquit(&sign));
-                ("acquitted", "the target lives".to_owned())
-            }
-            Err(error) => {
-                core.with_state(|state, now| state.facts.confirm(now, sign.clone()));
-                ("marked", error.to_string())
+                log_sign(
+                    &core,
+                    request.as_ref(),
+                    &sign,
+                    "acquitted",
+                    "the target lives",
+                );
             }
-        };
-        log_sign(&core, request.as_ref(), &sign, outcome, &reason);
+            Err(error) => note_death(&core, request.as_ref(), &sign, &error.to_string()),
+        }
     });
 }
 
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -334,8 +334,8 @@
 
     fn announce(self: &Arc<Self>, changes: &BoardChanges, from: &str) {
         self.announce_leaving(&changes.leaving, from);
-        for (target, incarnation) in &changes.ended {
-            end_run(self, target, *incarnation);
+        for run in &changes.ended {
+            end_run(self, run);
         }
     }
 
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -232,3 +232,28 @@
     targets[0].restart().await;
     assert_eq!(send_crasher(gateway.callers, path, 4).await, 422);
 }
+
+// Guards against deaths that are taken for life, as another run answers at the address by then.
+#[tokio::test]
+async fn a_call_given_up_on_targets_that_came_back_is_refused() {
+    let (store, targets, gateway) = start_scene("app", &[TargetMode::Hang]).await;
+    let (core, target) = (gateway.server.core(), &targets[0]);
+    for run in 1..=2 {
+        let headers = format!("x-id: gone-{run}\r\n");
+        let stream = open_stream(gateway.callers, "/once/1", &headers, "crasher").await;
+        until("the call arrives", || arrivals(&targets) == run).await;
+        drop(stream);
+        until("the call is given up", || target.open_calls() == 0).await;
+        target.crash();
+        until("the target died", || target.crashes() == run).await;
+        target.restart().await;
+        store.put_run(target, "ready", run as u64 + 1);
+        until("the new run is known", || {
+            let known = core.with_state(|state, _| state.board.targets()[0].run().1.0);
+            known == run as u64 + 1
+        })
+        .await;
+    }
+    let status = send_crasher(gateway.callers, "/once/1", 3).await;
+    assert_eq!((status, arrivals(&targets)), (422, 2));
+}
