Move what targets say of themselves into files of their own

Change: target_word.rs and board_words.rs; no change of behaviour. Measured: tests of gateway and entry pass.

--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -1,6 +1,7 @@
 //! Targets: what is known of each, its load and health, and the choice of one for a call.
 
 mod board_changes;
+mod board_words;
 mod load_sum;
 mod place_choice;
 mod target_board;
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,9 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
-use base::{ClockTime, EventKind, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan};
-use entry::{
-    BoardChanges, LeaveWord, LineCall, LineTicket, NodeFact, PlaceChoice, PlaceNeed, ServeConfig,
-};
+use base::{ClockTime, EventKind, NodeName, ServiceName, TimeSpan};
+use entry::{LineCall, LineTicket, PlaceChoice, PlaceNeed, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use web::{ConnectionPool, PoolSettings};
@@ -11,11 +9,7 @@
 use super::gateway_state::{LineAnswer, LineWaiter};
 use super::line_place::LinePlace;
 use super::{GatewayState, LineGrant, PlaceHold, PlaceRefusal};
-use crate::relay::end_run;
-use crate::{GatewayPorts, GatewaySettings, ItemBatch, QuietAsk, ViewArea};
-
-/// Quiet time of a target that asks for it in a form that can't be read.
-const UNCLEAR_QUIET: TimeSpan = TimeSpan::from_secs(1);
+use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Changes with what peers are told at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -332,95 +326,6 @@
         self.announce(&changes, from);
     }
 
-    fn announce(self: &Arc<Self>, changes: &BoardChanges, from: &str) {
-        self.announce_leaving(&changes.leaving, from);
-        for run in &changes.ended {
-            end_run(self, run);
-        }
-    }
-
-    fn announce_leaving(&self, leaving: &[TargetName], from: &str) {
-        for target in leaving {
-            log::info!(
-                event = EventKind::TargetLeaving.number(),
-                node = self.node().as_str(),
-                target = target.as_str(),
-                from = from;
-                "target gets no new work"
-            );
-        }
-        if !leaving.is_empty() {
-            self.with_state(|state, now| state.open_turns(now, leaving));
-            self.wake_pumps();
-        }
-    }
-
-    /// Takes the word of a target itself that it leaves; `from` tells where it said so.
-    pub fn take_leaving(&self, target: &TargetName, incarnation: IncarnationNumber, from: &str) {
-        let is_new = self.with_state(|state, now| {
-            state.facts.note_leaving(now, target, incarnation);
-            state.board.mark_leaving(target, incarnation)
-        });
-        if is_new {
-            self.announce_leaving(std::slice::from_ref(target), from);
-        }
-    }
-
-    /// Sends a run of a target nothing for the time that it asked for.
-    pub fn take_quiet(&self, target: &TargetName, incarnation: IncarnationNumber, ask: &QuietAsk) {
-        let (span, asked) = match ask {
-            QuietAsk::For(span) => (*span, span.to_string()),
-            QuietAsk::Unclear(text) => (UNCLEAR_QUIET, text.to_string()),
-        };
-        let counted = self.with_state(|state, now| {
-            let ask = state.board.ask_quiet(now, target, incarnation, span);
-            state.serve_line(now);
-            ask
-        });
-        log::info!(
-            event = EventKind::TargetQuiet.number(),
-            node = self.node().as_str(),
-            target = target.as_str(),
-            asked = asked.as_str(),
-            quiet_ms = counted.unwrap_or_default().as_millis();
-            "target wants nothing for a while"
-        );
-    }
-
-    /// Lets facts take effect that a peer told.
-    pub fn take_facts(&self, news: &[NodeFact]) {
-        let leaving = self.with_state(|state, now| {
-            let mut leaving = Vec::new();
-            for fact in news {
-                match fact {
-                    NodeFact::Leaving(LeaveWord {
-                        target,
-                        incarnation,
-                        ..
-                    }) => {
-                        let is_leaving = state.facts.is_leaving(now, target, *incarnation);
-                        if is_leaving && state.board.mark_leaving(target, *incarnation) {
-                            leaving.push(target.clone());
-                        }
-                    }
-                    NodeFact::Stayed(LeaveWord {
-                        target,
-                        incarnation,
-                        ..
-                    }) => {
-                        if !state.facts.is_leaving(now, target, *incarnation) {
-                            state.board.mark_stayed(target, *incarnation);
-                        }
-                    }
-                    // The book judges calls by them.
-                    NodeFact::Crashed(_) | NodeFact::Completed(_) => {}
-                }
-            }
-            leaving
-        });
-        self.announce_leaving(&leaving, "facts of a peer");
-    }
-
     /// Lets the relays of generations look again whether to move.
     pub fn wake_pumps(&self) {
         self.leaving.send_modify(|count| *count += 1);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod peer_table;
 mod place_hold;
 mod send_check;
+mod target_word;
 mod view_state;
 
 pub use desk_state::{DESKS, DeskState};
