Log the shared parts of prompts

Change: the header codec reads the parts of a prompt but the last; the access log names up to eight.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,8 +13,8 @@
 pub use event::{EventKind, EventRecord, EventRing, EventScope};
 pub use label::{LabelSelector, LabelSet, SelectorTerm};
 pub use name::{
-    AdapterName, DomainName, GenerationId, ModelName, NodeName, RequestId, ServiceName, TargetName,
-    VersionName, WorkspaceName,
+    AdapterName, DomainName, GenerationId, ModelName, NodeName, PartId, RequestId, ServiceName,
+    TargetName, VersionName, WorkspaceName,
 };
 pub use rendezvous::{rank_owners, rank_score, top_owner};
 pub use size::{
--- a/crates/base/src/name/mod.rs
+++ b/crates/base/src/name/mod.rs
@@ -3,6 +3,6 @@
 mod text_name;
 
 pub use text_name::{
-    AdapterName, DomainName, GenerationId, ModelName, NodeName, RequestId, ServiceName, TargetName,
-    VersionName, WorkspaceName,
+    AdapterName, DomainName, GenerationId, ModelName, NodeName, PartId, RequestId, ServiceName,
+    TargetName, VersionName, WorkspaceName,
 };
--- a/crates/base/src/name/text_name.rs
+++ b/crates/base/src/name/text_name.rs
@@ -131,3 +131,8 @@
     GenerationId,
     "generation id"
 );
+text_name!(
+    /// Identifier of one part of a prompt; prompts that begin alike share their first parts.
+    PartId,
+    "prompt part id"
+);
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 
-use base::{CallRate, ErrorKind, RequestId, TargetName, TimeSpan, TokenCount, WorkspaceName};
+use base::{
+    CallRate, ErrorKind, PartId, RequestId, TargetName, TimeSpan, TokenCount, WorkspaceName,
+};
 use entry::OutputEstimate;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -35,6 +37,9 @@
     pub key: Option<SmolStr>,
     /// Size of the generation; `None` if the call is no generation.
     pub generation: Option<GenerationSize>,
+    /// Parts of the prompt that other calls may share, in their order in the prompt. The last part of
+    /// a prompt belongs to the call alone and is left out.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// Copy of a generation's KV cache from which another engine resumes.
--- a/crates/gateway/src/relay/access_entry.rs
+++ b/crates/gateway/src/relay/access_entry.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{ClockTime, EventKind, NodeName, RequestId, TargetName};
+use base::{ClockTime, EventKind, NodeName, PartId, RequestId, TargetName};
 use entry::{ConfigVersion, TargetLoad};
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
@@ -11,6 +11,9 @@
 /// Milliseconds in a second; metrics count in seconds.
 const SECOND_MS: f64 = 1_000.0;
 
+/// Largest number of prompt parts that a log line names.
+const LOGGED_PARTS: usize = 8;
+
 /// Access log entry of one call: collects what decided its outcome, and writes one log line and the
 /// call metrics when it is dropped at the end of the call.
 pub struct AccessEntry {
@@ -30,6 +33,8 @@
     pub placed_ms: Option<u64>,
     /// Size of the generation as stated by the caller.
     pub size: Option<GenerationSize>,
+    /// Parts of the prompt that other calls may share.
+    pub shared_parts: Vec<PartId>,
     /// Load that the call puts on its last target.
     pub load: TargetLoad,
     /// Load of other calls on the last target when it was chosen.
@@ -62,6 +67,7 @@
             coordinator: None,
             placed_ms: None,
             size: None,
+            shared_parts: Vec::new(),
             load: TargetLoad::default(),
             load_seen: TargetLoad::default(),
             first_byte_ms: None,
@@ -174,6 +180,7 @@
             prompt = self.size.map_or(0, |size| size.prompt.0),
             output_limit = self.size.map_or(0, |size| size.output_limit.0),
             output_hint = self.size.and_then(|size| size.output_hint).map_or(0, |hint| hint.0),
+            parts = join_parts(&self.shared_parts).as_str(),
             load_tokens = self.load.tokens,
             seen_calls = self.load_seen.calls,
             seen_tokens = self.load_seen.tokens,
@@ -191,3 +198,13 @@
         );
     }
 }
+
+/// The first parts of a prompt, separated by commas.
+fn join_parts(parts: &[PartId]) -> String {
+    let shown: Vec<_> = parts
+        .iter()
+        .take(LOGGED_PARTS)
+        .map(PartId::as_str)
+        .collect();
+    shown.join(",")
+}
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -84,6 +84,7 @@
     };
     access_entry.request_id = Some(caller_headers.request_id.clone());
     access_entry.size = caller_headers.generation;
+    access_entry.shared_parts = caller_headers.shared_parts.clone();
     let config = core.config();
     let config = config.filter(|_| core.with_state(|state, now| state.has_initial_sync(now)));
     let Some(config) = config else {
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -254,6 +254,11 @@
             request_id: request,
             remaining: text("x-wait").map(|wait| TimeSpan::new(wait.parse().unwrap())),
             key: text("x-key").map(Into::into),
+            shared_parts: text("x-parts")
+                .into_iter()
+                .flat_map(|parts| parts.split(','))
+                .map(|part| part.parse().unwrap())
+                .collect(),
             generation: text("x-size").map(|size| GenerationSize {
                 prompt: TokenCount(100),
                 output_limit: TokenCount(size.parse().unwrap()),
