Add failing tests of calls that share a deadly part of a prompt

Cause: calls are blamed by a fingerprint of path, key and body, so each of the calls that share the part counts as the first of its kind. Change: two gateways in two domains, 14 targets that crash on a part; calls one after the other, and ten within a second.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod leaving;
 mod peers;
+mod prompt_parts;
 mod rates;
 mod send_checks;
 mod streams;
--- /dev/null
+++ b/crates/gateway/tests/gateway/prompt_parts.rs
@@ -0,0 +1,130 @@
+//! Parts of prompts that crash the targets that run them, in calls that differ in everything else.
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::support::{DEADLY_PART, FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+
+/// Targets that a deadly part may crash.
+const CRASH_LIMIT: usize = 6;
+/// Time within which gateways that reach each other agree on which parts crash targets.
+const AGREE_WAIT: Duration = Duration::from_secs(3);
+/// Events of an answer.
+const EVENTS: u64 = 20;
+
+/// Two gateways in different failure domains, and targets that crash on a part of a prompt.
+struct PartFleet {
+    store: Arc<FakeStore>,
+    gateways: Vec<Gateway>,
+    targets: Vec<FakeTarget>,
+}
+
+impl PartFleet {
+    async fn start(target_count: usize) -> Self {
+        let store = FakeStore::new();
+        store.put_config(1);
+        let first = Gateway::start_ready(&store).await;
+        let second = Gateway::start(&store, "balaju", vec![first.peers]).await;
+        second.wait_ready().await;
+        let mut fleet = Self {
+            store,
+            gateways: vec![first, second],
+            targets: Vec::new(),
+        };
+        for _ in 0..target_count {
+            let target = FakeTarget::start("pool", TargetMode::CrashOnPart(EVENTS)).await;
+            fleet.store.put_target(&target, "ready");
+            fleet.targets.push(target);
+        }
+        let is_ready = |gateway: &Gateway| {
+            let core = gateway.server.core();
+            core.with_state(|state, now| {
+                state.balancer.targets().len() == target_count && !state.peers.alive(now).is_empty()
+            })
+        };
+        until("the gateways know all targets and each other", || {
+            fleet.gateways.iter().all(is_ready)
+        })
+        .await;
+        fleet
+    }
+
+    fn address(&self, number: usize) -> SocketAddr {
+        self.gateways[number % self.gateways.len()].callers
+    }
+
+    fn crashes(&self) -> usize {
+        self.targets.iter().map(FakeTarget::crashes).sum()
+    }
+
+    /// Number of calls with the deadly part that arrived at targets.
+    fn deadly_arrivals(&self) -> usize {
+        let calls = self.targets.iter().flat_map(FakeTarget::calls);
+        calls.filter(|call| call.contains(DEADLY_PART)).count()
+    }
+
+    /// Makes a call whose prompt has the deadly part behind a part that sound calls share; returns
+    /// the status and whether the answer was whole.
+    async fn call_deadly(&self, number: usize) -> (u16, bool) {
+        let parts = format!("common,{DEADLY_PART}");
+        call_with_parts(self.address(number), &format!("deadly-{number}"), &parts).await
+    }
+
+    async fn call_sound(&self, number: usize) -> (u16, bool) {
+        call_with_parts(self.address(number), &format!("sound-{number}"), "common").await
+    }
+}
+
+async fn call_with_parts(address: SocketAddr, id: &str, parts: &str) -> (u16, bool) {
+    let headers = format!("x-id: {id}\r\nx-size: 20\r\nx-parts: {parts}\r\n");
+    let response = call(address, "/stream/1", &headers, id).await;
+    let is_whole = response.text.contains(&format!("piece {EVENTS}"));
+    (response.status, is_whole)
+}
+
+// Guards against blaming calls one by one for what a part of their prompts does.
+#[tokio::test]
+async fn calls_that_share_a_deadly_part_stop_reaching_targets() {
+    let fleet = PartFleet::start(14).await;
+    for number in 0..10 {
+        fleet.call_deadly(number).await;
+    }
+    assert!(
+        fleet.crashes() <= CRASH_LIMIT,
+        "{} crashed",
+        fleet.crashes()
+    );
+    sleep(AGREE_WAIT).await;
+    let before = fleet.deadly_arrivals();
+    for number in 10..14 {
+        let (status, _) = fleet.call_deadly(number).await;
+        assert_eq!(status, 422);
+    }
+    assert_eq!(fleet.deadly_arrivals(), before);
+    for number in 0..4 {
+        assert_eq!(fleet.call_sound(number).await, (200, true));
+    }
+}
+
+// Guards against crashing a target with each of the calls that arrive before the first crash is known.
+#[tokio::test]
+async fn calls_with_a_deadly_part_that_arrive_at_once_crash_few_targets() {
+    let fleet = Arc::new(PartFleet::start(14).await);
+    let mut calls = JoinSet::new();
+    for number in 0..10 {
+        let fleet = fleet.clone();
+        calls.spawn(async move {
+            sleep(Duration::from_millis(100) * number).await;
+            fleet.call_deadly(number as usize).await
+        });
+    }
+    calls.join_all().await;
+    assert!(
+        fleet.crashes() <= CRASH_LIMIT,
+        "{} crashed",
+        fleet.crashes()
+    );
+}
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -12,6 +12,10 @@
 
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Time that a target in `TargetMode::CrashOnPart` takes to read a prompt.
+const PREFILL_TIME: Duration = Duration::from_millis(150);
+/// Part of a prompt that crashes targets in `TargetMode::CrashOnPart`.
+pub const DEADLY_PART: &str = "deadly";
 
 /// How a fake target handles calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +36,9 @@
     Hang,
     /// Crashes after reading the call, as `FakeTarget::crash` does.
     Crash,
+    /// Sends the head, then streams this many events after a pause; crashes instead if the prompt
+    /// of the call has the part `DEADLY_PART`.
+    CrashOnPart(u64),
     /// Sends the response to another call.
     Foreign,
     /// Streams this many events.
@@ -311,6 +318,9 @@
         }
         Some(TargetMode::Truncate) => complete(&id)[..complete(&id).len() - 2].to_owned(),
         Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
+        Some(TargetMode::CrashOnPart(count)) => {
+            return answer_or_crash(stream, state, &head, count, &down).await;
+        }
         Some(TargetMode::Hang) => {
             // Ends when the gateway closes the connection.
             let _ = stream.read(&mut [0; 1]).await;
@@ -365,6 +375,29 @@
     }
 }
 
+/// Reads the prompt, then streams events, or crashes the target if the prompt has the deadly part;
+/// stops reading when the gateway closes the connection.
+async fn answer_or_crash(
+    mut stream: TcpStream,
+    state: Arc<Mutex<TargetState>>,
+    head: &str,
+    count: u64,
+    down: &Notify,
+) {
+    let parts = header(head, "x-parts").unwrap_or_default();
+    let is_deadly = parts.split(',').any(|part| part == DEADLY_PART);
+    let mut byte = [0; 1];
+    tokio::select! {
+        () = sleep(PREFILL_TIME) => {}
+        _ = stream.read(&mut byte) => return,
+    }
+    if is_deadly {
+        down.notify_one();
+        std::future::pending().await
+    }
+    stream_events(stream, state, head, count).await;
+}
+
 /// Streams the events that follow the caller's last one, until the generation is told to stop.
 async fn stream_events(
     mut stream: TcpStream,
