--- a/crates/calls/src/crash/request_fingerprint.rs
+++ b/crates/calls/src/crash/request_fingerprint.rs
@@ -23,6 +23,11 @@
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
         Self(bytes)
     }
+
+    /// The hash.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Debug for RequestFingerprint {
--- a/crates/entry/src/fact/attempt_tracker.rs
+++ b/crates/entry/src/fact/attempt_tracker.rs
@@ -1,8 +1,6 @@
-use std::net::SocketAddr;
-
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
-use super::CrashSign;
+use super::OpenAttempt;
 
 /// Time for which an abandoned call is kept. The platform removes the entry of a target that
 /// stopped answering after three heartbeats; the call has to be known until then.
@@ -10,13 +8,14 @@
 /// Largest number of calls that are tracked.
 const ATTEMPT_LIMIT: usize = 4_096;
 
-/// A call that was sent to a target and has no complete response.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OpenAttempt {
-    /// Crash sign to record if the target turns out to have died.
-    pub sign: CrashSign,
-    /// Address to which it was sent.
-    pub address: SocketAddr,
+/// Identifies a call of this node while it is tracked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptId(u64);
+
+#[derive(Clone, Debug)]
+struct TrackedAttempt {
+    id: AttemptId,
+    attempt: OpenAttempt,
     abandoned_at: Option<ClockTime>,
 }
 
@@ -28,42 +27,60 @@
 /// ```
 /// use base::{ClockTime, IncarnationNumber};
 /// use calls::RequestFingerprint;
-/// use entry::{AttemptTracker, FactState};
-/// let target: base::TargetName = "e1".parse().unwrap();
+/// use entry::{AttemptTracker, CallFeatures, OpenAttempt};
 /// let run = IncarnationNumber(1);
-/// let sign = FactState::default().crash_sign(RequestFingerprint::new("/plans", b""), &target, run);
 /// let mut tracker = AttemptTracker::default();
-/// tracker.begin(sign.clone(), "127.0.0.1:9101".parse().unwrap());
-/// tracker.abandon(ClockTime::new(5), &sign);
-/// assert_eq!(tracker.take_run(&target, run).len(), 1);
+/// let id = tracker.begin(OpenAttempt {
+///     features: CallFeatures::new(RequestFingerprint::new("/plans", b"")),
+///     trial_parts: Vec::new(),
+///     target: "e1".parse().unwrap(),
+///     incarnation: run,
+///     earlier: 0,
+///     address: "127.0.0.1:9101".parse().unwrap(),
+///     began_at: None,
+/// });
+/// tracker.abandon(ClockTime::new(5), id);
+/// assert_eq!(tracker.take_run(&"e1".parse().unwrap(), run).len(), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AttemptTracker {
-    attempts: Vec<OpenAttempt>,
+    /// Sorted by identifier.
+    attempts: Vec<TrackedAttempt>,
+    next_id: u64,
 }
 
 impl AttemptTracker {
-    /// Starts tracking a call that is sent; does nothing if the limit is reached.
-    pub fn begin(&mut self, sign: CrashSign, address: SocketAddr) {
+    /// Starts tracking a call that is sent; it is not tracked if the limit is reached.
+    pub fn begin(&mut self, attempt: OpenAttempt) -> AttemptId {
+        let id = AttemptId(self.next_id);
+        self.next_id += 1;
         if self.attempts.len() < ATTEMPT_LIMIT {
-            self.attempts.push(OpenAttempt {
-                sign,
-                address,
+            self.attempts.push(TrackedAttempt {
+                id,
+                attempt,
                 abandoned_at: None,
             });
         }
+        id
     }
 
-    /// Stops tracking a call that got its complete response, or whose failure has a known cause.
-    pub fn finish(&mut self, sign: &CrashSign) {
-        if let Some(at) = self.find(sign) {
-            self.attempts.swap_remove(at);
+    /// Records that the first event of the answer to a call arrived.
+    pub fn record_begin(&mut self, now: ClockTime, id: AttemptId) {
+        if let Some(at) = self.find(id) {
+            self.attempts[at].attempt.began_at = Some(now);
         }
     }
 
+    /// Stops tracking a call that got its complete response, or whose failure has a known cause;
+    /// returns it if it was tracked.
+    pub fn finish(&mut self, id: AttemptId) -> Option<OpenAttempt> {
+        let at = self.find(id)?;
+        Some(self.attempts.remove(at).attempt)
+    }
+
     /// Marks a call as abandoned without a complete response.
-    pub fn abandon(&mut self, now: ClockTime, sign: &CrashSign) {
-        if let Some(at) = self.find(sign) {
+    pub fn abandon(&mut self, now: ClockTime, id: AttemptId) {
+        if let Some(at) = self.find(id) {
             self.attempts[at].abandoned_at = Some(now);
         }
     }
@@ -74,23 +91,25 @@
         target: &TargetName,
         incarnation: IncarnationNumber,
     ) -> Vec<OpenAttempt> {
-        let is_on_run = |attempt: &mut OpenAttempt| {
-            attempt.sign.target == *target && attempt.sign.incarnation == incarnation
+        let is_on_run = |tracked: &mut TrackedAttempt| {
+            tracked.attempt.target == *target && tracked.attempt.incarnation == incarnation
         };
-        self.attempts.extract_if(.., is_on_run).collect()
+        let taken = self.attempts.extract_if(.., is_on_run);
+        taken.map(|tracked| tracked.attempt).collect()
     }
 
     /// Removes calls that were abandoned longer ago than they are kept.
     pub fn expire(&mut self, now: ClockTime) {
-        self.attempts.retain(|attempt| {
-            let abandoned_at = attempt.abandoned_at;
+        self.attempts.retain(|tracked| {
+            let abandoned_at = tracked.abandoned_at;
             abandoned_at.is_none_or(|at| now - at < ABANDONED_RETENTION)
         });
     }
 
-    /// Index of a call that was not abandoned.
-    fn find(&self, sign: &CrashSign) -> Option<usize> {
-        let mut attempts = self.attempts.iter();
-        attempts.position(|attempt| attempt.abandoned_at.is_none() && attempt.sign == *sign)
+    fn find(&self, id: AttemptId) -> Option<usize> {
+        let found = self
+            .attempts
+            .binary_search_by_key(&id.0, |tracked| tracked.id.0);
+        found.ok()
     }
 }
--- /dev/null
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -0,0 +1,272 @@
+use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
+use facts::SharedFact;
+
+use super::{CallFeatures, CallVerdict, CrashSign, FactState, FeatureId, TargetFact};
+
+/// Deaths after which a whole request is refused. After a single death, every other call that ran on
+/// the same target would be refused too.
+const REQUEST_DEATHS: usize = 2;
+/// Deaths, with failed trials counted once more, from which calls with a prompt part only run as
+/// trials. Sound calls share parts, so that one death says little.
+const PART_DEATHS: usize = 2;
+/// Time after its first failed trial in which no call with a part runs; each further failed trial
+/// multiplies it by [`TRIAL_PAUSE_FACTOR`].
+const TRIAL_PAUSE: TimeSpan = TimeSpan::from_secs(60);
+/// Factor by which the pause after each further failed trial of a part is longer.
+const TRIAL_PAUSE_FACTOR: u64 = 4;
+/// Largest number of failed trials that lengthen the pause.
+const TRIAL_PAUSE_STEPS: usize = 3;
+/// Retry delay sent to the caller if suspected deaths are needed to refuse the call; they are
+/// confirmed or cleared sooner than that.
+const SUSPECT_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+
+/// What a prompt part is blamed for.
+struct PartBlame {
+    part: FeatureId,
+    /// Signs of the deaths that no answer cleared.
+    deaths: Vec<CrashSign>,
+    /// Number of failed trials.
+    trials: usize,
+    /// Time since the last failed trial.
+    trial_age: TimeSpan,
+}
+
+impl PartBlame {
+    /// Number of deaths; those of trials count twice, as no other suspected call ran there.
+    fn weight(&self) -> usize {
+        self.deaths.len() + self.trials
+    }
+
+    /// Rest of the pause after the last failed trial; `None` if the next trial may run.
+    fn pause_left(&self) -> Option<TimeSpan> {
+        let steps = self.trials.min(TRIAL_PAUSE_STEPS).checked_sub(1)?;
+        let pause = TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(steps as u32);
+        (self.trial_age < pause).then(|| pause.saturating_sub(self.trial_age))
+    }
+}
+
+/// Which features of calls are blamed for the deaths of targets.
+impl FactState {
+    /// Creates the crash sign of a feature of a call that is sent to a target now, to be recorded if
+    /// the target dies.
+    pub fn crash_sign(
+        &self,
+        feature: impl Into<FeatureId>,
+        target: &TargetName,
+        incarnation: IncarnationNumber,
+    ) -> CrashSign {
+        CrashSign {
+            print: feature.into(),
+            target: target.clone(),
+            incarnation,
+            earlier: self.death_count(target, incarnation),
+        }
+    }
+
+    /// Counts the broken connection of a call as a death of its target until the check of the
+    /// target is done.
+    pub fn add_suspected(&mut self, sign: CrashSign) {
+        if !self.suspected.contains(&sign) {
+            self.suspected.push(sign);
+        }
+    }
+
+    /// Removes a suspected death, since the target is alive.
+    pub fn clear_suspected(&mut self, sign: &CrashSign) {
+        self.suspected.retain(|known| known != sign);
+    }
+
+    /// Records that the target of a call died; returns whether that is new.
+    pub fn confirm_death(&mut self, now: ClockTime, sign: CrashSign) -> bool {
+        self.clear_suspected(&sign);
+        self.set.insert(now, TargetFact::Crashed(sign))
+    }
+
+    /// Records that a call ran, so that the signs of earlier deaths no longer count against its
+    /// features; returns the signs that it clears. Deaths after `began_at`, when its answer began,
+    /// still count.
+    pub fn record_completion(
+        &mut self,
+        now: ClockTime,
+        features: impl Iterator<Item = FeatureId>,
+        began_at: ClockTime,
+    ) -> Vec<CrashSign> {
+        let answer_age = now - began_at;
+        let mut signs = Vec::new();
+        for feature in features {
+            for print in [feature, feature.failed_trial()] {
+                let earlier = self.uncleared_signs(now, print);
+                let earlier = earlier.filter(|(_, age)| *age >= answer_age);
+                signs.extend(earlier.map(|(sign, _)| sign));
+            }
+        }
+        for sign in &signs {
+            self.set.insert(now, TargetFact::Completed(sign.clone()));
+        }
+        signs
+    }
+
+    /// Whether and how a call may run.
+    pub fn verdict(&self, now: ClockTime, features: &CallFeatures) -> CallVerdict {
+        if self.set.is_empty() && self.suspected.is_empty() {
+            return CallVerdict::Unrestricted;
+        }
+        let request = self.request_verdict(now, features.request().into());
+        if matches!(request, CallVerdict::Refused { .. }) {
+            return request;
+        }
+        let blames = self.part_blames(now, features);
+        let refusals = blames
+            .iter()
+            .filter(|blame| self.is_sole_suspect(now, features, blame))
+            .filter_map(|blame| Some((blame.pause_left()?, blame.part)));
+        if let Some((retry_after, feature)) = refusals.max() {
+            return CallVerdict::Refused {
+                retry_after,
+                feature,
+            };
+        }
+        // Of parts that are blamed alike, all nodes choose the same one.
+        let most_blamed = blames
+            .iter()
+            .max_by_key(|blame| (blame.weight(), std::cmp::Reverse(blame.part)));
+        most_blamed.map_or(request, |blame| CallVerdict::Trial { part: blame.part })
+    }
+
+    /// Parts of a prompt that are blamed for so many deaths that calls with them run as trials only.
+    pub fn suspected_parts(&self, now: ClockTime, features: &CallFeatures) -> Vec<FeatureId> {
+        let blames = self.part_blames(now, features);
+        blames.into_iter().map(|blame| blame.part).collect()
+    }
+
+    /// Whether a call that was sent but has not begun to answer is likely to crash its target.
+    pub fn is_dangerous(&self, now: ClockTime, features: &CallFeatures) -> bool {
+        if self.set.is_empty() {
+            return false;
+        }
+        let request = self.request_verdict(now, features.request().into());
+        let mut blames = self.part_blames(now, features).into_iter();
+        matches!(request, CallVerdict::Refused { .. })
+            || blames.any(|blame| self.is_sole_suspect(now, features, &blame))
+    }
+
+    /// Targets that died while a call with a feature ran on them, without the signs that were
+    /// cleared.
+    pub fn crashed_targets(
+        &self,
+        now: ClockTime,
+        feature: impl Into<FeatureId>,
+    ) -> Vec<TargetName> {
+        let signs = self.uncleared_signs(now, feature.into());
+        signs.map(|(sign, _)| sign.target).collect()
+    }
+
+    /// Number of known deaths of a run of a target.
+    pub fn death_count(&self, target: &TargetName, incarnation: IncarnationNumber) -> u16 {
+        let signs = self.set.facts().filter_map(TargetFact::as_crash);
+        let run_signs =
+            signs.filter(|sign| sign.target == *target && sign.incarnation == incarnation);
+        let last = run_signs.map(|sign| sign.earlier.saturating_add(1)).max();
+        last.unwrap_or(0)
+    }
+
+    fn request_verdict(&self, now: ClockTime, request: FeatureId) -> CallVerdict {
+        let mut ages: Vec<_> = self
+            .uncleared_signs(now, request)
+            .map(|(_, age)| age)
+            .collect();
+        let is_unconfirmed = |sign: &&CrashSign| {
+            sign.print == request && !self.set.contains(&TargetFact::Crashed((**sign).clone()))
+        };
+        let suspected = self.suspected.iter().filter(is_unconfirmed).count();
+        ages.sort();
+        match ages.len() + suspected {
+            0 => CallVerdict::Unrestricted,
+            deaths if deaths < REQUEST_DEATHS => CallVerdict::Isolated,
+            // The call is refused until so many signs have expired that fewer than the limit count.
+            _ => CallVerdict::Refused {
+                retry_after: ages
+                    .get(REQUEST_DEATHS - 1)
+                    .map_or(SUSPECT_RETRY_AFTER, |age| {
+                        CrashSign::LIFETIME.saturating_sub(*age)
+                    }),
+                feature: request,
+            },
+        }
+    }
+
+    /// The parts of a prompt that are blamed for [`PART_DEATHS`] or more.
+    fn part_blames(&self, now: ClockTime, features: &CallFeatures) -> Vec<PartBlame> {
+        let blames = features.parts().iter().map(|part| {
+            let failed = self.uncleared_signs(now, part.failed_trial());
+            let ages: Vec<_> = failed.map(|(_, age)| age).collect();
+            PartBlame {
+                part: *part,
+                deaths: self
+                    .uncleared_signs(now, *part)
+                    .map(|(sign, _)| sign)
+                    .collect(),
+                trials: ages.len(),
+                trial_age: ages.into_iter().min().unwrap_or_default(),
+            }
+        });
+        blames
+            .filter(|blame| blame.weight() >= PART_DEATHS)
+            .collect()
+    }
+
+    /// Whether no feature that the call lacks may have caused all the deaths that a part of its
+    /// prompt is blamed for. A sound part that stood beside a deadly one in each call that crashed
+    /// its target is blamed for the same deaths.
+    fn is_sole_suspect(&self, now: ClockTime, features: &CallFeatures, blame: &PartBlame) -> bool {
+        let crashes = self.set.iter_from(now, |_| false);
+        let signs = crashes.map_while(|(fact, _)| fact.as_crash());
+        let signs = signs.filter(|sign| !self.is_cleared(sign));
+        let mut counts: Vec<(FeatureId, usize)> = Vec::new();
+        for sign in signs.filter(|sign| !features.contains(sign.print)) {
+            let is_shared = blame.deaths.iter().any(|death| death.is_same_death(sign));
+            match counts.last_mut() {
+                Some((feature, count)) if *feature == sign.print => {
+                    *count += usize::from(is_shared)
+                }
+                _ => counts.push((sign.print, usize::from(is_shared))),
+            }
+        }
+        let trials: Vec<_> = features
+            .parts()
+            .iter()
+            .map(|part| part.failed_trial())
+            .collect();
+        let mut rivals = counts
+            .iter()
+            .filter(|(feature, _)| !trials.contains(feature));
+        rivals.all(|(_, count)| *count < blame.deaths.len())
+    }
+
+    fn is_cleared(&self, sign: &CrashSign) -> bool {
+        self.set.contains(&TargetFact::Completed(sign.clone()))
+    }
+
+    /// Crash signs of a feature that no later answer cleared, each with its age.
+    fn uncleared_signs(
+        &self,
+        now: ClockTime,
+        feature: FeatureId,
+    ) -> impl Iterator<Item = (CrashSign, TimeSpan)> {
+        let facts = self.set.iter_from(now, move |fact| match fact {
+            TargetFact::Crashed(sign) => sign.print < feature,
+            TargetFact::Completed(_)
+            | TargetFact::Leaving(_)
+            | TargetFact::Stayed(_)
+            | TargetFact::RateNamed(_)
+            | TargetFact::Ended(_) => false,
+        });
+        let signs = facts.map_while(move |(fact, remaining)| match fact {
+            TargetFact::Crashed(sign) if sign.print == feature => {
+                Some((sign.clone(), fact.lifetime().saturating_sub(remaining)))
+            }
+            _ => None,
+        });
+        signs.filter(|(sign, _)| !self.is_cleared(sign))
+    }
+}
--- a/crates/entry/src/fact/crash_sign.rs
+++ b/crates/entry/src/fact/crash_sign.rs
@@ -1,14 +1,17 @@
-use base::{IncarnationNumber, TargetName};
-use calls::RequestFingerprint;
+use base::{IncarnationNumber, TargetName, TimeSpan};
 use serde::{Deserialize, Serialize};
 
-/// Record that a target died while a call ran on it, which makes the call a possible cause.
+use super::FeatureId;
+
+/// Record that a target died while a call with a feature ran on it, which makes the feature a
+/// possible cause.
 ///
-/// Each of several calls on the target gets its own sign. Identical calls share one.
+/// Each feature of each call on the target gets its own sign. Calls share the signs of the features
+/// that they have in common.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashSign {
-    /// Fingerprint of the call.
-    pub print: RequestFingerprint,
+    /// The feature.
+    pub print: FeatureId,
     /// The target.
     pub target: TargetName,
     /// Run of the target, as the node that sent the call knew it.
@@ -17,3 +20,15 @@
     /// nodes see its new incarnation; this tells the two deaths apart.
     pub earlier: u16,
 }
+
+impl CrashSign {
+    /// Time for which a death counts against the features of the calls that ran on the target.
+    pub const LIFETIME: TimeSpan = TimeSpan::from_secs(600);
+
+    /// Whether two signs are about the same death.
+    pub fn is_same_death(&self, other: &Self) -> bool {
+        self.target == other.target
+            && self.incarnation == other.incarnation
+            && self.earlier == other.earlier
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -0,0 +1,51 @@
+use std::net::SocketAddr;
+
+use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
+
+use super::{CallFeatures, CrashSign, FeatureId};
+
+/// Time for which an answer has to go on until the parts of its prompt count as harmless. A deadly
+/// part crashes the target when that begins to write an answer on it.
+pub const ANSWER_PROOF_TIME: TimeSpan = TimeSpan::new(300);
+
+/// A call that was sent to a target and has no complete response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenAttempt {
+    /// Features of the call.
+    pub features: CallFeatures,
+    /// Suspected parts of which the call is a trial.
+    pub trial_parts: Vec<FeatureId>,
+    /// Target to which it was sent.
+    pub target: TargetName,
+    /// Run of the target.
+    pub incarnation: IncarnationNumber,
+    /// Known deaths of that run when the call was sent.
+    pub earlier: u16,
+    /// Address to which it was sent.
+    pub address: SocketAddr,
+    /// When the first event of the answer arrived.
+    pub began_at: Option<ClockTime>,
+}
+
+impl OpenAttempt {
+    /// Signs to record if the target died now. Parts of the prompt are left out once the answer has
+    /// gone on for [`ANSWER_PROOF_TIME`].
+    pub fn crash_signs(&self, now: ClockTime) -> Vec<CrashSign> {
+        let is_proven = self
+            .began_at
+            .is_some_and(|began_at| now - began_at >= ANSWER_PROOF_TIME);
+        let request = FeatureId::from(self.features.request());
+        let mut features = vec![request];
+        if !is_proven {
+            features.extend(self.features.parts());
+            features.extend(self.trial_parts.iter().map(|part| part.failed_trial()));
+        }
+        let signs = features.into_iter().map(|print| CrashSign {
+            print,
+            target: self.target.clone(),
+            incarnation: self.incarnation,
+            earlier: self.earlier,
+        });
+        signs.collect()
+    }
+}
--- a/crates/entry/src/fact/target_fact.rs
+++ b/crates/entry/src/fact/target_fact.rs
@@ -4,8 +4,6 @@
 
 use super::{CrashSign, LeaveNotice, NamedRate, RunEnd};
 
-/// Time for which a crash counts against the calls that ran on the target.
-const CRASH_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
 /// Time by which an overriding fact (`Completed`, `Stayed`) outlives the fact that it overrides.
 /// Nodes receive the two at different times, and the overridden fact must not take effect again.
 const OVERRIDE_MARGIN: TimeSpan = TimeSpan::from_secs(60);
@@ -21,9 +19,9 @@
 /// Fact about a target that all nodes replicate.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum TargetFact {
-    /// A target died while a call ran on it.
+    /// A target died while a call with the feature ran on it.
     Crashed(CrashSign),
-    /// The call of the sign ran to its end elsewhere, so it did not cause the death.
+    /// A call with the feature ran elsewhere later, so the feature did not cause the death.
     Completed(CrashSign),
     /// A target announced that it is leaving.
     Leaving(LeaveNotice),
@@ -35,11 +33,25 @@
     Ended(RunEnd),
 }
 
+impl TargetFact {
+    /// The sign, if the fact is that a target died.
+    pub fn as_crash(&self) -> Option<&CrashSign> {
+        match self {
+            Self::Crashed(sign) => Some(sign),
+            Self::Completed(_)
+            | Self::Leaving(_)
+            | Self::Stayed(_)
+            | Self::RateNamed(_)
+            | Self::Ended(_) => None,
+        }
+    }
+}
+
 impl SharedFact for TargetFact {
     fn lifetime(&self) -> TimeSpan {
         match self {
-            Self::Crashed(_) => CRASH_LIFETIME,
-            Self::Completed(_) => CRASH_LIFETIME + OVERRIDE_MARGIN,
+            Self::Crashed(_) => CrashSign::LIFETIME,
+            Self::Completed(_) => CrashSign::LIFETIME + OVERRIDE_MARGIN,
             Self::Leaving(_) => LEAVE_LIFETIME,
             Self::Stayed(_) => LEAVE_LIFETIME + OVERRIDE_MARGIN,
             Self::RateNamed(_) => RATE_LIFETIME,
--- a/crates/entry/tests/facts.rs
+++ b/crates/entry/tests/facts.rs
@@ -1,8 +1,11 @@
 //! Conclusions from replicated facts: crash verdicts and leaving targets.
 
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
-use calls::{CrashVerdict, RequestFingerprint};
-use entry::{AttemptTracker, CrashSign, FactState, SuspectCall, SuspectTracker, TargetFact};
+use calls::RequestFingerprint;
+use entry::{
+    AttemptTracker, CallFeatures, CallVerdict, CrashSign, FactState, OpenAttempt, SuspectCall,
+    SuspectTracker, TargetFact,
+};
 use facts::SharedFact;
 use proptest::prelude::*;
 
@@ -13,14 +16,19 @@
     RequestFingerprint::new("/plans", &[number])
 }
 
+/// Features of a call without shared parts.
+fn features(number: u8) -> CallFeatures {
+    CallFeatures::new(fingerprint(number))
+}
+
 fn target(number: u8) -> TargetName {
     format!("e{number}").parse().unwrap()
 }
 
 fn is_condemned(state: &FactState, now: ClockTime, number: u8) -> bool {
     matches!(
-        state.verdict(now, fingerprint(number)),
-        CrashVerdict::Refused { .. }
+        state.verdict(now, &features(number)),
+        CallVerdict::Refused { .. }
     )
 }
 
@@ -38,7 +46,7 @@
 fn a_second_death_under_a_stale_incarnation_counts() {
     let mut state = FactState::default();
     crash(&mut state, 7, 1);
-    assert_eq!(state.verdict(NOW, fingerprint(7)), CrashVerdict::Isolated);
+    assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Isolated);
     crash(&mut state, 7, 1);
     assert!(is_condemned(&state, NOW, 7));
 }
@@ -53,7 +61,7 @@
     for copy in copies {
         state.confirm_death(NOW, copy);
     }
-    assert_eq!(state.verdict(NOW, fingerprint(7)), CrashVerdict::Isolated);
+    assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Isolated);
 }
 
 // Guards against sending a call again before it is known whether its targets died.
@@ -66,9 +74,9 @@
         .for_each(|sign| state.add_suspected(sign.clone()));
     assert!(is_condemned(&state, NOW, 7));
     state.clear_suspected(&signs[0]);
-    assert_eq!(state.verdict(NOW, fingerprint(7)), CrashVerdict::Isolated);
+    assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Isolated);
     state.confirm_death(NOW, signs[1].clone());
-    assert_eq!(state.verdict(NOW, fingerprint(7)), CrashVerdict::Isolated);
+    assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Isolated);
 }
 
 // Guards against a crash sign that takes effect again when a peer sends it after the call ran to
@@ -83,22 +91,17 @@
         state.set.merge(NOW, fact.clone());
     }
     assert!(is_condemned(&state, NOW, 7));
-    assert_eq!(state.record_completion(NOW, fingerprint(7)), 2);
+    let cleared = state.record_completion(NOW, features(7).iter(), NOW);
+    assert_eq!(cleared.len(), 2);
     for fact in sent {
         state.set.merge(NOW, fact);
     }
-    assert_eq!(
-        state.verdict(NOW, fingerprint(7)),
-        CrashVerdict::Unrestricted
-    );
+    assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Unrestricted);
     let sent_back = state.set.longest_lived(NOW, 10);
     for fact in sent_back {
         peer.set.merge(NOW, fact);
     }
-    assert_eq!(
-        peer.verdict(NOW, fingerprint(7)),
-        CrashVerdict::Unrestricted
-    );
+    assert_eq!(peer.verdict(NOW, &features(7)), CallVerdict::Unrestricted);
 }
 
 // Guards against a call that is refused forever, and against a completion that expires before the
@@ -108,12 +111,12 @@
     let mut state = FactState::default();
     let sign = crash(&mut state, 7, 1);
     crash(&mut state, 7, 2);
-    let CrashVerdict::Refused { retry_after } = state.verdict(NOW, fingerprint(7)) else {
+    let CallVerdict::Refused { retry_after, .. } = state.verdict(NOW, &features(7)) else {
         panic!("two deaths condemn the call");
     };
     assert_eq!(
-        state.verdict(NOW + retry_after, fingerprint(7)),
-        CrashVerdict::Unrestricted
+        state.verdict(NOW + retry_after, &features(7)),
+        CallVerdict::Unrestricted
     );
     let crash_facts = [
         TargetFact::Crashed(sign.clone()),
@@ -127,20 +130,24 @@
 // abandoned before the platform removes its entry.
 #[test]
 fn abandoned_calls_are_kept_until_the_target_is_removed() {
-    let state = FactState::default();
-    let sign = state.crash_sign(fingerprint(7), &target(1), RUN);
-    let address = "127.0.0.1:9101".parse().unwrap();
+    let attempt = OpenAttempt {
+        features: features(7),
+        trial_parts: Vec::new(),
+        target: target(1),
+        incarnation: RUN,
+        earlier: 0,
+        address: "127.0.0.1:9101".parse().unwrap(),
+        began_at: None,
+    };
     let mut tracker = AttemptTracker::default();
-    for _ in 0..3 {
-        tracker.begin(sign.clone(), address);
-    }
-    tracker.finish(&sign);
-    tracker.abandon(NOW, &sign);
+    let ids = [(); 3].map(|()| tracker.begin(attempt.clone()));
+    assert_eq!(tracker.finish(ids[0]), Some(attempt.clone()));
+    tracker.abandon(NOW, ids[1]);
     tracker.expire(NOW + TimeSpan::from_secs(5));
     assert_eq!(tracker.take_run(&target(2), RUN), []);
     assert_eq!(tracker.take_run(&target(1), RUN).len(), 2);
-    tracker.begin(sign.clone(), address);
-    tracker.abandon(NOW, &sign);
+    let id = tracker.begin(attempt);
+    tracker.abandon(NOW, id);
     tracker.expire(NOW + TimeSpan::from_secs(9));
     assert_eq!(tracker.take_run(&target(1), RUN), []);
 }
@@ -215,7 +222,7 @@
                     deaths[usize::from(at)] += 1;
                 }
                 Step::Complete(call) => {
-                    state.record_completion(NOW, fingerprint(call));
+                    state.record_completion(NOW, features(call).iter(), NOW);
                     uncleared[usize::from(call)].clear();
                 }
                 // One death of a target on which two calls run.
@@ -241,10 +248,11 @@
         for call in 0..3_u8 {
             let count = uncleared[usize::from(call)].len();
             for known in [&state, &peer] {
-                match known.verdict(NOW, fingerprint(call)) {
-                    CrashVerdict::Unrestricted => prop_assert_eq!(count, 0),
-                    CrashVerdict::Isolated => prop_assert_eq!(count, 1),
-                    CrashVerdict::Refused { .. } => prop_assert!(count >= 2),
+                match known.verdict(NOW, &features(call)) {
+                    CallVerdict::Unrestricted => prop_assert_eq!(count, 0),
+                    CallVerdict::Isolated => prop_assert_eq!(count, 1),
+                    CallVerdict::Refused { .. } => prop_assert!(count >= 2),
+                    CallVerdict::Trial { .. } => prop_assert!(false, "the calls have no parts"),
                 }
             }
         }
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -8,7 +8,7 @@
 
 use base::{ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
-use entry::{ConfigVersion, LeaseGuard, TargetRecord};
+use entry::{CallFeatures, ConfigVersion, LeaseGuard, OpenAttempt, TargetRecord};
 use gateway::{GatewaySettings, GatewayState, RetrySettings, SendCheck};
 
 /// Number of targets that the node knows.
@@ -27,9 +27,12 @@
         let now = ClockTime::new(5_000);
         let start = Instant::now();
         for number in 0..SENDS {
+            let parts = ["5c1e07a2", "91bd3f06"].map(|part| part.parse().expect("a part"));
             let fingerprint = RequestFingerprint::new("/plans", &number.to_le_bytes());
+            let features = CallFeatures::new(fingerprint).with_parts(&parts);
             let check = SendCheck {
-                fingerprint,
+                features: &features,
+                is_trial: false,
                 target: &target,
                 route: ("depot.example", "/plans"),
                 key: None,
@@ -40,12 +43,17 @@
             for _ in 0..2 {
                 black_box(state.check_send(now, &check)).expect("it may be sent");
             }
-            let sign = state
-                .facts
-                .crash_sign(fingerprint, &target, IncarnationNumber(1));
-            let address = ([127, 0, 0, 1], 9_101).into();
-            state.attempts.begin(sign.clone(), address);
-            state.attempts.finish(&sign);
+            let incarnation = IncarnationNumber(1);
+            let id = state.attempts.begin(OpenAttempt {
+                earlier: state.facts.death_count(&target, incarnation),
+                features,
+                trial_parts: Vec::new(),
+                target: target.clone(),
+                incarnation,
+                address: ([127, 0, 0, 1], 9_101).into(),
+                began_at: None,
+            });
+            state.attempts.finish(id);
         }
         let seconds_per_call = start.elapsed().as_secs_f64() / f64::from(SENDS);
         println!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod serve;
 mod settings;
 mod state;
+mod trial;
 
 pub use peer::{ItemUpdate, NodeDigest};
 pub use poll::ViewPoller;
--- a/crates/gateway/src/peer/fact_sync.rs
+++ b/crates/gateway/src/peer/fact_sync.rs
@@ -7,8 +7,8 @@
 use http::Method;
 use serde::Serialize;
 
-use super::PeerClient;
 use super::peer_client::{FACTS_PATH, encode_body};
+use super::{PeerClient, PushScope};
 use crate::GatewayCore;
 
 /// Largest number of comparisons with a peer in one synchronization. Each transfers up to 48 facts,
@@ -49,12 +49,31 @@
                 let new = received.filter(|entry| state.facts.set.merge(now, entry.clone()));
                 new.map(|entry| entry.fact).collect::<Vec<_>>()
             });
-            apply_facts(self.core(), new);
+            apply_facts(self.core(), new, false);
         }
         self.core()
             .with_state(|state, _| state.has_peer_facts = true);
     }
 
+    /// Pushes facts to a peer. A failure is logged by the call; the peer then learns of the facts when
+    /// it compares its set.
+    pub(super) async fn push_facts(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        request: &FactRequest<TargetFact>,
+    ) {
+        let Some(body) = encode_body(request) else {
+            return;
+        };
+        self.core().with_state(|state, now| {
+            let bytes = ByteCount(size_of(request));
+            state.fact_limiters.pushes.charge(now, bytes);
+        });
+        let _: Option<FactResponse<TargetFact>> =
+            self.call(address, Method::POST, path, body).await;
+    }
+
     /// Sends a request to synchronize facts, and charges its bytes and those of the response to the
     /// rate limit.
     async fn request_facts(
@@ -73,10 +92,12 @@
 }
 
 /// Answers the request of a peer to synchronize facts; `None` if the rate limit for responses is
-/// used up.
+/// used up. If it `must_forward` new facts and this node is the coordinator, it pushes them on to its
+/// failure domain.
 pub(super) fn answer_request(
     core: &Arc<GatewayCore>,
     request: FactRequest<TargetFact>,
+    must_forward: bool,
 ) -> Option<FactResponse<TargetFact>> {
     let request_bytes = size_of(&request);
     let (response, new) = core.with_state(|state, now| {
@@ -88,13 +109,25 @@
         state.fact_limiters.responses.charge(now, bytes);
         Some((response, new))
     })?;
-    apply_facts(core, new);
+    apply_facts(core, new, must_forward);
     Some(response)
 }
 
 /// Applies facts that were new to this node, and logs them.
-fn apply_facts(core: &Arc<GatewayCore>, new: Vec<TargetFact>) {
+fn apply_facts(core: &Arc<GatewayCore>, new: Vec<TargetFact>, must_forward: bool) {
     core.apply_facts(&new);
+    let is_blame =
+        |fact: &&TargetFact| matches!(fact, TargetFact::Crashed(_) | TargetFact::Completed(_));
+    if new.iter().any(|fact| is_blame(&fact)) {
+        core.with_state(|state, now| {
+            if must_forward && state.is_coordinator(now) {
+                for fact in new.iter().filter(is_blame) {
+                    state.outbox.push(PushScope::Domain, fact.clone());
+                }
+            }
+        });
+        core.recheck_blame();
+    }
     for fact in new {
         log::debug!(
             event = EventKind::FactTold.number(),
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -16,6 +16,7 @@
 use crate::coordinator::{CoordinatorReply, CoordinatorRequest};
 use crate::rate::{PermitReply, PermitRequest};
 use crate::state::INFORMED_COORDINATORS;
+use crate::trial::{TrialReply, TrialRequest};
 use crate::{GatewayCore, ViewArea};
 
 /// Path of digest exchanges.
@@ -26,6 +27,8 @@
 pub const PLACEMENT_PATH: &str = "/peer/room";
 /// Path of requests for permits to send to targets that name a rate.
 pub const PERMITS_PATH: &str = "/peer/permits";
+/// Path of requests to run a call as the trial of a suspected prompt part.
+pub const TRIALS_PATH: &str = "/peer/trials";
 /// Path from which configuration items are fetched.
 pub const CONFIG_PATH: &str = "/peer/config";
 /// Path from which target entries are fetched.
@@ -279,6 +282,18 @@
             .await
     }
 
+    /// Requests a trial of a suspected prompt part from another node; `None` if it does not answer.
+    pub async fn request_trial(
+        &self,
+        address: SocketAddr,
+        request: &TrialRequest,
+    ) -> Option<TrialReply> {
+        let (path, body) = (TRIALS_PATH, encode_body(request)?);
+        let timeout = PERMIT_TIMEOUT / u64::from(request.hops.max(1));
+        self.call_within(address, Method::POST, path, body, timeout)
+            .await
+    }
+
     /// Exchanges digests with a peer, then fetches items and facts that it knows and this node
     /// lacks.
     async fn exchange_digests(&self, address: SocketAddr) {
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -7,14 +7,16 @@
 use serde::de::DeserializeOwned;
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
+use super::fact_pusher::FORWARD_QUERY;
 use super::fact_sync::answer_request;
 use super::peer_client::{
     CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PERMITS_PATH, PLACEMENT_PATH,
-    PeerClient, TARGETS_PATH,
+    PeerClient, TARGETS_PATH, TRIALS_PATH,
 };
 use super::{ItemUpdate, LoadReport, NodeDigest, UpdateOutcome};
 use crate::coordinator::handle_request;
 use crate::rate::request_permits;
+use crate::trial::grant_trial;
 use crate::{GatewayCore, ViewArea};
 
 /// Largest body of a request in bytes: a digest with 512 targets of about 100 bytes each.
@@ -44,6 +46,7 @@
                 (&Method::POST, LOADS_PATH) => handle_loads(&core, request).await,
                 (&Method::POST, PLACEMENT_PATH) => handle_placement(&core, request).await,
                 (&Method::POST, PERMITS_PATH) => handle_permits(&core, request).await,
+                (&Method::POST, TRIALS_PATH) => handle_trial(&core, request).await,
                 (&Method::POST, FACTS_PATH) => handle_facts(&core, request).await,
                 (&Method::POST, CHANGES_PATH) => handle_changes(&core, request).await,
                 (&Method::GET, CONFIG_PATH) => handle_fetch(&core, ViewArea::Config, &request),
@@ -99,12 +102,24 @@
     }
 }
 
+/// Answers a request for a trial; 503 if no node that grants it answers.
+async fn handle_trial(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let Some(request) = read_message(core, request).await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    match grant_trial(core, request).await {
+        Some(reply) => encode_response(&reply),
+        None => status_only(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
 /// Answers a request to synchronize facts; 429 if this node answered too much recently.
 async fn handle_facts(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
+    let must_forward = request.uri().query() == Some(FORWARD_QUERY);
     let Some(message) = read_message(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
-    match answer_request(core, message) {
+    match answer_request(core, message, must_forward) {
         Some(response) => encode_response(&response),
         None => status_only(StatusCode::TOO_MANY_REQUESTS),
     }
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -2,10 +2,9 @@
 
 use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
 use bytes::Bytes;
-use calls::{CrashVerdict, RequestFingerprint};
 use entry::{
-    ConfigVersion, EngineSpec, PlacementRequest, PlacementScope, RouteRule, TargetLoad,
-    prefill_time,
+    CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PlacementRequest, PlacementScope,
+    RouteRule, TargetLoad, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
@@ -64,8 +63,9 @@
     pub arrived_at: ClockTime,
     /// When the call times out: at the deadline of the caller or of the route, whichever is first.
     pub deadline: ClockTime,
-    /// Hash of path, key and body, by which repeats of the same request are recognised.
-    pub fingerprint: RequestFingerprint,
+    /// Features that can be blamed for crashes: the whole request, a hash of path, key and body, and the
+    /// parts of its prompt.
+    pub features: CallFeatures,
 }
 
 impl AdmittedCall {
@@ -162,11 +162,11 @@
             load: self.load(),
             is_quick: self.is_quick(),
             excluded: core.with_state(|state, now| {
-                match state.facts.verdict(now, self.fingerprint) {
-                    CrashVerdict::Unrestricted => Vec::new(),
-                    CrashVerdict::Isolated | CrashVerdict::Refused { .. } => {
-                        state.suspects.occupied_targets(now, self.fingerprint)
-                    }
+                match state.facts.verdict(now, &self.features) {
+                    CallVerdict::Unrestricted | CallVerdict::Trial { .. } => Vec::new(),
+                    CallVerdict::Isolated | CallVerdict::Refused { .. } => state
+                        .suspects
+                        .occupied_targets(now, self.features.request()),
                 }
             }),
             move_source: None,
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use base::{ErrorKind, EventKind, TargetName, TimeSpan};
-use calls::{CrashVerdict, RequestFingerprint};
-use entry::{RepeatPolicy, ServeConfig};
+use calls::RequestFingerprint;
+use entry::{CallFeatures, CallVerdict, RepeatPolicy, ServeConfig};
 use http::uri::PathAndQuery;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -121,8 +121,9 @@
         path.path(),
         caller_headers.key.as_deref().unwrap_or("")
     );
-    let fingerprint = RequestFingerprint::new(&scope, &body);
-    refuse_crash_suspect(core, access_entry, fingerprint)?;
+    let features = CallFeatures::new(RequestFingerprint::new(&scope, &body))
+        .with_parts(&caller_headers.shared_parts);
+    refuse_crash_suspect(core, access_entry, &features)?;
     core.with_state(|state, now| state.retry_share.record_call(now, &service));
     let call = AdmittedCall {
         method: parts.method,
@@ -139,7 +140,7 @@
         priority,
         arrived_at: access_entry.arrived_at(),
         deadline: access_entry.arrived_at() + timeout,
-        fingerprint,
+        features,
     };
     match core.can_finish(call.expected_time()) {
         true => Ok(call),
@@ -155,31 +156,34 @@
     config.service(service).and_then(|spec| spec.engine)
 }
 
-/// Refuses a call whose fingerprint has crashed too many targets.
+/// Refuses a call that crashed too many targets, or a part of whose prompt did in other calls.
 fn refuse_crash_suspect(
     core: &GatewayCore,
     access_entry: &mut AccessEntry,
-    fingerprint: RequestFingerprint,
+    features: &CallFeatures,
 ) -> Result<(), Box<Response<WebBody>>> {
-    let (verdict, crashed) = core.with_state(|state, now| {
-        let verdict = state.facts.verdict(now, fingerprint);
-        let crashed = match verdict {
-            CrashVerdict::Refused { .. } => state.facts.crashed_targets(now, fingerprint),
-            CrashVerdict::Unrestricted | CrashVerdict::Isolated => Vec::new(),
-        };
-        (verdict, crashed)
-    });
-    let CrashVerdict::Refused { retry_after } = verdict else {
+    let verdict = core.with_state(|state, now| state.facts.verdict(now, features));
+    let CallVerdict::Refused {
+        retry_after,
+        feature,
+    } = verdict
+    else {
         return Ok(());
     };
+    let crashed = core.with_state(|state, now| state.facts.crashed_targets(now, feature));
+    let blamed = match feature == features.request().into() {
+        true => "request",
+        false => "part",
+    };
     log::info!(
         event = EventKind::CrashCondemned.number(),
         node = core.node().as_str(),
         request = access_entry.request_id.as_ref().map_or("", |id| id.as_str()),
-        print = fingerprint.to_string().as_str(),
+        print = feature.to_string().as_str(),
+        blamed = blamed,
         targets = join_names(&crashed).as_str(),
         expires_ms = retry_after.as_millis();
-        "call refused: the same request crashed its targets"
+        "call refused: the same request, or a part of its prompt, crashed its targets"
     );
     let kind = ErrorKind::CrashSuspect;
     Err(Box::new(failure_response(
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -1,8 +1,7 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{EventKind, RequestId};
-use entry::{CrashSign, EndedRun, OpenAttempt, TargetOutcome, TargetPhase};
+use base::{ClockTime, EventKind, RequestId};
+use entry::{CallFeatures, CrashSign, EndedRun, OpenAttempt, TargetOutcome, TargetPhase};
 use http::StatusCode;
 use metrics::counter;
 use web::ReusePolicy;
@@ -10,8 +9,11 @@
 use super::admitted_call::AdmittedCall;
 use crate::{CapacityReservation, GatewayCore};
 
+/// Largest number of suspected parts of a call that a log line names.
+const LOGGED_FEATURES: usize = 8;
+
 /// Records that the target gave a complete response. Only a success status shows that the call can
-/// run without crashing its target, and clears what was recorded against it.
+/// run without crashing its target, and clears what was recorded against its features.
 pub fn record_response(
     core: &GatewayCore,
     call: &AdmittedCall,
@@ -19,18 +21,51 @@
     status: StatusCode,
 ) {
     reservation.record_outcome(TargetOutcome::Answered);
-    let Some(sign) = reservation.finish_send() else {
+    let Some(attempt) = reservation.finish_send() else {
         return;
     };
-    if !status.is_success() {
-        return;
+    if status.is_success() {
+        let began_at = attempt.began_at.unwrap_or_else(|| core.now());
+        clear_features(core, call, &attempt.features, began_at);
     }
+}
+
+/// Records that the answer to a call, which began at `began_at`, has gone on for so long that the
+/// parts of its prompt are harmless.
+pub fn record_proof(core: &GatewayCore, call: &AdmittedCall, began_at: ClockTime) {
+    let parts = call.features.parts().iter().copied();
+    let cleared = core.with_state(|state, now| state.record_completion(now, parts, began_at));
+    log_cleared(core, call, cleared);
+}
+
+/// Clears what was recorded against the features of a call that ran to its end.
+fn clear_features(
+    core: &GatewayCore,
+    call: &AdmittedCall,
+    features: &CallFeatures,
+    began_at: ClockTime,
+) {
     let cleared =
-        core.with_state(|state, now| state.facts.record_completion(now, call.fingerprint));
-    if cleared > 0 {
-        let request = Some(&call.caller_headers.request_id);
-        log_crash_sign(core, request, &sign, "cleared", "the call completed");
+        core.with_state(|state, now| state.record_completion(now, features.iter(), began_at));
+    log_cleared(core, call, cleared);
+}
+
+fn log_cleared(core: &GatewayCore, call: &AdmittedCall, cleared: usize) {
+    if cleared == 0 {
+        return;
     }
+    core.recheck_blame();
+    counter!("gateway_crash_signs_total", "outcome" => "cleared").increment(1);
+    log::info!(
+        event = EventKind::CrashMarked.number(),
+        node = core.node().as_str(),
+        request = call.caller_headers.request_id.as_str(),
+        print = call.features.request().to_string().as_str(),
+        parts = join_features(&call.features).as_str(),
+        signs = cleared,
+        outcome = "cleared";
+        "the answer shows that the request and the parts of its prompt crash no target"
+    );
 }
 
 /// Records that the target broke off a call or did not answer in time, and checks whether it died.
@@ -42,7 +77,7 @@
     reservation: &mut CapacityReservation,
 ) {
     reservation.record_outcome(TargetOutcome::Failed);
-    let Some(sign) = reservation.finish_send() else {
+    let Some(attempt) = reservation.finish_send() else {
         return;
     };
     let is_leaving = core.with_state(|state, _| {
@@ -51,8 +86,14 @@
     });
     let request = Some(&call.caller_headers.request_id);
     match is_leaving {
-        true => log_crash_sign(core, request, &sign, "passed_over", "the target is leaving"),
-        false => suspect_death(core, request, sign, reservation.address),
+        true => log_attempt(
+            core,
+            request,
+            &attempt,
+            "passed_over",
+            "the target is leaving",
+        ),
+        false => suspect_death(core, request, attempt),
     }
 }
 
@@ -61,55 +102,69 @@
 pub fn check_ended_run(core: &Arc<GatewayCore>, run: &EndedRun) {
     let open_attempts =
         core.with_state(|state, _| state.attempts.take_run(&run.target, run.incarnation));
-    for OpenAttempt { sign, address, .. } in open_attempts {
+    for attempt in open_attempts {
         match run.is_replaced {
             // A connection attempt would reach the new run.
-            true => confirm_death(core, None, &sign, "another run has replaced it"),
-            false => suspect_death(core, None, sign, address),
+            true => confirm_death(core, None, &attempt, "another run has replaced it"),
+            false => suspect_death(core, None, attempt),
         }
     }
 }
 
-/// Records that the target of a call died.
-fn confirm_death(core: &GatewayCore, request: Option<&RequestId>, sign: &CrashSign, reason: &str) {
-    core.with_state(|state, now| state.facts.confirm_death(now, sign.clone()));
-    log_crash_sign(core, request, sign, "marked", reason);
+/// Records that the target of a call died, and tells the peers at once.
+fn confirm_death(
+    core: &GatewayCore,
+    request: Option<&RequestId>,
+    attempt: &OpenAttempt,
+    reason: &str,
+) {
+    core.with_state(|state, now| {
+        for sign in attempt.crash_signs(now) {
+            state.confirm_death(now, sign);
+        }
+    });
+    core.recheck_blame();
+    log_attempt(core, request, attempt, "marked", reason);
 }
 
 /// Counts a suspected death of the target against the call, and connects to the target: a
 /// connection clears the suspicion, a failure confirms it.
-fn suspect_death(
-    core: &Arc<GatewayCore>,
-    request: Option<&RequestId>,
-    sign: CrashSign,
-    address: SocketAddr,
-) {
+fn suspect_death(core: &Arc<GatewayCore>, request: Option<&RequestId>, attempt: OpenAttempt) {
+    let sign = CrashSign {
+        print: attempt.features.request().into(),
+        target: attempt.target.clone(),
+        incarnation: attempt.incarnation,
+        earlier: attempt.earlier,
+    };
     core.with_state(|state, _| state.facts.add_suspected(sign.clone()));
     let (core, request) = (core.clone(), request.cloned());
     tokio::spawn(async move {
-        let connected = core.pool.connect(address, ReusePolicy::NewOnly).await;
+        let connected = core
+            .pool
+            .connect(attempt.address, ReusePolicy::NewOnly)
+            .await;
         match connected {
             Ok(_connection) => {
                 core.with_state(|state, _| state.facts.clear_suspected(&sign));
-                log_crash_sign(
+                log_attempt(
                     &core,
                     request.as_ref(),
-                    &sign,
+                    &attempt,
                     "acquitted",
                     "the target accepts connections",
                 );
             }
-            Err(error) => confirm_death(&core, request.as_ref(), &sign, &error.to_string()),
+            Err(error) => confirm_death(&core, request.as_ref(), &attempt, &error.to_string()),
         }
     });
 }
 
-/// Logs and counts what became of a sign that a call crashed its target; `request` identifies the
-/// call if it was still open at this node.
-fn log_crash_sign(
+/// Logs and counts what became of the suspicion that a call crashed its target; `request` identifies
+/// the call if it was still open at this node.
+fn log_attempt(
     core: &GatewayCore,
     request: Option<&RequestId>,
-    sign: &CrashSign,
+    attempt: &OpenAttempt,
     outcome: &'static str,
     reason: &str,
 ) {
@@ -118,11 +173,21 @@
         event = EventKind::CrashMarked.number(),
         node = core.node().as_str(),
         request = request.map_or("", RequestId::as_str),
-        print = sign.print.to_string().as_str(),
-        target = sign.target.as_str(),
-        incarnation = sign.incarnation.0,
-        earlier = sign.earlier,
+        print = attempt.features.request().to_string().as_str(),
+        parts = join_features(&attempt.features).as_str(),
+        answer_began = attempt.began_at.is_some(),
+        trial = !attempt.trial_parts.is_empty(),
+        target = attempt.target.as_str(),
+        incarnation = attempt.incarnation.0,
+        earlier = attempt.earlier,
         outcome = outcome;
         "{reason}"
     );
 }
+
+/// The first parts of a prompt as they are blamed, separated by commas.
+fn join_features(features: &CallFeatures) -> String {
+    let parts = features.parts().iter().take(LOGGED_FEATURES);
+    let parts: Vec<_> = parts.map(ToString::to_string).collect();
+    parts.join(",")
+}
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use base::{ErrorKind, TimeSpan};
-use entry::{RepeatPolicy, TargetOutcome};
+use entry::{FeatureId, RepeatPolicy, TargetOutcome};
 use http::Response;
 use tokio::time::Instant;
 use web::WebBody;
@@ -15,6 +15,7 @@
 use super::target_send::{SendOutcome, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
+use crate::trial::await_trial;
 use crate::{CapacityReservation, GatewayCore};
 
 /// Largest number of targets to which one call is sent.
@@ -35,6 +36,8 @@
     Unsent,
     /// Nothing was sent, as the rate that the target names is used up; another one may be tried.
     RateUsed,
+    /// Nothing was sent, as the call may only run as a trial of a suspected part of its prompt.
+    TrialRequired,
     /// The call must no longer be sent to any target; the error and `Retry-After` for the caller.
     Forbidden(ErrorKind, Option<TimeSpan>),
     /// The target refused the call, which did not run.
@@ -62,6 +65,17 @@
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
         let max_wait = call.route.latency_target.min(call.remaining(core.now()));
+        let trial_deadline = Instant::now() + Duration::from(max_wait);
+        let trial_parts = match await_trial(core, &call.features, trial_deadline).await {
+            Ok(trial_parts) => trial_parts,
+            Err(retry) => {
+                let (kind, retry) = match runs {
+                    0 => (ErrorKind::CrashSuspect, Some(retry)),
+                    _ => (ErrorKind::TargetLost, None),
+                };
+                return failure_response(core, &mut access_entry, kind, retry);
+            }
+        };
         let mut reservation = match reserve_capacity(
             core,
             call.capacity_request(placement.clone(), max_wait),
@@ -92,10 +106,14 @@
             core,
             &call,
             &mut reservation,
+            &trial_parts,
             attempt_deadline,
             &mut access_entry,
         )
         .await;
+        if matches!(outcome, AttemptOutcome::TrialRequired) {
+            continue;
+        }
         placement.excluded.push(reservation.target.clone());
         drop(reservation);
         let was_sent = !matches!(outcome, AttemptOutcome::Unsent | AttemptOutcome::RateUsed);
@@ -115,7 +133,10 @@
                     }
                 };
             }
-            AttemptOutcome::Unsent | AttemptOutcome::RateUsed | AttemptOutcome::Refused => {}
+            AttemptOutcome::Unsent
+            | AttemptOutcome::RateUsed
+            | AttemptOutcome::TrialRequired
+            | AttemptOutcome::Refused => {}
             AttemptOutcome::ServerError(response) => {
                 runs += 1;
                 failed = Some(response);
@@ -161,24 +182,26 @@
     core: &Arc<GatewayCore>,
     call: &AdmittedCall,
     reservation: &mut CapacityReservation,
+    trial_parts: &[FeatureId],
     deadline: Instant,
     access_entry: &mut AccessEntry,
 ) -> AttemptOutcome {
     let target = reservation.target.clone();
-    let outcome = send_call(core, call, reservation, None, deadline).await;
+    let outcome = send_call(core, call, reservation, None, trial_parts, deadline).await;
     outcome.record_reason(&target, access_entry);
     let response = match outcome {
         SendOutcome::Response(response) => response,
         SendOutcome::Refused(_) => return AttemptOutcome::Refused,
         SendOutcome::Unsent(_) => return AttemptOutcome::Unsent,
         SendOutcome::Forbidden(SendRefusal::RateUsed { .. }) => return AttemptOutcome::RateUsed,
+        SendOutcome::Forbidden(SendRefusal::TrialRequired) => return AttemptOutcome::TrialRequired,
         SendOutcome::Forbidden(bar) => {
             return match bar.caller_error() {
                 Some((kind, retry)) => AttemptOutcome::Forbidden(kind, retry),
                 None => AttemptOutcome::Unsent,
             };
         }
-        SendOutcome::Lost(_) => return AttemptOutcome::Lost,
+        SendOutcome::Lost(_) | SendOutcome::Recalled => return AttemptOutcome::Lost,
         SendOutcome::TimedOut => return AttemptOutcome::TimedOut,
     };
     access_entry.record_first_byte();
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::{ErrorKind, TimeSpan};
 use http::Response;
+use tokio::time::Instant;
 use web::WebBody;
 
 use super::AccessEntry;
@@ -13,6 +15,7 @@
 use super::target_send::{SendOutcome, TargetResponse, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
+use crate::trial::await_trial;
 use crate::{CapacityReservation, GatewayCore};
 
 /// Largest number of targets to which one stream is sent.
@@ -38,6 +41,16 @@
     while tried < MAX_TARGETS_TRIED {
         let now = core.now();
         let max_wait = capacity_deadline.since(now).min(call.remaining(now));
+        let trial_deadline = Instant::now() + Duration::from(max_wait);
+        let trial_parts = match await_trial(&core, &call.features, trial_deadline).await {
+            Ok(trial_parts) => trial_parts,
+            Err(retry) => {
+                access_entry
+                    .add_reason("other calls with a suspected part of its prompt run first");
+                let kind = ErrorKind::CrashSuspect;
+                return failure_response(&core, &mut access_entry, kind, Some(retry));
+            }
+        };
         let capacity_request = call.capacity_request(placement.clone(), max_wait);
         let acquired = reserve_capacity(&core, capacity_request).await;
         let mut reservation = match acquired {
@@ -49,9 +62,12 @@
         };
         access_entry.record_target(&reservation);
         let target = reservation.target.clone();
-        placement.excluded.push(target.clone());
-        let outcome = send_call(&core, &call, &mut reservation, None, deadline).await;
+        let outcome = send_call(&core, &call, &mut reservation, None, &trial_parts, deadline).await;
         outcome.record_reason(&target, &mut access_entry);
+        if matches!(outcome, SendOutcome::Forbidden(SendRefusal::TrialRequired)) {
+            continue;
+        }
+        placement.excluded.push(target.clone());
         match outcome {
             SendOutcome::Unsent(_) | SendOutcome::Forbidden(SendRefusal::RateUsed { .. }) => {}
             SendOutcome::Response(response) if response.http.status().is_success() => {
@@ -68,7 +84,7 @@
             }
             SendOutcome::Refused(_) if core.take_retry(&call.service) => tried += 1,
             SendOutcome::Refused(_) => break,
-            SendOutcome::Lost(_) => {
+            SendOutcome::Lost(_) | SendOutcome::Recalled => {
                 return failure_response(&core, &mut access_entry, ErrorKind::TargetLost, None);
             }
             SendOutcome::TimedOut => {
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -268,6 +268,7 @@
                 &self.call,
                 &mut destination,
                 Some(&point),
+                &[],
                 deadline,
             )
             .await;
@@ -286,6 +287,7 @@
             &self.call,
             &mut self.reservation,
             Some(&point),
+            &[],
             deadline,
         )
         .await;
@@ -317,6 +319,7 @@
             SendOutcome::Unsent(reason) | SendOutcome::Lost(reason) => return Some(reason),
             SendOutcome::Forbidden(bar) => return Some(bar.to_string()),
             SendOutcome::TimedOut => return Some("no response in time".to_owned()),
+            SendOutcome::Recalled => return Some("recalled".to_owned()),
         };
         self.is_framed = response.is_framed();
         self.body = Some(response.http.into_body());
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -3,7 +3,7 @@
 
 use base::{TargetName, TokenCount};
 use bytes::Bytes;
-use entry::{MoveMachine, MovePhase, OutputEstimate, StreamProgress};
+use entry::{ANSWER_PROOF_TIME, MoveMachine, MovePhase, OutputEstimate, StreamProgress};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -15,11 +15,11 @@
 
 use super::AccessEntry;
 use super::admitted_call::AdmittedCall;
-use super::crash_detection::{record_broken_call, record_response};
+use super::crash_detection::{record_broken_call, record_proof, record_response};
 use super::move_times::MoveTimes;
 use super::response_sender::{ChunkOutcome, ResponseSender};
 use super::target_run::TargetRun;
-use super::target_send::TargetResponse;
+use super::target_send::{TargetResponse, log_recall, until_dangerous};
 use crate::{CapacityReservation, CopyOutcome, GatewayCore};
 
 /// Largest event in bytes.
@@ -60,6 +60,10 @@
     MoveDue,
     /// The deadline of the call has passed.
     DeadlineReached,
+    /// The answer has not begun, and other calls like this one crashed their targets.
+    Dangerous,
+    /// The answer has gone on for so long that the prompt is harmless.
+    Proven,
 }
 
 /// Whether the event loop of a stream continues.
@@ -113,6 +117,10 @@
     pub(super) turn: TurnState,
     /// Destinations that refused a copy for lack of capacity; not tried again in this search.
     pub(super) full_targets: Vec<TargetName>,
+    /// Changes when features of calls are blamed for crashes.
+    blame: watch::Receiver<u64>,
+    /// When the prompt will have proven harmless; `None` before the answer begins and after that.
+    proof_due: Option<Instant>,
     pub(super) deadline: Instant,
 }
 
@@ -128,6 +136,8 @@
         Self {
             is_framed: parts.response.is_framed(),
             leaving: parts.core.watch_move_rechecks(),
+            blame: parts.core.watch_blame(),
+            proof_due: None,
             move_machine: MoveMachine::new(parts.reservation.target.clone()),
             progress: StreamProgress {
                 first_event_at: None,
@@ -176,11 +186,19 @@
         let body = self.body.as_mut();
         let copying = self.copying.as_mut();
         let placing = self.placing.as_mut();
+        let may_recall = self.progress.events == 0 && !self.reservation.is_trial();
+        let proof_due = self.proof_due;
         tokio::select! {
             biased;
             () = self.sender.closed() => RelayEvent::CallerGone,
             // Before the frames of the engine, which may arrive without end.
             () = sleep_until(self.deadline) => RelayEvent::DeadlineReached,
+            () = until_dangerous(&self.core, &self.call, &mut self.blame), if may_recall => {
+                RelayEvent::Dangerous
+            }
+            () = sleep_until(proof_due.unwrap_or(self.deadline)), if proof_due.is_some() => {
+                RelayEvent::Proven
+            }
             frame = next_frame(body) => RelayEvent::Frame(frame),
             outcome = join_copy(copying) => {
                 self.copying = None;
@@ -216,6 +234,18 @@
                 self.fail("deadline_exceeded", "deadline passed during the stream");
                 RelayState::Ended
             }
+            RelayEvent::Dangerous => {
+                log_recall(&self.core, &self.call, &self.reservation.target);
+                self.fail("recalled", "recalled from its target");
+                RelayState::Ended
+            }
+            RelayEvent::Proven => {
+                self.proof_due = None;
+                if let Some(began_at) = self.progress.first_event_at {
+                    record_proof(&self.core, &self.call, began_at);
+                }
+                RelayState::Running
+            }
             RelayEvent::LeavingChanged | RelayEvent::MoveDue => {
                 self.consider_move();
                 RelayState::Running
@@ -281,6 +311,9 @@
         if self.progress.first_event_at.is_none() {
             self.progress.first_event_at = Some(self.core.now());
             self.reservation.end_prefill();
+            self.reservation.record_begin();
+            let has_parts = !self.call.features.parts().is_empty();
+            self.proof_due = has_parts.then(|| Instant::now() + Duration::from(ANSWER_PROOF_TIME));
             self.consider_move();
         }
         self.update_estimate();
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -1,11 +1,13 @@
 use std::sync::Arc;
 
-use base::{TargetName, TimeSpan};
-use entry::{SendPermit, TargetOutcome};
+use base::{EventKind, TargetName, TimeSpan};
+use entry::{FeatureId, SendPermit, TargetOutcome};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use metrics::counter;
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 use web::{PooledConnection, ReusePolicy, full_body};
 
@@ -44,6 +46,8 @@
     Lost(String),
     /// No response head arrived in time; the call may have run.
     TimedOut,
+    /// The call was recalled, as it would likely have crashed the target; it may have run.
+    Recalled,
 }
 
 impl SendOutcome {
@@ -62,6 +66,7 @@
                 access_entry.add_reason(format!("no usable response from {target}: {reason}"))
             }
             Self::TimedOut => access_entry.add_reason(format!("no response from {target} in time")),
+            Self::Recalled => access_entry.add_reason(format!("recalled from {target}")),
         }
     }
 }
@@ -85,15 +90,21 @@
 }
 
 /// Sends a call to the target of `reservation` on a connection of its own, so that late or extra
-/// bytes of another response can't be taken for its response.
+/// bytes of another response can't be taken for its response. `trial_parts` are the suspected parts of
+/// which it is the trial.
 pub async fn send_call(
     core: &Arc<GatewayCore>,
     call: &AdmittedCall,
     reservation: &mut CapacityReservation,
     resume: Option<&ResumePoint>,
+    trial_parts: &[FeatureId],
     deadline: Instant,
 ) -> SendOutcome {
-    if let Err(bar) = check_send(core, call, reservation, resume.is_some(), None) {
+    let kind = SendKind {
+        is_resume: resume.is_some(),
+        is_trial: !trial_parts.is_empty(),
+    };
+    if let Err(bar) = check_send(core, call, reservation, kind, None) {
         return SendOutcome::Forbidden(bar);
     }
     let permit = match take_permit(core, reservation, resume.is_some()).await {
@@ -114,13 +125,21 @@
         Err(_) => return SendOutcome::Unsent("no time left to connect".to_owned()),
     };
     // What is known may have changed while the connection was made.
-    if let Err(bar) = check_send(core, call, reservation, resume.is_some(), Some(permit)) {
+    if let Err(bar) = check_send(core, call, reservation, kind, Some(permit)) {
         return SendOutcome::Forbidden(bar);
     }
     let sent_at = core.now();
-    reservation.begin_send(call.fingerprint);
+    let mut blame = core.watch_blame();
+    reservation.begin_send(&call.features, trial_parts.to_vec());
     let request = build_request(core, call, reservation, resume);
-    let sent = timeout_at(deadline, connection.send(request)).await;
+    let sent = tokio::select! {
+        biased;
+        sent = timeout_at(deadline, connection.send(request)) => sent,
+        () = until_dangerous(core, call, &mut blame), if kind == SendKind::default() => {
+            log_recall(core, call, &reservation.target);
+            return SendOutcome::Recalled;
+        }
+    };
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err((error, Some(_)))) => {
@@ -167,6 +186,43 @@
     }))
 }
 
+/// Waits until the call, which was sent and has not begun to answer, is likely to crash its target.
+pub async fn until_dangerous(
+    core: &GatewayCore,
+    call: &AdmittedCall,
+    blame: &mut watch::Receiver<u64>,
+) {
+    loop {
+        if core.with_state(|state, now| state.facts.is_dangerous(now, &call.features)) {
+            return;
+        }
+        if blame.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Logs and counts that a call was recalled from its target.
+pub fn log_recall(core: &GatewayCore, call: &AdmittedCall, target: &TargetName) {
+    counter!("gateway_recalls_total").increment(1);
+    log::info!(
+        event = EventKind::CallRecalled.number(),
+        node = core.node().as_str(),
+        request = call.caller_headers.request_id.as_str(),
+        target = target.as_str();
+        "recalled before its answer began: the same request, or a part of its prompt, crashed targets"
+    );
+}
+
+/// What kind of send is checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct SendKind {
+    /// Whether a generation is resumed.
+    is_resume: bool,
+    /// Whether the call is the trial of suspected parts of its prompt.
+    is_trial: bool,
+}
+
 /// Takes a permit for sending to the target of `reservation`, if that names a rate. A generation that
 /// resumes waits for one, as it would be lost otherwise.
 async fn take_permit(
@@ -187,16 +243,17 @@
     core: &GatewayCore,
     call: &AdmittedCall,
     reservation: &CapacityReservation,
-    is_resume: bool,
+    kind: SendKind,
     permit: Option<SendPermit>,
 ) -> Result<(), SendRefusal> {
     let check = SendCheck {
-        fingerprint: call.fingerprint,
+        features: &call.features,
+        is_trial: kind.is_trial,
         target: &reservation.target,
         route: (&call.host, call.path_and_query.path()),
         key: call.caller_headers.key.as_ref(),
         version: call.config_version,
-        is_resume,
+        is_resume: kind.is_resume,
         permit,
     };
     core.with_state(|state, now| state.check_send(now, &check))
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -10,7 +10,7 @@
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
 
 use crate::ops::{MetricsHandler, ReadyHandler};
-use crate::peer::{LoadPusher, PeerClient, PeerHandler};
+use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
 use crate::relay::CallHandler;
 use crate::{GatewayCore, GatewayPorts, GatewaySettings, ViewArea};
@@ -189,6 +189,7 @@
         tokio::spawn(EnginePoller::new(self.core.clone()).run());
         tokio::spawn(PeerClient::new(self.core.clone()).run());
         tokio::spawn(LoadPusher::new(self.core.clone()).run());
+        tokio::spawn(FactPusher::new(self.core.clone()).run());
         let core = self.core.clone();
         tokio::spawn(async move {
             let mut ticks = interval(TICK_INTERVAL);
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -2,8 +2,11 @@
 use std::sync::Arc;
 
 use base::{DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
-use calls::{CrashVerdict, RequestFingerprint};
-use entry::{CrashSign, GrantId, SuspectCall, TargetLoad, TargetOutcome, TargetPhase};
+use calls::RequestFingerprint;
+use entry::{
+    AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
+    TargetOutcome, TargetPhase,
+};
 
 use super::GatewayCore;
 
@@ -54,7 +57,7 @@
 pub struct CapacityReservation {
     core: Arc<GatewayCore>,
     load: TargetLoad,
-    sign: Option<Box<CrashSign>>,
+    attempt: Option<(AttemptId, Box<OpenAttempt>)>,
     suspect: Option<RequestFingerprint>,
     /// The target.
     pub target: TargetName,
@@ -93,7 +96,7 @@
         Some(Self {
             core,
             load,
-            sign: None,
+            attempt: None,
             suspect: None,
             target,
             address,
@@ -136,34 +139,62 @@
     }
 
     /// Records that the call is about to be sent, so that it counts as a possible cause if the
-    /// target dies.
-    pub fn begin_send(&mut self, fingerprint: RequestFingerprint) {
+    /// target dies; `trial_parts` are the suspected parts of which it is a trial.
+    pub fn begin_send(&mut self, features: &CallFeatures, trial_parts: Vec<FeatureId>) {
+        let fingerprint = features.request();
+        let mut attempt = OpenAttempt {
+            features: features.clone(),
+            trial_parts,
+            target: self.target.clone(),
+            incarnation: self.incarnation,
+            earlier: 0,
+            address: self.address,
+            began_at: None,
+        };
         let target = self.target.clone();
-        let (sign, suspect) = self.core.with_state(|state, now| {
-            let sign = state
-                .facts
-                .crash_sign(fingerprint, &target, self.incarnation);
-            state.attempts.begin(sign.clone(), self.address);
-            if state.facts.verdict(now, fingerprint) == CrashVerdict::Unrestricted {
-                return (sign, None);
+        let (id, suspect) = self.core.with_state(|state, now| {
+            attempt.earlier = state.facts.death_count(&target, self.incarnation);
+            let id = state.attempts.begin(attempt.clone());
+            let verdict = state.facts.verdict(now, features);
+            if matches!(
+                verdict,
+                CallVerdict::Unrestricted | CallVerdict::Trial { .. }
+            ) {
+                return (id, None);
             }
             state.suspects.add_local(SuspectCall {
                 fingerprint,
                 target,
             });
-            (sign, Some(fingerprint))
+            (id, Some(fingerprint))
         });
-        self.sign = Some(Box::new(sign));
+        self.attempt = Some((id, Box::new(attempt)));
         self.suspect = suspect;
     }
 
+    /// Records that the first event of the answer arrived.
+    pub fn record_begin(&mut self) {
+        let Some((id, attempt)) = &mut self.attempt else {
+            return;
+        };
+        attempt.began_at = self.core.with_state(|state, now| {
+            state.attempts.record_begin(now, *id);
+            Some(now)
+        });
+    }
+
+    /// Whether the call was sent as a trial of suspected parts of its prompt.
+    pub fn is_trial(&self) -> bool {
+        let attempt = self.attempt.as_ref();
+        attempt.is_some_and(|(_, attempt)| !attempt.trial_parts.is_empty())
+    }
+
     /// Records that the target answers, or that the reason why it does not is known. Returns the
-    /// crash sign to record if the target died.
-    pub fn finish_send(&mut self) -> Option<CrashSign> {
-        let sign = self.sign.take()?;
-        self.core
-            .with_state(|state, _| state.attempts.finish(&sign));
-        Some(*sign)
+    /// call, which may be the cause if the target died.
+    pub fn finish_send(&mut self) -> Option<OpenAttempt> {
+        let (id, attempt) = self.attempt.take()?;
+        self.core.with_state(|state, _| state.attempts.finish(id));
+        Some(*attempt)
     }
 
     /// Removes the prefill load, since the target has read the prompt.
@@ -218,8 +249,8 @@
                     target,
                 });
             }
-            if let Some(sign) = &self.sign {
-                state.attempts.abandon(now, sign);
+            if let Some((id, _)) = self.attempt {
+                state.attempts.abandon(now, id);
             }
             state.serve_queue(now);
         });
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -61,6 +61,7 @@
     clock: SystemClock,
     state: Mutex<GatewayState>,
     move_rechecks: watch::Sender<u64>,
+    blame_changes: watch::Sender<u64>,
     report_version: watch::Sender<ReportVersion>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
@@ -74,6 +75,7 @@
             state: Mutex::new(GatewayState::new(&settings, seed)),
             clock: SystemClock::new(),
             move_rechecks: watch::Sender::new(0),
+            blame_changes: watch::Sender::new(0),
             report_version: watch::Sender::new(ReportVersion::default()),
             settings,
             ports,
@@ -182,6 +184,17 @@
         self.move_rechecks.subscribe()
     }
 
+    /// Watch that changes whenever facts change by which calls are blamed for crashes.
+    pub fn watch_blame(&self) -> watch::Receiver<u64> {
+        self.blame_changes.subscribe()
+    }
+
+    /// Makes the calls that wait for a trial or for the answer of their target check again whether
+    /// they may run, and pushes the facts in the outbox.
+    pub fn recheck_blame(&self) {
+        self.blame_changes.send_modify(|count| *count += 1);
+    }
+
     /// Watch that changes whenever a load report has to be pushed to peers.
     pub fn watch_load_report(&self) -> watch::Receiver<ReportVersion> {
         self.report_version.subscribe()
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -5,11 +5,13 @@
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
     LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
     PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule, SuspectTracker,
+    TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
 
 use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, ViewState};
+use crate::peer::FactOutbox;
 use crate::{GatewaySettings, RetrySettings, ViewArea};
 
 /// Time for which a node that watches the store waits for it before it fetches newer targets from a
@@ -44,6 +46,8 @@
     pub requests: FactLimiter,
     /// For responses to requests of peers.
     pub responses: FactLimiter,
+    /// For facts that this node pushes.
+    pub pushes: FactLimiter,
 }
 
 /// Answer to a queued call: the target on which it was placed, or why there is none.
@@ -83,6 +87,10 @@
     pub fact_limiters: FactLimiters,
     /// Whether facts were synchronized with a peer since the start.
     pub has_peer_facts: bool,
+    /// Facts that wait to be pushed to peers.
+    pub outbox: FactOutbox,
+    /// Trials of suspected prompt parts that this node granted.
+    pub trials: TrialLedger,
     /// Targets on which calls run that may crash them.
     pub suspects: SuspectTracker,
     /// Permits that this node grants for targets that name a rate.
@@ -133,6 +141,8 @@
             facts: FactState::default(),
             fact_limiters: FactLimiters::default(),
             has_peer_facts: false,
+            outbox: FactOutbox::default(),
+            trials: TrialLedger::default(),
             suspects: SuspectTracker::default(),
             rate_ledger: RateLedger::default(),
             reach: FleetReach::default(),
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of a gateway share.
 
+mod blame_state;
 mod capacity_reservation;
 mod coordinator_state;
 mod gateway_core;
--- a/crates/gateway/src/state/rate_state.rs
+++ b/crates/gateway/src/state/rate_state.rs
@@ -36,7 +36,7 @@
         }
         let owner = match self.reach.reaches(now, &domain) {
             true => domain,
-            false => self.substitute_domain(now, target)?,
+            false => self.elect_domain(now, target.as_str())?,
         };
         let ranking = self.remote_coordinator_ranking(now, &owner);
         ranking.first().copied()
@@ -139,13 +139,13 @@
         now.since(ClockTime::ZERO) >= DISCOVERY_TIME && domains == [self.domain.clone()]
     }
 
-    /// Failure domain that shares the rate of a target whose own domain can't be reached; `None` if
-    /// it is that of this node.
-    fn substitute_domain(&self, now: ClockTime, target: &TargetName) -> Option<DomainName> {
+    /// Failure domain that all reachable nodes choose for what `key` names, such as to share the rate of
+    /// a target whose own domain can't be reached; `None` if it is that of this node.
+    pub(super) fn elect_domain(&self, now: ClockTime, key: &str) -> Option<DomainName> {
         let mut domains = self.reach.reachable_domains(now);
         domains.push(&self.domain);
         let names = domains.iter().map(|domain| domain.as_str());
-        let owner = top_owner(target.as_str(), names)?;
+        let owner = top_owner(key, names)?;
         let found = domains.iter().find(|domain| domain.as_str() == owner)?;
         (**found != self.domain).then(|| (*found).clone())
     }
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -1,8 +1,7 @@
 use std::fmt;
 
 use base::{ClockTime, ErrorKind, TargetName, TimeSpan};
-use calls::{CrashVerdict, RequestFingerprint};
-use entry::{ConfigVersion, SendPermit, TargetPhase};
+use entry::{CallFeatures, CallVerdict, ConfigVersion, SendPermit, TargetPhase};
 use smol_str::SmolStr;
 
 use super::GatewayState;
@@ -10,8 +9,10 @@
 /// What is checked of a call before it is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendCheck<'a> {
-    /// Fingerprint of the call.
-    pub fingerprint: RequestFingerprint,
+    /// Features of the call that can be blamed for crashes.
+    pub features: &'a CallFeatures,
+    /// Whether the call may run as the trial of a suspected part of its prompt.
+    pub is_trial: bool,
     /// Target that it is sent to.
     pub target: &'a TargetName,
     /// Host and path from which its route was chosen.
@@ -30,11 +31,13 @@
 /// Why a call must not be sent although a target was chosen for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SendRefusal {
-    /// Earlier sends of the same call crashed their targets.
+    /// Earlier sends of the same call, or of calls with a part of its prompt, crashed their targets.
     CrashSuspect {
         /// Time until it may be sent again.
         retry_after: TimeSpan,
     },
+    /// A part of its prompt is suspected, and it may only run as a trial, which it has not requested.
+    TrialRequired,
     /// A newer configuration does not admit it: its route is gone or its key is not valid.
     AdmissionRevoked(ErrorKind),
     /// The chosen target must not get it, for this reason; another one may.
@@ -49,7 +52,10 @@
 impl fmt::Display for SendRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::CrashSuspect { .. } => f.write_str("the same call crashed its targets"),
+            Self::CrashSuspect { .. } => {
+                f.write_str("the same call, or a part of its prompt, crashed targets")
+            }
+            Self::TrialRequired => f.write_str("a part of its prompt may have crashed targets"),
             Self::AdmissionRevoked(kind) => write!(f, "{kind} by a newer configuration"),
             Self::TargetUnavailable(reason) => f.write_str(reason),
             Self::RateUsed { retry_after } => {
@@ -68,7 +74,7 @@
                 Some((ErrorKind::CrashSuspect, Some(*retry_after)))
             }
             Self::AdmissionRevoked(kind) => Some((*kind, None)),
-            Self::TargetUnavailable(_) | Self::RateUsed { .. } => None,
+            Self::TrialRequired | Self::TargetUnavailable(_) | Self::RateUsed { .. } => None,
         }
     }
 }
@@ -83,13 +89,17 @@
         if !check.is_resume {
             self.check_admission(check)?;
         }
-        match self.facts.verdict(now, check.fingerprint) {
-            CrashVerdict::Unrestricted => {}
-            CrashVerdict::Refused { retry_after } if !check.is_resume => {
+        match self.facts.verdict(now, check.features) {
+            CallVerdict::Unrestricted => {}
+            CallVerdict::Refused { retry_after, .. } if !check.is_resume => {
                 return Err(SendRefusal::CrashSuspect { retry_after });
             }
-            CrashVerdict::Isolated | CrashVerdict::Refused { .. } => {
-                let occupied = self.suspects.occupied_targets(now, check.fingerprint);
+            // The answer of a generation that resumes has begun, which clears the parts.
+            CallVerdict::Trial { .. } if check.is_trial || check.is_resume => {}
+            CallVerdict::Trial { .. } => return Err(SendRefusal::TrialRequired),
+            CallVerdict::Isolated | CallVerdict::Refused { .. } => {
+                let request = check.features.request();
+                let occupied = self.suspects.occupied_targets(now, request);
                 if occupied.contains(check.target) {
                     return Err(SendRefusal::TargetUnavailable(
                         "another suspect call runs there",
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calls::{CrashVerdict, RequestFingerprint};
+use calls::RequestFingerprint;
+use entry::{CallFeatures, CallVerdict};
 use tokio::time::sleep;
 
 use crate::support::{
@@ -188,7 +189,7 @@
         assert_eq!(status, 502);
         until("the suspicion is cleared", || {
             core.with_state(|state, now| {
-                state.facts.verdict(now, crasher_fingerprint()) == CrashVerdict::Unrestricted
+                state.facts.verdict(now, &crasher_features()) == CallVerdict::Unrestricted
             })
         })
         .await;
@@ -196,9 +197,9 @@
     assert_eq!(arrivals(&targets), 6);
 }
 
-/// Fingerprint of the crashing call on `/once/1`.
-fn crasher_fingerprint() -> RequestFingerprint {
-    RequestFingerprint::new("/once/1\n", b"crasher")
+/// Features of the crashing call on `/once/1`.
+fn crasher_features() -> CallFeatures {
+    CallFeatures::new(RequestFingerprint::new("/once/1\n", b"crasher"))
 }
 
 // Guards against missing a crash because the caller disconnected before the target crashed.
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -1,8 +1,8 @@
 //! Checks that forbid a send although the call was admitted and placed.
 
-use base::{CallRate, ClockTime, ErrorKind, TimeSpan};
+use base::{CallRate, ClockTime, ErrorKind, PartId, TimeSpan};
 use calls::RequestFingerprint;
-use entry::{ConfigVersion, SendPermit, SuspectCall};
+use entry::{CallFeatures, ConfigVersion, FeatureId, SendPermit, SuspectCall};
 use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal};
 use smol_str::SmolStr;
 
@@ -13,6 +13,8 @@
 enum Change {
     Nothing,
     Crashes,
+    PartCrashes,
+    FailedTrial,
     OtherSuspect,
     Leaving,
     Gone,
@@ -29,6 +31,15 @@
     RequestFingerprint::new("/locked/1", b"call")
 }
 
+/// Features of the call, whose prompt has a part that other calls share.
+fn features() -> CallFeatures {
+    CallFeatures::new(fingerprint()).with_parts(&[part()])
+}
+
+fn part() -> PartId {
+    "shared".parse().unwrap()
+}
+
 /// Fingerprint of another call.
 fn other_fingerprint() -> RequestFingerprint {
     RequestFingerprint::new("/locked/1", b"other")
@@ -38,20 +49,31 @@
 fn make_change(gateway: &Gateway, store: &FakeStore, target: &FakeTarget, change: Change) {
     let core = gateway.server.core();
     let run = core.with_state(|state, _| state.balancer.targets()[0].run());
-    let record_death = |state: &mut GatewayState, now: ClockTime, name: &str| {
-        let sign = state
-            .facts
-            .crash_sign(fingerprint(), &name.parse().unwrap(), run.1);
-        state.facts.confirm_death(now, sign);
-    };
+    let record_death =
+        |state: &mut GatewayState, now: ClockTime, feature: FeatureId, name: &str| {
+            let sign = state
+                .facts
+                .crash_sign(feature, &name.parse().unwrap(), run.1);
+            state.facts.confirm_death(now, sign);
+        };
+    let (request, part) = (fingerprint().into(), FeatureId::of_part(&part()));
     match change {
         Change::Nothing => {}
         Change::Crashes => core.with_state(|state, now| {
-            record_death(state, now, "e1");
-            record_death(state, now, "e2");
+            record_death(state, now, request, "e1");
+            record_death(state, now, request, "e2");
+        }),
+        Change::PartCrashes => core.with_state(|state, now| {
+            record_death(state, now, part, "e1");
+            record_death(state, now, part, "e2");
+        }),
+        Change::FailedTrial => core.with_state(|state, now| {
+            for feature in [part, part.failed_trial()] {
+                record_death(state, now, feature, "e1");
+            }
         }),
         Change::OtherSuspect => core.with_state(|state, now| {
-            record_death(state, now, "e1");
+            record_death(state, now, request, "e1");
             state.suspects.add_local(SuspectCall {
                 fingerprint: other_fingerprint(),
                 target: run.0.clone(),
@@ -76,11 +98,14 @@
 // check.
 #[tokio::test]
 async fn each_change_forbids_the_sends_that_it_affects() {
-    let crashed = "the same call crashed its targets";
+    let crashed = "the same call, or a part of its prompt, crashed targets";
+    let suspected = "a part of its prompt may have crashed targets";
     // For each change: why it forbids a first send, and why it forbids resuming a generation.
     let cases = [
         (Change::Nothing, None, None),
         (Change::Crashes, Some(crashed), None),
+        (Change::PartCrashes, Some(suspected), None),
+        (Change::FailedTrial, Some(crashed), None),
         (
             Change::OtherSuspect,
             Some("another suspect call runs there"),
@@ -128,7 +153,8 @@
         .await;
         for (is_resume, expected) in [(false, first), (true, resumed)] {
             let check = SendCheck {
-                fingerprint: fingerprint(),
+                features: &features(),
+                is_trial: false,
                 target: &name,
                 route: ("shop.example", "/locked/1"),
                 key: Some(&KEY),
