Blame prompt parts only for processes that crashed alone, and only where no other part explains it

Change: a part is blamed only if the call broke off and the host refuses connections; deaths within 0.1 s count once, and not at all if a target died then that had no call with the part. Calls whose part is explained by one that they lack run unrestricted. A failed trial convicts only calls with all the parts that it tested. A call keeps its trial permit while it tries other targets.

--- a/crates/calls/src/crash/request_fingerprint.rs
+++ b/crates/calls/src/crash/request_fingerprint.rs
@@ -25,8 +25,8 @@
     }
 
     /// The hash.
-    pub fn as_bytes(&self) -> &[u8] {
-        &self.0
+    pub fn to_bytes(self) -> [u8; 16] {
+        self.0
     }
 }
 
--- a/crates/entry/src/fact/crash_blame.rs
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -6,9 +6,11 @@
 /// Deaths after which a whole request is refused. After a single death, every other call that ran on
 /// the same target would be refused too.
 const REQUEST_DEATHS: usize = 2;
-/// Deaths, with failed trials counted once more, from which calls with a prompt part only run as
-/// trials. Sound calls share parts, so that one death says little.
-const PART_DEATHS: usize = 2;
+/// Occasions on which targets died, with failed trials counted once more, from which calls with a
+/// prompt part only run as trials. Sound calls share parts, so that one death says little.
+const PART_OCCASIONS: usize = 2;
+/// Targets that die within this time may have died of one cause, such as the loss of a rack.
+const OCCASION_SPAN: TimeSpan = TimeSpan::new(100);
 /// Time after its first failed trial in which no call with a part runs; each further failed trial
 /// multiplies it by [`TRIAL_PAUSE_FACTOR`].
 const TRIAL_PAUSE: TimeSpan = TimeSpan::from_secs(60);
@@ -23,8 +25,8 @@
 /// What a prompt part is blamed for.
 struct PartBlame {
     part: FeatureId,
-    /// Signs of the deaths that no answer cleared.
-    deaths: Vec<CrashSign>,
+    /// Number of occasions on which targets died.
+    occasions: usize,
     /// Number of failed trials.
     trials: usize,
     /// Time since the last failed trial.
@@ -32,9 +34,9 @@
 }
 
 impl PartBlame {
-    /// Number of deaths; those of trials count twice, as no other suspected call ran there.
+    /// Number of occasions; failed trials count once more, as a trial excludes chance.
     fn weight(&self) -> usize {
-        self.deaths.len() + self.trials
+        self.occasions + self.trials
     }
 
     /// Rest of the pause after the last failed trial; `None` if the next trial may run.
@@ -118,7 +120,6 @@
         let blames = self.part_blames(now, features);
         let refusals = blames
             .iter()
-            .filter(|blame| self.is_sole_suspect(now, features, blame))
             .filter_map(|blame| Some((blame.pause_left()?, blame.part)));
         if let Some((retry_after, feature)) = refusals.max() {
             return CallVerdict::Refused {
@@ -141,13 +142,11 @@
 
     /// Whether a call that was sent but has not begun to answer is likely to crash its target.
     pub fn is_dangerous(&self, now: ClockTime, features: &CallFeatures) -> bool {
-        if self.set.is_empty() {
-            return false;
-        }
-        let request = self.request_verdict(now, features.request().into());
-        let mut blames = self.part_blames(now, features).into_iter();
-        matches!(request, CallVerdict::Refused { .. })
-            || blames.any(|blame| self.is_sole_suspect(now, features, &blame))
+        let verdict = self.verdict(now, features);
+        matches!(
+            verdict,
+            CallVerdict::Trial { .. } | CallVerdict::Refused { .. }
+        )
     }
 
     /// Targets that died while a call with a feature ran on them, without the signs that were
@@ -195,52 +194,128 @@
         }
     }
 
-    /// The parts of a prompt that are blamed for [`PART_DEATHS`] or more.
+    /// The parts of a prompt that are blamed on [`PART_OCCASIONS`] or more, unless a feature that the
+    /// call lacks may have caused all the same deaths.
     fn part_blames(&self, now: ClockTime, features: &CallFeatures) -> Vec<PartBlame> {
-        let blames = features.parts().iter().map(|part| {
-            let failed = self.uncleared_signs(now, part.failed_trial());
-            let ages: Vec<_> = failed.map(|(_, age)| age).collect();
-            PartBlame {
+        let mut blames = Vec::new();
+        for part in features.parts() {
+            let deaths: Vec<_> = self.uncleared_signs(now, *part).collect();
+            if deaths.is_empty() {
+                continue;
+            }
+            let trial_ages = self.failed_trial_ages(now, features, *part);
+            let blame = PartBlame {
                 part: *part,
-                deaths: self
-                    .uncleared_signs(now, *part)
-                    .map(|(sign, _)| sign)
-                    .collect(),
-                trials: ages.len(),
-                trial_age: ages.into_iter().min().unwrap_or_default(),
+                occasions: self.count_occasions(now, *part, &deaths),
+                trials: trial_ages.len(),
+                trial_age: trial_ages.into_iter().min().unwrap_or_default(),
+            };
+            if blame.weight() >= PART_OCCASIONS && !self.has_rival(now, features, &deaths) {
+                blames.push(blame);
             }
-        });
+        }
         blames
-            .filter(|blame| blame.weight() >= PART_DEATHS)
-            .collect()
     }
 
-    /// Whether no feature that the call lacks may have caused all the deaths that a part of its
-    /// prompt is blamed for. A sound part that stood beside a deadly one in each call that crashed
-    /// its target is blamed for the same deaths.
-    fn is_sole_suspect(&self, now: ClockTime, features: &CallFeatures, blame: &PartBlame) -> bool {
-        let crashes = self.set.iter_from(now, |_| false);
-        let signs = crashes.map_while(|(fact, _)| fact.as_crash());
-        let signs = signs.filter(|sign| !self.is_cleared(sign));
-        let mut counts: Vec<(FeatureId, usize)> = Vec::new();
-        for sign in signs.filter(|sign| !features.contains(sign.print)) {
-            let is_shared = blame.deaths.iter().any(|death| death.is_same_death(sign));
-            match counts.last_mut() {
-                Some((feature, count)) if *feature == sign.print => {
-                    *count += usize::from(is_shared)
-                }
-                _ => counts.push((sign.print, usize::from(is_shared))),
-            }
-        }
-        let trials: Vec<_> = features
+    /// Ages of the failed trials of a part. A trial that also tested a part that the call lacks says
+    /// nothing about the call.
+    fn failed_trial_ages(
+        &self,
+        now: ClockTime,
+        features: &CallFeatures,
+        part: FeatureId,
+    ) -> Vec<TimeSpan> {
+        let own: Vec<_> = features
             .parts()
             .iter()
             .map(|part| part.failed_trial())
             .collect();
-        let mut rivals = counts
-            .iter()
-            .filter(|(feature, _)| !trials.contains(feature));
-        rivals.all(|(_, count)| *count < blame.deaths.len())
+        let failed = self.uncleared_signs(now, part.failed_trial());
+        let failed = failed.filter(|(trial, _)| {
+            let mut tested = self.crash_signs(now).map(|(sign, _)| sign);
+            tested.all(|sign| {
+                let is_tested = sign.print.is_failed_trial() && sign.is_same_death(trial);
+                !is_tested || own.contains(&sign.print) || self.is_cleared(sign)
+            })
+        });
+        failed.map(|(_, age)| age).collect()
+    }
+
+    /// Number of occasions on which targets died that calls with a part ran on. An occasion on which
+    /// other targets died too had another cause and does not count.
+    fn count_occasions(
+        &self,
+        now: ClockTime,
+        part: FeatureId,
+        deaths: &[(CrashSign, TimeSpan)],
+    ) -> usize {
+        let is_apart = |age: TimeSpan, other: TimeSpan| {
+            age.saturating_sub(other) >= OCCASION_SPAN || other.saturating_sub(age) >= OCCASION_SPAN
+        };
+        let mut ages = Vec::new();
+        for (death, age) in deaths {
+            let mut others = self.crash_signs(now);
+            let has_other_cause = others.any(|(sign, other)| {
+                let with_part = CrashSign {
+                    print: part,
+                    ..sign.clone()
+                };
+                !is_apart(*age, other)
+                    && sign.target != death.target
+                    && !self.set.contains(&TargetFact::Crashed(with_part))
+            });
+            if !has_other_cause {
+                ages.push(*age);
+            }
+        }
+        ages.sort();
+        let mut counted: Vec<TimeSpan> = Vec::new();
+        for age in ages {
+            if counted.last().is_none_or(|last| is_apart(age, *last)) {
+                counted.push(age);
+            }
+        }
+        counted.len()
+    }
+
+    /// Whether a feature that a call lacks may have caused all the deaths that a part of its prompt is
+    /// blamed for. A sound part that stood beside a deadly one in each call that crashed its target is
+    /// blamed for the same deaths.
+    fn has_rival(
+        &self,
+        now: ClockTime,
+        features: &CallFeatures,
+        deaths: &[(CrashSign, TimeSpan)],
+    ) -> bool {
+        let mut rival: Option<(FeatureId, usize)> = None;
+        for (sign, _) in self.crash_signs(now) {
+            let is_shared = deaths.iter().any(|(death, _)| death.is_same_death(sign));
+            let is_counted = is_shared
+                && !sign.print.is_failed_trial()
+                && !features.contains(sign.print)
+                && !self.is_cleared(sign);
+            if !is_counted {
+                continue;
+            }
+            // The signs of a feature follow one another.
+            let count = rival
+                .filter(|(feature, _)| *feature == sign.print)
+                .map_or(1, |(_, count)| count + 1);
+            if count == deaths.len() {
+                return true;
+            }
+            rival = Some((sign.print, count));
+        }
+        false
+    }
+
+    /// Crash signs, cleared or not, each with its age.
+    fn crash_signs(&self, now: ClockTime) -> impl Iterator<Item = (&CrashSign, TimeSpan)> {
+        let facts = self.set.iter_from(now, |_| false);
+        facts.map_while(|(fact, remaining)| {
+            let sign = fact.as_crash()?;
+            Some((sign, fact.lifetime().saturating_sub(remaining)))
+        })
     }
 
     fn is_cleared(&self, sign: &CrashSign) -> bool {
--- a/crates/entry/src/fact/mod.rs
+++ b/crates/entry/src/fact/mod.rs
@@ -24,7 +24,7 @@
 pub use feature_id::FeatureId;
 pub use leave_notice::LeaveNotice;
 pub use named_rate::NamedRate;
-pub use open_attempt::{ANSWER_PROOF_TIME, OpenAttempt};
+pub use open_attempt::{ANSWER_PROOF_TIME, DeathEvidence, OpenAttempt};
 pub use run_end::RunEnd;
 pub use suspect_tracker::{SuspectCall, SuspectTracker};
 pub use target_fact::TargetFact;
--- a/crates/entry/src/fact/open_attempt.rs
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -8,6 +8,16 @@
 /// part crashes the target when that begins to write an answer on it.
 pub const ANSWER_PROOF_TIME: TimeSpan = TimeSpan::new(300);
 
+/// How the death of a target showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeathEvidence {
+    /// The call broke off and the host refuses connections: the process ended, as after a crash.
+    ProcessEnded,
+    /// The target no longer answers or is listed, or another run has its name. Its host or a link may
+    /// have failed, and several targets with it.
+    Vanished,
+}
+
 /// A call that was sent to a target and has no complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenAttempt {
@@ -29,14 +39,14 @@
 
 impl OpenAttempt {
     /// Signs to record if the target died now. Parts of the prompt are left out once the answer has
-    /// gone on for [`ANSWER_PROOF_TIME`].
-    pub fn crash_signs(&self, now: ClockTime) -> Vec<CrashSign> {
+    /// gone on for [`ANSWER_PROOF_TIME`], and if the process of the target may not have crashed.
+    pub fn crash_signs(&self, now: ClockTime, evidence: DeathEvidence) -> Vec<CrashSign> {
         let is_proven = self
             .began_at
             .is_some_and(|began_at| now - began_at >= ANSWER_PROOF_TIME);
         let request = FeatureId::from(self.features.request());
         let mut features = vec![request];
-        if !is_proven {
+        if !is_proven && evidence == DeathEvidence::ProcessEnded {
             features.extend(self.features.parts());
             features.extend(self.trial_parts.iter().map(|part| part.failed_trial()));
         }
--- a/crates/entry/src/fact/trial_ledger.rs
+++ b/crates/entry/src/fact/trial_ledger.rs
@@ -2,9 +2,6 @@
 
 use super::FeatureId;
 
-/// Time for which a trial excludes others of the same part. It covers connecting to the target and
-/// reading a long prompt; a trial that ends sooner is known to all nodes by its outcome.
-const TRIAL_LEASE: TimeSpan = TimeSpan::from_secs(3);
 /// Largest number of trials at a time.
 const TRIAL_LIMIT: usize = 64;
 
@@ -26,6 +23,10 @@
 }
 
 impl TrialLedger {
+    /// Time for which a trial excludes others of the same part. It covers connecting to the target and
+    /// reading a long prompt; a trial that ends sooner is known to all nodes by its outcome.
+    pub const LEASE: TimeSpan = TimeSpan::from_secs(3);
+
     /// Grants a trial of a part.
     ///
     /// # Errors
@@ -36,9 +37,9 @@
             return Err(*end - now);
         }
         if self.trials.len() >= TRIAL_LIMIT {
-            return Err(TRIAL_LEASE);
+            return Err(Self::LEASE);
         }
-        self.trials.push((part, now + TRIAL_LEASE));
+        self.trials.push((part, now + Self::LEASE));
         Ok(())
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,9 +22,9 @@
     CapacityGrant, CoordinatorCandidate, GrantId, GrantTracker, rank_coordinators,
 };
 pub use fact::{
-    ANSWER_PROOF_TIME, AttemptId, AttemptTracker, CallFeatures, CallVerdict, CrashSign, FactState,
-    FeatureId, LeaveNotice, NamedRate, OpenAttempt, RunEnd, SuspectCall, SuspectTracker,
-    TargetFact, TrialLedger,
+    ANSWER_PROOF_TIME, AttemptId, AttemptTracker, CallFeatures, CallVerdict, CrashSign,
+    DeathEvidence, FactState, FeatureId, LeaveNotice, NamedRate, OpenAttempt, RunEnd, SuspectCall,
+    SuspectTracker, TargetFact, TrialLedger,
 };
 pub use length::OutputEstimate;
 pub use moves::{
--- /dev/null
+++ b/crates/entry/tests/prompt_parts.rs
@@ -0,0 +1,267 @@
+//! Verdicts on calls whose prompts share parts, by the deaths of the targets that ran them.
+
+use base::{ClockTime, IncarnationNumber, PartId, TimeSpan};
+use calls::RequestFingerprint;
+use entry::{
+    ANSWER_PROOF_TIME, CallFeatures, CallVerdict, DeathEvidence, FactState, FeatureId, OpenAttempt,
+};
+
+const NOW: ClockTime = ClockTime::new(10_000);
+const RUN: IncarnationNumber = IncarnationNumber(1);
+/// Time between two deaths that have nothing to do with each other.
+const DEATH_GAP: TimeSpan = TimeSpan::from_secs(2);
+
+/// Features of call `number`, whose prompt has the parts named by letters.
+fn call(number: u32, parts: &str) -> CallFeatures {
+    let parts: Vec<PartId> = parts
+        .chars()
+        .map(|part| part.to_string().parse().unwrap())
+        .collect();
+    let fingerprint = RequestFingerprint::new("/plans", &number.to_le_bytes());
+    CallFeatures::new(fingerprint).with_parts(&parts)
+}
+
+/// An attempt at a call on the target `target`.
+fn attempt(features: &CallFeatures, target: u32) -> OpenAttempt {
+    OpenAttempt {
+        features: features.clone(),
+        trial_parts: Vec::new(),
+        target: format!("e{target}").parse().unwrap(),
+        incarnation: RUN,
+        earlier: 0,
+        address: "127.0.0.1:9101".parse().unwrap(),
+        began_at: None,
+    }
+}
+
+fn record_death(state: &mut FactState, now: ClockTime, attempts: &[OpenAttempt]) {
+    let evidence = DeathEvidence::ProcessEnded;
+    let signs = attempts
+        .iter()
+        .flat_map(|attempt| attempt.crash_signs(now, evidence));
+    for sign in signs {
+        state.confirm_death(now, sign);
+    }
+}
+
+/// Records deaths of different targets, each with a call of its own whose prompt has these parts.
+fn record_deaths(state: &mut FactState, prompts: &[&str]) -> ClockTime {
+    let mut now = NOW;
+    for (number, parts) in (0_u32..).zip(prompts) {
+        now += DEATH_GAP;
+        record_death(state, now, &[attempt(&call(number, parts), number)]);
+    }
+    now
+}
+
+/// Records that a trial of a call crashed its target.
+fn fail_trial(state: &mut FactState, now: ClockTime, features: &CallFeatures, target: u32) {
+    let mut trial = attempt(features, target);
+    trial.trial_parts = state.suspected_parts(now, features);
+    assert!(!trial.trial_parts.is_empty());
+    record_death(state, now, &[trial]);
+}
+
+fn part(letter: &str) -> FeatureId {
+    FeatureId::of_part(&letter.parse().unwrap())
+}
+
+fn is_refused(state: &FactState, now: ClockTime, parts: &str) -> bool {
+    let verdict = state.verdict(now, &call(99, parts));
+    matches!(verdict, CallVerdict::Refused { .. })
+}
+
+// Guards against blaming a popular part for a single death, and against letting calls with a part
+// run side by side after two.
+#[test]
+fn calls_with_a_part_run_one_at_a_time_after_two_deaths() {
+    let mut state = FactState::default();
+    let now = record_deaths(&mut state, &["p"]);
+    assert_eq!(
+        state.verdict(now, &call(99, "p")),
+        CallVerdict::Unrestricted
+    );
+    let now = record_deaths(&mut state, &["p", "p"]);
+    let verdict = CallVerdict::Trial { part: part("p") };
+    assert_eq!(state.verdict(now, &call(99, "p")), verdict);
+    assert!(state.is_dangerous(now, &call(99, "p")));
+    assert_eq!(
+        state.verdict(now, &call(99, "q")),
+        CallVerdict::Unrestricted
+    );
+}
+
+// Guards against refusing calls with a part before a trial has crashed its target, and against
+// letting them run after that.
+#[test]
+fn a_failed_trial_refuses_calls_with_the_part_until_the_next_one() {
+    let mut state = FactState::default();
+    let mut now = record_deaths(&mut state, &["p"; 5]);
+    assert!(!is_refused(&state, now, "p"));
+    let mut pauses = Vec::new();
+    for target in [10, 11] {
+        now += DEATH_GAP;
+        fail_trial(&mut state, now, &call(target, "p"), target);
+        let CallVerdict::Refused {
+            retry_after,
+            feature,
+        } = state.verdict(now, &call(99, "p"))
+        else {
+            panic!("a failed trial refuses the part");
+        };
+        assert_eq!(feature, part("p"));
+        pauses.push(retry_after);
+        now += retry_after;
+        assert_eq!(
+            state.verdict(now, &call(99, "p")),
+            CallVerdict::Trial { part: part("p") }
+        );
+    }
+    assert!(pauses[0] < pauses[1]);
+}
+
+// Guards against refusing sound calls for a part that stood beside the deadly one in each call that
+// crashed its target.
+#[test]
+fn a_sound_part_beside_a_deadly_one_is_not_refused() {
+    let mut state = FactState::default();
+    let mut now = record_deaths(&mut state, &["abp"; 3]);
+    assert!(state.is_dangerous(now, &call(99, "abp")));
+    assert!(!state.is_dangerous(now, &call(99, "ab")));
+    now += DEATH_GAP;
+    fail_trial(&mut state, now, &call(50, "abp"), 50);
+    for (parts, expected) in [("abp", true), ("xp", false), ("ab", false), ("a", false)] {
+        assert_eq!(is_refused(&state, now, parts), expected, "{parts}");
+    }
+    // A sound call with the other parts answers.
+    state.record_completion(now, call(60, "ab").iter(), now);
+    for (parts, expected) in [("abp", true), ("xp", true), ("ab", false)] {
+        assert_eq!(is_refused(&state, now, parts), expected, "{parts}");
+    }
+    assert_eq!(
+        state.verdict(now, &call(99, "ab")),
+        CallVerdict::Unrestricted
+    );
+}
+
+// Guards against sparing a deadly part that calls with different other parts have.
+#[test]
+fn a_deadly_part_is_found_behind_different_parts() {
+    let mut state = FactState::default();
+    let mut now = record_deaths(&mut state, &["ap", "bp"]);
+    now += DEATH_GAP;
+    fail_trial(&mut state, now, &call(50, "cp"), 50);
+    for (parts, expected) in [("p", true), ("dp", true), ("ab", false), ("c", false)] {
+        assert_eq!(is_refused(&state, now, parts), expected, "{parts}");
+    }
+}
+
+// Guards against taking one deadly part for the cause of the crashes of another one.
+#[test]
+fn two_deadly_parts_are_told_apart() {
+    let mut state = FactState::default();
+    let mut now = record_deaths(&mut state, &["ap", "bq", "ap", "bq"]);
+    for (target, parts) in [(50, "ap"), (51, "bq")] {
+        now += DEATH_GAP;
+        fail_trial(&mut state, now, &call(target, parts), target);
+    }
+    for (parts, expected) in [("ap", true), ("bq", true), ("a", false), ("b", false)] {
+        assert_eq!(is_refused(&state, now, parts), expected, "{parts}");
+    }
+}
+
+// Guards against blaming a popular part because several targets died of one cause, such as the loss
+// of a rack.
+#[test]
+fn targets_that_die_together_count_once() {
+    let mut state = FactState::default();
+    for target in 0..6 {
+        let now = NOW + TimeSpan::new(u64::from(target) * 5);
+        record_death(&mut state, now, &[attempt(&call(target, "a"), target)]);
+    }
+    let now = NOW + TimeSpan::new(50);
+    assert_eq!(
+        state.verdict(now, &call(99, "a")),
+        CallVerdict::Unrestricted
+    );
+    assert!(!state.is_dangerous(now, &call(99, "a")));
+}
+
+// Guards against blaming parts of calls that had been answering for a while when their target died.
+#[test]
+fn parts_of_answers_in_progress_are_not_blamed() {
+    let mut state = FactState::default();
+    let mut now = NOW;
+    for target in 0..6 {
+        now += DEATH_GAP;
+        let mut open = attempt(&call(target, "a"), target);
+        let age = ANSWER_PROOF_TIME * u64::from(target % 2);
+        open.began_at = Some(ClockTime::new(now.as_millis() - age.as_millis()));
+        record_death(&mut state, now, &[open]);
+    }
+    // Three of the answers had just begun.
+    let blamed = state.crashed_targets(now, part("a"));
+    assert_eq!(blamed.len(), 3);
+}
+
+// Guards against blaming parts for targets that vanished with their hosts, or with a link.
+#[test]
+fn parts_are_not_blamed_for_targets_that_vanished() {
+    let open = attempt(&call(1, "a"), 1);
+    let signs = open.crash_signs(NOW, DeathEvidence::Vanished);
+    let prints: Vec<_> = signs.iter().map(|sign| sign.print).collect();
+    assert_eq!(prints, [FeatureId::from(open.features.request())]);
+}
+
+// Guards against counting a death of a call with a part among several that have another cause.
+#[test]
+fn a_death_beside_those_of_other_targets_does_not_count() {
+    let mut state = FactState::default();
+    let mut now = NOW;
+    for (target, parts) in [(1, "p"), (2, "p"), (3, "p")] {
+        now += DEATH_GAP;
+        let features = call(target, parts);
+        let other = attempt(&call(target + 10, "x"), target + 10);
+        record_death(&mut state, now, &[attempt(&features, target), other]);
+        assert_eq!(
+            state.verdict(now, &call(99, "p")),
+            CallVerdict::Unrestricted
+        );
+    }
+}
+
+// Guards against convicting a sound part by a trial that also tested the deadly part, after the sound
+// one was open on a target that died of something else.
+#[test]
+fn a_trial_that_tested_several_parts_convicts_only_calls_with_all_of_them() {
+    let mut state = FactState::default();
+    let mut now = record_deaths(&mut state, &["ap"; 2]);
+    now += DEATH_GAP;
+    fail_trial(&mut state, now, &call(50, "ap"), 50);
+    now += DEATH_GAP;
+    record_death(&mut state, now, &[attempt(&call(51, "a"), 51)]);
+    let verdict = CallVerdict::Trial { part: part("a") };
+    assert_eq!(state.verdict(now, &call(99, "a")), verdict);
+    assert!(is_refused(&state, now, "ap"));
+}
+
+// Guards against clearing a part by the answer to a call that began before the part crashed targets,
+// and against clearing it on one node only.
+#[test]
+fn an_answer_that_began_after_the_deaths_clears_a_part_for_all_nodes() {
+    let (mut state, mut peer) = (FactState::default(), FactState::default());
+    let mut now = record_deaths(&mut state, &["p"; 2]);
+    now += DEATH_GAP;
+    fail_trial(&mut state, now, &call(50, "p"), 50);
+    let features = call(60, "p");
+    state.record_completion(now + DEATH_GAP, features.iter(), NOW);
+    assert!(is_refused(&state, now, "p"));
+    let later = now + DEATH_GAP;
+    state.record_completion(later, features.iter(), later);
+    let verdict = CallVerdict::Unrestricted;
+    assert_eq!(state.verdict(later, &call(99, "p")), verdict);
+    for fact in state.set.longest_lived(later, 100) {
+        peer.set.merge(later, fact);
+    }
+    assert_eq!(peer.verdict(later, &call(99, "p")), verdict);
+}
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, RequestId};
-use entry::{CallFeatures, CrashSign, EndedRun, OpenAttempt, TargetOutcome, TargetPhase};
+use entry::{
+    CallFeatures, CrashSign, DeathEvidence, EndedRun, OpenAttempt, TargetOutcome, TargetPhase,
+};
 use http::StatusCode;
 use metrics::counter;
 use web::ReusePolicy;
@@ -105,7 +107,10 @@
     for attempt in open_attempts {
         match run.is_replaced {
             // A connection attempt would reach the new run.
-            true => confirm_death(core, None, &attempt, "another run has replaced it"),
+            true => {
+                let reason = "another run has replaced it";
+                confirm_death(core, None, &attempt, DeathEvidence::Vanished, reason);
+            }
             false => suspect_death(core, None, attempt),
         }
     }
@@ -116,10 +121,11 @@
     core: &GatewayCore,
     request: Option<&RequestId>,
     attempt: &OpenAttempt,
+    evidence: DeathEvidence,
     reason: &str,
 ) {
     core.with_state(|state, now| {
-        for sign in attempt.crash_signs(now) {
+        for sign in attempt.crash_signs(now, evidence) {
             state.confirm_death(now, sign);
         }
     });
@@ -154,7 +160,19 @@
                     "the target accepts connections",
                 );
             }
-            Err(error) => confirm_death(&core, request.as_ref(), &attempt, &error.to_string()),
+            Err(error) => {
+                let evidence = match error.is_refused() && request.is_some() {
+                    true => DeathEvidence::ProcessEnded,
+                    false => DeathEvidence::Vanished,
+                };
+                confirm_death(
+                    &core,
+                    request.as_ref(),
+                    &attempt,
+                    evidence,
+                    &error.to_string(),
+                );
+            }
         }
     });
 }
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use base::{ErrorKind, TimeSpan};
-use entry::{FeatureId, RepeatPolicy, TargetOutcome};
+use entry::{RepeatPolicy, TargetOutcome};
 use http::Response;
 use tokio::time::Instant;
 use web::WebBody;
@@ -15,7 +15,7 @@
 use super::target_send::{SendOutcome, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
-use crate::trial::await_trial;
+use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore};
 
 /// Largest number of targets to which one call is sent.
@@ -60,22 +60,21 @@
 ) -> Response<WebBody> {
     let deadline = call.deadline_instant(core.now());
     let mut placement = call.placement_request(core);
+    let mut trial = CallTrial::default();
     let mut runs = 0;
     let mut failed = None;
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
         let max_wait = call.route.latency_target.min(call.remaining(core.now()));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
-        let trial_parts = match await_trial(core, &call.features, trial_deadline).await {
-            Ok(trial_parts) => trial_parts,
-            Err(retry) => {
-                let (kind, retry) = match runs {
-                    0 => (ErrorKind::CrashSuspect, Some(retry)),
-                    _ => (ErrorKind::TargetLost, None),
-                };
-                return failure_response(core, &mut access_entry, kind, retry);
-            }
-        };
+        let acquired = trial.acquire(core, &call.features, trial_deadline).await;
+        if let Err(retry) = acquired {
+            let (kind, retry) = match runs {
+                0 => (ErrorKind::CrashSuspect, Some(retry)),
+                _ => (ErrorKind::TargetLost, None),
+            };
+            return failure_response(core, &mut access_entry, kind, retry);
+        }
         let mut reservation = match reserve_capacity(
             core,
             call.capacity_request(placement.clone(), max_wait),
@@ -106,7 +105,7 @@
             core,
             &call,
             &mut reservation,
-            &trial_parts,
+            &trial,
             attempt_deadline,
             &mut access_entry,
         )
@@ -182,12 +181,12 @@
     core: &Arc<GatewayCore>,
     call: &AdmittedCall,
     reservation: &mut CapacityReservation,
-    trial_parts: &[FeatureId],
+    trial: &CallTrial,
     deadline: Instant,
     access_entry: &mut AccessEntry,
 ) -> AttemptOutcome {
     let target = reservation.target.clone();
-    let outcome = send_call(core, call, reservation, None, trial_parts, deadline).await;
+    let outcome = send_call(core, call, reservation, None, trial, deadline).await;
     outcome.record_reason(&target, access_entry);
     let response = match outcome {
         SendOutcome::Response(response) => response,
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -15,7 +15,7 @@
 use super::target_send::{SendOutcome, TargetResponse, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
-use crate::trial::await_trial;
+use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore};
 
 /// Largest number of targets to which one stream is sent.
@@ -37,20 +37,18 @@
     let mut placement = call.placement_request(&core);
     let capacity_wait = call.route.latency_target * CAPACITY_WAIT_FACTOR;
     let capacity_deadline = call.arrived_at + capacity_wait;
+    let mut trial = CallTrial::default();
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
         let now = core.now();
         let max_wait = capacity_deadline.since(now).min(call.remaining(now));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
-        let trial_parts = match await_trial(&core, &call.features, trial_deadline).await {
-            Ok(trial_parts) => trial_parts,
-            Err(retry) => {
-                access_entry
-                    .add_reason("other calls with a suspected part of its prompt run first");
-                let kind = ErrorKind::CrashSuspect;
-                return failure_response(&core, &mut access_entry, kind, Some(retry));
-            }
-        };
+        let acquired = trial.acquire(&core, &call.features, trial_deadline).await;
+        if let Err(retry) = acquired {
+            access_entry.add_reason("other calls with a suspected part of its prompt run first");
+            let kind = ErrorKind::CrashSuspect;
+            return failure_response(&core, &mut access_entry, kind, Some(retry));
+        }
         let capacity_request = call.capacity_request(placement.clone(), max_wait);
         let acquired = reserve_capacity(&core, capacity_request).await;
         let mut reservation = match acquired {
@@ -62,7 +60,7 @@
         };
         access_entry.record_target(&reservation);
         let target = reservation.target.clone();
-        let outcome = send_call(&core, &call, &mut reservation, None, &trial_parts, deadline).await;
+        let outcome = send_call(&core, &call, &mut reservation, None, &trial, deadline).await;
         outcome.record_reason(&target, &mut access_entry);
         if matches!(outcome, SendOutcome::Forbidden(SendRefusal::TrialRequired)) {
             continue;
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -14,6 +14,7 @@
 use crate::coordinator::reserve_for_move;
 use crate::peer::PeerClient;
 use crate::rate::{acquire_permit, await_permit};
+use crate::trial::CallTrial;
 use crate::{CapacityReservation, CopyOutcome, ResumePoint};
 
 /// Pause before the next search for a destination when no engine had room.
@@ -268,7 +269,7 @@
                 &self.call,
                 &mut destination,
                 Some(&point),
-                &[],
+                &CallTrial::default(),
                 deadline,
             )
             .await;
@@ -287,7 +288,7 @@
             &self.call,
             &mut self.reservation,
             Some(&point),
-            &[],
+            &CallTrial::default(),
             deadline,
         )
         .await;
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use base::{EventKind, TargetName, TimeSpan};
-use entry::{FeatureId, SendPermit, TargetOutcome};
+use entry::{SendPermit, TargetOutcome};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
@@ -18,6 +18,7 @@
 use super::target_run::TargetRun;
 use crate::rate::await_permit;
 use crate::state::{SendCheck, SendRefusal};
+use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore, ResumePoint, TargetHeaders};
 
 /// Largest response body in bytes that is buffered until it is complete.
@@ -90,21 +91,17 @@
 }
 
 /// Sends a call to the target of `reservation` on a connection of its own, so that late or extra
-/// bytes of another response can't be taken for its response. `trial_parts` are the suspected parts of
-/// which it is the trial.
+/// bytes of another response can't be taken for its response.
 pub async fn send_call(
     core: &Arc<GatewayCore>,
     call: &AdmittedCall,
     reservation: &mut CapacityReservation,
     resume: Option<&ResumePoint>,
-    trial_parts: &[FeatureId],
+    trial: &CallTrial,
     deadline: Instant,
 ) -> SendOutcome {
-    let kind = SendKind {
-        is_resume: resume.is_some(),
-        is_trial: !trial_parts.is_empty(),
-    };
-    if let Err(bar) = check_send(core, call, reservation, kind, None) {
+    let is_resume = resume.is_some();
+    if let Err(bar) = check_send(core, call, reservation, is_resume, trial, None) {
         return SendOutcome::Forbidden(bar);
     }
     let permit = match take_permit(core, reservation, resume.is_some()).await {
@@ -125,17 +122,17 @@
         Err(_) => return SendOutcome::Unsent("no time left to connect".to_owned()),
     };
     // What is known may have changed while the connection was made.
-    if let Err(bar) = check_send(core, call, reservation, kind, Some(permit)) {
+    if let Err(bar) = check_send(core, call, reservation, is_resume, trial, Some(permit)) {
         return SendOutcome::Forbidden(bar);
     }
     let sent_at = core.now();
     let mut blame = core.watch_blame();
-    reservation.begin_send(&call.features, trial_parts.to_vec());
+    reservation.begin_send(&call.features, trial.parts().to_vec());
     let request = build_request(core, call, reservation, resume);
     let sent = tokio::select! {
         biased;
         sent = timeout_at(deadline, connection.send(request)) => sent,
-        () = until_dangerous(core, call, &mut blame), if kind == SendKind::default() => {
+        () = until_dangerous(core, call, &mut blame), if !is_resume && !reservation.is_trial() => {
             log_recall(core, call, &reservation.target);
             return SendOutcome::Recalled;
         }
@@ -214,15 +211,6 @@
     );
 }
 
-/// What kind of send is checked.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct SendKind {
-    /// Whether a generation is resumed.
-    is_resume: bool,
-    /// Whether the call is the trial of suspected parts of its prompt.
-    is_trial: bool,
-}
-
 /// Takes a permit for sending to the target of `reservation`, if that names a rate. A generation that
 /// resumes waits for one, as it would be lost otherwise.
 async fn take_permit(
@@ -243,17 +231,18 @@
     core: &GatewayCore,
     call: &AdmittedCall,
     reservation: &CapacityReservation,
-    kind: SendKind,
+    is_resume: bool,
+    trial: &CallTrial,
     permit: Option<SendPermit>,
 ) -> Result<(), SendRefusal> {
     let check = SendCheck {
         features: &call.features,
-        is_trial: kind.is_trial,
+        is_trial: trial.is_valid(core.now()),
         target: &reservation.target,
         route: (&call.host, call.path_and_query.path()),
         key: call.caller_headers.key.as_ref(),
         version: call.config_version,
-        is_resume: kind.is_resume,
+        is_resume,
         permit,
     };
     core.with_state(|state, now| state.check_send(now, &check))
--- a/crates/gateway/src/trial/trial_client.rs
+++ b/crates/gateway/src/trial/trial_client.rs
@@ -1,10 +1,8 @@
 use std::sync::Arc;
-use std::time::Duration;
 
-use base::{EventKind, TimeSpan};
-use entry::{CallFeatures, CallVerdict, FeatureId};
+use base::EventKind;
+use entry::FeatureId;
 use metrics::counter;
-use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{TrialReply, TrialRequest};
 use crate::GatewayCore;
@@ -14,45 +12,9 @@
 const HOP_LIMIT: u8 = 2;
 /// Nodes that are asked for a trial until a node grants it itself, since no other one answers.
 const REQUEST_LIMIT: u32 = 3;
-/// Longest wait until a trial is requested again; the outcome of the running one ends the wait
-/// earlier.
-const RETRY_WAIT: TimeSpan = TimeSpan::new(500);
-
-/// Waits until a call may run, if its prompt has a suspected part: until the part is cleared or the
-/// call may run as its trial. Returns the suspected parts of which the call is a trial; none if it
-/// may run like any other, or must not run at all, which is checked before it is sent.
-///
-/// # Errors
-/// If other trials take until `deadline`; the time after which the caller may retry.
-pub async fn await_trial(
-    core: &Arc<GatewayCore>,
-    features: &CallFeatures,
-    deadline: Instant,
-) -> Result<Vec<FeatureId>, TimeSpan> {
-    let mut changes = core.watch_blame();
-    loop {
-        changes.mark_unchanged();
-        let verdict = core.with_state(|state, now| state.facts.verdict(now, features));
-        let CallVerdict::Trial { part } = verdict else {
-            return Ok(Vec::new());
-        };
-        let reply = request_trial(core, part).await;
-        let TrialReply::Wait(wait) = reply else {
-            let parts = core.with_state(|state, now| state.facts.suspected_parts(now, features));
-            return Ok(parts);
-        };
-        let wait = Duration::from(wait.min(RETRY_WAIT));
-        let changed = timeout(wait, changes.changed());
-        // A time-out means that the trial is requested again.
-        let _ = timeout_at(deadline, changed).await;
-        if Instant::now() >= deadline {
-            return Err(RETRY_WAIT);
-        }
-    }
-}
 
 /// Requests a trial of a part; a node that no other one answers grants it itself.
-async fn request_trial(core: &Arc<GatewayCore>, part: FeatureId) -> TrialReply {
+pub(super) async fn request_trial(core: &Arc<GatewayCore>, part: FeatureId) -> TrialReply {
     for _ in 0..REQUEST_LIMIT {
         if let Some(reply) = grant_trial(core, TrialRequest { part, hops: 0 }).await {
             let outcome = match reply {
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -1,10 +1,13 @@
 //! Checks that forbid a send although the call was admitted and placed.
 
+use std::time::Duration;
+
 use base::{CallRate, ClockTime, ErrorKind, PartId, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, ConfigVersion, FeatureId, SendPermit, SuspectCall};
 use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal};
 use smol_str::SmolStr;
+use tokio::time::sleep;
 
 use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, start_setup, until};
 
@@ -46,7 +49,7 @@
 }
 
 /// Makes the change in the state of a gateway or in its store.
-fn make_change(gateway: &Gateway, store: &FakeStore, target: &FakeTarget, change: Change) {
+async fn make_change(gateway: &Gateway, store: &FakeStore, target: &FakeTarget, change: Change) {
     let core = gateway.server.core();
     let run = core.with_state(|state, _| state.balancer.targets()[0].run());
     let record_death =
@@ -63,10 +66,12 @@
             record_death(state, now, request, "e1");
             record_death(state, now, request, "e2");
         }),
-        Change::PartCrashes => core.with_state(|state, now| {
-            record_death(state, now, part, "e1");
-            record_death(state, now, part, "e2");
-        }),
+        Change::PartCrashes => {
+            core.with_state(|state, now| record_death(state, now, part, "e1"));
+            // Targets that die together count once.
+            sleep(Duration::from_millis(150)).await;
+            core.with_state(|state, now| record_death(state, now, part, "e2"));
+        }
         Change::FailedTrial => core.with_state(|state, now| {
             for feature in [part, part.failed_trial()] {
                 record_death(state, now, feature, "e1");
@@ -142,7 +147,7 @@
         let (store, targets, gateway) = start_setup("app", &[TargetMode::Answer]).await;
         let core = gateway.server.core();
         let name = targets[0].name.parse().unwrap();
-        make_change(&gateway, &store, &targets[0], change);
+        make_change(&gateway, &store, &targets[0], change).await;
         until("the change is known", || {
             core.with_state(|state, _| match change {
                 Change::Gone => state.balancer.targets().is_empty(),
