Tell the end of an unframed stream from a crash

Cause: a stream without length or chunks ends with its connection, and so does that of a target that crashes. One that ended without an event was passed on as complete and cleared its call and the parts of its prompt; one that ended within an event was not checked for a crash. Change: an unframed stream without an event counts as broken off; an end within an event is checked for a crash; an end soon after the first event clears nothing. Tests: unframed.rs; two of its eight cases failed before (no_event, a crash that ends a stream without an event).

--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -32,6 +32,13 @@
     }
 }
 
+/// Records that a response without length or chunks ended soon after it began. The target may have
+/// answered or crashed, so that nothing is cleared and nothing is blamed.
+pub fn record_unframed_end(reservation: &mut CapacityReservation) {
+    reservation.record_outcome(TargetOutcome::Answered);
+    reservation.finish_send();
+}
+
 /// Records that the answer to a call, which began at `began_at`, has gone on for so long that the
 /// parts of its prompt are harmless.
 pub fn record_proof(core: &GatewayCore, call: &AdmittedCall, began_at: ClockTime) {
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -15,7 +15,9 @@
 
 use super::AccessEntry;
 use super::admitted_call::AdmittedCall;
-use super::crash_detection::{record_broken_call, record_proof, record_response};
+use super::crash_detection::{
+    record_broken_call, record_proof, record_response, record_unframed_end,
+};
 use super::move_times::MoveTimes;
 use super::response_sender::{ChunkOutcome, ResponseSender};
 use super::target_run::TargetRun;
@@ -343,20 +345,36 @@
             return self.on_broken("stopped for the move".to_owned()).await;
         }
         if self.splitter.has_partial() {
+            record_broken_call(&self.core, &self.call, &mut self.reservation);
             self.fail("target_lost", "stream ended within an event");
             return RelayState::Ended;
         }
-        record_response(
-            &self.core,
-            &self.call,
-            &mut self.reservation,
-            StatusCode::OK,
-        );
+        if !self.is_framed && self.progress.events == 0 {
+            // The connection of a target that crashes may end like this as well.
+            return self
+                .on_broken("stream ended without an event".to_owned())
+                .await;
+        }
+        match self.is_framed || self.has_proven() {
+            true => record_response(
+                &self.core,
+                &self.call,
+                &mut self.reservation,
+                StatusCode::OK,
+            ),
+            false => record_unframed_end(&mut self.reservation),
+        }
         self.sender.complete();
         self.access_entry.set_stream_outcome("answered");
         RelayState::Ended
     }
 
+    /// Whether the answer has gone on for so long that the prompt is harmless.
+    fn has_proven(&self) -> bool {
+        let first_event_at = self.progress.first_event_at;
+        first_event_at.is_some_and(|at| self.core.now() - at >= ANSWER_PROOF_TIME)
+    }
+
     /// Handles a response body that broke off: as expected if the move stopped the source, as a
     /// lost generation otherwise.
     async fn on_broken(&mut self, reason: String) -> RelayState {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,3 +13,4 @@
 mod send_checks;
 mod streams;
 mod support;
+mod unframed;
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -39,6 +39,9 @@
     /// Sends the head, then streams this many events after a pause; crashes instead if the prompt
     /// of the call has the part `DEADLY_PART`.
     CrashOnPart(u64),
+    /// Sends a response with neither length nor chunks, a stream of this many events for streams,
+    /// which ends with the connection in this way.
+    Unframed(u64, UnframedEnd),
     /// Sends the response to another call.
     Foreign,
     /// Streams this many events.
@@ -57,6 +60,17 @@
     LargeEvents,
 }
 
+/// How a response with neither length nor chunks ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnframedEnd {
+    /// The connection is closed after the response.
+    Orderly,
+    /// The connection is closed within an event.
+    WithinEvent,
+    /// The connection is reset.
+    Reset,
+}
+
 /// Part of its responses in which a target announces that it is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingSignal {
@@ -86,6 +100,8 @@
     rate: Option<&'static str>,
     /// Value of `Retry-After` in refusals.
     retry_after: Option<&'static str>,
+    /// Whether it stops listening once a call has arrived.
+    stops_listening: bool,
     /// Number of crashes.
     crashes: usize,
 }
@@ -152,6 +168,11 @@
                     accepted = listener.accept() => {
                         let Ok((stream, _)) = accepted else { return };
                         calls.spawn(serve(stream, state.clone(), down.clone()));
+                        if state.lock().unwrap().stops_listening {
+                            drop(listener);
+                            calls.join_all().await;
+                            return;
+                        }
                     }
                     () = down.notified() => break,
                 }
@@ -179,6 +200,11 @@
         self.down.notify_one();
     }
 
+    /// Stops listening once the next call has arrived, and serves that call to its end.
+    pub fn crash_after_calls(&self) {
+        self.state.lock().unwrap().stops_listening = true;
+    }
+
     /// Number of crashes.
     pub fn crashes(&self) -> usize {
         self.state.lock().unwrap().crashes
@@ -318,6 +344,9 @@
         }
         Some(TargetMode::Truncate) => complete(&id)[..complete(&id).len() - 2].to_owned(),
         Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
+        Some(TargetMode::Unframed(count, end)) => {
+            return send_unframed(stream, &head, count, end).await;
+        }
         Some(TargetMode::CrashOnPart(count)) => {
             return answer_or_crash(stream, state, &head, count, &down).await;
         }
@@ -375,6 +404,30 @@
     }
 }
 
+/// Sends a response that has neither length nor chunks and ends with the connection.
+async fn send_unframed(mut stream: TcpStream, head: &str, count: u64, end: UnframedEnd) {
+    let id = header(head, "x-id").unwrap_or_default();
+    let start = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n");
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    for number in 1..=count {
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        if stream.write_all(event.as_bytes()).await.is_err() {
+            return;
+        }
+        sleep(EVENT_PAUSE).await;
+    }
+    match end {
+        UnframedEnd::Orderly => {}
+        // The caller of the test sees a failure if this is passed on.
+        UnframedEnd::WithinEvent => {
+            let _ = stream.write_all(b"id: 99\ndata: pie").await;
+        }
+        UnframedEnd::Reset => stream.set_zero_linger().unwrap(),
+    }
+}
+
 /// Reads the prompt, then streams events, or crashes the target if the prompt has the deadly part;
 /// stops reading when the gateway closes the connection.
 async fn answer_or_crash(
