Keep and push first the crash signs that tell most

Cause: a full set of facts dropped what expired first: the oldest signs, rates that targets name, and one of the signs of a call that crashes targets, whoever it belonged to. Pushed signs went from one node to all of its domain, which takes its bytes for three deaths in a large domain. Change: a sign whose feature has another one, and the sign of a failed trial, tell most and are dropped last and sent first; a single sign tells least. Signs of calls that had answered for a while are not pushed. A node pushes to six peers of its domain and the coordinators of others; each pushes on what is new to it. Tests: a_full_set_keeps_and_sends_first_what_tells_most; the other tests of gateway and facts pass.

--- a/crates/entry/src/fact/open_attempt.rs
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -38,15 +38,19 @@
 }
 
 impl OpenAttempt {
+    /// Whether the answer has gone on for [`ANSWER_PROOF_TIME`], so that the call hardly is the cause if
+    /// the target dies now.
+    pub fn is_proven(&self, now: ClockTime) -> bool {
+        self.began_at
+            .is_some_and(|began_at| now - began_at >= ANSWER_PROOF_TIME)
+    }
+
     /// Signs to record if the target died now. Parts of the prompt are left out once the answer has
     /// gone on for [`ANSWER_PROOF_TIME`], and if the process of the target may not have crashed.
     pub fn crash_signs(&self, now: ClockTime, evidence: DeathEvidence) -> Vec<CrashSign> {
-        let is_proven = self
-            .began_at
-            .is_some_and(|began_at| now - began_at >= ANSWER_PROOF_TIME);
         let request = FeatureId::from(self.features.request());
         let mut features = vec![request];
-        if !is_proven && evidence == DeathEvidence::ProcessEnded {
+        if !self.is_proven(now) && evidence == DeathEvidence::ProcessEnded {
             features.extend(self.features.parts());
             features.extend(self.trial_parts.iter().map(|part| part.failed_trial()));
         }
--- a/crates/entry/src/fact/target_fact.rs
+++ b/crates/entry/src/fact/target_fact.rs
@@ -1,5 +1,5 @@
 use base::TimeSpan;
-use facts::SharedFact;
+use facts::{FactValue, SharedFact};
 use serde::{Deserialize, Serialize};
 
 use super::{CrashSign, LeaveNotice, NamedRate, RunEnd};
@@ -58,4 +58,22 @@
             Self::Ended(_) => END_LIFETIME,
         }
     }
+
+    /// A death of one call says little: most of the calls on a target did not crash it, and the one
+    /// that did comes again.
+    fn value(&self, neighbors: [Option<&Self>; 2]) -> FactValue {
+        match self {
+            Self::Crashed(sign) => {
+                let mut signs = neighbors.into_iter().flatten().filter_map(Self::as_crash);
+                match signs.any(|other| other.print == sign.print) || sign.print.is_failed_trial() {
+                    true => FactValue::High,
+                    false => FactValue::Low,
+                }
+            }
+            Self::Completed(_) => FactValue::Medium,
+            Self::Leaving(_) | Self::Stayed(_) | Self::RateNamed(_) | Self::Ended(_) => {
+                FactValue::High
+            }
+        }
+    }
 }
--- a/crates/entry/tests/facts.rs
+++ b/crates/entry/tests/facts.rs
@@ -86,7 +86,7 @@
     let (mut state, mut peer) = (FactState::default(), FactState::default());
     crash(&mut peer, 7, 1);
     crash(&mut peer, 7, 2);
-    let sent = peer.set.longest_lived(NOW, 10);
+    let sent = peer.set.most_valuable(NOW, 10);
     for fact in &sent {
         state.set.merge(NOW, fact.clone());
     }
@@ -97,7 +97,7 @@
         state.set.merge(NOW, fact);
     }
     assert_eq!(state.verdict(NOW, &features(7)), CallVerdict::Unrestricted);
-    let sent_back = state.set.longest_lived(NOW, 10);
+    let sent_back = state.set.most_valuable(NOW, 10);
     for fact in sent_back {
         peer.set.merge(NOW, fact);
     }
@@ -240,7 +240,7 @@
                 }
             }
         }
-        let mut sent = state.set.longest_lived(NOW, 1_000);
+        let mut sent = state.set.most_valuable(NOW, 1_000);
         sent.reverse();
         for fact in sent {
             peer.set.merge(NOW, fact);
--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -260,7 +260,7 @@
     state.record_completion(later, features.iter(), later);
     let verdict = CallVerdict::Unrestricted;
     assert_eq!(state.verdict(later, &call(99, "p")), verdict);
-    for fact in state.set.longest_lived(later, 100) {
+    for fact in state.set.most_valuable(later, 100) {
         peer.set.merge(later, fact);
     }
     assert_eq!(peer.verdict(later, &call(99, "p")), verdict);
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -7,7 +7,7 @@
 mod set;
 mod sync;
 
-pub use set::{FactId, FactSet, SentFact, SharedFact};
+pub use set::{FactId, FactSet, FactValue, SentFact, SharedFact};
 pub use sync::{
     BucketDigest, FactBucket, FactDigest, FactLimiter, FactRequest, FactResponse, FactSync,
     answer_fact_request,
--- a/crates/facts/src/set/fact_set.rs
+++ b/crates/facts/src/set/fact_set.rs
@@ -1,8 +1,9 @@
 use base::{ClockTime, TimeSpan};
 
-use super::{FactId, SentFact, SharedFact};
+use super::{FactId, FactValue, SentFact, SharedFact};
 
-/// Largest number of facts in a set; beyond it, the facts that expire first are removed.
+/// Largest number of facts in a set; beyond it, the facts that tell least are removed, and of those
+/// the ones that expire first.
 const FACT_LIMIT: usize = 512;
 /// Facts with less remaining time are neither compared nor merged. Nodes remove a fact at slightly
 /// different moments and would otherwise send it back and forth forever.
@@ -32,7 +33,7 @@
 /// let (mut here, mut there) = (FactSet::default(), FactSet::default());
 /// assert!(here.insert(now, Closed(7)));
 /// assert!(!here.insert(now, Closed(7)));
-/// for fact in here.longest_lived(now, 10) {
+/// for fact in here.most_valuable(now, 10) {
 ///     there.merge(now, fact);
 /// }
 /// assert!(there.contains(&Closed(7)));
@@ -108,25 +109,29 @@
         self.entries.iter().map(|entry| &entry.fact)
     }
 
-    /// Up to `limit` facts to send to a peer; the facts that expire last come first.
-    pub fn longest_lived(&self, now: ClockTime, limit: usize) -> Vec<SentFact<F>> {
+    /// Up to `limit` facts to send to a peer; the facts that tell most come first, and of those the
+    /// ones that expire last.
+    pub fn most_valuable(&self, now: ClockTime, limit: usize) -> Vec<SentFact<F>> {
         self.select(now, limit, |_| true)
     }
 
     /// Up to `limit` facts to send to a peer, out of those whose identifier `is_wanted` accepts; the
-    /// facts that expire last come first.
+    /// facts that tell most come first, and of those the ones that expire last.
     pub(crate) fn select(
         &self,
         now: ClockTime,
         limit: usize,
         is_wanted: impl Fn(FactId) -> bool,
     ) -> Vec<SentFact<F>> {
-        let entries = self.comparable(now).filter(|entry| is_wanted(entry.id));
-        let mut selected: Vec<_> = entries.collect();
-        selected.sort_by_key(|entry| std::cmp::Reverse(entry.expires_at));
+        let mut selected: Vec<_> = (0..self.entries.len())
+            .map(|at| (at, &self.entries[at]))
+            .filter(|(_, entry)| is_comparable(entry, now) && is_wanted(entry.id))
+            .map(|(at, entry)| (self.value(at), entry.expires_at, entry))
+            .collect();
+        selected.sort_by_key(|(value, expires_at, _)| std::cmp::Reverse((*value, *expires_at)));
         let selected = selected.into_iter().take(limit);
         selected
-            .map(|entry| SentFact {
+            .map(|(_, _, entry)| SentFact {
                 fact: entry.fact.clone(),
                 remaining: entry.expires_at - now,
             })
@@ -142,10 +147,10 @@
     /// Facts with enough remaining time to be compared with those of peers.
     fn comparable(&self, now: ClockTime) -> impl Iterator<Item = &FactEntry<F>> {
         let entries = self.entries.iter();
-        entries.filter(move |entry| entry.expires_at - now >= MIN_REMAINING)
+        entries.filter(move |entry| is_comparable(entry, now))
     }
 
-    /// Adds a fact unless the set has it; a full set drops the fact that expires first. Returns
+    /// Adds a fact unless the set has it; a full set drops the fact that tells least. Returns
     /// whether the fact is new and was kept.
     fn insert_until(&mut self, now: ClockTime, fact: F, expires_at: ClockTime) -> bool {
         let Err(at) = self.find(&fact) else {
@@ -165,14 +170,27 @@
         }
         self.expire(now);
         let is_full = self.entries.len() > FACT_LIMIT;
-        let first = (0..self.entries.len()).min_by_key(|at| self.entries[*at].expires_at);
-        match first.filter(|_| is_full) {
-            Some(first) => self.entries.remove(first).id != id,
+        let least = (0..self.entries.len())
+            .min_by_key(|at| (self.value(*at), self.entries[*at].expires_at));
+        match least.filter(|_| is_full) {
+            Some(least) => self.entries.remove(least).id != id,
             None => true,
         }
     }
 
+    /// How much the fact at a position tells.
+    fn value(&self, at: usize) -> FactValue {
+        let fact_at = |at: usize| self.entries.get(at).map(|entry| &entry.fact);
+        let before = at.checked_sub(1).and_then(fact_at);
+        self.entries[at].fact.value([before, fact_at(at + 1)])
+    }
+
     fn find(&self, fact: &F) -> Result<usize, usize> {
         self.entries.binary_search_by(|entry| entry.fact.cmp(fact))
     }
 }
+
+/// Whether a fact has enough remaining time to be compared with those of peers.
+fn is_comparable<F>(entry: &FactEntry<F>, now: ClockTime) -> bool {
+    entry.expires_at - now >= MIN_REMAINING
+}
--- a/crates/facts/src/set/mod.rs
+++ b/crates/facts/src/set/mod.rs
@@ -6,4 +6,4 @@
 
 pub use fact_id::FactId;
 pub use fact_set::FactSet;
-pub use shared_fact::{SentFact, SharedFact};
+pub use shared_fact::{FactValue, SentFact, SharedFact};
--- a/crates/facts/src/set/shared_fact.rs
+++ b/crates/facts/src/set/shared_fact.rs
@@ -5,6 +5,23 @@
 pub trait SharedFact: Clone + Ord + Serialize {
     /// Time for which the fact holds after a node first recorded it.
     fn lifetime(&self) -> TimeSpan;
+
+    /// How much the fact tells, if `neighbors` are the facts before and after it in order; a full set
+    /// drops those that tell least, and they are sent to peers last.
+    fn value(&self, _neighbors: [Option<&Self>; 2]) -> FactValue {
+        FactValue::High
+    }
+}
+
+/// How much a fact tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FactValue {
+    /// It decides nothing by itself.
+    Low,
+    /// It only limits what other facts mean.
+    Medium,
+    /// It decides.
+    High,
 }
 
 /// A fact as one node sends it to another.
--- a/crates/facts/tests/convergence.rs
+++ b/crates/facts/tests/convergence.rs
@@ -4,7 +4,7 @@
 
 use base::{ByteCount, ClockTime, TimeSpan};
 use facts::{
-    FactDigest, FactLimiter, FactRequest, FactResponse, FactSet, FactSync, SharedFact,
+    FactDigest, FactLimiter, FactRequest, FactResponse, FactSet, FactSync, FactValue, SharedFact,
     answer_fact_request,
 };
 use proptest::prelude::*;
@@ -268,7 +268,7 @@
         fleet.insert(0, number);
     }
     let now = fleet.now;
-    for fact in fleet.nodes[0].set.longest_lived(now, 400) {
+    for fact in fleet.nodes[0].set.most_valuable(now, 400) {
         (1..12).for_each(|at| {
             fleet.nodes[at].set.merge(now, fact.clone());
         });
@@ -339,3 +339,46 @@
         }
     }
 }
+
+/// Fact that tells little unless another one about the same subject stands beside it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Sighting {
+    subject: u32,
+    observer: u32,
+}
+
+impl SharedFact for Sighting {
+    fn lifetime(&self) -> TimeSpan {
+        LIFETIME
+    }
+
+    fn value(&self, neighbors: [Option<&Self>; 2]) -> FactValue {
+        let mut others = neighbors.into_iter().flatten();
+        match others.any(|other| other.subject == self.subject) {
+            true => FactValue::High,
+            false => FactValue::Low,
+        }
+    }
+}
+
+// Guards against a full set that drops what tells most because it is oldest, and that sends it last.
+#[test]
+fn a_full_set_keeps_and_sends_first_what_tells_most() {
+    let mut set = FactSet::default();
+    let mut now = ClockTime::new(1_000);
+    let pairs = (0..20_u32).flat_map(|subject| [0, 1].map(|observer| (subject, observer)));
+    let single = (20..2_000).map(|subject| (subject, 0));
+    for (subject, observer) in pairs.chain(single) {
+        now += TimeSpan::new(10);
+        set.insert(now, Sighting { subject, observer });
+    }
+    assert_eq!(set.len(), 512);
+    let first = set.most_valuable(now, 40);
+    assert!(first.iter().all(|sent| sent.fact.subject < 20));
+    // The newest of the others are kept.
+    let newest = Sighting {
+        subject: 1_999,
+        observer: 0,
+    };
+    assert!(set.contains(&newest));
+}
--- a/crates/gateway/src/peer/fact_pusher.rs
+++ b/crates/gateway/src/peer/fact_pusher.rs
@@ -5,23 +5,25 @@
 use base::ClockTime;
 use entry::TargetFact;
 use facts::{FactRequest, SentFact, SharedFact};
+use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
 use super::PeerClient;
-use super::peer_client::FACTS_PATH;
 use crate::GatewayCore;
 
 /// Time for which facts are collected before they are pushed together.
 const COLLECT_TIME: Duration = Duration::from_millis(5);
 /// Largest number of facts in one push, which is what a peer accepts in one message.
 const PUSH_FACTS: usize = 48;
+/// Peers of the own failure domain to which a node pushes facts; each pushes on what is new to it.
+const PUSH_FANOUT: usize = 6;
 /// Largest number of facts that wait to be pushed; peers learn of others by comparing sets.
 const OUTBOX_LIMIT: usize = 192;
 
-/// Path of facts that the coordinator of another failure domain pushes on to its nodes.
-const FORWARD_PATH: &str = "/peer/facts?forward";
+/// Path of facts that the receiver pushes on in its failure domain if they are new to it.
+const PUSH_PATH: &str = "/peer/facts?push";
 /// Query of that path.
-pub(super) const FORWARD_QUERY: &str = "forward";
+pub(super) const PUSH_QUERY: &str = "push";
 
 /// Whether facts that wait to be pushed go to all failure domains or only to the own one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,8 +86,12 @@
             return;
         }
         let local = self.client.local_peers();
+        let local: Vec<_> = local
+            .choose_multiple(&mut rand::rng(), PUSH_FANOUT)
+            .copied()
+            .collect();
         let facts: Vec<_> = waiting.iter().map(|(_, fact)| fact.clone()).collect();
-        self.push_to(&local, FACTS_PATH, &facts);
+        self.push_to(&local, &facts);
         let fleet = waiting
             .into_iter()
             .filter(|(scope, _)| *scope == PushScope::Fleet);
@@ -97,10 +103,10 @@
             .iter()
             .flat_map(|domain| self.client.coordinators_of(domain))
             .collect();
-        self.push_to(&remote, FORWARD_PATH, &facts);
+        self.push_to(&remote, &facts);
     }
 
-    fn push_to(&self, addresses: &[SocketAddr], path: &'static str, facts: &[TargetFact]) {
+    fn push_to(&self, addresses: &[SocketAddr], facts: &[TargetFact]) {
         for part in facts.chunks(PUSH_FACTS) {
             let sent: Vec<_> = part
                 .iter()
@@ -122,7 +128,7 @@
                     wanted: Vec::new(),
                 };
                 let (client, address) = (self.client.clone(), *address);
-                tokio::spawn(async move { client.push_facts(address, path, &request).await });
+                tokio::spawn(async move { client.push_facts(address, PUSH_PATH, &request).await });
             }
         }
     }
--- a/crates/gateway/src/peer/fact_sync.rs
+++ b/crates/gateway/src/peer/fact_sync.rs
@@ -92,12 +92,11 @@
 }
 
 /// Answers the request of a peer to synchronize facts; `None` if the rate limit for responses is
-/// used up. If it `must_forward` new facts and this node is the coordinator, it pushes them on to its
-/// failure domain.
+/// used up. Facts that the peer pushed and that are new to this node are pushed on.
 pub(super) fn answer_request(
     core: &Arc<GatewayCore>,
     request: FactRequest<TargetFact>,
-    must_forward: bool,
+    is_pushed: bool,
 ) -> Option<FactResponse<TargetFact>> {
     let request_bytes = size_of(&request);
     let (response, new) = core.with_state(|state, now| {
@@ -109,23 +108,23 @@
         state.fact_limiters.responses.charge(now, bytes);
         Some((response, new))
     })?;
-    apply_facts(core, new, must_forward);
+    apply_facts(core, new, is_pushed);
     Some(response)
 }
 
 /// Applies facts that were new to this node, and logs them.
-fn apply_facts(core: &Arc<GatewayCore>, new: Vec<TargetFact>, must_forward: bool) {
+fn apply_facts(core: &Arc<GatewayCore>, new: Vec<TargetFact>, is_pushed: bool) {
     core.apply_facts(&new);
     let is_blame =
         |fact: &&TargetFact| matches!(fact, TargetFact::Crashed(_) | TargetFact::Completed(_));
     if new.iter().any(|fact| is_blame(&fact)) {
-        core.with_state(|state, now| {
-            if must_forward && state.is_coordinator(now) {
+        if is_pushed {
+            core.with_state(|state, _| {
                 for fact in new.iter().filter(is_blame) {
                     state.outbox.push(PushScope::Domain, fact.clone());
                 }
-            }
-        });
+            });
+        }
         core.recheck_blame();
     }
     for fact in new {
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use web::{HandlerFuture, WebBody, WebHandler, empty_body, full_body, read_body};
 
-use super::fact_pusher::FORWARD_QUERY;
+use super::fact_pusher::PUSH_QUERY;
 use super::fact_sync::answer_request;
 use super::peer_client::{
     CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PERMITS_PATH, PLACEMENT_PATH,
@@ -115,11 +115,11 @@
 
 /// Answers a request to synchronize facts; 429 if this node answered too much recently.
 async fn handle_facts(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
-    let must_forward = request.uri().query() == Some(FORWARD_QUERY);
+    let is_pushed = request.uri().query() == Some(PUSH_QUERY);
     let Some(message) = read_message(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
-    match answer_request(core, message, must_forward) {
+    match answer_request(core, message, is_pushed) {
         Some(response) => encode_response(&response),
         None => status_only(StatusCode::TOO_MANY_REQUESTS),
     }
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -131,11 +131,7 @@
     evidence: DeathEvidence,
     reason: &str,
 ) {
-    core.with_state(|state, now| {
-        for sign in attempt.crash_signs(now, evidence) {
-            state.confirm_death(now, sign);
-        }
-    });
+    core.with_state(|state, now| state.confirm_death(now, attempt, evidence));
     core.recheck_blame();
     log_attempt(core, request, attempt, "marked", reason);
 }
--- a/crates/gateway/src/state/blame_state.rs
+++ b/crates/gateway/src/state/blame_state.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base::ClockTime;
-use entry::{CrashSign, FeatureId, TargetFact};
+use entry::{DeathEvidence, FeatureId, OpenAttempt, TargetFact};
 
 use super::GatewayState;
 use crate::peer::PushScope;
@@ -9,11 +9,20 @@
 /// What features of calls are blamed for, told to the peers at once, and which node grants the trials
 /// of suspected prompt parts.
 impl GatewayState {
-    /// Records that the target of a call died.
-    pub fn confirm_death(&mut self, now: ClockTime, sign: CrashSign) {
-        if self.facts.confirm_death(now, sign.clone()) {
-            let fact = TargetFact::Crashed(sign);
-            self.outbox.push(PushScope::Fleet, fact);
+    /// Records that the target of a call died. Signs of calls that had answered for a while tell little
+    /// and reach the peers when they compare their facts.
+    pub fn confirm_death(
+        &mut self,
+        now: ClockTime,
+        attempt: &OpenAttempt,
+        evidence: DeathEvidence,
+    ) {
+        for sign in attempt.crash_signs(now, evidence) {
+            let is_new = self.facts.confirm_death(now, sign.clone());
+            if is_new && !attempt.is_proven(now) {
+                self.outbox
+                    .push(PushScope::Fleet, TargetFact::Crashed(sign));
+            }
         }
     }
 
