Soak deadly parts of prompts and unframed streams

Cause: the soak had one kind of crashing call, repeated with the same content, so it could not show calls that share a part. Change: one caller in eight sends streams of which a third have a deadly part behind a part that sound calls share; runners crash on it when they begin to answer; some streams are unframed. The checker counts the sends after the fifth crash, by the users' bound; its own test shows that it finds a violation.

--- a/crates/agatemoor/tests/soak/checker_tests.rs
+++ b/crates/agatemoor/tests/soak/checker_tests.rs
@@ -13,6 +13,7 @@
     AttemptRecord {
         kind,
         crashing_call: None,
+        has_deadly_part: false,
         gateway,
         sent,
         end: Some(AttemptEnd {
@@ -110,6 +111,19 @@
     assert_eq!(violated_rules(&restarted), []);
 }
 
+#[test]
+fn finds_a_deadly_part_that_is_sent_too_often() {
+    let history = |sends| {
+        let mut history = crashing_history(sends);
+        for attempt in history.attempts.values_mut() {
+            attempt.has_deadly_part = attempt.crashing_call.take().is_some();
+        }
+        history
+    };
+    assert_eq!(violated_rules(&history(9)), []);
+    assert_eq!(violated_rules(&history(10)), [RuleViolation::PartBudget]);
+}
+
 #[test]
 fn finds_calls_to_a_leaving_target() {
     let mut history = valid_history();
--- a/crates/agatemoor/tests/soak/fake_runner.rs
+++ b/crates/agatemoor/tests/soak/fake_runner.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::fake_platform::FakePlatform;
 use super::raw_http::{RawRequest, read_request};
@@ -17,6 +17,10 @@
 
 /// Start of the body of calls that crash their targets; the number of the call follows.
 pub const CRASH_BODY_PREFIX: &str = "crasher ";
+/// Part of a prompt that crashes the runner when that begins to write an answer on it.
+pub const DEADLY_PART: &str = "dead";
+/// Time to read a prompt.
+const PREFILL_DURATION: Duration = Duration::from_millis(60);
 /// Events of a stream.
 pub const STREAM_EVENTS: u32 = 20;
 /// Pause between two events of a stream.
@@ -259,10 +263,19 @@
         }
         let guard = ArrivalGuard::new(&self.recorder, id, instance);
         let is_reusable = match self.service {
+            "pool" if has_deadly_part(request) => {
+                if is_closed_within(stream, PREFILL_DURATION).await {
+                    return false;
+                }
+                guard.finish_with(ArrivalOutcome::Crashed);
+                self.crash_in_call().await;
+                return false;
+            }
+            "pool" if hash(id) % DEFECT_ONE_IN == 2 => send_unframed(stream, id, &head).await,
             "pool" => stream_events(stream, id, &head).await,
             _ => answer_plain(stream, id, &head).await,
         };
-        guard.finish();
+        guard.finish_with(ArrivalOutcome::Ran);
         is_reusable
     }
 
@@ -291,15 +304,17 @@
         }
     }
 
-    fn finish(mut self) {
+    fn finish_with(mut self, outcome: ArrivalOutcome) {
         self.is_finished = true;
+        self.recorder.record_outcome(self.id, self.index, outcome);
     }
 }
 
 impl Drop for ArrivalGuard<'_> {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.recorder.record_break_off(self.id, self.index);
+            self.recorder
+                .record_outcome(self.id, self.index, ArrivalOutcome::BrokeOff);
         }
     }
 }
@@ -320,6 +335,37 @@
     stream.write_all(&bytes).await.is_ok()
 }
 
+/// Whether the prompt of a request has the deadly part; the last part is the request's own.
+fn has_deadly_part(request: &RawRequest) -> bool {
+    let parts = request.header("prompt-prefix").unwrap_or_default();
+    let mut parts: Vec<_> = parts.split(',').collect();
+    parts.pop();
+    parts
+        .iter()
+        .any(|part| part.split(':').next() == Some(DEADLY_PART))
+}
+
+/// Whether the peer closes the connection within `span`.
+async fn is_closed_within(stream: &TcpStream, span: Duration) -> bool {
+    let mut byte = [0; 1];
+    let peeked = timeout(span, stream.peek(&mut byte)).await;
+    matches!(peeked, Ok(Ok(0) | Err(_)))
+}
+
+/// Streams the answer without length or chunks; the connection ends with it.
+async fn send_unframed(stream: &mut TcpStream, id: &str, head: &str) -> bool {
+    let start = format!(
+        "HTTP/1.1 200 OK\r\n{head}Response-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\n\r\n"
+    );
+    let events = (1..=STREAM_EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n"));
+    for text in std::iter::once(start).chain(events) {
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            break;
+        }
+    }
+    false
+}
+
 async fn stream_events(stream: &mut TcpStream, id: &str, head: &str) -> bool {
     let start = format!(
         "HTTP/1.1 200 OK\r\n{head}Response-Seal: seal-{id}\r\n\
--- a/crates/agatemoor/tests/soak/history_checker.rs
+++ b/crates/agatemoor/tests/soak/history_checker.rs
@@ -13,8 +13,12 @@
 const BACKOFF_SLACK: Millis = 500;
 /// Time after an answer showed that an instance is over in which calls sent before it may arrive.
 const REPLACED_SLACK: Millis = 500;
-/// Sends that the users allow of a call that has crashed three targets.
+/// Crashes after which the users bound the sends of a call.
+const CALL_CRASHES: usize = 3;
+/// Sends that the users allow after those crashes.
 const CRASH_SENDS: usize = 3;
+/// Crashes after which the users bound the sends of calls with a deadly part in their prompts.
+const PART_CRASHES: usize = 5;
 /// Sends that the users allow to a target during its back-off.
 const BACKOFF_SENDS: usize = 2;
 /// Span over which the calls to a target that names a rate are counted.
@@ -33,6 +37,8 @@
 pub enum RuleViolation {
     /// A call that had crashed three targets was sent to more targets than allowed.
     CrashBudget,
+    /// More calls than allowed with a part in their prompts that had crashed five targets were sent.
+    PartBudget,
     /// A gateway sent calls to a target after passing on an answer that said that it leaves.
     LeavingTarget,
     /// A gateway sent more calls than allowed to a target that had asked it to back off.
@@ -58,6 +64,7 @@
 pub fn check_history(history: &History, faults_end: Millis) -> Vec<(RuleViolation, String)> {
     let mut violations = Vec::new();
     check_crash_budget(history, &mut violations);
+    check_part_budget(history, &mut violations);
     check_leaving(history, &mut violations);
     check_backoff(history, &mut violations);
     check_replaced(history, &mut violations);
@@ -112,22 +119,7 @@
         }
     }
     for (crashing_call, sends) in by_call {
-        let crashes = sends.iter();
-        let mut crashes = crashes.filter(|(_, arrival)| arrival.outcome == ArrivalOutcome::Crashed);
-        let Some((_, third)) = crashes.nth(2) else {
-            continue;
-        };
-        let from = third.at + CONTACT_BOUND;
-        let later = sends.iter().filter(|(attempt, arrival)| {
-            let is_undisturbed = !was_disturbed(
-                history,
-                attempt.gateway,
-                arrival.at.saturating_sub(CONTACT_BOUND),
-                arrival.at,
-            );
-            arrival.at > from && is_undisturbed
-        });
-        let count = later.count();
+        let count = count_sends_after_crashes(history, &sends, CALL_CRASHES);
         if count > CRASH_SENDS {
             let all = sends.len();
             let text =
@@ -137,6 +129,39 @@
     }
 }
 
+fn check_part_budget(history: &History, violations: &mut Violations) {
+    let sends = arrivals(history).into_iter();
+    let sends: Vec<_> = sends
+        .filter(|(_, attempt, _)| attempt.has_deadly_part)
+        .map(|(_, attempt, arrival)| (attempt, arrival))
+        .collect();
+    let count = count_sends_after_crashes(history, &sends, PART_CRASHES);
+    if count > CRASH_SENDS {
+        let text = format!("{count} sends after five crashes, {} in total", sends.len());
+        violations.push((RuleViolation::PartBudget, text));
+    }
+}
+
+/// Number of sends by undisturbed gateways after so many of them crashed their targets and gateways
+/// had time to tell each other.
+fn count_sends_after_crashes(
+    history: &History,
+    sends: &[(&AttemptRecord, &Arrival)],
+    crashes: usize,
+) -> usize {
+    let crashed = sends.iter();
+    let mut crashed = crashed.filter(|(_, arrival)| arrival.outcome == ArrivalOutcome::Crashed);
+    let Some((_, last)) = crashed.nth(crashes - 1) else {
+        return 0;
+    };
+    let from = last.at + CONTACT_BOUND;
+    let later = sends.iter().filter(|(attempt, arrival)| {
+        let since = arrival.at.saturating_sub(CONTACT_BOUND);
+        arrival.at > from && !was_disturbed(history, attempt.gateway, since, arrival.at)
+    });
+    later.count()
+}
+
 fn check_leaving(history: &History, violations: &mut Violations) {
     let mut announced: BTreeMap<(usize, u64), Millis> = BTreeMap::new();
     for attempt in history.attempts.values() {
--- a/crates/agatemoor/tests/soak/main.rs
+++ b/crates/agatemoor/tests/soak/main.rs
@@ -78,10 +78,21 @@
         .attempts
         .values()
         .filter(|attempt| attempt.crashing_call.is_some());
+    let with_part = history
+        .attempts
+        .iter()
+        .filter(|(_, attempt)| attempt.has_deadly_part);
+    let part_crashes = with_part.clone().filter(|(id, _)| {
+        let mut arrivals = history.arrivals.get(*id).into_iter().flatten();
+        arrivals.any(|arrival| arrival.outcome == ArrivalOutcome::Crashed)
+    });
     format!(
-        "{ends:?}; {} attempts of crashing calls, {} crashes",
+        "{ends:?}; {} attempts of crashing calls, {} crashes, {} calls with the deadly part, {} \
+         crashes of them",
         crashing.count(),
-        crashes.count()
+        crashes.count(),
+        with_part.clone().count(),
+        part_crashes.count()
     )
 }
 
--- a/crates/agatemoor/tests/soak/soak_caller.rs
+++ b/crates/agatemoor/tests/soak/soak_caller.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use super::fake_runner::{CRASH_BODY_PREFIX, STREAM_EVENTS};
+use super::fake_runner::{CRASH_BODY_PREFIX, DEADLY_PART, STREAM_EVENTS};
 use super::soak_history::{AttemptEnd, AttemptRecord, CallKind, Recorder};
 
 /// Host name of all routes.
@@ -27,6 +27,10 @@
 const CALLS_PER_CONNECTION: u32 = 40;
 /// Longest pause between two calls.
 const MAX_PAUSE_MS: u64 = 60;
+/// First parts of prompts, which many calls share.
+const COMMON_PARTS: u32 = 4;
+/// One in this many streams of a caller that uses the deadly part has it.
+const DEADLY_ONE_IN: u32 = 3;
 /// Kinds of the calls of one caller that crash their targets, by the last digit of their number.
 const CRASHING_KINDS: [CallKind; 3] = [CallKind::Stream, CallKind::Order, CallKind::Read];
 
@@ -44,17 +48,28 @@
 pub struct SoakCaller {
     context: Arc<CallerContext>,
     random: Pcg64,
-    /// Whether it makes only calls that crash their targets.
-    sends_crashing: bool,
+    /// What its calls do to their targets.
+    habit: CallerHabit,
     number: u64,
 }
 
+/// What the calls of a caller do to their targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerHabit {
+    /// They do no harm.
+    Sound,
+    /// They crash their targets; each is repeated with the same content.
+    Crashing,
+    /// Some of its streams have a part in their prompts that crashes targets; no two are alike.
+    DeadlyPart,
+}
+
 impl SoakCaller {
-    pub fn new(context: Arc<CallerContext>, seed: u64, number: u64, sends_crashing: bool) -> Self {
+    pub fn new(context: Arc<CallerContext>, seed: u64, number: u64, habit: CallerHabit) -> Self {
         Self {
             context,
             random: Pcg64::seed_from_u64(seed ^ (number << 32)),
-            sends_crashing,
+            habit,
             number,
         }
     }
@@ -98,7 +113,7 @@
     async fn call(&mut self, sender: &mut SendRequest<Full<Bytes>>, gateway: usize) -> bool {
         let kinds = [CallKind::Order, CallKind::Read, CallKind::Stream];
         let kind = *kinds.choose(&mut self.random).unwrap();
-        let crashing_call = self.sends_crashing.then(|| {
+        let crashing_call = (self.habit == CallerHabit::Crashing).then(|| {
             let index = self.random.random_range(0..CRASHING_KINDS.len() as u32);
             index + 10 * self.number as u32
         });
@@ -109,18 +124,32 @@
             Some(crashing_call) => format!("{CRASH_BODY_PREFIX}{crashing_call}"),
             None => format!("call {id}"),
         };
+        let has_deadly_part = self.habit == CallerHabit::DeadlyPart
+            && kind == CallKind::Stream
+            && self.random.random_range(0..DEADLY_ONE_IN) == 0;
+        let common = self.random.random_range(0..COMMON_PARTS);
+        let deadly = match has_deadly_part {
+            true => format!("{DEADLY_PART}:30,"),
+            false => String::new(),
+        };
+        let prompt_parts = format!("c0{common}:40,{deadly}{number:x}:130");
         let recorder = &self.context.recorder;
         recorder.record_attempt(
             &id,
             AttemptRecord {
                 kind,
                 crashing_call,
+                has_deadly_part,
                 gateway,
                 sent: recorder.now(),
                 end: None,
             },
         );
-        let result = timeout(CALL_TIMEOUT, send_call(sender, kind, &id, body)).await;
+        let result = timeout(
+            CALL_TIMEOUT,
+            send_call(sender, kind, &id, &prompt_parts, body),
+        )
+        .await;
         let (mut end, is_reusable) = result.unwrap_or((
             AttemptEnd {
                 has_timed_out: true,
@@ -139,6 +168,7 @@
     sender: &mut SendRequest<Full<Bytes>>,
     kind: CallKind,
     id: &str,
+    prompt_parts: &str,
     body: String,
 ) -> (AttemptEnd, bool) {
     let path = match kind {
@@ -152,7 +182,9 @@
         .header("deadline-remaining", CALL_TIMEOUT.as_millis().to_string())
         .header("api-key", "depot-key");
     if kind == CallKind::Stream {
-        request = request.header("token-counts", "200,80");
+        request = request
+            .header("token-counts", "200,80")
+            .header("prompt-prefix", prompt_parts);
     }
     let request = request.body(Full::new(Bytes::from(body))).unwrap();
     let Ok(response) = sender.send_request(request).await else {
--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -14,7 +14,7 @@
 
 use super::fake_platform::FakePlatform;
 use super::fake_runner::FakeRunner;
-use super::soak_caller::{CallerContext, HOST, SoakCaller};
+use super::soak_caller::{CallerContext, CallerHabit, HOST, SoakCaller};
 use super::soak_history::{GatewayEvent, History, Millis, Recorder};
 
 /// Time for the gateways to find one another before the callers start.
@@ -127,8 +127,12 @@
     let context = fleet.context.clone();
     let callers: Vec<_> = (0..plan.callers)
         .map(|number| {
-            let sends_crashing = number.is_multiple_of(8);
-            let caller = SoakCaller::new(context.clone(), plan.seed, number, sends_crashing);
+            let habit = match number % 8 {
+                0 => CallerHabit::Crashing,
+                4 => CallerHabit::DeadlyPart,
+                _ => CallerHabit::Sound,
+            };
+            let caller = SoakCaller::new(context.clone(), plan.seed, number, habit);
             tokio::spawn(caller.run())
         })
         .collect();
--- a/crates/agatemoor/tests/soak/soak_history.rs
+++ b/crates/agatemoor/tests/soak/soak_history.rs
@@ -37,6 +37,8 @@
     pub kind: CallKind,
     /// Number of the call if it crashes its targets; all attempts at one call share it.
     pub crashing_call: Option<u32>,
+    /// Whether its prompt has the part that crashes targets.
+    pub has_deadly_part: bool,
     pub gateway: usize,
     /// When the caller began to send it.
     pub sent: Millis,
@@ -152,11 +154,11 @@
         arrivals.len() - 1
     }
 
-    /// Records that the target broke off a call that it had begun to execute.
-    pub fn record_break_off(&self, id: &str, index: usize) {
+    /// Records what became of a call that the target had begun to execute.
+    pub fn record_outcome(&self, id: &str, index: usize, outcome: ArrivalOutcome) {
         let mut history = self.history.lock().unwrap();
         let arrivals = history.arrivals.get_mut(id).unwrap();
-        arrivals[index].outcome = ArrivalOutcome::BrokeOff;
+        arrivals[index].outcome = outcome;
     }
 
     /// Records that an instance of a target names another rate of calls from now on.
