Find a deadly part among hundreds of open calls, and crashes of processes that start again at once

Cause: found in reading and by new tests. With 200 calls open on each target that dies, the signs of those that had answered for a while fill the set of facts within three deaths and push out the first sign of the part. A process that listens again before the gateway looks passed for alive. Calls were recalled on deaths that are only suspected, so that two spoilt answers to identical calls would have ended a third one. Change: signs of calls that had answered for a while hold for two minutes and are dropped first. Only confirmed deaths recall calls. Tests: a_deadly_part_is_found_among_hundreds_of_open_calls failed before; with it a_death_beside_that_of_answers_in_progress_does_not_count, a_crash_is_blamed_on_the_part_when_another_run_shows_it, and signs_of_parts_are_encoded_like_those_of_requests (nodes of the last build pass them on).

--- a/crates/entry/src/fact/attempt_tracker.rs
+++ b/crates/entry/src/fact/attempt_tracker.rs
@@ -38,6 +38,7 @@
 ///     earlier: 0,
 ///     address: "127.0.0.1:9101".parse().unwrap(),
 ///     began_at: None,
+///     has_broken_off: false,
 /// });
 /// tracker.abandon(ClockTime::new(5), id);
 /// assert_eq!(tracker.take_run(&"e1".parse().unwrap(), run).len(), 1);
--- a/crates/entry/src/fact/crash_blame.rs
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -1,7 +1,10 @@
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 use facts::SharedFact;
 
-use super::{CallFeatures, CallVerdict, CrashSign, FactState, FeatureId, TargetFact};
+use super::{
+    CallFeatures, CallVerdict, CrashSign, DeathEvidence, FactState, FeatureId, OpenAttempt,
+    TargetFact,
+};
 
 /// Deaths after which a whole request is refused. After a single death, every other call that ran on
 /// the same target would be refused too.
@@ -84,6 +87,26 @@
         self.set.insert(now, TargetFact::Crashed(sign))
     }
 
+    /// Records that the target of a call died; returns the signs that are new.
+    pub fn record_crash(
+        &mut self,
+        now: ClockTime,
+        attempt: &OpenAttempt,
+        evidence: DeathEvidence,
+    ) -> Vec<CrashSign> {
+        let lifetime = match attempt.is_proven(now) {
+            true => CrashSign::PROVEN_LIFETIME,
+            false => CrashSign::LIFETIME,
+        };
+        let mut signs = attempt.crash_signs(now, evidence);
+        signs.retain(|sign| {
+            self.clear_suspected(sign);
+            let fact = TargetFact::Crashed(sign.clone());
+            self.set.insert_for(now, fact, lifetime)
+        });
+        signs
+    }
+
     /// Records that a call ran, so that the signs of earlier deaths no longer count against its
     /// features; returns the signs that it clears. Deaths after `began_at`, when its answer began,
     /// still count.
@@ -140,13 +163,14 @@
         blames.into_iter().map(|blame| blame.part).collect()
     }
 
-    /// Whether a call that was sent but has not begun to answer is likely to crash its target.
+    /// Whether a call that was sent but has not begun to answer is likely to crash its target. Deaths
+    /// that are only suspected do not count.
     pub fn is_dangerous(&self, now: ClockTime, features: &CallFeatures) -> bool {
-        let verdict = self.verdict(now, features);
-        matches!(
-            verdict,
-            CallVerdict::Trial { .. } | CallVerdict::Refused { .. }
-        )
+        if self.set.is_empty() {
+            return false;
+        }
+        let deaths = self.uncleared_signs(now, features.request().into());
+        deaths.count() >= REQUEST_DEATHS || !self.part_blames(now, features).is_empty()
     }
 
     /// Targets that died while a call with a feature ran on them, without the signs that were
@@ -249,9 +273,6 @@
         part: FeatureId,
         deaths: &[(CrashSign, TimeSpan)],
     ) -> usize {
-        let is_apart = |age: TimeSpan, other: TimeSpan| {
-            age.saturating_sub(other) >= OCCASION_SPAN || other.saturating_sub(age) >= OCCASION_SPAN
-        };
         let mut ages = Vec::new();
         for (death, age) in deaths {
             let mut others = self.crash_signs(now);
@@ -260,7 +281,9 @@
                     print: part,
                     ..sign.clone()
                 };
-                !is_apart(*age, other)
+                let is_together = !is_apart(*age, other)
+                    || proven_age(other).is_some_and(|other| !is_apart(*age, other));
+                is_together
                     && sign.target != death.target
                     && !self.set.contains(&TargetFact::Crashed(with_part))
             });
@@ -345,3 +368,16 @@
         signs.filter(|(sign, _)| !self.is_cleared(sign))
     }
 }
+
+/// Whether two deaths of these ages happened on different occasions.
+fn is_apart(age: TimeSpan, other: TimeSpan) -> bool {
+    age.saturating_sub(other) >= OCCASION_SPAN || other.saturating_sub(age) >= OCCASION_SPAN
+}
+
+/// Age of a sign if it was recorded with the shorter lifetime; `age` holds for the longer one. A sign
+/// does not tell which of the two it has.
+fn proven_age(age: TimeSpan) -> Option<TimeSpan> {
+    let remaining = CrashSign::LIFETIME.saturating_sub(age);
+    (remaining <= CrashSign::PROVEN_LIFETIME)
+        .then(|| CrashSign::PROVEN_LIFETIME.saturating_sub(remaining))
+}
--- a/crates/entry/src/fact/crash_sign.rs
+++ b/crates/entry/src/fact/crash_sign.rs
@@ -24,6 +24,9 @@
 impl CrashSign {
     /// Time for which a death counts against the features of the calls that ran on the target.
     pub const LIFETIME: TimeSpan = TimeSpan::from_secs(600);
+    /// The same for calls that had answered for a while. They are many, and hardly one of them is the
+    /// cause, so that a full set drops their signs first.
+    pub const PROVEN_LIFETIME: TimeSpan = TimeSpan::from_secs(120);
 
     /// Whether two signs are about the same death.
     pub fn is_same_death(&self, other: &Self) -> bool {
--- a/crates/entry/src/fact/open_attempt.rs
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -35,6 +35,9 @@
     pub address: SocketAddr,
     /// When the first event of the answer arrived.
     pub began_at: Option<ClockTime>,
+    /// Whether it broke off although the host accepted connections right after that; a process that
+    /// crashed may have been started again by then.
+    pub has_broken_off: bool,
 }
 
 impl OpenAttempt {
--- a/crates/entry/tests/facts.rs
+++ b/crates/entry/tests/facts.rs
@@ -138,6 +138,7 @@
         earlier: 0,
         address: "127.0.0.1:9101".parse().unwrap(),
         began_at: None,
+        has_broken_off: false,
     };
     let mut tracker = AttemptTracker::default();
     let ids = [(); 3].map(|()| tracker.begin(attempt.clone()));
--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -31,16 +31,13 @@
         earlier: 0,
         address: "127.0.0.1:9101".parse().unwrap(),
         began_at: None,
+        has_broken_off: false,
     }
 }
 
 fn record_death(state: &mut FactState, now: ClockTime, attempts: &[OpenAttempt]) {
-    let evidence = DeathEvidence::ProcessEnded;
-    let signs = attempts
-        .iter()
-        .flat_map(|attempt| attempt.crash_signs(now, evidence));
-    for sign in signs {
-        state.confirm_death(now, sign);
+    for attempt in attempts {
+        state.record_crash(now, attempt, DeathEvidence::ProcessEnded);
     }
 }
 
@@ -230,6 +227,27 @@
     }
 }
 
+// Guards against overlooking that a target died on which all calls had answered for a while.
+#[test]
+fn a_death_beside_that_of_answers_in_progress_does_not_count() {
+    let mut state = FactState::default();
+    let mut now = NOW;
+    for target in 1..4 {
+        now += DEATH_GAP;
+        let mut other = attempt(&call(target + 10, "x"), target + 10);
+        other.began_at = Some(ClockTime::ZERO);
+        record_death(
+            &mut state,
+            now,
+            &[attempt(&call(target, "p"), target), other],
+        );
+        assert_eq!(
+            state.verdict(now, &call(99, "p")),
+            CallVerdict::Unrestricted
+        );
+    }
+}
+
 // Guards against convicting a sound part by a trial that also tested the deadly part, after the sound
 // one was open on a target that died of something else.
 #[test]
@@ -265,3 +283,55 @@
     }
     assert_eq!(peer.verdict(later, &call(99, "p")), verdict);
 }
+
+// Guards against a deadly part that gets lost among the signs of calls that were open beside it, and
+// among the parts of a caller who uses new ones all the time.
+#[test]
+fn a_deadly_part_is_found_among_hundreds_of_open_calls() {
+    /// Calls on each target that dies: most had answered for a while.
+    const OPEN_CALLS: u32 = 200;
+    let mut state = FactState::default();
+    let (mut now, mut number) = (NOW, 0);
+    for target in 0..6 {
+        now += DEATH_GAP;
+        let mut attempts: Vec<_> = (0..OPEN_CALLS)
+            .map(|place| {
+                number += 1;
+                let parts = [format!("n{number}"), format!("m{number}")];
+                let parts = parts.map(|part| part.parse().unwrap());
+                let mut open = attempt(&call(number, "").with_parts(&parts), target);
+                open.began_at = (place % 10 != 0).then_some(NOW);
+                open
+            })
+            .collect();
+        if target % 2 == 0 {
+            attempts.push(attempt(&call(number + 10_000, "p"), target));
+        }
+        record_death(&mut state, now, &attempts);
+    }
+    assert!(state.set.len() <= 512);
+    let verdict = CallVerdict::Trial { part: part("p") };
+    assert_eq!(state.verdict(now, &call(99, "p")), verdict);
+    assert_eq!(state.crashed_targets(now, part("p")).len(), 3);
+}
+
+// Guards against facts that nodes of the last build can't read, or that they would take for others.
+#[test]
+fn signs_of_parts_are_encoded_like_those_of_requests() {
+    let mut state = FactState::default();
+    record_death(&mut state, NOW, &[attempt(&call(7, "p"), 1)]);
+    for sent in state.set.most_valuable(NOW, 10) {
+        let bytes = rmp_serde::to_vec(&sent.fact).unwrap();
+        // What the last build expects: a variant with the fingerprint as 16 numbers, the target, its
+        // incarnation and the number of earlier deaths.
+        type LastBuild = std::collections::BTreeMap<String, ([u8; 16], String, u64, u16)>;
+        let decoded: LastBuild = rmp_serde::from_slice(&bytes).unwrap();
+        let (print, target, incarnation, earlier) = &decoded["Crashed"];
+        assert_eq!((target.as_str(), *incarnation, *earlier), ("e1", 1, 0));
+        let request = call(7, "").request().to_bytes();
+        let is_part = FeatureId::of_part(&"p".parse().unwrap()).to_string();
+        let text: String = print.iter().map(|byte| format!("{byte:02x}")).collect();
+        assert!(*print == request || text == is_part);
+    }
+    assert_eq!(state.set.len(), 2);
+}
--- a/crates/facts/src/set/fact_set.rs
+++ b/crates/facts/src/set/fact_set.rs
@@ -74,6 +74,13 @@
         self.insert_until(now, fact, expires_at)
     }
 
+    /// Adds a fact that this node observed and that holds for a shorter time than others of its kind;
+    /// returns whether it is new.
+    pub fn insert_for(&mut self, now: ClockTime, fact: F, time: TimeSpan) -> bool {
+        let expires_at = now + time.min(fact.lifetime());
+        self.insert_until(now, fact, expires_at)
+    }
+
     /// Adds a fact that a peer sent; returns whether it is new.
     ///
     /// A fact that is already in the set keeps its expiry time. Otherwise facts that several nodes
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -52,6 +52,7 @@
                 incarnation,
                 address: ([127, 0, 0, 1], 9_101).into(),
                 began_at: None,
+                has_broken_off: false,
             });
             state.attempts.finish(id);
         }
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -115,8 +115,12 @@
         match run.is_replaced {
             // A connection attempt would reach the new run.
             true => {
+                let evidence = match attempt.has_broken_off {
+                    true => DeathEvidence::ProcessEnded,
+                    false => DeathEvidence::Vanished,
+                };
                 let reason = "another run has replaced it";
-                confirm_death(core, None, &attempt, DeathEvidence::Vanished, reason);
+                confirm_death(core, None, &attempt, evidence, reason);
             }
             false => suspect_death(core, None, attempt),
         }
@@ -154,7 +158,15 @@
             .await;
         match connected {
             Ok(_connection) => {
-                core.with_state(|state, _| state.facts.clear_suspected(&sign));
+                core.with_state(|state, now| {
+                    state.facts.clear_suspected(&sign);
+                    // The listing of another run will show that the process did crash.
+                    let id = state.attempts.begin(OpenAttempt {
+                        has_broken_off: true,
+                        ..attempt.clone()
+                    });
+                    state.attempts.abandon(now, id);
+                });
                 log_attempt(
                     &core,
                     request.as_ref(),
@@ -164,7 +176,8 @@
                 );
             }
             Err(error) => {
-                let evidence = match error.is_refused() && request.is_some() {
+                let has_broken_off = request.is_some() || attempt.has_broken_off;
+                let evidence = match error.is_refused() && has_broken_off {
                     true => DeathEvidence::ProcessEnded,
                     false => DeathEvidence::Vanished,
                 };
--- a/crates/gateway/src/state/blame_state.rs
+++ b/crates/gateway/src/state/blame_state.rs
@@ -17,12 +17,13 @@
         attempt: &OpenAttempt,
         evidence: DeathEvidence,
     ) {
-        for sign in attempt.crash_signs(now, evidence) {
-            let is_new = self.facts.confirm_death(now, sign.clone());
-            if is_new && !attempt.is_proven(now) {
-                self.outbox
-                    .push(PushScope::Fleet, TargetFact::Crashed(sign));
-            }
+        let signs = self.facts.record_crash(now, attempt, evidence);
+        if attempt.is_proven(now) {
+            return;
+        }
+        for sign in signs {
+            let fact = TargetFact::Crashed(sign);
+            self.outbox.push(PushScope::Fleet, fact);
         }
     }
 
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -150,6 +150,7 @@
             earlier: 0,
             address: self.address,
             began_at: None,
+            has_broken_off: false,
         };
         let target = self.target.clone();
         let (id, suspect) = self.core.with_state(|state, now| {
--- a/crates/gateway/tests/gateway/prompt_parts.rs
+++ b/crates/gateway/tests/gateway/prompt_parts.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use entry::FeatureId;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::support::{DEADLY_PART, FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+use crate::support::{
+    DEADLY_PART, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
+};
 
 /// Targets that a deadly part may crash.
 const CRASH_LIMIT: usize = 6;
@@ -128,3 +131,20 @@
         fleet.crashes()
     );
 }
+
+// Guards against missing a crash because the process was started again before the gateway could see
+// that it had ended.
+#[tokio::test]
+async fn a_crash_is_blamed_on_the_part_when_another_run_shows_it() {
+    let (store, targets, gateway) = start_setup("pool", &[TargetMode::Break]).await;
+    let headers = "x-id: a-1\r\nx-size: 20\r\nx-parts: common\r\n";
+    let response = call(gateway.callers, "/stream/1", headers, "body").await;
+    assert_eq!(response.status, 502);
+    let core = gateway.server.core();
+    let part = FeatureId::of_part(&"common".parse().unwrap());
+    let blamed = || core.with_state(|state, now| state.facts.crashed_targets(now, part).len());
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(blamed(), 0);
+    store.put_run(&targets[0], "ready", 2);
+    until("the crash is blamed on the part", || blamed() == 1).await;
+}
