Let a trial test all parts that are blamed for a death, and count doubtful deaths half

In the soak with 60 gateways, where targets die all the time, a deadly part was never found, as each of its deaths stood beside others. Change: a failed trial is recorded for all parts of the call that are blamed for a death, so that it convicts only calls with all of them. Two occasions on which other targets died count as one. Tests: a_trial_tests_all_parts_that_are_blamed_for_a_death failed before; deaths_beside_those_of_other_targets_count_half replaces the test that such deaths never count, which is what was wrong with it: it still demands that up to three of them blame nobody.

--- a/crates/entry/src/fact/crash_blame.rs
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -14,6 +14,8 @@
 const PART_OCCASIONS: usize = 2;
 /// Targets that die within this time may have died of one cause, such as the loss of a rack.
 const OCCASION_SPAN: TimeSpan = TimeSpan::new(100);
+/// Occasions that count as one, if other targets died on them too.
+const DOUBTFUL_OCCASIONS: usize = 2;
 /// Time after its first failed trial in which no call with a part runs; each further failed trial
 /// multiplies it by [`TRIAL_PAUSE_FACTOR`].
 const TRIAL_PAUSE: TimeSpan = TimeSpan::from_secs(60);
@@ -157,10 +159,12 @@
         most_blamed.map_or(request, |blame| CallVerdict::Trial { part: blame.part })
     }
 
-    /// Parts of a prompt that are blamed for so many deaths that calls with them run as trials only.
+    /// Parts of a prompt that a trial of the call tests: all that are blamed for a death, since any of
+    /// them may crash its target.
     pub fn suspected_parts(&self, now: ClockTime, features: &CallFeatures) -> Vec<FeatureId> {
-        let blames = self.part_blames(now, features);
-        blames.into_iter().map(|blame| blame.part).collect()
+        let parts = features.parts().iter().copied();
+        let suspected = parts.filter(|part| self.uncleared_signs(now, *part).next().is_some());
+        suspected.collect()
     }
 
     /// Whether a call that was sent but has not begun to answer is likely to crash its target. Deaths
@@ -266,14 +270,14 @@
     }
 
     /// Number of occasions on which targets died that calls with a part ran on. An occasion on which
-    /// other targets died too had another cause and does not count.
+    /// other targets died too may have had another cause: two of them count as one.
     fn count_occasions(
         &self,
         now: ClockTime,
         part: FeatureId,
         deaths: &[(CrashSign, TimeSpan)],
     ) -> usize {
-        let mut ages = Vec::new();
+        let (mut clear, mut doubtful) = (Vec::new(), Vec::new());
         for (death, age) in deaths {
             let mut others = self.crash_signs(now);
             let has_other_cause = others.any(|(sign, other)| {
@@ -287,18 +291,12 @@
                     && sign.target != death.target
                     && !self.set.contains(&TargetFact::Crashed(with_part))
             });
-            if !has_other_cause {
-                ages.push(*age);
-            }
-        }
-        ages.sort();
-        let mut counted: Vec<TimeSpan> = Vec::new();
-        for age in ages {
-            if counted.last().is_none_or(|last| is_apart(age, *last)) {
-                counted.push(age);
+            match has_other_cause {
+                true => doubtful.push(*age),
+                false => clear.push(*age),
             }
         }
-        counted.len()
+        count_apart(clear) + count_apart(doubtful) / DOUBTFUL_OCCASIONS
     }
 
     /// Whether a feature that a call lacks may have caused all the deaths that a part of its prompt is
@@ -369,6 +367,18 @@
     }
 }
 
+/// Number of occasions on which deaths of these ages happened.
+fn count_apart(mut ages: Vec<TimeSpan>) -> usize {
+    ages.sort();
+    let mut counted: Vec<TimeSpan> = Vec::new();
+    for age in ages {
+        if counted.last().is_none_or(|last| is_apart(age, *last)) {
+            counted.push(age);
+        }
+    }
+    counted.len()
+}
+
 /// Whether two deaths of these ages happened on different occasions.
 fn is_apart(age: TimeSpan, other: TimeSpan) -> bool {
     age.saturating_sub(other) >= OCCASION_SPAN || other.saturating_sub(age) >= OCCASION_SPAN
--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -210,21 +210,24 @@
     assert_eq!(prints, [FeatureId::from(open.features.request())]);
 }
 
-// Guards against counting a death of a call with a part among several that have another cause.
+// Guards against blaming a part for deaths among several that have another cause, and against never
+// finding it while other targets die all the time.
 #[test]
-fn a_death_beside_those_of_other_targets_does_not_count() {
+fn deaths_beside_those_of_other_targets_count_half() {
     let mut state = FactState::default();
     let mut now = NOW;
-    for (target, parts) in [(1, "p"), (2, "p"), (3, "p")] {
-        now += DEATH_GAP;
-        let features = call(target, parts);
-        let other = attempt(&call(target + 10, "x"), target + 10);
-        record_death(&mut state, now, &[attempt(&features, target), other]);
+    for target in 1..5 {
         assert_eq!(
             state.verdict(now, &call(99, "p")),
             CallVerdict::Unrestricted
         );
+        now += DEATH_GAP;
+        let other = attempt(&call(target + 10, "x"), target + 10);
+        let features = call(target, "p");
+        record_death(&mut state, now, &[attempt(&features, target), other]);
     }
+    let verdict = CallVerdict::Trial { part: part("p") };
+    assert_eq!(state.verdict(now, &call(99, "p")), verdict);
 }
 
 // Guards against overlooking that a target died on which all calls had answered for a while.
@@ -263,6 +266,21 @@
     assert!(is_refused(&state, now, "ap"));
 }
 
+// Guards against convicting a sound part by a trial of a call that has the deadly part as well, while
+// that is blamed for less, as a target with the sound part alone died of something else.
+#[test]
+fn a_trial_tests_all_parts_that_are_blamed_for_a_death() {
+    let mut state = FactState::default();
+    let mut now = NOW + DEATH_GAP;
+    record_death(&mut state, now, &[attempt(&call(1, "ap"), 1)]);
+    now += DEATH_GAP;
+    record_death(&mut state, now, &[attempt(&call(2, "a"), 2)]);
+    now += DEATH_GAP;
+    fail_trial(&mut state, now, &call(3, "ap"), 3);
+    assert!(is_refused(&state, now, "ap"));
+    assert!(!is_refused(&state, now, "a"));
+}
+
 // Guards against clearing a part by the answer to a call that began before the part crashed targets,
 // and against clearing it on one node only.
 #[test]
