--- a/crates/gateway/tests/gateway/prompt_parts.rs
+++ b/crates/gateway/tests/gateway/prompt_parts.rs
@@ -148,3 +148,62 @@
     store.put_run(&targets[0], "ready", 2);
     until("the crash is blamed on the part", || blamed() == 1).await;
 }
+
+// Guards against a gateway that joins later and does not learn which parts crash targets.
+#[tokio::test]
+async fn a_gateway_that_joins_knows_which_parts_crash_targets() {
+    let fleet = PartFleet::start(8).await;
+    for number in 0..6 {
+        fleet.call_deadly(number).await;
+    }
+    let before = fleet.deadly_arrivals();
+    let third = Gateway::start(&fleet.store, "thapathali", vec![fleet.gateways[0].peers]).await;
+    third.wait_ready().await;
+    let parts = format!("common,{DEADLY_PART}");
+    let (status, _) = call_with_parts(third.callers, "late", &parts).await;
+    assert_eq!((status, fleet.deadly_arrivals()), (422, before));
+}
+
+// Guards against refusing sound calls because targets that crash for other reasons, one after the other,
+// each ran calls with the same popular part.
+#[tokio::test]
+async fn no_part_is_refused_when_targets_crash_for_other_reasons() {
+    let fleet = Arc::new(PartFleet::start(10).await);
+    let mut callers = JoinSet::new();
+    for caller in 0..6 {
+        let fleet = fleet.clone();
+        callers.spawn(async move {
+            let mut statuses = Vec::new();
+            for number in 0..12 {
+                statuses.push(fleet.call_sound(caller + 10 * number).await.0);
+            }
+            statuses
+        });
+    }
+    for target in &fleet.targets[..8] {
+        sleep(Duration::from_millis(350)).await;
+        target.crash();
+    }
+    let statuses = callers.join_all().await.concat();
+    assert!(!statuses.contains(&422), "{statuses:?}");
+    assert_eq!(fleet.crashes(), 8);
+    for number in 0..4 {
+        assert_eq!(fleet.call_sound(number).await, (200, true));
+    }
+}
+
+// Guards against a new round of crashes for each other part that stands beside a deadly one.
+#[tokio::test]
+async fn a_deadly_part_behind_ever_new_parts_crashes_few_targets() {
+    let fleet = PartFleet::start(14).await;
+    for number in 0..12 {
+        let parts = format!("new-{},{DEADLY_PART}", number / 3);
+        let id = format!("deadly-{number}");
+        call_with_parts(fleet.address(number), &id, &parts).await;
+    }
+    assert!(
+        fleet.crashes() <= CRASH_LIMIT,
+        "{} crashed",
+        fleet.crashes()
+    );
+}
