Refuse a part after two failed trials, not one, and keep the time at which a moved answer began

Found in reading: a generation that began before a part turned deadly cleared it when it ended after a move. Change: two failed trials refuse a part, each in another target; the next one is granted as soon as the last one is known to have failed. An answer counts as proof 0.1 s after its first event, not 0.3 s, which shortens the time in which another cause of death looks like the part. A part that calls lack and that the same failed trials tested keeps them from being convicted. Moved answers keep the time at which they began. A plain call that waits in vain for a trial delivers the failure that it has. Tests: an_answer_that_moved_clears_no_death_since_it_began failed before.

--- a/crates/entry/src/fact/attempt_tracker.rs
+++ b/crates/entry/src/fact/attempt_tracker.rs
@@ -65,10 +65,10 @@
         id
     }
 
-    /// Records that the first event of the answer to a call arrived.
-    pub fn record_begin(&mut self, now: ClockTime, id: AttemptId) {
+    /// Records when the first event of the answer to a call arrived.
+    pub fn record_begin(&mut self, id: AttemptId, began_at: ClockTime) {
         if let Some(at) = self.find(id) {
-            self.attempts[at].attempt.began_at = Some(now);
+            self.attempts[at].attempt.began_at = Some(began_at);
         }
     }
 
--- a/crates/entry/src/fact/crash_blame.rs
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -16,13 +16,16 @@
 const OCCASION_SPAN: TimeSpan = TimeSpan::new(100);
 /// Occasions that count as one, if other targets died on them too.
 const DOUBTFUL_OCCASIONS: usize = 2;
-/// Time after its first failed trial in which no call with a part runs; each further failed trial
-/// multiplies it by [`TRIAL_PAUSE_FACTOR`].
+/// Failed trials after which calls with a part are refused. The target of one may have died of another
+/// cause, such as when targets are killed one after the other.
+const REFUSAL_TRIALS: usize = 2;
+/// Time after those in which no call with the part runs; each further failed trial multiplies it by
+/// [`TRIAL_PAUSE_FACTOR`].
 const TRIAL_PAUSE: TimeSpan = TimeSpan::from_secs(60);
 /// Factor by which the pause after each further failed trial of a part is longer.
 const TRIAL_PAUSE_FACTOR: u64 = 4;
 /// Largest number of failed trials that lengthen the pause.
-const TRIAL_PAUSE_STEPS: usize = 3;
+const TRIAL_PAUSE_STEPS: usize = 2;
 /// Retry delay sent to the caller if suspected deaths are needed to refuse the call; they are
 /// confirmed or cleared sooner than that.
 const SUSPECT_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
@@ -46,8 +49,9 @@
 
     /// Rest of the pause after the last failed trial; `None` if the next trial may run.
     fn pause_left(&self) -> Option<TimeSpan> {
-        let steps = self.trials.min(TRIAL_PAUSE_STEPS).checked_sub(1)?;
-        let pause = TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(steps as u32);
+        let more = self.trials.checked_sub(REFUSAL_TRIALS)?;
+        let steps = more.min(TRIAL_PAUSE_STEPS) as u32;
+        let pause = TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(steps);
         (self.trial_age < pause).then(|| pause.saturating_sub(self.trial_age))
     }
 }
@@ -167,6 +171,11 @@
         suspected.collect()
     }
 
+    /// Number of failed trials of a part.
+    pub fn failed_trials(&self, now: ClockTime, part: FeatureId) -> usize {
+        self.uncleared_signs(now, part.failed_trial()).count()
+    }
+
     /// Whether a call that was sent but has not begun to answer is likely to crash its target. Deaths
     /// that are only suspected do not count.
     pub fn is_dangerous(&self, now: ClockTime, features: &CallFeatures) -> bool {
@@ -238,35 +247,34 @@
                 trials: trial_ages.len(),
                 trial_age: trial_ages.into_iter().min().unwrap_or_default(),
             };
-            if blame.weight() >= PART_OCCASIONS && !self.has_rival(now, features, &deaths) {
+            let is_foreign =
+                |print: FeatureId| !print.is_failed_trial() && !features.contains(print);
+            if blame.weight() >= PART_OCCASIONS && !self.has_rival(now, &deaths, is_foreign) {
                 blames.push(blame);
             }
         }
         blames
     }
 
-    /// Ages of the failed trials of a part. A trial that also tested a part that the call lacks says
-    /// nothing about the call.
+    /// Ages of the failed trials of a part. If all of them tested a part that the call lacks as well,
+    /// they say nothing about the call.
     fn failed_trial_ages(
         &self,
         now: ClockTime,
         features: &CallFeatures,
         part: FeatureId,
     ) -> Vec<TimeSpan> {
+        let trials: Vec<_> = self.uncleared_signs(now, part.failed_trial()).collect();
         let own: Vec<_> = features
             .parts()
             .iter()
             .map(|part| part.failed_trial())
             .collect();
-        let failed = self.uncleared_signs(now, part.failed_trial());
-        let failed = failed.filter(|(trial, _)| {
-            let mut tested = self.crash_signs(now).map(|(sign, _)| sign);
-            tested.all(|sign| {
-                let is_tested = sign.print.is_failed_trial() && sign.is_same_death(trial);
-                !is_tested || own.contains(&sign.print) || self.is_cleared(sign)
-            })
-        });
-        failed.map(|(_, age)| age).collect()
+        let is_foreign = |print: FeatureId| print.is_failed_trial() && !own.contains(&print);
+        if self.has_rival(now, &trials, is_foreign) {
+            return Vec::new();
+        }
+        trials.into_iter().map(|(_, age)| age).collect()
     }
 
     /// Number of occasions on which targets died that calls with a part ran on. An occasion on which
@@ -300,22 +308,18 @@
     }
 
     /// Whether a feature that a call lacks may have caused all the deaths that a part of its prompt is
-    /// blamed for. A sound part that stood beside a deadly one in each call that crashed its target is
-    /// blamed for the same deaths.
+    /// blamed for; `is_foreign` tells the features that it lacks. A sound part that stood beside a
+    /// deadly one in each call that crashed its target is blamed for the same deaths.
     fn has_rival(
         &self,
         now: ClockTime,
-        features: &CallFeatures,
         deaths: &[(CrashSign, TimeSpan)],
+        is_foreign: impl Fn(FeatureId) -> bool,
     ) -> bool {
         let mut rival: Option<(FeatureId, usize)> = None;
         for (sign, _) in self.crash_signs(now) {
             let is_shared = deaths.iter().any(|(death, _)| death.is_same_death(sign));
-            let is_counted = is_shared
-                && !sign.print.is_failed_trial()
-                && !features.contains(sign.print)
-                && !self.is_cleared(sign);
-            if !is_counted {
+            if !is_shared || !is_foreign(sign.print) || self.is_cleared(sign) {
                 continue;
             }
             // The signs of a feature follow one another.
--- a/crates/entry/src/fact/open_attempt.rs
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -6,7 +6,7 @@
 
 /// Time for which an answer has to go on until the parts of its prompt count as harmless. A deadly
 /// part crashes the target when that begins to write an answer on it.
-pub const ANSWER_PROOF_TIME: TimeSpan = TimeSpan::new(300);
+pub const ANSWER_PROOF_TIME: TimeSpan = TimeSpan::new(100);
 
 /// How the death of a target showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/peer/fact_pusher.rs
+++ b/crates/gateway/src/peer/fact_pusher.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::ClockTime;
 use entry::TargetFact;
 use facts::{FactRequest, SentFact, SharedFact};
 use rand::seq::IndexedRandom;
@@ -21,7 +20,7 @@
 const OUTBOX_LIMIT: usize = 192;
 
 /// Path of facts that the receiver pushes on in its failure domain if they are new to it.
-const PUSH_PATH: &str = "/peer/facts?push";
+pub(super) const PUSH_PATH: &str = "/peer/facts?push";
 /// Query of that path.
 pub(super) const PUSH_QUERY: &str = "push";
 
@@ -107,28 +106,24 @@
     }
 
     fn push_to(&self, addresses: &[SocketAddr], facts: &[TargetFact]) {
-        for part in facts.chunks(PUSH_FACTS) {
-            let sent: Vec<_> = part
-                .iter()
-                .map(|fact| SentFact {
-                    fact: fact.clone(),
-                    remaining: fact.lifetime(),
-                })
-                .collect();
+        for chunk in facts.chunks(PUSH_FACTS) {
+            let sent = chunk.iter().map(|fact| SentFact {
+                fact: fact.clone(),
+                remaining: fact.lifetime(),
+            });
+            let request = FactRequest::Exchange {
+                sent: sent.collect(),
+                wanted: Vec::new(),
+            };
             for address in addresses {
-                let has_credit = |now: ClockTime| {
-                    self.core
-                        .with_state(|state, _| state.fact_limiters.pushes.has_credit(now))
-                };
-                if !has_credit(self.core.now()) {
+                let has_credit = self
+                    .core
+                    .with_state(|state, now| state.fact_limiters.pushes.has_credit(now));
+                if !has_credit {
                     return;
                 }
-                let request = FactRequest::Exchange {
-                    sent: sent.clone(),
-                    wanted: Vec::new(),
-                };
-                let (client, address) = (self.client.clone(), *address);
-                tokio::spawn(async move { client.push_facts(address, PUSH_PATH, &request).await });
+                let (client, request, address) = (self.client.clone(), request.clone(), *address);
+                tokio::spawn(async move { client.push_facts(address, &request).await });
             }
         }
     }
--- a/crates/gateway/src/peer/fact_sync.rs
+++ b/crates/gateway/src/peer/fact_sync.rs
@@ -7,6 +7,7 @@
 use http::Method;
 use serde::Serialize;
 
+use super::fact_pusher::PUSH_PATH;
 use super::peer_client::{FACTS_PATH, encode_body};
 use super::{PeerClient, PushScope};
 use crate::GatewayCore;
@@ -57,12 +58,7 @@
 
     /// Pushes facts to a peer. A failure is logged by the call; the peer then learns of the facts when
     /// it compares its set.
-    pub(super) async fn push_facts(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        request: &FactRequest<TargetFact>,
-    ) {
+    pub(super) async fn push_facts(&self, address: SocketAddr, request: &FactRequest<TargetFact>) {
         let Some(body) = encode_body(request) else {
             return;
         };
@@ -71,7 +67,7 @@
             state.fact_limiters.pushes.charge(now, bytes);
         });
         let _: Option<FactResponse<TargetFact>> =
-            self.call(address, Method::POST, path, body).await;
+            self.call(address, Method::POST, PUSH_PATH, body).await;
     }
 
     /// Sends a request to synchronize facts, and charges its bytes and those of the response to the
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -69,11 +69,14 @@
         let trial_deadline = Instant::now() + Duration::from(max_wait);
         let acquired = trial.acquire(core, &call.features, trial_deadline).await;
         if let Err(retry) = acquired {
-            let (kind, retry) = match runs {
-                0 => (ErrorKind::CrashSuspect, Some(retry)),
-                _ => (ErrorKind::TargetLost, None),
+            return match (failed, runs) {
+                (Some(response), _) => deliver_response(core, &mut access_entry, response),
+                (None, 0) => {
+                    let kind = ErrorKind::CrashSuspect;
+                    failure_response(core, &mut access_entry, kind, Some(retry))
+                }
+                (None, _) => failure_response(core, &mut access_entry, ErrorKind::TargetLost, None),
             };
-            return failure_response(core, &mut access_entry, kind, retry);
         }
         let mut reservation = match reserve_capacity(
             core,
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -296,6 +296,7 @@
             None => {
                 self.move_machine
                     .on_resumed(self.reservation.target.clone());
+                self.record_moved_answer();
                 RelayState::Running
             }
             Some(reason) => {
@@ -351,10 +352,19 @@
         self.access_entry.record_target(&destination);
         self.move_machine.on_resumed(destination.target.clone());
         self.reservation = destination;
+        self.record_moved_answer();
         self.full_targets.clear();
         self.consider_move();
     }
 
+    /// Records that the answer began before the generation was resumed: it is no proof against deaths
+    /// since then, and the target that resumes it did not begin it.
+    fn record_moved_answer(&mut self) {
+        if let Some(began_at) = self.progress.first_event_at {
+            self.reservation.record_begin(began_at);
+        }
+    }
+
     /// Logs a copy request that failed.
     fn log_move_failure(&self, outcome: &CopyOutcome) {
         log::info!(
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -311,9 +311,10 @@
         self.progress.events += 1;
         self.access_entry.record_event();
         if self.progress.first_event_at.is_none() {
-            self.progress.first_event_at = Some(self.core.now());
+            let now = self.core.now();
+            self.progress.first_event_at = Some(now);
             self.reservation.end_prefill();
-            self.reservation.record_begin();
+            self.reservation.record_begin(now);
             let has_parts = !self.call.features.parts().is_empty();
             self.proof_due = has_parts.then(|| Instant::now() + Duration::from(ANSWER_PROOF_TIME));
             self.consider_move();
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{
     AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
@@ -173,15 +173,15 @@
         self.suspect = suspect;
     }
 
-    /// Records that the first event of the answer arrived.
-    pub fn record_begin(&mut self) {
+    /// Records when the first event of the answer arrived, from this target or from the one that the
+    /// generation moved off.
+    pub fn record_begin(&mut self, began_at: ClockTime) {
         let Some((id, attempt)) = &mut self.attempt else {
             return;
         };
-        attempt.began_at = self.core.with_state(|state, now| {
-            state.attempts.record_begin(now, *id);
-            Some(now)
-        });
+        attempt.began_at = Some(began_at);
+        self.core
+            .with_state(|state, _| state.attempts.record_begin(*id, began_at));
     }
 
     /// Whether the call was sent as a trial of suspected parts of its prompt.
--- a/crates/gateway/src/trial/trial_client.rs
+++ b/crates/gateway/src/trial/trial_client.rs
@@ -52,7 +52,10 @@
 }
 
 fn grant_here(core: &GatewayCore, part: FeatureId) -> TrialReply {
-    let granted = core.with_state(|state, now| state.trials.grant(now, part));
+    let granted = core.with_state(|state, now| {
+        let failed_trials = state.facts.failed_trials(now, part);
+        state.trials.grant(now, part, failed_trials)
+    });
     match granted {
         Ok(()) => {
             log::info!(
