Show that an entry of another writer keeps restarted machines from serving

Cause: the last key of a page is put into the path of the next call without escapes, so that a foreign key with a blank at the end of a page ends every reading of the list of runners.

The stand-in store pages its lists as the page says.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case drained-destination; writes record.txt beside this file. Exit code: 1 if the rule was broken, 0 if
+# Runs the case foreign-key; writes record.txt beside this file. Exit code: 1 if the rule was broken, 0 if
 # it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/agatemoor target/review/review-standin; do
@@ -10,4 +10,4 @@
 done
 TROUBLE="${TROUBLE:-1}"
 export TROUBLE
-exec target/review/review-standin drained-destination review/5
+exec target/review/review-standin foreign-key review/5
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns the exit code: 1 if the rule was broken, 0 if it held.
 
 mod drained_destination;
+mod foreign_key;
 mod forged_entry;
 mod late_answer;
 mod lost_answers;
@@ -20,6 +21,7 @@
     ));
     match case {
         "drained-destination" => drained_destination::run(trouble),
+        "foreign-key" => foreign_key::run(trouble),
         "forged-entry" => forged_entry::run(trouble),
         "late-answer" => late_answer::run(trouble),
         "lost-answers" => lost_answers::run(trouble),
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -95,13 +95,34 @@
     Some((size > 0).then_some(chunk))
 }
 
-/// Value of a parameter in the query of a path.
+/// Value of a parameter in the query of a path, with its escapes decoded.
 pub fn query(path: &str, name: &str) -> Option<String> {
     let (_, query) = path.split_once('?')?;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs
         .find(|(known, _)| *known == name)
-        .map(|(_, value)| value.to_owned())
+        .map(|(_, value)| unescape(value))
+}
+
+/// Decodes `%XX`.
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let escape = after.get(..2).filter(|_| *first == b'%');
+        let escape = escape.and_then(|digits| std::str::from_utf8(digits).ok());
+        match escape.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 /// Value of a text field of a flat JSON object; enough for the messages that the gateway sends.
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -9,6 +9,11 @@
 use crate::http::{query, read_head, read_request_body};
 use crate::record;
 
+/// Largest number of items in a page.
+const PAGE_ITEMS: usize = 500;
+/// Bytes of values from which on a page is full.
+const PAGE_BYTES: usize = 1_000_000;
+
 struct Item {
     value: String,
     rev: u64,
@@ -157,6 +162,7 @@
         }
     }
 
+    /// A page of items: at most about 500 of them or 1 MB.
     fn range(&self, path: &str) -> String {
         let prefix = query(path, "prefix").unwrap_or_default();
         let after = query(path, "after").unwrap_or_default();
@@ -165,9 +171,17 @@
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-        let entries: Vec<_> = found.map(|(key, item)| item_json(key, item)).collect();
+        let (mut entries, mut bytes, mut has_more) = (Vec::new(), 0, false);
+        for (key, item) in found {
+            if entries.len() >= PAGE_ITEMS || bytes >= PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            bytes += item.value.len() / 4 * 3;
+            entries.push(item_json(key, item));
+        }
         format!(
-            "{{\"entries\":[{}],\"hasMore\":false,\"currentRev\":{}}}",
+            "{{\"entries\":[{}],\"hasMore\":{has_more},\"currentRev\":{}}}",
             entries.join(","),
             state.rev
         )
