--- a/review/standin/cases/foreign_key.rs
+++ b/review/standin/cases/foreign_key.rs
@@ -85,7 +85,8 @@
         statuses.iter().filter(|status| **status == 200).count()
     };
     let before = served(&gateways, "before");
-    record::line("platform: all processes are killed");
+    store.put("op/config", &config(9, &route, PLAIN_SERVICE, tenants));
+    record::line("operator: version 9 is acknowledged; all processes are killed at once");
     drop(gateways);
     record::sleep(DOWN_MS);
     let gateways = begin();
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -32,17 +32,19 @@
     /// A machine with free ports; `number` tells apart those of one run.
     pub fn new(name: &'static str, zone: &'static str, number: u8) -> Self {
         let ip = own_ip(number);
-        let port = || {
-            let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
-            listener.local_addr().expect("its address").to_string()
-        };
+        // All are held until the last one is found, as a port that is free again may be found twice.
+        let bind = || TcpListener::bind((ip.as_str(), 0)).expect("a free port");
+        let listeners = [bind(), bind(), bind()];
+        let addresses = listeners.each_ref().map(|one| one.local_addr());
+        let [front, ready, control] =
+            addresses.map(|address| address.expect("its address").to_string());
         Self {
             name,
             zone,
-            front: port(),
-            ready: port(),
-            control: port(),
-            ip: ip.clone(),
+            ip,
+            front,
+            ready,
+            control,
         }
     }
 }
@@ -106,6 +108,7 @@
             }
             record::sleep(50);
         }
+        self.record_log(&[""]);
         panic!("{} does not become ready", self.machine.name);
     }
 
