Find changes of the configuration whose held responses were lost

Cause: the request for changes of the configuration is held for 25 s. A lost response leaves its connection open, so that only the timeout ended the wait, and no other source showed that there was a change.

Change: reads of targets carry the revision of the whole store. A revision that no target accounts for may be a change of the configuration; when the held request does not report it within 0.3 s, it is given up and the store is asked once more, until the configuration is confirmed up to that revision. A response to a read that is not held has to begin within 1.2 s.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -121,6 +121,7 @@
     OrderFailed = 5008, "A target refused an order or failed to carry it out.";
     RolloutHalted = 5009, "A rollout was halted automatically after failures of the new version.";
     FleetConverged = 5010, "Every target is in its declared state.";
+    WatchAbandoned = 5011, "A held request for changes was given up, as the store may hold a change that it did not report.";
 }
 
 impl EventKind {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,4 +41,4 @@
     PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad, TargetOutcome,
     TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-pub use view::{ItemChange, ItemMirror, LeaseGuard, PublishedItem};
+pub use view::{ItemChange, ItemMirror, LeaseGuard, PublishedItem, latest_gap};
--- a/crates/entry/src/view/item_mirror.rs
+++ b/crates/entry/src/view/item_mirror.rs
@@ -32,6 +32,16 @@
     },
 }
 
+impl ItemChange {
+    /// Revision of the store at which the change was made.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Copy of the items under one key prefix; it never returns to an older revision.
 ///
 /// ```
--- a/crates/entry/src/view/mod.rs
+++ b/crates/entry/src/view/mod.rs
@@ -2,6 +2,8 @@
 
 mod item_mirror;
 mod lease_guard;
+mod revision_gap;
 
 pub use item_mirror::{ItemChange, ItemMirror, PublishedItem};
 pub use lease_guard::LeaseGuard;
+pub use revision_gap::latest_gap;
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{MissedTickBehavior, interval};
-use web::{RequestError, WebBody, empty_body, full_body};
+use web::{RequestError, ResponseLimits, WebBody, empty_body, full_body};
 
 use super::{ItemUpdate, LoadReport, NodeDigest};
 use crate::coordinator::{CoordinatorReply, CoordinatorRequest};
@@ -395,9 +395,8 @@
             .body(body)
             .map_err(|error| error.to_string())?;
         let pool = &self.core.peer_pool;
-        let result = pool
-            .exchange(address, request, RESPONSE_LIMIT, timeout)
-            .await;
+        let limits = ResponseLimits::new(RESPONSE_LIMIT, timeout);
+        let result = pool.exchange(address, request, limits).await;
         match result {
             Ok(response) if response.status() == StatusCode::OK => Ok(response.into_body()),
             Ok(response) => Err(format!("status {}", response.status())),
--- a/crates/gateway/src/poll/view_poller.rs
+++ b/crates/gateway/src/poll/view_poller.rs
@@ -2,10 +2,11 @@
 use std::time::Duration;
 
 use base::{EventKind, TimeSpan};
+use entry::{ItemChange, latest_gap};
 use tokio::time::sleep;
 
 use crate::peer::PeerClient;
-use crate::{GatewayCore, SourceError, ViewArea};
+use crate::{GatewayCore, ItemBatch, SourceError, ViewArea};
 
 /// Pause between two requests for changes, so that changes in quick succession arrive in one
 /// response.
@@ -15,6 +16,11 @@
 /// Time for which the store holds a request for changes of targets. It is short because each
 /// response confirms that the targets are up to date, which this node passes on to its peers.
 const TARGETS_WAIT: TimeSpan = TimeSpan::new(600);
+/// Time for which the store holds a request that only asks what has changed up to now.
+const CHECK_WAIT: TimeSpan = TimeSpan::new(1);
+/// Time for a held request to report a change of which another read has shown signs. A slow store
+/// takes some 240 ms to answer.
+const REPORT_DELAY: Duration = Duration::from_millis(300);
 /// Pause before a node that does not read the area itself checks again whether it has to.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a first failure; a held request may be cut off without any outage.
@@ -93,11 +99,19 @@
             // again, while a request for changes is held until there is one.
             return self.read_all().await;
         };
-        self.set_waiting(true);
-        let result = source.wait_changes(area, known, max_wait(area)).await;
-        self.set_waiting(false);
+        let result = match area {
+            ViewArea::Config => self.wait_config(known).await,
+            ViewArea::Targets => {
+                self.set_waiting(true);
+                let result = source.wait_changes(area, known, TARGETS_WAIT).await;
+                self.set_waiting(false);
+                result
+            }
+        };
         match result {
             Ok(batch) => {
+                let revisions = batch.changes.iter().map(ItemChange::revision);
+                self.note_gap(known, batch.revision, revisions);
                 if self.core.apply_changes(area, batch, "store") && area == ViewArea::Targets {
                     PeerClient::new(self.core.clone()).push_changes(known);
                 }
@@ -108,10 +122,45 @@
         }
     }
 
+    /// Waits for changes of the configuration.
+    ///
+    /// The store holds the request for long, and nothing on its connection shows that its response
+    /// was lost. It is given up once reads of targets show that the configuration may have changed
+    /// and no change arrives.
+    async fn wait_config(&self, known: u64) -> Result<ItemBatch, SourceError> {
+        let (core, area) = (&self.core, ViewArea::Config);
+        let source = &core.ports.source;
+        tokio::select! {
+            result = source.wait_changes(area, known, CONFIG_WAIT) => return result,
+            () = core.until_config_lacking(REPORT_DELAY) => {}
+        }
+        log::info!(
+            event = EventKind::WatchAbandoned.number(),
+            node = core.node().as_str(),
+            area = area.to_string().as_str(),
+            revision = known,
+            hint = core.with_state(|state, _| state.view.config_revision_hint);
+            "held request given up, as the store may have a change that it did not report"
+        );
+        source.wait_changes(area, known, CHECK_WAIT).await
+    }
+
+    /// Records, after a read of targets, the latest revision of the store that no target accounts
+    /// for, as the configuration may have changed then.
+    fn note_gap(&self, after: u64, until: u64, revisions: impl Iterator<Item = u64>) {
+        if self.area != ViewArea::Targets {
+            return;
+        }
+        if let Some(revision) = latest_gap(after, until, revisions) {
+            self.core.record_config_hint(revision);
+        }
+    }
+
     /// Reads all items of the area.
     async fn read_all(&mut self) -> Result<(), SourceError> {
         let area = self.area;
         let (revision, items) = self.core.ports.source.read_all(area).await?;
+        self.note_gap(0, revision, items.iter().map(|item| item.revision));
         // Before the items are applied: after an outage of the store, targets missing from the
         // items are not removed at once, and this call records the end of the outage.
         self.on_response();
@@ -164,11 +213,3 @@
         );
     }
 }
-
-/// Time for which the store holds a request for changes of an area.
-fn max_wait(area: ViewArea) -> TimeSpan {
-    match area {
-        ViewArea::Config => CONFIG_WAIT,
-        ViewArea::Targets => TARGETS_WAIT,
-    }
-}
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,9 +1,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use base::{ClockTime, EventKind, NodeName, ServiceName, TimeSpan};
 use entry::{PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig};
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
+use tokio::time::sleep;
 use web::{ConnectionPool, PoolSettings};
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
@@ -63,6 +65,7 @@
     move_rechecks: watch::Sender<u64>,
     blame_changes: watch::Sender<u64>,
     report_version: watch::Sender<ReportVersion>,
+    config_revision_hints: watch::Sender<u64>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
 }
@@ -77,6 +80,7 @@
             move_rechecks: watch::Sender::new(0),
             blame_changes: watch::Sender::new(0),
             report_version: watch::Sender::new(ReportVersion::default()),
+            config_revision_hints: watch::Sender::new(0),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -233,6 +237,32 @@
             .ok_or(PlacementRefusal::NoTarget)
     }
 
+    /// Records that the configuration may have changed at `revision` of the store.
+    pub fn record_config_hint(&self, revision: u64) {
+        self.with_state(|state, _| {
+            let hint = &mut state.view.config_revision_hint;
+            *hint = (*hint).max(revision);
+        });
+        self.config_revision_hints.send_replace(revision);
+    }
+
+    /// Waits until the configuration may have changed without this node having learned of it for
+    /// `delay`.
+    pub async fn until_config_lacking(&self, delay: Duration) {
+        let mut hints = self.config_revision_hints.subscribe();
+        loop {
+            if self.with_state(|state, _| state.view.may_lack_config()) {
+                sleep(delay).await;
+                if self.with_state(|state, _| state.view.may_lack_config()) {
+                    return;
+                }
+            }
+            if hints.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Applies changes of the published items of an area; `from` names their source.
     ///
     /// Returns whether anything changed.
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -26,6 +26,9 @@
     pub config: Option<Arc<ServeConfig>>,
     /// Decides whether targets whose entries disappeared are gone, or only their leases expired.
     pub guard: LeaseGuard,
+    /// Latest store revision at which the configuration may have changed, as far as reads of targets
+    /// show.
+    pub config_revision_hint: u64,
     /// When the store or a peer last confirmed that the configuration is up to date.
     pub config_at: ClockTime,
     /// When the store or a peer last confirmed that the targets are up to date.
@@ -59,6 +62,12 @@
         }
     }
 
+    /// Whether the configuration may have changed at the store since this node read it.
+    pub fn may_lack_config(&self) -> bool {
+        let known = self.config_items.revision();
+        known.is_some_and(|known| known < self.config_revision_hint)
+    }
+
     /// Version of the configuration in force; the default before there is one.
     pub fn version(&self) -> ConfigVersion {
         self.config
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod endless;
 mod leaving;
+mod lost_responses;
 mod peers;
 mod prompt_parts;
 mod rates;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::fake_target::FakeTarget;
 
@@ -30,10 +30,43 @@
     revision: watch::Sender<u64>,
     /// Whether the store rejects all requests.
     pub is_down: AtomicBool,
-    /// Number of reads of the configuration that were not rejected.
+    /// Number of requests for the configuration that were not rejected when they arrived.
     pub config_reads: AtomicUsize,
+    /// Requests whose responses are lost.
+    lost: Mutex<LostResponses>,
+    /// Revision of the last removal.
+    removed_at: AtomicU64,
 }
 
+/// Requests to a fake store whose responses are lost while their connections stay open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LostResponses {
+    /// None are.
+    #[default]
+    None,
+    /// Those that wait for changes of the configuration.
+    ConfigChanges,
+    /// Those that wait for changes of either area.
+    AllChanges,
+    /// All of them.
+    All,
+}
+
+impl LostResponses {
+    fn includes(self, area: ViewArea, is_wait: bool) -> bool {
+        match self {
+            Self::None => false,
+            Self::ConfigChanges => is_wait && area == ViewArea::Config,
+            Self::AllChanges => is_wait,
+            Self::All => true,
+        }
+    }
+}
+
+/// Time after which a client gives up a request that has no response, beyond the time for which the
+/// store holds it.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 impl FakeStore {
     pub fn new() -> Arc<Self> {
         Arc::new(Self {
@@ -41,9 +74,31 @@
             revision: watch::Sender::new(0),
             is_down: AtomicBool::new(false),
             config_reads: AtomicUsize::new(0),
+            lost: Mutex::default(),
+            removed_at: AtomicU64::new(0),
         })
     }
 
+    /// Loses responses from now on.
+    pub fn lose(&self, lost: LostResponses) {
+        *self.lost.lock().unwrap() = lost;
+    }
+
+    /// Waits until the client gives up, if the response to its request is lost.
+    async fn lose_response(
+        &self,
+        area: ViewArea,
+        wait: Option<TimeSpan>,
+    ) -> Result<(), SourceError> {
+        let lost = *self.lost.lock().unwrap();
+        if !lost.includes(area, wait.is_some()) {
+            return Ok(());
+        }
+        sleep(CLIENT_TIMEOUT + Duration::from(wait.unwrap_or_default())).await;
+        let reason = "response lost".to_owned();
+        Err(SourceError::Unreachable { reason })
+    }
+
     /// Publishes a configuration: plain routes, a stream route, and a key for `/locked/`.
     pub fn put_config(&self, version: u64) {
         self.put(ViewArea::Config, "config", &version.to_string());
@@ -69,7 +124,9 @@
         let mut items = self.items.lock().unwrap();
         items.retain(|(_, item)| item.key != target.name);
         drop(items);
-        self.revision.send_modify(|revision| *revision += 1);
+        let revision = *self.revision.borrow() + 1;
+        self.removed_at.store(revision, Ordering::Relaxed);
+        self.revision.send_replace(revision);
     }
 
     fn put(&self, area: ViewArea, key: &str, value: &str) {
@@ -93,16 +150,29 @@
         (*self.revision.borrow(), items)
     }
 
+    /// Whether an area has changes after a revision.
+    fn has_changed(&self, area: ViewArea, after: u64) -> bool {
+        let (_, items) = self.all(area);
+        self.removed_at.load(Ordering::Relaxed) > after
+            || items.iter().any(|item| item.revision > after)
+    }
+
     /// Rejects the request while the store is down, and counts reads of the configuration.
     fn check(&self, area: ViewArea) -> Result<(), SourceError> {
-        if self.is_down.load(Ordering::Relaxed) {
-            return Err(SourceError::Rejected { status: 503 });
-        }
+        self.check_up()?;
         if area == ViewArea::Config {
             self.config_reads.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
+
+    /// Rejects the request while the store is down.
+    fn check_up(&self) -> Result<(), SourceError> {
+        match self.is_down.load(Ordering::Relaxed) {
+            true => Err(SourceError::Rejected { status: 503 }),
+            false => Ok(()),
+        }
+    }
 }
 
 /// Client of one gateway for the fake store.
@@ -117,7 +187,9 @@
     ) -> PortFuture<'_, Result<(u64, Vec<PublishedItem>), SourceError>> {
         Box::pin(async move {
             self.store.check(area)?;
-            Ok(self.store.all(area))
+            let found = self.store.all(area);
+            self.store.lose_response(area, None).await?;
+            Ok(found)
         })
     }
 
@@ -130,17 +202,17 @@
         Box::pin(async move {
             self.store.check(area)?;
             let mut revision = self.store.revision.subscribe();
-            let newer = revision.wait_for(|revision| *revision > after);
-            let _ = timeout(Duration::from(wait), newer).await;
-            self.store.check(area)?;
+            let changed = revision.wait_for(|_| self.store.has_changed(area, after));
+            // Without a change the response is empty.
+            let _ = timeout(Duration::from(wait), changed).await;
+            self.store.check_up()?;
+            self.store.lose_response(area, Some(wait)).await?;
             // The store keeps no removals: the gateway has to read the area anew to learn of one.
-            let (revision, items) = self.store.all(area);
-            if revision > after {
-                let has_only_new = items.iter().all(|item| item.revision > after);
-                if !has_only_new || items.is_empty() {
-                    return Err(SourceError::HistoryCompacted);
-                }
+            if self.store.removed_at.load(Ordering::Relaxed) > after {
+                return Err(SourceError::HistoryCompacted);
             }
+            let (revision, mut items) = self.store.all(area);
+            items.retain(|item| item.revision > after);
             let changes = items.into_iter().map(ItemChange::Written).collect();
             Ok(ItemBatch { revision, changes })
         })
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -5,7 +5,7 @@
 mod fake_target;
 mod test_caller;
 
-pub use fake_ports::{FakeStore, ports};
+pub use fake_ports::{FakeStore, LostResponses, ports};
 pub use fake_target::{DEADLY_PART, FakeTarget, LeavingSignal, TargetMode, UnframedEnd};
 pub use test_caller::{CallerResponse, call, get, open_stream, post};
 
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{EventKind, TimeSpan};
+use base::EventKind;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,7 +18,7 @@
     BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnsentSnafu,
 };
 use crate::socket::{SocketOptions, set_socket_options};
-use crate::{PoolSettings, RequestError, WebBody, read_body};
+use crate::{PoolSettings, RequestError, ResponseLimits, WebBody, read_body};
 
 /// Size of the read buffer of a connection; a response head has to fit in it.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -138,8 +138,7 @@
         }
     }
 
-    /// Sends a request and reads the whole response within `time_limit`; its body may have at most
-    /// `limit` bytes.
+    /// Sends a request and reads the whole response within `limits`.
     ///
     /// The connection is kept only after a whole response.
     ///
@@ -149,20 +148,22 @@
         &self,
         address: SocketAddr,
         request: Request<WebBody>,
-        limit: usize,
-        time_limit: TimeSpan,
+        limits: ResponseLimits,
     ) -> Result<Response<Bytes>, RequestError> {
         let whole = async {
-            let (response, connection) =
-                self.send(address, ReusePolicy::AllowReuse, request).await?;
+            let sent = self.send(address, ReusePolicy::AllowReuse, request);
+            let Ok(sent) = timeout(limits.head_timeout.into(), sent).await else {
+                return ResponseTimeoutSnafu.fail();
+            };
+            let (response, connection) = sent?;
             let (parts, body) = response.into_parts();
-            let body = read_body(body, limit, time_limit)
+            let body = read_body(body, limits.bytes, limits.timeout)
                 .await
                 .context(BodySnafu)?;
             self.release(connection);
             Ok(Response::from_parts(parts, body))
         };
-        let received = timeout(time_limit.into(), whole).await;
+        let received = timeout(limits.timeout.into(), whole).await;
         received.unwrap_or_else(|_| ResponseTimeoutSnafu.fail())
     }
 
--- a/crates/web/src/client/mod.rs
+++ b/crates/web/src/client/mod.rs
@@ -3,6 +3,8 @@
 mod connection_pool;
 mod head_budget;
 mod pool_settings;
+mod response_limits;
 
 pub use connection_pool::{ConnectionPool, PooledConnection, ReusePolicy};
 pub use pool_settings::PoolSettings;
+pub use response_limits::ResponseLimits;
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -13,8 +13,8 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use web::{
-    ConnectionPool, HandlerFuture, PoolSettings, RequestError, ReusePolicy, StopSignal, WebBody,
-    WebServer, full_body,
+    ConnectionPool, HandlerFuture, PoolSettings, RequestError, ResponseLimits, ReusePolicy,
+    StopSignal, WebBody, WebServer, full_body,
 };
 
 fn any_port() -> SocketAddr {
@@ -197,20 +197,16 @@
     let address = server.address();
     tokio::spawn(server.serve(Arc::new(handler), StopSignal::new()));
     let pool = ConnectionPool::new(PoolSettings::new());
-    let time_limit = TimeSpan::new(400);
-    let whole = pool
-        .exchange(address, request(address), 6, time_limit)
-        .await;
+    let limits = |bytes| ResponseLimits::new(bytes, TimeSpan::new(400));
+    let whole = pool.exchange(address, request(address), limits(6)).await;
     assert_eq!(whole.expect("a response").into_body(), "answer");
     assert_eq!(pool.idle_count(), 1);
-    let large = pool
-        .exchange(address, request(address), 5, time_limit)
-        .await;
+    let large = pool.exchange(address, request(address), limits(5)).await;
     assert!(matches!(large, Err(RequestError::Body { .. })), "{large:?}");
     assert_eq!(pool.idle_count(), 0);
     let mut late = request(address);
     *late.uri_mut() = "/slow".parse().expect("a path");
-    let late = pool.exchange(address, late, 6, time_limit).await;
+    let late = pool.exchange(address, late, limits(6)).await;
     assert!(
         matches!(late, Err(RequestError::ResponseTimeout)),
         "{late:?}"
