Answer every call that a stopping node has read

Cause: a call was admitted by its latency target, not by the time that it may take, and only checked then, not at the send. The process ended with calls in progress and without waiting for responses that were being written.

GatewayServer::stop waits until responses have been written.

--- a/crates/base/src/error/error_kind.rs
+++ b/crates/base/src/error/error_kind.rs
@@ -68,6 +68,8 @@
     RetriesExhausted,
     /// The target failed after it may have started the request.
     TargetLost,
+    /// The node stopped before the response was complete.
+    Interrupted,
     /// The generation was lost after part of it had been delivered.
     GenerationLost,
     /// The target responded with an error of its own.
@@ -123,6 +125,7 @@
             Self::DeadlineExceeded => (504, Unknown, SOON, "server_error"),
             Self::RetriesExhausted => (503, Unknown, LATER, "server_error"),
             Self::TargetLost => (502, Unknown, SOON, "server_error"),
+            Self::Interrupted => (502, Unknown, SOON, "server_error"),
             Self::GenerationLost => (502, Yes, SOON, "server_error"),
             Self::TargetFailed => (502, Unknown, SOON, "server_error"),
             Self::Stopping => (503, No, SOON, "server_error"),
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -37,6 +37,7 @@
                 route: ("depot.example", "/plans"),
                 key: None,
                 version: ConfigVersion::default(),
+                longest_time: TimeSpan::ZERO,
                 is_resume: false,
                 permit: None,
             };
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -91,7 +91,7 @@
                 domain: core.settings.domain.clone(),
                 capacity: core.settings.capacity,
                 is_waiting: state.has_queued_generations(),
-                is_stopping: state.stop_deadline.is_some(),
+                is_stopping: state.stop_plan.is_some(),
                 targets_age: state.targets_age(now),
                 regained_age: state.view.guard.regained_age(now),
                 loads: state.balancer.own_loads(),
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use entry::{
     CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PlacementRequest, PlacementScope,
-    RouteRule, TargetLoad, prefill_time,
+    RepeatPolicy, RouteRule, TargetLoad, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
@@ -79,8 +79,19 @@
         Instant::now() + Duration::from(self.remaining(now))
     }
 
-    /// Longest time that the call is expected to take.
-    pub fn expected_time(&self) -> TimeSpan {
+    /// Longest time that the call may take from now on, as far as that can be known.
+    ///
+    /// A plain call that must not run twice may take until its deadline. Its caller can send it to
+    /// another node if it is refused, but not if its outcome is unknown.
+    pub fn longest_time(&self, now: ClockTime) -> TimeSpan {
+        match self.route.repeat {
+            RepeatPolicy::AtMostOnce => self.remaining(now),
+            RepeatPolicy::Idempotent | RepeatPolicy::Stream => self.expected_time(),
+        }
+    }
+
+    /// Time that the call takes from its admission if it meets its latency target.
+    fn expected_time(&self) -> TimeSpan {
         let latency = self.route.latency_target;
         let Some(size) = self
             .caller_headers
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{ErrorKind, EventKind, TargetName, TimeSpan};
+use base::{ErrorKind, EventKind, TargetName};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, CallVerdict, RepeatPolicy, ServeConfig};
 use http::uri::PathAndQuery;
@@ -15,9 +15,7 @@
 use super::plain_call::relay_plain;
 use super::stream_call::relay_stream;
 use crate::GatewayCore;
-
-/// `Retry-After` for calls that this node can't serve but other nodes may.
-const OTHER_NODE_RETRY: TimeSpan = TimeSpan::new(100);
+use crate::state::OTHER_NODE_RETRY;
 
 /// HTTP handler of the caller port: admits each call and relays it to a target.
 pub struct CallHandler {
@@ -37,7 +35,13 @@
         Box::pin(async move {
             let _active = ActiveCall::new(core.clone());
             let mut access_entry = AccessEntry::new(core.clone());
-            let admitted = admit_call(&core, &mut access_entry, request).await;
+            let admitted = core
+                .until_cut_off(admit_call(&core, &mut access_entry, request))
+                .await;
+            let admitted = admitted.unwrap_or_else(|| {
+                access_entry.add_reason("not read before this node stops");
+                Err(refuse(&core, &mut access_entry, ErrorKind::Stopping))
+            });
             match admitted {
                 Ok(call) if call.route.repeat == RepeatPolicy::Stream => {
                     relay_stream(core, call, access_entry).await
@@ -142,7 +146,7 @@
         deadline: access_entry.arrived_at() + timeout,
         features,
     };
-    match core.can_finish(call.expected_time()) {
+    match core.can_finish(call.longest_time(core.now())) {
         true => Ok(call),
         false => {
             access_entry
--- a/crates/gateway/src/relay/failure_response.rs
+++ b/crates/gateway/src/relay/failure_response.rs
@@ -5,6 +5,7 @@
 
 use super::AccessEntry;
 use crate::GatewayCore;
+use crate::state::OTHER_NODE_RETRY;
 
 /// Builds an error response of this node and records it in the access log entry.
 pub fn failure_response(
@@ -27,6 +28,23 @@
     response
 }
 
+/// Builds the error response of a call that is in progress when this node stops; a call that was not
+/// sent to a target can be sent to another node.
+pub fn cut_off_response(
+    core: &GatewayCore,
+    access_entry: &mut AccessEntry,
+    was_sent: bool,
+) -> Response<WebBody> {
+    access_entry.add_reason("in progress when this node stopped");
+    match was_sent {
+        true => failure_response(core, access_entry, ErrorKind::Interrupted, None),
+        false => {
+            let retry = Some(OTHER_NODE_RETRY);
+            failure_response(core, access_entry, ErrorKind::Stopping, retry)
+        }
+    }
+}
+
 /// Adds `Connection: close` while this node is stopping, so that callers open new connections, which
 /// reach other nodes.
 pub fn close_if_stopping(core: &GatewayCore, headers: &mut HeaderMap) {
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -11,7 +11,7 @@
 use super::admitted_call::AdmittedCall;
 use super::buffered_response::{BufferedResponse, deliver_response};
 use super::crash_detection::{record_broken_call, record_response};
-use super::failure_response::failure_response;
+use super::failure_response::{cut_off_response, failure_response};
 use super::target_send::{SendOutcome, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
@@ -67,35 +67,28 @@
     while tried < MAX_TARGETS_TRIED {
         let max_wait = call.route.latency_target.min(call.remaining(core.now()));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
-        let acquired = trial.acquire(core, &call.features, trial_deadline).await;
-        if let Err(retry) = acquired {
-            return match (failed, runs) {
-                (Some(response), _) => deliver_response(core, &mut access_entry, response),
-                (None, 0) => {
-                    let kind = ErrorKind::CrashSuspect;
-                    failure_response(core, &mut access_entry, kind, Some(retry))
-                }
-                (None, _) => failure_response(core, &mut access_entry, ErrorKind::TargetLost, None),
-            };
+        let acquired = core
+            .until_cut_off(trial.acquire(core, &call.features, trial_deadline))
+            .await;
+        match acquired {
+            Some(Ok(_)) => {}
+            Some(Err(retry)) => {
+                let refusal = (ErrorKind::CrashSuspect, Some(retry));
+                return end_unsent(core, &mut access_entry, failed, runs, refusal);
+            }
+            None => return cut_off(core, &mut access_entry, failed, runs),
         }
-        let mut reservation = match reserve_capacity(
-            core,
-            call.capacity_request(placement.clone(), max_wait),
-        )
-        .await
-        {
-            Ok(reservation) => reservation,
-            Err(refusal) => {
-                if let Some(response) = failed {
-                    return deliver_response(core, &mut access_entry, response);
-                }
-                let kind = match runs {
-                    0 => refusal.kind(),
-                    _ => ErrorKind::TargetLost,
-                };
-                let retry = (runs == 0).then(|| refusal.retry_after());
-                return failure_response(core, &mut access_entry, kind, retry);
+        let capacity_request = call.capacity_request(placement.clone(), max_wait);
+        let reserved = core
+            .until_cut_off(reserve_capacity(core, capacity_request))
+            .await;
+        let mut reservation = match reserved {
+            Some(Ok(reservation)) => reservation,
+            Some(Err(refusal)) => {
+                let refusal = (refusal.kind(), Some(refusal.retry_after()));
+                return end_unsent(core, &mut access_entry, failed, runs, refusal);
             }
+            None => return cut_off(core, &mut access_entry, failed, runs),
         };
         access_entry.record_target(&reservation);
         let may_repeat = call.route.repeat == RepeatPolicy::Idempotent;
@@ -104,15 +97,18 @@
             true => attempt_timeout_at(&call).min(deadline),
             false => deadline,
         };
-        let outcome = attempt(
+        let attempted = attempt(
             core,
             &call,
             &mut reservation,
             &trial,
             attempt_deadline,
             &mut access_entry,
-        )
-        .await;
+        );
+        let Some(outcome) = core.until_cut_off(attempted).await else {
+            runs += u32::from(reservation.is_in_flight());
+            return cut_off(core, &mut access_entry, failed, runs);
+        };
         if matches!(outcome, AttemptOutcome::TrialRequired) {
             continue;
         }
@@ -127,13 +123,7 @@
             }
             AttemptOutcome::Unsent | AttemptOutcome::RateUsed if !is_past_deadline => continue,
             AttemptOutcome::Forbidden(kind, retry) => {
-                return match (failed, runs) {
-                    (Some(response), _) => deliver_response(core, &mut access_entry, response),
-                    (None, 0) => failure_response(core, &mut access_entry, kind, retry),
-                    (None, _) => {
-                        failure_response(core, &mut access_entry, ErrorKind::TargetLost, None)
-                    }
-                };
+                return end_unsent(core, &mut access_entry, failed, runs, (kind, retry));
             }
             AttemptOutcome::Unsent
             | AttemptOutcome::RateUsed
@@ -162,15 +152,37 @@
             };
         }
     }
+    let refusal = (ErrorKind::NoTarget, Some(REFUSED_RETRY));
+    end_unsent(core, &mut access_entry, failed, runs, refusal)
+}
+
+/// Ends a call that is not sent any more: with the failure that a target responded with, with
+/// `refusal` if the call never ran, or as lost.
+fn end_unsent(
+    core: &GatewayCore,
+    access_entry: &mut AccessEntry,
+    failed: Option<BufferedResponse>,
+    runs: u32,
+    refusal: (ErrorKind, Option<TimeSpan>),
+) -> Response<WebBody> {
+    let (kind, retry) = refusal;
     match (failed, runs) {
-        (Some(response), _) => deliver_response(core, &mut access_entry, response),
-        (None, 0) => failure_response(
-            core,
-            &mut access_entry,
-            ErrorKind::NoTarget,
-            Some(REFUSED_RETRY),
-        ),
-        (None, _) => failure_response(core, &mut access_entry, ErrorKind::TargetLost, None),
+        (Some(response), _) => deliver_response(core, access_entry, response),
+        (None, 0) => failure_response(core, access_entry, kind, retry),
+        (None, _) => failure_response(core, access_entry, ErrorKind::TargetLost, None),
+    }
+}
+
+/// Ends a call that is in progress when the process stops.
+fn cut_off(
+    core: &GatewayCore,
+    access_entry: &mut AccessEntry,
+    failed: Option<BufferedResponse>,
+    runs: u32,
+) -> Response<WebBody> {
+    match failed {
+        Some(response) => deliver_response(core, access_entry, response),
+        None => cut_off_response(core, access_entry, runs > 0),
     }
 }
 
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -9,7 +9,7 @@
 use super::AccessEntry;
 use super::admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
 use super::buffered_response::deliver_response;
-use super::failure_response::{close_if_stopping, failure_response};
+use super::failure_response::{close_if_stopping, cut_off_response, failure_response};
 use super::response_sender::ResponseSender;
 use super::stream_relay::{RelayParts, StreamRelay};
 use super::target_send::{SendOutcome, TargetResponse, read_response, send_call};
@@ -43,24 +43,34 @@
         let now = core.now();
         let max_wait = capacity_deadline.since(now).min(call.remaining(now));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
-        let acquired = trial.acquire(&core, &call.features, trial_deadline).await;
+        let acquired = trial.acquire(&core, &call.features, trial_deadline);
+        let Some(acquired) = core.until_cut_off(acquired).await else {
+            return cut_off_response(&core, &mut access_entry, false);
+        };
         if let Err(retry) = acquired {
             access_entry.add_reason("other calls with a suspected part of its prompt run first");
             let kind = ErrorKind::CrashSuspect;
             return failure_response(&core, &mut access_entry, kind, Some(retry));
         }
         let capacity_request = call.capacity_request(placement.clone(), max_wait);
-        let acquired = reserve_capacity(&core, capacity_request).await;
-        let mut reservation = match acquired {
-            Ok(reservation) => reservation,
-            Err(refusal) => {
+        let reserved = core
+            .until_cut_off(reserve_capacity(&core, capacity_request))
+            .await;
+        let mut reservation = match reserved {
+            Some(Ok(reservation)) => reservation,
+            Some(Err(refusal)) => {
                 let retry = Some(refusal.retry_after());
                 return failure_response(&core, &mut access_entry, refusal.kind(), retry);
             }
+            None => return cut_off_response(&core, &mut access_entry, false),
         };
         access_entry.record_target(&reservation);
         let target = reservation.target.clone();
-        let outcome = send_call(&core, &call, &mut reservation, None, &trial, deadline).await;
+        let sent = send_call(&core, &call, &mut reservation, None, &trial, deadline);
+        let Some(outcome) = core.until_cut_off(sent).await else {
+            let was_sent = reservation.is_in_flight();
+            return cut_off_response(&core, &mut access_entry, was_sent);
+        };
         outcome.record_reason(&target, &mut access_entry);
         if matches!(outcome, SendOutcome::Forbidden(SendRefusal::TrialRequired)) {
             continue;
@@ -140,9 +150,11 @@
     deadline: tokio::time::Instant,
 ) -> Response<WebBody> {
     access_entry.record_first_byte();
-    match read_response(core, response, deadline).await {
-        Ok(response) => deliver_response(core, &mut access_entry, response),
-        Err(reason) => {
+    let read = core.until_cut_off(read_response(core, response, deadline));
+    match read.await {
+        None => cut_off_response(core, &mut access_entry, true),
+        Some(Ok(response)) => deliver_response(core, &mut access_entry, response),
+        Some(Err(reason)) => {
             access_entry.add_reason(reason);
             failure_response(core, &mut access_entry, ErrorKind::TargetLost, None)
         }
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -242,6 +242,7 @@
         route: (&call.host, call.path_and_query.path()),
         key: call.caller_headers.key.as_ref(),
         version: call.config_version,
+        longest_time: call.longest_time(core.now()),
         is_resume,
         permit,
     };
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -6,14 +6,15 @@
 use base::{EventKind, TimeSpan};
 use node::MetricsExport;
 use snafu::{ResultExt, Snafu};
-use tokio::time::{Instant, interval, sleep};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, interval, sleep, timeout_at};
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
 
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
 use crate::relay::CallHandler;
-use crate::{GatewayCore, GatewayPorts, GatewaySettings, ViewArea};
+use crate::{GatewayCore, GatewayPorts, GatewaySettings, StopPlan, ViewArea};
 
 /// Time-out of connecting to a target: some round trips between failure domains.
 const TARGET_CONNECT_TIMEOUT: TimeSpan = TimeSpan::new(250);
@@ -30,8 +31,8 @@
 /// Shortest time from a stop signal to the end of the process: the load balancer notices after two
 /// failed checks of a second each, and new connections arrive until then.
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
-/// Time before the end of the grace period at which calls have to be over.
-const STOP_MARGIN: TimeSpan = TimeSpan::new(900);
+/// Time before the end of the grace period at which the process ends, whatever is in progress.
+const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
@@ -48,6 +49,8 @@
 pub struct GatewayServer {
     core: Arc<GatewayCore>,
     stop: StopSignal,
+    /// Task that serves the connections of callers.
+    caller_server: JoinHandle<()>,
 }
 
 impl GatewayServer {
@@ -61,11 +64,13 @@
         let peers = PoolSettings::new().with_connect_timeout(PEER_CONNECT_TIMEOUT);
         let core = GatewayCore::new(settings, ports, rand::random())
             .with_pools(ConnectionPool::new(targets), ConnectionPool::new(peers));
+        let core = Arc::new(core);
+        let stop = StopSignal::new();
         let server = Self {
-            core: Arc::new(core),
-            stop: StopSignal::new(),
+            caller_server: listen(&core, &stop).await?,
+            core,
+            stop,
         };
-        server.listen().await?;
         server.spawn_tasks();
         let settings = &server.core.settings;
         log::info!(
@@ -93,13 +98,18 @@
     /// Shuts down gracefully: lets calls end and returns when the process may exit.
     ///
     /// New calls are served as long as they can be expected to end in time. Just before the end, all
-    /// new calls are refused for a moment, so that none is cut off.
+    /// new calls are refused for a moment, so that none is cut off. The responses of all calls have
+    /// been written when this returns, unless their callers do not read them within the grace
+    /// period.
     pub async fn stop(self) {
         let core = &self.core;
-        let grace = core.settings.stop_grace.saturating_sub(STOP_MARGIN);
-        let end = Instant::now() + Duration::from(grace);
-        let earliest_end = (Instant::now() + Duration::from(MIN_STOP_TIME)).min(end);
-        core.begin_stop(core.now() + grace);
+        let grace = core.settings.stop_grace;
+        let (start, started_at) = (Instant::now(), core.now());
+        let plan = StopPlan::new(started_at, grace);
+        let close_at = start + Duration::from(plan.calls_end.since(started_at));
+        let earliest_close = (start + Duration::from(MIN_STOP_TIME)).min(close_at);
+        let exit_at = start + Duration::from(grace.saturating_sub(EXIT_MARGIN));
+        core.begin_stop(plan);
         let active = core.with_state(|state, _| state.active_calls);
         log::info!(
             event = EventKind::NodeStopping.number(),
@@ -107,18 +117,20 @@
             active = active;
             "shutting down"
         );
-        self.wait_idle(earliest_end, end).await;
+        self.wait_idle(earliest_close, close_at).await;
         core.close();
-        let refusal_end = Instant::now() + REFUSAL_TIME;
-        self.wait_idle(refusal_end, refusal_end).await;
+        let refusal_end = (Instant::now() + REFUSAL_TIME).min(exit_at);
+        self.wait_idle(refusal_end, exit_at).await;
         self.stop.stop();
         let (active, streams) =
             core.with_state(|state, _| (state.active_calls, state.active_streams));
+        let is_drained = timeout_at(exit_at, self.caller_server).await.is_ok();
         log::info!(
             event = EventKind::NodeStopped.number(),
             node = core.node().as_str(),
             active = active,
-            streams = streams;
+            streams = streams,
+            drained = is_drained;
             "shut down"
         );
     }
@@ -136,51 +148,6 @@
         }
     }
 
-    /// Opens the listening sockets for callers, readiness checks, peers and metrics.
-    async fn listen(&self) -> Result<(), StartError> {
-        let settings = &self.core.settings;
-        let caller_limits = ServerLimits::new()
-            .with_connections(MAX_CALLER_CONNECTIONS)
-            .with_header_limits(64 << 10, TimeSpan::from_secs(30));
-        let internal_limits = ServerLimits::new();
-        let core = &self.core;
-        self.open(
-            settings.caller_address,
-            caller_limits,
-            CallHandler::new(core.clone()),
-        )
-        .await?;
-        self.open(
-            settings.ready_address,
-            internal_limits,
-            ReadyHandler::new(core.clone()),
-        )
-        .await?;
-        self.open(
-            settings.peer_address,
-            internal_limits,
-            PeerHandler::new(core.clone()),
-        )
-        .await?;
-        if let Some(address) = settings.metrics_address {
-            self.open(address, internal_limits, MetricsHandler).await?;
-        }
-        Ok(())
-    }
-
-    /// Opens a listening socket and serves it in a task.
-    async fn open(
-        &self,
-        address: SocketAddr,
-        limits: ServerLimits,
-        handler: impl WebHandler,
-    ) -> Result<(), StartError> {
-        let bound = WebServer::bind(address).await;
-        let server = bound.context(StartSnafu { address })?.with_limits(limits);
-        tokio::spawn(server.serve(Arc::new(handler), self.stop.clone()));
-        Ok(())
-    }
-
     /// Starts the background tasks: store feeds, engine reports, peer exchange, and periodic work.
     fn spawn_tasks(&self) {
         for area in [ViewArea::Config, ViewArea::Targets] {
@@ -210,6 +177,39 @@
     }
 }
 
+/// Opens the listening sockets for callers, readiness checks, peers and metrics; returns the task
+/// that serves callers.
+async fn listen(core: &Arc<GatewayCore>, stop: &StopSignal) -> Result<JoinHandle<()>, StartError> {
+    let settings = &core.settings;
+    let caller_limits = ServerLimits::new()
+        .with_connections(MAX_CALLER_CONNECTIONS)
+        .with_header_limits(64 << 10, TimeSpan::from_secs(30));
+    let internal_limits = ServerLimits::new();
+    let callers = CallHandler::new(core.clone());
+    let callers = open(settings.caller_address, caller_limits, callers, stop).await?;
+    let ready = ReadyHandler::new(core.clone());
+    open(settings.ready_address, internal_limits, ready, stop).await?;
+    let peers = PeerHandler::new(core.clone());
+    open(settings.peer_address, internal_limits, peers, stop).await?;
+    if let Some(address) = settings.metrics_address {
+        open(address, internal_limits, MetricsHandler, stop).await?;
+    }
+    Ok(callers)
+}
+
+/// Opens a listening socket and serves it in a task until `stop` is set and all its requests have
+/// ended.
+async fn open(
+    address: SocketAddr,
+    limits: ServerLimits,
+    handler: impl WebHandler,
+    stop: &StopSignal,
+) -> Result<JoinHandle<()>, StartError> {
+    let bound = WebServer::bind(address).await;
+    let server = bound.context(StartSnafu { address })?.with_limits(limits);
+    Ok(tokio::spawn(server.serve(Arc::new(handler), stop.clone())))
+}
+
 /// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
 fn reload_settings(core: &GatewayCore, cause: &str) {
     let settings = match core.ports.settings.read() {
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -184,6 +184,11 @@
             .with_state(|state, _| state.attempts.record_begin(*id, began_at));
     }
 
+    /// Whether the call was sent and its outcome is unknown.
+    pub fn is_in_flight(&self) -> bool {
+        self.attempt.is_some()
+    }
+
     /// Whether the call was sent as a trial of suspected parts of its prompt.
     pub fn is_trial(&self) -> bool {
         let attempt = self.attempt.as_ref();
--- a/crates/gateway/src/state/coordinator_state.rs
+++ b/crates/gateway/src/state/coordinator_state.rs
@@ -193,7 +193,7 @@
 
     fn rank_own_domain(&self, now: ClockTime) -> Vec<SocketAddr> {
         let own = self.peers.own_address();
-        let own = own.filter(|_| self.stop_deadline.is_none());
+        let own = own.filter(|_| self.stop_plan.is_none());
         let own = own.map(|address| (self.own_candidate(), address));
         let candidates = own.into_iter().collect();
         self.rank_domain(now, &self.domain, COORDINATOR_ALIVE_TIMEOUT, candidates)
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -10,7 +10,7 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal};
+use super::{CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -66,6 +66,7 @@
     blame_changes: watch::Sender<u64>,
     report_version: watch::Sender<ReportVersion>,
     config_revision_hints: watch::Sender<u64>,
+    stop_changes: watch::Sender<()>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
 }
@@ -81,6 +82,7 @@
             blame_changes: watch::Sender::new(0),
             report_version: watch::Sender::new(ReportVersion::default()),
             config_revision_hints: watch::Sender::new(0),
+            stop_changes: watch::Sender::new(()),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
@@ -157,24 +159,54 @@
             })
     }
 
-    /// Begins to stop: the node is no longer ready, and only serves calls that can end before `end`.
-    pub fn begin_stop(&self, end: ClockTime) {
-        self.with_state(|state, _| state.stop_deadline = Some(end));
+    /// Begins to stop: the node is no longer ready, and only serves calls that can end in time.
+    pub fn begin_stop(&self, plan: StopPlan) {
+        self.with_state(|state, _| state.stop_plan = Some(plan));
+        self.stop_changes.send_replace(());
     }
 
-    /// Refuses all calls that arrive from now on.
+    /// Refuses all calls that arrive from now on; those in progress continue.
     pub fn close(&self) {
-        self.with_state(|state, now| state.stop_deadline = Some(now));
+        self.with_state(|state, _| {
+            if let Some(plan) = &mut state.stop_plan {
+                plan.close();
+            }
+        });
     }
 
     /// Whether a call that takes `span` can end before the process stops.
     pub fn can_finish(&self, span: TimeSpan) -> bool {
-        self.with_state(|state, now| state.stop_deadline.is_none_or(|end| now + span < end))
+        self.with_state(|state, now| state.can_finish(now, span))
     }
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.with_state(|state, _| state.stop_deadline.is_some())
+        self.with_state(|state, _| state.stop_plan.is_some())
+    }
+
+    /// Runs `work` to its end; `None` if calls have to end before that, as the process stops.
+    pub async fn until_cut_off<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = work => Some(output),
+            () = self.cut_off() => None,
+        }
+    }
+
+    /// Waits until calls in progress have to end, as the process stops.
+    async fn cut_off(&self) {
+        let mut changes = self.stop_changes.subscribe();
+        loop {
+            let left = self.with_state(|state, now| {
+                let plan = state.stop_plan.as_ref();
+                plan.map(|plan| plan.cut_off_at.since(now))
+            });
+            match left {
+                Some(left) => return sleep(left.into()).await,
+                None if changes.changed().await.is_ok() => {}
+                None => return std::future::pending().await,
+            }
+        }
     }
 
     /// Takes one retry to a service from this node's share of the budget; `false` if it is used up.
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -10,7 +10,7 @@
 use facts::FactLimiter;
 use tokio::sync::oneshot;
 
-use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, ViewState};
+use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, StopPlan, ViewState};
 use crate::peer::FactOutbox;
 use crate::{GatewaySettings, RetrySettings, ViewArea};
 
@@ -113,8 +113,8 @@
     pub copy_locks: CopyLocks,
     /// Number of calls whose answer has not begun.
     pub active_calls: usize,
-    /// Time by which calls have to end; set once the process is stopping.
-    pub stop_deadline: Option<ClockTime>,
+    /// Times of the shutdown; set once the process is stopping.
+    pub stop_plan: Option<StopPlan>,
     /// Whether a request to the store that waits for changes of targets is open.
     pub is_watching_store: bool,
     /// Number of streams that are being relayed.
@@ -153,7 +153,7 @@
             copy_locks: CopyLocks::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
-            stop_deadline: None,
+            stop_plan: None,
             is_watching_store: false,
             node: settings.node.clone(),
             domain: settings.domain.clone(),
@@ -410,6 +410,12 @@
         true
     }
 
+    /// Whether a call that begins now and takes `span` can end before the process stops.
+    pub fn can_finish(&self, now: ClockTime, span: TimeSpan) -> bool {
+        let plan = self.stop_plan.as_ref();
+        plan.is_none_or(|plan| plan.can_finish(now, span))
+    }
+
     /// Number of nodes among which budgets are divided, this one included. In a large fleet, a node
     /// hears only some of the others itself.
     pub fn sharing_nodes(&self, now: ClockTime) -> usize {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod queue_guard;
 mod rate_state;
 mod send_check;
+mod stop_plan;
 mod target_updates;
 mod view_state;
 
@@ -19,5 +20,6 @@
 pub use gateway_state::GatewayState;
 pub use peer_table::{ALIVE_TIMEOUT, PeerInfo, PeerTable};
 pub use placed_target::PlacedTarget;
-pub use send_check::{SendCheck, SendRefusal};
+pub use send_check::{OTHER_NODE_RETRY, SendCheck, SendRefusal};
+pub use stop_plan::StopPlan;
 pub use view_state::ViewState;
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -6,6 +6,9 @@
 
 use super::GatewayState;
 
+/// `Retry-After` for calls that this node can't serve but other nodes may.
+pub const OTHER_NODE_RETRY: TimeSpan = TimeSpan::new(100);
+
 /// What is checked of a call before it is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendCheck<'a> {
@@ -21,6 +24,8 @@
     pub key: Option<&'a SmolStr>,
     /// Version of the configuration under which it was admitted.
     pub version: ConfigVersion,
+    /// Longest time that the call may take.
+    pub longest_time: TimeSpan,
     /// Whether the send resumes a generation, which was admitted before.
     pub is_resume: bool,
     /// Permit of the send, which a target that names a rate requires; `None` if it is requested
@@ -40,6 +45,8 @@
     TrialRequired,
     /// A newer configuration does not admit it: its route is gone or its key is not valid.
     AdmissionRevoked(ErrorKind),
+    /// It may take longer than the time left before this node stops.
+    Stopping,
     /// The chosen target must not get it, for this reason; another one may.
     TargetUnavailable(&'static str),
     /// The rate of calls that the chosen target names is used up; another target may get it.
@@ -57,6 +64,7 @@
             }
             Self::TrialRequired => f.write_str("a part of its prompt may have crashed targets"),
             Self::AdmissionRevoked(kind) => write!(f, "{kind} by a newer configuration"),
+            Self::Stopping => f.write_str("it may take longer than this node still runs"),
             Self::TargetUnavailable(reason) => f.write_str(reason),
             Self::RateUsed { retry_after } => {
                 write!(f, "the rate that it names is used up for {retry_after}")
@@ -74,6 +82,7 @@
                 Some((ErrorKind::CrashSuspect, Some(*retry_after)))
             }
             Self::AdmissionRevoked(kind) => Some((*kind, None)),
+            Self::Stopping => Some((ErrorKind::Stopping, Some(OTHER_NODE_RETRY))),
             Self::TrialRequired | Self::TargetUnavailable(_) | Self::RateUsed { .. } => None,
         }
     }
@@ -88,6 +97,9 @@
     pub fn check_send(&self, now: ClockTime, check: &SendCheck<'_>) -> Result<(), SendRefusal> {
         if !check.is_resume {
             self.check_admission(check)?;
+            if !self.can_finish(now, check.longest_time) {
+                return Err(SendRefusal::Stopping);
+            }
         }
         match self.facts.verdict(now, check.features) {
             CallVerdict::Unrestricted => {}
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -6,7 +6,7 @@
 use base::{ClockTime, CoreShare, TimeSpan};
 use entry::ConfigVersion;
 use facts::FactDigest;
-use gateway::NodeDigest;
+use gateway::{NodeDigest, StopPlan};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -79,7 +79,8 @@
         true => (&second, &first),
         false => (&first, &second),
     };
-    coordinator.server.core().close();
+    let core = coordinator.server.core();
+    core.begin_stop(StopPlan::new(core.now(), TimeSpan::from_secs(8)));
     assert_eq!(generate(follower.callers, "g1").await, 200);
     assert_eq!(accepted_count(follower), 0);
     assert!(!has_other_coordinator(follower));
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod prompt_parts;
 mod rates;
 mod send_checks;
+mod stopping;
 mod streams;
 mod support;
 mod unframed;
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -5,7 +5,7 @@
 use base::{CallRate, ClockTime, ErrorKind, PartId, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, ConfigVersion, FeatureId, SendPermit, SuspectCall};
-use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal};
+use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -25,6 +25,7 @@
     Rate,
     Key,
     Route,
+    Stop,
 }
 
 const KEY: SmolStr = SmolStr::new_static("key-1");
@@ -96,6 +97,7 @@
         }
         Change::Key => store.put_config_without(2, "key-1"),
         Change::Route => store.put_config_without(2, "/locked/"),
+        Change::Stop => core.begin_stop(StopPlan::new(core.now(), TimeSpan::from_secs(3))),
     }
 }
 
@@ -143,6 +145,11 @@
             Some("not_found by a newer configuration"),
             None,
         ),
+        (
+            Change::Stop,
+            Some("it may take longer than this node still runs"),
+            None,
+        ),
     ];
     for (change, first, resumed) in cases {
         let (store, targets, gateway) = start_setup("app", &[TargetMode::Answer]).await;
@@ -165,6 +172,7 @@
                 route: ("shop.example", "/locked/1"),
                 key: Some(&KEY),
                 version: ConfigVersion(1),
+                longest_time: TimeSpan::from_secs(5),
                 is_resume,
                 // Taken before the change.
                 permit: Some(SendPermit::default()),
@@ -186,6 +194,8 @@
     assert_eq!(suspect.caller_error(), Some(crash));
     let revoked = SendRefusal::AdmissionRevoked(ErrorKind::UnknownKey);
     assert_eq!(revoked.caller_error(), Some((ErrorKind::UnknownKey, None)));
+    let stopping = SendRefusal::Stopping.caller_error();
+    assert_eq!(stopping.map(|(kind, _)| kind), Some(ErrorKind::Stopping));
     assert_eq!(
         SendRefusal::TargetUnavailable("the target leaves").caller_error(),
         None
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -1,5 +1,8 @@
 //! Event streams: moves to another engine, lost streams and the shutdown of the gateway.
 
+use base::TimeSpan;
+use gateway::StopPlan;
+
 use crate::support::{
     CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
 };
@@ -119,7 +122,9 @@
     let target = FakeTarget::start("app", TargetMode::Answer).await;
     store.put_target(&target, "ready");
     let gateway = Gateway::start_ready(&store).await;
-    gateway.server.core().close();
+    let core = gateway.server.core();
+    core.begin_stop(StopPlan::new(core.now(), TimeSpan::from_secs(8)));
+    core.close();
     let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
     assert_eq!(answer.status, 503);
     assert!(answer.text.contains("retry-after"));
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -22,6 +22,10 @@
 pub enum TargetMode {
     /// Sends a complete response.
     Answer,
+    /// Sends a complete response this many milliseconds after the call.
+    AnswerAfter(u64),
+    /// Sends a complete response with a body of this many bytes.
+    LargeAnswer(usize),
     /// Refuses the call, stating that it did not run.
     Refuse,
     /// Refuses the call, stating that it was meant for another target.
@@ -328,6 +332,14 @@
     };
     let text = match mode {
         Some(TargetMode::Answer) => complete(&id),
+        Some(TargetMode::AnswerAfter(millis)) => {
+            sleep(Duration::from_millis(millis)).await;
+            complete(&id)
+        }
+        Some(TargetMode::LargeAnswer(bytes)) => {
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: {bytes}\r\n\r\n");
+            head + &"a".repeat(bytes)
+        }
         Some(TargetMode::Foreign) => complete("other"),
         Some(TargetMode::Fail(status)) => {
             let head = format!("HTTP/1.1 {status} Failed\r\nx-id: {id}\r\n{notices}");
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -3,11 +3,13 @@
 
 mod fake_ports;
 mod fake_target;
+mod gateway_process;
 mod test_caller;
 
 pub use fake_ports::{FakeStore, LostResponses, ports};
 pub use fake_target::{DEADLY_PART, FakeTarget, LeavingSignal, TargetMode, UnframedEnd};
-pub use test_caller::{CallerResponse, call, get, open_stream, post};
+pub use gateway_process::GatewayProcess;
+pub use test_caller::{CallerResponse, KeptConnection, call, get, open_stream, post};
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
--- a/crates/gateway/tests/gateway/support/test_caller.rs
+++ b/crates/gateway/tests/gateway/support/test_caller.rs
@@ -34,12 +34,17 @@
     read_response(stream).await
 }
 
-/// Reads until the connection is closed; a status that is missing reads as 0.
+/// Reads until the connection is closed.
 async fn read_response(mut stream: TcpStream) -> CallerResponse {
     let mut bytes = Vec::new();
     // After a reset, what arrived before it counts.
     let _ = stream.read_to_end(&mut bytes).await;
-    let text = String::from_utf8_lossy(&bytes).into_owned();
+    parse_response(&bytes)
+}
+
+/// Reads the status of a response; one that is missing reads as 0.
+fn parse_response(bytes: &[u8]) -> CallerResponse {
+    let text = String::from_utf8_lossy(bytes).into_owned();
     let status = text
         .split(' ')
         .nth(1)
@@ -50,6 +55,52 @@
     }
 }
 
+/// Connection of a caller that is kept open between calls.
+pub struct KeptConnection {
+    stream: TcpStream,
+}
+
+impl KeptConnection {
+    pub async fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        Self { stream }
+    }
+
+    /// Sends a call and reads the response, which has to state its length or to come in chunks;
+    /// `None` if the connection ends before a whole response.
+    pub async fn call(&mut self, path: &str, headers: &str) -> Option<CallerResponse> {
+        let text = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 0\r\n{headers}\r\n"
+        );
+        self.stream.write_all(text.as_bytes()).await.ok()?;
+        let mut bytes = Vec::new();
+        loop {
+            let mut part = [0; 4_096];
+            let count = self.stream.read(&mut part).await.ok()?;
+            if count == 0 {
+                return None;
+            }
+            bytes.extend_from_slice(&part[..count]);
+            if is_whole(&bytes) {
+                return Some(parse_response(&bytes));
+            }
+        }
+    }
+}
+
+/// Whether bytes are a whole response with a length or in chunks.
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes).to_ascii_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    match lines.find_map(|line| line.strip_prefix("content-length: ")) {
+        Some(length) => body.len() >= length.parse().unwrap(),
+        None => body.ends_with("0\r\n\r\n"),
+    }
+}
+
 /// Sends a call and returns its open connection.
 pub async fn open_stream(address: SocketAddr, path: &str, headers: &str, body: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.unwrap();
