Write the last log lines of a gateway before its process ends

Cause: the thread that writes the log pauses 20 ms between two writes, and the process exited without waiting for it. Handlers of signals were installed after the gateway listened.

Signal handlers are installed before the gateway listens.

--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -1,11 +1,11 @@
+use std::io;
+
 use argh::FromArgs;
-use base::EventKind;
 use gateway::GatewayServer;
 use platform::{SettingsFile, make_ports};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
-use super::node_command::stop_signal;
 
 /// Run an entry node on the users' platform until SIGTERM or SIGINT; SIGHUP reloads the settings.
 #[derive(FromArgs)]
@@ -49,6 +49,13 @@
             println!("settings of {} are valid", settings.node);
             return EXIT_SUCCESS;
         }
+        let mut signals = match GatewaySignals::install() {
+            Ok(signals) => signals,
+            Err(error) => {
+                eprintln!("cannot install signal handlers: {error}");
+                return EXIT_FAILURE;
+            }
+        };
         let started = GatewayServer::start(settings, make_ports(file, store)).await;
         let server = match started {
             Ok(server) => server,
@@ -57,26 +64,37 @@
                 return EXIT_FAILURE;
             }
         };
-        serve_until_stopped(&server).await;
+        signals.serve_until_stopped(&server).await;
         server.stop().await;
         EXIT_SUCCESS
     }
 }
 
-async fn serve_until_stopped(server: &GatewayServer) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            let number = EventKind::ProcessMessage.number();
-            log::warn!(event = number; "cannot install the SIGHUP handler, so settings are not reloaded: {error}");
-            return stop_signal().await;
-        }
-    };
-    let mut stop = Box::pin(stop_signal());
-    loop {
-        tokio::select! {
-            () = &mut stop => return,
-            _ = hangup.recv() => server.reload("SIGHUP"),
+/// Signals that a gateway handles. They are installed before it serves, as each of them would end
+/// the process otherwise.
+struct GatewaySignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl GatewaySignals {
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Returns on SIGTERM or SIGINT; reloads the settings on each SIGHUP before that.
+    async fn serve_until_stopped(&mut self, server: &GatewayServer) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => server.reload("SIGHUP"),
+            }
         }
     }
 }
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -73,10 +73,13 @@
             false => LevelFilter::Info,
         };
         let level = self.log_level.unwrap_or(default);
-        match self.sub {
-            SubCommand::Gateway(_) => start_bounded_logging(level),
-            _ => start_logging(self.log_format, level),
-        }
+        let writer = match self.sub {
+            SubCommand::Gateway(_) => Some(start_bounded_logging(level)),
+            _ => {
+                start_logging(self.log_format, level);
+                None
+            }
+        };
         let code = match self.sub {
             SubCommand::Node(command) => run_multi_threaded(command.run()),
             SubCommand::Gateway(command) => run_single_threaded(command.run()),
@@ -87,6 +90,9 @@
             SubCommand::Demo(command) => run_multi_threaded(command.run()),
             SubCommand::StandIn(command) => run_multi_threaded(command.run()),
         };
+        if let Some(writer) = writer {
+            writer.flush();
+        }
         ExitCode::from(code)
     }
 }
--- /dev/null
+++ b/crates/agatemoor/tests/gateway_exit.rs
@@ -0,0 +1,96 @@
+//! The end of a gateway process.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+/// Processes that are stopped; whether the last lines of one are lost depends on the moment.
+const PROCESSES: u8 = 8;
+/// Longest wait for a process to listen or to exit.
+const PROCESS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Writes the settings of a gateway whose store does not answer; returns their path.
+fn write_settings(host: Ipv4Addr) -> PathBuf {
+    let address = |port: u16| SocketAddr::new(host.into(), port).to_string();
+    let settings = json!({
+        "nodeName": format!("edge-{}", host.octets()[3]),
+        "zone": "patan",
+        "listen": {"front": address(23_000), "ready": address(24_000), "control": address(25_000)},
+        "seeds": [],
+        "bounds": {"graceS": 2, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 56},
+        "platform": {"address": address(21_000)},
+        "limits": {"cpuShare": 0.25},
+    });
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("exit-{host}.json"));
+    fs::write(&path, settings.to_string()).unwrap();
+    path
+}
+
+fn start_gateway(host: Ipv4Addr) -> Child {
+    let child = Command::new(env!("CARGO_BIN_EXE_agatemoor"))
+        .arg("gateway")
+        .env("AGATEMOOR_BOOT", write_settings(host))
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn();
+    child.unwrap()
+}
+
+/// Makes calls until the gateway is gone, so that it logs lines all the time.
+fn call_until_gone(callers: SocketAddr) {
+    while let Ok(mut stream) = TcpStream::connect(callers) {
+        let request =
+            b"GET / HTTP/1.1\r\nhost: a\r\nrequest-attempt-id: 1\r\nconnection: close\r\n\r\n";
+        // The gateway may close the connection at any moment.
+        let _ = stream.write_all(request);
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+}
+
+/// Stops a gateway while it is called; returns what it logged.
+fn stop_gateway(host: Ipv4Addr) -> String {
+    let mut gateway = start_gateway(host);
+    let callers = SocketAddr::new(host.into(), 23_000);
+    let start = Instant::now();
+    while TcpStream::connect(callers).is_err() {
+        assert!(start.elapsed() < PROCESS_TIMEOUT, "the gateway listens");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let calling = thread::spawn(move || call_until_gone(callers));
+    let id = gateway.id().to_string();
+    let kill = Command::new("kill").args(["-s", "TERM", &id]).status();
+    assert!(kill.unwrap().success());
+    let mut log = String::new();
+    gateway
+        .stdout
+        .take()
+        .unwrap()
+        .read_to_string(&mut log)
+        .unwrap();
+    assert!(gateway.wait().unwrap().success());
+    calling.join().unwrap();
+    log
+}
+
+// Guards against log lines of the last moments that are lost when the process ends; they tell why a
+// call of a planned stop has no answer.
+#[test]
+fn the_last_log_lines_are_written() {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let hosts = (1..=PROCESSES).map(|number| Ipv4Addr::new(127, 16 + high % 16, low, number));
+    let runs: Vec<_> = hosts
+        .map(|host| thread::spawn(move || stop_gateway(host)))
+        .collect();
+    for run in runs {
+        let log = run.join().unwrap();
+        assert!(log.contains("\"event\":1002"), "the stop began");
+        assert!(log.contains("\"event\":1003"), "the last line is missing");
+    }
+}
