Hold requests for the head of a declaration no longer than they may take

Operators saw: readers of an undisturbed fleet of the product's nodes reported the platform as lost, as a request was held for 30 s and counted as failed after 12 s.

Cause: the action to read the head did not say how long to wait; the actor used a constant of its own, whatever the settings said.

Change: the action names the wait, and the actor passes it on.

--- a/crates/fleet/src/distribution/platform_watch.rs
+++ b/crates/fleet/src/distribution/platform_watch.rs
@@ -122,14 +122,18 @@
             return;
         }
         let index = if self.is_reader { self.index } else { 0 };
+        let wait = match index {
+            0 => TimeSpan::ZERO,
+            _ => self.watch_wait,
+        };
         let timeout = match index {
             0 => self.read_timeout,
-            _ => self.watch_wait + self.watch_grace,
+            _ => wait + self.watch_grace,
         };
         let call = self.open(now, timeout, 1);
         self.head_call = Some(call);
         let call = call.call;
-        actions.push(RevisionAction::ReadHead { call, index });
+        actions.push(RevisionAction::ReadHead { call, index, wait });
     }
 
     /// Reads the missing keys of a pending set if the budget allows it.
--- a/crates/fleet/src/distribution/revision_action.rs
+++ b/crates/fleet/src/distribution/revision_action.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::NodeName;
+use base::{NodeName, TimeSpan};
 use schema::fleet::{PullRequest, RevisionDigest};
 use smol_str::SmolStr;
 
@@ -50,6 +50,8 @@
         call: u64,
         /// Index after which the platform is to wait for a change; with 0 it answers at once.
         index: u64,
+        /// Time for which the platform is to wait. The call counts as failed some time after it.
+        wait: TimeSpan,
     },
     /// Read other keys and pass them to `on_keys_answer` with the same number.
     ReadKeys {
--- a/crates/fleet/src/distribution/revision_sync.rs
+++ b/crates/fleet/src/distribution/revision_sync.rs
@@ -40,12 +40,13 @@
 /// carries out the returned actions.
 ///
 /// ```
-/// use base::ClockTime;
+/// use base::{ClockTime, TimeSpan};
 /// use fleet::{RevisionAction, RevisionSettings, RevisionSync};
 /// let (node, domain) = ("n1".parse().unwrap(), "patan".parse().unwrap());
 /// let mut sync = RevisionSync::new(node, domain, RevisionSettings::default(), 7);
 /// let actions = sync.on_reader_role(ClockTime::ZERO, true);
-/// assert_eq!(actions, [RevisionAction::ReadHead { call: 1, index: 0 }]);
+/// let wait = TimeSpan::ZERO;
+/// assert_eq!(actions, [RevisionAction::ReadHead { call: 1, index: 0, wait }]);
 /// assert!(!sync.is_ready());
 /// ```
 pub struct RevisionSync {
--- a/crates/fleet/tests/distribution_differential.rs
+++ b/crates/fleet/tests/distribution_differential.rs
@@ -104,7 +104,7 @@
         let now = ClockTime::new(self.now);
         while let Some(action) = actions.pop() {
             let more = match action {
-                RevisionAction::ReadHead { call, index: 0 } if !is_lost => {
+                RevisionAction::ReadHead { call, index: 0, .. } if !is_lost => {
                     // A starting node may also read the platform although it is no reader.
                     let (stamp, set) = &self.pool[self.platform];
                     self.model.offer(*stamp, set);
@@ -121,7 +121,7 @@
                     let keys = self.pool[self.platform].1.keys().to_vec();
                     self.sync.on_keys_answer(now, call, &keys)
                 }
-                RevisionAction::ReadHead { call, index: 0 }
+                RevisionAction::ReadHead { call, index: 0, .. }
                 | RevisionAction::ReadKeys { call, .. } => self.sync.on_platform_failure(now, call),
                 RevisionAction::Pull { pull, request, .. } if !is_lost => {
                     let answer = self.answer(&request, at);
--- a/crates/fleet/tests/distribution_mechanisms.rs
+++ b/crates/fleet/tests/distribution_mechanisms.rs
@@ -176,7 +176,7 @@
     actions.extend(sync.on_reader_role(now, true));
     while let Some(action) = actions.pop() {
         match action {
-            RevisionAction::ReadHead { call, index: 0 } => {
+            RevisionAction::ReadHead { call, index: 0, .. } => {
                 let head = Some(PlatformHead {
                     modify_index: index,
                     text: set.head().clone(),
--- a/crates/fleet/tests/distribution_messages.rs
+++ b/crates/fleet/tests/distribution_messages.rs
@@ -35,7 +35,7 @@
     actions.extend(sync.on_reader_role(now, true));
     while let Some(action) = actions.pop() {
         match action {
-            RevisionAction::ReadHead { call, index: 0 } => {
+            RevisionAction::ReadHead { call, index: 0, .. } => {
                 let text = set.head().clone();
                 let head = Some(PlatformHead {
                     modify_index: index,
--- a/crates/fleet/tests/support/fake_fleet.rs
+++ b/crates/fleet/tests/support/fake_fleet.rs
@@ -1,7 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use base::{ClockTime, DomainName, NodeName, rank_owners};
+use base::{ClockTime, DomainName, NodeName, TimeSpan, rank_owners};
 use fleet::{
     FleetPeer, KeyText, PlatformHeadAnswer, ReadScope, RevisionAction, RevisionSettings,
     RevisionStamp, RevisionSync,
@@ -88,6 +88,7 @@
     HeadRead {
         call: u64,
         index: u64,
+        wait: TimeSpan,
     },
     KeysRead {
         call: u64,
@@ -268,8 +269,8 @@
 
     fn handle(&mut self, timed: TimedEvent) {
         let node = timed.node;
-        if let FakeEvent::HeadRead { call, index } = timed.event {
-            return self.read_head(node, timed.incarnation, call, index);
+        if let FakeEvent::HeadRead { call, index, wait } = timed.event {
+            return self.read_head(node, timed.incarnation, call, index, wait);
         }
         if let FakeEvent::KeysRead { call, scope } = &timed.event {
             return self.read_keys(node, timed.incarnation, *call, scope);
@@ -387,8 +388,8 @@
                         self.schedule(self.now + delay, to, None, event);
                     }
                 }
-                RevisionAction::ReadHead { call, index } => {
-                    self.call_platform(node, FakeEvent::HeadRead { call, index });
+                RevisionAction::ReadHead { call, index, wait } => {
+                    self.call_platform(node, FakeEvent::HeadRead { call, index, wait });
                 }
                 RevisionAction::ReadKeys { call, scope } => {
                     self.call_platform(node, FakeEvent::KeysRead { call, scope });
@@ -569,7 +570,14 @@
         !self.cut_platform.contains(&self.nodes[node].domain)
     }
 
-    fn read_head(&mut self, node: usize, incarnation: Option<u32>, call: u64, index: u64) {
+    fn read_head(
+        &mut self,
+        node: usize,
+        incarnation: Option<u32>,
+        call: u64,
+        index: u64,
+        wait: TimeSpan,
+    ) {
         if !self.platform_reaches(node) {
             return;
         }
@@ -584,9 +592,8 @@
             return self.answer_head(watch);
         }
         self.platform.watches.push(watch);
-        let wait = self.config.settings.watch_wait.as_millis();
         self.schedule(
-            self.now + wait,
+            self.now + wait.as_millis(),
             node,
             incarnation,
             FakeEvent::WatchEnd { call },
--- a/crates/node/src/actor/fleet_state/revision_part.rs
+++ b/crates/node/src/actor/fleet_state/revision_part.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{ClockTime, EventKind, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, EventKind, NodeName, TargetName};
 use fleet::{FleetDeclaration, RevisionAction, RevisionStamp, SetSource};
 use member::DeclaredNode;
 use schema::fleet::PullRequest;
@@ -9,9 +9,6 @@
 use super::fleet_message::{HeadFetched, KeysFetched, PullCompleted};
 use crate::{PeerMessage, PeerResponse, TargetView};
 
-/// How long one watch request for the declaration waits at the platform for a change.
-const HEAD_WATCH_WAIT: TimeSpan = TimeSpan::from_secs(30);
-
 impl FleetActor {
     pub(super) fn execute_revision_actions(&mut self, actions: Vec<RevisionAction>) {
         for action in actions {
@@ -26,10 +23,10 @@
                 self.parts.peers.tell(to, PeerMessage::Digest(digest));
             }
             RevisionAction::Pull { to, pull, request } => self.pull(to, pull, request),
-            RevisionAction::ReadHead { call, index } => {
+            RevisionAction::ReadHead { call, index, wait } => {
                 let platform = self.parts.platform.clone();
                 let read = async move {
-                    let response = platform.read_head(index, HEAD_WATCH_WAIT).await;
+                    let response = platform.read_head(index, wait).await;
                     HeadFetched { call, response }
                 };
                 let task = self.spawn_and_report(read);
