Wait for what a test of large fleets asserts

Change: the same condition, waited for. A digest that names nodes in the order of their addresses never meets it.

--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -276,11 +276,18 @@
     })
     .await;
     let receiver = DOMAINS[2].parse().unwrap();
-    let named = NodeDigest::new(nodes[0].server.core(), Some(&receiver)).addresses;
-    let of_receiver = nodes.iter().filter(|node| {
-        node.server.core().settings.domain == receiver && named.contains(&node.peers)
-    });
-    assert!(of_receiver.count() >= NODES - 1);
+    let named_of_receiver = || {
+        let named = NodeDigest::new(nodes[0].server.core(), Some(&receiver)).addresses;
+        let of_receiver = nodes.iter().filter(|node| {
+            node.server.core().settings.domain == receiver && named.contains(&node.peers)
+        });
+        of_receiver.count()
+    };
+    // The first node hears of the nodes of another domain some time after those of its own.
+    until("a digest names the domain of its receiver", || {
+        named_of_receiver() >= NODES - 1
+    })
+    .await;
 }
 
 fn coordinator_of(gateway: &Gateway) -> std::net::SocketAddr {
