Take a lost response to an order to stop for an unknown outcome

Cause: a lost response set the move back to the phase in which the source certainly goes on.

Change: the move remembers that its engine may have stopped the generation; the end of a stream without framing counts as broken off then.

Measured: a_stream_that_may_have_been_stopped_does_not_look_complete fails without the new state and passes.

--- a/crates/entry/src/moves/move_machine.rs
+++ b/crates/entry/src/moves/move_machine.rs
@@ -76,6 +76,8 @@
     source: TargetName,
     phase: MovePhase,
     is_source_closed: bool,
+    /// Whether the outcome of an order to stop is unknown.
+    is_stop_uncertain: bool,
     attempts: u32,
 }
 
@@ -86,6 +88,7 @@
             source,
             phase: MovePhase::Idle,
             is_source_closed: false,
+            is_stop_uncertain: false,
             attempts: 0,
         }
     }
@@ -163,6 +166,22 @@
         }
     }
 
+    /// Handles the loss of the response to the order to stop: the source may have stopped the
+    /// generation or not.
+    pub fn on_stop_lost(&mut self) -> Option<MoveStep> {
+        self.is_stop_uncertain = true;
+        self.on_stopped(None, false)
+    }
+
+    /// Whether the source may have stopped the generation, so that an end of its stream need not be
+    /// the end of the generation.
+    pub fn may_have_stopped(&self) -> bool {
+        match self.phase {
+            MovePhase::Idle | MovePhase::Copying { .. } => self.is_stop_uncertain,
+            MovePhase::Stopping { .. } | MovePhase::Stopped { .. } => true,
+        }
+    }
+
     /// Handles the close of the source's stream before the generation was complete.
     ///
     /// Returns the step to resume if the generation is known to have stopped. While the response to
--- a/crates/gateway/src/port/engine_control.rs
+++ b/crates/gateway/src/port/engine_control.rs
@@ -22,6 +22,11 @@
     Unknown,
     /// Another copy of the generation is in progress.
     Busy,
+    /// The request was not sent.
+    NotSent {
+        /// What went wrong.
+        reason: String,
+    },
     /// The engine sent no response, or none that could be understood.
     Lost {
         /// What went wrong.
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -179,7 +179,7 @@
             let permit = await_permit(&core, &run.target, run.incarnation, COPY_PERMIT_WAIT).await;
             if let Err(refusal) = permit {
                 let reason = refusal.to_string();
-                return CopyOutcome::Lost { reason };
+                return CopyOutcome::NotSent { reason };
             }
             let engines = &core.ports.engines;
             engines
@@ -203,16 +203,21 @@
                 Some(self.move_machine.on_copied(is_whole))
             }
             _ => {
-                let (handle, is_whole) = match outcome {
-                    CopyOutcome::Whole { handle } => (Some(handle), true),
-                    CopyOutcome::NoRoom { handle } => (handle, false),
-                    CopyOutcome::Unknown | CopyOutcome::Busy | CopyOutcome::Lost { .. } => {
+                let was_source_closed = self.move_machine.awaits_stop_response();
+                let step = match outcome {
+                    CopyOutcome::Whole { handle } => {
+                        self.move_machine.on_stopped(Some(handle), true)
+                    }
+                    CopyOutcome::NoRoom { handle } => self.move_machine.on_stopped(handle, false),
+                    CopyOutcome::Unknown | CopyOutcome::Busy | CopyOutcome::NotSent { .. } => {
                         self.log_move_failure(&outcome);
-                        (None, false)
+                        self.move_machine.on_stopped(None, false)
+                    }
+                    CopyOutcome::Lost { .. } => {
+                        self.log_move_failure(&outcome);
+                        self.move_machine.on_stop_lost()
                     }
                 };
-                let was_source_closed = self.move_machine.awaits_stop_response();
-                let step = self.move_machine.on_stopped(handle, is_whole);
                 if was_source_closed && step == Some(MoveStep::Stay) {
                     self.fail(
                         "generation_lost",
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -3,7 +3,7 @@
 
 use base::{TargetName, TokenCount};
 use bytes::Bytes;
-use entry::{ANSWER_PROOF_TIME, MoveMachine, MovePhase, OutputEstimate, StreamProgress};
+use entry::{ANSWER_PROOF_TIME, MoveMachine, OutputEstimate, StreamProgress};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -337,11 +337,7 @@
 
     /// Handles the regular end of the engine's response body.
     async fn on_body_end(&mut self) -> RelayState {
-        let is_stopping = !matches!(
-            self.move_machine.phase(),
-            MovePhase::Idle | MovePhase::Copying { .. }
-        );
-        if is_stopping && !self.is_framed {
+        if self.move_machine.may_have_stopped() && !self.is_framed {
             // Without framing, a stream that the move stopped looks complete.
             return self.on_broken("stopped for the move".to_owned()).await;
         }
@@ -388,7 +384,11 @@
         if self.move_machine.awaits_stop_response() {
             return RelayState::Running;
         }
-        record_broken_call(&self.core, &self.call, &mut self.reservation);
+        match self.move_machine.may_have_stopped() {
+            // The engine did as it was ordered, which says nothing against the call.
+            true => record_unframed_end(&mut self.reservation),
+            false => record_broken_call(&self.core, &self.call, &mut self.reservation),
+        }
         let target = self.reservation.target.clone();
         self.fail("generation_lost", &format!("{target} broke off: {reason}"));
         RelayState::Ended
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -92,6 +92,8 @@
     endless: usize,
     /// Generations that were told to stop.
     stopped: Vec<String>,
+    /// Whether its responses to orders to stop a generation are lost.
+    loses_stop_responses: bool,
     /// Number of events that each generation has produced.
     produced: BTreeMap<String, u64>,
     /// Whether its state report says that it is leaving.
@@ -209,6 +211,11 @@
         self.state.lock().unwrap().stops_listening = true;
     }
 
+    /// Loses its responses to orders to stop a generation, which it carries out.
+    pub fn lose_stop_responses(&self) {
+        self.state.lock().unwrap().loses_stop_responses = true;
+    }
+
     /// Number of crashes.
     pub fn crashes(&self) -> usize {
         self.state.lock().unwrap().crashes
@@ -273,6 +280,10 @@
         state.arrivals.push(Instant::now());
         if stop_source {
             state.stopped.push(request.to_owned());
+            if state.loses_stop_responses {
+                let reason = "response lost".to_owned();
+                return CopyOutcome::Lost { reason };
+            }
         }
         let produced = state.produced.get(request).copied().unwrap_or(0);
         CopyOutcome::Whole {
@@ -357,7 +368,7 @@
         Some(TargetMode::Truncate) => complete(&id)[..complete(&id).len() - 2].to_owned(),
         Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
         Some(TargetMode::Unframed(count, end)) => {
-            return send_unframed(stream, &head, count, end).await;
+            return send_unframed(stream, &state, &head, count, end).await;
         }
         Some(TargetMode::CrashOnPart(count)) => {
             return answer_or_crash(stream, state, &head, count, &down).await;
@@ -417,7 +428,13 @@
 }
 
 /// Sends a response that has neither length nor chunks and ends with the connection.
-async fn send_unframed(mut stream: TcpStream, head: &str, count: u64, end: UnframedEnd) {
+async fn send_unframed(
+    mut stream: TcpStream,
+    state: &Mutex<TargetState>,
+    head: &str,
+    count: u64,
+    end: UnframedEnd,
+) {
     let id = header(head, "x-id").unwrap_or_default();
     let start = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n");
     if stream.write_all(start.as_bytes()).await.is_err() {
@@ -429,6 +446,9 @@
             return;
         }
         sleep(EVENT_PAUSE).await;
+        if state.lock().unwrap().stopped.contains(&id) {
+            return;
+        }
     }
     match end {
         UnframedEnd::Orderly => {}
--- a/crates/gateway/tests/gateway/unframed.rs
+++ b/crates/gateway/tests/gateway/unframed.rs
@@ -54,6 +54,30 @@
     assert_eq!(targets[0].calls().len(), 3);
 }
 
+// Guards against a stream that looks complete although the gateway had ordered its engine to stop
+// it, because the response to that order was lost.
+#[tokio::test]
+async fn a_stream_that_may_have_been_stopped_does_not_look_complete() {
+    const EVENTS: u64 = 200;
+    let modes = [
+        TargetMode::Unframed(EVENTS, UnframedEnd::Orderly),
+        TargetMode::Refuse,
+    ];
+    let (store, targets, gateway) = start_setup("pool", &modes).await;
+    targets[0].lose_stop_responses();
+    let callers = gateway.callers;
+    let pending = tokio::spawn(async move {
+        call(callers, "/stream/1", "x-id: a-1\r\nx-size: 1000\r\n", "").await
+    });
+    until("the stream runs", || targets[0].open_calls() == 1).await;
+    targets[1].set_mode(TargetMode::Stream(EVENTS));
+    store.put_target(&targets[0], "leaving");
+    let response = pending.await.unwrap();
+    let events = response.text.matches("data: piece").count() as u64;
+    assert!((1..EVENTS).contains(&events), "{events} events");
+    assert!(!response.text.ends_with(CHUNKS_END), "{}", response.text);
+}
+
 // Guards against passing on a plain answer without length that was reset on the way.
 #[parameterized(
     whole = { UnframedEnd::Orderly, 200 },
