Check the destination of a move again after the copy

Cause: the destination was judged before the copy only, and the check of each send let a generation resume on any leaving engine.

Change: the destination is checked after the copy, before the source is stopped; a generation resumes on a leaving engine only if it ran there.

--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -39,6 +39,7 @@
                 version: ConfigVersion::default(),
                 longest_time: TimeSpan::ZERO,
                 is_resume: false,
+                is_source: false,
                 permit: None,
             };
             for _ in 0..2 {
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -200,7 +200,12 @@
                 if !is_whole {
                     self.log_move_failure(&outcome);
                 }
-                Some(self.move_machine.on_copied(is_whole))
+                // The destination may have begun to leave during the copy.
+                let is_usable = self.is_destination_staying();
+                if is_whole && !is_usable {
+                    self.release_copy();
+                }
+                Some(self.move_machine.on_copied(is_whole && is_usable))
             }
             _ => {
                 let was_source_closed = self.move_machine.awaits_stop_response();
@@ -234,6 +239,17 @@
         }
     }
 
+    /// Whether the destination of the current move has not begun to leave.
+    fn is_destination_staying(&self) -> bool {
+        let Some(destination) = &self.destination else {
+            return false;
+        };
+        self.core.with_state(|state, _| {
+            let target = state.balancer.target(&destination.target);
+            target.is_some_and(|target| target.phase != TargetPhase::Leaving)
+        })
+    }
+
     /// Performs a step that the move machine asks for.
     pub(super) async fn perform_step(&mut self, step: MoveStep) -> RelayState {
         match step {
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -101,10 +101,10 @@
     deadline: Instant,
 ) -> SendOutcome {
     let is_resume = resume.is_some();
-    if let Err(bar) = check_send(core, call, reservation, is_resume, trial, None) {
+    if let Err(bar) = check_send(core, call, reservation, resume, trial, None) {
         return SendOutcome::Forbidden(bar);
     }
-    let permit = match take_permit(core, reservation, resume.is_some()).await {
+    let permit = match take_permit(core, reservation, is_resume).await {
         Ok(permit) => permit,
         Err(bar) => return SendOutcome::Forbidden(bar),
     };
@@ -122,7 +122,7 @@
         Err(_) => return SendOutcome::Unsent("no time left to connect".to_owned()),
     };
     // What is known may have changed while the connection was made.
-    if let Err(bar) = check_send(core, call, reservation, is_resume, trial, Some(permit)) {
+    if let Err(bar) = check_send(core, call, reservation, resume, trial, Some(permit)) {
         return SendOutcome::Forbidden(bar);
     }
     let sent_at = core.now();
@@ -231,7 +231,7 @@
     core: &GatewayCore,
     call: &AdmittedCall,
     reservation: &CapacityReservation,
-    is_resume: bool,
+    resume: Option<&ResumePoint>,
     trial: &CallTrial,
     permit: Option<SendPermit>,
 ) -> Result<(), SendRefusal> {
@@ -243,7 +243,8 @@
         key: call.caller_headers.key.as_ref(),
         version: call.config_version,
         longest_time: call.longest_time(core.now()),
-        is_resume,
+        is_resume: resume.is_some(),
+        is_source: resume.is_some_and(|point| point.source == reservation.address),
         permit,
     };
     core.with_state(|state, now| state.check_send(now, &check))
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -28,6 +28,8 @@
     pub longest_time: TimeSpan,
     /// Whether the send resumes a generation, which was admitted before.
     pub is_resume: bool,
+    /// Whether the generation ran on this target until now, which keeps its KV cache.
+    pub is_source: bool,
     /// Permit of the send, which a target that names a rate requires; `None` if it is requested
     /// only after this check.
     pub permit: Option<SendPermit>,
@@ -122,8 +124,8 @@
         let Some(target) = self.balancer.target(check.target) else {
             return Err(SendRefusal::TargetUnavailable("the target is gone"));
         };
-        // A generation that found no other engine is resumed on the engine that holds its KV cache.
-        if target.phase == TargetPhase::Leaving && !check.is_resume {
+        // A generation that found no other engine is resumed on the engine that it ran on.
+        if target.phase == TargetPhase::Leaving && !check.is_source {
             return Err(SendRefusal::TargetUnavailable("the target leaves"));
         }
         if target.backoff.left(now).is_some() {
--- a/crates/gateway/tests/gateway/leaving.rs
+++ b/crates/gateway/tests/gateway/leaving.rs
@@ -160,3 +160,45 @@
         "the generation resumed on the other engine"
     );
 }
+
+// Guards against a generation that is moved to an engine which began to leave during the copy: it
+// would be lost with that engine, and engines that leave get no new work.
+#[tokio::test]
+async fn a_destination_that_leaves_during_the_copy_is_not_used() {
+    const EVENTS: u64 = 300;
+    let modes = [TargetMode::Stream(EVENTS)];
+    let (store, targets, gateway) = start_setup("pool", &modes).await;
+    let source = &targets[0];
+    let callers = gateway.callers;
+    let pending = tokio::spawn(async move {
+        call(callers, "/stream/1", "x-id: g1\r\nx-size: 1000\r\n", "").await
+    });
+    until("the stream runs", || source.open_calls() == 1).await;
+    let destination = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
+    store.put_target(&destination, "ready");
+    until("the destination is known", || {
+        accepts_calls(&gateway, &destination)
+    })
+    .await;
+    source.set_copy_time(Duration::from_millis(600));
+    store.put_target(source, "leaving");
+    let core = gateway.server.core();
+    let name = destination.name.parse().unwrap();
+    until("the copy to the destination runs", || {
+        core.with_state(|state, _| {
+            let target = state.balancer.target(&name);
+            target.is_some_and(|one| !one.total().is_empty())
+        })
+    })
+    .await;
+    let other = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
+    store.put_target(&other, "ready");
+    store.put_target(&destination, "leaving");
+    let response = pending.await.unwrap();
+    for number in 1..=EVENTS {
+        let piece = format!("data: piece {number}\n");
+        assert_eq!(response.text.matches(&piece).count(), 1, "{piece}");
+    }
+    assert!(destination.calls().is_empty());
+    assert_eq!(other.calls().len(), 1);
+}
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -164,7 +164,17 @@
             })
         })
         .await;
-        for (is_resume, expected) in [(false, first), (true, resumed)] {
+        // A generation may only be resumed on a target that leaves if it ran there.
+        let moved = match change {
+            Change::Leaving => first,
+            _ => resumed,
+        };
+        let sends = [
+            (false, false, first),
+            (true, true, resumed),
+            (true, false, moved),
+        ];
+        for (is_resume, is_source, expected) in sends {
             let check = SendCheck {
                 features: &features(),
                 is_trial: false,
@@ -174,12 +184,17 @@
                 version: ConfigVersion(1),
                 longest_time: TimeSpan::from_secs(5),
                 is_resume,
+                is_source,
                 // Taken before the change.
                 permit: Some(SendPermit::default()),
             };
             let result = core.with_state(|state, now| state.check_send(now, &check));
             let refusal = result.err().map(|refusal| refusal.to_string());
-            assert_eq!(refusal.as_deref(), expected, "{change:?} {is_resume}");
+            assert_eq!(
+                refusal.as_deref(),
+                expected,
+                "{change:?} {is_resume} {is_source}"
+            );
         }
     }
 }
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -411,7 +411,10 @@
         _destination: SocketAddr,
         stop_source: bool,
     ) -> PortFuture<'a, CopyOutcome> {
-        Box::pin(async move { FakeTarget::copy(source, request.as_str(), stop_source) })
+        Box::pin(async move {
+            sleep(FakeTarget::copy_time(source)).await;
+            FakeTarget::copy(source, request.as_str(), stop_source)
+        })
     }
 
     fn fetch_report(&self, engine: SocketAddr) -> PortFuture<'_, Result<EngineReport, String>> {
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -92,6 +92,8 @@
     endless: usize,
     /// Generations that were told to stop.
     stopped: Vec<String>,
+    /// Time that a copy of the KV cache of a generation takes.
+    copy_time: Duration,
     /// Whether its responses to orders to stop a generation are lost.
     loses_stop_responses: bool,
     /// Number of events that each generation has produced.
@@ -271,6 +273,16 @@
         self.state.lock().unwrap().is_leaving = true;
     }
 
+    /// Lets copies of KV caches take this long.
+    pub fn set_copy_time(&self, time: Duration) {
+        self.state.lock().unwrap().copy_time = time;
+    }
+
+    /// Time that a copy takes at the target at an address.
+    pub(super) fn copy_time(source: SocketAddr) -> Duration {
+        state_of(source).map_or(Duration::ZERO, |state| state.lock().unwrap().copy_time)
+    }
+
     /// Handles a request to copy the KV cache of a generation; the handle is its number of events.
     pub(super) fn copy(source: SocketAddr, request: &str, stop_source: bool) -> CopyOutcome {
         let Some(state) = state_of(source) else {
