Bound the memory of all request bodies together

Cause: each body had a limit, their sum had none.

Change: bodies of calls in progress may take 40% of the memory that the settings allow; large ones leave a quarter of that to small ones. What does not fit is refused before it is read, as not run.

--- a/crates/agatemoor/tests/soak/main.rs
+++ b/crates/agatemoor/tests/soak/main.rs
@@ -4,6 +4,7 @@
 //! many_seeds -- --nocapture` runs a range of them; SOAK_GATEWAYS, SOAK_CALLERS and SOAK_SECONDS set
 //! the size. The logs of a seed stay under `target/tmp/soak-SEED`.
 
+mod body_flood;
 mod checker_tests;
 mod fake_platform;
 mod fake_runner;
--- a/crates/agatemoor/tests/soak/raw_http.rs
+++ b/crates/agatemoor/tests/soak/raw_http.rs
@@ -53,25 +53,31 @@
 /// the connection.
 pub async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
     let mut bytes = Vec::new();
-    loop {
-        let mut part = [0; 4_096];
-        let count = stream.read(&mut part).await.ok()?;
-        if count == 0 {
-            return None;
-        }
-        bytes.extend_from_slice(&part[..count]);
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let request = RawRequest {
-            head: head.to_owned(),
-            body: body.to_owned(),
-        };
-        let length = request.header("content-length");
-        let length = length.map_or(0, |length| length.parse().unwrap());
-        if body.len() >= length {
-            return Some(request);
+    let body_start = loop {
+        read_part(stream, &mut bytes).await?;
+        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+        if let Some(end) = end {
+            break end + 4;
         }
+    };
+    let head = String::from_utf8_lossy(&bytes[..body_start - 4]).into_owned();
+    let mut request = RawRequest {
+        head,
+        body: String::new(),
+    };
+    let length = request.header("content-length");
+    let length: usize = length.map_or(0, |length| length.parse().unwrap());
+    while bytes.len() < body_start + length {
+        read_part(stream, &mut bytes).await?;
     }
+    request.body = String::from_utf8_lossy(&bytes[body_start..]).into_owned();
+    Some(request)
+}
+
+/// Reads what has arrived; `None` at the end of the connection.
+async fn read_part(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    let mut part = [0; 4_096];
+    let count = stream.read(&mut part).await.ok()?;
+    bytes.extend_from_slice(&part[..count]);
+    (count > 0).then_some(())
 }
--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -155,8 +155,8 @@
     pub directory: PathBuf,
 }
 
-/// Runs one soak.
-pub async fn run_soak(plan: SoakPlan) -> SoakReport {
+/// Starts the fakes and gateways of a soak, and waits until the gateways have found one another.
+pub async fn start_fleet(plan: &SoakPlan) -> SoakFleet {
     let host = next_loopback_address();
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", plan.seed));
     // Removes the logs of an earlier run of this seed, if there are any.
@@ -183,11 +183,17 @@
             }
         }
     }
-    let mut fleet = SoakFleet::new(&plan, host, directory.clone(), platform, runners, recorder);
+    let mut fleet = SoakFleet::new(plan, host, directory, platform, runners, recorder);
     for gateway in 0..plan.gateways {
         fleet.start(gateway);
     }
     sleep(DISCOVERY_DURATION).await;
+    fleet
+}
+
+/// Runs one soak.
+pub async fn run_soak(plan: SoakPlan) -> SoakReport {
+    let mut fleet = start_fleet(&plan).await;
     let context = fleet.context.clone();
     let callers: Vec<_> = (0..plan.callers)
         .map(|number| {
@@ -210,12 +216,13 @@
         history: context.recorder.history(),
         faults_end,
         faults: fleet.faults,
-        directory,
+        directory: fleet.directory,
     }
 }
 
 /// The gateways and fakes of a soak, and the faults that it injects into them.
-struct SoakFleet {
+pub struct SoakFleet {
+    directory: PathBuf,
     platform: Arc<FakePlatform>,
     runners: Vec<Arc<FakeRunner>>,
     gateways: Vec<GatewayProcess>,
@@ -290,6 +297,7 @@
         let seeds: Vec<_> = (0..plan.gateways.min(3))
             .map(|gateway| address(25_000, gateway))
             .collect();
+        let logs = directory.clone();
         let gateways = (0..plan.gateways).map(|gateway| {
             let settings = json!({
                 "nodeName": format!("edge-{gateway}"),
@@ -305,18 +313,19 @@
                     "budgetWindowS": 10, "budgetExtra": 56,
                 },
                 "platform": {"address": platform.address.to_string()},
-                "limits": {"cpuShare": 0.25},
+                "limits": {"cpuShare": 0.25, "memoryMb": 110},
             });
-            let path = directory.join(format!("edge-{gateway}.json"));
+            let path = logs.join(format!("edge-{gateway}.json"));
             fs::write(&path, settings.to_string()).unwrap();
             GatewayProcess {
                 settings: path,
-                log: directory.join(format!("edge-{gateway}.log")),
+                log: logs.join(format!("edge-{gateway}.log")),
                 child: None,
             }
         });
         let callers = (0..plan.gateways).map(|gateway| address(23_000, gateway).parse().unwrap());
         Self {
+            directory,
             gateways: gateways.collect(),
             context: Arc::new(CallerContext {
                 recorder,
@@ -335,6 +344,17 @@
         }
     }
 
+    /// Address of a gateway for callers.
+    pub fn caller_address(&self, gateway: usize) -> SocketAddr {
+        self.context.gateways[gateway]
+    }
+
+    /// Identifier of the process of a gateway.
+    pub fn process(&self, gateway: usize) -> u32 {
+        let child = self.gateways[gateway].child.as_ref();
+        child.expect("the gateway runs").id()
+    }
+
     fn start(&mut self, gateway: usize) {
         self.gateways[gateway].kill();
         self.gateways[gateway].start();
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -6,7 +6,7 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use base::{ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
+use base::{ByteCount, ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, ConfigVersion, LeaseGuard, OpenAttempt, TargetRecord};
 use gateway::{GatewaySettings, GatewayState, RetrySettings, SendCheck};
@@ -73,6 +73,7 @@
         node: "n1".parse().expect("a name"),
         domain: "patan".parse().expect("a name"),
         capacity: CoreShare(250),
+        memory: ByteCount(110 << 20),
         caller_address: ([127, 0, 0, 1], 1).into(),
         ready_address: ([127, 0, 0, 1], 2).into(),
         peer_address: ([127, 0, 0, 1], 3).into(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,6 @@
 pub use serve::{GatewayServer, StartError};
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
-    CapacityReservation, GatewayCore, GatewayState, PeerInfo, PlacementRefusal, SendCheck,
-    SendRefusal, StopPlan,
+    BodyBudget, BodyLease, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
+    PlacementRefusal, SendCheck, SendRefusal, StopPlan,
 };
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::coordinator::CapacityRequest;
-use crate::{CallerHeaders, GatewayCore};
+use crate::{BodyLease, CallerHeaders, GatewayCore};
 
 /// Hop-by-hop headers, which apply to one connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
@@ -47,6 +47,8 @@
     pub headers: HeaderMap,
     /// Whole body of the request.
     pub body: Bytes,
+    /// Memory that the body takes, held as long as the call.
+    pub _body_lease: BodyLease,
     /// Values read from the headers.
     pub caller_headers: CallerHeaders,
     /// Route that matches the call.
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -1,21 +1,22 @@
 use std::sync::Arc;
 
-use base::{ErrorKind, EventKind, TargetName};
+use base::{ByteCount, ErrorKind, EventKind, TargetName};
+use bytes::Bytes;
 use calls::RequestFingerprint;
-use entry::{CallFeatures, CallVerdict, RepeatPolicy, ServeConfig};
+use entry::{CallFeatures, CallVerdict, RepeatPolicy, RouteRule, ServeConfig};
 use http::uri::PathAndQuery;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
-use web::{BodyError, HandlerFuture, WebBody, WebHandler, read_body};
+use web::{BodyError, HandlerFuture, WebBody, WebHandler, read_body_if};
 
 use super::AccessEntry;
 use super::admitted_call::{AdmittedCall, host_of, strip_hop_by_hop_headers};
 use super::failure_response::failure_response;
 use super::plain_call::relay_plain;
 use super::stream_call::relay_stream;
-use crate::GatewayCore;
 use crate::state::OTHER_NODE_RETRY;
+use crate::{BodyLease, GatewayCore};
 
 /// HTTP handler of the caller port: admits each call and relays it to a target.
 pub struct CallHandler {
@@ -114,8 +115,7 @@
         access_entry.add_reason("the route has no service");
         return Err(refuse(core, access_entry, ErrorKind::NoTarget));
     };
-    let body = read_body(body, config.limits.body_bytes, config.limits.idle_timeout).await;
-    let body = body.map_err(|error| refuse_body(core, access_entry, &error))?;
+    let (body, body_lease) = read_call_body(core, access_entry, &config, &route, body).await?;
     strip_hop_by_hop_headers(&mut parts.headers);
     let timeout = caller_headers
         .remaining
@@ -136,6 +136,7 @@
         path_and_query: path,
         headers: parts.headers,
         body,
+        _body_lease: body_lease,
         engine: engine_of(&config, &service),
         caller_headers,
         route,
@@ -156,6 +157,30 @@
     }
 }
 
+/// Reads the body of a request as long as there is memory for it.
+async fn read_call_body(
+    core: &GatewayCore,
+    access_entry: &mut AccessEntry,
+    config: &ServeConfig,
+    route: &RouteRule,
+    body: Incoming,
+) -> Result<(Bytes, BodyLease), Box<Response<WebBody>>> {
+    let mut lease = core.bodies.new_lease();
+    let has_room = |bytes: usize| lease.try_grow_to(ByteCount(bytes as u64));
+    let limits = &config.limits;
+    let read = read_body_if(body, limits.body_bytes, limits.idle_timeout, has_room).await;
+    match read {
+        Ok(body) => Ok((body, lease)),
+        Err(error @ BodyError::NoRoom) => {
+            access_entry.add_reason(SmolStr::from(error.to_string()));
+            // By then, calls whose bodies are held now should have ended.
+            let (kind, retry) = (ErrorKind::Overloaded, Some(route.latency_target));
+            Err(Box::new(failure_response(core, access_entry, kind, retry)))
+        }
+        Err(error) => Err(refuse_body(core, access_entry, &error)),
+    }
+}
+
 fn engine_of(config: &ServeConfig, service: &base::ServiceName) -> Option<entry::EngineSpec> {
     config.service(service).and_then(|spec| spec.engine)
 }
@@ -224,6 +249,7 @@
     access_entry.add_reason(SmolStr::from(error.to_string()));
     let kind = match error {
         BodyError::TooLarge { .. } => ErrorKind::BodyTooLarge,
+        BodyError::NoRoom => ErrorKind::Overloaded,
         BodyError::TimedOut => ErrorKind::RequestTimeout,
         BodyError::Broken { .. } | BodyError::Aborted { .. } => ErrorKind::BadRequest,
     };
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{CoreShare, DomainName, NodeName, TimeSpan};
+use base::{ByteCount, CoreShare, DomainName, NodeName, TimeSpan};
 
 /// Retry budget that all nodes share; a retry is any send of a call beyond the first.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,6 +22,8 @@
     pub domain: DomainName,
     /// Processor share that the process may use.
     pub capacity: CoreShare,
+    /// Memory that the process may use.
+    pub memory: ByteCount,
     /// Listen address for callers.
     pub caller_address: SocketAddr,
     /// Listen address for the health checks of the load balancer.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -10,7 +10,9 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan};
+use super::{
+    BodyBudget, CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan,
+};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -56,6 +58,8 @@
     pub settings: GatewaySettings,
     /// Interfaces to the platform and to targets.
     pub ports: GatewayPorts,
+    /// Budget of the memory for bodies.
+    pub bodies: BodyBudget,
     /// Pool of connections to targets.
     pub pool: ConnectionPool,
     /// Pool of connections to peers.
@@ -83,6 +87,7 @@
             report_version: watch::Sender::new(ReportVersion::default()),
             config_revision_hints: watch::Sender::new(0),
             stop_changes: watch::Sender::new(()),
+            bodies: BodyBudget::new(settings.memory),
             settings,
             ports,
             pool: ConnectionPool::new(PoolSettings::new()),
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -1,5 +1,6 @@
 //! Plain calls, as callers and targets see them: relaying, retries, time-outs and refusals.
 
+use base::ByteCount;
 use std::sync::atomic::Ordering;
 
 use crate::support::{
@@ -195,3 +196,33 @@
     gateway.wait_ready().await;
     assert_eq!(call(gateway.ready, "/", "", "").await.status, 200);
 }
+
+// Guards against bodies that exceed the memory of the process together, and against small calls that
+// are refused because of large ones.
+#[tokio::test]
+async fn a_body_without_memory_is_refused() {
+    const BODY_BYTES: usize = 1 << 20;
+    let (_store, targets, gateway) = start_setup("app", &[TargetMode::Answer]).await;
+    let large = "a".repeat(BODY_BYTES);
+    let chunked = format!("{BODY_BYTES:x}\r\n{large}\r\n0\r\n\r\n");
+    let chunked_head = "x-id: c1\r\ntransfer-encoding: chunked\r\nx-without-length: 1\r\n";
+    // Takes all that large bodies may have.
+    let mut held = gateway.server.core().bodies.new_lease();
+    let mut bytes = 0;
+    while held.try_grow_to(ByteCount(bytes + BODY_BYTES as u64 / 2)) {
+        bytes += BODY_BYTES as u64 / 2;
+    }
+    let refused = call(gateway.callers, "/once/1", "x-id: a1\r\n", &large).await;
+    assert!(matches!(refused.status, 429 | 503), "{}", refused.status);
+    assert!(refused.text.contains("retry-after"));
+    let refused = call(gateway.callers, "/once/1", chunked_head, &chunked).await;
+    assert!(matches!(refused.status, 429 | 503), "{}", refused.status);
+    assert!(targets[0].calls().is_empty());
+    let small = call(gateway.callers, "/once/1", "x-id: a2\r\n", "small").await;
+    assert_eq!(small.status, 200);
+    drop(held);
+    let served = call(gateway.callers, "/once/1", "x-id: a3\r\n", &large).await;
+    assert_eq!(served.status, 200);
+    let served = call(gateway.callers, "/once/1", chunked_head, &chunked).await;
+    assert_eq!(served.status, 200);
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use base::{CoreShare, TimeSpan};
+use base::{ByteCount, CoreShare, TimeSpan};
 use gateway::{GatewayServer, GatewaySettings, RetrySettings};
 use tokio::time::{Instant, sleep};
 
@@ -42,6 +42,7 @@
                 .unwrap(),
             domain: domain.parse().unwrap(),
             capacity: CoreShare(250),
+            memory: ByteCount(110 << 20),
             caller_address: callers,
             ready_address: ready,
             peer_address: peers,
--- a/crates/gateway/tests/rate_simulation.rs
+++ b/crates/gateway/tests/rate_simulation.rs
@@ -4,8 +4,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use base::{
-    CallRate, ClockTime, CoreShare, DomainName, IncarnationNumber, NodeName, ServiceName,
-    TargetName, TimeSpan,
+    ByteCount, CallRate, ClockTime, CoreShare, DomainName, IncarnationNumber, NodeName,
+    ServiceName, TargetName, TimeSpan,
 };
 use entry::{LeaseGuard, PermitOutcome, RateGrant, RateRecord, TargetRecord};
 use gateway::{GatewaySettings, GatewayState, PeerInfo, PermitRequest, PermitStep, RetrySettings};
@@ -94,6 +94,7 @@
             node: node.clone(),
             domain: domain.clone(),
             capacity: CoreShare(250),
+            memory: ByteCount(110 << 20),
             caller_address: address(index),
             ready_address: address(index),
             peer_address: address(index),
--- a/crates/node/src/caller/caller_api.rs
+++ b/crates/node/src/caller/caller_api.rs
@@ -433,6 +433,7 @@
 fn body_error(error: &BodyError) -> RequestError {
     let kind = match error {
         BodyError::TooLarge { .. } => ErrorKind::BodyTooLarge,
+        BodyError::NoRoom => ErrorKind::Overloaded,
         BodyError::TimedOut => ErrorKind::RequestTimeout,
         BodyError::Broken { .. } | BodyError::Aborted { .. } => ErrorKind::BadRequest,
     };
--- a/crates/web/src/body/mod.rs
+++ b/crates/web/src/body/mod.rs
@@ -2,4 +2,6 @@
 
 mod web_body;
 
-pub use web_body::{WebBody, empty_body, full_body, json_body, read_body, stream_body};
+pub use web_body::{
+    WebBody, empty_body, full_body, json_body, read_body, read_body_if, stream_body,
+};
--- a/crates/web/src/body/web_body.rs
+++ b/crates/web/src/body/web_body.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::BodyError;
-use crate::error::{BrokenSnafu, TimedOutSnafu, TooLargeSnafu};
+use crate::error::{BrokenSnafu, NoRoomSnafu, TimedOutSnafu, TooLargeSnafu};
 
 /// Body of an outgoing request or response, whatever its content is made from.
 pub type WebBody = UnsyncBoxBody<Bytes, BodyError>;
@@ -72,16 +72,36 @@
 /// # Errors
 /// `TooLarge`, `TimedOut`, or `Broken` if the connection fails.
 pub async fn read_body(
+    body: Incoming,
+    limit: usize,
+    timeout: TimeSpan,
+) -> Result<Bytes, BodyError> {
+    read_body_if(body, limit, timeout, |_| true).await
+}
+
+/// Reads a body like [`read_body`], as long as `has_room` says that there is memory for this many
+/// bytes: for all of them before the first is read if the length is known, else for those that
+/// arrived.
+///
+/// # Errors
+/// Those of [`read_body`], and `NoRoom`.
+pub async fn read_body_if(
     mut body: Incoming,
     limit: usize,
     timeout: TimeSpan,
+    mut has_room: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, BodyError> {
     if body.size_hint().lower() > limit as u64 {
         return TooLargeSnafu { limit }.fail();
     }
     let timeout = Duration::from(timeout);
     let start = Instant::now();
-    let mut content = BytesMut::new();
+    // Without a length, the buffer grows with the body.
+    let expected = body.size_hint().exact().unwrap_or(0).min(limit as u64) as usize;
+    if !has_room(expected) {
+        return NoRoomSnafu.fail();
+    }
+    let mut content = BytesMut::with_capacity(expected);
     loop {
         let transfer_time =
             Duration::from_millis(content.len() as u64 * 1_000 / MIN_BYTES_PER_SECOND);
@@ -98,6 +118,9 @@
         if content.len() + data.len() > limit {
             return TooLargeSnafu { limit }.fail();
         }
+        if content.len() + data.len() > expected && !has_room(content.len() + data.len()) {
+            return NoRoomSnafu.fail();
+        }
         content.extend_from_slice(&data);
     }
 }
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -14,6 +14,9 @@
         /// Limit in bytes.
         limit: usize,
     },
+    /// There is no memory for the body.
+    #[snafu(display("no memory for the body"))]
+    NoRoom,
     /// No part of the body arrived in time.
     #[snafu(display("no part of the body arrived in time"))]
     TimedOut,
