Pass on removals that happen while a list is read

Cause: a target that was removed while the pages of a list were read is not in the copy, which has the revision of the first page. Its removal, which the following watch reports, was not kept, so that a peer whose revision lies between kept the target (seen by reading in the review).

Change: the removal of an item that the copy does not have is kept as well.

Measured: a_removal_during_the_read_reaches_peers failed before and passes.

--- a/crates/entry/src/view/item_mirror.rs
+++ b/crates/entry/src/view/item_mirror.rs
@@ -146,14 +146,16 @@
                 }
                 true
             }
-            ItemChange::Removed { key, revision } if revision > known => match self.find(&key) {
-                Ok(at) => {
+            ItemChange::Removed { key, revision } if revision > known => {
+                let found = self.find(&key);
+                if let Ok(at) = found {
                     self.items.remove(at);
-                    self.record_removal(revision, key);
-                    true
                 }
-                Err(_) => false,
-            },
+                // Also of an unknown item: it may have been removed while the pages of this copy
+                // were read, and a peer may have it.
+                self.record_removal(revision, key);
+                found.is_ok()
+            }
             _ => false,
         }
     }
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -145,3 +145,22 @@
     assert!(guard.keep_until(ClockTime::new(5_000), 7, 12).is_some());
     assert!(guard.keep_until(ClockTime::new(5_000), 2, 12).is_none());
 }
+
+// Guards against a target that a peer goes on using after its removal: it was removed while the pages
+// of this copy were read, after the peer had read it.
+#[test]
+fn a_removal_during_the_read_reaches_peers() {
+    let (mut copy, mut peer) = (ItemMirror::default(), ItemMirror::default());
+    copy.replace(3, vec![item("a", 1), item("b", 2)]);
+    peer.replace(6, vec![item("a", 1), item("b", 2)]);
+    // The first page is read at revision 5; "b" is removed at 7, before its page is read.
+    copy.replace(5, vec![item("a", 1)]);
+    let removal = ItemChange::Removed {
+        key: "b".into(),
+        revision: 7,
+    };
+    copy.apply(8, vec![removal]);
+    let changes = copy.changes_since(6).unwrap();
+    peer.apply(8, changes);
+    assert_eq!(peer.items(), [item("a", 1)]);
+}
