Settle a hint of a changed configuration once the store was asked

The check is repeated until the copy of the configuration has the revision of the hint. A store that names in its responses only the revision of the last change of the area would be asked again and again.

Change: a check that the store answered settles the hint.

--- a/crates/gateway/src/poll/view_poller.rs
+++ b/crates/gateway/src/poll/view_poller.rs
@@ -134,15 +134,18 @@
             result = source.wait_changes(area, known, CONFIG_WAIT) => return result,
             () = core.until_config_lacking(REPORT_DELAY) => {}
         }
+        let hint = core.with_state(|state, _| state.view.config_revision_hint);
         log::info!(
             event = EventKind::WatchAbandoned.number(),
             node = core.node().as_str(),
             area = area.to_string().as_str(),
             revision = known,
-            hint = core.with_state(|state, _| state.view.config_revision_hint);
+            hint = hint;
             "held request given up, as the store may have a change that it did not report"
         );
-        source.wait_changes(area, known, CHECK_WAIT).await
+        let checked = source.wait_changes(area, known, CHECK_WAIT).await?;
+        core.with_state(|state, _| state.view.settle_config_hint(hint));
+        Ok(checked)
     }
 
     /// Records, after a read of targets, the latest revision of the store that no target accounts
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -68,6 +68,13 @@
         known.is_some_and(|known| known < self.config_revision_hint)
     }
 
+    /// Forgets that the configuration may have changed up to `hint`, as the store was asked since.
+    pub fn settle_config_hint(&mut self, hint: u64) {
+        if self.config_revision_hint <= hint {
+            self.config_revision_hint = 0;
+        }
+    }
+
     /// Version of the configuration in force; the default before there is one.
     pub fn version(&self) -> ConfigVersion {
         self.config
