--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Start of the name of the directory of a soak; soaks of different profiles may have one seed.
+    fn directory_prefix(self) -> &'static str {
+        match self {
+            Self::Faults => "soak",
+            Self::RollingStops => "stops",
+        }
+    }
+
     fn caller_habit(self, number: u64) -> CallerHabit {
         match (self, number % 8) {
             (Self::Faults, 0) => CallerHabit::Crashing,
@@ -158,7 +166,8 @@
 /// Starts the fakes and gateways of a soak, and waits until the gateways have found one another.
 pub async fn start_fleet(plan: &SoakPlan) -> SoakFleet {
     let host = next_loopback_address();
-    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", plan.seed));
+    let name = format!("{}-{}", plan.profile.directory_prefix(), plan.seed);
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     // Removes the logs of an earlier run of this seed, if there are any.
     let _ = fs::remove_dir_all(&directory);
     fs::create_dir_all(&directory).unwrap();
