--- a/crates/agatemoor/tests/soak/main.rs
+++ b/crates/agatemoor/tests/soak/main.rs
@@ -2,8 +2,8 @@
 //!
 //! CI runs two short seeds. By hand, `SOAK_SEEDS=1..50 cargo test --release -p agatemoor --test soak
 //! many_seeds -- --nocapture` runs a range of them; SOAK_GATEWAYS, SOAK_CALLERS and SOAK_SECONDS set
-//! the size. The logs of a seed stay under `target/tmp/soak-SEED`, those of rolling stops under
-//! `target/tmp/stops-SEED`; SOAK_ROLLING_SEED sets the seed of these.
+//! the size. The logs of a seed stay under `target/tmp/soak-SEED-PROCESS`, those of rolling
+//! stops under `target/tmp/stops-SEED-PROCESS`; SOAK_ROLLING_SEED sets the seed of these.
 
 mod body_flood;
 mod checker_tests;
--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -166,9 +166,10 @@
 /// Starts the fakes and gateways of a soak, and waits until the gateways have found one another.
 pub async fn start_fleet(plan: &SoakPlan) -> SoakFleet {
     let host = next_loopback_address();
-    let name = format!("{}-{}", plan.profile.directory_prefix(), plan.seed);
+    let (prefix, process) = (plan.profile.directory_prefix(), std::process::id());
+    let name = format!("{prefix}-{}-{process}", plan.seed);
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    // Removes the logs of an earlier run of this seed, if there are any.
+    // Removes the logs of an earlier process with this identifier, if there are any.
     let _ = fs::remove_dir_all(&directory);
     fs::create_dir_all(&directory).unwrap();
     let recorder = Recorder::new();
