--- a/crates/gateway/src/state/body_budget.rs
+++ b/crates/gateway/src/state/body_budget.rs
@@ -39,7 +39,7 @@
     /// Creates the budget of a process that may use `memory`.
     pub fn new(memory: ByteCount) -> Self {
         Self {
-            limit: memory.0 / 100 * MEMORY_SHARE_PERCENT,
+            limit: memory.0 * MEMORY_SHARE_PERCENT / 100,
             used: Arc::default(),
         }
     }
@@ -60,7 +60,7 @@
         let more = bytes.0.saturating_sub(self.bytes);
         let limit = match bytes <= SMALL_BODY {
             true => self.budget.limit,
-            false => self.budget.limit / 100 * (100 - SMALL_SHARE_PERCENT),
+            false => self.budget.limit * (100 - SMALL_SHARE_PERCENT) / 100,
         };
         let add = |used: u64| {
             let sum = used.checked_add(more)?;
