Test lost responses on the nodes of one failure domain

Change: the fake store loses them for one failure domain as well, once and once more during the recovery.

--- a/crates/gateway/tests/gateway/lost_responses.rs
+++ b/crates/gateway/tests/gateway/lost_responses.rs
@@ -113,6 +113,41 @@
     futures_util::future::join_all(runs).await;
 }
 
+// The same on the nodes of one failure domain, whose peers get the responses, and once more while
+// these recover.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_lost_in_one_domain_delay_no_change_beyond_their_end() {
+    let (store, gateways) = start_fleet(&["patan", "balaju", "patan", "balaju", "boudha"]).await;
+    let kinds = [
+        LostResponses::All,
+        LostResponses::AllChanges,
+        LostResponses::ConfigChanges,
+    ];
+    let mut change = 1;
+    for domain in ["patan", "balaju", "boudha"] {
+        for lost in kinds {
+            change += 1;
+            store.lose_in(domain, lost);
+            store.put_config(change);
+            sleep(Duration::from_millis(900)).await;
+            store.lose(LostResponses::None);
+            sleep(Duration::from_millis(100)).await;
+            store.lose_in(domain, lost);
+            sleep(Duration::from_millis(300)).await;
+            store.lose(LostResponses::None);
+            let end = Instant::now();
+            until("the change is in force everywhere", || {
+                gateways
+                    .iter()
+                    .all(|gateway| version(gateway) == ConfigVersion(change))
+            })
+            .await;
+            println!("{domain}, {lost:?}: in force after {:?}", end.elapsed());
+            assert!(end.elapsed() < CONTACT_TIMEOUT, "{domain}, {lost:?}");
+        }
+    }
+}
+
 // Guards against requests to the store that a calm fleet does not need: changes of targets and of
 // the configuration that arrive as they should cause none beside the held ones.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use base::{
-    CallRate, ErrorKind, IncarnationNumber, RequestId, ServiceName, TimeSpan, TokenCount, TokenRate,
+    CallRate, DomainName, ErrorKind, IncarnationNumber, RequestId, ServiceName, TimeSpan,
+    TokenCount, TokenRate,
 };
 use entry::{
     ConfigVersion, EngineSpec, ItemChange, PublishedItem, RepeatPolicy, RequestLimits, RouteRule,
@@ -32,8 +33,9 @@
     pub is_down: AtomicBool,
     /// Number of requests for the configuration that were not rejected when they arrived.
     pub config_reads: AtomicUsize,
-    /// Requests whose responses are lost.
-    lost: Mutex<LostResponses>,
+    /// Requests whose responses are lost, and the only failure domain of which they are lost, if
+    /// there is one.
+    lost: Mutex<(LostResponses, Option<DomainName>)>,
     /// Revision of the last removal.
     removed_at: AtomicU64,
 }
@@ -79,19 +81,26 @@
         })
     }
 
-    /// Loses responses from now on.
+    /// Loses responses to all gateways from now on.
     pub fn lose(&self, lost: LostResponses) {
-        *self.lost.lock().unwrap() = lost;
+        *self.lost.lock().unwrap() = (lost, None);
+    }
+
+    /// Loses responses to the gateways of one failure domain from now on.
+    pub fn lose_in(&self, domain: &str, lost: LostResponses) {
+        *self.lost.lock().unwrap() = (lost, Some(domain.parse().unwrap()));
     }
 
     /// Waits until the client gives up, if the response to its request is lost.
     async fn lose_response(
         &self,
+        domain: &DomainName,
         area: ViewArea,
         wait: Option<TimeSpan>,
     ) -> Result<(), SourceError> {
-        let lost = *self.lost.lock().unwrap();
-        if !lost.includes(area, wait.is_some()) {
+        let (lost, only) = self.lost.lock().unwrap().clone();
+        let is_affected = only.is_none_or(|only| only == *domain);
+        if !is_affected || !lost.includes(area, wait.is_some()) {
             return Ok(());
         }
         sleep(CLIENT_TIMEOUT + Duration::from(wait.unwrap_or_default())).await;
@@ -178,6 +187,8 @@
 /// Client of one gateway for the fake store.
 pub struct StoreAccess {
     pub store: Arc<FakeStore>,
+    /// Failure domain of the gateway.
+    pub domain: DomainName,
 }
 
 impl ViewSource for StoreAccess {
@@ -188,7 +199,7 @@
         Box::pin(async move {
             self.store.check(area)?;
             let found = self.store.all(area);
-            self.store.lose_response(area, None).await?;
+            self.store.lose_response(&self.domain, area, None).await?;
             Ok(found)
         })
     }
@@ -206,7 +217,9 @@
             // Without a change the response is empty.
             let _ = timeout(Duration::from(wait), changed).await;
             self.store.check_up()?;
-            self.store.lose_response(area, Some(wait)).await?;
+            self.store
+                .lose_response(&self.domain, area, Some(wait))
+                .await?;
             // The store keeps no removals: the gateway has to read the area anew to learn of one.
             if self.store.removed_at.load(Ordering::Relaxed) > after {
                 return Err(SourceError::HistoryCompacted);
@@ -440,7 +453,10 @@
     GatewayPorts {
         headers: Arc::new(FakeHeaders),
         items: Arc::new(FakeDecoder),
-        source: Arc::new(StoreAccess { store }),
+        source: Arc::new(StoreAccess {
+            store,
+            domain: settings.domain.clone(),
+        }),
         engines: Arc::new(FakeEngines),
         settings: Arc::new(FixedSettings(settings)),
     }
