Ask a store that does not answer less and less often

While the store is down, each node sent two requests every 0.4 s, some 400 a second from 81 nodes. The pause now doubles up to 1.6 s, except on the nodes that read the targets for the fleet; changes also arrive from peers.

--- a/crates/gateway/src/poll/view_poller.rs
+++ b/crates/gateway/src/poll/view_poller.rs
@@ -25,8 +25,10 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a first failure; a held request may be cut off without any outage.
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
-/// Pause after further failures.
+/// Pause after the second failure in a row.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause between failed requests; a node learns changes from its peers meanwhile.
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(1_600);
 
 /// Keeps one area of the published items up to date by long polling of the store, while this node
 /// is one that reads the area itself.
@@ -61,11 +63,7 @@
                 }
                 Err(failure) => {
                     self.on_failure(&failure);
-                    let pause = match self.failures {
-                        1 => FIRST_PAUSE,
-                        _ => FAILURE_PAUSE,
-                    };
-                    sleep(pause).await;
+                    sleep(self.failure_pause()).await;
                 }
             }
         }
@@ -78,6 +76,21 @@
             .with_state(|state, now| state.reads_from_store(now, area))
     }
 
+    /// Pause before the next request after a failed one. It doubles with each failure, since all nodes
+    /// would load a store that is overloaded or comes back; only the nodes that read targets for the
+    /// fleet keep asking at a fixed interval, so that its return is noticed soon.
+    fn failure_pause(&self) -> Duration {
+        let reads_for_fleet = self.area == ViewArea::Targets
+            && self
+                .core
+                .with_state(|state, now| state.is_target_reader(now));
+        match self.failures {
+            0 | 1 => FIRST_PAUSE,
+            _ if reads_for_fleet => FAILURE_PAUSE,
+            failures => (FAILURE_PAUSE * (1 << (failures - 2).min(8))).min(LONGEST_FAILURE_PAUSE),
+        }
+    }
+
     /// Records whether a request for changes of targets is held at the store.
     fn set_waiting(&self, is_waiting: bool) {
         if self.area == ViewArea::Targets {
--- a/crates/gateway/tests/gateway/lost_responses.rs
+++ b/crates/gateway/tests/gateway/lost_responses.rs
@@ -171,3 +171,30 @@
     let reads = store.config_reads.load(Ordering::Relaxed) - before;
     assert_eq!(reads, gateways.len());
 }
+
+/// Guards against a fleet that keeps loading a store that is down: each node asks less and less
+/// often, and still learns a change soon after the outage.
+#[tokio::test]
+async fn a_store_that_is_down_is_asked_less_and_less_often() {
+    const OUTAGE: Duration = Duration::from_secs(6);
+    /// The first four requests of a node, and then one in each 1.6 s.
+    const MAX_READS: usize = 4 + 4;
+    let (store, gateways) = start_fleet(&["patan", "patan", "balaju", "balaju"]).await;
+    store.is_down.store(true, Ordering::Relaxed);
+    store.put_config(2);
+    sleep(OUTAGE).await;
+    let rejected = store.rejected_config_reads.load(Ordering::Relaxed);
+    assert!(
+        rejected <= MAX_READS * gateways.len(),
+        "{rejected} requests"
+    );
+    store.is_down.store(false, Ordering::Relaxed);
+    let end = Instant::now();
+    until("the change is in force everywhere", || {
+        gateways
+            .iter()
+            .all(|gateway| version(gateway) == ConfigVersion(2))
+    })
+    .await;
+    assert!(end.elapsed() < CONTACT_TIMEOUT, "{:?}", end.elapsed());
+}
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -33,6 +33,8 @@
     pub is_down: AtomicBool,
     /// Number of requests for the configuration that were not rejected when they arrived.
     pub config_reads: AtomicUsize,
+    /// Number of requests for the configuration that were rejected.
+    pub rejected_config_reads: AtomicUsize,
     /// Requests whose responses are lost, and the only failure domain of which they are lost, if
     /// there is one.
     lost: Mutex<(LostResponses, Option<DomainName>)>,
@@ -76,6 +78,7 @@
             revision: watch::Sender::new(0),
             is_down: AtomicBool::new(false),
             config_reads: AtomicUsize::new(0),
+            rejected_config_reads: AtomicUsize::new(0),
             lost: Mutex::default(),
             removed_at: AtomicU64::new(0),
         })
@@ -168,11 +171,15 @@
 
     /// Rejects the request while the store is down, and counts reads of the configuration.
     fn check(&self, area: ViewArea) -> Result<(), SourceError> {
-        self.check_up()?;
+        let checked = self.check_up();
         if area == ViewArea::Config {
-            self.config_reads.fetch_add(1, Ordering::Relaxed);
+            let count = match checked.is_ok() {
+                true => &self.config_reads,
+                false => &self.rejected_config_reads,
+            };
+            count.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(())
+        checked
     }
 
     /// Rejects the request while the store is down.
