Learn the pace of engines from the gaps between events

A long stream on an engine slower than the rest is late by its pauses, but the cost of an engine used fixed constants whatever the engine did.

Each node measures the gaps between the events of the streams that it relays, by run of an engine, and reports them to the coordinators with its loads. While an engine differs from the median of its service by more than a quarter, long calls of a route with a pause limit (gapAimMs) avoid engines on which they would be late, and quick calls are steered there. Calls that may use these engines are placed behind one that waits for another.

--- a/crates/entry/src/config/route_rule.rs
+++ b/crates/entry/src/config/route_rule.rs
@@ -41,6 +41,8 @@
     pub timeout: TimeSpan,
     /// Time to the complete answer, or to the first event of a stream, that is promised to callers.
     pub latency_target: TimeSpan,
+    /// Longest pause between two events of a stream that counts as on time, if the route sets one.
+    pub pause_limit: Option<TimeSpan>,
     /// Priority of the calls; 0 is the highest.
     pub priority: u8,
     /// Largest number of targets to which one call is sent.
@@ -59,7 +61,7 @@
     /// #     name: "r".into(), host: "h".into(), prefix: "/".into(),
     /// #     services: vec![weight("a", 9), weight("b", 1)], repeat: RepeatPolicy::Stream,
     /// #     timeout: base::TimeSpan::from_secs(1), latency_target: base::TimeSpan::from_secs(1),
-    /// #     priority: 0, max_attempts: 1, is_public: false,
+    /// #     pause_limit: None, priority: 0, max_attempts: 1, is_public: false,
     /// # };
     /// assert_eq!(rule.pick_service(8).unwrap().as_str(), "a");
     /// assert_eq!(rule.pick_service(9).unwrap().as_str(), "b");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod fact;
 mod length;
 mod moves;
+mod pace;
 mod queue;
 mod rate;
 mod retry;
@@ -30,6 +31,9 @@
 pub use moves::{
     CopyLocks, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTurn, StreamProgress,
 };
+pub use pace::{
+    EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable, TargetPace,
+};
 pub use queue::{CallQueue, PlacementPacer, QueueTicket, QueuedCall};
 pub use rate::{
     DomainPeak, FleetReach, PermitOutcome, RateBucket, RateGrant, RateLedger, RateRecord,
--- /dev/null
+++ b/crates/entry/src/pace/pace_sample.rs
@@ -0,0 +1,25 @@
+use base::{IncarnationNumber, TargetName, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+/// Gaps between events that one node observed at one engine within a short time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceSample {
+    /// Number of gaps.
+    pub gaps: u32,
+    /// Number of gaps that began a stretch of gaps over the pause limit.
+    pub late_gaps: u32,
+    /// Lower quartile of the gaps: gaps in which the engine also reads a prompt are about twice as
+    /// long, and how many these are depends on its load and not on its speed.
+    pub typical_gap: TimeSpan,
+}
+
+/// Sample of one run of an engine, as a node reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceReport {
+    /// The engine.
+    pub target: TargetName,
+    /// Run of the engine.
+    pub incarnation: IncarnationNumber,
+    /// What the node observed.
+    pub sample: PaceSample,
+}
--- a/crates/entry/src/queue/call_queue.rs
+++ b/crates/entry/src/queue/call_queue.rs
@@ -111,6 +111,17 @@
         first.map(|entry| entry.order.1)
     }
 
+    /// Calls of a service in the order in which they are to be served, moves of generations aside.
+    pub fn ordered(&self, now: ClockTime, service: &ServiceName) -> Vec<QueueTicket> {
+        let waiting = self.entries.iter();
+        let waiting = waiting.filter(|entry| entry.call.service == *service && !entry.call.is_move);
+        let mut keys: Vec<_> = waiting
+            .map(|entry| (entry.lane(now), entry.order))
+            .collect();
+        keys.sort();
+        keys.into_iter().map(|(_, order)| order.1).collect()
+    }
+
     /// Number of calls of a service that go before a new call that can still be on time.
     pub fn count_ahead(&self, now: ClockTime, service: &ServiceName, is_quick: bool) -> usize {
         let waiting = self.entries.iter();
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -8,7 +8,7 @@
     LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope, TargetChanges,
     TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-use crate::{CapacityGrant, EngineSpec, LeaseGuard};
+use crate::{CapacityGrant, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable};
 
 /// Share of an engine's memory that calls may hold on average, by their estimates; the rest is a
 /// reserve for wrong estimates.
@@ -52,6 +52,14 @@
 /// Age at which the load report of a peer that sent no newer one is dropped.
 const PEER_EXPIRY: TimeSpan = TimeSpan::new(2_500);
 
+/// Interval at which the paces of the engines are compared again.
+const COMPARE_INTERVAL: TimeSpan = TimeSpan::new(100);
+/// Largest cost in milliseconds of an engine on which a generation that moves is late; below that
+/// of another failure domain.
+const MOVE_LATE_COST_MS: f64 = 300.0;
+/// Late probability of a quick call up to which it is steered to engines that long calls avoid.
+const STEERED_LATE_LIMIT: f64 = 0.25;
+
 /// Load balancer of one node: tracks the load and health of the targets of all services and chooses
 /// a target for each call.
 #[derive(Debug)]
@@ -63,6 +71,9 @@
     peers: Vec<PeerLoads>,
     own_load_version: u64,
     random: Pcg64,
+    paces: PaceTable,
+    /// When the paces of the engines were compared last.
+    compared_at: ClockTime,
 }
 
 impl LoadBalancer {
@@ -80,6 +91,8 @@
             peers: Vec::new(),
             own_load_version: 0,
             random: Pcg64::seed_from_u64(seed),
+            paces: PaceTable::default(),
+            compared_at: ClockTime::default(),
         }
     }
 
@@ -117,6 +130,7 @@
     /// Marks lapsed targets as gone and drops load reports, each once their time is over; returns what
     /// changes for targets.
     pub fn on_tick(&mut self, now: ClockTime) -> TargetChanges {
+        self.compare_paces(now);
         let mut changes = TargetChanges::default();
         let lapsed =
             |state: &TargetState| matches!(state.phase, TargetPhase::Lapsed(until) if until <= now);
@@ -243,6 +257,20 @@
         &mut self,
         now: ClockTime,
         request: &PlacementRequest,
+    ) -> PlacementDecision {
+        if let Some(need) = request.pace.filter(|_| request.may_wait_for_pace(now)) {
+            self.paces.record_long_call(need.events_left);
+        }
+        self.choose_among(now, request, None)
+    }
+
+    /// Chooses a target as [`Self::choose_target`] does, if `allowed` is given only among those;
+    /// they are sorted by name.
+    pub fn choose_among(
+        &mut self,
+        now: ClockTime,
+        request: &PlacementRequest,
+        allowed: Option<&[TargetName]>,
     ) -> PlacementDecision {
         let mut has_target = false;
         let mut all_excluded = true;
@@ -259,6 +287,11 @@
             if request.excluded.contains(&state.record.name) || !state.accepts(now) {
                 continue;
             }
+            if allowed.is_some_and(|names| names.binary_search(&state.record.name).is_err())
+                || is_avoided(now, state, request)
+            {
+                continue;
+            }
             if let Some(cost) = self.cost(now, state, request) {
                 costs.push((cost, at));
             }
@@ -282,6 +315,65 @@
         PlacementDecision::Target(target.record.name.clone())
     }
 
+    /// Targets that have room for a call but that it avoids, as it would be late there, sorted.
+    pub fn avoided_targets(&self, now: ClockTime, request: &PlacementRequest) -> Vec<TargetName> {
+        let known = self.targets.iter().filter(|state| {
+            state.record.service == request.service
+                && state.phase != TargetPhase::Leaving
+                && is_avoided(now, state, request)
+                && state.accepts(now)
+        });
+        let open = known.filter(|state| {
+            let is_in_scope =
+                state.record.domain == self.domain || request.scope == PlacementScope::AllDomains;
+            is_in_scope && !request.excluded.contains(&state.record.name)
+        });
+        open.map(|state| state.record.name.clone()).collect()
+    }
+
+    /// Adds the gaps that `node` observed at engines.
+    pub fn add_paces(&mut self, now: ClockTime, node: &NodeName, reports: &[PaceReport]) {
+        for report in reports {
+            let Ok(at) = self.find(&report.target) else {
+                continue;
+            };
+            let state = &self.targets[at];
+            if state.record.incarnation == report.incarnation {
+                self.paces.add(now, node, report, state.pace);
+            }
+        }
+        if now.since(self.compared_at) >= COMPARE_INTERVAL {
+            self.compare_paces(now);
+        }
+    }
+
+    /// Compares the engines of each service by their pace, and forgets runs that are gone.
+    fn compare_paces(&mut self, now: ClockTime) {
+        self.compared_at = now;
+        let targets = &self.targets;
+        self.paces.retain(now, |name, incarnation| {
+            let found = targets.binary_search_by(|state| state.record.name.cmp(name));
+            found.is_ok_and(|at| targets[at].record.incarnation == incarnation)
+        });
+        let mut services: Vec<_> = self.targets.iter().map(|one| &one.record.service).collect();
+        services.sort();
+        services.dedup();
+        for service in services.into_iter().cloned().collect::<Vec<_>>() {
+            let is_open = |state: &TargetState| {
+                state.record.service == service && state.phase != TargetPhase::Leaving
+            };
+            let open = self.targets.iter().filter(|state| is_open(state));
+            let runs: Vec<_> = open
+                .map(|state| (&state.record.name, state.record.incarnation))
+                .collect();
+            let paces = self.paces.compare(now, &runs);
+            let open = self.targets.iter_mut().filter(|state| is_open(state));
+            for (state, pace) in open.zip(paces) {
+                state.pace = pace;
+            }
+        }
+    }
+
     /// Adds load of a call of this node to a target.
     pub fn add_load(&mut self, name: &TargetName, load: TargetLoad) {
         if let Ok(at) = self.find(name) {
@@ -359,7 +451,7 @@
     /// Expected delay of a call on a target in milliseconds; `None` if the target has no room.
     fn cost(&self, now: ClockTime, state: &TargetState, request: &PlacementRequest) -> Option<f64> {
         let mut cost = match request.engine {
-            Some(spec) => engine_cost(state, request, spec)?,
+            Some(spec) => engine_cost(state, request, spec)? + pace_cost(now, state, request),
             None => plain_cost(state)?,
         };
         let reported = request
@@ -532,12 +624,61 @@
     if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
         return None;
     }
-    if request.move_source.is_none() && total.prefill >= PREFILL_LIMIT {
+    let ratio = prefill_ratio(state, request);
+    if request.move_source.is_none() && total.prefill as f64 * ratio >= PREFILL_LIMIT as f64 {
         return None;
     }
     let fill = tokens / limit;
     let prefill = prefill_time(total.prefill).as_millis() as f64;
-    Some(prefill + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
+    Some(prefill * ratio + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
+}
+
+/// Factor by which an engine reads prompts slower than the others of its service; 1 for a call
+/// without a pause limit, and while no engine differs much.
+fn prefill_ratio(state: &TargetState, request: &PlacementRequest) -> f64 {
+    match request.pace.is_some() && state.pace.is_uneven {
+        true => state.pace.ratio,
+        false => 1.0,
+    }
+}
+
+/// Whether a call avoids an engine, as it would more likely than not be late there, while it can
+/// still wait for another one.
+fn is_avoided(now: ClockTime, state: &TargetState, request: &PlacementRequest) -> bool {
+    let need = request.pace.filter(|_| request.may_wait_for_pace(now));
+    need.is_some_and(|need| state.pace.is_uneven && state.pace.is_late_for(need.events_left))
+}
+
+/// Expected cost in milliseconds of the pace of an engine; below 0 if a quick call is steered to
+/// it. 0 for a call without a pause limit, and while no engine differs much.
+fn pace_cost(now: ClockTime, state: &TargetState, request: &PlacementRequest) -> f64 {
+    let Some(need) = request.pace.filter(|_| state.pace.is_uneven) else {
+        return 0.0;
+    };
+    let late_cost = need.latency_target.as_millis() as f64;
+    let late = state.pace.late_probability(need.events_left) * late_cost;
+    if request.move_source.is_some() {
+        return late.min(MOVE_LATE_COST_MS);
+    }
+    let prompt = prefill_time(request.load.prefill).as_millis() as f64;
+    let slower_prompt = prompt * (state.pace.ratio - 1.0);
+    if !need.can_be_on_time(now) {
+        return slower_prompt;
+    }
+    match request.is_quick && is_steered(state, request, need) {
+        true => late - late_cost,
+        false => late + slower_prompt,
+    }
+}
+
+/// Whether a quick call is steered to an engine, as long calls avoid it and the call is on time
+/// there.
+fn is_steered(state: &TargetState, request: &PlacementRequest, need: PaceNeed) -> bool {
+    let waiting = state.total().prefill + request.load.prefill;
+    let first_event = prefill_time(waiting).as_millis() as f64 * state.pace.ratio;
+    state.pace.is_avoided
+        && first_event * 2.0 <= need.latency_target.as_millis() as f64
+        && state.pace.late_probability(need.events_left) <= STEERED_LATE_LIMIT
 }
 
 /// Expected delay in milliseconds of a call on a plain target; `None` if the calls of this node
--- a/crates/entry/src/target/placement_request.rs
+++ b/crates/entry/src/target/placement_request.rs
@@ -1,8 +1,8 @@
-use base::{DomainName, ServiceName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, ServiceName, TargetName, TimeSpan};
 use serde::{Deserialize, Serialize};
 
 use super::TargetLoad;
-use crate::EngineSpec;
+use crate::{EngineSpec, PaceNeed};
 
 /// Failure domains whose targets a call may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +44,18 @@
     /// Expected delays caused by failures that the node of the call observed itself, sorted by
     /// target.
     pub failure_delays: Vec<(TargetName, TimeSpan)>,
+    /// What the call requires of the pace of its engine; `None` if its route has no pause limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<PaceNeed>,
+}
+
+impl PlacementRequest {
+    /// Whether the call waits for an engine on which it is on time rather than take one where it
+    /// would be late: a long call that can still be on time and is not a move.
+    pub fn may_wait_for_pace(&self, now: ClockTime) -> bool {
+        let can_wait = self.pace.is_some_and(|need| need.can_be_on_time(now));
+        can_wait && !self.is_quick && self.move_source.is_none()
+    }
 }
 
 /// Response to a placement request: the chosen target, or why there is none.
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
 use super::{TargetBackoff, TargetHealth, TargetLoad, TargetRecord};
-use crate::TargetRate;
+use crate::{TargetPace, TargetRate};
 
 /// Whether a target takes calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     pub has_ended: bool,
     /// When it stops being slow after its start.
     pub warm_at: ClockTime,
+    /// Its pace beside the other engines of its service.
+    pub pace: TargetPace,
 }
 
 impl TargetState {
@@ -55,6 +57,7 @@
             has_announced_leave: false,
             has_ended: false,
             warm_at: now + record.cold_left,
+            pace: TargetPace::default(),
             record,
             phase,
             own_load: TargetLoad::default(),
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -19,6 +19,7 @@
         repeat: RepeatPolicy::Idempotent,
         timeout: TimeSpan::from_secs(1),
         latency_target: TimeSpan::new(100),
+        pause_limit: None,
         priority: 0,
         max_attempts: 2,
         is_public: false,
--- a/crates/gateway/src/peer/load_pusher.rs
+++ b/crates/gateway/src/peer/load_pusher.rs
@@ -17,6 +17,10 @@
 /// reports older than 2.5 s.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the gaps between the events of relayed streams are closed as samples, and sent
+/// to coordinators that no other report reaches.
+const PACE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Sends load reports when the load of this node on engines changes, without waiting for the next
 /// gossip round: to the coordinators of its own failure domain and to those of the domains whose
 /// engines it uses.
@@ -55,8 +59,11 @@
         let mut moves = 0;
         let mut repeats = interval(REPEAT_INTERVAL);
         repeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut paces = interval(PACE_INTERVAL);
+        paces.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = paces.tick() => self.push_paces(),
                 _ = repeats.tick() => self.push_remote(),
                 changed = changes.changed() => {
                     if changed.is_err() {
@@ -88,6 +95,21 @@
         self.push_remote();
     }
 
+    /// Closes the samples of gaps between events and sends them to the coordinators of the own
+    /// failure domain; those of others get them with the loads.
+    fn push_paces(&mut self) {
+        let coordinators = self.client.own_coordinators();
+        let lacking = self.core.with_state(|state, now| {
+            state.close_gap_samples(now);
+            let mut lacking = coordinators;
+            lacking.retain(|address| state.lacks_gap_samples(*address));
+            lacking
+        });
+        for address in lacking {
+            self.push(address);
+        }
+    }
+
     /// Sends loads to the coordinators of the failure domains whose engines this node uses, and
     /// once more to those of the domains whose engines it no longer uses.
     fn push_remote(&mut self) {
--- a/crates/gateway/src/peer/load_report.rs
+++ b/crates/gateway/src/peer/load_report.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, DomainName, NodeName, TargetName};
-use entry::{GrantId, PeerLoads, TargetLoad};
+use entry::{GrantId, PaceReport, PeerLoads, TargetLoad};
 use serde::{Deserialize, Serialize};
 
 use super::node_digest::peer_origin;
@@ -28,11 +28,15 @@
     /// Leaving engines off which the sender copies a generation now.
     #[serde(rename = "moving")]
     pub copying_sources: Vec<TargetName>,
+    /// Gaps between events that the sender observed at engines since its last report to the
+    /// receiver.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<PaceReport>,
 }
 
 impl LoadReport {
-    /// Creates the report of this node.
-    pub fn of_core(core: &GatewayCore) -> Self {
+    /// Creates the report of this node for a peer.
+    pub fn new(core: &GatewayCore, receiver: SocketAddr) -> Self {
         core.with_state(|state, now| Self {
             node: core.node().clone(),
             domain: core.settings.domain.clone(),
@@ -42,6 +46,7 @@
             accepted: state.coordinator.accepted_grants(now),
             is_waiting: state.has_queued_generations(),
             copying_sources: state.move_scheduler.copying_sources(),
+            paces: state.take_gap_samples(now, receiver),
         })
     }
 
@@ -57,6 +62,7 @@
                 sent_at: self.sent_at,
                 loads: self.loads,
             });
+            state.balancer.add_paces(now, &self.node, &self.paces);
             state.confirm_grants(&self.accepted);
             if is_newest {
                 state
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -251,7 +251,7 @@
 
     /// Sends a peer the load report of this node.
     pub async fn send_loads(&self, address: SocketAddr) {
-        let Some(body) = encode_body(&LoadReport::of_core(&self.core)) else {
+        let Some(body) = encode_body(&LoadReport::new(&self.core, address)) else {
             return;
         };
         // `call` logs a failure. A later push or digest reports the same loads.
--- a/crates/gateway/src/relay/access_entry.rs
+++ b/crates/gateway/src/relay/access_entry.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, NodeName, PartId, RequestId, TargetName};
-use entry::{ConfigVersion, TargetLoad};
+use entry::{ConfigVersion, TargetLoad, TargetPace};
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
@@ -39,6 +39,8 @@
     pub load: TargetLoad,
     /// Load of other calls on the last target when it was chosen.
     pub load_seen: TargetLoad,
+    /// Pace of the last target when it was chosen, as known to this node.
+    pub pace: TargetPace,
     /// Milliseconds from arrival until the first byte of the response.
     pub first_byte_ms: Option<u64>,
     /// Number of stream events relayed.
@@ -70,6 +72,7 @@
             shared_parts: Vec::new(),
             load: TargetLoad::default(),
             load_seen: TargetLoad::default(),
+            pace: TargetPace::default(),
             first_byte_ms: None,
             events: 0,
             longest_pause_ms: 0,
@@ -99,6 +102,7 @@
         self.coordinator = reservation.coordinator;
         self.load = reservation.load();
         self.load_seen = reservation.other_load;
+        self.pace = reservation.pace;
         self.targets.push(reservation.target.clone());
     }
 
@@ -185,6 +189,8 @@
             seen_calls = self.load_seen.calls,
             seen_tokens = self.load_seen.tokens,
             seen_prefill = self.load_seen.prefill,
+            pace = self.pace.ratio,
+            late_share = self.pace.late_share,
             first_ms = self.first_byte_ms.unwrap_or_default(),
             total_ms = self.elapsed_ms(),
             events = self.events,
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
-use base::{ClockTime, ServiceName, TimeSpan, WorkspaceName};
+use base::{ClockTime, ServiceName, TimeSpan, TokenCount, WorkspaceName};
 use bytes::Bytes;
 use entry::{
-    CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PlacementRequest, PlacementScope,
-    RepeatPolicy, RouteRule, TargetLoad, prefill_time,
+    CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PaceNeed, PlacementRequest,
+    PlacementScope, RepeatPolicy, RouteRule, TargetLoad, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
@@ -151,6 +151,23 @@
         }
     }
 
+    /// What the call requires of the pace of its engine after `events` of its events were relayed;
+    /// `None` if its route has no pause limit.
+    pub fn pace_need(&self, events: u32) -> Option<PaceNeed> {
+        let pause_limit = self.route.pause_limit?;
+        let (spec, size) = (self.engine?, self.caller_headers.generation?);
+        let per_event = spec.event_tokens.max(1);
+        let produced = TokenCount(events.saturating_mul(per_event));
+        let expected = size.output_estimate().with_progress(produced).expected();
+        let left = expected.0.saturating_sub(produced.0);
+        Some(PaceNeed {
+            pause_limit,
+            latency_target: self.route.latency_target,
+            events_left: left.div_ceil(per_event),
+            start_by: self.arrived_at + self.start_within(),
+        })
+    }
+
     /// Request for capacity on a target that waits for at most `max_wait`.
     pub fn capacity_request(
         &self,
@@ -185,6 +202,7 @@
             move_source: None,
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
+            pace: self.pace_need(0),
         }
     }
 }
--- a/crates/gateway/src/relay/response_sender.rs
+++ b/crates/gateway/src/relay/response_sender.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whether the queue is full, as the caller reads slowly.
+    pub fn is_full(&self) -> bool {
+        self.sender.capacity() == 0
+    }
+
     /// Marks the body as complete, so that it ends without an error when the sender is dropped.
     pub fn complete(&self) {
         self.is_complete.store(true, Ordering::Release);
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -59,6 +59,7 @@
             }),
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
+            pace: self.pace_need(),
         };
         let core = self.core.clone();
         self.placing = Some(tokio::spawn(async move {
@@ -344,6 +345,7 @@
             SendOutcome::TimedOut => return Some("no response in time".to_owned()),
             SendOutcome::Recalled => return Some("recalled".to_owned()),
         };
+        self.interrupt_gaps();
         self.is_framed = response.is_framed();
         self.body = Some(response.http.into_body());
         self.connection = Some(response.connection);
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -1,9 +1,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{TargetName, TokenCount};
+use base::{TargetName, TimeSpan, TokenCount};
 use bytes::Bytes;
-use entry::{ANSWER_PROOF_TIME, MoveMachine, OutputEstimate, StreamProgress};
+use entry::{
+    ANSWER_PROOF_TIME, GapMeter, MoveMachine, MovePhase, OutputEstimate, PaceNeed, StreamProgress,
+};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -124,6 +126,8 @@
     /// When the prompt will have proven harmless; `None` before the answer begins and after that.
     proof_due: Option<Instant>,
     pub(super) deadline: Instant,
+    /// Measures the gaps that the engine makes between events.
+    pub(super) gap_meter: GapMeter,
 }
 
 impl StreamRelay {
@@ -167,6 +171,7 @@
             copying: None,
             unused_copy: None,
             move_times: MoveTimes::default(),
+            gap_meter: GapMeter::default(),
         }
     }
 
@@ -179,6 +184,7 @@
                 break;
             }
         }
+        self.interrupt_gaps();
         self.release_turn();
         self.release_copy();
         self.core.with_state(|state, _| state.active_streams -= 1);
@@ -269,6 +275,10 @@
                 continue;
             }
             self.record_event();
+            if self.sender.is_full() {
+                // While the caller does not read, the engine is not read either.
+                self.interrupt_gaps();
+            }
             match self.sender.send(block, self.deadline).await {
                 ChunkOutcome::Queued => {}
                 ChunkOutcome::CallerGone => {
@@ -319,9 +329,49 @@
             self.proof_due = has_parts.then(|| Instant::now() + Duration::from(ANSWER_PROOF_TIME));
             self.consider_move();
         }
+        self.record_gap();
         self.update_estimate();
     }
 
+    /// Records the gap before the previous event for the pace of the engine. Gaps during a move
+    /// are not the engine's.
+    fn record_gap(&mut self) {
+        if *self.move_machine.phase() != MovePhase::Idle {
+            self.interrupt_gaps();
+            return;
+        }
+        let now = self.core.now();
+        if let Some(gap) = self.gap_meter.record_event(now) {
+            self.collect_gap(gap);
+        }
+    }
+
+    /// Forgets the last event for the pace of the engine, as the next gap is not the engine's.
+    pub(super) fn interrupt_gaps(&mut self) {
+        if let Some(gap) = self.gap_meter.interrupt() {
+            self.collect_gap(gap);
+        }
+    }
+
+    fn collect_gap(&mut self, gap: TimeSpan) {
+        let Some(limit) = self.call.route.pause_limit else {
+            return;
+        };
+        let run = TargetRun::of(&self.reservation);
+        let meter = &mut self.gap_meter;
+        self.core.with_state(|state, now| {
+            let is_late = meter.begins_late_stretch(now, gap, limit);
+            state
+                .gaps
+                .record(&run.target, run.incarnation, gap, is_late);
+        });
+    }
+
+    /// What the generation requires of the pace of the engine to which it moves.
+    pub(super) fn pace_need(&self) -> Option<PaceNeed> {
+        self.call.pace_need(self.progress.events)
+    }
+
     /// Adds to the load on the engine when a generation outgrows its estimated output.
     fn update_estimate(&mut self) {
         let generated = self.progress.events.saturating_mul(self.event_tokens);
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -5,7 +5,7 @@
 use calls::RequestFingerprint;
 use entry::{
     AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
-    TargetOutcome, TargetPhase,
+    TargetOutcome, TargetPace, TargetPhase,
 };
 
 use super::GatewayCore;
@@ -69,6 +69,8 @@
     pub incarnation: IncarnationNumber,
     /// Load of other calls on the target when it was chosen, as known to this node.
     pub other_load: TargetLoad,
+    /// Pace of the target when it was chosen, as known to this node.
+    pub pace: TargetPace,
     /// Coordinator that chose the target; `None` if this node did.
     pub coordinator: Option<SocketAddr>,
 }
@@ -87,9 +89,9 @@
             let mut others = state.total();
             others -= load;
             let place = (record.address, record.domain.clone(), record.incarnation);
-            Some((place, others))
+            Some((place, others, state.pace))
         });
-        let Some(((address, domain, incarnation), other_load)) = found else {
+        let Some(((address, domain, incarnation), other_load, pace)) = found else {
             core.with_state(|state, _| state.balancer.remove_load(&target, load));
             return None;
         };
@@ -103,6 +105,7 @@
             domain,
             incarnation,
             other_load,
+            pace,
             coordinator: None,
         })
     }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -443,10 +443,13 @@
 fn place_or_enqueue(
     state: &mut GatewayState,
     now: ClockTime,
-    request: QueueRequest,
+    mut request: QueueRequest,
 ) -> EnqueueOutcome {
     let service = request.placement.service.clone();
     let arrived = ClockTime::new(now.as_millis().saturating_sub(request.waited.as_millis()));
+    if let Some(need) = &mut request.placement.pace {
+        need.start_by = arrived + request.start_within;
+    }
     let is_quick = request.placement.is_quick;
     let is_move = request.placement.move_source.is_some();
     let is_next = match is_move {
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,16 +1,21 @@
+use std::net::SocketAddr;
+
 use base::{
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
-    PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule, SuspectTracker,
-    TrialLedger,
+    GapCollector, LoadBalancer, MoveScheduler, PaceReport, PlacementDecision, PlacementPacer,
+    PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule,
+    SuspectTracker, TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
 
-use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, StopPlan, ViewState};
+use super::{
+    CoordinatorState, INFORMED_COORDINATORS, PeerTable, PlacedTarget, PlacementRefusal, StopPlan,
+    ViewState,
+};
 use crate::peer::FactOutbox;
 use crate::{GatewaySettings, RetrySettings, ViewArea};
 
@@ -39,6 +44,12 @@
 /// reader reaches them within 1.4 s through the coordinators.
 const STALE_AGE: TimeSpan = TimeSpan::new(1_600);
 
+/// Peers for which the node remembers which samples of gaps they were sent.
+const GAP_RECEIVERS: usize = 16;
+/// Calls behind one that waits for a faster engine that may find no room before the rest is not
+/// tried.
+const BEHIND_FAILURES: usize = 3;
+
 /// Rate limiters for the bytes that the synchronization of facts with peers takes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FactLimiters {
@@ -73,6 +84,10 @@
     pub view: ViewState,
     /// Targets with their load and health; chooses targets for calls.
     pub balancer: LoadBalancer,
+    /// Gaps between the events of the streams of this node, to be reported.
+    pub gaps: GapCollector,
+    /// Number of the last sample of gaps that each peer was sent.
+    pub(super) gaps_sent: Vec<(SocketAddr, u64)>,
     /// Order of the calls that wait for capacity.
     pub queue: CallQueue,
     /// Decides when a waiting call may be placed on an engine without a coordinator.
@@ -134,6 +149,8 @@
         Self {
             view: ViewState::default(),
             balancer: LoadBalancer::new(settings.domain.clone(), seed),
+            gaps: GapCollector::default(),
+            gaps_sent: Vec::new(),
             queue: CallQueue::default(),
             pacer: PlacementPacer::new(seed),
             waiters: Vec::new(),
@@ -187,13 +204,44 @@
                     PlacementDecision::Target(name) => Ok(name),
                     PlacementDecision::NoTarget => Err(PlacementRefusal::NoTarget),
                     PlacementDecision::Backoff(left) => Err(self.refuse_for(now, &service, left)),
-                    PlacementDecision::Full => break,
+                    PlacementDecision::Full => {
+                        self.serve_behind(now, at);
+                        break;
+                    }
                 };
                 self.answer_waiter(now, at, result);
             }
         }
     }
 
+    /// Places calls behind the waiter at index `head` on the engines that have room but that the
+    /// head avoids as too slow. They leave it the other engines, for which it waits.
+    fn serve_behind(&mut self, now: ClockTime, head: usize) {
+        let placement = &self.waiters[head].placement;
+        let (service, scope) = (placement.service.clone(), placement.scope);
+        let avoided = self.balancer.avoided_targets(now, placement);
+        if avoided.is_empty() {
+            return;
+        }
+        let mut failures = 0;
+        for ticket in self.queue.ordered(now, &service) {
+            let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
+                continue;
+            };
+            let placement = &mut self.waiters[at].placement;
+            if placement.may_wait_for_pace(now) {
+                continue;
+            }
+            placement.scope = scope;
+            let decision = self.balancer.choose_among(now, placement, Some(&avoided));
+            match decision {
+                PlacementDecision::Target(name) => self.answer_waiter(now, at, Ok(name)),
+                _ if failures >= BEHIND_FAILURES => return,
+                _ => failures += 1,
+            }
+        }
+    }
+
     /// Places queued moves of generations for which a target has capacity and off whose engine no
     /// other node copies.
     fn serve_queued_moves(&mut self, now: ClockTime) {
@@ -264,6 +312,53 @@
         self.pacer.take_turn(now, rivals)
     }
 
+    /// Closes the samples of the gaps between events, and counts them for the choices of this node.
+    pub fn close_gap_samples(&mut self, now: ClockTime) {
+        let reports = self.gaps.close(now);
+        let node = self.node.clone();
+        self.balancer.add_paces(now, &node, &reports);
+    }
+
+    /// Whether a coordinator was not sent the last samples of gaps.
+    pub fn lacks_gap_samples(&self, receiver: SocketAddr) -> bool {
+        let found = self.gaps_sent.iter().find(|(known, _)| *known == receiver);
+        found.map_or(0, |(_, number)| *number) < self.gaps.last_number()
+    }
+
+    /// Samples of gaps that a coordinator was not sent yet; others than coordinators get none. To
+    /// another failure domain, only those of its own engines are sent.
+    pub fn take_gap_samples(&mut self, now: ClockTime, receiver: SocketAddr) -> Vec<PaceReport> {
+        let domain = self.peers.domain_of(receiver);
+        let is_own = domain.as_ref() == Some(&self.domain);
+        if is_own {
+            let ranking = self.coordinator_ranking(now);
+            if !ranking
+                .iter()
+                .take(INFORMED_COORDINATORS)
+                .any(|one| *one == receiver)
+            {
+                return Vec::new();
+            }
+        }
+        let at = self
+            .gaps_sent
+            .iter()
+            .position(|(known, _)| *known == receiver);
+        let sent = at.map_or(0, |at| self.gaps_sent.swap_remove(at).1);
+        if self.gaps_sent.len() >= GAP_RECEIVERS {
+            self.gaps_sent.remove(0);
+        }
+        self.gaps_sent.push((receiver, self.gaps.last_number()));
+        let mut reports = self.gaps.closed_after(sent);
+        if !is_own {
+            reports.retain(|report| {
+                let found = self.balancer.target(&report.target);
+                found.is_some_and(|one| Some(&one.record.domain) == domain.as_ref())
+            });
+        }
+        reports
+    }
+
     /// Whether calls of this node wait for engines.
     pub fn has_queued_generations(&self) -> bool {
         let mut own = self.waiters.iter().filter(|one| one.requester.is_none());
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -284,6 +284,7 @@
         repeat,
         timeout: TimeSpan::from_secs(5),
         latency_target: TimeSpan::new(400),
+        pause_limit: None,
         priority: 0,
         max_attempts,
         is_public: prefix != "/locked/",
