Evacuate failure domains on the operator's request

Cause: the store key op/evacuate/ZONE was read with the configuration and ignored, so targets of an evacuated domain went on getting requests.

Change: EvacuationLedger keeps the newest record of each domain, from each read of the configuration area and from the digests of peers. The load balancer leaves out the targets of evacuated domains, and every send is checked: calls, second tries, grants, copies, stops, resumes, releases and status reports. Generations move off as from a leaving engine, for 3 s; a generation is not stopped in the last second of these, as its engine may have to resume it. If all domains of a service are evacuated, callers are refused at once. Digests are encoded as maps once they have records, as nodes of the last build can't decode longer arrays.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,4 +41,7 @@
     PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad, TargetOutcome,
     TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-pub use view::{ItemChange, ItemMirror, LeaseGuard, PublishedItem, latest_gap};
+pub use view::{
+    EvacuationChange, EvacuationLedger, EvacuationRecord, ItemChange, ItemMirror, LeaseGuard,
+    PublishedItem, latest_gap,
+};
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -62,6 +62,8 @@
     /// Latest load report of each origin, sorted by origin.
     peers: Vec<PeerLoads>,
     own_load_version: u64,
+    /// Evacuated failure domains, sorted.
+    evacuated: Vec<DomainName>,
     random: Pcg64,
 }
 
@@ -79,6 +81,7 @@
             targets: Vec::new(),
             peers: Vec::new(),
             own_load_version: 0,
+            evacuated: Vec::new(),
             random: Pcg64::seed_from_u64(seed),
         }
     }
@@ -110,10 +113,41 @@
             self.update_record(now, record, &mut changes);
         }
         self.drop_missing(now, &listed, guard, &mut changes);
+        self.mark_evacuated();
         self.recount_peer_loads();
         changes
     }
 
+    /// Replaces the evacuated failure domains, whose targets take no calls.
+    pub fn set_evacuated(&mut self, mut domains: Vec<DomainName>) {
+        domains.sort();
+        self.evacuated = domains;
+        self.mark_evacuated();
+    }
+
+    /// Whether a service has targets that do not leave, and all of them are evacuated.
+    pub fn is_service_evacuated(&self, service: &ServiceName) -> bool {
+        let known = self.targets.iter();
+        let mut staying = known
+            .filter(|one| one.record.service == *service && one.phase != TargetPhase::Leaving)
+            .peekable();
+        staying.peek().is_some() && staying.all(|one| one.is_evacuated)
+    }
+
+    /// Targets of a failure domain, sorted.
+    pub fn targets_in(&self, domain: &DomainName) -> Vec<TargetName> {
+        let known = self.targets.iter();
+        let found = known.filter(|one| one.record.domain == *domain);
+        found.map(|one| one.record.name.clone()).collect()
+    }
+
+    /// Number of generations of this node on the engines of a failure domain.
+    pub fn own_generations_in(&self, domain: &DomainName) -> u32 {
+        let known = self.targets.iter();
+        let busy = known.filter(|one| one.record.domain == *domain && one.own_load.is_on_engine());
+        busy.map(|one| one.own_load.calls).sum()
+    }
+
     /// Marks lapsed targets as gone and drops load reports, each once their time is over; returns what
     /// changes for targets.
     pub fn on_tick(&mut self, now: ClockTime) -> TargetChanges {
@@ -248,7 +282,7 @@
         let mut all_excluded = true;
         let mut costs = Vec::new();
         for (at, state) in self.targets.iter().enumerate() {
-            if state.record.service != request.service || state.phase == TargetPhase::Leaving {
+            if state.record.service != request.service || !state.is_open() {
                 continue;
             }
             has_target = true;
@@ -459,6 +493,13 @@
         })
     }
 
+    fn mark_evacuated(&mut self) {
+        let evacuated = &self.evacuated;
+        for state in &mut self.targets {
+            state.is_evacuated = evacuated.binary_search(&state.record.domain).is_ok();
+        }
+    }
+
     fn recount_peer_loads(&mut self) {
         for state in &mut self.targets {
             state.peer_load = TargetLoad::default();
--- a/crates/entry/src/target/target_notices.rs
+++ b/crates/entry/src/target/target_notices.rs
@@ -10,11 +10,10 @@
 /// accept, and that they leave.
 impl LoadBalancer {
     /// Time until the first target of a service accepts calls of this node again; `None` unless all
-    /// targets of the service that are not leaving asked it to back off or have used up their rate.
+    /// targets of the service that neither leave nor are evacuated asked it to back off or have used up their rate.
     pub fn wait_left(&self, now: ClockTime, service: &ServiceName) -> Option<TimeSpan> {
         let known = self.targets.iter();
-        let open =
-            known.filter(|one| one.record.service == *service && one.phase != TargetPhase::Leaving);
+        let open = known.filter(|one| one.record.service == *service && one.is_open());
         let left = open
             .map(|one| one.wait_left(now))
             .collect::<Option<Vec<_>>>()?;
@@ -56,9 +55,7 @@
     pub fn rate_interval(&self, now: ClockTime, service: &ServiceName) -> Option<TimeSpan> {
         let known = self.targets.iter();
         let used_up = known.filter(|one| {
-            one.record.service == *service
-                && one.phase != TargetPhase::Leaving
-                && one.rate.wait_left(now).is_some()
+            one.record.service == *service && one.is_open() && one.rate.wait_left(now).is_some()
         });
         let rates: Vec<_> = used_up.map(|one| &one.rate).collect();
         let nodes = rates.iter().map(|rate| rate.waiting_nodes()).max()?;
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -38,6 +38,8 @@
     pub has_announced_leave: bool,
     /// Whether this run ended although it is still listed.
     pub has_ended: bool,
+    /// Whether its failure domain is evacuated, so that it takes no calls until that is taken back.
+    pub is_evacuated: bool,
     /// When it stops being slow after its start.
     pub warm_at: ClockTime,
 }
@@ -54,6 +56,7 @@
             rate: TargetRate::default(),
             has_announced_leave: false,
             has_ended: false,
+            is_evacuated: false,
             warm_at: now + record.cold_left,
             record,
             phase,
@@ -77,11 +80,16 @@
         (self.record.name.clone(), self.record.incarnation)
     }
 
-    /// Whether its phase, health, backoff and rate allow new calls; whether it has room is not
-    /// checked.
+    /// Whether it may be chosen for calls once it has room: it neither leaves nor is evacuated.
+    pub fn is_open(&self) -> bool {
+        self.phase != TargetPhase::Leaving && !self.is_evacuated
+    }
+
+    /// Whether its phase, health, backoff and rate allow new calls and it is not evacuated; whether
+    /// it has room is not checked.
     pub fn accepts(&self, now: ClockTime) -> bool {
-        let is_open = self.phase != TargetPhase::Leaving && self.health.accepts(now);
-        is_open
+        self.is_open()
+            && self.health.accepts(now)
             && self.backoff.allows(now, self.own_load.calls)
             && self.rate.wait_left(now).is_none()
     }
--- /dev/null
+++ b/crates/entry/src/view/evacuation_ledger.rs
@@ -0,0 +1,196 @@
+use base::{ClockTime, DomainName, TimeSpan};
+
+use super::EvacuationRecord;
+
+/// Largest number of failure domains that are remembered.
+const DOMAIN_LIMIT: usize = 64;
+
+/// A failure domain became evacuated, or its evacuation was taken back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// Revision of the store as of which this is known.
+    pub revision: u64,
+    /// Whether the domain is evacuated now.
+    pub is_evacuated: bool,
+}
+
+/// Newest record of one failure domain.
+#[derive(Clone, Debug)]
+struct LedgerEntry {
+    domain: DomainName,
+    revision: u64,
+    is_evacuated: bool,
+    /// When this node, or the node that told it, learnt of the evacuation.
+    since: ClockTime,
+}
+
+/// Which failure domains are evacuated: the newest record of each, from the store or from peers.
+///
+/// Of two records of a domain the one with the newer revision holds, in whichever order they
+/// arrive. Of two with the same revision, the one that says that the domain is evacuated does.
+///
+/// ```
+/// use base::{ClockTime, TimeSpan};
+/// use entry::{EvacuationLedger, EvacuationRecord};
+/// let now = ClockTime::new(1_000);
+/// let record = |revision, is_evacuated| EvacuationRecord {
+///     domain: "patan".parse().unwrap(),
+///     revision,
+///     is_evacuated,
+///     age: TimeSpan::ZERO,
+/// };
+/// let mut ledger = EvacuationLedger::default();
+/// assert!(ledger.adopt(now, record(7, true)).is_some());
+/// assert!(ledger.adopt(now, record(6, false)).is_none());
+/// assert!(ledger.is_evacuated(&"patan".parse().unwrap()));
+/// assert!(!ledger.adopt(now, record(8, false)).unwrap().is_evacuated);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct EvacuationLedger {
+    /// Sorted by domain.
+    entries: Vec<LedgerEntry>,
+    /// Revision up to which this node has read all records of the store itself.
+    read_revision: u64,
+}
+
+impl EvacuationLedger {
+    /// Adopts a record of a peer if it is newer than what is known; returns what changes.
+    pub fn adopt(&mut self, now: ClockTime, record: EvacuationRecord) -> Option<EvacuationChange> {
+        if self.read_revision > 0 && self.find(&record.domain).is_err() {
+            // The copy of the store has no key of this domain. Once recorded, this reaches the peer
+            // with the next digest, in case its record is out of date.
+            let read = EvacuationRecord {
+                domain: record.domain.clone(),
+                revision: self.read_revision,
+                is_evacuated: false,
+                age: TimeSpan::ZERO,
+            };
+            self.merge(now, read);
+        }
+        self.merge(now, record)
+    }
+
+    /// Adopts what a copy of the store that is complete up to `revision` says: `evacuated` are the
+    /// domains that have a key, each with the revision of the key. Returns what changes.
+    pub fn adopt_read(
+        &mut self,
+        now: ClockTime,
+        revision: u64,
+        evacuated: Vec<(DomainName, u64)>,
+    ) -> Vec<EvacuationChange> {
+        let known = self.entries.iter().map(|entry| &entry.domain);
+        let without_key = known.filter(|domain| evacuated.iter().all(|(name, _)| name != *domain));
+        let absent: Vec<_> = without_key
+            .map(|domain| (domain.clone(), revision))
+            .collect();
+        let absent = absent.into_iter().map(|(domain, at)| (domain, at, false));
+        let present = evacuated.into_iter().map(|(domain, at)| (domain, at, true));
+        let records = absent.chain(present);
+        let changes = records.filter_map(|(domain, revision, is_evacuated)| {
+            let record = EvacuationRecord {
+                domain,
+                revision,
+                is_evacuated,
+                age: TimeSpan::ZERO,
+            };
+            self.merge(now, record)
+        });
+        let changes = changes.collect();
+        self.read_revision = self.read_revision.max(revision);
+        changes
+    }
+
+    /// Newest record of each known domain, for peers.
+    pub fn records(&self, now: ClockTime) -> Vec<EvacuationRecord> {
+        let records = self.entries.iter().map(|entry| EvacuationRecord {
+            domain: entry.domain.clone(),
+            revision: entry.revision,
+            is_evacuated: entry.is_evacuated,
+            age: match entry.is_evacuated {
+                true => now.since(entry.since),
+                false => TimeSpan::ZERO,
+            },
+        });
+        records.collect()
+    }
+
+    /// Whether a domain is evacuated.
+    pub fn is_evacuated(&self, domain: &DomainName) -> bool {
+        self.evacuated_since(domain).is_some()
+    }
+
+    /// When this node, or the node that told it, learnt that a domain is evacuated; `None` if it is
+    /// not.
+    pub fn evacuated_since(&self, domain: &DomainName) -> Option<ClockTime> {
+        let entry = &self.entries[self.find(domain).ok()?];
+        entry.is_evacuated.then_some(entry.since)
+    }
+
+    /// Evacuated domains with the revisions of their records, sorted by domain.
+    pub fn evacuated_domains(&self) -> Vec<(DomainName, u64)> {
+        let evacuated = self.entries.iter().filter(|entry| entry.is_evacuated);
+        evacuated
+            .map(|entry| (entry.domain.clone(), entry.revision))
+            .collect()
+    }
+
+    /// Takes over a record if it is newer than the known one.
+    fn merge(&mut self, now: ClockTime, record: EvacuationRecord) -> Option<EvacuationChange> {
+        let since = ClockTime::new(now.as_millis().saturating_sub(record.age.as_millis()));
+        let at = match self.find(&record.domain) {
+            Ok(at) => at,
+            Err(_) => {
+                self.make_room(record.is_evacuated)?;
+                let at = self.find(&record.domain).unwrap_or_else(|at| at);
+                let entry = LedgerEntry {
+                    domain: record.domain.clone(),
+                    revision: 0,
+                    is_evacuated: false,
+                    since,
+                };
+                self.entries.insert(at, entry);
+                at
+            }
+        };
+        let entry = &mut self.entries[at];
+        if entry.is_evacuated && record.is_evacuated {
+            // A key that is written again does not begin a new evacuation.
+            entry.since = entry.since.min(since);
+        }
+        if (record.revision, record.is_evacuated) <= (entry.revision, entry.is_evacuated) {
+            return None;
+        }
+        entry.revision = record.revision;
+        if entry.is_evacuated == record.is_evacuated {
+            return None;
+        }
+        entry.is_evacuated = record.is_evacuated;
+        entry.since = since;
+        Some(EvacuationChange {
+            domain: record.domain,
+            revision: record.revision,
+            is_evacuated: record.is_evacuated,
+        })
+    }
+
+    /// Makes room for one more domain, by forgetting the one whose evacuation was taken back at the
+    /// oldest revision if need be; `None` if there is no room.
+    fn make_room(&mut self, is_evacuated: bool) -> Option<()> {
+        if self.entries.len() < DOMAIN_LIMIT {
+            return Some(());
+        }
+        let entries = self.entries.iter().enumerate();
+        let open = entries.filter(|(_, entry)| !entry.is_evacuated);
+        let oldest = open.min_by_key(|(_, entry)| entry.revision);
+        let (at, _) = oldest.filter(|_| is_evacuated)?;
+        self.entries.remove(at);
+        Some(())
+    }
+
+    fn find(&self, domain: &DomainName) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.domain.cmp(domain))
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/evacuation.rs
@@ -0,0 +1,140 @@
+//! Which failure domains are evacuated, by records that arrive in any order.
+
+use base::{ClockTime, DomainName, TimeSpan};
+use entry::{EvacuationLedger, EvacuationRecord};
+use proptest::prelude::*;
+
+fn domain(number: u8) -> DomainName {
+    format!("d{number}").parse().unwrap()
+}
+
+fn record(number: u8, revision: u64, is_evacuated: bool) -> EvacuationRecord {
+    EvacuationRecord {
+        domain: domain(number),
+        revision,
+        is_evacuated,
+        age: TimeSpan::ZERO,
+    }
+}
+
+fn now() -> ClockTime {
+    ClockTime::new(10_000)
+}
+
+/// Revision and state of each domain of a ledger.
+fn states(ledger: &EvacuationLedger) -> Vec<(DomainName, u64, bool)> {
+    let records = ledger.records(now()).into_iter();
+    records
+        .map(|one| (one.domain, one.revision, one.is_evacuated))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(22),
+        ..ProptestConfig::with_cases(512)
+    })]
+
+    // Guards against an older record that undoes a newer one, in some order of arrival.
+    #[test]
+    fn the_newest_record_holds_in_any_order(
+        records in prop::collection::vec((0_u8..4, 1_u64..12, any::<bool>()), 0..24),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut rotated = records.clone();
+        if !rotated.is_empty() {
+            let at = order.index(rotated.len());
+            rotated.rotate_left(at);
+            rotated.reverse();
+        }
+        let mut ledgers = [EvacuationLedger::default(), EvacuationLedger::default()];
+        for (ledger, records) in ledgers.iter_mut().zip([&records, &rotated]) {
+            for (number, revision, is_evacuated) in records {
+                ledger.adopt(now(), record(*number, *revision, *is_evacuated));
+            }
+        }
+        prop_assert_eq!(states(&ledgers[0]), states(&ledgers[1]));
+        for number in 0..4 {
+            let of_domain = records.iter().filter(|(one, _, _)| *one == number);
+            let newest = of_domain.map(|(_, revision, is)| (*revision, *is)).max();
+            let expected = newest.is_some_and(|(_, is_evacuated)| is_evacuated);
+            prop_assert_eq!(ledgers[0].is_evacuated(&domain(number)), expected);
+        }
+    }
+}
+
+// Guards against nodes that never agree: one that has read that there is no key has to tell a peer
+// with an older record of it, also if it never heard of the domain before.
+#[test]
+fn a_read_without_the_key_answers_an_older_record() {
+    let mut ledger = EvacuationLedger::default();
+    assert!(ledger.adopt_read(now(), 160, Vec::new()).is_empty());
+    assert_eq!(states(&ledger), []);
+    assert_eq!(ledger.adopt(now(), record(1, 100, true)), None);
+    assert!(!ledger.is_evacuated(&domain(1)));
+    assert_eq!(states(&ledger), [(domain(1), 160, false)]);
+    let mut peer = EvacuationLedger::default();
+    peer.adopt(now(), record(1, 100, true));
+    for told in ledger.records(now()) {
+        peer.adopt(now(), told);
+    }
+    assert!(!peer.is_evacuated(&domain(1)));
+    assert!(ledger.adopt(now(), record(1, 161, true)).is_some());
+}
+
+// Guards against reads that ignore the absence of a key, or one that was removed and written again.
+#[test]
+fn reads_begin_and_end_evacuations() {
+    let mut ledger = EvacuationLedger::default();
+    let key = |revision| vec![(domain(1), revision)];
+    assert!(ledger.adopt_read(now(), 5, key(4))[0].is_evacuated);
+    assert!(ledger.adopt_read(now(), 9, key(4)).is_empty());
+    assert!(!ledger.adopt_read(now(), 12, Vec::new())[0].is_evacuated);
+    assert!(ledger.adopt_read(now(), 15, key(14))[0].is_evacuated);
+    // A peer that read the store before the key was written again.
+    assert_eq!(ledger.adopt(now(), record(1, 13, false)), None);
+    // An older copy of the store.
+    assert!(ledger.adopt_read(now(), 11, Vec::new()).is_empty());
+    assert!(ledger.is_evacuated(&domain(1)));
+}
+
+// Guards against a new grace period for moves whenever a record is told or a key is written again.
+#[test]
+fn an_evacuation_is_known_since_its_first_record() {
+    let mut ledger = EvacuationLedger::default();
+    let at = ClockTime::new;
+    let mut told = record(1, 7, true);
+    told.age = TimeSpan::new(400);
+    ledger.adopt(at(10_000), told.clone());
+    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(9_600)));
+    ledger.adopt(at(12_000), record(1, 7, true));
+    ledger.adopt(at(13_000), record(1, 8, true));
+    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(9_600)));
+    assert_eq!(ledger.records(at(13_600))[0].age, TimeSpan::new(4_000));
+    ledger.adopt(at(14_000), record(1, 9, false));
+    assert_eq!(ledger.evacuated_since(&domain(1)), None);
+    ledger.adopt(at(15_000), record(1, 10, true));
+    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(15_000)));
+}
+
+// Guards against memory without bound, and against an evacuation that is forgotten for others that
+// are over.
+#[test]
+fn at_most_64_domains_are_kept() {
+    let mut ledger = EvacuationLedger::default();
+    for number in 0..100 {
+        ledger.adopt(
+            now(),
+            record(number, u64::from(number) + 1, number % 2 == 0),
+        );
+    }
+    assert_eq!(ledger.records(now()).len(), 64);
+    for number in (0..100).step_by(2) {
+        assert!(ledger.is_evacuated(&domain(number)), "{number}");
+    }
+    for number in 100..120 {
+        ledger.adopt(now(), record(number, 500, true));
+    }
+    assert_eq!(ledger.records(now()).len(), 64);
+    assert!(ledger.is_evacuated(&domain(0)));
+}
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -114,6 +114,9 @@
             return CoordinatorOutcome::Local;
         };
         let refusal = core.with_state(|state, now| {
+            if state.balancer.is_service_evacuated(&placement.service) {
+                return Some(PlacementRefusal::NoTarget);
+            }
             let left = state.balancer.wait_left(now, &placement.service)?;
             Some(state.refuse_for(now, &placement.service, left))
         });
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
-use entry::{ConfigVersion, DomainPeak, LoadOrigin, PeerLoads, SuspectCall, TargetLoad};
+use entry::{
+    ConfigVersion, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads, SuspectCall, TargetLoad,
+};
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -67,6 +69,9 @@
     /// Largest number of nodes that each failure domain had lately; only coordinators send it.
     #[serde(default)]
     pub domain_peaks: Vec<DomainPeak>,
+    /// Newest record of the evacuation of each failure domain that the sender knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<EvacuationRecord>,
 }
 
 impl NodeDigest {
@@ -105,14 +110,30 @@
                     true => state.reach.peaks(now),
                     false => Vec::new(),
                 },
+                evacuations: state.evacuations.records(now),
             }
         })
     }
 
+    /// Encodes the digest for a peer.
+    ///
+    /// Nodes of the last build can't decode an array with more fields than they know, but they skip
+    /// unknown fields of a map. So the digest is a map once it has any of the new fields.
+    ///
+    /// # Errors
+    /// If it can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        match self.evacuations.is_empty() {
+            true => rmp_serde::to_vec(self),
+            false => rmp_serde::to_vec_named(self),
+        }
+    }
+
     /// Applies the digest of a peer; returns the areas of which the peer has newer items.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_finished = !self.finished_sources.is_empty();
-        let (is_new, newer) = core.with_state(|state, now| {
+        let (is_new, newer, evacuations) = core.with_state(|state, now| {
+            let evacuations = state.adopt_evacuations(now, self.evacuations);
             let is_new = state.peers.record_heard(
                 now,
                 PeerInfo {
@@ -156,8 +177,9 @@
             if let Some(age) = self.regained_age {
                 state.view.guard.on_peer_regained(now, age);
             }
-            (is_new, newer)
+            (is_new, newer, evacuations)
         });
+        core.handle_evacuations(&evacuations, "digest of a peer");
         if has_finished {
             core.recheck_moves();
         }
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -301,7 +301,7 @@
             .core
             .with_state(|state, _| state.peers.domain_of(address));
         let digest = NodeDigest::new(&self.core, domain.as_ref());
-        let Some(body) = encode_body(&digest) else {
+        let Some(body) = body_of(digest.encode()) else {
             return;
         };
         let theirs: Option<NodeDigest> = self.call(address, Method::POST, DIGEST_PATH, body).await;
@@ -423,7 +423,12 @@
 
 /// Encodes a message to a peer as a request body; logs a failure and returns `None` then.
 pub(super) fn encode_body(value: &impl Serialize) -> Option<WebBody> {
-    match rmp_serde::to_vec(value) {
+    body_of(rmp_serde::to_vec(value))
+}
+
+/// Body of an encoded message to a peer; logs a failure and returns `None` then.
+fn body_of(encoded: Result<Vec<u8>, rmp_serde::encode::Error>) -> Option<WebBody> {
+    match encoded {
         Ok(body) => Some(full_body(body)),
         Err(error) => {
             log::error!(
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -65,7 +65,7 @@
     let (address, domain) = (digest.address, digest.domain.clone());
     let newer = digest.apply(core);
     PeerClient::new(core.clone()).spawn_fetch(address, newer);
-    encode_response(&NodeDigest::new(core, Some(&domain)))
+    response_of(NodeDigest::new(core, Some(&domain)).encode())
 }
 
 /// Applies the load report of a peer.
@@ -178,7 +178,12 @@
 
 /// Encodes a message as a response; logs a failure and answers 500 then.
 fn encode_response(value: &impl Serialize) -> Response<WebBody> {
-    match rmp_serde::to_vec(value) {
+    response_of(rmp_serde::to_vec(value))
+}
+
+/// Response with an encoded message; logs a failure and answers 500 then.
+fn response_of(encoded: Result<Vec<u8>, rmp_serde::encode::Error>) -> Response<WebBody> {
+    match encoded {
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(error) => {
             log::error!(
--- a/crates/gateway/src/poll/engine_poller.rs
+++ b/crates/gateway/src/poll/engine_poller.rs
@@ -33,7 +33,8 @@
                 let core = self.core.clone();
                 tokio::spawn(async move {
                     let permit = acquire_permit(&core, &target, incarnation).await;
-                    if permit.is_err() {
+                    let may_poll = core.with_state(|state, _| state.may_poll(&target, incarnation));
+                    if permit.is_err() || !may_poll {
                         return;
                     }
                     match core.ports.engines.fetch_report(address).await {
--- a/crates/gateway/src/port/view_decoder.rs
+++ b/crates/gateway/src/port/view_decoder.rs
@@ -1,3 +1,4 @@
+use base::DomainName;
 use entry::{PublishedItem, ServeConfig, TargetRecord};
 use snafu::Snafu;
 
@@ -19,6 +20,13 @@
     /// If the configuration can't be used.
     fn read_config(&self, items: &[PublishedItem]) -> Result<Option<ServeConfig>, DecodeError>;
 
+    /// Failure domain whose evacuation an item of the configuration area asks for; `None` if it asks
+    /// for none.
+    ///
+    /// # Errors
+    /// If the item names no valid failure domain.
+    fn read_evacuation(&self, item: &PublishedItem) -> Result<Option<DomainName>, DecodeError>;
+
     /// Decodes the entry of one target.
     ///
     /// # Errors
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -1,9 +1,7 @@
 use std::time::Duration;
 
 use base::{EventKind, TargetName, TimeSpan};
-use entry::{
-    MovePhase, MoveSource, MoveStep, MoveTurn, PlacementRequest, PlacementScope, TargetPhase,
-};
+use entry::{MovePhase, MoveSource, MoveStep, MoveTurn, PlacementRequest, PlacementScope};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -34,7 +32,10 @@
         if !can_move || *self.move_machine.phase() != MovePhase::Idle || self.placing.is_some() {
             return;
         }
-        if !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
+        let may_stop = self
+            .core
+            .with_state(|state, now| state.may_stop_for_move(now, &self.reservation.target));
+        if !may_stop || !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
             self.release_turn();
             return;
         }
@@ -118,7 +119,7 @@
         let is_waiting = self.turn == TurnState::Waiting;
         let taken = self.core.with_state(|state, now| {
             let found = state.balancer.target(&source);
-            if found.is_some_and(|one| one.phase != TargetPhase::Leaving) {
+            if found.is_some_and(|one| one.is_open()) {
                 return None;
             }
             if !is_waiting {
@@ -131,7 +132,11 @@
             Some((turn, now))
         });
         match taken {
-            None => false,
+            None => {
+                // The evacuation of the source was taken back.
+                self.release_turn();
+                false
+            }
             Some((MoveTurn::Start, _)) => {
                 self.turn = TurnState::Moving;
                 true
@@ -172,6 +177,7 @@
         let Some(destination) = &self.destination else {
             return;
         };
+        let destination_name = destination.target.clone();
         let (source, destination) = (self.reservation.address, destination.address);
         let request = self.call.caller_headers.request_id.clone();
         let (core, run) = (self.core.clone(), TargetRun::of(&self.reservation));
@@ -181,6 +187,19 @@
                 let reason = refusal.to_string();
                 return CopyOutcome::NotSent { reason };
             }
+            // What is known may have changed while the permit was awaited.
+            let may_send = core.with_state(|state, now| match stop_source {
+                true => {
+                    let target = state.balancer.target(&destination_name);
+                    state.may_stop_for_move(now, &run.target)
+                        && target.is_some_and(|target| target.is_open())
+                }
+                false => state.may_send_for_move(now, &run.target),
+            });
+            if !may_send {
+                let reason = "an engine of the move is evacuated or leaves".to_owned();
+                return CopyOutcome::NotSent { reason };
+            }
             let engines = &core.ports.engines;
             engines
                 .copy_kv_cache(source, &request, destination, stop_source)
@@ -239,14 +258,14 @@
         }
     }
 
-    /// Whether the destination of the current move has not begun to leave.
+    /// Whether the destination of the current move has neither begun to leave nor been evacuated.
     fn is_destination_staying(&self) -> bool {
         let Some(destination) = &self.destination else {
             return false;
         };
         self.core.with_state(|state, _| {
             let target = state.balancer.target(&destination.target);
-            target.is_some_and(|target| target.phase != TargetPhase::Leaving)
+            target.is_some_and(|target| target.is_open())
         })
     }
 
@@ -415,7 +434,8 @@
         tokio::spawn(async move {
             // Without a permit, the copy expires by itself.
             let permit = acquire_permit(&core, &run.target, run.incarnation).await;
-            if permit.is_ok() {
+            let may_send = core.with_state(|state, now| state.may_send_for_move(now, &run.target));
+            if permit.is_ok() && may_send {
                 core.ports.engines.release_copy(source, &handle).await;
             }
         });
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -5,7 +5,7 @@
 use calls::RequestFingerprint;
 use entry::{
     AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
-    TargetOutcome, TargetPhase,
+    TargetOutcome,
 };
 
 use super::GatewayCore;
@@ -108,7 +108,7 @@
     }
 
     /// Accepts a grant of a coordinator and counts its load as own; `None` if this node knows that
-    /// the target is gone or leaving.
+    /// the target is gone, leaving or evacuated.
     pub(crate) fn from_grant(
         core: Arc<GatewayCore>,
         coordinator: SocketAddr,
@@ -118,7 +118,7 @@
     ) -> Option<Self> {
         let is_usable = core.with_state(|state, now| {
             let found = state.balancer.target(&target);
-            let is_usable = found.is_some_and(|one| one.phase != TargetPhase::Leaving);
+            let is_usable = found.is_some_and(|one| one.is_open());
             if is_usable {
                 state.balancer.add_load(&target, load);
                 state.coordinator.accept_grant(now, id);
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -304,11 +304,14 @@
     ///
     /// Returns whether anything changed.
     pub fn apply_changes(self: &Arc<Self>, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
-        let changed = self.with_state(|state, now| {
+        let (changed, evacuations) = self.with_state(|state, now| {
             state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
-            mirror.apply(batch.revision, batch.changes)
+            let changed = mirror.apply(batch.revision, batch.changes);
+            // Also without a change: that the copy has no key holds up to its new revision.
+            (changed, self.read_evacuations(state, now, area))
         });
+        self.handle_evacuations(&evacuations, from);
         if changed {
             self.on_items_changed(area, from);
         }
@@ -325,10 +328,13 @@
         items: Vec<entry::PublishedItem>,
         from: &str,
     ) -> bool {
-        let changed = self.with_state(|state, now| {
+        let (changed, evacuations) = self.with_state(|state, now| {
             state.view.confirm(area, now);
-            state.view.mirror_mut(area).replace(revision, items)
+            let changed = state.view.mirror_mut(area).replace(revision, items);
+            // Before the configuration is in force, since the node serves from then on.
+            (changed, self.read_evacuations(state, now, area))
         });
+        self.handle_evacuations(&evacuations, from);
         if changed {
             self.on_items_changed(area, from);
         }
@@ -348,6 +354,7 @@
             changes
         });
         self.handle_target_changes(&changes, "entry did not come back");
+        self.report_evacuations();
     }
 
     fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str) {
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -2,8 +2,8 @@
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
-    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
+    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, EvacuationLedger, FactState,
+    FleetReach, LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
     PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule, SuspectTracker,
     TrialLedger,
 };
@@ -71,6 +71,10 @@
 pub struct GatewayState {
     /// Published items, and the configuration and targets decoded from them.
     pub view: ViewState,
+    /// Which failure domains are evacuated.
+    pub evacuations: EvacuationLedger,
+    /// Evacuated domains of which it was not logged yet that no generation is left.
+    pub(super) draining_domains: Vec<DomainName>,
     /// Targets with their load and health; chooses targets for calls.
     pub balancer: LoadBalancer,
     /// Order of the calls that wait for capacity.
@@ -133,6 +137,8 @@
         let retry = settings.retry;
         Self {
             view: ViewState::default(),
+            evacuations: EvacuationLedger::default(),
+            draining_domains: Vec::new(),
             balancer: LoadBalancer::new(settings.domain.clone(), seed),
             queue: CallQueue::default(),
             pacer: PlacementPacer::new(seed),
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod body_budget;
 mod capacity_reservation;
 mod coordinator_state;
+mod evacuation_state;
 mod gateway_core;
 mod gateway_state;
 mod peer_table;
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -128,6 +128,11 @@
         if target.phase == TargetPhase::Leaving && !check.is_source {
             return Err(SendRefusal::TargetUnavailable("the target leaves"));
         }
+        if target.is_evacuated && !(check.is_resume && self.may_send_for_move(now, check.target)) {
+            return Err(SendRefusal::TargetUnavailable(
+                "the failure domain of the target is evacuated",
+            ));
+        }
         if target.backoff.left(now).is_some() {
             return Err(SendRefusal::TargetUnavailable(
                 "the target wants nothing now",
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod coordinators;
 mod crashes;
 mod endless;
+mod evacuation;
 mod leaving;
 mod lost_responses;
 mod peers;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -129,9 +129,32 @@
         self.put(ViewArea::Targets, &target.name, &value);
     }
 
+    /// Publishes a target of a failure domain that stays cold for `cold_ms`.
+    pub fn put_in(&self, target: &FakeTarget, domain: &str, cold_ms: u64) {
+        let value = format!(
+            "{} {} ready 1 {domain} {cold_ms}",
+            target.service, target.address
+        );
+        self.put(ViewArea::Targets, &target.name, &value);
+    }
+
+    /// Asks that nothing more be sent to the targets of a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        self.put(ViewArea::Config, &format!("evacuate/{domain}"), "{}");
+    }
+
+    /// Takes the evacuation of a failure domain back.
+    pub fn take_back(&self, domain: &str) {
+        self.remove(&format!("evacuate/{domain}"));
+    }
+
     pub fn remove_target(&self, target: &FakeTarget) {
+        self.remove(&target.name);
+    }
+
+    fn remove(&self, key: &str) {
         let mut items = self.items.lock().unwrap();
-        items.retain(|(_, item)| item.key != target.name);
+        items.retain(|(_, item)| item.key != key);
         drop(items);
         let revision = *self.revision.borrow() + 1;
         self.removed_at.store(revision, Ordering::Relaxed);
@@ -237,7 +260,7 @@
 
 impl ViewDecoder for FakeDecoder {
     fn read_config(&self, items: &[PublishedItem]) -> Result<Option<ServeConfig>, DecodeError> {
-        let Some(item) = items.first() else {
+        let Some(item) = items.iter().find(|item| item.key == "config") else {
             return Ok(None);
         };
         let text = String::from_utf8_lossy(&item.value);
@@ -249,10 +272,15 @@
         Ok(Some(make_config(version, without)))
     }
 
+    fn read_evacuation(&self, item: &PublishedItem) -> Result<Option<DomainName>, DecodeError> {
+        let domain = item.key.strip_prefix("evacuate/");
+        Ok(domain.map(|domain| domain.parse().unwrap()))
+    }
+
     fn read_target(&self, item: &PublishedItem) -> Result<TargetRecord, DecodeError> {
         let text = String::from_utf8_lossy(&item.value);
         let parts: Vec<&str> = text.split(' ').collect();
-        let [service, address, state, run] = parts[..] else {
+        let [service, address, state, run, ref rest @ ..] = parts[..] else {
             return Err(DecodeError {
                 key: item.key.to_string(),
                 reason: format!("found {text:?}"),
@@ -262,10 +290,12 @@
             name: item.key.parse().unwrap(),
             service: service.parse().unwrap(),
             address: address.parse().unwrap(),
-            domain: "patan".parse().unwrap(),
+            domain: rest.first().unwrap_or(&"patan").parse().unwrap(),
             is_leaving: state == "leaving",
             slots: 4,
-            cold_left: TimeSpan::ZERO,
+            cold_left: rest
+                .get(1)
+                .map_or(TimeSpan::ZERO, |cold| TimeSpan::new(cold.parse().unwrap())),
             incarnation: IncarnationNumber(run.parse().unwrap()),
         })
     }
@@ -434,8 +464,8 @@
         Box::pin(async move { FakeTarget::report(engine) })
     }
 
-    fn release_copy<'a>(&'a self, _source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
-        Box::pin(async {})
+    fn release_copy<'a>(&'a self, source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
+        Box::pin(async move { FakeTarget::release(source) })
     }
 }
 
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -303,6 +303,13 @@
         }
     }
 
+    /// Handles a request to release a copy.
+    pub(super) fn release(source: SocketAddr) {
+        if let Some(state) = state_of(source) {
+            state.lock().unwrap().arrivals.push(Instant::now());
+        }
+    }
+
     /// State report of the target at an address.
     pub(super) fn report(engine: SocketAddr) -> Result<EngineReport, String> {
         let state = state_of(engine).ok_or("unknown")?;
