Stop a generation for a move only while it could be resumed

Cause: a generation on an evacuated engine would run to its end, so a stop that nobody may resume any more loses it. Before the stop, only the destination was checked, and not its back-off. A node that started after the evacuation began took the age of a record for less than it was.

The ledger keeps ages instead of times before the node's start. A grant for a target that was declined before ends the question to the coordinator.

--- a/crates/entry/src/view/evacuation_ledger.rs
+++ b/crates/entry/src/view/evacuation_ledger.rs
@@ -22,8 +22,10 @@
     domain: DomainName,
     revision: u64,
     is_evacuated: bool,
-    /// When this node, or the node that told it, learnt of the evacuation.
-    since: ClockTime,
+    /// When this node learnt of the evacuation.
+    learned_at: ClockTime,
+    /// Time for which the node that told it had known of it by then.
+    age: TimeSpan,
 }
 
 /// Which failure domains are evacuated: the newest record of each, from the store or from peers.
@@ -55,6 +57,13 @@
     read_revision: u64,
 }
 
+impl LedgerEntry {
+    /// Time since this node, or the node that told it, learnt of the evacuation.
+    fn known_for(&self, now: ClockTime) -> TimeSpan {
+        now.since(self.learned_at) + self.age
+    }
+}
+
 impl EvacuationLedger {
     /// Adopts a record of a peer if it is newer than what is known; returns what changes.
     pub fn adopt(&mut self, now: ClockTime, record: EvacuationRecord) -> Option<EvacuationChange> {
@@ -109,7 +118,7 @@
             revision: entry.revision,
             is_evacuated: entry.is_evacuated,
             age: match entry.is_evacuated {
-                true => now.since(entry.since),
+                true => entry.known_for(now),
                 false => TimeSpan::ZERO,
             },
         });
@@ -118,14 +127,15 @@
 
     /// Whether a domain is evacuated.
     pub fn is_evacuated(&self, domain: &DomainName) -> bool {
-        self.evacuated_since(domain).is_some()
+        let found = self.find(domain);
+        found.is_ok_and(|at| self.entries[at].is_evacuated)
     }
 
-    /// When this node, or the node that told it, learnt that a domain is evacuated; `None` if it is
-    /// not.
-    pub fn evacuated_since(&self, domain: &DomainName) -> Option<ClockTime> {
+    /// Time since this node, or the node that told it, learnt that a domain is evacuated; `None` if
+    /// it is not.
+    pub fn evacuated_for(&self, now: ClockTime, domain: &DomainName) -> Option<TimeSpan> {
         let entry = &self.entries[self.find(domain).ok()?];
-        entry.is_evacuated.then_some(entry.since)
+        entry.is_evacuated.then(|| entry.known_for(now))
     }
 
     /// Evacuated domains with the revisions of their records, sorted by domain.
@@ -138,7 +148,6 @@
 
     /// Takes over a record if it is newer than the known one.
     fn merge(&mut self, now: ClockTime, record: EvacuationRecord) -> Option<EvacuationChange> {
-        let since = ClockTime::new(now.as_millis().saturating_sub(record.age.as_millis()));
         let at = match self.find(&record.domain) {
             Ok(at) => at,
             Err(_) => {
@@ -148,26 +157,29 @@
                     domain: record.domain.clone(),
                     revision: 0,
                     is_evacuated: false,
-                    since,
+                    learned_at: now,
+                    age: TimeSpan::ZERO,
                 };
                 self.entries.insert(at, entry);
                 at
             }
         };
         let entry = &mut self.entries[at];
-        if entry.is_evacuated && record.is_evacuated {
-            // A key that is written again does not begin a new evacuation.
-            entry.since = entry.since.min(since);
+        if entry.is_evacuated && record.is_evacuated && record.age > entry.known_for(now) {
+            entry.learned_at = now;
+            entry.age = record.age;
         }
         if (record.revision, record.is_evacuated) <= (entry.revision, entry.is_evacuated) {
             return None;
         }
         entry.revision = record.revision;
+        // A key that is written again does not begin a new evacuation.
         if entry.is_evacuated == record.is_evacuated {
             return None;
         }
         entry.is_evacuated = record.is_evacuated;
-        entry.since = since;
+        entry.learned_at = now;
+        entry.age = record.age;
         Some(EvacuationChange {
             domain: record.domain,
             revision: record.revision,
--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -105,16 +105,36 @@
     let at = ClockTime::new;
     let mut told = record(1, 7, true);
     told.age = TimeSpan::new(400);
-    ledger.adopt(at(10_000), told.clone());
-    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(9_600)));
+    ledger.adopt(at(10_000), told);
+    assert_eq!(
+        ledger.evacuated_for(at(14_000), &domain(1)),
+        Some(TimeSpan::new(4_400))
+    );
     ledger.adopt(at(12_000), record(1, 7, true));
     ledger.adopt(at(13_000), record(1, 8, true));
-    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(9_600)));
+    assert_eq!(
+        ledger.evacuated_for(at(14_000), &domain(1)),
+        Some(TimeSpan::new(4_400))
+    );
     assert_eq!(ledger.records(at(13_600))[0].age, TimeSpan::new(4_000));
     ledger.adopt(at(14_000), record(1, 9, false));
-    assert_eq!(ledger.evacuated_since(&domain(1)), None);
+    assert_eq!(ledger.evacuated_for(at(14_000), &domain(1)), None);
     ledger.adopt(at(15_000), record(1, 10, true));
-    assert_eq!(ledger.evacuated_since(&domain(1)), Some(at(15_000)));
+    assert_eq!(
+        ledger.evacuated_for(at(15_000), &domain(1)),
+        Some(TimeSpan::ZERO)
+    );
+}
+
+// Guards against a node that started after the evacuation began and takes it for a new one.
+#[test]
+fn an_evacuation_may_be_older_than_the_node() {
+    let mut ledger = EvacuationLedger::default();
+    let mut told = record(1, 7, true);
+    told.age = TimeSpan::from_secs(60);
+    ledger.adopt(ClockTime::new(200), told);
+    let known_for = ledger.evacuated_for(ClockTime::new(300), &domain(1));
+    assert_eq!(known_for, Some(TimeSpan::new(60_100)));
 }
 
 // Guards against memory without bound, and against an evacuation that is forgotten for others that
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -145,6 +145,8 @@
                     Some(reservation) => {
                         return CoordinatorOutcome::Placed(Box::new(reservation));
                     }
+                    // A coordinator does not offer again what this node declined.
+                    None if declined.contains(&target) => return CoordinatorOutcome::Local,
                     None => declined.push(target),
                 }
             }
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -32,10 +32,10 @@
         if !can_move || *self.move_machine.phase() != MovePhase::Idle || self.placing.is_some() {
             return;
         }
-        let may_stop = self
+        let has_time = self
             .core
-            .with_state(|state, now| state.may_stop_for_move(now, &self.reservation.target));
-        if !may_stop || !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
+            .with_state(|state, now| state.has_time_to_move(now, &self.reservation.target));
+        if !has_time || !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
             self.release_turn();
             return;
         }
@@ -76,6 +76,13 @@
             self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
             return;
         };
+        let has_time = self
+            .core
+            .with_state(|state, now| state.has_time_to_move(now, &self.reservation.target));
+        if !has_time {
+            self.release_turn();
+            return;
+        }
         if let Some(left) = self.acquire_move_permit() {
             self.release_turn();
             self.move_due = Instant::now() + Duration::from(left);
@@ -178,6 +185,7 @@
             return;
         };
         let destination_name = destination.target.clone();
+        let features = self.call.features.clone();
         let (source, destination) = (self.reservation.address, destination.address);
         let request = self.call.caller_headers.request_id.clone();
         let (core, run) = (self.core.clone(), TargetRun::of(&self.reservation));
@@ -189,15 +197,11 @@
             }
             // What is known may have changed while the permit was awaited.
             let may_send = core.with_state(|state, now| match stop_source {
-                true => {
-                    let target = state.balancer.target(&destination_name);
-                    state.may_stop_for_move(now, &run.target)
-                        && target.is_some_and(|target| target.is_open())
-                }
+                true => state.may_stop_for_move(now, &features, &run.target, &destination_name),
                 false => state.may_send_for_move(now, &run.target),
             });
             if !may_send {
-                let reason = "an engine of the move is evacuated or leaves".to_owned();
+                let reason = "the generation could not be resumed after it".to_owned();
                 return CopyOutcome::NotSent { reason };
             }
             let engines = &core.ports.engines;
@@ -219,8 +223,8 @@
                 if !is_whole {
                     self.log_move_failure(&outcome);
                 }
-                // The destination may have begun to leave during the copy.
-                let is_usable = self.is_destination_staying();
+                // The destination may have begun to leave during the copy, for example.
+                let is_usable = self.may_stop_source();
                 if is_whole && !is_usable {
                     self.release_copy();
                 }
@@ -258,14 +262,14 @@
         }
     }
 
-    /// Whether the destination of the current move has neither begun to leave nor been evacuated.
-    fn is_destination_staying(&self) -> bool {
+    /// Whether the source may be stopped: the generation may still be resumed.
+    fn may_stop_source(&self) -> bool {
         let Some(destination) = &self.destination else {
             return false;
         };
-        self.core.with_state(|state, _| {
-            let target = state.balancer.target(&destination.target);
-            target.is_some_and(|target| target.is_open())
+        let (source, features) = (&self.reservation.target, &self.call.features);
+        self.core.with_state(|state, now| {
+            state.may_stop_for_move(now, features, source, &destination.target)
         })
     }
 
--- a/crates/gateway/src/state/evacuation_state.rs
+++ b/crates/gateway/src/state/evacuation_state.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
 use base::{ClockTime, DomainName, EventKind, IncarnationNumber, TargetName, TimeSpan};
-use entry::{EvacuationChange, EvacuationRecord};
+use entry::{CallFeatures, ConfigVersion, EvacuationChange, EvacuationRecord, TargetPhase};
 use metrics::gauge;
 
-use super::{GatewayCore, GatewayState};
+use super::{GatewayCore, GatewayState, SendCheck};
 use crate::{DecodeError, ViewArea, ViewDecoder};
 
 /// Time after a node learnt of an evacuation within which it may still send what moves of
@@ -82,8 +82,8 @@
             .balancer
             .target(target)
             .filter(|one| one.is_evacuated)?;
-        let since = self.evacuations.evacuated_since(&state.record.domain)?;
-        Some((since + MOVE_GRACE).since(now))
+        let known_for = self.evacuations.evacuated_for(now, &state.record.domain)?;
+        Some(MOVE_GRACE.saturating_sub(known_for))
     }
 
     /// Whether requests that a move needs may be sent to a target now.
@@ -92,13 +92,50 @@
         left.is_none_or(|left| left > TimeSpan::ZERO)
     }
 
-    /// Whether a generation on a target may be stopped to be moved: the target can still be asked to
-    /// resume it if the destination does not.
-    pub fn may_stop_for_move(&self, now: ClockTime, source: &TargetName) -> bool {
+    /// Whether there is time to move a generation off a target: it may be stopped there now.
+    pub fn has_time_to_move(&self, now: ClockTime, source: &TargetName) -> bool {
         let left = self.move_grace_left(now, source);
         left.is_none_or(|left| left > STOP_MARGIN)
     }
 
+    /// Whether a generation on `source` may be stopped to be moved to `destination`, which may be
+    /// asked to resume it.
+    ///
+    /// On a source that does not leave, the generation would run to its end. So it is only stopped
+    /// there if the source may be asked to resume it as well, in case the destination fails.
+    pub fn may_stop_for_move(
+        &self,
+        now: ClockTime,
+        features: &CallFeatures,
+        source: &TargetName,
+        destination: &TargetName,
+    ) -> bool {
+        let may_resume = |target, is_source| {
+            let check = SendCheck {
+                features,
+                is_trial: false,
+                target,
+                route: ("", ""),
+                key: None,
+                version: ConfigVersion::default(),
+                longest_time: TimeSpan::ZERO,
+                is_resume: true,
+                is_source,
+                permit: None,
+            };
+            self.check_send(now, &check).is_ok()
+        };
+        let found = self.balancer.target(destination);
+        let is_leaving = |target| {
+            let found = self.balancer.target(target);
+            found.is_none_or(|one| one.phase == TargetPhase::Leaving)
+        };
+        self.has_time_to_move(now, source)
+            && found.is_some_and(|one| one.is_open())
+            && may_resume(destination, false)
+            && (is_leaving(source) || may_resume(source, true))
+    }
+
     /// Whether a run of a target may be asked for its state.
     pub fn may_poll(&self, target: &TargetName, incarnation: IncarnationNumber) -> bool {
         let found = self.balancer.target(target);
@@ -119,18 +156,20 @@
 
 /// Reads evacuations and logs their course.
 impl GatewayCore {
-    /// Adopts evacuations after the items of an area were read from the store or a peer.
+    /// Adopts evacuations after the items of an area were read from the store or a peer; items that
+    /// can't be decoded are only logged if items `changed`.
     pub(super) fn read_evacuations(
         &self,
         state: &mut GatewayState,
         now: ClockTime,
         area: ViewArea,
+        changed: bool,
     ) -> Vec<EvacuationChange> {
         if area != ViewArea::Config {
             return Vec::new();
         }
         let (changes, failures) = state.read_evacuations(now, &*self.ports.items);
-        for failure in failures {
+        for failure in failures.iter().filter(|_| changed) {
             log::warn!(
                 event = EventKind::RevisionRejected.number(),
                 node = self.node().as_str();
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -309,11 +309,11 @@
             let mirror = state.view.mirror_mut(area);
             let changed = mirror.apply(batch.revision, batch.changes);
             // Also without a change: that the copy has no key holds up to its new revision.
-            (changed, self.read_evacuations(state, now, area))
+            (changed, self.read_evacuations(state, now, area, changed))
         });
         self.handle_evacuations(&evacuations, from);
         if changed {
-            self.on_items_changed(area, from);
+            self.on_items_changed(area, from, !evacuations.is_empty());
         }
         changed
     }
@@ -332,11 +332,11 @@
             state.view.confirm(area, now);
             let changed = state.view.mirror_mut(area).replace(revision, items);
             // Before the configuration is in force, since the node serves from then on.
-            (changed, self.read_evacuations(state, now, area))
+            (changed, self.read_evacuations(state, now, area, changed))
         });
         self.handle_evacuations(&evacuations, from);
         if changed {
-            self.on_items_changed(area, from);
+            self.on_items_changed(area, from, !evacuations.is_empty());
         }
         changed
     }
@@ -357,15 +357,17 @@
         self.report_evacuations();
     }
 
-    fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str) {
+    /// Acts on changed items of an area; `has_evacuations` tells whether evacuations changed.
+    fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str, has_evacuations: bool) {
         match area {
-            ViewArea::Config => self.adopt_config(from),
+            ViewArea::Config => self.adopt_config(from, has_evacuations),
             ViewArea::Targets => self.update_targets(from),
         }
     }
 
-    /// Puts the configuration in force if it is newer, and logs the result.
-    fn adopt_config(&self, from: &str) {
+    /// Puts the configuration in force if it is newer, and logs the result; that it is not newer is
+    /// only logged if nothing else of its area changed.
+    fn adopt_config(&self, from: &str, has_evacuations: bool) {
         let (adopted, revision) = self.with_state(|state, _| {
             let adopted = state.view.adopt_config(&*self.ports.items);
             (adopted, state.view.config_items.revision())
@@ -380,6 +382,7 @@
                 from = from;
                 "configuration in force"
             ),
+            Ok(None) if has_evacuations => {}
             Ok(None) => log::info!(
                 event = EventKind::RevisionIgnored.number(),
                 node = self.node().as_str(),
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -4,7 +4,7 @@
 
 use base::{CallRate, ClockTime, ErrorKind, PartId, TimeSpan};
 use calls::RequestFingerprint;
-use entry::{CallFeatures, ConfigVersion, FeatureId, SendPermit, SuspectCall};
+use entry::{CallFeatures, ConfigVersion, EvacuationRecord, FeatureId, SendPermit, SuspectCall};
 use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan};
 use smol_str::SmolStr;
 use tokio::time::sleep;
@@ -21,6 +21,8 @@
     OtherSuspect,
     Leaving,
     Gone,
+    Evacuated,
+    EvacuatedLong,
     Backoff,
     Rate,
     Key,
@@ -49,6 +51,18 @@
     RequestFingerprint::new("/locked/1", b"other")
 }
 
+/// Tells a gateway that its failure domain has been evacuated for `age`.
+fn evacuate(gateway: &Gateway, age: TimeSpan) {
+    let record = EvacuationRecord {
+        domain: "patan".parse().unwrap(),
+        revision: 100,
+        is_evacuated: true,
+        age,
+    };
+    let core = gateway.server.core();
+    core.with_state(|state, now| state.adopt_evacuations(now, vec![record]));
+}
+
 /// Makes the change in the state of a gateway or in its store.
 async fn make_change(gateway: &Gateway, store: &FakeStore, target: &FakeTarget, change: Change) {
     let core = gateway.server.core();
@@ -87,6 +101,8 @@
             });
         }),
         Change::Leaving => core.mark_target_leaving(&run.0, run.1, "test"),
+        Change::Evacuated => evacuate(gateway, TimeSpan::ZERO),
+        Change::EvacuatedLong => evacuate(gateway, TimeSpan::from_secs(3)),
         Change::Gone => store.remove_target(target),
         Change::Backoff => {
             core.start_target_backoff(&run.0, run.1, &BackoffRequest::For(TimeSpan::from_secs(60)));
@@ -107,6 +123,7 @@
 #[tokio::test]
 async fn each_change_forbids_the_sends_that_it_affects() {
     let crashed = "the same call, or a part of its prompt, crashed targets";
+    let evacuated = "the failure domain of the target is evacuated";
     let suspected = "a part of its prompt may have crashed targets";
     // For each change: why it forbids a first send, and why it forbids resuming a generation.
     let cases = [
@@ -125,6 +142,8 @@
             Some("the target is gone"),
             Some("the target is gone"),
         ),
+        (Change::Evacuated, Some(evacuated), None),
+        (Change::EvacuatedLong, Some(evacuated), Some(evacuated)),
         (
             Change::Backoff,
             Some("the target wants nothing now"),
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -455,6 +455,7 @@
         stop_source: bool,
     ) -> PortFuture<'a, CopyOutcome> {
         Box::pin(async move {
+            FakeTarget::record_arrival(source);
             sleep(FakeTarget::copy_time(source)).await;
             FakeTarget::copy(source, request.as_str(), stop_source)
         })
@@ -465,7 +466,7 @@
     }
 
     fn release_copy<'a>(&'a self, source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
-        Box::pin(async move { FakeTarget::release(source) })
+        Box::pin(async move { FakeTarget::record_arrival(source) })
     }
 }
 
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -273,6 +273,11 @@
         self.state.lock().unwrap().is_leaving = true;
     }
 
+    /// Number of generations that were told to stop.
+    pub fn stops(&self) -> usize {
+        self.state.lock().unwrap().stopped.len()
+    }
+
     /// Lets copies of KV caches take this long.
     pub fn set_copy_time(&self, time: Duration) {
         self.state.lock().unwrap().copy_time = time;
@@ -289,7 +294,6 @@
             return CopyOutcome::Unknown;
         };
         let mut state = state.lock().unwrap();
-        state.arrivals.push(Instant::now());
         if stop_source {
             state.stopped.push(request.to_owned());
             if state.loses_stop_responses {
@@ -303,8 +307,8 @@
         }
     }
 
-    /// Handles a request to release a copy.
-    pub(super) fn release(source: SocketAddr) {
+    /// Records the arrival of a control request at the target at an address.
+    pub(super) fn record_arrival(source: SocketAddr) {
         if let Some(state) = state_of(source) {
             state.lock().unwrap().arrivals.push(Instant::now());
         }
