--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -1,9 +1,7 @@
 use std::time::Duration;
 
 use base::{EventKind, TargetName, TimeSpan};
-use entry::{
-    MovePhase, MoveSource, MoveStep, MoveTurn, PlacementRequest, PlacementScope, TargetPhase,
-};
+use entry::{MovePhase, MoveSource, MoveStep, MoveTurn, PlacementRequest, PlacementScope};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -34,7 +32,10 @@
         if !can_move || *self.move_machine.phase() != MovePhase::Idle || self.placing.is_some() {
             return;
         }
-        if !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
+        let has_time = self
+            .core
+            .with_state(|state, now| state.has_time_to_move(now, &self.reservation.target));
+        if !has_time || !self.move_machine.can_start() || !self.progress.is_worth_moving(now) {
             self.release_turn();
             return;
         }
@@ -76,6 +77,13 @@
             self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
             return;
         };
+        let has_time = self
+            .core
+            .with_state(|state, now| state.has_time_to_move(now, &self.reservation.target));
+        if !has_time {
+            self.release_turn();
+            return;
+        }
         if let Some(left) = self.acquire_move_permit() {
             self.release_turn();
             self.move_due = Instant::now() + Duration::from(left);
@@ -119,7 +127,7 @@
         let is_waiting = self.turn == TurnState::Waiting;
         let taken = self.core.with_state(|state, now| {
             let found = state.balancer.target(&source);
-            if found.is_some_and(|one| one.phase != TargetPhase::Leaving) {
+            if found.is_some_and(|one| one.is_open()) {
                 return None;
             }
             if !is_waiting {
@@ -132,7 +140,11 @@
             Some((turn, now))
         });
         match taken {
-            None => false,
+            None => {
+                // The evacuation of the source was taken back.
+                self.release_turn();
+                false
+            }
             Some((MoveTurn::Start, _)) => {
                 self.turn = TurnState::Moving;
                 true
@@ -173,6 +185,8 @@
         let Some(destination) = &self.destination else {
             return;
         };
+        let destination_name = destination.target.clone();
+        let features = self.call.features.clone();
         let (source, destination) = (self.reservation.address, destination.address);
         let request = self.call.caller_headers.request_id.clone();
         let (core, run) = (self.core.clone(), TargetRun::of(&self.reservation));
@@ -182,6 +196,15 @@
                 let reason = refusal.to_string();
                 return CopyOutcome::NotSent { reason };
             }
+            // What is known may have changed while the permit was awaited.
+            let may_send = core.with_state(|state, now| match stop_source {
+                true => state.may_stop_for_move(now, &features, &run.target, &destination_name),
+                false => state.may_send_for_move(now, &run.target),
+            });
+            if !may_send {
+                let reason = "the generation could not be resumed after it".to_owned();
+                return CopyOutcome::NotSent { reason };
+            }
             let engines = &core.ports.engines;
             engines
                 .copy_kv_cache(source, &request, destination, stop_source)
@@ -201,8 +224,8 @@
                 if !is_whole {
                     self.log_move_failure(&outcome);
                 }
-                // The destination may have begun to leave during the copy.
-                let is_usable = self.is_destination_staying();
+                // The destination may have begun to leave during the copy, for example.
+                let is_usable = self.may_stop_source();
                 if is_whole && !is_usable {
                     self.release_copy();
                 }
@@ -240,14 +263,14 @@
         }
     }
 
-    /// Whether the destination of the current move has not begun to leave.
-    fn is_destination_staying(&self) -> bool {
+    /// Whether the source may be stopped: the generation may still be resumed.
+    fn may_stop_source(&self) -> bool {
         let Some(destination) = &self.destination else {
             return false;
         };
-        self.core.with_state(|state, _| {
-            let target = state.balancer.target(&destination.target);
-            target.is_some_and(|target| target.phase != TargetPhase::Leaving)
+        let (source, features) = (&self.reservation.target, &self.call.features);
+        self.core.with_state(|state, now| {
+            state.may_stop_for_move(now, features, source, &destination.target)
         })
     }
 
@@ -417,7 +440,8 @@
         tokio::spawn(async move {
             // Without a permit, the copy expires by itself.
             let permit = acquire_permit(&core, &run.target, run.incarnation).await;
-            if permit.is_ok() {
+            let may_send = core.with_state(|state, now| state.may_send_for_move(now, &run.target));
+            if permit.is_ok() && may_send {
                 core.ports.engines.release_copy(source, &handle).await;
             }
         });
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -4,10 +4,10 @@
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
-    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    GapCollector, LoadBalancer, MoveScheduler, PaceReport, PlacementDecision, PlacementPacer,
-    PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule,
-    SuspectTracker, TrialLedger,
+    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, EvacuationLedger, FactState,
+    FleetReach, GapCollector, LoadBalancer, MoveScheduler, PaceReport, PlacementDecision,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
+    ReturnSchedule, SuspectTracker, TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
@@ -82,6 +82,10 @@
 pub struct GatewayState {
     /// Published items, and the configuration and targets decoded from them.
     pub view: ViewState,
+    /// Which failure domains are evacuated.
+    pub evacuations: EvacuationLedger,
+    /// Evacuated domains of which it was not logged yet that no generation is left.
+    pub(super) draining_domains: Vec<DomainName>,
     /// Targets with their load and health; chooses targets for calls.
     pub balancer: LoadBalancer,
     /// Gaps between the events of the streams of this node, to be reported.
@@ -148,6 +152,8 @@
         let retry = settings.retry;
         Self {
             view: ViewState::default(),
+            evacuations: EvacuationLedger::default(),
+            draining_domains: Vec::new(),
             balancer: LoadBalancer::new(settings.domain.clone(), seed),
             gaps: GapCollector::default(),
             gaps_sent: Vec::new(),
