Share paces between domains and keep messages readable for the last build

A reader of the wire form refuses a message with more fields than it knows, so a field with a default at the end is read from the last build but not by it. New parts follow the message as a second value, by name, which the last build does not read.

Coordinators send the paces of engines that differ from the others to the coordinators of other domains. Gaps are corrected by the number of calls on the engine.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -94,6 +94,7 @@
     RateShared = 3013, "This node began to share the rate of calls that a target names among all nodes.";
     TrialGranted = 3014, "One call with a prompt part that is suspected of crashing targets may run.";
     CallRecalled = 3015, "A call was recalled from its target, as the same request or a part of its prompt crashed others.";
+    EnginePaceChanged = 3030, "Long calls avoid an engine, as they would be late there, or avoid it no longer.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer did not respond to probes and may have failed.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,7 +32,8 @@
     CopyLocks, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTurn, StreamProgress,
 };
 pub use pace::{
-    EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable, TargetPace,
+    DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
+    PaceTurns, SampleBudget, TargetPace,
 };
 pub use queue::{CallQueue, PlacementPacer, QueueTicket, QueuedCall};
 pub use rate::{
--- a/crates/entry/src/pace/engine_pace.rs
+++ b/crates/entry/src/pace/engine_pace.rs
@@ -1,7 +1,5 @@
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
-use super::PaceSample;
-
 /// Time in which the weight of an observed gap halves. Engines are slow for moments of half a
 /// second, which must not count as their pace, and change or leave within some ten seconds.
 const PACE_HALF_LIFE: TimeSpan = TimeSpan::from_secs(3);
@@ -20,7 +18,9 @@
     updated_at: ClockTime,
     /// Logarithm of the typical gap in milliseconds.
     log_gap: f64,
-    /// Gaps that `log_gap` stands for.
+    /// Calls that ran on the engine.
+    batch: f64,
+    /// Gaps that `log_gap` and `batch` stand for.
     weight: f64,
     /// Gaps that began a late stretch.
     late: f64,
@@ -36,19 +36,21 @@
             incarnation,
             updated_at: now,
             log_gap: 0.0,
+            batch: 0.0,
             weight: 0.0,
             late: 0.0,
             gaps: 0.0,
         }
     }
 
-    /// Adds a sample; `late` is the number of its late gaps after correction for the node.
-    pub fn add(&mut self, now: ClockTime, sample: &PaceSample, log_gap: f64, late: f64) {
+    /// Adds `gaps` gaps, of which `late` were late; `log_gap` is the logarithm of their typical gap,
+    /// and `batch` the number of calls that ran on the engine.
+    pub fn add(&mut self, now: ClockTime, gaps: f64, late: f64, log_gap: f64, batch: f64) {
         let age = now.since(self.updated_at);
         self.updated_at = self.updated_at.max(now);
-        let gaps = f64::from(sample.gaps);
         self.weight *= decay(age, PACE_HALF_LIFE);
         self.log_gap = (self.log_gap * self.weight + log_gap * gaps) / (self.weight + gaps);
+        self.batch = (self.batch * self.weight + batch * gaps) / (self.weight + gaps);
         self.weight = (self.weight + gaps).min(WEIGHT_LIMIT);
         let late_decay = decay(age, LATE_HALF_LIFE);
         self.late = self.late * late_decay + late;
@@ -60,6 +62,11 @@
         self.log_gap
     }
 
+    /// Average number of calls that ran on the engine.
+    pub fn batch(&self) -> f64 {
+        self.batch
+    }
+
     /// Number of gaps that the typical gap still stands for.
     pub fn weight(&self, now: ClockTime) -> f64 {
         self.weight * decay(now.since(self.updated_at), PACE_HALF_LIFE)
--- a/crates/entry/src/pace/gap_collector.rs
+++ b/crates/entry/src/pace/gap_collector.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
 use super::{PaceReport, PaceSample};
@@ -9,6 +11,41 @@
 /// Largest number of closed samples that are kept.
 const KEPT_SAMPLES: usize = 64;
 
+/// How many samples a receiver is sent, and how often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SampleBudget {
+    /// Largest number of samples in one report.
+    pub samples: usize,
+    /// Shortest time between two reports with samples.
+    pub interval: TimeSpan,
+}
+
+impl SampleBudget {
+    /// For coordinators of the own failure domain. The interval is somewhat less than the half
+    /// second in which samples are closed, as timers are late at times.
+    pub const OWN_DOMAIN: Self = Self {
+        samples: 6,
+        interval: TimeSpan::new(450),
+    };
+    /// For coordinators of another failure domain, which few streams use.
+    pub const OTHER_DOMAIN: Self = Self {
+        samples: 1,
+        interval: TimeSpan::new(900),
+    };
+}
+
+/// Receivers for which it is remembered what they were sent: the coordinators of five domains.
+const KEPT_RECEIVERS: usize = 16;
+
+/// What a receiver of samples was sent.
+#[derive(Clone, Copy, Debug)]
+struct SampleReceiver {
+    address: SocketAddr,
+    /// Number of the last sample that it was sent, or that was not meant for it.
+    number: u64,
+    sent_at: ClockTime,
+}
+
 #[derive(Clone, Debug)]
 struct OpenSample {
     target: TargetName,
@@ -33,6 +70,7 @@
     open: Vec<OpenSample>,
     closed: Vec<ClosedSample>,
     last_number: u64,
+    receivers: Vec<SampleReceiver>,
 }
 
 impl GapCollector {
@@ -96,14 +134,50 @@
         reports
     }
 
-    /// Number of the last closed sample; samples are numbered in the order in which they close.
-    pub fn last_number(&self) -> u64 {
-        self.last_number
+    /// Whether a receiver may get a report now and was not sent the last samples.
+    pub fn has_news(&self, now: ClockTime, receiver: SocketAddr, budget: SampleBudget) -> bool {
+        let known = self.receivers.iter().find(|one| one.address == receiver);
+        known.map_or(self.last_number > 0, |one| {
+            one.number < self.last_number && now.since(one.sent_at) >= budget.interval
+        })
     }
 
-    /// Closed samples with a number above `number`.
-    pub fn closed_after(&self, number: u64) -> Vec<PaceReport> {
-        let newer = self.closed.iter().filter(|one| one.number > number);
-        newer.map(|one| one.report.clone()).collect()
+    /// The oldest samples that a receiver was not sent yet, of the engines that `is_meant`
+    /// selects, as far as its budget allows.
+    pub fn take_for(
+        &mut self,
+        now: ClockTime,
+        receiver: SocketAddr,
+        budget: SampleBudget,
+        is_meant: impl Fn(&TargetName) -> bool,
+    ) -> Vec<PaceReport> {
+        if !self.has_news(now, receiver, budget) {
+            return Vec::new();
+        }
+        let at = self
+            .receivers
+            .iter()
+            .position(|one| one.address == receiver);
+        let sent = at.map_or(0, |at| self.receivers.remove(at).number);
+        let mut number = self.last_number;
+        let mut reports = Vec::new();
+        for sample in self.closed.iter().filter(|one| one.number > sent) {
+            if reports.len() == budget.samples {
+                number = sample.number - 1;
+                break;
+            }
+            if is_meant(&sample.report.target) {
+                reports.push(sample.report.clone());
+            }
+        }
+        if self.receivers.len() >= KEPT_RECEIVERS {
+            self.receivers.remove(0);
+        }
+        self.receivers.push(SampleReceiver {
+            address: receiver,
+            number,
+            sent_at: now,
+        });
+        reports
     }
 }
--- a/crates/entry/src/pace/pace_table.rs
+++ b/crates/entry/src/pace/pace_table.rs
@@ -1,7 +1,8 @@
 use base::{ClockTime, IncarnationNumber, NodeName, TargetName, TimeSpan};
 
 use super::engine_pace::decay;
-use super::{EnginePace, PaceReport, TargetPace};
+use super::target_pace::UNEVEN_RATIO;
+use super::{DomainPace, EnginePace, PaceReport, TargetPace};
 
 /// Weight in gaps of the assumption that an engine is average.
 const AVERAGE_WEIGHT: f64 = 4.0;
@@ -9,8 +10,6 @@
 const KNOWN_WEIGHT: f64 = 6.0;
 /// Engines from which on they are compared.
 const COMPARED_ENGINES: usize = 2;
-/// An engine whose pace differs from the median by more than this factor makes the service uneven.
-const UNEVEN_RATIO: f64 = 1.25;
 /// Weight in gaps of the late share of the engines of about the same pace, which is known sooner
 /// than that of one engine.
 const CLASS_WEIGHT: f64 = 150.0;
@@ -22,6 +21,14 @@
 const NODE_LATE_SLACK: f64 = 3.0;
 /// Gaps from which on the bias of a node is corrected.
 const NODE_WEIGHT: f64 = 30.0;
+/// Largest factor by which one more call on an engine is taken to lengthen its gaps.
+const BATCH_SLOPE_LIMIT: f64 = 0.05;
+/// Weight of the assumption that the number of calls does not matter, in gaps times the square of
+/// their number.
+const NO_SLOPE_WEIGHT: f64 = 500.0;
+/// Time for which the pace that another failure domain reported of an engine holds; there may be
+/// more such engines than one digest names, so each is reported again only after some seconds.
+const REMOTE_LIFETIME: TimeSpan = TimeSpan::from_secs(12);
 /// Estimates without observations for so long are dropped.
 const PACE_EXPIRY_WEIGHT: f64 = 0.05;
 /// Events of a long call before any was seen.
@@ -62,6 +69,37 @@
     difference: f64,
 }
 
+/// How the typical gap of an engine changes with the number of its calls, by regression over the
+/// deviations of each engine from its own averages, as decaying sums.
+#[derive(Clone, Copy, Debug, Default)]
+struct BatchSlope {
+    updated_at: ClockTime,
+    products: f64,
+    squares: f64,
+}
+
+impl BatchSlope {
+    fn add(&mut self, now: ClockTime, gaps: f64, batch: f64, log_gap: f64) {
+        let factor = decay(now.since(self.updated_at), CLASS_HALF_LIFE);
+        self.updated_at = self.updated_at.max(now);
+        self.products = self.products * factor + gaps * batch * log_gap;
+        self.squares = self.squares * factor + gaps * batch * batch;
+    }
+
+    /// Change of the logarithm of the typical gap for one more call.
+    fn value(self) -> f64 {
+        let slope = self.products / (self.squares + NO_SLOPE_WEIGHT);
+        slope.clamp(0.0, BATCH_SLOPE_LIMIT)
+    }
+}
+
+/// Pace of an engine as its own failure domain reported it.
+#[derive(Clone, Debug)]
+struct RemotePace {
+    pace: DomainPace,
+    until: ClockTime,
+}
+
 /// Paces of all engines, sorted by name.
 ///
 /// Engines are compared by their typical gaps. A node that is short of processor time sees longer
@@ -75,6 +113,9 @@
     nodes: Vec<NodeBias>,
     /// Late shares of engines of about the median pace or faster, and of slower ones.
     classes: [LateCount; 2],
+    slope: BatchSlope,
+    /// Sorted by name.
+    remote: Vec<RemotePace>,
     long_events: f64,
 }
 
@@ -84,14 +125,24 @@
             engines: Vec::new(),
             nodes: Vec::new(),
             classes: [LateCount::default(); 2],
+            slope: BatchSlope::default(),
+            remote: Vec::new(),
             long_events: DEFAULT_LONG_EVENTS,
         }
     }
 }
 
 impl PaceTable {
-    /// Adds a sample that `node` reported of an engine whose pace was `known` to be so.
-    pub fn add(&mut self, now: ClockTime, node: &NodeName, report: &PaceReport, known: TargetPace) {
+    /// Adds a sample that `node` reported of an engine whose pace was `known` to be so, and on which
+    /// `batch` calls run.
+    pub fn add(
+        &mut self,
+        now: ClockTime,
+        node: &NodeName,
+        report: &PaceReport,
+        known: TargetPace,
+        batch: u32,
+    ) {
         let sample = &report.sample;
         if sample.gaps == 0 {
             return;
@@ -102,10 +153,15 @@
         let log_gap = (sample.typical_gap.as_millis().max(1) as f64).ln();
         let engine = &self.engines[at];
         let is_judged = engine.weight(now) >= KNOWN_WEIGHT;
+        let batch = f64::from(batch);
         let difference = match is_judged {
             true => log_gap - engine.log_gap(),
             false => 0.0,
         };
+        if is_judged {
+            let more = batch - engine.batch();
+            self.slope.add(now, gaps, more, difference);
+        }
         let bias = self.bias_of(now, node);
         bias.gaps += gaps;
         bias.late += late;
@@ -118,7 +174,7 @@
         let allowed = bias.expected_late + NODE_LATE_SLACK;
         let late_factor = (allowed / bias.late.max(allowed)).min(1.0);
         let late = late * late_factor;
-        self.engines[at].add(now, sample, log_gap - correction, late);
+        self.engines[at].add(now, gaps, late, log_gap - correction, batch);
         let class = usize::from(known.ratio > UNEVEN_RATIO);
         self.classes[class].add(now, late, gaps);
     }
@@ -154,9 +210,12 @@
             .map(|(target, incarnation)| self.engine(target, *incarnation))
             .map(|engine| engine.filter(|one| one.weight(now) > PACE_EXPIRY_WEIGHT))
             .collect();
+        let slope = self.slope.value();
         let judged = found.iter().flatten();
         let judged = judged.filter(|one| one.weight(now) >= KNOWN_WEIGHT);
-        let mut logs: Vec<_> = judged.map(|one| one.log_gap()).collect();
+        let mut logs: Vec<_> = judged
+            .map(|one| one.log_gap() - slope * one.batch())
+            .collect();
         if logs.len() < COMPARED_ENGINES {
             return vec![TargetPace::default(); runs.len()];
         }
@@ -164,13 +223,15 @@
         let median = logs[(logs.len() - 1) / 2];
         let mut paces: Vec<_> = found
             .iter()
-            .map(|engine| {
-                engine.map_or_else(TargetPace::default, |one| self.pace(now, one, median))
+            .zip(runs)
+            .map(|(engine, (target, incarnation))| {
+                let own = engine.map(|one| self.pace(now, one, median + slope * one.batch()));
+                let remote = self.remote_pace(now, target, *incarnation);
+                remote.or(own).unwrap_or_default()
             })
             .collect();
         let known = || paces.iter().filter(|pace| pace.is_known);
-        let is_uneven =
-            known().any(|pace| pace.ratio > UNEVEN_RATIO || pace.ratio < UNEVEN_RATIO.recip());
+        let is_uneven = known().any(TargetPace::is_unusual);
         let count = known().count().max(1) as f64;
         let long_events = self.long_events();
         let mean = known()
@@ -191,6 +252,37 @@
         paces
     }
 
+    /// Records the paces that the coordinator of another failure domain reported of its engines.
+    pub fn record_remote(&mut self, now: ClockTime, paces: &[DomainPace]) {
+        for pace in paces {
+            let found = self
+                .remote
+                .binary_search_by(|one| one.pace.target.cmp(&pace.target));
+            let remote = RemotePace {
+                pace: pace.clone(),
+                until: now + REMOTE_LIFETIME,
+            };
+            match found {
+                Ok(at) => self.remote[at] = remote,
+                Err(at) => self.remote.insert(at, remote),
+            }
+        }
+    }
+
+    fn remote_pace(
+        &self,
+        now: ClockTime,
+        target: &TargetName,
+        incarnation: IncarnationNumber,
+    ) -> Option<TargetPace> {
+        let found = self
+            .remote
+            .binary_search_by(|one| one.pace.target.cmp(target));
+        let remote = &self.remote[found.ok()?];
+        let is_valid = remote.pace.incarnation == incarnation && now < remote.until;
+        is_valid.then(|| remote.pace.pace())
+    }
+
     /// Drops engines for which `keep` is false, and nodes without recent samples.
     pub fn retain(
         &mut self,
@@ -199,6 +291,7 @@
     ) {
         self.engines
             .retain(|one| keep(&one.target, one.incarnation));
+        self.remote.retain(|one| now < one.until);
         self.nodes.retain(|one| {
             one.gaps * decay(now.since(one.updated_at), NODE_HALF_LIFE) > PACE_EXPIRY_WEIGHT
         });
--- a/crates/entry/src/pace/target_pace.rs
+++ b/crates/entry/src/pace/target_pace.rs
@@ -41,6 +41,11 @@
         late_probability(self.late_share, events)
     }
 
+    /// Whether it differs from the median engine by more than a quarter.
+    pub fn is_unusual(&self) -> bool {
+        self.is_known && (self.ratio > UNEVEN_RATIO || self.ratio < UNEVEN_RATIO.recip())
+    }
+
     /// Whether a call with so many events would more likely than not be late here, but not on
     /// another engine of the service.
     pub fn is_late_for(&self, events: u32) -> bool {
@@ -50,6 +55,8 @@
     }
 }
 
+/// An engine whose pace differs from the median by more than this factor makes the service uneven.
+pub(super) const UNEVEN_RATIO: f64 = 1.25;
 /// Probability from which on something is more likely than not.
 const MOSTLY: f64 = 0.5;
 /// An engine is better than another if its late probability is below this share of the other's.
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -8,7 +8,9 @@
     LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope, TargetChanges,
     TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-use crate::{CapacityGrant, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable};
+use crate::{
+    CapacityGrant, DomainPace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable, TargetPace,
+};
 
 /// Share of an engine's memory that calls may hold on average, by their estimates; the rest is a
 /// reserve for wrong estimates.
@@ -58,7 +60,7 @@
 /// of another failure domain.
 const MOVE_LATE_COST_MS: f64 = 300.0;
 /// Late probability of a quick call up to which it is steered to engines that long calls avoid.
-const STEERED_LATE_LIMIT: f64 = 0.25;
+const STEERED_LATE_LIMIT: f64 = 0.1;
 
 /// Load balancer of one node: tracks the load and health of the targets of all services and chooses
 /// a target for each call.
@@ -72,6 +74,8 @@
     own_load_version: u64,
     random: Pcg64,
     paces: PaceTable,
+    /// Engines that long calls avoid or avoid no longer, not yet logged.
+    pace_changes: Vec<(TargetName, TargetPace)>,
     /// When the paces of the engines were compared last.
     compared_at: ClockTime,
 }
@@ -92,6 +96,7 @@
             own_load_version: 0,
             random: Pcg64::seed_from_u64(seed),
             paces: PaceTable::default(),
+            pace_changes: Vec::new(),
             compared_at: ClockTime::default(),
         }
     }
@@ -324,9 +329,12 @@
                 && state.accepts(now)
         });
         let open = known.filter(|state| {
+            let has_room = request
+                .engine
+                .is_some_and(|spec| engine_cost(state, request, spec).is_some());
             let is_in_scope =
                 state.record.domain == self.domain || request.scope == PlacementScope::AllDomains;
-            is_in_scope && !request.excluded.contains(&state.record.name)
+            has_room && is_in_scope && !request.excluded.contains(&state.record.name)
         });
         open.map(|state| state.record.name.clone()).collect()
     }
@@ -339,7 +347,8 @@
             };
             let state = &self.targets[at];
             if state.record.incarnation == report.incarnation {
-                self.paces.add(now, node, report, state.pace);
+                let batch = state.total().calls;
+                self.paces.add(now, node, report, state.pace, batch);
             }
         }
         if now.since(self.compared_at) >= COMPARE_INTERVAL {
@@ -347,6 +356,40 @@
         }
     }
 
+    /// Paces of the engines of the own failure domain that differ from the others, sorted by target,
+    /// to be reported to other domains.
+    pub fn domain_paces(&self) -> Vec<DomainPace> {
+        let own = self.targets.iter().filter(|state| {
+            state.record.domain == self.domain
+                && state.phase != TargetPhase::Leaving
+                && state.pace.is_unusual()
+        });
+        own.map(|state| DomainPace::new(&state.record.name, state.record.incarnation, state.pace))
+            .collect()
+    }
+
+    /// Records the paces that the coordinator of another failure domain reported of its engines;
+    /// those of engines of other domains are ignored.
+    pub fn apply_domain_paces(
+        &mut self,
+        now: ClockTime,
+        domain: &DomainName,
+        mut paces: Vec<DomainPace>,
+    ) {
+        paces.retain(|pace| {
+            let found = self.target(&pace.target);
+            found
+                .is_some_and(|one| one.record.domain == *domain && one.record.domain != self.domain)
+        });
+        self.paces.record_remote(now, &paces);
+    }
+
+    /// Engines that long calls avoid, or avoid no longer, since the last call of this method, with
+    /// their paces.
+    pub fn take_pace_changes(&mut self) -> Vec<(TargetName, TargetPace)> {
+        std::mem::take(&mut self.pace_changes)
+    }
+
     /// Compares the engines of each service by their pace, and forgets runs that are gone.
     fn compare_paces(&mut self, now: ClockTime) {
         self.compared_at = now;
@@ -369,6 +412,9 @@
             let paces = self.paces.compare(now, &runs);
             let open = self.targets.iter_mut().filter(|state| is_open(state));
             for (state, pace) in open.zip(paces) {
+                if state.pace.is_avoided != pace.is_avoided {
+                    self.pace_changes.push((state.record.name.clone(), pace));
+                }
                 state.pace = pace;
             }
         }
@@ -665,7 +711,7 @@
     if !need.can_be_on_time(now) {
         return slower_prompt;
     }
-    match request.is_quick && is_steered(state, request, need) {
+    match request.is_quick && is_steered(now, state, request, need) {
         true => late - late_cost,
         false => late + slower_prompt,
     }
@@ -673,10 +719,17 @@
 
 /// Whether a quick call is steered to an engine, as long calls avoid it and the call is on time
 /// there.
-fn is_steered(state: &TargetState, request: &PlacementRequest, need: PaceNeed) -> bool {
+fn is_steered(
+    now: ClockTime,
+    state: &TargetState,
+    request: &PlacementRequest,
+    need: PaceNeed,
+) -> bool {
     let waiting = state.total().prefill + request.load.prefill;
     let first_event = prefill_time(waiting).as_millis() as f64 * state.pace.ratio;
+    let delay = first_event - prefill_time(request.load.prefill).as_millis() as f64;
     state.pace.is_avoided
+        && delay <= need.start_by.since(now).as_millis() as f64
         && first_event * 2.0 <= need.latency_target.as_millis() as f64
         && state.pace.late_probability(need.events_left) <= STEERED_LATE_LIMIT
 }
--- a/crates/entry/src/target/placement_request.rs
+++ b/crates/entry/src/target/placement_request.rs
@@ -45,7 +45,9 @@
     /// target.
     pub failure_delays: Vec<(TargetName, TimeSpan)>,
     /// What the call requires of the pace of its engine; `None` if its route has no pause limit.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ///
+    /// Not part of the encoded form, which readers refuse if it has fields that they don't know.
+    #[serde(skip)]
     pub pace: Option<PaceNeed>,
 }
 
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -129,7 +129,7 @@
             start_within: request.start_within,
             max_wait: end.since(now),
         };
-        match client.request_placement(coordinator, &message).await {
+        match client.request_placement(coordinator, message).await {
             Some(CoordinatorReply::Granted { target, id }) => {
                 let reserved = CapacityReservation::from_grant(
                     core.clone(),
--- a/crates/gateway/src/coordinator/coordinator_message.rs
+++ b/crates/gateway/src/coordinator/coordinator_message.rs
@@ -1,7 +1,9 @@
 use base::{NodeName, TargetName, TimeSpan};
-use entry::{GrantId, PlacementRequest};
+use entry::{GrantId, PaceNeed, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
+use crate::peer::ExtendedMessage;
+
 /// Request of a node to its coordinator for capacity on an engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CoordinatorRequest {
@@ -21,6 +23,27 @@
     pub max_wait: TimeSpan,
 }
 
+/// Parts of a placement request that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RequestExtension {
+    #[serde(default)]
+    pace: Option<PaceNeed>,
+}
+
+impl ExtendedMessage for CoordinatorRequest {
+    type Extension = RequestExtension;
+
+    fn take_extension(&mut self) -> RequestExtension {
+        RequestExtension {
+            pace: self.placement.pace.take(),
+        }
+    }
+
+    fn extend(&mut self, extension: RequestExtension) {
+        self.placement.pace = extension.pace;
+    }
+}
+
 /// Response of a coordinator to a request for capacity.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CoordinatorReply {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,10 @@
 mod state;
 mod trial;
 
-pub use peer::{ItemUpdate, NodeDigest};
+pub use coordinator::CoordinatorRequest;
+pub use peer::{
+    ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
+};
 pub use poll::ViewPoller;
 pub use port::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
--- a/crates/gateway/src/peer/load_pusher.rs
+++ b/crates/gateway/src/peer/load_pusher.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::DomainName;
+use entry::SampleBudget;
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -102,7 +103,7 @@
         let lacking = self.core.with_state(|state, now| {
             state.close_gap_samples(now);
             let mut lacking = coordinators;
-            lacking.retain(|address| state.lacks_gap_samples(*address));
+            lacking.retain(|address| state.gaps.has_news(now, *address, SampleBudget::OWN_DOMAIN));
             lacking
         });
         for address in lacking {
--- a/crates/gateway/src/peer/load_report.rs
+++ b/crates/gateway/src/peer/load_report.rs
@@ -4,6 +4,7 @@
 use entry::{GrantId, PaceReport, PeerLoads, TargetLoad};
 use serde::{Deserialize, Serialize};
 
+use super::ExtendedMessage;
 use super::node_digest::peer_origin;
 use crate::GatewayCore;
 
@@ -30,10 +31,31 @@
     pub copying_sources: Vec<TargetName>,
     /// Gaps between events that the sender observed at engines since its last report to the
     /// receiver.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(skip)]
     pub paces: Vec<PaceReport>,
 }
 
+/// Parts of a load report that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadExtension {
+    #[serde(default)]
+    paces: Vec<PaceReport>,
+}
+
+impl ExtendedMessage for LoadReport {
+    type Extension = LoadExtension;
+
+    fn take_extension(&mut self) -> LoadExtension {
+        LoadExtension {
+            paces: std::mem::take(&mut self.paces),
+        }
+    }
+
+    fn extend(&mut self, extension: LoadExtension) {
+        self.paces = extension.paces;
+    }
+}
+
 impl LoadReport {
     /// Creates the report of this node for a peer.
     pub fn new(core: &GatewayCore, receiver: SocketAddr) -> Self {
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,11 +1,14 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
-use entry::{ConfigVersion, DomainPeak, LoadOrigin, PeerLoads, SuspectCall, TargetLoad};
+use entry::{
+    ConfigVersion, DomainPace, DomainPeak, LoadOrigin, PeerLoads, SuspectCall, TargetLoad,
+};
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
+use super::ExtendedMessage;
 use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo};
 use crate::{GatewayCore, ViewArea};
 
@@ -67,12 +70,37 @@
     /// Largest number of nodes that each failure domain had lately; only coordinators send it.
     #[serde(default)]
     pub domain_peaks: Vec<DomainPeak>,
+    /// Paces of engines of the sender's failure domain that differ from the others; only coordinators
+    /// send them, to those of other domains.
+    #[serde(skip)]
+    pub domain_paces: Vec<DomainPace>,
+}
+
+/// Parts of a digest that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DigestExtension {
+    #[serde(default, rename = "paces")]
+    domain_paces: Vec<DomainPace>,
+}
+
+impl ExtendedMessage for NodeDigest {
+    type Extension = DigestExtension;
+
+    fn take_extension(&mut self) -> DigestExtension {
+        DigestExtension {
+            domain_paces: std::mem::take(&mut self.domain_paces),
+        }
+    }
+
+    fn extend(&mut self, extension: DigestExtension) {
+        self.domain_paces = extension.domain_paces;
+    }
 }
 
 impl NodeDigest {
-    /// Creates the digest of this node for a node of the failure domain `receiver`, if that is
-    /// known.
-    pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
+    /// Creates the digest of this node for the node at `address`, which is in the failure domain
+    /// `receiver` if that is known.
+    pub fn new(core: &GatewayCore, address: SocketAddr, receiver: Option<&DomainName>) -> Self {
         let remote = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
             let is_candidate = state
@@ -82,6 +110,10 @@
             let remote = remote.filter(|_| knows_loads);
             let addresses = known_addresses(state, now, receiver);
             let is_coordinator = state.is_coordinator(now);
+            let domain_paces = match is_candidate {
+                true => state.take_domain_paces(now, address),
+                false => Vec::new(),
+            };
             Self {
                 node: core.node().clone(),
                 address: core.settings.peer_address,
@@ -105,6 +137,7 @@
                     true => state.reach.peaks(now),
                     false => Vec::new(),
                 },
+                domain_paces,
             }
         })
     }
@@ -135,6 +168,9 @@
                     loads,
                 });
             }
+            state
+                .balancer
+                .apply_domain_paces(now, &self.domain, self.domain_paces);
             state.balancer.apply_peer_loads(PeerLoads {
                 origin: peer_origin(core, &self.domain, &self.node),
                 received_at: now,
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -12,7 +12,9 @@
 use tokio::time::{MissedTickBehavior, interval};
 use web::{RequestError, ResponseLimits, WebBody, empty_body, full_body};
 
-use super::{ItemUpdate, LoadReport, NodeDigest};
+use super::{
+    ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
+};
 use crate::coordinator::{CoordinatorReply, CoordinatorRequest};
 use crate::rate::{PermitReply, PermitRequest};
 use crate::state::INFORMED_COORDINATORS;
@@ -251,7 +253,7 @@
 
     /// Sends a peer the load report of this node.
     pub async fn send_loads(&self, address: SocketAddr) {
-        let Some(body) = encode_body(&LoadReport::new(&self.core, address)) else {
+        let Some(body) = extended_body(LoadReport::new(&self.core, address)) else {
             return;
         };
         // `call` logs a failure. A later push or digest reports the same loads.
@@ -262,9 +264,9 @@
     pub async fn request_placement(
         &self,
         coordinator: SocketAddr,
-        question: &CoordinatorRequest,
+        question: CoordinatorRequest,
     ) -> Option<CoordinatorReply> {
-        let (path, body) = (PLACEMENT_PATH, encode_body(question)?);
+        let (path, body) = (PLACEMENT_PATH, extended_body(question)?);
         self.call_within(coordinator, Method::POST, path, body, PLACEMENT_TIMEOUT)
             .await
     }
@@ -300,11 +302,21 @@
         let domain = self
             .core
             .with_state(|state, _| state.peers.domain_of(address));
-        let digest = NodeDigest::new(&self.core, domain.as_ref());
-        let Some(body) = encode_body(&digest) else {
+        let digest = NodeDigest::new(&self.core, address, domain.as_ref());
+        let Some(body) = extended_body(digest) else {
             return;
         };
-        let theirs: Option<NodeDigest> = self.call(address, Method::POST, DIGEST_PATH, body).await;
+        let (method, path) = (Method::POST, DIGEST_PATH);
+        let answer = self
+            .send(address, method, path, body, REQUEST_TIMEOUT)
+            .await;
+        let theirs = answer.and_then(|bytes| {
+            decode_extended::<NodeDigest>(&bytes).map_err(|error| error.to_string())
+        });
+        let theirs = match theirs {
+            Ok(theirs) => Some(theirs),
+            Err(reason) => self.log_failure(address, &reason),
+        };
         match theirs {
             // The address belongs to this node itself.
             Some(theirs) if theirs.node == *self.core.node() => self.drop_hint(address),
@@ -423,7 +435,16 @@
 
 /// Encodes a message to a peer as a request body; logs a failure and returns `None` then.
 pub(super) fn encode_body(value: &impl Serialize) -> Option<WebBody> {
-    match rmp_serde::to_vec(value) {
+    body_of(rmp_serde::to_vec(value))
+}
+
+/// Encodes a message with its extension as a request body; logs a failure and returns `None` then.
+fn extended_body(message: impl ExtendedMessage) -> Option<WebBody> {
+    body_of(encode_extended(message))
+}
+
+fn body_of(encoded: Result<Vec<u8>, rmp_serde::encode::Error>) -> Option<WebBody> {
+    match encoded {
         Ok(body) => Some(full_body(body)),
         Err(error) => {
             log::error!(
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -13,7 +13,10 @@
     CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PERMITS_PATH, PLACEMENT_PATH,
     PeerClient, TARGETS_PATH, TRIALS_PATH,
 };
-use super::{ItemUpdate, LoadReport, NodeDigest, UpdateOutcome};
+use super::{
+    ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, UpdateOutcome, decode_extended,
+    encode_extended,
+};
 use crate::coordinator::handle_request;
 use crate::rate::request_permits;
 use crate::trial::grant_trial;
@@ -59,18 +62,22 @@
 
 /// Applies the digest of a peer and answers with that of this node.
 async fn handle_digest(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
-    let Some(digest) = read_message::<NodeDigest>(core, request).await else {
+    let Some(digest) = read_extended::<NodeDigest>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
     let (address, domain) = (digest.address, digest.domain.clone());
     let newer = digest.apply(core);
     PeerClient::new(core.clone()).spawn_fetch(address, newer);
-    encode_response(&NodeDigest::new(core, Some(&domain)))
+    respond(encode_extended(NodeDigest::new(
+        core,
+        address,
+        Some(&domain),
+    )))
 }
 
 /// Applies the load report of a peer.
 async fn handle_loads(core: &GatewayCore, request: Request<Incoming>) -> Response<WebBody> {
-    let Some(report) = read_message::<LoadReport>(core, request).await else {
+    let Some(report) = read_extended::<LoadReport>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
     report.apply(core);
@@ -82,7 +89,7 @@
     core: &Arc<GatewayCore>,
     request: Request<Incoming>,
 ) -> Response<WebBody> {
-    let Some(question) = read_message(core, request).await else {
+    let Some(question) = read_extended(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
     match handle_request(core, question).await {
@@ -131,7 +138,23 @@
     request: Request<Incoming>,
 ) -> Option<T> {
     let body = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await;
-    match rmp_serde::from_slice(&body.ok()?) {
+    log_unreadable(core, rmp_serde::from_slice(&body.ok()?))
+}
+
+/// Like [`read_message`], for a message with an extension.
+async fn read_extended<M: ExtendedMessage>(
+    core: &GatewayCore,
+    request: Request<Incoming>,
+) -> Option<M> {
+    let body = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await;
+    log_unreadable(core, decode_extended(&body.ok()?))
+}
+
+fn log_unreadable<T>(
+    core: &GatewayCore,
+    decoded: Result<T, rmp_serde::decode::Error>,
+) -> Option<T> {
+    match decoded {
         Ok(message) => Some(message),
         Err(error) => {
             log::warn!(
@@ -178,7 +201,11 @@
 
 /// Encodes a message as a response; logs a failure and answers 500 then.
 fn encode_response(value: &impl Serialize) -> Response<WebBody> {
-    match rmp_serde::to_vec(value) {
+    respond(rmp_serde::to_vec(value))
+}
+
+fn respond(encoded: Result<Vec<u8>, rmp_serde::encode::Error>) -> Response<WebBody> {
+    match encoded {
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(error) => {
             log::error!(
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,8 +1,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use base::{ClockTime, EventKind, NodeName, ServiceName, TimeSpan};
-use entry::{PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig};
+use base::{ClockTime, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
+use entry::{
+    PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig, TargetPace,
+};
+use metrics::gauge;
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
@@ -338,18 +341,46 @@
     /// Handles what depends on time alone: expired targets, facts, attempts and grants, and queued
     /// calls that may be placed now.
     pub fn on_tick(self: &Arc<Self>) {
-        let changes = self.with_state(|state, now| {
+        let (changes, paces) = self.with_state(|state, now| {
             let changes = state.balancer.on_tick(now);
             state.facts.set.expire(now);
             state.attempts.expire(now);
             state.expire_grants(now);
             state.drop_foreign_rates(now);
             state.serve_queue(now);
-            changes
+            (changes, state.balancer.take_pace_changes())
         });
+        self.log_pace_changes(&paces);
         self.handle_target_changes(&changes, "entry did not come back");
     }
 
+    /// Logs the engines that long calls avoid or avoid no longer, and sets the gauges of the paces.
+    fn log_pace_changes(&self, changes: &[(TargetName, TargetPace)]) {
+        for (target, pace) in changes {
+            log::info!(
+                event = EventKind::EnginePaceChanged.number(),
+                node = self.node().as_str(),
+                target = target.as_str(),
+                pace = pace.ratio,
+                late_share = pace.late_share;
+                "{}",
+                match pace.is_avoided {
+                    true => "long calls avoid the engine",
+                    false => "long calls use the engine again",
+                }
+            );
+        }
+        if !changes.is_empty() {
+            let (avoided, slowest) = self.with_state(|state, _| {
+                let paces = || state.balancer.targets().iter().map(|one| one.pace);
+                let avoided = paces().filter(|pace| pace.is_avoided).count();
+                (avoided, paces().map(|pace| pace.ratio).fold(1.0, f64::max))
+            });
+            gauge!("gateway_avoided_engines").set(avoided as f64);
+            gauge!("gateway_slowest_engine_pace").set(slowest);
+        }
+    }
+
     fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str) {
         match area {
             ViewArea::Config => self.adopt_config(from),
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -4,10 +4,10 @@
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
-    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    GapCollector, LoadBalancer, MoveScheduler, PaceReport, PlacementDecision, PlacementPacer,
-    PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule,
-    SuspectTracker, TrialLedger,
+    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, FactState, FleetReach,
+    GapCollector, LoadBalancer, MoveScheduler, PaceReport, PaceTurns, PlacementDecision,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
+    ReturnSchedule, SampleBudget, SuspectTracker, TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
@@ -44,8 +44,6 @@
 /// reader reaches them within 1.4 s through the coordinators.
 const STALE_AGE: TimeSpan = TimeSpan::new(1_600);
 
-/// Peers for which the node remembers which samples of gaps they were sent.
-const GAP_RECEIVERS: usize = 16;
 /// Calls behind one that waits for a faster engine that may find no room before the rest is not
 /// tried.
 const BEHIND_FAILURES: usize = 3;
@@ -86,8 +84,8 @@
     pub balancer: LoadBalancer,
     /// Gaps between the events of the streams of this node, to be reported.
     pub gaps: GapCollector,
-    /// Number of the last sample of gaps that each peer was sent.
-    pub(super) gaps_sent: Vec<(SocketAddr, u64)>,
+    /// Which paces of engines the coordinators of other failure domains were sent last.
+    pub pace_turns: PaceTurns,
     /// Order of the calls that wait for capacity.
     pub queue: CallQueue,
     /// Decides when a waiting call may be placed on an engine without a coordinator.
@@ -150,7 +148,7 @@
             view: ViewState::default(),
             balancer: LoadBalancer::new(settings.domain.clone(), seed),
             gaps: GapCollector::default(),
-            gaps_sent: Vec::new(),
+            pace_turns: PaceTurns::default(),
             queue: CallQueue::default(),
             pacer: PlacementPacer::new(seed),
             waiters: Vec::new(),
@@ -319,44 +317,45 @@
         self.balancer.add_paces(now, &node, &reports);
     }
 
-    /// Whether a coordinator was not sent the last samples of gaps.
-    pub fn lacks_gap_samples(&self, receiver: SocketAddr) -> bool {
-        let found = self.gaps_sent.iter().find(|(known, _)| *known == receiver);
-        found.map_or(0, |(_, number)| *number) < self.gaps.last_number()
-    }
-
     /// Samples of gaps that a coordinator was not sent yet; others than coordinators get none. To
     /// another failure domain, only those of its own engines are sent.
     pub fn take_gap_samples(&mut self, now: ClockTime, receiver: SocketAddr) -> Vec<PaceReport> {
-        let domain = self.peers.domain_of(receiver);
-        let is_own = domain.as_ref() == Some(&self.domain);
-        if is_own {
-            let ranking = self.coordinator_ranking(now);
-            if !ranking
-                .iter()
-                .take(INFORMED_COORDINATORS)
-                .any(|one| *one == receiver)
-            {
-                return Vec::new();
-            }
+        let Some(domain) = self.peers.domain_of(receiver) else {
+            return Vec::new();
+        };
+        if domain != self.domain {
+            let balancer = &self.balancer;
+            let is_meant = |target: &TargetName| {
+                let found = balancer.target(target);
+                found.is_some_and(|one| one.record.domain == domain)
+            };
+            let budget = SampleBudget::OTHER_DOMAIN;
+            return self.gaps.take_for(now, receiver, budget, is_meant);
         }
-        let at = self
-            .gaps_sent
-            .iter()
-            .position(|(known, _)| *known == receiver);
-        let sent = at.map_or(0, |at| self.gaps_sent.swap_remove(at).1);
-        if self.gaps_sent.len() >= GAP_RECEIVERS {
-            self.gaps_sent.remove(0);
+        let ranking = self.coordinator_ranking(now);
+        let mut informed = ranking.iter().take(INFORMED_COORDINATORS);
+        match informed.any(|one| *one == receiver) {
+            true => {
+                let budget = SampleBudget::OWN_DOMAIN;
+                self.gaps.take_for(now, receiver, budget, |_| true)
+            }
+            false => Vec::new(),
         }
-        self.gaps_sent.push((receiver, self.gaps.last_number()));
-        let mut reports = self.gaps.closed_after(sent);
-        if !is_own {
-            reports.retain(|report| {
-                let found = self.balancer.target(&report.target);
-                found.is_some_and(|one| Some(&one.record.domain) == domain.as_ref())
-            });
+    }
+
+    /// Paces of the engines of the own failure domain for a coordinator of another one, if it is due
+    /// to get some: not all at once, but each in turn.
+    pub fn take_domain_paces(&mut self, now: ClockTime, receiver: SocketAddr) -> Vec<DomainPace> {
+        let Some(domain) = self.peers.domain_of(receiver) else {
+            return Vec::new();
+        };
+        let ranking = self.remote_coordinator_ranking(now, &domain);
+        let mut informed = ranking.iter().take(INFORMED_COORDINATORS);
+        if domain == self.domain || !informed.any(|one| *one == receiver) {
+            return Vec::new();
         }
-        reports
+        let paces = self.balancer.domain_paces();
+        self.pace_turns.take(now, receiver, paces)
     }
 
     /// Whether calls of this node wait for engines.
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -125,6 +125,7 @@
         addresses: Vec::new(),
         domain_nodes: None,
         domain_peaks: Vec::new(),
+        domain_paces: Vec::new(),
     };
     let body = rmp_serde::to_vec(&digest).unwrap();
     assert_eq!(post(gateway.peers, "/peer/digest", &body).await.status, 200);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,3 +16,4 @@
 mod streams;
 mod support;
 mod unframed;
+mod wire_extension;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -277,7 +277,8 @@
     .await;
     let receiver = DOMAINS[2].parse().unwrap();
     let named_of_receiver = || {
-        let named = NodeDigest::new(nodes[0].server.core(), Some(&receiver)).addresses;
+        let named =
+            NodeDigest::new(nodes[0].server.core(), nodes[0].peers, Some(&receiver)).addresses;
         let of_receiver = nodes.iter().filter(|node| {
             node.server.core().settings.domain == receiver && named.contains(&node.peers)
         });
