Merge the pace of engines shared between domains

Evacuations and paces extend digests by one mechanism, a second value that nodes of the last build do not read; the digest's own map form goes.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -97,6 +97,7 @@
     EvacuationBegun = 3016, "A failure domain is evacuated; its targets get nothing more.";
     EvacuationFinished = 3017, "No generation of this node is left on the engines of an evacuated failure domain.";
     EvacuationWithdrawn = 3018, "The evacuation of a failure domain was taken back.";
+    EnginePaceChanged = 3030, "Long calls avoid an engine, as they would be late there, or avoid it no longer.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer did not respond to probes and may have failed.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -2,12 +2,14 @@
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
 use entry::{
-    ConfigVersion, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads, SuspectCall, TargetLoad,
+    ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads, SuspectCall,
+    TargetLoad,
 };
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
+use super::ExtendedMessage;
 use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo};
 use crate::{GatewayCore, ViewArea};
 
@@ -70,14 +72,43 @@
     #[serde(default)]
     pub domain_peaks: Vec<DomainPeak>,
     /// Newest record of the evacuation of each failure domain that the sender knows.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(skip)]
     pub evacuations: Vec<EvacuationRecord>,
+    /// Paces of engines of the sender's failure domain that differ from the others; only coordinators
+    /// send them, to those of other domains.
+    #[serde(skip)]
+    pub domain_paces: Vec<DomainPace>,
+}
+
+/// Parts of a digest that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DigestExtension {
+    #[serde(default, rename = "paces")]
+    domain_paces: Vec<DomainPace>,
+    #[serde(default)]
+    evacuations: Vec<EvacuationRecord>,
+}
+
+impl ExtendedMessage for NodeDigest {
+    type Extension = DigestExtension;
+
+    fn take_extension(&mut self) -> DigestExtension {
+        DigestExtension {
+            domain_paces: std::mem::take(&mut self.domain_paces),
+            evacuations: std::mem::take(&mut self.evacuations),
+        }
+    }
+
+    fn extend(&mut self, extension: DigestExtension) {
+        self.domain_paces = extension.domain_paces;
+        self.evacuations = extension.evacuations;
+    }
 }
 
 impl NodeDigest {
-    /// Creates the digest of this node for a node of the failure domain `receiver`, if that is
-    /// known.
-    pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
+    /// Creates the digest of this node for the node at `address`, which is in the failure domain
+    /// `receiver` if that is known.
+    pub fn new(core: &GatewayCore, address: SocketAddr, receiver: Option<&DomainName>) -> Self {
         let remote = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
             let is_candidate = state
@@ -87,6 +118,10 @@
             let remote = remote.filter(|_| knows_loads);
             let addresses = known_addresses(state, now, receiver);
             let is_coordinator = state.is_coordinator(now);
+            let domain_paces = match is_candidate {
+                true => state.take_domain_paces(now, address),
+                false => Vec::new(),
+            };
             Self {
                 node: core.node().clone(),
                 address: core.settings.peer_address,
@@ -111,24 +146,11 @@
                     false => Vec::new(),
                 },
                 evacuations: state.evacuations.records(now),
+                domain_paces,
             }
         })
     }
 
-    /// Encodes the digest for a peer.
-    ///
-    /// Nodes of the last build can't decode an array with more fields than they know, but they skip
-    /// unknown fields of a map. So the digest is a map once it has any of the new fields.
-    ///
-    /// # Errors
-    /// If it can't be encoded.
-    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        match self.evacuations.is_empty() {
-            true => rmp_serde::to_vec(self),
-            false => rmp_serde::to_vec_named(self),
-        }
-    }
-
     /// Applies the digest of a peer; returns the areas of which the peer has newer items.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_finished = !self.finished_sources.is_empty();
@@ -156,6 +178,9 @@
                     loads,
                 });
             }
+            state
+                .balancer
+                .apply_domain_paces(now, &self.domain, self.domain_paces);
             state.balancer.apply_peer_loads(PeerLoads {
                 origin: peer_origin(core, &self.domain, &self.node),
                 received_at: now,
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -126,6 +126,7 @@
         domain_nodes: None,
         domain_peaks: Vec::new(),
         evacuations: Vec::new(),
+        domain_paces: Vec::new(),
     };
     let body = rmp_serde::to_vec(&digest).unwrap();
     assert_eq!(post(gateway.peers, "/peer/digest", &body).await.status, 200);
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -9,7 +9,7 @@
     ConfigVersion, DomainPeak, EvacuationRecord, GrantId, GrantTracker, SuspectCall, TargetLoad,
 };
 use facts::FactDigest;
-use gateway::NodeDigest;
+use gateway::{NodeDigest, decode_extended, encode_extended};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -415,6 +415,7 @@
         addresses: Vec::new(),
         domain_nodes: None,
         domain_peaks: Vec::new(),
+        domain_paces: Vec::new(),
         evacuations: Vec::new(),
     }
 }
@@ -461,7 +462,7 @@
             });
         }
     });
-    let body = strong_digest(address).encode().unwrap();
+    let body = encode_extended(strong_digest(address)).unwrap();
     assert_eq!(post(gateway.peers, "/peer/digest", &body).await.status, 200);
     let core = gateway.server.core();
     until("the other node is the coordinator", || {
@@ -484,14 +485,14 @@
 }
 
 // Guards against digests that nodes of the build before this one can't decode: they read arrays of
-// exactly the fields that they know, and skip unknown fields of maps.
+// exactly the fields that they know, and nothing that follows.
 #[test]
 fn nodes_of_the_last_build_can_read_digests() {
     let mut digest = strong_digest("127.0.0.1:9".parse().unwrap());
     let last_fields = rmp_serde::to_vec(&digest).unwrap();
     // An array of 19 elements: the fields of the last build.
     assert_eq!(&last_fields[..3], [0xdc, 0, 19]);
-    assert_eq!(digest.encode().unwrap(), last_fields);
+    assert_eq!(encode_extended(digest.clone()).unwrap(), last_fields);
     digest.evacuations.push(record("balaju", 9, true));
     digest
         .loads
@@ -501,11 +502,10 @@
         nodes: 3,
         age: TimeSpan::ZERO,
     });
-    let bytes = digest.encode().unwrap();
-    assert_eq!(rmp_serde::from_slice::<NodeDigest>(&bytes).unwrap(), digest);
+    let bytes = encode_extended(digest.clone()).unwrap();
+    assert_eq!(decode_extended::<NodeDigest>(&bytes).unwrap(), digest);
     let last: LastDigest = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!(last.loads, digest.loads);
     assert_eq!(last.domain_peaks, digest.domain_peaks);
-    let array = rmp_serde::to_vec(&digest).unwrap();
-    assert!(rmp_serde::from_slice::<LastDigest>(&array).is_err());
+    assert_eq!(&bytes[..3], [0xdc, 0, 19]);
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -17,3 +17,4 @@
 mod streams;
 mod support;
 mod unframed;
+mod wire_extension;
