Hold the rate of cold targets over all nodes

Cause: a cold target crashes well above coldPerS requests per second, and each node only preferred warm targets. warm_at was set at the first entry of a run, so a target that turned cold again counted as warm.

Change: while a target is cold and its service has coldPerS, it is treated as if it named that rate; the lower rate holds. A request for permits carries the rate, as the granting node may not know yet that the target is cold.

--- a/crates/entry/src/config/serve_config.rs
+++ b/crates/entry/src/config/serve_config.rs
@@ -84,6 +84,11 @@
         of_host.find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// All services, sorted by name.
+    pub fn services(&self) -> &[ServiceSpec] {
+        &self.services
+    }
+
     /// Finds a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         let found = self.services.binary_search_by(|spec| spec.name.cmp(name));
--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -1,4 +1,4 @@
-use base::{ServiceName, TokenCount, TokenRate};
+use base::{CallRate, ServiceName, TokenCount, TokenRate};
 use serde::{Deserialize, Serialize};
 
 /// Capacity and abilities of each engine of a service.
@@ -23,4 +23,7 @@
     pub name: ServiceName,
     /// Engine data, present if the targets of the service are model engines.
     pub engine: Option<EngineSpec>,
+    /// Rate of requests that each target can handle while it is cold, from all nodes together; `None`
+    /// without a bound.
+    pub cold_rate: Option<CallRate>,
 }
--- a/crates/entry/src/rate/rate_bucket.rs
+++ b/crates/entry/src/rate/rate_bucket.rs
@@ -6,6 +6,14 @@
 const MIN_RATE: CallRate = CallRate(100);
 /// Time for which a bucket fills; a burst is what the rate allows in that time and a few requests.
 const BURST_TIME: TimeSpan = TimeSpan::new(500);
+/// Burst for a rate that has to be kept within each second, where 1.5 times the rate and 5 requests
+/// more are allowed. Permits may be used up to 0.5 s late, so a second may see those of 1.5 s and
+/// one burst.
+const EVEN_BURST: f64 = 4.0;
+/// Time for which a share of such a rate has to be larger before the larger share is granted: after
+/// a cut between domains heals, the node that granted the rest may not have noticed yet. The
+/// coordinators hear each other within half a second.
+const SHARE_RISE_DELAY: TimeSpan = TimeSpan::new(1_500);
 /// Those requests.
 const BURST_EXTRA: f64 = 2.0;
 /// Time after its creation in which a bucket fills more slowly: another node may still grant
@@ -53,6 +61,12 @@
 pub struct RateBucket {
     created_at: ClockTime,
     refilled_at: ClockTime,
+    /// Whether the rate has to be kept within each second.
+    is_even: bool,
+    /// Part of the rate that is granted, if it has to be kept within each second.
+    even_share: Option<f64>,
+    /// Since when a larger part could be granted.
+    rising_since: Option<ClockTime>,
     /// Requests that may be permitted now.
     level: f64,
     /// Refused nodes, each with the time at which it may request permits again.
@@ -65,11 +79,19 @@
         Self {
             created_at: now,
             refilled_at: now,
+            is_even: false,
+            even_share: None,
+            rising_since: None,
             level: 0.0,
             waiting: Vec::new(),
         }
     }
 
+    /// Sets whether the rate has to be kept within each second, so that bursts are small.
+    pub fn set_even(&mut self, is_even: bool) {
+        self.is_even = is_even;
+    }
+
     /// Grants up to `wanted` permits to a node, out of `share` (0 to 1) of the rate that the target
     /// names.
     pub fn grant(
@@ -80,12 +102,19 @@
         node: &NodeName,
         wanted: u32,
     ) -> RateGrant {
+        let share = match self.is_even {
+            true => self.delay_rise(now, share),
+            false => share,
+        };
         let rate = rate.max(MIN_RATE).0 as f64 / SECOND_MS * share;
         let seconds = |span: TimeSpan| span.as_millis() as f64 / SECOND_MS;
         let warm_at = self.created_at + WARM_UP_TIME;
         let slow = seconds(warm_at.min(now).since(self.refilled_at));
         let full = seconds(now.since(self.refilled_at.max(warm_at)));
-        let burst = BURST_EXTRA + rate * seconds(BURST_TIME);
+        let burst = match self.is_even {
+            true => EVEN_BURST,
+            false => BURST_EXTRA + rate * seconds(BURST_TIME),
+        };
         self.level = (self.level + rate * (slow * WARM_UP_SHARE + full)).min(burst);
         self.refilled_at = now;
         self.waiting
@@ -110,4 +139,21 @@
             waiting_nodes: self.waiting.len() as u32,
         }
     }
+
+    /// Share to grant now: a smaller one at once, a larger one after a while.
+    fn delay_rise(&mut self, now: ClockTime, share: f64) -> f64 {
+        let known = *self.even_share.get_or_insert(share);
+        if share <= known {
+            self.even_share = Some(share);
+            self.rising_since = None;
+            return share;
+        }
+        let since = *self.rising_since.get_or_insert(now);
+        if now.since(since) < SHARE_RISE_DELAY {
+            return known;
+        }
+        self.even_share = Some(share);
+        self.rising_since = None;
+        share
+    }
 }
--- a/crates/entry/src/rate/rate_ledger.rs
+++ b/crates/entry/src/rate/rate_ledger.rs
@@ -50,15 +50,25 @@
         node: &NodeName,
         wanted: u32,
     ) -> RateGrant {
+        match self.bucket_mut(now, run) {
+            Some(bucket) => bucket.grant(now, rate, share, node, wanted),
+            None => RateGrant::Wait {
+                wait: base::TimeSpan::from_secs(1),
+                waiting_nodes: 1,
+            },
+        }
+    }
+
+    /// Bucket of a run of a target, which is created if there is none; `None` if the ledger is full.
+    pub fn bucket_mut(
+        &mut self,
+        now: ClockTime,
+        run: (&TargetName, IncarnationNumber),
+    ) -> Option<&mut RateBucket> {
         let (target, incarnation) = run;
         let at = match self.find(target) {
             Ok(at) => at,
-            Err(_) if self.entries.len() >= BUCKET_LIMIT => {
-                return RateGrant::Wait {
-                    wait: base::TimeSpan::from_secs(1),
-                    waiting_nodes: 1,
-                };
-            }
+            Err(_) if self.entries.len() >= BUCKET_LIMIT => return None,
             Err(at) => {
                 let entry = LedgerEntry {
                     target: target.clone(),
@@ -74,7 +84,7 @@
             entry.incarnation = incarnation;
             entry.bucket = RateBucket::new(now);
         }
-        entry.bucket.grant(now, rate, share, node, wanted)
+        Some(&mut entry.bucket)
     }
 
     /// Targets that have a bucket.
--- a/crates/entry/src/rate/target_rate.rs
+++ b/crates/entry/src/rate/target_rate.rs
@@ -71,6 +71,8 @@
     demand: (ClockTime, u32, u32),
     /// Whether the target named a rate that could not be read.
     is_unreadable: bool,
+    /// Rate while the target is cold, and until when it is.
+    cold: Option<(CallRate, ClockTime)>,
 }
 
 impl TargetRate {
@@ -79,6 +81,33 @@
         self.record.and_then(|record| record.rate)
     }
 
+    /// Sets the rate that holds while the target is cold, and until when it is; `None` if the target
+    /// takes any rate while it is cold.
+    pub fn set_cold(&mut self, cold: Option<(CallRate, ClockTime)>) {
+        self.cold = cold;
+    }
+
+    /// The rate that holds as the target is cold; `None` if it is warm or takes any rate.
+    pub fn cold_limit(&self, now: ClockTime) -> Option<CallRate> {
+        let cold = self.cold.filter(|(_, until)| now < *until);
+        cold.map(|(rate, _)| rate)
+    }
+
+    /// The rate that holds now: the one that the target names or the one while it is cold, whichever
+    /// is lower.
+    ///
+    /// ```
+    /// use base::{CallRate, ClockTime};
+    /// use entry::TargetRate;
+    /// let mut rate = TargetRate::default();
+    /// rate.set_cold(Some((CallRate(31_000), ClockTime::new(500))));
+    /// assert_eq!(rate.limit_at(ClockTime::new(499)), Some(CallRate(31_000)));
+    /// assert_eq!(rate.limit_at(ClockTime::new(500)), None);
+    /// ```
+    pub fn limit_at(&self, now: ClockTime) -> Option<CallRate> {
+        self.limit().into_iter().chain(self.cold_limit(now)).min()
+    }
+
     /// The newest record of the rate that this node knows.
     pub fn record(&self) -> Option<RateRecord> {
         self.record
@@ -152,14 +181,14 @@
 
     /// Time until this node may request permits again; `None` if it may send or request now.
     pub fn wait_left(&self, now: ClockTime) -> Option<TimeSpan> {
-        self.limit()?;
+        self.limit_at(now)?;
         let until = self.waits_until.filter(|until| now < *until)?;
         Some(until - now)
     }
 
     /// Takes a permit to send one request, if there is one or none is needed.
     pub fn take_permit(&mut self, now: ClockTime) -> PermitOutcome {
-        if self.limit().is_none() {
+        if self.limit_at(now).is_none() {
             return PermitOutcome::Taken(SendPermit::default());
         }
         self.permits.retain(|expires_at| now < *expires_at);
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -1,6 +1,8 @@
 use std::ops::{AddAssign, SubAssign};
 
-use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
+use base::{
+    CallRate, ClockTime, DomainName, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -64,6 +66,8 @@
     own_load_version: u64,
     /// Evacuated failure domains, sorted.
     evacuated: Vec<DomainName>,
+    /// Rate that each target of a service takes while it is cold, sorted by service.
+    cold_rates: Vec<(ServiceName, CallRate)>,
     random: Pcg64,
 }
 
@@ -82,6 +86,7 @@
             peers: Vec::new(),
             own_load_version: 0,
             evacuated: Vec::new(),
+            cold_rates: Vec::new(),
             random: Pcg64::seed_from_u64(seed),
         }
     }
@@ -114,6 +119,7 @@
         }
         self.drop_missing(now, &listed, guard, &mut changes);
         self.mark_evacuated();
+        self.apply_cold_rates();
         self.recount_peer_loads();
         changes
     }
@@ -125,6 +131,22 @@
         self.mark_evacuated();
     }
 
+    /// Replaces the rates that each target of a service takes while it is cold; services without one
+    /// are left out.
+    pub fn set_cold_rates(&mut self, mut rates: Vec<(ServiceName, CallRate)>) {
+        rates.sort();
+        self.cold_rates = rates;
+        self.apply_cold_rates();
+    }
+
+    /// Runs of the targets of the own failure domain that are cold and take only a certain rate.
+    pub fn local_cold_runs(&self, now: ClockTime) -> Vec<(TargetName, IncarnationNumber)> {
+        let known = self.targets.iter();
+        let local = known.filter(|one| one.record.domain == self.domain);
+        let cold = local.filter(|one| one.rate.cold_limit(now).is_some());
+        cold.map(TargetState::run).collect()
+    }
+
     /// Whether a service has targets that do not leave, and all of them are evacuated.
     pub fn is_service_evacuated(&self, service: &ServiceName) -> bool {
         let known = self.targets.iter();
@@ -443,6 +465,7 @@
             state.has_announced_leave = false;
             changes.no_longer_leaving.push(state.run());
         }
+        state.warm_at = now + record.cold_left;
         state.record = record;
         state.phase = state.listed_phase();
         if state.phase == TargetPhase::Leaving && !was_leaving {
@@ -500,6 +523,15 @@
         }
     }
 
+    fn apply_cold_rates(&mut self) {
+        let rates = &self.cold_rates;
+        for state in &mut self.targets {
+            let found = rates.binary_search_by(|(name, _)| name.cmp(&state.record.service));
+            let cold = found.ok().map(|at| (rates[at].1, state.warm_at));
+            state.rate.set_cold(cold);
+        }
+    }
+
     fn recount_peer_loads(&mut self) {
         for state in &mut self.targets {
             state.peer_load = TargetLoad::default();
--- a/crates/entry/src/target/target_notices.rs
+++ b/crates/entry/src/target/target_notices.rs
@@ -61,7 +61,7 @@
         let nodes = rates.iter().map(|rate| rate.waiting_nodes()).max()?;
         let sum: u64 = rates
             .iter()
-            .filter_map(|rate| rate.limit())
+            .filter_map(|rate| rate.limit_at(now))
             .fold(0, |sum, rate| sum.saturating_add(rate.0));
         Some(TimeSpan::new(
             u64::from(nodes.max(1)) * MILLICALL_MS / sum.max(1),
--- a/crates/entry/src/target/target_record.rs
+++ b/crates/entry/src/target/target_record.rs
@@ -17,7 +17,7 @@
     pub is_leaving: bool,
     /// Calls that it can run concurrently.
     pub slots: u32,
-    /// How much longer it stays slow after its start, as of the record.
+    /// How much longer it stays cold, as of the time at which the record is handed over.
     pub cold_left: TimeSpan,
     /// Run of its process; a target that restarts under the same name has another incarnation.
     pub incarnation: IncarnationNumber,
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -40,7 +40,7 @@
     pub has_ended: bool,
     /// Whether its failure domain is evacuated, so that it takes no calls until that is taken back.
     pub is_evacuated: bool,
-    /// When it stops being slow after its start.
+    /// When it stops being cold.
     pub warm_at: ClockTime,
 }
 
--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -1,9 +1,13 @@
 //! Which failure domains are evacuated, by records that arrive in any order.
 
+mod support;
+
 use base::{ClockTime, DomainName, TimeSpan};
-use entry::{EvacuationLedger, EvacuationRecord};
+use entry::{EvacuationLedger, EvacuationRecord, LeaseGuard, PlacementDecision, PlacementScope};
 use proptest::prelude::*;
 
+use support::{balancer, request};
+
 fn domain(number: u8) -> DomainName {
     format!("d{number}").parse().unwrap()
 }
@@ -158,3 +162,43 @@
     assert_eq!(ledger.records(now()).len(), 64);
     assert!(ledger.is_evacuated(&domain(0)));
 }
+
+// Guards against calls that are placed on targets of an evacuated domain, that wait while all
+// domains are evacuated, or that find no target once one is taken back; for engines and plain
+// services alike.
+#[test]
+fn the_targets_of_evacuated_domains_are_left_out() {
+    let records = [
+        support::record("e1", "patan"),
+        support::record("e2", "balaju"),
+    ];
+    let [patan, balaju]: [DomainName; 2] = ["patan", "balaju"].map(|name| name.parse().unwrap());
+    for is_engine in [true, false] {
+        let mut placement = request(100, 100);
+        placement.engine = placement.engine.filter(|_| is_engine);
+        let mut balancer = balancer(&records);
+        let mut choose = |evacuated: &[&DomainName], scope| {
+            let domains = evacuated.iter().map(|name| (*name).clone()).collect();
+            balancer.set_evacuated(domains);
+            // Also of records that are read again.
+            balancer.update_records(now(), records.to_vec(), &LeaseGuard::default());
+            placement.scope = scope;
+            let is_service_evacuated = balancer.is_service_evacuated(&placement.service);
+            assert_eq!(is_service_evacuated, evacuated.len() == 2);
+            balancer.choose_target(now(), &placement)
+        };
+        let target = |name: &str| PlacementDecision::Target(name.parse().unwrap());
+        let scope = PlacementScope::AllDomains;
+        for _ in 0..20 {
+            assert_eq!(choose(&[&patan], scope), target("e2"));
+            assert_eq!(choose(&[&balaju], scope), target("e1"));
+        }
+        assert_eq!(
+            choose(&[&balaju, &patan], scope),
+            PlacementDecision::NoTarget
+        );
+        let own = PlacementScope::OwnDomain;
+        assert_eq!(choose(&[&balaju, &patan], own), PlacementDecision::NoTarget);
+        assert_eq!(choose(&[], own), target("e1"));
+    }
+}
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -275,7 +275,7 @@
         address: SocketAddr,
         request: &PermitRequest,
     ) -> Option<PermitReply> {
-        let (path, body) = (PERMITS_PATH, encode_body(request)?);
+        let (path, body) = (PERMITS_PATH, body_of(request.encode())?);
         // Each node that passes the request on waits for less time than the one before.
         let timeout = PERMIT_TIMEOUT / u64::from(request.hops.max(1));
         self.call_within(address, Method::POST, path, body, timeout)
--- a/crates/gateway/src/rate/permit_client.rs
+++ b/crates/gateway/src/rate/permit_client.rs
@@ -29,16 +29,19 @@
     for _ in 0..REQUEST_LIMIT {
         let taken = core.with_state(|state, now| {
             let rate = state.balancer.rate_mut(target, incarnation)?;
-            Some((rate.take_permit(now), rate.record()))
+            let cold_rate = rate.cold_limit(now);
+            Some((rate.take_permit(now), rate.record(), cold_rate))
         });
-        let (wanted, record) = match taken {
+        let (wanted, record, cold_rate) = match taken {
             // The check before the send finds that the run is gone.
             None => return Ok(SendPermit::default()),
-            Some((PermitOutcome::Taken(permit), _)) => return Ok(permit),
-            Some((PermitOutcome::Wait(retry_after), _)) => {
+            Some((PermitOutcome::Taken(permit), ..)) => return Ok(permit),
+            Some((PermitOutcome::Wait(retry_after), ..)) => {
                 return Err(SendRefusal::RateUsed { retry_after });
             }
-            Some((PermitOutcome::Request(wanted), record)) => (wanted, record),
+            Some((PermitOutcome::Request(wanted), record, cold_rate)) => {
+                (wanted, record, cold_rate)
+            }
         };
         let mut open = OpenRequest::new(core, target, incarnation);
         let request = PermitRequest {
@@ -48,6 +51,7 @@
             record: record.unwrap_or_default(),
             wanted,
             hops: 0,
+            cold_rate,
         };
         let reply = request_permits(core, request).await;
         let outcome = match &reply {
--- a/crates/gateway/src/rate/permit_message.rs
+++ b/crates/gateway/src/rate/permit_message.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{IncarnationNumber, NodeName, TargetName};
+use base::{CallRate, IncarnationNumber, NodeName, TargetName};
 use entry::{RateGrant, RateRecord};
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,23 @@
     pub wanted: u32,
     /// How often the request was passed on.
     pub hops: u8,
+    /// Rate that holds as the target is cold, as far as the sender knows; `None` if it is warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<CallRate>,
+}
+
+impl PermitRequest {
+    /// Encodes the request for a peer; as a map if it has the new field, which nodes of the last build
+    /// skip in a map but not in an array.
+    ///
+    /// # Errors
+    /// If it can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        match self.cold_rate {
+            None => rmp_serde::to_vec(self),
+            Some(_) => rmp_serde::to_vec_named(self),
+        }
+    }
 }
 
 /// Answer to a request for permits.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -368,8 +368,14 @@
     /// Puts the configuration in force if it is newer, and logs the result; that it is not newer is
     /// only logged if nothing else of its area changed.
     fn adopt_config(&self, from: &str, has_evacuations: bool) {
-        let (adopted, revision) = self.with_state(|state, _| {
+        let (adopted, revision) = self.with_state(|state, now| {
             let adopted = state.view.adopt_config(&*self.ports.items);
+            if let Ok(Some(config)) = &adopted {
+                let services = config.services().iter();
+                let rates = services.filter_map(|spec| Some((spec.name.clone(), spec.cold_rate?)));
+                state.balancer.set_cold_rates(rates.collect());
+                state.prepare_cold_rates(now);
+            }
             (adopted, state.view.config_items.revision())
         });
         match adopted {
@@ -403,7 +409,7 @@
     /// Updates the targets from their entries, and acts on the changes.
     fn update_targets(self: &Arc<Self>, from: &str) {
         let (changes, failures, known) = self.with_state(|state, now| {
-            let (records, failures) = state.view.decode_targets(&*self.ports.items);
+            let (records, failures) = state.view.decode_targets(now, &*self.ports.items);
             let guard = state.view.guard;
             let mut changes = state.balancer.update_records(now, records, &guard);
             for (target, incarnation) in &changes.no_longer_leaving {
@@ -420,6 +426,7 @@
                 changes.ended.extend(ended.ended);
             }
             state.apply_known_rates(now);
+            state.prepare_cold_rates(now);
             state.serve_queue(now);
             let known = state.balancer.targets().len();
             (changes, failures, known)
--- a/crates/gateway/src/state/rate_state.rs
+++ b/crates/gateway/src/state/rate_state.rs
@@ -50,12 +50,18 @@
         }
         let run = (&request.target, request.incarnation);
         let known = self.balancer.rate_mut(run.0, run.1);
-        let record = known.and_then(|rate| rate.record());
+        let record = known.as_ref().and_then(|rate| rate.record());
         let record = record.unwrap_or(request.record);
-        let grant = match record.rate {
+        // Either node may know first that the target is cold.
+        let known_cold = known.and_then(|rate| rate.cold_limit(now));
+        let cold = known_cold.into_iter().chain(request.cold_rate).min();
+        let grant = match record.rate.into_iter().chain(cold).min() {
             None => RateGrant::Permits(request.wanted),
             Some(rate) => {
                 let share = self.reachable_share(now);
+                if let Some(bucket) = self.rate_ledger.bucket_mut(now, run) {
+                    bucket.set_even(cold.is_some());
+                }
                 self.rate_ledger
                     .grant(now, run, rate, share, &request.node, request.wanted)
             }
@@ -63,6 +69,16 @@
         PermitStep::Answer(PermitReply { grant, record })
     }
 
+    /// Creates the buckets of cold targets of the own domain that this node shares among all, so that
+    /// they have filled at the lower rate of new buckets before they are needed.
+    pub(super) fn prepare_cold_rates(&mut self, now: ClockTime) {
+        for (target, incarnation) in self.balancer.local_cold_runs(now) {
+            if self.permit_source(now, &target).is_none() {
+                self.rate_ledger.bucket_mut(now, (&target, incarnation));
+            }
+        }
+    }
+
     /// Part of the fleet that this node reaches; it may grant that part of a rate.
     pub fn reachable_share(&mut self, now: ClockTime) -> f64 {
         if self.peers.has_seeds() && !self.knows_fleet_size && !self.is_only_domain(now) {
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -138,7 +138,7 @@
                 "the target wants nothing now",
             ));
         }
-        let is_limited = target.rate.limit().is_some();
+        let is_limited = target.rate.limit_at(now).is_some();
         if is_limited && check.permit.is_some_and(|permit| !permit.is_valid(now)) {
             return Err(SendRefusal::TargetUnavailable(
                 "no permit for the rate that the target names",
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -11,6 +11,7 @@
 struct DecodedEntry {
     key: SmolStr,
     revision: u64,
+    read_at: ClockTime,
     /// `None` if the entry can't be decoded.
     record: Option<TargetRecord>,
 }
@@ -101,12 +102,13 @@
         Ok(Some(config))
     }
 
-    /// Decodes the entries of targets; returns the records of all, and the failures of entries that
+    /// Decodes the entries of targets; returns the records of all as of now, and the failures of entries that
     /// can't be decoded and are new or changed.
     ///
     /// Entries that did not change are not decoded again, since this runs on each change of a target.
     pub fn decode_targets(
         &mut self,
+        now: ClockTime,
         codec: &dyn ViewDecoder,
     ) -> (Vec<TargetRecord>, Vec<DecodeError>) {
         let mut failures = Vec::new();
@@ -126,10 +128,16 @@
             decoded.push(DecodedEntry {
                 key: item.key.clone(),
                 revision: item.revision,
+                read_at: now,
                 record: record.map_err(|failure| failures.push(failure)).ok(),
             });
         }
-        let records = decoded.iter().filter_map(|entry| entry.record.clone());
+        let records = decoded.iter().filter_map(|entry| {
+            let mut record = entry.record.clone()?;
+            let age = now.since(entry.read_at);
+            record.cold_left = record.cold_left.saturating_sub(age);
+            Some(record)
+        });
         let records = records.collect();
         self.decoded = decoded;
         (records, failures)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod backoff;
 mod calls;
+mod cold;
 mod coordinators;
 mod crashes;
 mod endless;
--- a/crates/gateway/tests/gateway/rates.rs
+++ b/crates/gateway/tests/gateway/rates.rs
@@ -36,7 +36,7 @@
 }
 
 /// Starts gateways in these failure domains, all with the first as seed.
-async fn start_gateways(store: &Arc<FakeStore>, domains: &[&str]) -> Vec<Gateway> {
+pub(crate) async fn start_gateways(store: &Arc<FakeStore>, domains: &[&str]) -> Vec<Gateway> {
     let mut gateways: Vec<Gateway> = Vec::new();
     for domain in domains {
         let seeds = gateways.first().map(|first| first.peers);
@@ -49,7 +49,11 @@
 }
 
 /// Makes calls through each of the gateways for `span`; returns how many of them got each status.
-async fn press(gateways: &[Gateway], path: &'static str, span: Duration) -> Vec<(u16, usize)> {
+pub(crate) async fn press(
+    gateways: &[Gateway],
+    path: &'static str,
+    span: Duration,
+) -> Vec<(u16, usize)> {
     let mut calls = JoinSet::new();
     let end = Instant::now() + span;
     let mut number = 0;
@@ -115,13 +119,13 @@
 }
 
 /// Number of calls that arrived at a target from `start` on.
-fn arrived_since(target: &FakeTarget, start: Instant) -> usize {
+pub(crate) fn arrived_since(target: &FakeTarget, start: Instant) -> usize {
     let arrivals = target.arrivals();
     arrivals.iter().filter(|at| **at >= start).count()
 }
 
 /// The failure domains of six gateways.
-const DOMAINS: [&str; 6] = [
+pub(crate) const DOMAINS: [&str; 6] = [
     "patan",
     "patan",
     "balaju",
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -113,6 +113,16 @@
         self.put(ViewArea::Config, "config", &version.to_string());
     }
 
+    /// Publishes a configuration in which targets of all services take `per_s` requests a second
+    /// while they are cold.
+    pub fn put_cold_config(&self, version: u64, per_s: u64) {
+        self.put(
+            ViewArea::Config,
+            "config",
+            &format!("{version} cold={per_s}"),
+        );
+    }
+
     /// Publishes the configuration without the key or route `name`.
     pub fn put_config_without(&self, version: u64, name: &str) {
         self.put(ViewArea::Config, "config", &format!("{version} {name}"));
@@ -329,7 +339,9 @@
         event_tokens: 1,
         copy_rate: TokenRate(100_000),
     };
-    let pool: ServiceName = "pool".parse().unwrap();
+    let cold_rate = without.strip_prefix("cold=");
+    let cold_rate = cold_rate.map(|per_s| CallRate(per_s.parse::<u64>().unwrap() * 1_000));
+    let [pool, app]: [ServiceName; 2] = ["pool", "app"].map(|name| name.parse().unwrap());
     let mut routes = vec![
         route("/once/", "app", RepeatPolicy::AtMostOnce, 1),
         route("/read/", "app", RepeatPolicy::Idempotent, 2),
@@ -342,10 +354,18 @@
     keys.retain(|key: &SmolStr| key != without);
     ServeConfig::new(ConfigVersion(version), RequestLimits::default())
         .with_routes(routes)
-        .with_services(vec![ServiceSpec {
-            name: pool,
-            engine: Some(engine),
-        }])
+        .with_services(vec![
+            ServiceSpec {
+                name: pool,
+                engine: Some(engine),
+                cold_rate,
+            },
+            ServiceSpec {
+                name: app,
+                engine: None,
+                cold_rate,
+            },
+        ])
         .with_workspaces(vec![WorkspaceRule {
             name: "depot".parse().unwrap(),
             keys,
--- a/crates/gateway/tests/rate_simulation.rs
+++ b/crates/gateway/tests/rate_simulation.rs
@@ -45,6 +45,8 @@
     nodes: Vec<SimulatedNode>,
     random: Pcg64,
     rate: CallRate,
+    /// Whether the rate holds as the target is cold, and the target names none.
+    is_cold: bool,
     now: ClockTime,
     /// Failure domains up to this index can't reach the others.
     cut_before: Option<usize>,
@@ -64,10 +66,15 @@
 
 impl Simulation {
     fn new(nodes: usize, domains: usize, rate: CallRate, seed: u64) -> Self {
+        Self::with_target(nodes, domains, rate, seed, false)
+    }
+
+    fn with_target(nodes: usize, domains: usize, rate: CallRate, seed: u64, is_cold: bool) -> Self {
         let mut simulation = Self {
             nodes: Vec::new(),
             random: Pcg64::seed_from_u64(seed),
             rate,
+            is_cold,
             now: ClockTime::ZERO,
             cut_before: None,
             domains,
@@ -111,12 +118,12 @@
         let service: ServiceName = "app".parse().unwrap();
         let record = TargetRecord {
             name: target(),
-            service,
+            service: service.clone(),
             address: address(index),
             domain: domain_name(0),
             is_leaving: false,
             slots: 4,
-            cold_left: TimeSpan::ZERO,
+            cold_left: TimeSpan::from_secs(600),
             incarnation: RUN,
         };
         let now = ClockTime::ZERO;
@@ -127,11 +134,13 @@
             sequence: 1,
             rate: Some(self.rate),
         };
-        state
-            .balancer
-            .rate_mut(&target(), RUN)
-            .unwrap()
-            .adopt(now, named);
+        match self.is_cold {
+            true => state.balancer.set_cold_rates(vec![(service, self.rate)]),
+            false => {
+                let rate = state.balancer.rate_mut(&target(), RUN);
+                rate.unwrap().adopt(now, named);
+            }
+        }
         SimulatedNode {
             state,
             info: PeerInfo {
@@ -235,12 +244,16 @@
             node: self.nodes[node].info.node.clone(),
             target: target(),
             incarnation: RUN,
-            record: RateRecord {
-                sequence: 1,
-                rate: Some(self.rate),
+            record: match self.is_cold {
+                true => RateRecord::default(),
+                false => RateRecord {
+                    sequence: 1,
+                    rate: Some(self.rate),
+                },
             },
             wanted,
             hops: 0,
+            cold_rate: self.is_cold.then_some(self.rate),
         };
         let mut at = node;
         let mut path = Vec::new();
@@ -261,8 +274,7 @@
                         return None;
                     }
                     request.hops += 1;
-                    self.sent_bytes[at] +=
-                        rmp_serde::to_vec(&request).unwrap().len() + HEAD_BYTES.0;
+                    self.sent_bytes[at] += request.encode().unwrap().len() + HEAD_BYTES.0;
                     path.push(next);
                     at = next;
                 }
@@ -320,10 +332,15 @@
 
     /// Largest number of sends in a window from `start` on.
     fn busiest_window(&self, start: ClockTime) -> usize {
+        self.busiest(start, WINDOW)
+    }
+
+    /// Largest number of sends in a span from `start` on.
+    fn busiest(&self, start: ClockTime, span: TimeSpan) -> usize {
         let arrivals: Vec<_> = self.arrivals.iter().filter(|at| **at >= start).collect();
         let counts = arrivals.iter().enumerate().map(|(index, first)| {
             let rest = arrivals[index..].iter();
-            rest.take_while(|at| ***at < **first + WINDOW).count()
+            rest.take_while(|at| ***at < **first + span).count()
         });
         counts.max().unwrap_or(0)
     }
@@ -502,3 +519,51 @@
         assert!(simulation.busiest_window(SETTLED) <= simulation.allowed());
     }
 }
+
+/// Checks that no second from `start` on has more sends than a cold target may get.
+fn check_seconds(simulation: &Simulation, start: ClockTime, case: &str) {
+    let busiest = simulation.busiest(start, TimeSpan::from_secs(1));
+    let bound = 1.5 * simulation.rate.0 as f64 / 1_000.0 + 5.0;
+    let nodes = simulation.nodes.len();
+    println!(
+        "{nodes} nodes, {}, {case}: busiest second {busiest}",
+        simulation.rate
+    );
+    assert!(busiest as f64 <= bound, "{nodes} nodes, {case}: {busiest}");
+}
+
+// Guards against nodes that together send a cold target more in some second than it can handle, and
+// against nodes that keep the bound by sending little: while they reach each other, while nodes
+// restart, and while the fleet is cut in two.
+#[parameterized(
+    low = { 2_000 },
+    medium = { 10_000 },
+    bench = { 31_000 },
+)]
+fn nodes_hold_and_use_the_rate_of_a_cold_target(rate: u64) {
+    for (nodes, domains) in [(6, 3), (22, 4), (81, 4)] {
+        for seed in 1..=2 {
+            let rate = CallRate(rate);
+            let mut simulation = Simulation::with_target(nodes, domains, rate, seed, true);
+            let demand = 3.0 * rate.0 as f64 / 1_000.0 / nodes as f64 + 1.0;
+            simulation.run(TimeSpan::from_secs(30), 0..nodes, demand);
+            let used = simulation.used_since(SETTLED);
+            println!("{nodes} nodes, {rate}: used {used:.2}");
+            assert!(used >= 0.8, "{nodes} nodes, seed {seed}: {used:.2}");
+            check_seconds(&simulation, ClockTime::ZERO, "in reach");
+            let restarts = simulation.now;
+            for _ in 0..10 {
+                let index = simulation.random.random_range(0..nodes);
+                simulation.nodes[index] = simulation.start_node(index);
+                simulation.run(TimeSpan::from_secs(2), 0..nodes, demand);
+            }
+            check_seconds(&simulation, restarts, "restarts");
+            let cut = simulation.now;
+            simulation.cut_before = Some(domains / 2);
+            simulation.run(TimeSpan::from_secs(15), 0..nodes, demand);
+            simulation.cut_before = None;
+            simulation.run(TimeSpan::from_secs(10), 0..nodes, demand);
+            check_seconds(&simulation, cut, "cut");
+        }
+    }
+}
