Tell records of evacuations only while they are news

Cause: digests were encoded with the names of all nested fields, and for good, once a domain had been evacuated.

Change: only the fields of the digest itself are named, and records are told while a domain is evacuated and for 60 s after the last news; the record of a node that missed the end is such news.

--- a/crates/entry/src/view/evacuation_ledger.rs
+++ b/crates/entry/src/view/evacuation_ledger.rs
@@ -5,6 +5,10 @@
 /// Largest number of failure domains that are remembered.
 const DOMAIN_LIMIT: usize = 64;
 
+/// Time after the last news for which records are told while no domain is evacuated. A node that
+/// missed the end of an evacuation later tells its own record, which is news again.
+const NEWS_TIME: TimeSpan = TimeSpan::from_secs(60);
+
 /// A failure domain became evacuated, or its evacuation was taken back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationChange {
@@ -55,6 +59,8 @@
     entries: Vec<LedgerEntry>,
     /// Revision up to which this node has read all records of the store itself.
     read_revision: u64,
+    /// When a record last changed what is known, or a peer told one that is out of date.
+    news_at: Option<ClockTime>,
 }
 
 impl LedgerEntry {
@@ -111,7 +117,16 @@
         changes
     }
 
-    /// Newest record of each known domain, for peers.
+    /// Records to tell peers: none if no domain is evacuated and there was no news for a while.
+    pub fn records_to_tell(&self, now: ClockTime) -> Vec<EvacuationRecord> {
+        let is_new = self.news_at.is_some_and(|at| now.since(at) < NEWS_TIME);
+        match is_new || self.entries.iter().any(|entry| entry.is_evacuated) {
+            true => self.records(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Newest record of each known domain.
     pub fn records(&self, now: ClockTime) -> Vec<EvacuationRecord> {
         let records = self.entries.iter().map(|entry| EvacuationRecord {
             domain: entry.domain.clone(),
@@ -165,6 +180,9 @@
             }
         };
         let entry = &mut self.entries[at];
+        if entry.is_evacuated != record.is_evacuated {
+            self.news_at = Some(now);
+        }
         if entry.is_evacuated && record.is_evacuated && record.age > entry.known_for(now) {
             entry.learned_at = now;
             entry.age = record.age;
--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -130,6 +130,22 @@
     );
 }
 
+// Guards against digests that grow for good after one evacuation, and against a node that missed its
+// end and that nobody corrects after that.
+#[test]
+fn records_are_told_while_they_are_news() {
+    let mut ledger = EvacuationLedger::default();
+    let at = |seconds: u64| ClockTime::new(seconds * 1_000);
+    assert_eq!(ledger.records_to_tell(at(1)), []);
+    ledger.adopt(at(1), record(1, 7, true));
+    assert_eq!(ledger.records_to_tell(at(900)).len(), 1);
+    ledger.adopt(at(900), record(1, 9, false));
+    assert_eq!(ledger.records_to_tell(at(950)).len(), 1);
+    assert_eq!(ledger.records_to_tell(at(960)), []);
+    assert_eq!(ledger.adopt(at(2_000), record(1, 7, true)), None);
+    assert_eq!(ledger.records_to_tell(at(2_001)), [record(1, 9, false)]);
+}
+
 // Guards against a node that started after the evacuation began and takes it for a new one.
 #[test]
 fn an_evacuation_may_be_older_than_the_node() {
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -6,7 +6,8 @@
 };
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeMap;
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo};
 use crate::{GatewayCore, ViewArea};
@@ -74,6 +75,38 @@
     pub evacuations: Vec<EvacuationRecord>,
 }
 
+/// A digest that is encoded as a map, with its values as they are in the array; naming their fields
+/// as well would double its size.
+struct DigestMap<'a>(&'a NodeDigest);
+
+impl Serialize for DigestMap<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let digest = self.0;
+        let mut map = serializer.serialize_map(Some(20))?;
+        map.serialize_entry("node", &digest.node)?;
+        map.serialize_entry("address", &digest.address)?;
+        map.serialize_entry("told_at", &digest.sent_at)?;
+        map.serialize_entry("version", &digest.version)?;
+        map.serialize_entry("targets_revision", &digest.targets_revision)?;
+        map.serialize_entry("domain", &digest.domain)?;
+        map.serialize_entry("capacity", &digest.capacity)?;
+        map.serialize_entry("is_waiting", &digest.is_waiting)?;
+        map.serialize_entry("is_stopping", &digest.is_stopping)?;
+        map.serialize_entry("targets_age", &digest.targets_age)?;
+        map.serialize_entry("regained_age", &digest.regained_age)?;
+        map.serialize_entry("loads", &digest.loads)?;
+        map.serialize_entry("sums", &digest.domain_loads)?;
+        map.serialize_entry("finished", &digest.finished_sources)?;
+        map.serialize_entry("facts", &digest.facts)?;
+        map.serialize_entry("suspects", &digest.suspects)?;
+        map.serialize_entry("addresses", &digest.addresses)?;
+        map.serialize_entry("domain_nodes", &digest.domain_nodes)?;
+        map.serialize_entry("domain_peaks", &digest.domain_peaks)?;
+        map.serialize_entry("evacuations", &digest.evacuations)?;
+        map.end()
+    }
+}
+
 impl NodeDigest {
     /// Creates the digest of this node for a node of the failure domain `receiver`, if that is
     /// known.
@@ -110,7 +143,7 @@
                     true => state.reach.peaks(now),
                     false => Vec::new(),
                 },
-                evacuations: state.evacuations.records(now),
+                evacuations: state.evacuations.records_to_tell(now),
             }
         })
     }
@@ -125,7 +158,7 @@
     pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         match self.evacuations.is_empty() {
             true => rmp_serde::to_vec(self),
-            false => rmp_serde::to_vec_named(self),
+            false => rmp_serde::to_vec(&DigestMap(self)),
         }
     }
 
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -502,6 +502,11 @@
         age: TimeSpan::ZERO,
     });
     let bytes = digest.encode().unwrap();
+    type Fields = std::collections::BTreeMap<String, serde::de::IgnoredAny>;
+    let fields: Fields = rmp_serde::from_slice(&bytes).unwrap();
+    let named = rmp_serde::to_vec_named(&digest).unwrap();
+    let all: Fields = rmp_serde::from_slice(&named).unwrap();
+    assert!(fields.keys().eq(all.keys()), "each field is in the map");
     assert_eq!(rmp_serde::from_slice::<NodeDigest>(&bytes).unwrap(), digest);
     let last: LastDigest = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!(last.loads, digest.loads);
