--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -514,3 +514,61 @@
     let array = rmp_serde::to_vec(&digest).unwrap();
     assert!(rmp_serde::from_slice::<LastDigest>(&array).is_err());
 }
+
+// Guards against calls that go on waiting for capacity in a domain from which nothing may be taken,
+// until their callers give up.
+#[tokio::test]
+async fn queued_calls_are_refused_when_the_last_domain_is_evacuated() {
+    let (store, targets) = start_targets("pool", TargetMode::Hang).await;
+    store.remove_target(&targets[0]);
+    let gateway = Gateway::start_ready(&store).await;
+    until("the engine is known", || target_count(&gateway) == 1).await;
+    let callers = gateway.callers;
+    let mut pending = Vec::new();
+    // The engine has eight slots.
+    for number in 0..8 {
+        pending.push(tokio::spawn(async move {
+            let headers = format!("x-id: g{number}\r\nx-size: 10\r\n");
+            call(callers, "/stream/1", &headers, "").await
+        }));
+    }
+    until("the engine is full", || targets[1].open_calls() == 8).await;
+    let queued =
+        tokio::spawn(
+            async move { call(callers, "/stream/1", "x-id: q1\r\nx-size: 10\r\n", "").await },
+        );
+    let core = gateway.server.core();
+    until("a call waits", || {
+        core.with_state(|state, _| state.has_queued_generations())
+    })
+    .await;
+    store.evacuate("balaju");
+    let answer = queued.await.unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.text.contains("no_target"), "{}", answer.text);
+    assert_eq!(targets[1].calls().len(), 8);
+    for call in pending {
+        call.abort();
+    }
+}
+
+// Guards against a second try that goes to an evacuated domain because the first target failed.
+#[tokio::test]
+async fn second_tries_do_not_go_to_an_evacuated_domain() {
+    for mode in [TargetMode::Fail(500), TargetMode::Refuse, TargetMode::Break] {
+        let (store, targets) = start_targets("app", TargetMode::Answer).await;
+        targets[0].set_mode(mode);
+        let gateway = Gateway::start_ready(&store).await;
+        until("the targets are known", || target_count(&gateway) == 2).await;
+        store.evacuate("balaju");
+        until("the evacuation is known", || {
+            is_evacuated(&gateway, "balaju")
+        })
+        .await;
+        for path in ["/read/1", "/once/1"] {
+            make_calls(&gateway, path, "a", 3).await;
+        }
+        assert!(!targets[0].calls().is_empty(), "{mode:?}");
+        assert!(targets[1].calls().is_empty(), "{mode:?}");
+    }
+}
