--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -145,7 +145,7 @@
                     true => state.reach.peaks(now),
                     false => Vec::new(),
                 },
-                evacuations: state.evacuations.records(now),
+                evacuations: state.evacuations.records_to_tell(now),
                 domain_paces,
             }
         })
