--- a/crates/entry/src/fact/fact_state.rs
+++ b/crates/entry/src/fact/fact_state.rs
@@ -39,13 +39,22 @@
         target: &TargetName,
         incarnation: IncarnationNumber,
     ) -> bool {
-        let earlier = self.leave_counts(now, target, incarnation).1;
-        let notice = LeaveNotice {
+        let notice = self.leave_notice(now, target, incarnation);
+        self.set.insert(now, TargetFact::Leaving(notice))
+    }
+
+    /// The notice by which a run of a target announces now that it is leaving.
+    pub fn leave_notice(
+        &self,
+        now: ClockTime,
+        target: &TargetName,
+        incarnation: IncarnationNumber,
+    ) -> LeaveNotice {
+        LeaveNotice {
             target: target.clone(),
             incarnation,
-            earlier,
-        };
-        self.set.insert(now, TargetFact::Leaving(notice))
+            earlier: self.leave_counts(now, target, incarnation).1,
+        }
     }
 
     /// Records that the platform published a run of a target as ready again; returns whether the
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,7 +28,8 @@
 };
 pub use length::OutputEstimate;
 pub use moves::{
-    CopyLocks, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTurn, StreamProgress,
+    CopyLocks, FullTargets, MoveMachine, MovePhase, MovePlan, MovePlanner, MoveScheduler, MoveStep,
+    MoveTicket, MoveTurn, MoveWorth, NoticeEstimate, StreamProgress,
 };
 pub use queue::{CallQueue, PlacementPacer, QueueTicket, QueuedCall};
 pub use rate::{
--- a/crates/entry/src/moves/move_machine.rs
+++ b/crates/entry/src/moves/move_machine.rs
@@ -3,6 +3,10 @@
 
 /// Number of copies of one generation that may be started. After that, it stays on its engine.
 const MAX_COPY_ATTEMPTS: u32 = 3;
+/// Number of copy requests of one generation that engines may decline before anything was copied:
+/// because the destination has no room, or because the source does not know the run yet. Such an
+/// answer costs one round trip.
+const MAX_DECLINED_COPIES: u32 = 24;
 
 /// Next action of the gateway that relays a generation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +30,9 @@
     },
     /// Choose another destination, since the copy failed; the generation keeps running.
     ChooseAnother,
+    /// Try again after a pause, since the source does not know the run yet; the generation keeps
+    /// running.
+    Pause,
     /// Leave the generation on its engine.
     Stay,
 }
@@ -79,6 +86,8 @@
     /// Whether the outcome of an order to stop is unknown.
     is_stop_uncertain: bool,
     attempts: u32,
+    /// Number of copy requests that were declined before anything was copied.
+    declined: u32,
 }
 
 impl MoveMachine {
@@ -90,6 +99,7 @@
             is_source_closed: false,
             is_stop_uncertain: false,
             attempts: 0,
+            declined: 0,
         }
     }
 
@@ -105,7 +115,10 @@
 
     /// Whether a move can be started.
     pub fn can_start(&self) -> bool {
-        self.phase == MovePhase::Idle && !self.is_source_closed && self.attempts < MAX_COPY_ATTEMPTS
+        self.phase == MovePhase::Idle
+            && !self.is_source_closed
+            && self.attempts < MAX_COPY_ATTEMPTS
+            && self.declined < MAX_DECLINED_COPIES
     }
 
     /// Starts a move to another engine; `Stay` if none can be started.
@@ -120,6 +133,55 @@
         MoveStep::Copy { destination }
     }
 
+    /// Starts a move in one step: the generation stops at once and is copied while it is stopped.
+    /// Used when the engine ends too soon for two steps; `Stay` if no move can be started.
+    ///
+    /// ```
+    /// use entry::{MoveMachine, MoveStep};
+    /// let destination: base::TargetName = "e2".parse().unwrap();
+    /// let mut machine = MoveMachine::new("e1".parse().unwrap());
+    /// let stop = MoveStep::Stop { destination: destination.clone() };
+    /// assert_eq!(machine.start_stopped(destination), stop);
+    /// ```
+    pub fn start_stopped(&mut self, destination: TargetName) -> MoveStep {
+        if !self.can_start() {
+            return MoveStep::Stay;
+        }
+        self.attempts += 1;
+        self.phase = MovePhase::Stopping {
+            destination: destination.clone(),
+        };
+        MoveStep::Stop { destination }
+    }
+
+    /// Handles the response that the destination has no room for the first copy. It does not count
+    /// as an attempt, since nothing was copied.
+    pub fn on_copy_refused(&mut self) -> MoveStep {
+        self.decline_copy(MoveStep::ChooseAnother)
+    }
+
+    /// Handles the response that the source does not know the run, or that another copy of it is in
+    /// progress. That happens right after a generation started or resumed, so it does not count as
+    /// an attempt.
+    pub fn on_copy_unknown(&mut self) -> MoveStep {
+        self.decline_copy(MoveStep::Pause)
+    }
+
+    /// Returns to the state before a first copy that was declined; `next` is the step while the
+    /// generation may still be moved.
+    fn decline_copy(&mut self, next: MoveStep) -> MoveStep {
+        if !matches!(self.phase, MovePhase::Copying { .. }) {
+            return MoveStep::Stay;
+        }
+        self.phase = MovePhase::Idle;
+        self.attempts = self.attempts.saturating_sub(1);
+        self.declined += 1;
+        match self.can_start() {
+            true => next,
+            false => MoveStep::Stay,
+        }
+    }
+
     /// Handles the end of the first copy; `is_complete` is false if the engine refused it.
     pub fn on_copied(&mut self, is_complete: bool) -> MoveStep {
         let MovePhase::Copying { destination } = &self.phase else {
--- a/crates/entry/src/moves/move_scheduler.rs
+++ b/crates/entry/src/moves/move_scheduler.rs
@@ -1,5 +1,6 @@
 use base::{ClockTime, NodeName, TargetName, TimeSpan, TokenRate, rank_score};
 
+use super::MoveWorth;
 use crate::TargetLoad;
 
 /// Time after which a leaving engine is forgotten; it is gone or ready again by then.
@@ -14,6 +15,14 @@
 /// failure domain take: some go to other domains, which takes twice as long.
 const WINDOW_FACTOR: (u64, u64) = (3, 2);
 
+/// Time for which the turn is kept for the generation whose move is worth most, once a turn is
+/// free. A generation whose caller reads slowly can't take its turn.
+const BEST_FIRST_TIME: TimeSpan = TimeSpan::new(15);
+
+/// Identifies a generation that waits for its turn to move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MoveTicket(u64);
+
 /// Turns of one leaving engine.
 #[derive(Clone, Debug)]
 struct SourceState {
@@ -21,14 +30,41 @@
     added_at: ClockTime,
     /// Peers whose turn comes before this node, with the end of their windows.
     ahead: Vec<(NodeName, ClockTime)>,
-    /// Number of generations that wait for their turn.
-    waiting: usize,
+    /// Generations that wait for their turn, with the worth of their moves.
+    waiting: Vec<(MoveTicket, MoveWorth)>,
+    /// Since when no generation has had its turn.
+    free_since: ClockTime,
+    /// Latest time at which the engine ends, if known.
+    ends_by: Option<ClockTime>,
+    /// Whether the time from its notice to its end was taken.
+    is_notice_taken: bool,
     /// Whether a generation has its turn.
     is_moving: bool,
     /// Whether the generation whose turn it is has a destination.
     is_copying: bool,
 }
 
+impl SourceState {
+    /// Starts the turn of a waiting generation, unless another one has its turn or one whose move
+    /// is worth more waits.
+    fn start_waiting(&mut self, now: ClockTime, ticket: MoveTicket) -> MoveTurn {
+        if self.is_moving {
+            return MoveTurn::Wait(now + SOURCE_EXPIRY);
+        }
+        let best = self
+            .waiting
+            .iter()
+            .max_by_key(|(ticket, worth)| (*worth, std::cmp::Reverse(*ticket)));
+        let open_at = self.free_since + BEST_FIRST_TIME;
+        if best.is_some_and(|(best, _)| *best != ticket) && now < open_at {
+            return MoveTurn::Wait(open_at);
+        }
+        self.is_moving = true;
+        self.waiting.retain(|(known, _)| *known != ticket);
+        MoveTurn::Start
+    }
+}
+
 /// Whether a generation may start its move now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MoveTurn {
@@ -49,17 +85,17 @@
 ///
 /// ```
 /// use base::{ClockTime, TargetName, TokenRate};
-/// use entry::{MoveTurn, MoveScheduler};
+/// use entry::{MoveTurn, MoveScheduler, MoveWorth};
 /// let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
 /// let source: TargetName = "e1".parse().unwrap();
 /// let now = ClockTime::new(1_000);
 /// scheduler.add_source(now, &source, &[], TokenRate(10_000));
-/// scheduler.add_waiting(&source);
-/// scheduler.add_waiting(&source);
-/// assert_eq!(scheduler.try_start(now, &source), MoveTurn::Start);
-/// assert!(matches!(scheduler.try_start(now, &source), MoveTurn::Wait(_)));
-/// scheduler.end_turn(&source);
-/// assert_eq!(scheduler.try_start(now, &source), MoveTurn::Start);
+/// let first = scheduler.add_waiting(&source, MoveWorth::new(200, 3_000));
+/// let second = scheduler.add_waiting(&source, MoveWorth::new(100, 3_000));
+/// assert_eq!(scheduler.try_start(now, &source, first), MoveTurn::Start);
+/// assert!(matches!(scheduler.try_start(now, &source, second), MoveTurn::Wait(_)));
+/// scheduler.end_turn(now, &source);
+/// assert_eq!(scheduler.try_start(now, &source, second), MoveTurn::Start);
 /// ```
 #[derive(Clone, Debug)]
 pub struct MoveScheduler {
@@ -72,6 +108,7 @@
     copying: Vec<(ClockTime, NodeName, TargetName)>,
     /// Increases whenever the result of `copying_sources` may change.
     copying_version: u64,
+    next_ticket: u64,
 }
 
 impl MoveScheduler {
@@ -83,6 +120,7 @@
             finished: Vec::new(),
             copying: Vec::new(),
             copying_version: 0,
+            next_ticket: 0,
         }
     }
 
@@ -105,29 +143,65 @@
             source: source.clone(),
             added_at: now,
             ahead: self.windows(now, source, peers, rate),
-            waiting: 0,
+            waiting: Vec::new(),
+            free_since: now,
+            ends_by: None,
+            is_notice_taken: false,
             is_moving: false,
             is_copying: false,
         });
     }
 
+    /// Records the latest time at which a leaving engine ends.
+    pub fn set_end(&mut self, source: &TargetName, ends_by: ClockTime) {
+        if let Some(source_state) = self.find_mut(source) {
+            source_state.ends_by = Some(ends_by);
+        }
+    }
+
+    /// Latest time at which a leaving engine ends; `None` if it is not known.
+    pub fn ends_by(&self, source: &TargetName) -> Option<ClockTime> {
+        self.find(source)?.ends_by
+    }
+
+    /// When this node learned that an engine leaves.
+    pub fn noticed_at(&self, source: &TargetName) -> Option<ClockTime> {
+        Some(self.find(source)?.added_at)
+    }
+
+    /// Time from the notice of a leaving engine to its end at `end`; `None` if it was taken before,
+    /// so that each engine counts once.
+    pub fn take_notice(&mut self, source: &TargetName, end: ClockTime) -> Option<TimeSpan> {
+        let source_state = self.find_mut(source)?;
+        let is_new = !std::mem::replace(&mut source_state.is_notice_taken, true);
+        is_new.then(|| end.since(source_state.added_at))
+    }
+
     /// Adds a generation that waits for its turn.
-    pub fn add_waiting(&mut self, source: &TargetName) {
+    pub fn add_waiting(&mut self, source: &TargetName, worth: MoveWorth) -> MoveTicket {
+        let ticket = MoveTicket(self.next_ticket);
+        self.next_ticket += 1;
         if let Some(source_state) = self.find_mut(source) {
-            source_state.waiting += 1;
+            source_state.waiting.push((ticket, worth));
         }
+        ticket
     }
 
     /// Removes a generation that ended while it waited.
-    pub fn remove_waiting(&mut self, source: &TargetName) {
+    pub fn remove_waiting(&mut self, source: &TargetName, ticket: MoveTicket) {
         if let Some(source_state) = self.find_mut(source) {
-            source_state.waiting = source_state.waiting.saturating_sub(1);
+            source_state.waiting.retain(|(known, _)| *known != ticket);
         }
     }
 
     /// Starts the turn of a waiting generation if no peer is ahead or copies, and no other
     /// generation of this node has its turn.
-    pub fn try_start(&mut self, now: ClockTime, source: &TargetName) -> MoveTurn {
+    pub fn try_start(
+        &mut self,
+        now: ClockTime,
+        source: &TargetName,
+        ticket: MoveTicket,
+    ) -> MoveTurn {
         let finished = &self.finished;
         let Some(source_state) = self.sources.iter_mut().find(|one| one.source == *source) else {
             return MoveTurn::Start;
@@ -152,24 +226,22 @@
         if let Some(end) = ends.filter(|end| *end > now).max() {
             return MoveTurn::Wait(end);
         }
-        source_state.is_moving = true;
-        source_state.waiting = source_state.waiting.saturating_sub(1);
-        MoveTurn::Start
+        source_state.start_waiting(now, ticket)
     }
 
     /// Starts the turn of a waiting generation if no other generation of this node has its turn.
     /// Used where the locks of a placement coordinator keep other nodes from copying off the
     /// engine.
-    pub fn try_start_local(&mut self, now: ClockTime, source: &TargetName) -> MoveTurn {
-        let Some(source_state) = self.find_mut(source) else {
-            return MoveTurn::Start;
-        };
-        if source_state.is_moving {
-            return MoveTurn::Wait(now + SOURCE_EXPIRY);
+    pub fn try_start_local(
+        &mut self,
+        now: ClockTime,
+        source: &TargetName,
+        ticket: MoveTicket,
+    ) -> MoveTurn {
+        match self.find_mut(source) {
+            Some(source_state) => source_state.start_waiting(now, ticket),
+            None => MoveTurn::Start,
         }
-        source_state.is_moving = true;
-        source_state.waiting = source_state.waiting.saturating_sub(1);
-        MoveTurn::Start
     }
 
     /// Records that the generation that has its turn has a destination, so that its copy starts.
@@ -181,9 +253,10 @@
     }
 
     /// Ends the turn of a generation.
-    pub fn end_turn(&mut self, source: &TargetName) {
+    pub fn end_turn(&mut self, now: ClockTime, source: &TargetName) {
         if let Some(source_state) = self.find_mut(source) {
             source_state.is_moving = false;
+            source_state.free_since = now;
             source_state.is_copying = false;
             self.copying_version += 1;
         }
@@ -250,8 +323,8 @@
     /// peers.
     pub fn finished_sources(&self) -> Vec<TargetName> {
         let sources = self.sources.iter();
-        let finished =
-            sources.filter(|source_state| source_state.waiting == 0 && !source_state.is_moving);
+        let finished = sources
+            .filter(|source_state| source_state.waiting.is_empty() && !source_state.is_moving);
         finished
             .map(|source_state| source_state.source.clone())
             .collect()
--- a/crates/entry/src/target/placement_request.rs
+++ b/crates/entry/src/target/placement_request.rs
@@ -22,6 +22,9 @@
     pub target: TargetName,
     /// Its failure domain.
     pub domain: DomainName,
+    /// Tokens that the generation has produced so far.
+    #[serde(default)]
+    pub produced: u32,
 }
 
 /// What a call requires of the target that is chosen for it.
--- a/crates/entry/tests/load_balancer.rs
+++ b/crates/entry/tests/load_balancer.rs
@@ -374,6 +374,7 @@
     MoveSource {
         target: name("e9"),
         domain: "patan".parse().unwrap(),
+        produced: 0,
     }
 }
 
--- a/crates/entry/tests/moves.rs
+++ b/crates/entry/tests/moves.rs
@@ -2,8 +2,8 @@
 
 use base::{ClockTime, NodeName, TargetName, TimeSpan, TokenRate};
 use entry::{
-    CopyLocks, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTurn, StreamProgress,
-    TargetLoad,
+    CopyLocks, FullTargets, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTicket, MoveTurn,
+    MoveWorth, NoticeEstimate, StreamProgress, TargetLoad,
 };
 use proptest::prelude::*;
 
@@ -17,7 +17,10 @@
 #[derive(Clone, Debug)]
 enum MoveEvent {
     Start,
+    StartStopped,
     Copied(bool),
+    CopyRefused,
+    CopyUnknown,
     Stopped(bool, bool),
     SourceClosed,
 }
@@ -25,6 +28,9 @@
 fn move_event() -> impl Strategy<Value = MoveEvent> {
     prop_oneof![
         Just(MoveEvent::Start),
+        Just(MoveEvent::StartStopped),
+        Just(MoveEvent::CopyRefused),
+        Just(MoveEvent::CopyUnknown),
         any::<bool>().prop_map(MoveEvent::Copied),
         any::<(bool, bool)>()
             .prop_map(|(handle, is_complete)| MoveEvent::Stopped(handle, is_complete)),
@@ -43,6 +49,9 @@
         for event in events {
             let step = match event {
                 MoveEvent::Start => Some(machine.start(name("e2"))),
+                MoveEvent::StartStopped => Some(machine.start_stopped(name("e2"))),
+                MoveEvent::CopyRefused => Some(machine.on_copy_refused()),
+                MoveEvent::CopyUnknown => Some(machine.on_copy_unknown()),
                 MoveEvent::Copied(is_complete) => Some(machine.on_copied(is_complete)),
                 MoveEvent::Stopped(handle, is_complete) => {
                     let was_stopping = matches!(machine.phase(), MovePhase::Stopping { .. });
@@ -91,6 +100,11 @@
     assert!(!machine.can_start());
 }
 
+/// Worth of the move of a generation of average size.
+fn worth(produced: u32) -> MoveWorth {
+    MoveWorth::new(produced, 3_000 + u64::from(produced))
+}
+
 fn peer(node: &str, tokens: u64) -> (NodeName, TargetLoad) {
     let load = TargetLoad {
         calls: 1,
@@ -117,20 +131,20 @@
             .collect();
         let mut scheduler = MoveScheduler::new(node.parse().unwrap());
         scheduler.add_source(NOW, &source, &peers, RATE);
-        scheduler.add_waiting(&source);
-        starts += usize::from(scheduler.try_start(NOW, &source) == MoveTurn::Start);
+        let ticket = scheduler.add_waiting(&source, worth(100));
+        starts += usize::from(scheduler.try_start(NOW, &source, ticket) == MoveTurn::Start);
     }
     assert_eq!(starts, 1);
 }
 
 /// Scheduler of the one of two nodes whose turn comes second, and the name of the other node.
-fn scheduler_after_peer(source: &TargetName) -> (MoveScheduler, NodeName) {
+fn scheduler_after_peer(source: &TargetName) -> (MoveScheduler, NodeName, MoveTicket) {
     for (own, other) in [("n1", "n2"), ("n2", "n1")] {
         let mut scheduler = MoveScheduler::new(own.parse().unwrap());
         scheduler.add_source(NOW, source, &[peer(other, 2_000)], RATE);
-        scheduler.add_waiting(source);
-        if scheduler.try_start(NOW, source) != MoveTurn::Start {
-            return (scheduler, other.parse().unwrap());
+        let ticket = scheduler.add_waiting(source, worth(100));
+        if scheduler.try_start(NOW, source, ticket) != MoveTurn::Start {
+            return (scheduler, other.parse().unwrap(), ticket);
         }
     }
     panic!("neither node comes second");
@@ -142,24 +156,24 @@
 #[test]
 fn starts_when_the_peer_ahead_has_finished() {
     let source = name("e1");
-    let (mut scheduler, peer) = scheduler_after_peer(&source);
+    let (mut scheduler, peer, ticket) = scheduler_after_peer(&source);
     scheduler.record_peer_finished(NOW + TimeSpan::new(20), &peer, vec![source.clone()]);
     let soon = NOW + TimeSpan::new(21);
-    assert_eq!(scheduler.try_start(soon, &source), MoveTurn::Start);
+    assert_eq!(scheduler.try_start(soon, &source, ticket), MoveTurn::Start);
 }
 
 // Guards against waiting forever for a peer that died or does not know that the engine is leaving.
 #[test]
 fn starts_when_the_window_of_the_peer_ahead_ends() {
     let source = name("e1");
-    let (mut scheduler, _) = scheduler_after_peer(&source);
-    let MoveTurn::Wait(until) = scheduler.try_start(NOW, &source) else {
+    let (mut scheduler, _, ticket) = scheduler_after_peer(&source);
+    let MoveTurn::Wait(until) = scheduler.try_start(NOW, &source, ticket) else {
         panic!("the peer ahead still has time");
     };
     assert!(until - NOW < TimeSpan::new(400));
-    assert_eq!(scheduler.try_start(until, &source), MoveTurn::Start);
+    assert_eq!(scheduler.try_start(until, &source, ticket), MoveTurn::Start);
     assert!(scheduler.finished_sources().is_empty());
-    scheduler.end_turn(&source);
+    scheduler.end_turn(until, &source);
     assert_eq!(scheduler.finished_sources(), [source]);
 }
 
@@ -186,18 +200,21 @@
     let source = name("e1");
     let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
     scheduler.add_source(NOW, &source, &[], RATE);
-    scheduler.add_waiting(&source);
+    let ticket = scheduler.add_waiting(&source, worth(100));
     let peer: NodeName = "n2".parse().unwrap();
     assert!(scheduler.replace_peer_copying(NOW, &peer, std::slice::from_ref(&source)));
     let later = NOW + TimeSpan::new(300);
-    let MoveTurn::Wait(until) = scheduler.try_start(later, &source) else {
+    let MoveTurn::Wait(until) = scheduler.try_start(later, &source, ticket) else {
         panic!("the peer copies");
     };
     assert!(!scheduler.replace_peer_copying(later, &peer, std::slice::from_ref(&source)));
     let mut without_reports = scheduler.clone();
-    assert_eq!(without_reports.try_start(until, &source), MoveTurn::Start);
+    assert_eq!(
+        without_reports.try_start(until, &source, ticket),
+        MoveTurn::Start
+    );
     assert!(scheduler.replace_peer_copying(later, &peer, &[]));
-    assert_eq!(scheduler.try_start(later, &source), MoveTurn::Start);
+    assert_eq!(scheduler.try_start(later, &source, ticket), MoveTurn::Start);
     // Reported to peers only once there is a destination, since a node may have to wait for one.
     assert!(scheduler.copying_sources().is_empty());
     scheduler.begin_copy(&source);
@@ -239,3 +256,100 @@
     assert!(!locks.is_free(now + TimeSpan::new(400), &source, &second));
     assert!(locks.is_free(now + TimeSpan::new(1_500), &source, &second));
 }
+
+// Guards against giving up a generation that began or resumed on its engine just now: the engine
+// does not know the run yet, and three attempts were used up within a millisecond.
+#[test]
+fn a_run_that_the_source_does_not_know_yet_uses_no_attempts() {
+    let mut machine = MoveMachine::new(name("e1"));
+    for _ in 0..10 {
+        machine.start(name("e2"));
+        assert_eq!(machine.on_copy_unknown(), MoveStep::Pause);
+        assert!(machine.can_start());
+    }
+    let destination = name("e2");
+    let copy = MoveStep::Copy { destination };
+    assert_eq!(machine.start(name("e2")), copy);
+}
+
+// Guards against a generation that stays on its leaving engine since the first three destinations
+// had no room, and against requests without end.
+#[test]
+fn full_destinations_use_no_attempts_but_are_bounded() {
+    let mut machine = MoveMachine::new(name("e1"));
+    let mut declined = 0;
+    while machine.can_start() {
+        machine.start(name("e2"));
+        machine.on_copy_refused();
+        declined += 1;
+        assert!(declined < 100);
+    }
+    assert!(declined > 10);
+}
+
+// Guards against a copy that runs while the generation already stopped, and against resuming a
+// generation moved in one step before its source confirmed the stop.
+#[test]
+fn one_step_stops_before_it_copies() {
+    let mut machine = MoveMachine::new(name("e1"));
+    let destination = name("e2");
+    assert_eq!(
+        machine.start_stopped(destination.clone()),
+        MoveStep::Stop { destination }
+    );
+    assert!(machine.may_have_stopped());
+    assert_eq!(machine.on_source_closed(), None);
+    assert!(machine.awaits_stop_response());
+    let step = machine.on_stopped(Some("h".into()), true);
+    let (engine, handle) = (name("e2"), "h".into());
+    assert_eq!(step, Some(MoveStep::Resume { engine, handle }));
+}
+
+// Guards against saving the generations of a node in an arbitrary order: the one with the most work
+// done goes first, but not one whose stream is blocked by a slow caller.
+#[test]
+fn the_move_that_is_worth_most_goes_first() {
+    let source = name("e1");
+    let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
+    scheduler.add_source(NOW, &source, &[], RATE);
+    let little = scheduler.add_waiting(&source, worth(10));
+    let most = scheduler.add_waiting(&source, worth(600));
+    let MoveTurn::Wait(until) = scheduler.try_start(NOW, &source, little) else {
+        panic!("another move is worth more");
+    };
+    assert!(until - NOW < TimeSpan::new(30));
+    let mut blocked = scheduler.clone();
+    assert_eq!(blocked.try_start(until, &source, little), MoveTurn::Start);
+    assert_eq!(scheduler.try_start(NOW, &source, most), MoveTurn::Start);
+    let later = NOW + TimeSpan::new(200);
+    scheduler.end_turn(later, &source);
+    assert_eq!(scheduler.try_start(later, &source, little), MoveTurn::Start);
+}
+
+// Guards against asking a full engine anew for each generation, and against leaving it out forever.
+#[test]
+fn full_engines_get_no_copies_for_a_while() {
+    let mut full = FullTargets::default();
+    full.mark(NOW, &name("e2"));
+    full.mark(NOW + TimeSpan::new(300), &name("e3"));
+    full.mark(NOW + TimeSpan::new(300), &name("e2"));
+    let mut names = full.names(NOW + TimeSpan::new(700));
+    names.sort();
+    assert_eq!(names, [name("e2"), name("e3")]);
+    assert!(full.names(NOW + TimeSpan::new(2_000)).is_empty());
+}
+
+// Guards against a notice that is estimated from one engine, or from engines of long ago.
+#[test]
+fn the_longest_recent_notice_counts() {
+    let mut notices = NoticeEstimate::default();
+    let service = "pool".parse().unwrap();
+    notices.record(&service, TimeSpan::new(9_000));
+    notices.record(&service, TimeSpan::new(1_500));
+    assert_eq!(notices.longest(&service), None);
+    for _ in 0..16 {
+        notices.record(&service, TimeSpan::new(1_700));
+    }
+    assert_eq!(notices.longest(&service), Some(TimeSpan::new(1_700)));
+    assert_eq!(notices.longest(&"other".parse().unwrap()), None);
+}
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -130,7 +130,16 @@
             max_wait: end.since(now),
         };
         match client.request_placement(coordinator, &message).await {
-            Some(CoordinatorReply::Granted { target, id }) => {
+            Some(CoordinatorReply::Granted {
+                target,
+                id,
+                source_left,
+            }) => {
+                if let (Some(left), Some(source)) = (source_left, &placement.move_source) {
+                    core.with_state(|state, now| {
+                        state.move_scheduler.set_end(&source.target, now + left);
+                    });
+                }
                 let reserved = CapacityReservation::from_grant(
                     core.clone(),
                     coordinator,
--- a/crates/gateway/src/coordinator/coordinator_message.rs
+++ b/crates/gateway/src/coordinator/coordinator_message.rs
@@ -31,6 +31,9 @@
         /// Identifier of the grant. The node lists it in its load reports once it counts the load
         /// itself.
         id: GrantId,
+        /// Longest time until the engine ends that a generation is moved off, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        source_left: Option<TimeSpan>,
     },
     /// No engine has capacity yet. The node has to repeat the request, which keeps its position in
     /// the queue.
--- a/crates/gateway/src/coordinator/coordinator_server.rs
+++ b/crates/gateway/src/coordinator/coordinator_server.rs
@@ -18,6 +18,8 @@
     if core.is_stopping() {
         return None;
     }
+    let source = request.placement.move_source.clone();
+    let service = request.placement.service.clone();
     let placed = core.place(QueueRequest {
         placement: request.placement,
         priority: request.priority,
@@ -29,7 +31,19 @@
     match placed.await {
         Ok(placed) => {
             let (target, id) = (placed.target, placed.grant_id?);
-            Some(CoordinatorReply::Granted { target, id })
+            // Nodes of the last build, which state nothing produced, can't read a longer reply.
+            let source = source.filter(|source| source.produced > 0);
+            let source_left = source.and_then(|source| {
+                core.with_state(|state, now| {
+                    let ends_by = state.engine_end(&source.target, &service)?;
+                    Some(ends_by.since(now))
+                })
+            });
+            Some(CoordinatorReply::Granted {
+                target,
+                id,
+                source_left,
+            })
         }
         // Targets that asked this node to back off did not ask the requesting node.
         Err(
--- a/crates/gateway/src/port/engine_control.rs
+++ b/crates/gateway/src/port/engine_control.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::RequestId;
+use base::{RequestId, TimeSpan};
 use smol_str::SmolStr;
 
 use super::PortFuture;
@@ -39,6 +39,8 @@
 pub struct EngineReport {
     /// Whether it is leaving and gets no new work.
     pub is_leaving: bool,
+    /// Time until it exits, if it knows.
+    pub leaves_in: Option<TimeSpan>,
 }
 
 /// Client of the engines' control interface: KV cache copies and state reports.
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -144,7 +144,7 @@
 
 /// Passes on a target's response that is no success, as a whole and not as a stream.
 async fn deliver_failure(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     mut access_entry: AccessEntry,
     response: TargetResponse,
     deadline: tokio::time::Instant,
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -2,8 +2,10 @@
 
 use base::{EventKind, TargetName, TimeSpan};
 use entry::{
-    MovePhase, MoveSource, MoveStep, MoveTurn, PlacementRequest, PlacementScope, TargetPhase,
+    MovePhase, MovePlan, MovePlanner, MoveSource, MoveStep, MoveTurn, MoveWorth, PlacementRequest,
+    PlacementScope, TargetPhase,
 };
+use metrics::counter;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -19,6 +21,9 @@
 
 /// Pause before the next search for a destination when no engine had room.
 const MOVE_RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Pause before a copy is requested again of an engine that does not know the run yet, as it began
+/// or resumed there just now.
+const UNKNOWN_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time for which a copy waits for a permit to send to its source.
 const COPY_PERMIT_WAIT: TimeSpan = TimeSpan::from_secs(1);
 
@@ -44,8 +49,13 @@
         let source = &self.reservation.target;
         let mut load = self.reservation.load();
         load.prefill = 0;
-        load.incoming = load.tokens;
-        let mut excluded = self.full_targets.clone();
+        load.incoming = self.held_tokens();
+        load.tokens = load.tokens.max(load.incoming);
+        let mut excluded = self.failed_targets.clone();
+        excluded.extend(
+            self.core
+                .with_state(|state, now| state.full_targets.names(now)),
+        );
         excluded.push(source.clone());
         let placement = PlacementRequest {
             service: self.call.service.clone(),
@@ -56,6 +66,7 @@
             move_source: Some(MoveSource {
                 target: source.clone(),
                 domain: self.reservation.domain.clone(),
+                produced: self.produced_tokens(),
             }),
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
@@ -70,11 +81,18 @@
     /// search.
     pub(super) fn on_placed(&mut self, destination: Option<CapacityReservation>) {
         let Some(destination) = destination else {
-            self.full_targets.clear();
+            self.failed_targets.clear();
             self.release_turn();
             self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
             return;
         };
+        let plan = self.plan_move(&destination);
+        if plan == MovePlan::Skip {
+            self.release_turn();
+            self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
+            record_move("too_late");
+            return;
+        }
         if let Some(left) = self.acquire_move_permit() {
             self.release_turn();
             self.move_due = Instant::now() + Duration::from(left);
@@ -83,7 +101,12 @@
         let source = &self.reservation.target;
         self.core
             .with_state(|state, _| state.move_scheduler.begin_copy(source));
-        let step = self.move_machine.start(destination.target.clone());
+        let step = match plan {
+            MovePlan::OneStep => self.move_machine.start_stopped(destination.target.clone()),
+            MovePlan::TwoSteps | MovePlan::Skip => {
+                self.move_machine.start(destination.target.clone())
+            }
+        };
         log::info!(
             event = EventKind::MoveStarted.number(),
             node = self.core.node().as_str(),
@@ -91,16 +114,46 @@
             source = source.as_str(),
             destination = destination.target.as_str(),
             events = self.progress.events,
-            tokens = destination.load().tokens;
+            tokens = destination.load().incoming,
+            steps = if plan == MovePlan::OneStep { 1 } else { 2 };
             "moving the generation off a leaving engine"
         );
         self.destination = Some(destination);
         self.move_times = MoveTimes::new(self.core.now());
-        if let MoveStep::Copy { .. } = step {
-            self.spawn_copy(false);
+        match step {
+            MoveStep::Copy { .. } => self.spawn_copy(false),
+            MoveStep::Stop { .. } => self.spawn_copy(true),
+            _ => {}
         }
     }
 
+    /// Tokens that the generation has produced so far.
+    fn produced_tokens(&self) -> u32 {
+        self.progress.events.saturating_mul(self.event_tokens)
+    }
+
+    /// Tokens that the generation holds in the memory of its engine now.
+    fn held_tokens(&self) -> u64 {
+        let size = self.call.caller_headers.generation;
+        let prompt = size.map_or(0, |size| u64::from(size.prompt.0));
+        prompt + u64::from(self.produced_tokens())
+    }
+
+    /// How to move the generation to a destination in the time that its engine has left.
+    fn plan_move(&self, destination: &CapacityReservation) -> MovePlan {
+        let Some(spec) = self.call.engine else {
+            return MovePlan::Skip;
+        };
+        let source = &self.reservation.target;
+        let planner = MovePlanner::new(spec.copy_rate);
+        let tokens = destination.load().incoming + destination.other_load.incoming;
+        let is_same_domain = destination.domain == self.reservation.domain;
+        self.core.with_state(|state, now| {
+            let ends_by = state.engine_end(source, &self.call.service);
+            planner.plan(now, ends_by, tokens, is_same_domain)
+        })
+    }
+
     /// Takes a move permit if the source has asked for a back-off. Returns the rest of the back-off if
     /// no permit is left, and `None` if the move may start.
     fn acquire_move_permit(&self) -> Option<TimeSpan> {
@@ -115,29 +168,33 @@
     /// waits for one and schedules the next check.
     fn take_turn(&mut self) -> bool {
         let source = self.reservation.target.clone();
-        let is_waiting = self.turn == TurnState::Waiting;
+        let waiting = match self.turn {
+            TurnState::Waiting(ticket) => Some(ticket),
+            TurnState::Idle | TurnState::Moving => None,
+        };
+        let worth = MoveWorth::new(self.produced_tokens(), self.held_tokens());
         let taken = self.core.with_state(|state, now| {
             let found = state.balancer.target(&source);
             if found.is_some_and(|one| one.phase != TargetPhase::Leaving) {
                 return None;
             }
-            if !is_waiting {
-                state.move_scheduler.add_waiting(&source);
-            }
-            let turn = match state.coordinator_of(now, &self.reservation.domain) {
-                Some(_) => state.move_scheduler.try_start_local(now, &source),
-                None => state.move_scheduler.try_start(now, &source),
+            let coordinator = state.coordinator_of(now, &self.reservation.domain);
+            let scheduler = &mut state.move_scheduler;
+            let ticket = waiting.unwrap_or_else(|| scheduler.add_waiting(&source, worth));
+            let turn = match coordinator {
+                Some(_) => scheduler.try_start_local(now, &source, ticket),
+                None => scheduler.try_start(now, &source, ticket),
             };
-            Some((turn, now))
+            Some((turn, ticket, now))
         });
         match taken {
             None => false,
-            Some((MoveTurn::Start, _)) => {
+            Some((MoveTurn::Start, ..)) => {
                 self.turn = TurnState::Moving;
                 true
             }
-            Some((MoveTurn::Wait(until), now)) => {
-                self.turn = TurnState::Waiting;
+            Some((MoveTurn::Wait(until), ticket, now)) => {
+                self.turn = TurnState::Waiting(ticket);
                 self.move_due = Instant::now() + Duration::from(until - now);
                 false
             }
@@ -152,12 +209,13 @@
             return;
         }
         let source = self.reservation.target.clone();
-        let is_finished = self.core.with_state(|state, _| {
+        let is_finished = self.core.with_state(|state, now| {
             match ended {
-                TurnState::Moving => state.move_scheduler.end_turn(&source),
-                TurnState::Idle | TurnState::Waiting => {
-                    state.move_scheduler.remove_waiting(&source)
+                TurnState::Moving => state.move_scheduler.end_turn(now, &source),
+                TurnState::Waiting(ticket) => {
+                    state.move_scheduler.remove_waiting(&source, ticket);
                 }
+                TurnState::Idle => {}
             }
             state.move_scheduler.finished_sources().contains(&source)
         });
@@ -205,15 +263,34 @@
                 if is_whole && !is_usable {
                     self.release_copy();
                 }
-                Some(self.move_machine.on_copied(is_whole && is_usable))
+                let step = match outcome {
+                    CopyOutcome::NoRoom { .. } => {
+                        self.mark_destination_full();
+                        self.move_machine.on_copy_refused()
+                    }
+                    CopyOutcome::Unknown | CopyOutcome::Busy => self.move_machine.on_copy_unknown(),
+                    CopyOutcome::Whole { .. }
+                    | CopyOutcome::NotSent { .. }
+                    | CopyOutcome::Lost { .. } => {
+                        self.move_machine.on_copied(is_whole && is_usable)
+                    }
+                };
+                Some(step)
             }
             _ => {
                 let was_source_closed = self.move_machine.awaits_stop_response();
                 let step = match outcome {
                     CopyOutcome::Whole { handle } => {
+                        // The link of the source is free, so the next copy can begin while the
+                        // destination resumes this generation.
+                        self.release_turn();
                         self.move_machine.on_stopped(Some(handle), true)
                     }
-                    CopyOutcome::NoRoom { handle } => self.move_machine.on_stopped(handle, false),
+                    CopyOutcome::NoRoom { handle } => {
+                        record_move("no_room");
+                        self.mark_destination_full();
+                        self.move_machine.on_stopped(handle, false)
+                    }
                     CopyOutcome::Unknown | CopyOutcome::Busy | CopyOutcome::NotSent { .. } => {
                         self.log_move_failure(&outcome);
                         self.move_machine.on_stopped(None, false)
@@ -256,14 +333,22 @@
             MoveStep::Copy { .. } => self.spawn_copy(false),
             MoveStep::Stop { .. } => self.spawn_copy(true),
             MoveStep::ChooseAnother => {
-                let full = self.destination.take();
-                self.full_targets
-                    .extend(full.map(|reservation| reservation.target.clone()));
+                let failed = self.destination.take();
+                self.failed_targets
+                    .extend(failed.map(|reservation| reservation.target.clone()));
                 self.move_due = Instant::now();
             }
+            MoveStep::Pause => {
+                self.destination = None;
+                self.release_turn();
+                self.move_due = Instant::now() + UNKNOWN_RETRY_PAUSE;
+            }
             MoveStep::Stay => {
                 self.destination = None;
                 self.release_turn();
+                if self.move_machine.can_start() {
+                    self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
+                }
             }
             MoveStep::Resume { engine, handle } => return self.resume(engine, handle).await,
         }
@@ -295,6 +380,7 @@
             )
             .await;
             if let Some(reason) = self.adopt_response(outcome) {
+                record_move("not_resumed");
                 self.access_entry
                     .add_reason(format!("{engine} did not resume: {reason}"));
             } else {
@@ -318,6 +404,9 @@
                 self.move_machine
                     .on_resumed(self.reservation.target.clone());
                 self.record_moved_answer();
+                record_move("resumed_at_source");
+                self.release_turn();
+                self.move_due = Instant::now() + UNKNOWN_RETRY_PAUSE;
                 RelayState::Running
             }
             Some(reason) => {
@@ -374,7 +463,8 @@
         self.move_machine.on_resumed(destination.target.clone());
         self.reservation = destination;
         self.record_moved_answer();
-        self.full_targets.clear();
+        self.failed_targets.clear();
+        record_move("finished");
         self.consider_move();
     }
 
@@ -386,8 +476,26 @@
         }
     }
 
-    /// Logs a copy request that failed.
+    /// Records that the destination of the current move has no room, so that no generation of this
+    /// node is copied there for a while.
+    fn mark_destination_full(&self) {
+        if let Some(destination) = &self.destination {
+            self.core.with_state(|state, now| {
+                state.full_targets.mark(now, &destination.target);
+            });
+        }
+    }
+
+    /// Logs and counts a copy request that failed.
     fn log_move_failure(&self, outcome: &CopyOutcome) {
+        record_move(match outcome {
+            CopyOutcome::Whole { .. } => "copied",
+            CopyOutcome::NoRoom { .. } => "no_room",
+            CopyOutcome::Unknown => "unknown_run",
+            CopyOutcome::Busy => "busy",
+            CopyOutcome::NotSent { .. } => "not_sent",
+            CopyOutcome::Lost { .. } => "lost_answer",
+        });
         log::info!(
             event = EventKind::MoveFailed.number(),
             node = self.core.node().as_str(),
@@ -397,6 +505,41 @@
         );
     }
 
+    /// Counts a generation that was lost with its engine by how far its move was, and learns when
+    /// engines of the service end.
+    pub(super) fn record_lost_generation(&self) {
+        let source = &self.reservation.target;
+        let was_leaving = self.core.with_state(|state, now| {
+            let found = state.balancer.target(source);
+            let is_leaving = found.is_none_or(|one| one.phase == TargetPhase::Leaving);
+            if is_leaving {
+                state.learn_notice(source, &self.call.service, now);
+            }
+            is_leaving
+        });
+        let cause = match (was_leaving, self.move_machine.phase(), self.turn) {
+            (false, ..) => "without_notice",
+            (true, MovePhase::Copying { .. }, _) => "copying",
+            (true, MovePhase::Stopping { .. } | MovePhase::Stopped { .. }, _) => "stopping",
+            (true, MovePhase::Idle, TurnState::Moving) => "no_destination",
+            (true, MovePhase::Idle, TurnState::Waiting(_)) => "not_started",
+            (true, MovePhase::Idle, TurnState::Idle) => match self.move_machine.can_start() {
+                true => "not_started",
+                false => "attempts_used",
+            },
+        };
+        counter!("gateway_lost_generations_total", "cause" => cause).increment(1);
+        log::info!(
+            event = EventKind::MoveFailed.number(),
+            node = self.core.node().as_str(),
+            request = self.call.caller_headers.request_id.as_str(),
+            source = source.as_str(),
+            events = self.progress.events,
+            cause = cause;
+            "generation lost with its engine"
+        );
+    }
+
     /// Asks the source to release a copy from which no engine resumed.
     pub(super) fn release_copy(&mut self) {
         let Some(handle) = self.unused_copy.take() else {
@@ -421,3 +564,8 @@
         });
     }
 }
+
+/// Counts a move by its outcome.
+fn record_move(outcome: &'static str) {
+    counter!("gateway_moves_total", "outcome" => outcome).increment(1);
+}
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -3,7 +3,7 @@
 
 use base::{TargetName, TokenCount};
 use bytes::Bytes;
-use entry::{ANSWER_PROOF_TIME, MoveMachine, OutputEstimate, StreamProgress};
+use entry::{ANSWER_PROOF_TIME, MoveMachine, MoveTicket, OutputEstimate, StreamProgress};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -79,8 +79,8 @@
 pub(super) enum TurnState {
     /// The stream neither waits for a turn nor has one.
     Idle,
-    /// The stream waits for a turn.
-    Waiting,
+    /// The stream waits for a turn with this ticket.
+    Waiting(MoveTicket),
     /// The stream has a turn and may move.
     Moving,
 }
@@ -99,7 +99,7 @@
     pub(super) is_framed: bool,
     pub(super) progress: StreamProgress,
     estimate: OutputEstimate,
-    event_tokens: u32,
+    pub(super) event_tokens: u32,
     pub(super) last_event_id: Option<SmolStr>,
     pub(super) last_event_number: Option<u64>,
     pub(super) move_machine: MoveMachine,
@@ -117,8 +117,8 @@
     /// Time of the next check for a move.
     pub(super) move_due: Instant,
     pub(super) turn: TurnState,
-    /// Destinations that refused a copy for lack of capacity; not tried again in this search.
-    pub(super) full_targets: Vec<TargetName>,
+    /// Destinations to which a copy failed; not tried again in this search.
+    pub(super) failed_targets: Vec<TargetName>,
     /// Changes when features of calls are blamed for crashes.
     blame: watch::Receiver<u64>,
     /// When the prompt will have proven harmless; `None` before the answer begins and after that.
@@ -151,7 +151,7 @@
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + NO_MOVE_DUE,
             turn: TurnState::Idle,
-            full_targets: Vec::new(),
+            failed_targets: Vec::new(),
             core: parts.core,
             call: parts.call,
             access_entry: parts.access_entry,
@@ -389,6 +389,7 @@
             true => record_unframed_end(&mut self.reservation),
             false => record_broken_call(&self.core, &self.call, &mut self.reservation),
         }
+        self.record_lost_generation();
         let target = self.reservation.target.clone();
         self.fail("generation_lost", &format!("{target} broke off: {reason}"));
         RelayState::Ended
--- a/crates/gateway/src/relay/target_run.rs
+++ b/crates/gateway/src/relay/target_run.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use base::{ClockTime, IncarnationNumber, TargetName};
 use http::HeaderMap;
 
@@ -24,7 +26,12 @@
 
     /// Applies what the headers of a response say about the target: that it leaves, that it asks for
     /// a back-off, or which rate of calls it accepts. The call was sent at `sent_at`.
-    pub fn apply_headers(&self, core: &GatewayCore, headers: &ResponseHeaders, sent_at: ClockTime) {
+    pub fn apply_headers(
+        &self,
+        core: &Arc<GatewayCore>,
+        headers: &ResponseHeaders,
+        sent_at: ClockTime,
+    ) {
         if headers.is_leaving {
             core.mark_target_leaving(&self.target, self.incarnation, "answer");
         }
@@ -41,7 +48,7 @@
     }
 
     /// Applies what the trailers of a response say about the target: that it leaves.
-    pub fn apply_trailers(&self, core: &GatewayCore, trailers: &HeaderMap) {
+    pub fn apply_trailers(&self, core: &Arc<GatewayCore>, trailers: &HeaderMap) {
         if core.ports.headers.announces_leaving(trailers) {
             core.mark_target_leaving(&self.target, self.incarnation, "trailer");
         }
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -252,7 +252,7 @@
 
 /// Reads the whole body of a response; the error tells why it is not complete.
 pub async fn read_response(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     response: TargetResponse,
     deadline: Instant,
 ) -> Result<BufferedResponse, String> {
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -2,10 +2,10 @@
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
-    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
-    PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule, SuspectTracker,
-    TrialLedger,
+    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach, FullTargets,
+    LoadBalancer, MoveScheduler, MoveWorth, NoticeEstimate, PlacementDecision, PlacementPacer,
+    PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule,
+    SuspectTracker, TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
@@ -32,8 +32,9 @@
 /// Largest number of those steps.
 const TAKEOVER_STEP_LIMIT: u64 = 20;
 /// Time since the targets were last confirmed, while the store does not answer, after which engines
-/// are asked whether they leave.
-const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(700);
+/// are asked whether they leave. Engines give 1.5 s to 2 s of notice, and moving their generations
+/// takes about as long.
+const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(300);
 
 /// The same time while the store answers, for nodes that do not read from it; the report of a
 /// reader reaches them within 1.4 s through the coordinators.
@@ -111,6 +112,10 @@
     pub move_scheduler: MoveScheduler,
     /// Locks by which this node, as coordinator, lets one node at a time copy off an engine.
     pub copy_locks: CopyLocks,
+    /// Engines that refused copies for lack of room; they get no moves for a while.
+    pub full_targets: FullTargets,
+    /// Time from the notice to the end of engines that left.
+    pub notices: NoticeEstimate,
     /// Number of calls whose answer has not begun.
     pub active_calls: usize,
     /// Times of the shutdown; set once the process is stopping.
@@ -151,6 +156,8 @@
             attempts: AttemptTracker::default(),
             move_scheduler: MoveScheduler::new(settings.node.clone()),
             copy_locks: CopyLocks::default(),
+            full_targets: FullTargets::default(),
+            notices: NoticeEstimate::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
             stop_plan: None,
@@ -195,11 +202,11 @@
     }
 
     /// Places queued moves of generations for which a target has capacity and off whose engine no
-    /// other node copies.
+    /// other node copies; those whose move is worth most go first.
     fn serve_queued_moves(&mut self, now: ClockTime) {
         let moving = self.move_scheduler.copying_sources();
         self.copy_locks.update_holder(now, &self.node, &moving);
-        for ticket in self.queue.queued_moves() {
+        for ticket in self.moves_by_worth() {
             let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                 self.queue.remove(ticket);
                 continue;
@@ -216,6 +223,47 @@
         }
     }
 
+    /// Queued moves, those whose move is worth most first, then in queue order.
+    fn moves_by_worth(&self) -> Vec<QueueTicket> {
+        let mut tickets = self.queue.queued_moves();
+        tickets.sort_by_cached_key(|ticket| {
+            let waiter = self.waiters.iter().find(|one| one.ticket == *ticket);
+            let worth = waiter.and_then(|waiter| {
+                let source = waiter.placement.move_source.as_ref()?;
+                let copy_tokens = waiter.placement.load.incoming;
+                Some(MoveWorth::new(source.produced, copy_tokens))
+            });
+            std::cmp::Reverse(worth)
+        });
+        tickets
+    }
+
+    /// Latest time at which a leaving engine ends: as it reported itself, or by the notice that
+    /// engines of its service gave before. `None` if neither is known.
+    pub fn engine_end(&self, source: &TargetName, service: &ServiceName) -> Option<ClockTime> {
+        let scheduler = &self.move_scheduler;
+        scheduler.ends_by(source).or_else(|| {
+            let noticed_at = scheduler.noticed_at(source)?;
+            Some(noticed_at + self.notices.longest(service)?)
+        })
+    }
+
+    /// Records the latest time at which a leaving engine ends, as it reported itself.
+    pub fn record_engine_end(&mut self, source: &TargetName, ends_by: ClockTime) {
+        self.move_scheduler.set_end(source, ends_by);
+        if let Some(state) = self.balancer.target(source) {
+            let service = state.record.service.clone();
+            self.learn_notice(source, &service, ends_by);
+        }
+    }
+
+    /// Learns the notice that a leaving engine gave from the time of its end.
+    pub fn learn_notice(&mut self, source: &TargetName, service: &ServiceName, end: ClockTime) {
+        if let Some(notice) = self.move_scheduler.take_notice(source, end) {
+            self.notices.record(service, notice);
+        }
+    }
+
     /// Whether a call is not a move, or no other node copies off the engine that it leaves.
     pub(super) fn may_move(
         &self,
--- a/crates/gateway/src/state/target_updates.rs
+++ b/crates/gateway/src/state/target_updates.rs
@@ -4,6 +4,8 @@
 use entry::{LeaveNotice, NamedRate, RateRecord, RunEnd, TargetChanges, TargetFact, TargetRate};
 
 use super::GatewayCore;
+use crate::peer::PushScope;
+use crate::rate::acquire_permit;
 use crate::relay::check_ended_run;
 use crate::{BackoffRequest, RateNotice};
 
@@ -25,7 +27,7 @@
     }
 
     /// Logs that targets started to leave and schedules the moves of generations off them.
-    fn handle_leaving(&self, leaving: &[TargetName], from: &str) {
+    fn handle_leaving(self: &Arc<Self>, leaving: &[TargetName], from: &str) {
         for target in leaving {
             log::info!(
                 event = EventKind::TargetLeaving.number(),
@@ -38,21 +40,58 @@
         if !leaving.is_empty() {
             self.with_state(|state, now| state.schedule_moves(now, leaving));
             self.recheck_moves();
+            self.fetch_engine_ends(leaving);
+        }
+    }
+
+    /// Asks engines that leave once when they end: the coordinator of their failure domain does, for
+    /// all nodes that move generations off them.
+    fn fetch_engine_ends(self: &Arc<Self>, leaving: &[TargetName]) {
+        for target in leaving {
+            let record = self.with_state(|state, now| {
+                let record = state.balancer.target(target)?.record.clone();
+                let spec = state.view.config.as_ref()?.service(&record.service)?;
+                let can_move = spec.engine.is_some_and(|engine| engine.can_move);
+                let is_asked_here =
+                    can_move && record.domain == self.settings.domain && state.is_coordinator(now);
+                is_asked_here.then_some(record)
+            });
+            let Some(record) = record else {
+                continue;
+            };
+            let core = self.clone();
+            tokio::spawn(async move {
+                let permit = acquire_permit(&core, &record.name, record.incarnation).await;
+                if permit.is_err() {
+                    return;
+                }
+                let report = core.ports.engines.fetch_report(record.address).await;
+                if let Some(left) = report.ok().and_then(|report| report.leaves_in) {
+                    core.with_state(|state, now| state.record_engine_end(&record.name, now + left));
+                }
+            });
         }
     }
 
     /// Records that a run of a target announced itself that it is leaving; `from` names the message
     /// that said so.
     pub fn mark_target_leaving(
-        &self,
+        self: &Arc<Self>,
         target: &TargetName,
         incarnation: IncarnationNumber,
         from: &str,
     ) {
         let is_new = self.with_state(|state, now| {
-            state.facts.record_leaving(now, target, incarnation);
+            // Peers with generations there would learn of it only when they ask the engine
+            // themselves, or when they compare facts, which takes a good part of the notice.
+            let notice = state.facts.leave_notice(now, target, incarnation);
+            if state.facts.record_leaving(now, target, incarnation) {
+                let fact = TargetFact::Leaving(notice);
+                state.outbox.push(PushScope::Fleet, fact);
+            }
             state.balancer.mark_leaving(target, incarnation)
         });
+        self.recheck_blame();
         if is_new {
             self.handle_leaving(std::slice::from_ref(target), from);
         }
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -310,6 +310,7 @@
         state.arrivals.push(Instant::now());
         Ok(EngineReport {
             is_leaving: state.is_leaving,
+            leaves_in: None,
         })
     }
 }
