Keep room for moves, and hold the pause before a move is tried again

The change of turns that a stream caused itself started its next try at once, so the pause after an unknown run was not held: a test with ten unknown answers went through them within milliseconds.

- After an unknown run, a late copy or a resume at the source, no move is considered before the pause is over.
- A coordinator grants no destination to which the copy can't end in time.
- Gateway tests: unknown then known, no room, an engine that ends early, a lost answer to the copy, a silent coordinator.

--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -324,6 +324,24 @@
         unavailable.map(|state| state.record.name.clone()).collect()
     }
 
+    /// Services that have targets, sorted.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let names = self.targets.iter().map(|state| &state.record.service);
+        let mut names: Vec<_> = names.collect();
+        names.sort();
+        names.dedup();
+        names.into_iter().cloned().collect()
+    }
+
+    /// Number of targets of a service in the own failure domain that take calls.
+    pub fn local_targets(&self, now: ClockTime, service: &ServiceName) -> usize {
+        let local = self
+            .targets
+            .iter()
+            .filter(|state| state.record.service == *service && state.record.domain == self.domain);
+        local.filter(|state| state.accepts(now)).count()
+    }
+
     /// Whether the own failure domain has a target of a service that takes calls.
     pub fn has_local_target(&self, now: ClockTime, service: &ServiceName) -> bool {
         let mut local = self
@@ -349,6 +367,15 @@
         delays.collect()
     }
 
+    /// Sets the share of the memory of the engines of a service that is kept free for generations
+    /// that have to move.
+    pub fn set_move_share(&mut self, service: &ServiceName, share: f64) {
+        let engines = self.targets.iter_mut();
+        for state in engines.filter(|state| state.record.service == *service) {
+            state.move_share = share;
+        }
+    }
+
     /// Records how a call at a target ended.
     pub fn record_outcome(&mut self, now: ClockTime, name: &TargetName, outcome: TargetOutcome) {
         if let Ok(at) = self.find(name) {
@@ -525,7 +552,7 @@
     // A generation that has to move is lost if it finds no room.
     let share = match request.is_quick || request.move_source.is_some() {
         true => MEMORY_SHARE,
-        false => LONG_OUTPUT_SHARE,
+        false => LONG_OUTPUT_SHARE.min(MEMORY_SHARE - state.move_share),
     };
     let limit = f64::from(spec.memory.0) * share;
     let tokens = (total.tokens + request.load.tokens) as f64;
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -40,6 +40,8 @@
     pub has_ended: bool,
     /// When it stops being slow after its start.
     pub warm_at: ClockTime,
+    /// Share of its memory that is kept free for generations that have to move.
+    pub move_share: f64,
 }
 
 impl TargetState {
@@ -54,6 +56,7 @@
             rate: TargetRate::default(),
             has_announced_leave: false,
             has_ended: false,
+            move_share: 0.0,
             warm_at: now + record.cold_left,
             record,
             phase,
--- a/crates/gateway/src/coordinator/coordinator_server.rs
+++ b/crates/gateway/src/coordinator/coordinator_server.rs
@@ -35,7 +35,7 @@
             let source = source.filter(|source| source.produced > 0);
             let source_left = source.and_then(|source| {
                 core.with_state(|state, now| {
-                    let ends_by = state.engine_end(&source.target, &service)?;
+                    let ends_by = state.engine_end(now, &source.target, &service)?;
                     Some(ends_by.since(now))
                 })
             });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,5 +29,5 @@
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
     BodyBudget, BodyLease, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
-    PlacementRefusal, SendCheck, SendRefusal, StopPlan,
+    PlacementRefusal, QueueRequest, SendCheck, SendRefusal, StopPlan,
 };
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -33,6 +33,10 @@
     /// Starts the search for a destination if the engine is leaving, moving is worth it and the
     /// stream gets a turn.
     pub(super) fn consider_move(&mut self) {
+        if Instant::now() < self.move_pause_end {
+            self.move_due = self.move_pause_end;
+            return;
+        }
         self.move_due = Instant::now() + NO_MOVE_DUE;
         let now = self.core.now();
         let can_move = self.call.engine.is_some_and(|spec| spec.can_move);
@@ -89,7 +93,7 @@
         let plan = self.plan_move(&destination);
         if plan == MovePlan::Skip {
             self.release_turn();
-            self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
+            self.pause_moves(MOVE_RETRY_PAUSE);
             record_move("too_late");
             return;
         }
@@ -127,6 +131,13 @@
         }
     }
 
+    /// Considers no move for a while. Without it, the change of turns that this stream caused itself
+    /// would start the next try at once.
+    fn pause_moves(&mut self, pause: Duration) {
+        self.move_pause_end = Instant::now() + pause;
+        self.move_due = self.move_pause_end;
+    }
+
     /// Tokens that the generation has produced so far.
     fn produced_tokens(&self) -> u32 {
         self.progress.events.saturating_mul(self.event_tokens)
@@ -149,7 +160,7 @@
         let tokens = destination.load().incoming + destination.other_load.incoming;
         let is_same_domain = destination.domain == self.reservation.domain;
         self.core.with_state(|state, now| {
-            let ends_by = state.engine_end(source, &self.call.service);
+            let ends_by = state.engine_end(now, source, &self.call.service);
             planner.plan(now, ends_by, tokens, is_same_domain)
         })
     }
@@ -341,13 +352,13 @@
             MoveStep::Pause => {
                 self.destination = None;
                 self.release_turn();
-                self.move_due = Instant::now() + UNKNOWN_RETRY_PAUSE;
+                self.pause_moves(UNKNOWN_RETRY_PAUSE);
             }
             MoveStep::Stay => {
                 self.destination = None;
                 self.release_turn();
                 if self.move_machine.can_start() {
-                    self.move_due = Instant::now() + MOVE_RETRY_PAUSE;
+                    self.pause_moves(MOVE_RETRY_PAUSE);
                 }
             }
             MoveStep::Resume { engine, handle } => return self.resume(engine, handle).await,
@@ -406,7 +417,7 @@
                 self.record_moved_answer();
                 record_move("resumed_at_source");
                 self.release_turn();
-                self.move_due = Instant::now() + UNKNOWN_RETRY_PAUSE;
+                self.pause_moves(UNKNOWN_RETRY_PAUSE);
                 RelayState::Running
             }
             Some(reason) => {
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -116,6 +116,8 @@
     pub(super) leaving: watch::Receiver<u64>,
     /// Time of the next check for a move.
     pub(super) move_due: Instant,
+    /// Time before which no move is considered, whatever else changes.
+    pub(super) move_pause_end: Instant,
     pub(super) turn: TurnState,
     /// Destinations to which a copy failed; not tried again in this search.
     pub(super) failed_targets: Vec<TargetName>,
@@ -150,6 +152,7 @@
             event_tokens,
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + NO_MOVE_DUE,
+            move_pause_end: Instant::now(),
             turn: TurnState::Idle,
             failed_targets: Vec::new(),
             core: parts.core,
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -344,6 +344,7 @@
             state.attempts.expire(now);
             state.expire_grants(now);
             state.drop_foreign_rates(now);
+            state.update_move_room(now);
             state.serve_queue(now);
             changes
         });
@@ -454,7 +455,7 @@
         false => state.queue.count_ahead(now, &service, is_quick) == 0,
     };
     let decision = match is_next {
-        true => state.balancer.choose_target(now, &request.placement),
+        true => state.choose_target(now, &request.placement),
         false => PlacementDecision::Full,
     };
     match decision {
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -3,9 +3,9 @@
 };
 use entry::{
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach, FullTargets,
-    LoadBalancer, MoveScheduler, MoveWorth, NoticeEstimate, PlacementDecision, PlacementPacer,
-    PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule,
-    SuspectTracker, TrialLedger,
+    LoadBalancer, MovePlan, MovePlanner, MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate,
+    PlacementDecision, PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger,
+    RetryShare, ReturnSchedule, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
 use tokio::sync::oneshot;
@@ -114,6 +114,8 @@
     pub copy_locks: CopyLocks,
     /// Engines that refused copies for lack of room; they get no moves for a while.
     pub full_targets: FullTargets,
+    /// What generations of engines that left needed elsewhere, as far as this node placed them.
+    pub move_room: MoveRoom,
     /// Time from the notice to the end of engines that left.
     pub notices: NoticeEstimate,
     /// Number of calls whose answer has not begun.
@@ -157,6 +159,7 @@
             move_scheduler: MoveScheduler::new(settings.node.clone()),
             copy_locks: CopyLocks::default(),
             full_targets: FullTargets::default(),
+            move_room: MoveRoom::default(),
             notices: NoticeEstimate::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
@@ -215,12 +218,12 @@
             if !self.may_move(now, waiter.requester.as_ref(), &waiter.placement) {
                 continue;
             }
-            if let PlacementDecision::Target(target) =
-                self.balancer.choose_target(now, &waiter.placement)
-            {
+            let placement = waiter.placement.clone();
+            if let PlacementDecision::Target(target) = self.choose_target(now, &placement) {
                 self.answer_waiter(now, at, Ok(target));
             }
         }
+        self.record_short_moves(now);
     }
 
     /// Queued moves, those whose move is worth most first, then in queue order.
@@ -240,12 +243,24 @@
 
     /// Latest time at which a leaving engine ends: as it reported itself, or by the notice that
     /// engines of its service gave before. `None` if neither is known.
-    pub fn engine_end(&self, source: &TargetName, service: &ServiceName) -> Option<ClockTime> {
+    ///
+    /// The notices of others say nothing of a target that does not leave, and a time that has
+    /// passed was wrong.
+    pub fn engine_end(
+        &self,
+        now: ClockTime,
+        source: &TargetName,
+        service: &ServiceName,
+    ) -> Option<ClockTime> {
         let scheduler = &self.move_scheduler;
-        scheduler.ends_by(source).or_else(|| {
+        let reported = scheduler.ends_by(source);
+        let ends_by = reported.or_else(|| {
+            let state = self.balancer.target(source)?;
             let noticed_at = scheduler.noticed_at(source)?;
-            Some(noticed_at + self.notices.longest(service)?)
-        })
+            let notice = self.notices.longest(service)?;
+            (state.phase == TargetPhase::Leaving).then(|| noticed_at + notice)
+        });
+        ends_by.filter(|ends_by| *ends_by > now)
     }
 
     /// Records the latest time at which a leaving engine ends, as it reported itself.
@@ -272,8 +287,101 @@
         placement: &PlacementRequest,
     ) -> bool {
         let node = requester.unwrap_or(&self.node);
-        let source = placement.move_source.as_ref();
-        source.is_none_or(|source| self.copy_locks.is_free(now, &source.target, node))
+        let Some(source) = &placement.move_source else {
+            return true;
+        };
+        let is_near = true;
+        self.copy_locks.is_free(now, &source.target, node)
+            && self.plan_copy(now, placement, 0, is_near) != MovePlan::Skip
+    }
+
+    /// How to move a generation whose copy waits for `queued` tokens on the link of its destination;
+    /// `is_near` tells whether that is in the failure domain of its engine.
+    fn plan_copy(
+        &self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+        queued: u64,
+        is_near: bool,
+    ) -> MovePlan {
+        let (Some(source), Some(spec)) = (&placement.move_source, placement.engine) else {
+            return MovePlan::TwoSteps;
+        };
+        let ends_by = self.engine_end(now, &source.target, &placement.service);
+        let tokens = placement.load.incoming + queued;
+        MovePlanner::new(spec.copy_rate).plan(now, ends_by, tokens, is_near)
+    }
+
+    /// Chooses a target for a call; none for a move whose copy to it would end after the engine
+    /// does.
+    pub(super) fn choose_target(
+        &mut self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+    ) -> PlacementDecision {
+        let decision = self.balancer.choose_target(now, placement);
+        let (PlacementDecision::Target(name), Some(source)) = (&decision, &placement.move_source)
+        else {
+            return decision;
+        };
+        let found = self.balancer.target(name);
+        let plan = found.map(|target| {
+            let is_near = target.record.domain == source.domain;
+            self.plan_copy(now, placement, target.total().incoming, is_near)
+        });
+        match plan {
+            Some(MovePlan::Skip) => PlacementDecision::Full,
+            _ => decision,
+        }
+    }
+
+    /// Records the room that queued moves lack once others were served. Those that wait for the
+    /// link of their engine lack none.
+    fn record_short_moves(&mut self, now: ClockTime) {
+        let mut short: Vec<(TargetName, ServiceName, u64)> = Vec::new();
+        for waiter in &self.waiters {
+            let placement = &waiter.placement;
+            let Some(source) = &placement.move_source else {
+                continue;
+            };
+            if !self.may_move(now, waiter.requester.as_ref(), placement) {
+                continue;
+            }
+            let known = short.iter_mut().find(|(name, ..)| *name == source.target);
+            match known {
+                Some((.., tokens)) => *tokens += placement.load.tokens,
+                None => short.push((
+                    source.target.clone(),
+                    placement.service.clone(),
+                    placement.load.tokens,
+                )),
+            }
+        }
+        for (source, service, tokens) in short {
+            self.move_room.record_short(now, &source, &service, tokens);
+        }
+    }
+
+    /// Keeps as much memory of the engines of each service free as recent moves needed. Only the
+    /// coordinator of a failure domain knows that, and places all calls of the domain.
+    pub fn update_move_room(&mut self, now: ClockTime) {
+        let is_coordinator = self.is_coordinator(now);
+        let Some(config) = self.view.config.clone() else {
+            return;
+        };
+        for service in self.balancer.services() {
+            let spec = config.service(&service).and_then(|spec| spec.engine);
+            let Some(spec) = spec.filter(|spec| spec.can_move) else {
+                continue;
+            };
+            let engines = self.balancer.local_targets(now, &service) as u64;
+            let memory = engines * u64::from(spec.memory.0);
+            let share = match is_coordinator && engines > 0 {
+                true => self.move_room.share(now, &service, memory),
+                false => 0.0,
+            };
+            self.balancer.set_move_share(&service, share);
+        }
     }
 
     /// Removes a call from the queue and sends it its target, or why there is none; undoes the
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -86,15 +86,8 @@
     assert!(!has_other_coordinator(follower));
 }
 
-// Guards against calls that wait for a coordinator that accepts connections but does not respond: a
-// node that froze, or whose connections a device on the way dropped without notice.
-#[tokio::test]
-async fn a_coordinator_that_does_not_respond_is_replaced() {
-    let target = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
-    let store = FakeStore::new();
-    store.put_config(1);
-    store.put_target(&target, "ready");
-    let gateway = Gateway::start_ready(&store).await;
+/// Lets a gateway take a node for its coordinator that accepts connections but does not respond.
+pub async fn add_silent_coordinator(gateway: &Gateway) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -129,9 +122,21 @@
     let body = rmp_serde::to_vec(&digest).unwrap();
     assert_eq!(post(gateway.peers, "/peer/digest", &body).await.status, 200);
     until("the silent node is the coordinator", || {
-        has_other_coordinator(&gateway)
+        has_other_coordinator(gateway)
     })
     .await;
+}
+
+// Guards against calls that wait for a coordinator that accepts connections but does not respond: a
+// node that froze, or whose connections a device on the way dropped without notice.
+#[tokio::test]
+async fn a_coordinator_that_does_not_respond_is_replaced() {
+    let target = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
+    let store = FakeStore::new();
+    store.put_config(1);
+    store.put_target(&target, "ready");
+    let gateway = Gateway::start_ready(&store).await;
+    add_silent_coordinator(&gateway).await;
     assert_eq!(generate(gateway.callers, "g1").await, 200);
     assert!(!has_other_coordinator(&gateway));
 }
--- /dev/null
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -0,0 +1,232 @@
+//! Moves of generations off engines that leave at short notice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{TargetName, TimeSpan};
+use entry::{MoveSource, PlacementRequest, PlacementScope, TargetLoad};
+use gateway::{CopyOutcome, QueueRequest};
+use tokio::task::JoinHandle;
+
+use crate::coordinators::add_silent_coordinator;
+use crate::support::{
+    CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
+};
+
+/// Number of events of a stream, 10 ms apart.
+const EVENTS: u64 = 250;
+
+/// An engine with one running stream, another engine, and the gateway that relays the stream.
+struct MoveSetup {
+    store: Arc<FakeStore>,
+    source: FakeTarget,
+    other: FakeTarget,
+    gateway: Gateway,
+    pending: JoinHandle<CallerResponse>,
+}
+
+impl MoveSetup {
+    async fn start() -> Self {
+        let (store, mut targets, gateway) =
+            start_setup("pool", &[TargetMode::Stream(EVENTS)]).await;
+        let source = targets.remove(0);
+        let callers = gateway.callers;
+        let headers = "x-id: g1\r\nx-size: 1000\r\n";
+        let pending = tokio::spawn(async move { call(callers, "/stream/1", headers, "").await });
+        until("the stream runs", || source.open_calls() == 1).await;
+        let other = Self::add_engine(&store, &gateway).await;
+        Self {
+            store,
+            source,
+            other,
+            gateway,
+            pending,
+        }
+    }
+
+    /// Adds an engine that the gateway knows from then on.
+    async fn add_engine(store: &FakeStore, gateway: &Gateway) -> FakeTarget {
+        let engine = FakeTarget::start("pool", TargetMode::Stream(EVENTS)).await;
+        store.put_target(&engine, "ready");
+        let core = gateway.server.core();
+        let name = engine.name.parse().unwrap();
+        until("the engine is known", || {
+            core.with_state(|state, _| state.balancer.target(&name).is_some())
+        })
+        .await;
+        engine
+    }
+
+    fn leave(&self) {
+        self.store.put_target(&self.source, "leaving");
+    }
+}
+
+/// Whether a caller got each event once and in order, from the first to the last.
+fn is_whole(response: &CallerResponse) -> bool {
+    let ids = response
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().unwrap()).collect();
+    ids == (1..=EVENTS).collect::<Vec<_>>() && response.text.ends_with("0\r\n\r\n")
+}
+
+// Guards against giving up a generation that its engine does not know yet, since it began or
+// resumed there just now: three attempts were used up within a millisecond.
+#[tokio::test]
+async fn a_run_that_the_engine_does_not_know_yet_is_moved_later() {
+    let setup = MoveSetup::start().await;
+    let unknown = [
+        CopyOutcome::Unknown,
+        CopyOutcome::Busy,
+        CopyOutcome::Unknown,
+    ];
+    setup.source.script_copies(unknown);
+    setup
+        .source
+        .script_copies([CopyOutcome::Unknown, CopyOutcome::Unknown]);
+    setup.leave();
+    assert!(is_whole(&setup.pending.await.unwrap()));
+    assert_eq!(setup.source.copies(), 6);
+    assert_eq!(setup.other.calls().len(), 1);
+}
+
+// Guards against copies that are requested again and again to an engine without room, and against
+// giving up the generation after that.
+#[tokio::test]
+async fn engines_without_room_are_asked_once_in_a_while() {
+    let setup = MoveSetup::start().await;
+    let third = MoveSetup::add_engine(&setup.store, &setup.gateway).await;
+    let full = || CopyOutcome::NoRoom { handle: None };
+    setup.source.script_copies([full(), full(), full(), full()]);
+    setup.leave();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(setup.source.copies(), 2, "each engine is asked once");
+    assert!(is_whole(&setup.pending.await.unwrap()));
+    assert_eq!(setup.other.calls().len() + third.calls().len(), 1);
+}
+
+// Guards against a generation that is given up because the answer to the copy was lost, and against
+// two engines that run it.
+#[tokio::test]
+async fn a_lost_answer_to_the_copy_leads_to_another_copy() {
+    let setup = MoveSetup::start().await;
+    let third = MoveSetup::add_engine(&setup.store, &setup.gateway).await;
+    let reason = "response lost".to_owned();
+    setup.source.script_copies([CopyOutcome::Lost { reason }]);
+    setup.leave();
+    assert!(is_whole(&setup.pending.await.unwrap()));
+    assert_eq!(setup.source.copies(), 2);
+    assert_eq!(setup.other.calls().len() + third.calls().len(), 1);
+}
+
+// Guards against a generation that looks complete, or runs twice, when its engine ends before the
+// notice that it gave.
+#[tokio::test]
+async fn an_engine_that_ends_early_loses_its_generation_once() {
+    let setup = MoveSetup::start().await;
+    setup.source.set_copy_time(Duration::from_millis(400));
+    setup.source.leave_in(TimeSpan::from_secs(2));
+    setup.leave();
+    let name = setup.other.name.parse().unwrap();
+    let core = setup.gateway.server.core().clone();
+    until("the copy runs", || {
+        core.with_state(|state, _| {
+            let target = state.balancer.target(&name);
+            target.is_some_and(|one| one.total().incoming > 0)
+        })
+    })
+    .await;
+    setup.source.crash();
+    let response = setup.pending.await.unwrap();
+    assert!(!response.text.ends_with("0\r\n\r\n"));
+    let ids = response
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().unwrap()).collect();
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+    assert!(setup.other.calls().is_empty());
+    until("the load is removed", || {
+        core.with_state(|state, _| {
+            let target = state.balancer.target(&name);
+            target.is_some_and(|one| one.total().is_empty())
+        })
+    })
+    .await;
+}
+
+// Guards against asking a leaving engine more than once when it ends, and against giving up the
+// generations of an engine that runs on after the time that it reported.
+#[tokio::test]
+async fn a_leaving_engine_is_asked_once_when_it_ends() {
+    let setup = MoveSetup::start().await;
+    setup.source.script_copies(vec![CopyOutcome::Unknown; 10]);
+    setup.source.leave_in(TimeSpan::new(100));
+    setup.leave();
+    assert!(is_whole(&setup.pending.await.unwrap()));
+    assert_eq!(setup.source.reports(), 1);
+    assert_eq!(setup.other.calls().len(), 1);
+}
+
+// Guards against a copy that can't end before the engine does: it would delay others on the link.
+#[tokio::test]
+async fn a_copy_that_would_end_too_late_gets_no_destination() {
+    let setup = MoveSetup::start().await;
+    setup.source.script_copies(vec![CopyOutcome::Unknown; 100]);
+    setup.leave();
+    until("the engine leaves", || setup.source.copies() > 0).await;
+    let core = setup.gateway.server.core();
+    let source: TargetName = setup.source.name.parse().unwrap();
+    // At 100,000 tokens a second, the copy takes 1,000 s.
+    let move_of = |incoming| QueueRequest {
+        placement: PlacementRequest {
+            service: "pool".parse().unwrap(),
+            engine: core
+                .config()
+                .unwrap()
+                .service(&"pool".parse().unwrap())
+                .unwrap()
+                .engine,
+            load: TargetLoad {
+                calls: 1,
+                tokens: 500,
+                prefill: 0,
+                incoming,
+            },
+            is_quick: false,
+            excluded: vec![source.clone()],
+            move_source: Some(MoveSource {
+                target: source.clone(),
+                domain: "patan".parse().unwrap(),
+                produced: 100,
+            }),
+            scope: PlacementScope::AllDomains,
+            failure_delays: Vec::new(),
+        },
+        priority: 0,
+        waited: TimeSpan::ZERO,
+        start_within: TimeSpan::ZERO,
+        max_wait: TimeSpan::new(200),
+        requester: None,
+    };
+    for (left, is_granted) in [(500, false), (2_000, true)] {
+        core.with_state(|state, now| {
+            state.record_engine_end(&source, now + TimeSpan::from_secs(left));
+        });
+        let placed = core.place(move_of(100_000_000)).await;
+        assert_eq!(placed.is_ok(), is_granted, "{left} s left");
+    }
+}
+
+// Guards against generations that stay on a leaving engine while the coordinator of its failure
+// domain accepts connections but does not respond.
+#[tokio::test]
+async fn generations_move_although_the_coordinator_is_silent() {
+    let setup = MoveSetup::start().await;
+    add_silent_coordinator(&setup.gateway).await;
+    setup.leave();
+    assert!(is_whole(&setup.pending.await.unwrap()));
+    assert_eq!(setup.other.calls().len(), 1);
+}
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -1,8 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use base::TimeSpan;
 use gateway::{CopyOutcome, EngineReport};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -98,8 +99,16 @@
     loses_stop_responses: bool,
     /// Number of events that each generation has produced.
     produced: BTreeMap<String, u64>,
+    /// Outcomes of the next requests to copy a KV cache, before copies succeed.
+    copy_outcomes: VecDeque<CopyOutcome>,
+    /// Number of requests to copy a KV cache while the generation goes on.
+    copies: usize,
     /// Whether its state report says that it is leaving.
     is_leaving: bool,
+    /// Time until it exits, as its state report says.
+    leaves_in: Option<TimeSpan>,
+    /// Number of state reports that were fetched.
+    reports: usize,
     /// Where its responses announce that it is leaving, if they do.
     leaving_signal: Option<LeavingSignal>,
     /// When each call arrived.
@@ -273,6 +282,28 @@
         self.state.lock().unwrap().is_leaving = true;
     }
 
+    /// Says from now on in its state report that it exits after this time.
+    pub fn leave_in(&self, time: TimeSpan) {
+        let mut state = self.state.lock().unwrap();
+        state.is_leaving = true;
+        state.leaves_in = Some(time);
+    }
+
+    /// Number of state reports that were fetched.
+    pub fn reports(&self) -> usize {
+        self.state.lock().unwrap().reports
+    }
+
+    /// Answers the next requests to copy a KV cache with these outcomes.
+    pub fn script_copies(&self, outcomes: impl IntoIterator<Item = CopyOutcome>) {
+        self.state.lock().unwrap().copy_outcomes.extend(outcomes);
+    }
+
+    /// Number of requests to copy a KV cache while the generation goes on.
+    pub fn copies(&self) -> usize {
+        self.state.lock().unwrap().copies
+    }
+
     /// Lets copies of KV caches take this long.
     pub fn set_copy_time(&self, time: Duration) {
         self.state.lock().unwrap().copy_time = time;
@@ -290,6 +321,10 @@
         };
         let mut state = state.lock().unwrap();
         state.arrivals.push(Instant::now());
+        state.copies += usize::from(!stop_source);
+        if let Some(outcome) = state.copy_outcomes.pop_front() {
+            return outcome;
+        }
         if stop_source {
             state.stopped.push(request.to_owned());
             if state.loses_stop_responses {
@@ -308,9 +343,10 @@
         let state = state_of(engine).ok_or("unknown")?;
         let mut state = state.lock().unwrap();
         state.arrivals.push(Instant::now());
+        state.reports += 1;
         Ok(EngineReport {
             is_leaving: state.is_leaving,
-            leaves_in: None,
+            leaves_in: state.leaves_in,
         })
     }
 }
