Report turns of moves to the coordinator at once

The coordinator learned from load reports, some 20 ms apart, that a copy off an engine had ended, and the link was idle until then. A copy that an engine declined within one interval never appeared in a report, so the lock of the engine was kept for 400 ms.

--- a/crates/entry/tests/short_notice.rs
+++ b/crates/entry/tests/short_notice.rs
@@ -180,7 +180,10 @@
         let old = play_before(&engine);
         let (new, _) = play_now(&engine, true);
         let (unknown, _) = play_now(&engine, false);
-        assert!(new.saved_tokens >= old.saved_tokens, "seed {seed}: {old:?} {new:?}");
+        assert!(
+            new.saved_tokens >= old.saved_tokens,
+            "seed {seed}: {old:?} {new:?}"
+        );
         before = Outcome::sum(before, old);
         now = Outcome::sum(now, new);
         without_end = Outcome::sum(without_end, unknown);
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -103,8 +103,11 @@
             return;
         }
         let source = &self.reservation.target;
-        self.core
-            .with_state(|state, _| state.move_scheduler.begin_copy(source));
+        self.core.with_state(|state, now| {
+            state.move_scheduler.begin_copy(source);
+            state.serve_queue(now);
+        });
+        self.report_turn();
         let step = match plan {
             MovePlan::OneStep => self.move_machine.start_stopped(destination.target.clone()),
             MovePlan::TwoSteps | MovePlan::Skip => {
@@ -228,14 +231,33 @@
                 }
                 TurnState::Idle => {}
             }
+            state.serve_queue(now);
             state.move_scheduler.finished_sources().contains(&source)
         });
+        if ended == TurnState::Moving {
+            self.report_turn();
+        }
         self.core.recheck_moves();
         if is_finished {
             PeerClient::new(self.core.clone()).notify_finished(&source);
         }
     }
 
+    /// Tells the coordinator of the source's failure domain at once that a copy off the source
+    /// begins or has ended. Load reports are pushed some 20 ms apart, for which the link would be
+    /// idle; and a report that never shows a short copy leaves the lock of the source in force.
+    fn report_turn(&self) {
+        let coordinator = self.core.with_state(|state, now| {
+            let own = state.peers.own_address();
+            let coordinator = state.coordinator_of(now, &self.reservation.domain);
+            coordinator.filter(|coordinator| Some(*coordinator) != own)
+        });
+        if let Some(coordinator) = coordinator {
+            let client = PeerClient::new(self.core.clone());
+            tokio::spawn(async move { client.send_loads(coordinator).await });
+        }
+    }
+
     /// Starts a task that requests a copy of the KV cache from the source.
     fn spawn_copy(&mut self, stop_source: bool) {
         let Some(destination) = &self.destination else {
