--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -94,7 +94,7 @@
         if plan == MovePlan::Skip {
             self.release_turn();
             self.pause_moves(MOVE_RETRY_PAUSE);
-            record_move("too_late");
+            self.record_move("too_late");
             return;
         }
         if let Some(left) = self.acquire_move_permit() {
@@ -320,7 +320,7 @@
                         self.move_machine.on_stopped(Some(handle), true)
                     }
                     CopyOutcome::NoRoom { handle } => {
-                        record_move("no_room");
+                        self.record_move("no_room");
                         self.mark_destination_full();
                         self.move_machine.on_stopped(handle, false)
                     }
@@ -413,7 +413,7 @@
             )
             .await;
             if let Some(reason) = self.adopt_response(outcome) {
-                record_move("not_resumed");
+                self.record_move("not_resumed");
                 self.access_entry
                     .add_reason(format!("{engine} did not resume: {reason}"));
             } else {
@@ -437,7 +437,7 @@
                 self.move_machine
                     .on_resumed(self.reservation.target.clone());
                 self.record_moved_answer();
-                record_move("resumed_at_source");
+                self.record_move("resumed_at_source");
                 self.release_turn();
                 self.pause_moves(UNKNOWN_RETRY_PAUSE);
                 RelayState::Running
@@ -497,7 +497,7 @@
         self.reservation = destination;
         self.record_moved_answer();
         self.failed_targets.clear();
-        record_move("finished");
+        self.record_move("finished");
         self.consider_move();
     }
 
@@ -519,9 +519,15 @@
         }
     }
 
+    /// Counts a move by its outcome.
+    fn record_move(&self, outcome: &'static str) {
+        let node = self.core.node().to_string();
+        counter!("gateway_moves_total", "node" => node, "outcome" => outcome).increment(1);
+    }
+
     /// Logs and counts a copy request that failed.
     fn log_move_failure(&self, outcome: &CopyOutcome) {
-        record_move(match outcome {
+        self.record_move(match outcome {
             CopyOutcome::Whole { .. } => "copied",
             CopyOutcome::NoRoom { .. } => "no_room",
             CopyOutcome::Unknown => "unknown_run",
@@ -561,7 +567,8 @@
                 false => "attempts_used",
             },
         };
-        counter!("gateway_lost_generations_total", "cause" => cause).increment(1);
+        let node = self.core.node().to_string();
+        counter!("gateway_lost_generations_total", "node" => node, "cause" => cause).increment(1);
         log::info!(
             event = EventKind::MoveFailed.number(),
             node = self.core.node().as_str(),
@@ -597,8 +604,3 @@
         });
     }
 }
-
-/// Counts a move by its outcome.
-fn record_move(outcome: &'static str) {
-    counter!("gateway_moves_total", "outcome" => outcome).increment(1);
-}
