Tell coordinators which engines refused copies for lack of room

Each node learned of a full destination by a refusal of its own; the coordinator went on granting it to others. Requests for a move now state the engines without room and for how long, and the coordinator grants none of them. A gauge shows the room that is kept for moves.

--- a/crates/entry/src/target/placement_request.rs
+++ b/crates/entry/src/target/placement_request.rs
@@ -25,6 +25,9 @@
     /// Tokens that the generation has produced so far.
     #[serde(default)]
     pub produced: u32,
+    /// Engines that refused copies for lack of room, each with the time for which it gets none.
+    #[serde(default)]
+    pub full: Vec<(TargetName, TimeSpan)>,
 }
 
 /// What a call requires of the target that is chosen for it.
--- a/crates/entry/tests/load_balancer.rs
+++ b/crates/entry/tests/load_balancer.rs
@@ -375,6 +375,7 @@
         target: name("e9"),
         domain: "patan".parse().unwrap(),
         produced: 0,
+        full: Vec::new(),
     }
 }
 
--- a/crates/entry/tests/moves.rs
+++ b/crates/entry/tests/moves.rs
@@ -339,6 +339,22 @@
     assert!(full.names(NOW + TimeSpan::new(2_000)).is_empty());
 }
 
+// Guards against engines that stay marked as full because nodes tell one another of it again and
+// again, or for as long as a node says.
+#[test]
+fn told_full_engines_get_copies_again() {
+    let (mut first, mut second) = (FullTargets::default(), FullTargets::default());
+    first.mark(NOW, &name("e2"));
+    for step in 0..20 {
+        let now = NOW + TimeSpan::new(step * 50);
+        second.adopt(now, &first.entries(now));
+        first.adopt(now, &second.entries(now));
+    }
+    assert!(second.names(NOW + TimeSpan::new(700)).is_empty());
+    second.adopt(NOW, &[(name("e3"), TimeSpan::from_secs(900))]);
+    assert!(second.names(NOW + TimeSpan::from_secs(1)).is_empty());
+}
+
 // Guards against a notice that is estimated from one engine, or from engines of long ago.
 #[test]
 fn the_longest_recent_notice_counts() {
--- a/crates/gateway/src/coordinator/coordinator_server.rs
+++ b/crates/gateway/src/coordinator/coordinator_server.rs
@@ -19,6 +19,9 @@
         return None;
     }
     let source = request.placement.move_source.clone();
+    if let Some(source) = &source {
+        core.with_state(|state, now| state.full_targets.adopt(now, &source.full));
+    }
     let service = request.placement.service.clone();
     let placed = core.place(QueueRequest {
         placement: request.placement,
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -56,10 +56,10 @@
         load.incoming = self.held_tokens();
         load.tokens = load.tokens.max(load.incoming);
         let mut excluded = self.failed_targets.clone();
-        excluded.extend(
-            self.core
-                .with_state(|state, now| state.full_targets.names(now)),
-        );
+        let full = self
+            .core
+            .with_state(|state, now| state.full_targets.entries(now));
+        excluded.extend(full.iter().map(|(target, _)| target.clone()));
         excluded.push(source.clone());
         let placement = PlacementRequest {
             service: self.call.service.clone(),
@@ -71,6 +71,7 @@
                 target: source.clone(),
                 domain: self.reservation.domain.clone(),
                 produced: self.produced_tokens(),
+                full,
             }),
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -8,6 +8,7 @@
     RetryShare, ReturnSchedule, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
+use metrics::gauge;
 use tokio::sync::oneshot;
 
 use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, StopPlan, ViewState};
@@ -325,7 +326,18 @@
         now: ClockTime,
         placement: &PlacementRequest,
     ) -> PlacementDecision {
-        let decision = self.balancer.choose_target(now, placement);
+        let full = match placement.move_source {
+            Some(_) => self.full_targets.names(now),
+            None => Vec::new(),
+        };
+        let decision = match full.is_empty() {
+            true => self.balancer.choose_target(now, placement),
+            false => {
+                let mut placement = placement.clone();
+                placement.excluded.extend(full);
+                self.balancer.choose_target(now, &placement)
+            }
+        };
         let (PlacementDecision::Target(name), Some(source)) = (&decision, &placement.move_source)
         else {
             return decision;
@@ -387,6 +399,13 @@
                 false => 0.0,
             };
             self.balancer.set_move_share(&service, share);
+            if is_coordinator {
+                let labels = [
+                    ("node", self.node.to_string()),
+                    ("service", service.to_string()),
+                ];
+                gauge!("gateway_move_room_share", &labels).set(share);
+            }
         }
     }
 
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -25,7 +25,7 @@
 }
 
 /// Whether another node is the coordinator that places the generations of a node.
-fn has_other_coordinator(gateway: &Gateway) -> bool {
+pub fn has_other_coordinator(gateway: &Gateway) -> bool {
     let core = gateway.server.core();
     core.with_state(|state, now| !state.is_coordinator(now))
 }
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -9,7 +9,7 @@
 use gateway::{CopyOutcome, QueueRequest};
 use tokio::task::JoinHandle;
 
-use crate::coordinators::add_silent_coordinator;
+use crate::coordinators::{add_silent_coordinator, has_other_coordinator};
 use crate::support::{
     CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
 };
@@ -206,6 +206,7 @@
                 target: source.clone(),
                 domain: "patan".parse().unwrap(),
                 produced: 100,
+                full: Vec::new(),
             }),
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
@@ -306,3 +307,37 @@
         assert!(pair[1] - pair[0] >= copy_time);
     }
 }
+
+// Guards against each node that asks an engine without room anew, since its coordinator does not
+// know that the engine refused a copy of another node.
+#[tokio::test]
+async fn a_coordinator_learns_which_engines_are_full() {
+    let (store, mut targets, first) = start_setup("pool", &[TargetMode::Stream(EVENTS)]).await;
+    let source = targets.remove(0);
+    let second = Gateway::start(&store, "patan", vec![first.peers]).await;
+    second.wait_ready().await;
+    until("one node has another one as its coordinator", || {
+        has_other_coordinator(&first) != has_other_coordinator(&second)
+    })
+    .await;
+    let (coordinator, follower) = match has_other_coordinator(&first) {
+        true => (&second, &first),
+        false => (&first, &second),
+    };
+    let callers = follower.callers;
+    let pending = tokio::spawn(async move {
+        call(callers, "/stream/1", "x-id: g1\r\nx-size: 1000\r\n", "").await
+    });
+    until("the stream runs", || source.open_calls() == 1).await;
+    let other = MoveSetup::add_engine(&store, follower).await;
+    source.script_copies([CopyOutcome::NoRoom { handle: None }]);
+    store.put_target(&source, "leaving");
+    let full = other.name.parse().unwrap();
+    until("the coordinator knows the full engine", || {
+        let core = coordinator.server.core();
+        core.with_state(|state, now| state.full_targets.names(now).contains(&full))
+    })
+    .await;
+    assert!(is_whole(&pending.await.unwrap()));
+    assert_eq!(other.calls().len(), 1);
+}
