Wake the pusher of facts only for new leave notices

Every response of a leaving target woke all streams that wait for changes of blame. A test shows that moves of engines that leave together spread over destinations that take no copy, and stay in the failure domain meanwhile.

--- a/crates/entry/tests/load_balancer.rs
+++ b/crates/entry/tests/load_balancer.rs
@@ -427,3 +427,46 @@
     balancer.set_move_share(&"pool".parse().unwrap(), 0.0);
     assert_eq!(place(&mut balancer, &long), placed);
 }
+
+// Guards against engines that leave together and copy to the same destination, whose link then
+// queues, while others take no copy; and against moves to other domains before that.
+#[test]
+fn moves_spread_over_engines_that_take_no_copy() {
+    let locals = ["e1", "e2", "e3", "e4"];
+    let mut records: Vec<_> = locals.map(|name| record(name, "patan")).into();
+    records.push(record("f1", "balaju"));
+    let mut balancer = balancer(&records);
+    for (name_text, tokens) in locals.into_iter().zip([1_000, 2_000, 3_000, 4_000]) {
+        let load = TargetLoad {
+            calls: 1,
+            tokens,
+            ..TargetLoad::default()
+        };
+        balancer.add_load(&name(name_text), load);
+    }
+    let load = TargetLoad {
+        calls: 1,
+        tokens: 3_000,
+        prefill: 0,
+        incoming: 3_000,
+    };
+    let mut used = Vec::new();
+    for source in ["s1", "s2", "s3", "s1", "s2"] {
+        let call = PlacementRequest {
+            load,
+            is_quick: false,
+            move_source: Some(MoveSource {
+                target: name(source),
+                ..move_source()
+            }),
+            ..request(0, 0)
+        };
+        let target = chosen(balancer.choose_target(NOW, &call));
+        balancer.add_granted(&target, load);
+        used.push(target);
+    }
+    let far = used.pop();
+    used.sort();
+    assert_eq!(used, locals.map(name));
+    assert_eq!(far, Some(name("f1")));
+}
--- a/crates/gateway/src/state/target_updates.rs
+++ b/crates/gateway/src/state/target_updates.rs
@@ -81,17 +81,20 @@
         incarnation: IncarnationNumber,
         from: &str,
     ) {
-        let is_new = self.with_state(|state, now| {
+        let (is_told, is_new) = self.with_state(|state, now| {
             // Peers with generations there would learn of it only when they ask the engine
             // themselves, or when they compare facts, which takes a good part of the notice.
             let notice = state.facts.leave_notice(now, target, incarnation);
-            if state.facts.record_leaving(now, target, incarnation) {
+            let is_told = state.facts.record_leaving(now, target, incarnation);
+            if is_told {
                 let fact = TargetFact::Leaving(notice);
                 state.outbox.push(PushScope::Fleet, fact);
             }
-            state.balancer.mark_leaving(target, incarnation)
+            (is_told, state.balancer.mark_leaving(target, incarnation))
         });
-        self.recheck_blame();
+        if is_told {
+            self.recheck_blame();
+        }
         if is_new {
             self.handle_leaving(std::slice::from_ref(target), from);
         }
