--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -94,6 +94,10 @@
     setup.leave();
     assert!(is_whole(&setup.pending.await.unwrap()));
     assert_eq!(setup.source.copies(), 6);
+    // The requests after the call: the report, five copies with pauses after them, and the move.
+    let arrivals = setup.source.arrivals();
+    let span = *arrivals.last().unwrap() - arrivals[1];
+    assert!(span >= Duration::from_millis(250), "{span:?}");
     assert_eq!(setup.other.calls().len(), 1);
 }
 
