--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -4,7 +4,8 @@
 use base::{TargetName, TimeSpan, TokenCount};
 use bytes::Bytes;
 use entry::{
-    ANSWER_PROOF_TIME, GapMeter, MoveMachine, MovePhase, OutputEstimate, PaceNeed, StreamProgress,
+    ANSWER_PROOF_TIME, GapMeter, MoveMachine, MovePhase, MoveTicket, OutputEstimate, PaceNeed,
+    StreamProgress,
 };
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -28,6 +29,9 @@
 
 /// Largest event in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
+/// Tokens that a generation holds beyond its counted load from which on they are counted; each such
+/// change is reported to coordinators.
+const HELD_STEP: u64 = 96;
 /// Time until the next check for a move while none is due; far in the future, so that the timer
 /// does not fire in practice.
 pub(super) const NO_MOVE_DUE: Duration = Duration::from_secs(3_600);
@@ -81,8 +85,8 @@
 pub(super) enum TurnState {
     /// The stream neither waits for a turn nor has one.
     Idle,
-    /// The stream waits for a turn.
-    Waiting,
+    /// The stream waits for a turn with this ticket.
+    Waiting(MoveTicket),
     /// The stream has a turn and may move.
     Moving,
 }
@@ -101,7 +105,7 @@
     pub(super) is_framed: bool,
     pub(super) progress: StreamProgress,
     estimate: OutputEstimate,
-    event_tokens: u32,
+    pub(super) event_tokens: u32,
     pub(super) last_event_id: Option<SmolStr>,
     pub(super) last_event_number: Option<u64>,
     pub(super) move_machine: MoveMachine,
@@ -118,9 +122,11 @@
     pub(super) leaving: watch::Receiver<u64>,
     /// Time of the next check for a move.
     pub(super) move_due: Instant,
+    /// Time before which no move is considered, whatever else changes.
+    pub(super) move_pause_end: Instant,
     pub(super) turn: TurnState,
-    /// Destinations that refused a copy for lack of capacity; not tried again in this search.
-    pub(super) full_targets: Vec<TargetName>,
+    /// Destinations to which a copy failed; not tried again in this search.
+    pub(super) failed_targets: Vec<TargetName>,
     /// Changes when features of calls are blamed for crashes.
     blame: watch::Receiver<u64>,
     /// When the prompt will have proven harmless; `None` before the answer begins and after that.
@@ -154,8 +160,9 @@
             event_tokens,
             deadline: parts.call.deadline_instant(parts.core.now()),
             move_due: Instant::now() + NO_MOVE_DUE,
+            move_pause_end: Instant::now(),
             turn: TurnState::Idle,
-            full_targets: Vec::new(),
+            failed_targets: Vec::new(),
             core: parts.core,
             call: parts.call,
             access_entry: parts.access_entry,
@@ -372,7 +379,9 @@
         self.call.pace_need(self.progress.events)
     }
 
-    /// Adds to the load on the engine when a generation outgrows its estimated output.
+    /// Adds to the load on the engine when a generation outgrows its estimated output or, while
+    /// engines of its service leave, what it is counted with: moves then fill engines to the brim,
+    /// where it matters what each generation holds now.
     fn update_estimate(&mut self) {
         let generated = self.progress.events.saturating_mul(self.event_tokens);
         let estimate = self.estimate.with_progress(TokenCount(generated));
@@ -383,6 +392,19 @@
             self.reservation.add_tokens(more);
             self.estimate = estimate;
         }
+        let uncounted = self
+            .held_tokens()
+            .saturating_sub(self.reservation.load().tokens);
+        if uncounted >= HELD_STEP && self.has_recent_leaves() {
+            self.reservation.add_tokens(uncounted);
+        }
+    }
+
+    /// Whether engines of the service of the generation left lately.
+    fn has_recent_leaves(&self) -> bool {
+        let service = &self.call.service;
+        self.core
+            .with_state(|state, now| self.call.engine.is_some() && state.has_left(now, service))
     }
 
     /// Handles the regular end of the engine's response body.
@@ -439,6 +461,7 @@
             true => record_unframed_end(&mut self.reservation),
             false => record_broken_call(&self.core, &self.call, &mut self.reservation),
         }
+        self.record_lost_generation(None);
         let target = self.reservation.target.clone();
         self.fail("generation_lost", &format!("{target} broke off: {reason}"));
         RelayState::Ended
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -5,11 +5,13 @@
 };
 use entry::{
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
-    FactState, FleetReach, GapCollector, LoadBalancer, MoveScheduler, PaceReport, PaceTurns,
-    PlacementDecision, PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger,
-    RetryShare, ReturnSchedule, SampleBudget, SuspectTracker, TrialLedger,
+    FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
+    MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
+    ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
+use metrics::gauge;
 use tokio::sync::oneshot;
 
 use super::{
@@ -36,9 +38,13 @@
 const TAKEOVER_STEP: TimeSpan = TimeSpan::new(150);
 /// Largest number of those steps.
 const TAKEOVER_STEP_LIMIT: u64 = 20;
+/// Time after an engine of a service began to leave during which its generations are counted with
+/// the memory that they hold now.
+const RECENT_LEAVE_TIME: TimeSpan = TimeSpan::from_secs(20);
 /// Time since the targets were last confirmed, while the store does not answer, after which engines
-/// are asked whether they leave.
-const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(700);
+/// are asked whether they leave. Engines give 1.5 s to 2 s of notice, and moving their generations
+/// takes about as long.
+const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(300);
 
 /// The same time while the store answers, for nodes that do not read from it; the report of a
 /// reader reaches them within 1.4 s through the coordinators.
@@ -128,6 +134,14 @@
     pub move_scheduler: MoveScheduler,
     /// Locks by which this node, as coordinator, lets one node at a time copy off an engine.
     pub copy_locks: CopyLocks,
+    /// Engines that refused copies for lack of room; they get no moves for a while.
+    pub full_targets: FullTargets,
+    /// When engines of each service last began to leave.
+    last_leaves: Vec<(ServiceName, ClockTime)>,
+    /// What generations of engines that left needed elsewhere, as far as this node placed them.
+    pub move_room: MoveRoom,
+    /// Time from the notice to the end of engines that left.
+    pub notices: NoticeEstimate,
     /// Number of calls whose answer has not begun.
     pub active_calls: usize,
     /// Times of the shutdown; set once the process is stopping.
@@ -172,6 +186,10 @@
             attempts: AttemptTracker::default(),
             move_scheduler: MoveScheduler::new(settings.node.clone()),
             copy_locks: CopyLocks::default(),
+            full_targets: FullTargets::default(),
+            last_leaves: Vec::new(),
+            move_room: MoveRoom::default(),
+            notices: NoticeEstimate::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
             stop_plan: None,
@@ -247,11 +265,11 @@
     }
 
     /// Places queued moves of generations for which a target has capacity and off whose engine no
-    /// other node copies.
+    /// other node copies; those whose move is worth most go first.
     fn serve_queued_moves(&mut self, now: ClockTime) {
         let moving = self.move_scheduler.copying_sources();
         self.copy_locks.update_holder(now, &self.node, &moving);
-        for ticket in self.queue.queued_moves() {
+        for ticket in self.moves_by_worth() {
             let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                 self.queue.remove(ticket);
                 continue;
@@ -260,12 +278,65 @@
             if !self.may_move(now, waiter.requester.as_ref(), &waiter.placement) {
                 continue;
             }
-            if let PlacementDecision::Target(target) =
-                self.balancer.choose_target(now, &waiter.placement)
-            {
+            let placement = waiter.placement.clone();
+            if let PlacementDecision::Target(target) = self.choose_target(now, &placement) {
                 self.answer_waiter(now, at, Ok(target));
             }
         }
+        self.record_short_moves(now);
+    }
+
+    /// Queued moves, those whose move is worth most first, then in queue order.
+    fn moves_by_worth(&self) -> Vec<QueueTicket> {
+        let mut tickets = self.queue.queued_moves();
+        tickets.sort_by_cached_key(|ticket| {
+            let waiter = self.waiters.iter().find(|one| one.ticket == *ticket);
+            let worth = waiter.and_then(|waiter| {
+                let source = waiter.placement.move_source.as_ref()?;
+                let copy_tokens = waiter.placement.load.incoming;
+                Some(MoveWorth::new(source.produced, copy_tokens))
+            });
+            std::cmp::Reverse(worth)
+        });
+        tickets
+    }
+
+    /// Latest time at which a leaving engine ends: as it reported itself, or by the notice that
+    /// engines of its service gave before. `None` if neither is known.
+    ///
+    /// The notices of others say nothing of a target that does not leave, and a time that has
+    /// passed was wrong.
+    pub fn engine_end(
+        &self,
+        now: ClockTime,
+        source: &TargetName,
+        service: &ServiceName,
+    ) -> Option<ClockTime> {
+        let scheduler = &self.move_scheduler;
+        let reported = scheduler.ends_by(source);
+        let ends_by = reported.or_else(|| {
+            let state = self.balancer.target(source)?;
+            let noticed_at = scheduler.noticed_at(source)?;
+            let notice = self.notices.longest(service)?;
+            (state.phase == TargetPhase::Leaving).then(|| noticed_at + notice)
+        });
+        ends_by.filter(|ends_by| *ends_by > now)
+    }
+
+    /// Records the latest time at which a leaving engine ends, as it reported itself.
+    pub fn record_engine_end(&mut self, source: &TargetName, ends_by: ClockTime) {
+        self.move_scheduler.set_end(source, ends_by);
+        if let Some(state) = self.balancer.target(source) {
+            let service = state.record.service.clone();
+            self.learn_notice(source, &service, ends_by);
+        }
+    }
+
+    /// Learns the notice that a leaving engine gave from the time of its end.
+    pub fn learn_notice(&mut self, source: &TargetName, service: &ServiceName, end: ClockTime) {
+        if let Some(notice) = self.move_scheduler.take_notice(source, end) {
+            self.notices.record(service, notice);
+        }
     }
 
     /// Whether a call is not a move, or no other node copies off the engine that it leaves.
@@ -276,8 +347,119 @@
         placement: &PlacementRequest,
     ) -> bool {
         let node = requester.unwrap_or(&self.node);
-        let source = placement.move_source.as_ref();
-        source.is_none_or(|source| self.copy_locks.is_free(now, &source.target, node))
+        let Some(source) = &placement.move_source else {
+            return true;
+        };
+        let is_near = true;
+        self.copy_locks.is_free(now, &source.target, node)
+            && self.plan_copy(now, placement, 0, is_near) != MovePlan::Skip
+    }
+
+    /// How to move a generation whose copy waits for `queued` tokens on the link of its destination;
+    /// `is_near` tells whether that is in the failure domain of its engine.
+    fn plan_copy(
+        &self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+        queued: u64,
+        is_near: bool,
+    ) -> MovePlan {
+        let (Some(source), Some(spec)) = (&placement.move_source, placement.engine) else {
+            return MovePlan::TwoSteps;
+        };
+        let ends_by = self.engine_end(now, &source.target, &placement.service);
+        let tokens = placement.load.incoming + queued;
+        MovePlanner::new(spec.copy_rate).plan(now, ends_by, tokens, is_near)
+    }
+
+    /// Chooses a target for a call; none for a move whose copy to it would end after the engine
+    /// does.
+    pub(super) fn choose_target(
+        &mut self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+    ) -> PlacementDecision {
+        let full = match placement.move_source {
+            Some(_) => self.full_targets.names(now),
+            None => Vec::new(),
+        };
+        let decision = match full.is_empty() {
+            true => self.balancer.choose_target(now, placement),
+            false => {
+                let mut placement = placement.clone();
+                placement.excluded.extend(full);
+                self.balancer.choose_target(now, &placement)
+            }
+        };
+        let (PlacementDecision::Target(name), Some(source)) = (&decision, &placement.move_source)
+        else {
+            return decision;
+        };
+        let found = self.balancer.target(name);
+        let plan = found.map(|target| {
+            let is_near = target.record.domain == source.domain;
+            self.plan_copy(now, placement, target.total().incoming, is_near)
+        });
+        match plan {
+            Some(MovePlan::Skip) => PlacementDecision::Full,
+            _ => decision,
+        }
+    }
+
+    /// Records the room that queued moves lack once others were served. Those that wait for the
+    /// link of their engine lack none.
+    fn record_short_moves(&mut self, now: ClockTime) {
+        let mut short: Vec<(TargetName, ServiceName, u64)> = Vec::new();
+        for waiter in &self.waiters {
+            let placement = &waiter.placement;
+            let Some(source) = &placement.move_source else {
+                continue;
+            };
+            if !self.may_move(now, waiter.requester.as_ref(), placement) {
+                continue;
+            }
+            let known = short.iter_mut().find(|(name, ..)| *name == source.target);
+            match known {
+                Some((.., tokens)) => *tokens += placement.load.tokens,
+                None => short.push((
+                    source.target.clone(),
+                    placement.service.clone(),
+                    placement.load.tokens,
+                )),
+            }
+        }
+        for (source, service, tokens) in short {
+            self.move_room.record_short(now, &source, &service, tokens);
+        }
+    }
+
+    /// Keeps as much memory of the engines of each service free as recent moves needed. Only the
+    /// coordinator of a failure domain knows that, and places all calls of the domain.
+    pub fn update_move_room(&mut self, now: ClockTime) {
+        let is_coordinator = self.is_coordinator(now);
+        let Some(config) = self.view.config.clone() else {
+            return;
+        };
+        for service in self.balancer.services() {
+            let spec = config.service(&service).and_then(|spec| spec.engine);
+            let Some(spec) = spec.filter(|spec| spec.can_move) else {
+                continue;
+            };
+            let engines = self.balancer.local_targets(now, &service) as u64;
+            let memory = engines * u64::from(spec.memory.0);
+            let share = match is_coordinator && engines > 0 {
+                true => self.move_room.share(now, &service, memory),
+                false => 0.0,
+            };
+            self.balancer.set_move_share(&service, share);
+            if is_coordinator {
+                let labels = [
+                    ("node", self.node.to_string()),
+                    ("service", service.to_string()),
+                ];
+                gauge!("gateway_move_room_share", &labels).set(share);
+            }
+        }
     }
 
     /// Removes a call from the queue and sends it its target, or why there is none; undoes the
@@ -390,10 +572,20 @@
                 let peers = self.balancer.peer_loads(name);
                 self.move_scheduler
                     .add_source(now, name, &peers, engine.copy_rate);
+                if let Some(service) = service.cloned() {
+                    self.last_leaves.retain(|(known, _)| *known != service);
+                    self.last_leaves.push((service, now));
+                }
             }
         }
     }
 
+    /// Whether engines of a service began to leave lately.
+    pub fn has_left(&self, now: ClockTime, service: &ServiceName) -> bool {
+        let mut leaves = self.last_leaves.iter();
+        leaves.any(|(known, at)| known == service && now.since(*at) < RECENT_LEAVE_TIME)
+    }
+
     /// Whether this node may send calls as far as the facts of its peers are concerned: it has
     /// synchronized them with one, it has no peers to find, or none answered in time.
     pub fn has_initial_sync(&self, now: ClockTime) -> bool {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod leaving;
 mod lost_responses;
+mod moves;
 mod peers;
 mod prompt_parts;
 mod rates;
