Wait at a start for settings and addresses that may become available

Cause: the settings were read once and each address, that for metrics included, was bound once; any failure ended the process. The node command had the same pattern, and its signal handlers came after the start.

Signals are handled from before the first attempt on. The metrics port is opened in the background.

--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -1,11 +1,13 @@
 use std::io;
 
 use argh::FromArgs;
-use gateway::GatewayServer;
+use base::TimeSpan;
+use gateway::{GatewayListeners, GatewayServer};
 use platform::{SettingsFile, make_ports};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
+use super::start_wait::{START_TIMEOUT, StartProblem, StartWait};
 
 /// Run an entry node on the users' platform until SIGTERM or SIGINT; SIGHUP reloads the settings.
 #[derive(FromArgs)]
@@ -24,6 +26,10 @@
     #[argh(option)]
     metrics_port: Option<u16>,
 
+    /// longest time that the start waits for valid settings and free addresses (default 30s)
+    #[argh(option, default = "START_TIMEOUT")]
+    start_timeout: TimeSpan,
+
     /// validate the settings, print what is wrong with them, and exit
     #[argh(switch)]
     check: bool,
@@ -36,41 +42,63 @@
             Some(path) => Ok(SettingsFile::new(path)),
             None => SettingsFile::from_env(),
         };
-        let file = file.map(|file| file.with_metrics_port(self.metrics_port));
-        let read = file.and_then(|file| Ok((file.read_all()?, file)));
-        let ((settings, store), file) = match read {
-            Ok(read) => read,
-            Err(mistake) => {
-                eprintln!("{mistake}");
-                return EXIT_USAGE;
-            }
+        let wait = StartWait::new(self.start_timeout);
+        let file = match file {
+            Ok(file) => file.with_metrics_port(self.metrics_port),
+            Err(mistake) => return wait.fail(&StartProblem::new(mistake, EXIT_USAGE)),
         };
         if self.check {
-            println!("settings of {} are valid", settings.node);
-            return EXIT_SUCCESS;
+            return check_settings(&file);
         }
         let mut signals = match GatewaySignals::install() {
             Ok(signals) => signals,
             Err(error) => {
-                eprintln!("cannot install signal handlers: {error}");
-                return EXIT_FAILURE;
+                let reason = format!("cannot install signal handlers: {error}");
+                return wait.fail(&StartProblem::new(reason, EXIT_FAILURE));
             }
         };
-        let started = GatewayServer::start(settings, make_ports(file, store)).await;
+        let started = tokio::select! {
+            () = signals.stop_requested(|| {}) => return EXIT_SUCCESS,
+            started = wait.run(async || start(&file).await) => started,
+        };
         let server = match started {
             Ok(server) => server,
-            Err(failure) => {
-                eprintln!("{failure}");
-                return EXIT_FAILURE;
-            }
+            Err(code) => return code,
         };
-        signals.serve_until_stopped(&server).await;
+        signals.stop_requested(|| server.reload("SIGHUP")).await;
         server.stop().await;
         EXIT_SUCCESS
     }
 }
 
-/// Signals that a gateway handles. They are installed before it serves, as each of them would end
+/// Reads the settings and starts to serve, if all addresses can be opened.
+async fn start(file: &SettingsFile) -> Result<GatewayServer, StartProblem> {
+    let read = file.read_all();
+    let (settings, store) =
+        read.map_err(|mistake| StartProblem::new(mistake, EXIT_USAGE).with_transient(true))?;
+    let bound = GatewayListeners::bind(&settings).await;
+    let listeners = bound.map_err(|error| {
+        StartProblem::new(&error, EXIT_FAILURE).with_transient(error.is_transient())
+    })?;
+    let ports = make_ports(file.clone(), store);
+    Ok(GatewayServer::serve(listeners, settings, ports))
+}
+
+/// Prints whether the settings are valid; returns the exit code.
+fn check_settings(file: &SettingsFile) -> u8 {
+    match file.read_all() {
+        Ok((settings, _)) => {
+            println!("settings of {} are valid", settings.node);
+            EXIT_SUCCESS
+        }
+        Err(mistake) => {
+            eprintln!("{mistake}");
+            EXIT_USAGE
+        }
+    }
+}
+
+/// Signals that a gateway handles. They are installed before its start waits for anything, as each of them would end
 /// the process otherwise.
 struct GatewaySignals {
     terminate: Signal,
@@ -87,13 +115,13 @@
         })
     }
 
-    /// Returns on SIGTERM or SIGINT; reloads the settings on each SIGHUP before that.
-    async fn serve_until_stopped(&mut self, server: &GatewayServer) {
+    /// Returns on SIGTERM or SIGINT; calls `reload` on each SIGHUP before that.
+    async fn stop_requested(&mut self, mut reload: impl FnMut()) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => server.reload("SIGHUP"),
+                _ = self.hangup.recv() => reload(),
             }
         }
     }
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -10,6 +10,7 @@
 mod main_command;
 mod node_command;
 mod standin_command;
+mod start_wait;
 mod status_command;
 mod timeline_command;
 
--- a/crates/agatemoor/src/command/node_command.rs
+++ b/crates/agatemoor/src/command/node_command.rs
@@ -1,10 +1,11 @@
-use std::fs;
+use std::{fs, io};
 
 use argh::FromArgs;
 use node::{MetricsExport, NodeServer};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
+use super::start_wait::{START_TIMEOUT, StartProblem, StartWait};
 use crate::demo::make_policy;
 
 /// Run an entry node until SIGTERM or SIGINT, then stop gracefully.
@@ -23,18 +24,23 @@
 impl NodeCommand {
     /// Starts the node and serves until it is stopped or superseded.
     pub async fn run(self) -> u8 {
-        let settings = match read_settings(&self.file) {
-            Ok(settings) => settings,
-            Err(code) => return code,
-        };
-        MetricsExport::shared();
-        let server = match NodeServer::bind(settings).await {
-            Ok(server) => server,
+        let mut signals = match StopSignals::install() {
+            Ok(signals) => signals,
             Err(error) => {
-                eprintln!("{error}");
+                eprintln!("cannot install signal handlers: {error}");
                 return EXIT_FAILURE;
             }
         };
+        MetricsExport::shared();
+        let wait = StartWait::new(START_TIMEOUT);
+        let bound = tokio::select! {
+            () = signals.received() => return EXIT_SUCCESS,
+            bound = wait.run(async || bind(&self.file).await) => bound,
+        };
+        let server = match bound {
+            Ok(server) => server,
+            Err(code) => return code,
+        };
         let handle = match server.start(Box::new(make_policy)) {
             Ok(handle) => handle,
             Err(error) => {
@@ -43,7 +49,7 @@
             }
         };
         tokio::select! {
-            () = stop_signal() => {}
+            () = signals.received() => {}
             () = handle.superseded() => {}
         }
         handle.stop().await;
@@ -51,29 +57,48 @@
     }
 }
 
-fn read_settings(file: &str) -> Result<schema::settings::NodeSettings, u8> {
-    let text = fs::read_to_string(file).map_err(|error| {
-        eprintln!("{file}: {error}");
-        EXIT_USAGE
+/// Reads the settings and opens the addresses of a node.
+async fn bind(file: &str) -> Result<NodeServer, StartProblem> {
+    let invalid = |reason: String| StartProblem::new(reason, EXIT_USAGE).with_transient(true);
+    let text = fs::read_to_string(file).map_err(|error| invalid(format!("{file}: {error}")))?;
+    let settings = schema::read_settings(file, &text).map_err(|mistakes| {
+        let lines: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
+        invalid(lines.join("\n"))
     })?;
-    schema::read_settings(file, &text).map_err(|mistakes| {
-        for mistake in mistakes {
-            eprintln!("{mistake}");
-        }
-        EXIT_USAGE
+    let bound = NodeServer::bind(settings).await;
+    bound.map_err(|error| {
+        StartProblem::new(&error, EXIT_FAILURE).with_transient(error.is_transient())
     })
 }
 
+/// Signals that stop a node. They are installed before its start waits for anything, as each of them
+/// would end the process otherwise.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT; never returns if the signal handlers cannot be installed.
 pub async fn stop_signal() {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return std::future::pending().await;
-    };
-    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    match StopSignals::install() {
+        Ok(mut signals) => signals.received().await,
+        Err(_) => std::future::pending().await,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use rate::{PermitReply, PermitRequest, PermitStep};
 pub use relay::CallHandler;
-pub use serve::{GatewayServer, StartError};
+pub use serve::{GatewayListeners, GatewayServer, StartError};
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
     BodyBudget, BodyLease, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -1,15 +1,14 @@
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::{EventKind, TimeSpan};
 use node::MetricsExport;
-use snafu::{ResultExt, Snafu};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep, timeout_at};
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
 
+use super::{GatewayListeners, StartError};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
@@ -33,18 +32,12 @@
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
 /// Time before the end of the grace period at which the process ends, whatever is in progress.
 const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
+/// Pause between two attempts to open the listening socket for metrics.
+const METRICS_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
-/// A listening socket could not be opened.
-#[derive(Debug, Snafu)]
-#[snafu(display("cannot listen on {address}: {source}"))]
-pub struct StartError {
-    address: SocketAddr,
-    source: io::Error,
-}
-
 /// A running gateway.
 pub struct GatewayServer {
     core: Arc<GatewayCore>,
@@ -54,11 +47,21 @@
 }
 
 impl GatewayServer {
-    /// Opens all listening sockets and starts to serve.
+    /// Opens the listening sockets and starts to serve.
     ///
     /// # Errors
     /// If a listening socket can't be opened.
     pub async fn start(settings: GatewaySettings, ports: GatewayPorts) -> Result<Self, StartError> {
+        let listeners = GatewayListeners::bind(&settings).await?;
+        Ok(Self::serve(listeners, settings, ports))
+    }
+
+    /// Starts to serve on sockets that were opened for these settings.
+    pub fn serve(
+        listeners: GatewayListeners,
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+    ) -> Self {
         MetricsExport::shared();
         let targets = PoolSettings::new().with_connect_timeout(TARGET_CONNECT_TIMEOUT);
         let peers = PoolSettings::new().with_connect_timeout(PEER_CONNECT_TIMEOUT);
@@ -67,7 +70,7 @@
         let core = Arc::new(core);
         let stop = StopSignal::new();
         let server = Self {
-            caller_server: listen(&core, &stop).await?,
+            caller_server: serve_listeners(listeners, &core, &stop),
             core,
             stop,
         };
@@ -82,7 +85,7 @@
             seeds = settings.seeds.len();
             "listening"
         );
-        Ok(server)
+        server
     }
 
     /// State of the node.
@@ -177,37 +180,68 @@
     }
 }
 
-/// Opens the listening sockets for callers, readiness checks, peers and metrics; returns the task
+/// Serves the listening sockets for callers, readiness checks, peers and metrics; returns the task
 /// that serves callers.
-async fn listen(core: &Arc<GatewayCore>, stop: &StopSignal) -> Result<JoinHandle<()>, StartError> {
-    let settings = &core.settings;
+fn serve_listeners(
+    listeners: GatewayListeners,
+    core: &Arc<GatewayCore>,
+    stop: &StopSignal,
+) -> JoinHandle<()> {
     let caller_limits = ServerLimits::new()
         .with_connections(MAX_CALLER_CONNECTIONS)
         .with_header_limits(64 << 10, TimeSpan::from_secs(30));
     let internal_limits = ServerLimits::new();
-    let callers = CallHandler::new(core.clone());
-    let callers = open(settings.caller_address, caller_limits, callers, stop).await?;
     let ready = ReadyHandler::new(core.clone());
-    open(settings.ready_address, internal_limits, ready, stop).await?;
+    spawn_server(listeners.ready, internal_limits, ready, stop);
     let peers = PeerHandler::new(core.clone());
-    open(settings.peer_address, internal_limits, peers, stop).await?;
-    if let Some(address) = settings.metrics_address {
-        open(address, internal_limits, MetricsHandler, stop).await?;
+    spawn_server(listeners.peers, internal_limits, peers, stop);
+    if let Some(address) = core.settings.metrics_address {
+        tokio::spawn(serve_metrics(core.clone(), address, stop.clone()));
     }
-    Ok(callers)
+    let callers = CallHandler::new(core.clone());
+    spawn_server(listeners.callers, caller_limits, callers, stop)
 }
 
-/// Opens a listening socket and serves it in a task until `stop` is set and all its requests have
-/// ended.
-async fn open(
-    address: SocketAddr,
+/// Serves a listening socket in a task until `stop` is set and all its requests have ended.
+fn spawn_server(
+    server: WebServer,
     limits: ServerLimits,
     handler: impl WebHandler,
     stop: &StopSignal,
-) -> Result<JoinHandle<()>, StartError> {
-    let bound = WebServer::bind(address).await;
-    let server = bound.context(StartSnafu { address })?.with_limits(limits);
-    Ok(tokio::spawn(server.serve(Arc::new(handler), stop.clone())))
+) -> JoinHandle<()> {
+    let server = server.with_limits(limits);
+    tokio::spawn(server.serve(Arc::new(handler), stop.clone()))
+}
+
+/// Serves metrics until `stop` is set, once their address can be opened; callers don't wait for it.
+async fn serve_metrics(core: Arc<GatewayCore>, address: SocketAddr, stop: StopSignal) {
+    let mut is_waiting = false;
+    let server = loop {
+        match WebServer::bind(address).await {
+            Ok(server) => break server,
+            Err(error) if !is_waiting => {
+                is_waiting = true;
+                log::warn!(
+                    event = EventKind::StartWaiting.number(),
+                    node = core.node().as_str();
+                    "metrics are not served: cannot listen on {address}: {error}"
+                );
+            }
+            Err(_) => {}
+        }
+        tokio::select! {
+            () = sleep(METRICS_RETRY_PAUSE) => {}
+            () = stop.stopped() => return,
+        }
+    };
+    if is_waiting {
+        log::info!(
+            event = EventKind::ProcessMessage.number(),
+            node = core.node().as_str();
+            "metrics are served on {address}"
+        );
+    }
+    server.serve(Arc::new(MetricsHandler), stop).await;
 }
 
 /// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
--- a/crates/node/src/serve/node_server.rs
+++ b/crates/node/src/serve/node_server.rs
@@ -12,7 +12,9 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{MissedTickBehavior, interval};
-use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebServer};
+use web::{
+    ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebServer, is_transient_bind_error,
+};
 use xtra::Mailbox;
 
 use super::NodeHandle;
@@ -57,6 +59,16 @@
     },
 }
 
+impl StartError {
+    /// Whether the address may become available, as when a predecessor still uses it.
+    pub fn is_transient(&self) -> bool {
+        match self {
+            Self::Address { .. } => false,
+            Self::Listen { source, .. } => is_transient_bind_error(source),
+        }
+    }
+}
+
 /// A node whose listeners are bound but which does not serve yet.
 pub struct NodeServer {
     settings: NodeSettings,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,6 +11,8 @@
 pub use body::{WebBody, empty_body, full_body, json_body, read_body, read_body_if, stream_body};
 pub use client::{ConnectionPool, PoolSettings, PooledConnection, ResponseLimits, ReusePolicy};
 pub use error::{BodyError, RequestError};
-pub use server::{HandlerFuture, ServerLimits, StopSignal, WebHandler, WebServer};
+pub use server::{
+    HandlerFuture, ServerLimits, StopSignal, WebHandler, WebServer, is_transient_bind_error,
+};
 pub use socket::SocketOptions;
 pub use sse::{EventFrame, EventSplitter};
