Start background tasks of a gateway again after a panic

Cause: background tasks and listeners were spawned and their handles dropped, so that the process went on without a task that had panicked.

Change: they run under spawn_supervised, which starts them again after 500 ms; a listener opens its address again. A panic hook logs each panic with the name of its task (task_panicked) and counts it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,10 @@
 };
 pub use rate::{PermitReply, PermitRequest, PermitStep};
 pub use relay::CallHandler;
-pub use serve::{GatewayListeners, GatewayServer, StartError};
+pub use serve::{
+    GatewayListeners, GatewayServer, ListenerTask, StartError, log_panics, spawn_supervised,
+    with_task_name,
+};
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
     BodyBudget, BodyLease, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -6,9 +5,9 @@
 use node::MetricsExport;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep, timeout_at};
-use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
+use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal};
 
-use super::{GatewayListeners, StartError};
+use super::{GatewayListeners, ListenerTask, StartError, spawn_supervised};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
@@ -32,8 +31,6 @@
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
 /// Time before the end of the grace period at which the process ends, whatever is in progress.
 const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
-/// Pause between two attempts to open the listening socket for metrics.
-const METRICS_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
@@ -153,30 +150,44 @@
 
     /// Starts the background tasks: store feeds, engine reports, peer exchange, and periodic work.
     fn spawn_tasks(&self) {
-        for area in [ViewArea::Config, ViewArea::Targets] {
-            tokio::spawn(ViewPoller::new(self.core.clone(), area).run());
-        }
-        tokio::spawn(EnginePoller::new(self.core.clone()).run());
-        tokio::spawn(PeerClient::new(self.core.clone()).run());
-        tokio::spawn(LoadPusher::new(self.core.clone()).run());
-        tokio::spawn(FactPusher::new(self.core.clone()).run());
-        let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(TICK_INTERVAL);
-            loop {
-                ticks.tick().await;
-                core.on_tick();
-            }
-        });
         let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(SETTINGS_INTERVAL);
-            loop {
-                ticks.tick().await;
-                MetricsExport::shared().run_upkeep();
-                reload_settings(&core, "file changed");
-            }
-        });
+        for (name, area) in [
+            ("view config", ViewArea::Config),
+            ("view targets", ViewArea::Targets),
+        ] {
+            let core = core.clone();
+            spawn_supervised(name, move || ViewPoller::new(core.clone(), area).run());
+        }
+        let shared = core.clone();
+        spawn_supervised("engines", move || EnginePoller::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("peers", move || PeerClient::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("loads", move || LoadPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("facts", move || FactPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("ticks", move || run_ticks(shared.clone()));
+        spawn_supervised("settings", move || watch_settings(core.clone()));
+    }
+}
+
+/// Passes time to the state at regular intervals.
+async fn run_ticks(core: Arc<GatewayCore>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        core.on_tick();
+    }
+}
+
+/// Reads the settings at regular intervals, and does the upkeep of the metrics.
+async fn watch_settings(core: Arc<GatewayCore>) {
+    let mut ticks = interval(SETTINGS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        MetricsExport::shared().run_upkeep();
+        reload_settings(&core, "file changed");
     }
 }
 
@@ -190,58 +201,24 @@
     let caller_limits = ServerLimits::new()
         .with_connections(MAX_CALLER_CONNECTIONS)
         .with_header_limits(64 << 10, TimeSpan::from_secs(30));
-    let internal_limits = ServerLimits::new();
+    let settings = &core.settings;
     let ready = ReadyHandler::new(core.clone());
-    spawn_server(listeners.ready, internal_limits, ready, stop);
+    ListenerTask::new("ready listener", settings.ready_address)
+        .with_server(listeners.ready)
+        .spawn(ready, stop);
     let peers = PeerHandler::new(core.clone());
-    spawn_server(listeners.peers, internal_limits, peers, stop);
-    if let Some(address) = core.settings.metrics_address {
-        tokio::spawn(serve_metrics(core.clone(), address, stop.clone()));
+    ListenerTask::new("peer listener", settings.peer_address)
+        .with_server(listeners.peers)
+        .spawn(peers, stop);
+    if let Some(address) = settings.metrics_address {
+        // Callers don't wait for the port of the metrics.
+        ListenerTask::new("metrics listener", address).spawn(MetricsHandler, stop);
     }
     let callers = CallHandler::new(core.clone());
-    spawn_server(listeners.callers, caller_limits, callers, stop)
-}
-
-/// Serves a listening socket in a task until `stop` is set and all its requests have ended.
-fn spawn_server(
-    server: WebServer,
-    limits: ServerLimits,
-    handler: impl WebHandler,
-    stop: &StopSignal,
-) -> JoinHandle<()> {
-    let server = server.with_limits(limits);
-    tokio::spawn(server.serve(Arc::new(handler), stop.clone()))
-}
-
-/// Serves metrics until `stop` is set, once their address can be opened; callers don't wait for it.
-async fn serve_metrics(core: Arc<GatewayCore>, address: SocketAddr, stop: StopSignal) {
-    let mut is_waiting = false;
-    let server = loop {
-        match WebServer::bind(address).await {
-            Ok(server) => break server,
-            Err(error) if !is_waiting => {
-                is_waiting = true;
-                log::warn!(
-                    event = EventKind::StartWaiting.number(),
-                    node = core.node().as_str();
-                    "metrics are not served: cannot listen on {address}: {error}"
-                );
-            }
-            Err(_) => {}
-        }
-        tokio::select! {
-            () = sleep(METRICS_RETRY_PAUSE) => {}
-            () = stop.stopped() => return,
-        }
-    };
-    if is_waiting {
-        log::info!(
-            event = EventKind::ProcessMessage.number(),
-            node = core.node().as_str();
-            "metrics are served on {address}"
-        );
-    }
-    server.serve(Arc::new(MetricsHandler), stop).await;
+    ListenerTask::new("caller listener", settings.caller_address)
+        .with_server(listeners.callers)
+        .with_limits(caller_limits)
+        .spawn(callers, stop)
 }
 
 /// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod leaving;
 mod lost_responses;
+mod panics;
 mod peers;
 mod prompt_parts;
 mod rates;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -38,6 +38,8 @@
     lost: Mutex<(LostResponses, Option<DomainName>)>,
     /// Revision of the last removal.
     removed_at: AtomicU64,
+    /// Areas of which the next request panics.
+    panics: Mutex<Vec<ViewArea>>,
 }
 
 /// Requests to a fake store whose responses are lost while their connections stay open.
@@ -78,9 +80,25 @@
             config_reads: AtomicUsize::new(0),
             lost: Mutex::default(),
             removed_at: AtomicU64::new(0),
+            panics: Mutex::default(),
         })
     }
 
+    /// Lets the next request for an area panic in the gateway.
+    pub fn panic_once(&self, area: ViewArea) {
+        self.panics.lock().unwrap().push(area);
+    }
+
+    fn panic_if_asked(&self, area: ViewArea) {
+        let mut panics = self.panics.lock().unwrap();
+        let Some(index) = panics.iter().position(|one| *one == area) else {
+            return;
+        };
+        panics.remove(index);
+        drop(panics);
+        panic!("a request for {area} panics, as the test asks");
+    }
+
     /// Loses responses to all gateways from now on.
     pub fn lose(&self, lost: LostResponses) {
         *self.lost.lock().unwrap() = (lost, None);
@@ -168,6 +186,7 @@
 
     /// Rejects the request while the store is down, and counts reads of the configuration.
     fn check(&self, area: ViewArea) -> Result<(), SourceError> {
+        self.panic_if_asked(area);
         self.check_up()?;
         if area == ViewArea::Config {
             self.config_reads.fetch_add(1, Ordering::Relaxed);
