End a process with an error if its threads can't be created

Cause: the thread of the log was created with a function that panics, and the runtime with several threads panics, or hangs, without its threads. A panic of the main task ended the process before its log was written.

Change: both are checked and end the process with code 1 and a message; a panic of the main task is logged, the log is written, and the code is 1.

--- a/crates/agatemoor/src/command/async_runtime.rs
+++ b/crates/agatemoor/src/command/async_runtime.rs
@@ -1,25 +1,67 @@
+use std::io::{self, ErrorKind};
+use std::num::NonZero;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use gateway::{log_panics, with_task_name};
 use tokio::runtime::{Builder, Runtime};
 
 use super::exit_code::EXIT_FAILURE;
 
 /// Runs a future on a multi-threaded runtime and returns its exit code.
 pub fn run_multi_threaded(future: impl Future<Output = u8>) -> u8 {
+    let workers = thread::available_parallelism().map_or(1, NonZero::get);
+    if let Err(error) = check_threads(workers) {
+        eprintln!("cannot start threads: {error}");
+        return EXIT_FAILURE;
+    }
     block_on(Builder::new_multi_thread(), future)
 }
 
+/// Tries whether so many threads can be created at once. The runtime panics, or waits for ever for
+/// the threads that it has, if one of its threads can't be created.
+fn check_threads(count: usize) -> io::Result<()> {
+    let (sender, receiver) = channel::<()>();
+    let receiver = Arc::new(Mutex::new(receiver));
+    let mut threads = Vec::new();
+    let created = (0..count).try_for_each(|_| {
+        let receiver = receiver.clone();
+        let wait = move || {
+            // Returns once the sender is dropped.
+            let receiver = receiver.lock().unwrap_or_else(PoisonError::into_inner);
+            let _ = receiver.recv();
+        };
+        threads.push(thread::Builder::new().spawn(wait)?);
+        Ok(())
+    });
+    drop(sender);
+    for thread in threads {
+        // These threads don't panic.
+        let _ = thread.join();
+    }
+    created
+}
+
 /// Runs a future on the current thread only, for processes that get less than one core, and
 /// returns its exit code.
 pub fn run_single_threaded(future: impl Future<Output = u8>) -> u8 {
     block_on(Builder::new_current_thread(), future)
 }
 
+/// A panic of `future` is logged and gives [`EXIT_FAILURE`], so that the log is still written.
 fn block_on(mut builder: Builder, future: impl Future<Output = u8>) -> u8 {
-    let runtime: Result<Runtime, _> = builder.enable_all().build();
-    match runtime {
+    log_panics();
+    // The runtime panics, after which nothing of it is used, if a thread can't be created.
+    let built = catch_unwind(AssertUnwindSafe(|| builder.enable_all().build()));
+    let built: Result<Runtime, _> = built.unwrap_or_else(|_| Err(ErrorKind::OutOfMemory.into()));
+    match built {
         Ok(runtime) => {
-            let code = runtime.block_on(future);
+            let future = with_task_name("main", future);
+            let run = catch_unwind(AssertUnwindSafe(|| runtime.block_on(future)));
             runtime.shutdown_background();
-            code
+            run.unwrap_or(EXIT_FAILURE)
         }
         Err(error) => {
             eprintln!("cannot start threads: {error}");
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -6,7 +6,7 @@
 
 use super::async_runtime::{run_multi_threaded, run_single_threaded};
 use super::check_command::CheckCommand;
-use super::exit_code::{EXIT_SUCCESS, EXIT_USAGE};
+use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
 use super::gateway_command::GatewayCommand;
 use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
@@ -74,7 +74,13 @@
         };
         let level = self.log_level.unwrap_or(default);
         let writer = match self.sub {
-            SubCommand::Gateway(_) => Some(start_bounded_logging(level)),
+            SubCommand::Gateway(_) => match start_bounded_logging(level) {
+                Ok(writer) => Some(writer),
+                Err(error) => {
+                    eprintln!("cannot start the thread that writes the log: {error}");
+                    return ExitCode::from(EXIT_FAILURE);
+                }
+            },
             _ => {
                 start_logging(self.log_format, level);
                 None
--- a/crates/agatemoor/src/command/mod.rs
+++ b/crates/agatemoor/src/command/mod.rs
@@ -14,6 +14,7 @@
 mod status_command;
 mod timeline_command;
 
+pub use async_runtime::run_single_threaded;
 pub use exit_code::{EXIT_FAILURE, EXIT_SUCCESS};
 pub use main_command::MainCommand;
 pub use node_command::stop_signal;
--- a/crates/agatemoor/src/lib.rs
+++ b/crates/agatemoor/src/lib.rs
@@ -7,7 +7,7 @@
 mod status;
 mod timeline;
 
-pub use command::MainCommand;
+pub use command::{MainCommand, run_single_threaded};
 pub use demo::{CallResponse, DemoCaller, DemoEngine, DemoFleet, DemoNode, make_policy};
 pub use logging::{LogFormat, start_logging};
 pub use operator::{
--- a/crates/agatemoor/src/logging/bounded_output.rs
+++ b/crates/agatemoor/src/logging/bounded_output.rs
@@ -1,4 +1,4 @@
-use std::io::{Write, stdout};
+use std::io::{self, Write, stdout};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -58,15 +58,19 @@
 ///
 /// Logging never blocks: if the queue is full because the reader is too slow, lines are dropped,
 /// and the next write reports how many.
-pub fn start_bounded_logging(level: LevelFilter) -> LogWriter {
+///
+/// # Errors
+/// If the thread can't be created, as under a limit of threads or memory.
+pub fn start_bounded_logging(level: LevelFilter) -> io::Result<LogWriter> {
     let (sender, receiver) = sync_channel(QUEUE_CAPACITY);
     let dropped = Arc::new(AtomicU64::new(0));
     let output = queue_output(sender.clone(), dropped.clone());
     // If a logger is already set, it stays in use; the writer thread then ends, because the sender
     // of its queue is dropped.
     drop(make_dispatch(LogFormat::Json, level).chain(output).apply());
-    thread::spawn(move || write_lines(&receiver, &dropped));
-    LogWriter { queue: sender }
+    let thread = thread::Builder::new().name("log".to_owned());
+    thread.spawn(move || write_lines(&receiver, &dropped))?;
+    Ok(LogWriter { queue: sender })
 }
 
 fn queue_output(sender: SyncSender<LogMessage>, dropped: Arc<AtomicU64>) -> Output {
