End a gateway at the end of its grace period whatever its main thread does

Cause: the end of a stop waited for the main thread, which also reads the settings: when that read or the end of the tasks took too long, the process still ran when it was killed.

Change: a thread of its own waits for SIGTERM and SIGINT and ends the process 200 ms before the end of the grace period, which begins with the signal. The wait for the log stays bounded by 100 ms. Event exit_forced.

--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -7,6 +7,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
+use super::exit_deadline::ExitDeadline;
 use super::start_wait::{START_TIMEOUT, StartProblem, StartWait};
 
 /// Run an entry node on the users' platform until SIGTERM or SIGINT; SIGHUP reloads the settings.
@@ -37,7 +38,7 @@
 
 impl GatewayCommand {
     /// Starts the entry node and serves until it is stopped.
-    pub async fn run(self) -> u8 {
+    pub async fn run(self, deadline: ExitDeadline) -> u8 {
         let file = match &self.settings {
             Some(path) => Ok(SettingsFile::new(path)),
             None => SettingsFile::from_env(),
@@ -65,6 +66,7 @@
             Ok(server) => server,
             Err(code) => return code,
         };
+        deadline.set_grace(server.core().settings.stop_grace);
         signals.stop_requested(|| server.reload("SIGHUP")).await;
         server.stop().await;
         EXIT_SUCCESS
--- a/crates/agatemoor/src/command/main_command.rs
+++ b/crates/agatemoor/src/command/main_command.rs
@@ -7,6 +7,7 @@
 use super::async_runtime::{run_multi_threaded, run_single_threaded};
 use super::check_command::CheckCommand;
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
+use super::exit_deadline::ExitDeadline;
 use super::gateway_command::GatewayCommand;
 use super::load_command::LoadCommand;
 use super::node_command::NodeCommand;
@@ -73,22 +74,12 @@
             false => LevelFilter::Info,
         };
         let level = self.log_level.unwrap_or(default);
-        let writer = match self.sub {
-            SubCommand::Gateway(_) => match start_bounded_logging(level) {
-                Ok(writer) => Some(writer),
-                Err(error) => {
-                    eprintln!("cannot start the thread that writes the log: {error}");
-                    return ExitCode::from(EXIT_FAILURE);
-                }
-            },
-            _ => {
-                start_logging(self.log_format, level);
-                None
-            }
-        };
+        if !matches!(self.sub, SubCommand::Gateway(_)) {
+            start_logging(self.log_format, level);
+        }
         let code = match self.sub {
             SubCommand::Node(command) => run_multi_threaded(command.run()),
-            SubCommand::Gateway(command) => run_single_threaded(command.run()),
+            SubCommand::Gateway(command) => run_gateway(command, level),
             SubCommand::Check(command) => command.run(),
             SubCommand::Status(command) => run_multi_threaded(command.run()),
             SubCommand::Timeline(command) => run_multi_threaded(command.run()),
@@ -96,10 +87,24 @@
             SubCommand::Demo(command) => run_multi_threaded(command.run()),
             SubCommand::StandIn(command) => run_multi_threaded(command.run()),
         };
-        if let Some(writer) = writer {
+        ExitCode::from(code)
+    }
+}
+
+/// Runs a gateway with the threads that write its log and that end it in time.
+fn run_gateway(command: GatewayCommand, level: LevelFilter) -> u8 {
+    let threads = start_bounded_logging(level)
+        .and_then(|writer| Ok((ExitDeadline::start(writer.clone())?, writer)));
+    match threads {
+        Ok((deadline, writer)) => {
+            let code = run_single_threaded(command.run(deadline));
             writer.flush();
+            code
+        }
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            EXIT_FAILURE
         }
-        ExitCode::from(code)
     }
 }
 
--- a/crates/agatemoor/src/command/node_command.rs
+++ b/crates/agatemoor/src/command/node_command.rs
@@ -1,11 +1,11 @@
-use std::{fs, io};
+use std::fs;
 
 use argh::FromArgs;
 use node::{MetricsExport, NodeServer};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
 use super::start_wait::{START_TIMEOUT, StartProblem, StartWait};
+use super::stop_signals::StopSignals;
 use crate::demo::make_policy;
 
 /// Run an entry node until SIGTERM or SIGINT, then stop gracefully.
@@ -70,35 +70,3 @@
         StartProblem::new(&error, EXIT_FAILURE).with_transient(error.is_transient())
     })
 }
-
-/// Signals that stop a node. They are installed before its start waits for anything, as each of them
-/// would end the process otherwise.
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl StopSignals {
-    fn install() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    /// Waits for SIGTERM or SIGINT.
-    async fn received(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Waits for SIGTERM or SIGINT; never returns if the signal handlers cannot be installed.
-pub async fn stop_signal() {
-    match StopSignals::install() {
-        Ok(mut signals) => signals.received().await,
-        Err(_) => std::future::pending().await,
-    }
-}
--- a/crates/agatemoor/src/command/standin_command.rs
+++ b/crates/agatemoor/src/command/standin_command.rs
@@ -6,7 +6,7 @@
 use standin::{EngineServer, EngineSettings, PlatformServer, ServiceServer};
 
 use super::exit_code::{EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE};
-use super::node_command::stop_signal;
+use super::stop_signals::stop_signal;
 
 /// Run a stand-in for an external system: the platform, a model engine or a plain service.
 #[derive(FromArgs)]
--- a/crates/agatemoor/src/logging/bounded_output.rs
+++ b/crates/agatemoor/src/logging/bounded_output.rs
@@ -30,6 +30,7 @@
 }
 
 /// Thread that writes the log, as seen from the end of the process.
+#[derive(Clone)]
 pub struct LogWriter {
     queue: SyncSender<LogMessage>,
 }
--- a/crates/agatemoor/src/logging/mod.rs
+++ b/crates/agatemoor/src/logging/mod.rs
@@ -3,5 +3,5 @@
 mod bounded_output;
 mod log_format;
 
-pub use bounded_output::start_bounded_logging;
+pub use bounded_output::{LogWriter, start_bounded_logging};
 pub use log_format::{LogFormat, start_logging};
--- a/crates/agatemoor/tests/gateway_exit.rs
+++ b/crates/agatemoor/tests/gateway_exit.rs
@@ -1,7 +1,7 @@
 //! The end of a gateway process.
 
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -32,8 +32,14 @@
     path
 }
 
+/// The built program; another build of it can be named to compare it with an earlier version.
+fn program_path() -> PathBuf {
+    let other = std::env::var_os("AGATEMOOR_TEST_PROGRAM");
+    other.map_or(env!("CARGO_BIN_EXE_agatemoor").into(), PathBuf::from)
+}
+
 fn start_gateway(host: Ipv4Addr) -> Child {
-    let child = Command::new(env!("CARGO_BIN_EXE_agatemoor"))
+    let child = Command::new(program_path())
         .arg("gateway")
         .env("AGATEMOOR_BOOT", write_settings(host))
         .stdin(Stdio::null())
@@ -94,3 +100,36 @@
         assert!(log.contains("\"event\":1003"), "the last line is missing");
     }
 }
+
+// Guards against a process that does not end within its grace period because its main thread is
+// blocked, here by settings that can't be read to their end.
+#[test]
+fn a_blocked_process_ends_within_its_grace_period() {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 16 + high % 16, low, PROCESSES + 1);
+    let mut gateway = start_gateway(host);
+    let mut log = BufReader::new(gateway.stdout.take().unwrap()).lines();
+    assert!(log.any(|line| line.unwrap().contains("\"event\":1001")));
+    let settings = write_settings(host);
+    fs::remove_file(&settings).unwrap();
+    let made = Command::new("mkfifo").arg(&settings).status();
+    assert!(made.unwrap().success());
+    // The settings are read every 2 s; opening the other end waits for that.
+    let _writer = fs::File::options().write(true).open(&settings).unwrap();
+    let id = gateway.id().to_string();
+    let kill = Command::new("kill").args(["-s", "TERM", &id]).status();
+    assert!(kill.unwrap().success());
+    let start = Instant::now();
+    let status = loop {
+        if let Some(status) = gateway.try_wait().unwrap() {
+            break status;
+        }
+        if start.elapsed() >= PROCESS_TIMEOUT {
+            gateway.kill().unwrap();
+        }
+        thread::sleep(Duration::from_millis(20));
+    };
+    fs::remove_file(settings).unwrap();
+    assert!(status.success(), "{status}");
+    assert!(log.any(|line| line.unwrap().contains("\"event\":1016")));
+}
--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -67,6 +67,7 @@
     StartWaiting = 1013, "A start, or the metrics listener, waits for something that may become available.";
     StartFailed = 1014, "The process ends because it could not start; the line says why.";
     TaskPanicked = 1015, "A task panicked; the line names it. A background task is started again.";
+    ExitForced = 1016, "The process ends, as its grace period is over, although it has not finished its stop.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
     AttemptSent = 2003, "An attempt was sent and may have reached its target.";
