Soak planned stops beside reloads, changes and full engines

Cause: the soak stopped one gateway after the other on a fleet with room; nothing showed stops of two gateways at once, beside SIGHUP or a change of the configuration, or with calls that wait for engines. It counted only calls that a target had answered.

Change: the profile StressedStops does that, with half of the callers on long streams and engines of two slots. A checker finds each call that a gateway had read, by its log, and that ended without an answer; streams that outlast the stop stay exempt. AGATEMOOR_TEST_PROGRAM names another build, SOAK_PROCESSOR_PERCENT pauses the gateways in turns.

--- a/crates/agatemoor/tests/soak/body_flood.rs
+++ b/crates/agatemoor/tests/soak/body_flood.rs
@@ -61,6 +61,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_large_bodies_fit_the_memory() {
     let plan = SoakPlan {
+        processor_percent: None,
         seed: 4_000,
         profile: SoakProfile::Faults,
         gateways: 1,
--- a/crates/agatemoor/tests/soak/checker_tests.rs
+++ b/crates/agatemoor/tests/soak/checker_tests.rs
@@ -1,6 +1,6 @@
 //! The history checker finds each kind of violation in a constructed history.
 
-use super::history_checker::{RuleViolation, check_history};
+use super::history_checker::{RuleViolation, check_history, check_read_calls};
 use super::soak_history::{
     Arrival, ArrivalOutcome, AttemptEnd, AttemptRecord, CallKind, GatewayEvent, History, Millis,
     RateChange,
@@ -308,3 +308,45 @@
     history.arrivals.clear();
     assert_eq!(violated_rules(&history), [RuleViolation::NotRecovered]);
 }
+
+/// Rules that a call breaks which ended without an answer in a soak of stressed stops.
+fn rules_of_unanswered(
+    kind: CallKind,
+    sent: Millis,
+    ended: Millis,
+    outcome: Option<ArrivalOutcome>,
+    is_logged: bool,
+) -> Vec<RuleViolation> {
+    let mut history = valid_history();
+    history.gateways.push((1_000, 0, GatewayEvent::Terminated));
+    let mut call = attempt(kind, 0, sent, None);
+    call.end.as_mut().unwrap().at = ended;
+    add_attempt(&mut history, "s1", call);
+    history.arrivals.remove("s1");
+    if let Some(outcome) = outcome {
+        add_arrival(&mut history, "s1", arrival(1, sent, outcome));
+    }
+    if is_logged {
+        history.read.insert("s1".to_owned());
+    }
+    let found = check_read_calls(&history);
+    found.into_iter().map(|(rule, _)| rule).collect()
+}
+
+// Guards against a checker of stressed stops that passes over calls that were read, whether or not
+// they reached a target, or counts calls that were not read, whose target broke them off, or that
+// outlast the stop.
+#[test]
+fn finds_read_calls_without_an_answer() {
+    let (order, stream) = (CallKind::Order, CallKind::Stream);
+    let ran = Some(ArrivalOutcome::Ran);
+    let found = [RuleViolation::UnansweredCall];
+    assert_eq!(rules_of_unanswered(order, 900, 1_100, None, true), found);
+    assert_eq!(rules_of_unanswered(order, 900, 1_100, ran, false), found);
+    assert_eq!(rules_of_unanswered(stream, 900, 3_000, ran, true), found);
+    assert_eq!(rules_of_unanswered(stream, 5_000, 8_900, ran, true), found);
+    assert_eq!(rules_of_unanswered(order, 900, 1_100, None, false), []);
+    let broke = Some(ArrivalOutcome::BrokeOff);
+    assert_eq!(rules_of_unanswered(order, 900, 1_100, broke, true), []);
+    assert_eq!(rules_of_unanswered(stream, 900, 8_900, ran, true), []);
+}
--- a/crates/agatemoor/tests/soak/fake_runner.rs
+++ b/crates/agatemoor/tests/soak/fake_runner.rs
@@ -57,6 +57,8 @@
     pub address: SocketAddr,
     /// Whether some plain calls take [`SLOW_CALL_DURATION`].
     pub has_slow_calls: bool,
+    /// Calls that it runs at once, as its entry says.
+    pub slots: u32,
 }
 
 /// A target of the users' platform that can crash, leave and refuse calls.
@@ -65,6 +67,7 @@
     zone: &'static str,
     address: Mutex<SocketAddr>,
     has_slow_calls: bool,
+    slots: u32,
     platform: Arc<FakePlatform>,
     recorder: Recorder,
     /// Number of its present instance.
@@ -92,6 +95,7 @@
             zone: settings.zone,
             address: Mutex::new(settings.address),
             has_slow_calls: settings.has_slow_calls,
+            slots: settings.slots,
             platform: platform.clone(),
             recorder: recorder.clone(),
             instance: AtomicU64::new(0),
@@ -208,7 +212,7 @@
     fn publish(&self, state: &str) {
         let entry = json!({
             "service": self.service, "address": self.address().to_string(), "zone": self.zone,
-            "version": "v1", "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "version": "v1", "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
             "born": self.instance.load(Ordering::Relaxed),
         });
         self.platform.put(&self.key(), &entry);
--- a/crates/agatemoor/tests/soak/history_checker.rs
+++ b/crates/agatemoor/tests/soak/history_checker.rs
@@ -60,6 +60,8 @@
     MixedAnswer,
     /// A planned stop of a gateway cut a call off.
     CutOffByStop,
+    /// The connection of a call that a gateway had read was closed without an answer.
+    UnansweredCall,
     /// Too few calls were served after the faults.
     NotRecovered,
 }
@@ -80,6 +82,49 @@
     violations
 }
 
+/// Finds the calls that gateways read and that ended without an answer, in a soak in which gateways
+/// are neither killed nor paused.
+pub fn check_read_calls(history: &History) -> Vec<(RuleViolation, String)> {
+    let mut violations = Vec::new();
+    for (id, attempt) in &history.attempts {
+        let Some(end) = &attempt.end else {
+            continue;
+        };
+        let arrivals = history.arrivals.get(id);
+        let last = arrivals.and_then(|all| all.last());
+        // The answer of the target itself was incomplete.
+        let is_defect = last.is_some_and(|arrival| {
+            matches!(
+                arrival.outcome,
+                ArrivalOutcome::BrokeOff | ArrivalOutcome::Crashed
+            )
+        });
+        let was_read = history.read.contains(id) || last.is_some();
+        if end.status.is_none()
+            && !end.has_timed_out
+            && was_read
+            && !is_defect
+            && !may_be_cut_by_any_stop(history, attempt, end.at)
+        {
+            violations.push((RuleViolation::UnansweredCall, format!("{id}: {attempt:?}")));
+        }
+    }
+    violations
+}
+
+/// Whether a call is a stream that a planned stop of its gateway may cut off at the end of the grace
+/// period. The caller may see that late if it is slow itself.
+fn may_be_cut_by_any_stop(history: &History, attempt: &AttemptRecord, end: Millis) -> bool {
+    let mut events = history.gateways.iter();
+    attempt.kind == CallKind::Stream
+        && events.any(|(at, gateway, event)| {
+            *gateway == attempt.gateway
+                && *event == GatewayEvent::Terminated
+                && attempt.sent <= at + EXEMPT_SENDS
+                && end >= at + LAST_SIXTH
+        })
+}
+
 type Violations = Vec<(RuleViolation, String)>;
 
 /// Whether a gateway process was started, ended, paused or resumed within a time, or was paused
--- a/crates/agatemoor/tests/soak/main.rs
+++ b/crates/agatemoor/tests/soak/main.rs
@@ -3,7 +3,10 @@
 //! CI runs two short seeds. By hand, `SOAK_SEEDS=1..50 cargo test --release -p agatemoor --test soak
 //! many_seeds -- --nocapture` runs a range of them; SOAK_GATEWAYS, SOAK_CALLERS and SOAK_SECONDS set
 //! the size. The logs of a seed stay under `target/tmp/soak-SEED-PROCESS`, those of rolling
-//! stops under `target/tmp/stops-SEED-PROCESS`; SOAK_ROLLING_SEED sets the seed of these.
+//! stops under `target/tmp/stops-SEED-PROCESS`; SOAK_ROLLING_SEED sets the seed of these. Those of
+//! stressed stops are under `target/tmp/stressed-SEED-PROCESS`, with SOAK_STRESSED_SEED.
+//! SOAK_PROCESSOR_PERCENT gives each gateway of these that share of a core, by pausing it.
+//! AGATEMOOR_TEST_PROGRAM names another build of the program, to compare it with an earlier version.
 
 mod body_flood;
 mod checker_tests;
@@ -19,7 +22,7 @@
 use std::env;
 use std::time::Duration;
 
-use history_checker::{RuleViolation, check_history};
+use history_checker::{RuleViolation, check_history, check_read_calls};
 use soak_fleet::{SoakPlan, SoakProfile, SoakReport, run_soak};
 use soak_history::{ArrivalOutcome, History};
 
@@ -38,19 +41,26 @@
         gateways: read_number("SOAK_GATEWAYS", 6) as usize,
         callers: read_number("SOAK_CALLERS", 24),
         fault_duration: Duration::from_secs(read_number("SOAK_SECONDS", 14)),
+        processor_percent: env::var("SOAK_PROCESSOR_PERCENT")
+            .ok()
+            .map(|text| text.parse().expect("a number")),
     }
 }
 
 /// Runs one soak, prints its summary and returns the violations of the rules.
 async fn check_seed(seed: u64, profile: SoakProfile) -> Vec<(RuleViolation, String)> {
     let report = run_soak(soak_plan(seed, profile)).await;
-    let violations = check_history(&report.history, report.faults_end);
+    let mut violations = check_history(&report.history, report.faults_end);
+    if profile == SoakProfile::StressedStops {
+        violations.extend(check_read_calls(&report.history));
+    }
     print_report(seed, &report, &violations);
     violations
 }
 
 fn print_report(seed: u64, report: &SoakReport, violations: &[(RuleViolation, String)]) {
     println!("seed {seed}: {}", summarize(&report.history));
+    println!("seed {seed}: {:?}", report.counts);
     if violations.is_empty() {
         return;
     }
@@ -116,6 +126,15 @@
     assert_eq!(violations, []);
 }
 
+// Guards against calls that get no answer when two gateways stop at once, or one stops beside
+// reloads, a change of the configuration and calls that wait for full engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn stressed_stops_leave_no_call_without_answer() {
+    let seed = read_number("SOAK_STRESSED_SEED", 1);
+    let violations = check_seed(seed, SoakProfile::StressedStops).await;
+    assert_eq!(violations, []);
+}
+
 // The same over a range of seeds, by hand; without SOAK_SEEDS it runs none.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_seeds() {
--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -1,9 +1,11 @@
+use std::collections::BTreeSet;
+use std::env;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -35,8 +37,6 @@
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Failure domains; the platform calls them zones.
 const ZONES: [&str; 2] = ["patan", "balaju"];
-/// Targets of each service in each domain.
-const RUNNERS: [(&str, usize); 2] = [("pool", 5), ("app", 3)];
 
 /// Size and length of one soak.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +46,8 @@
     pub callers: u64,
     /// Time during which faults are started.
     pub fault_duration: Duration,
+    /// Share of a core that each gateway gets in stressed stops; `None` for no limit.
+    pub processor_percent: Option<u64>,
     pub profile: SoakProfile,
 }
 
@@ -57,14 +59,33 @@
     /// Planned stops of one gateway after the other, beside calls that take nearly the timeout of
     /// their route.
     RollingStops,
+    /// Planned stops of two gateways at once and beside reloads and changes of the configuration,
+    /// while all engines are full and calls wait for them.
+    StressedStops,
 }
 
 impl SoakProfile {
+    /// Targets of each service in each domain.
+    fn runners(self) -> [(&'static str, usize); 2] {
+        match self {
+            Self::Faults | Self::RollingStops => [("pool", 5), ("app", 3)],
+            Self::StressedStops => [("pool", 2), ("app", 3)],
+        }
+    }
+
+    /// Calls that an engine runs at once.
+    fn slots(self) -> u32 {
+        match self {
+            Self::Faults | Self::RollingStops => 24,
+            Self::StressedStops => 2,
+        }
+    }
+
     /// Time-out of the routes of plain services.
     fn plain_timeout(self) -> Duration {
         match self {
             Self::Faults => STREAM_TIMEOUT,
-            Self::RollingStops => Duration::from_secs(1),
+            Self::RollingStops | Self::StressedStops => Duration::from_secs(1),
         }
     }
 
@@ -72,7 +93,7 @@
     fn stream_timeout(self) -> Duration {
         match self {
             Self::Faults => STREAM_TIMEOUT,
-            Self::RollingStops => Duration::from_secs(30),
+            Self::RollingStops | Self::StressedStops => Duration::from_secs(30),
         }
     }
 
@@ -80,7 +101,7 @@
     fn plain_latency(self) -> Duration {
         match self {
             Self::Faults => STREAM_LATENCY,
-            Self::RollingStops => Duration::from_millis(150),
+            Self::RollingStops | Self::StressedStops => Duration::from_millis(150),
         }
     }
 
@@ -89,6 +110,7 @@
         match self {
             Self::Faults => "soak",
             Self::RollingStops => "stops",
+            Self::StressedStops => "stressed",
         }
     }
 
@@ -99,10 +121,29 @@
             (Self::Faults, _) => CallerHabit::Sound,
             (Self::RollingStops, 0 | 4) => CallerHabit::LongStreams,
             (Self::RollingStops, _) => CallerHabit::Keeping,
+            (Self::StressedStops, 0 | 2 | 4 | 6) => CallerHabit::LongStreams,
+            (Self::StressedStops, 7) => CallerHabit::Sound,
+            (Self::StressedStops, _) => CallerHabit::Keeping,
         }
     }
 }
 
+/// The built program; another build of it can be named to compare it with an earlier version.
+fn program_path() -> PathBuf {
+    let other = env::var_os("AGATEMOOR_TEST_PROGRAM");
+    other.map_or(env!("CARGO_BIN_EXE_agatemoor").into(), PathBuf::from)
+}
+
+fn signal_all(name: &str, ids: &[u32]) {
+    let ids = ids.iter().map(u32::to_string);
+    // Failing is no error: a process may have ended already.
+    let _ = Command::new("kill")
+        .args(["-s", name])
+        .args(ids)
+        .stderr(Stdio::null())
+        .status();
+}
+
 /// A gateway in a process of its own.
 struct GatewayProcess {
     settings: PathBuf,
@@ -113,7 +154,7 @@
 impl GatewayProcess {
     fn start(&mut self) {
         let log = File::options().append(true).create(true).open(&self.log);
-        let child = Command::new(env!("CARGO_BIN_EXE_agatemoor"))
+        let child = Command::new(program_path())
             .arg("gateway")
             .env("AGATEMOOR_BOOT", &self.settings)
             .stdin(Stdio::null())
@@ -147,6 +188,14 @@
     }
 }
 
+impl Drop for SoakFleet {
+    fn drop(&mut self) {
+        // The processes are killed after this and are signalled no more.
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.clear();
+    }
+}
+
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
         self.kill();
@@ -161,6 +210,17 @@
     /// Faults in order, one line each.
     pub faults: Vec<String>,
     pub directory: PathBuf,
+    pub counts: StepCounts,
+}
+
+/// Number of steps of a soak of planned stops.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StepCounts {
+    pub stops: u32,
+    /// Stops at the end of whose grace period the process still ran.
+    pub late_exits: u32,
+    pub reloads: u32,
+    pub changes: u32,
 }
 
 /// Starts the fakes and gateways of a soak, and waits until the gateways have found one another.
@@ -177,16 +237,17 @@
     platform.put("op/config", &config_json(1, true, plan.profile));
     let mut runners = Vec::new();
     for zone in ZONES {
-        for (service, count) in RUNNERS {
+        for (service, count) in plan.profile.runners() {
             for _ in 0..count {
                 let port = 22_000 + runners.len() as u16;
                 let address = SocketAddr::new(host.into(), port);
-                let has_slow_calls = plan.profile == SoakProfile::RollingStops;
+                let has_slow_calls = plan.profile != SoakProfile::Faults;
                 let settings = RunnerSettings {
                     service,
                     zone,
                     address,
                     has_slow_calls,
+                    slots: plan.profile.slots(),
                 };
                 let runner = FakeRunner::start(&platform, &recorder, settings);
                 runners.push(runner.await);
@@ -215,6 +276,12 @@
     match plan.profile {
         SoakProfile::Faults => fleet.inject_faults(&plan).await,
         SoakProfile::RollingStops => fleet.roll_stops(&plan).await,
+        SoakProfile::StressedStops => {
+            if let Some(percent) = plan.processor_percent {
+                fleet.throttle(percent);
+            }
+            fleet.stress_stops(&plan).await;
+        }
     }
     let faults_end = context.recorder.now();
     sleep(RECOVERY_DURATION).await;
@@ -222,11 +289,14 @@
     for caller in callers {
         caller.await.unwrap();
     }
+    let mut history = context.recorder.history();
+    history.read = fleet.read_calls();
     SoakReport {
-        history: context.recorder.history(),
+        history,
+        counts: fleet.counts,
         faults_end,
-        faults: fleet.faults,
-        directory: fleet.directory,
+        faults: std::mem::take(&mut fleet.faults),
+        directory: fleet.directory.clone(),
     }
 }
 
@@ -242,10 +312,28 @@
     /// Version of the last published configuration.
     version: u64,
     profile: SoakProfile,
+    counts: StepCounts,
+    /// Identifiers of the running processes of gateways.
+    running: Arc<Mutex<Vec<u32>>>,
     /// Steps that are to be taken later, each with its time.
     scheduled: Vec<(Instant, ScheduledStep)>,
 }
 
+/// Step of a soak of stressed stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopStep {
+    /// Two gateways stop at once.
+    Pair,
+    /// Two gateways stop at once as the configuration changes.
+    PairBesideChange,
+    /// A gateway stops as the configuration changes.
+    BesideChange,
+    /// A gateway stops as it gets several reload signals.
+    BesideReloads,
+    /// All gateways get several reload signals.
+    ReloadsOnly,
+}
+
 /// Step that ends a fault or checks its end, some time after its start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ScheduledStep {
@@ -350,6 +438,8 @@
             faults: Vec::new(),
             version: 1,
             profile: plan.profile,
+            counts: StepCounts::default(),
+            running: Arc::default(),
             scheduled: Vec::new(),
         }
     }
@@ -366,8 +456,13 @@
     }
 
     fn start(&mut self, gateway: usize) {
+        // Held until the list is right: no signal goes to a process that is over.
+        let mut running = self.running.lock().unwrap();
         self.gateways[gateway].kill();
         self.gateways[gateway].start();
+        let processes = self.gateways.iter().filter_map(|one| one.child.as_ref());
+        *running = processes.map(Child::id).collect();
+        drop(running);
         self.record_event(gateway, GatewayEvent::Started);
     }
 
@@ -419,6 +514,173 @@
         }
     }
 
+    /// Pauses the gateways in turns, so that each gets this share of a core.
+    fn throttle(&self, percent: u64) {
+        let ids = Arc::downgrade(&self.running);
+        std::thread::spawn(move || {
+            let run = Duration::from_millis(percent);
+            let pause = Duration::from_millis(100 - percent);
+            // Ends with the fleet, which kills its processes.
+            while let Some(ids) = ids.upgrade() {
+                for (signal, span) in [("CONT", run), ("STOP", pause)] {
+                    signal_all(signal, &ids.lock().unwrap());
+                    std::thread::sleep(span);
+                }
+            }
+        });
+    }
+
+    /// Stops pairs of gateways, and single ones beside reloads and changes of the configuration.
+    async fn stress_stops(&mut self, plan: &SoakPlan) {
+        let end = Instant::now() + plan.fault_duration;
+        // The short form in CI gets as far as the third step.
+        let steps = [
+            StopStep::ReloadsOnly,
+            StopStep::PairBesideChange,
+            StopStep::BesideReloads,
+            StopStep::Pair,
+            StopStep::BesideChange,
+        ];
+        for step in steps.into_iter().cycle() {
+            if Instant::now() >= end {
+                return;
+            }
+            let all = self.gateways.len();
+            let first = self.random.random_range(0..all);
+            let second = (first + self.random.random_range(1..all)) % all;
+            let at = self.context.recorder.now();
+            self.faults
+                .push(format!("{at} {step:?} edge-{first} edge-{second}"));
+            match step {
+                StopStep::Pair => self.stop_with(&[first, second], None).await,
+                StopStep::PairBesideChange => {
+                    self.stop_with(&[first, second], Some(step)).await;
+                }
+                StopStep::BesideChange | StopStep::BesideReloads => {
+                    self.stop_with(&[first], Some(step)).await;
+                }
+                StopStep::ReloadsOnly => {
+                    for gateway in 0..all {
+                        self.reload_several(&[gateway]).await;
+                    }
+                }
+            }
+            let pause = self.random.random_range(100..1_500);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Stops gateways at once, with a step beside, and starts them again.
+    async fn stop_with(&mut self, gateways: &[usize], step: Option<StopStep>) {
+        // The step comes just before or after the signal.
+        let is_before = self.random.random_bool(0.5);
+        let gap = Duration::from_millis(self.random.random_range(0..60));
+        if is_before {
+            self.run_beside(gateways, step).await;
+            sleep(gap).await;
+        }
+        for gateway in gateways {
+            self.terminate(*gateway);
+        }
+        let stopped_at = Instant::now();
+        if !is_before {
+            sleep(gap).await;
+            self.run_beside(gateways, step).await;
+        }
+        let kill_at = stopped_at + STOP_TIMEOUT;
+        while Instant::now() < kill_at && !self.have_exited(gateways) {
+            sleep(EXIT_POLL_INTERVAL).await;
+            if stopped_at.elapsed() >= ROTATION_DELAY {
+                self.set_rotation(gateways, false);
+            }
+        }
+        for gateway in gateways {
+            self.end_stop(*gateway);
+        }
+        sleep(RETURN_DELAY).await;
+        self.set_rotation(gateways, true);
+    }
+
+    async fn run_beside(&mut self, gateways: &[usize], step: Option<StopStep>) {
+        match step {
+            Some(StopStep::BesideChange | StopStep::PairBesideChange) => {
+                self.change_config().await;
+            }
+            Some(_) => self.reload_several(gateways).await,
+            None => {}
+        }
+    }
+
+    /// Removes a route that callers use, and soon publishes it again.
+    async fn change_config(&mut self) {
+        for has_read_route in [false, true] {
+            self.version += 1;
+            self.counts.changes += 1;
+            let mut config = config_json(self.version, false, self.profile);
+            if !has_read_route {
+                let routes = config["routes"].as_array_mut().unwrap();
+                routes.retain(|route| route["name"] != "read");
+            }
+            self.platform.put("op/config", &config);
+            let pause = self.random.random_range(20..400);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Changes the settings of gateways and sends them several reload signals in a row.
+    async fn reload_several(&mut self, gateways: &[usize]) {
+        for _ in 0..4 {
+            for gateway in gateways {
+                if self.have_exited(&[*gateway]) {
+                    continue;
+                }
+                let path = &self.gateways[*gateway].settings;
+                let text = fs::read_to_string(path).unwrap();
+                let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+                settings["bounds"]["budgetExtra"] = self.random.random_range(56..80).into();
+                fs::write(path, settings.to_string()).unwrap();
+                self.counts.reloads += 1;
+                self.gateways[*gateway].signal("HUP");
+            }
+            let pause = self.random.random_range(1..40);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Whether all of these gateways have exited; those are signalled no more.
+    fn have_exited(&mut self, gateways: &[usize]) -> bool {
+        let mut running = self.running.lock().unwrap();
+        let mut are_over = true;
+        for gateway in gateways {
+            let process = &mut self.gateways[*gateway];
+            let is_over = process.has_exited();
+            are_over &= is_over;
+            if let Some(child) = process.child.as_ref().filter(|_| is_over) {
+                running.retain(|id| *id != child.id());
+            }
+        }
+        are_over
+    }
+
+    fn set_rotation(&self, gateways: &[usize], is_in: bool) {
+        for gateway in gateways {
+            self.context.rotation[*gateway].store(is_in, Ordering::Relaxed);
+        }
+    }
+
+    /// Identifiers of the calls that the gateways have read, by their logs.
+    fn read_calls(&self) -> BTreeSet<String> {
+        let mut read = BTreeSet::new();
+        for gateway in &self.gateways {
+            let log = fs::read_to_string(&gateway.log).unwrap_or_default();
+            for line in log.lines() {
+                let fields: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
+                read.extend(fields["request"].as_str().map(str::to_owned));
+            }
+        }
+        read
+    }
+
     fn next_scheduled(&mut self) -> Option<(Instant, ScheduledStep)> {
         let first = (0..self.scheduled.len()).min_by_key(|at| self.scheduled[*at].0)?;
         Some(self.scheduled[first])
@@ -489,13 +751,15 @@
 
     /// Starts the planned stop of a gateway.
     fn terminate(&mut self, gateway: usize) {
+        self.counts.stops += 1;
         self.record_event(gateway, GatewayEvent::Terminated);
         self.gateways[gateway].signal("TERM");
     }
 
     /// Starts a gateway again after its planned stop.
     fn end_stop(&mut self, gateway: usize) {
-        if !self.gateways[gateway].has_exited() {
+        if !self.have_exited(&[gateway]) {
+            self.counts.late_exits += 1;
             self.faults
                 .push(format!("edge-{gateway} did not stop in time"));
         }
@@ -577,7 +841,7 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "pool", "engine": {"slots": 24, "kvCapacity": 30_000, "kvBytes": 163_840,
+            {"name": "pool", "engine": {"slots": profile.slots(), "kvCapacity": 30_000, "kvBytes": 163_840,
              "linkMbps": 24_000.0, "moves": false, "stride": 4}},
             {"name": "app"},
         ],
--- a/crates/agatemoor/tests/soak/soak_history.rs
+++ b/crates/agatemoor/tests/soak/soak_history.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -109,6 +109,8 @@
     pub gateways: Vec<(Millis, usize, GatewayEvent)>,
     /// Changes of the rates that targets name, in order of time.
     pub rates: Vec<RateChange>,
+    /// Attempts that gateways have read, by the logs of these.
+    pub read: BTreeSet<String>,
 }
 
 /// Records a history while the soak runs; its clones share the history.
