--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -1,15 +1,13 @@
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::{EventKind, TimeSpan};
 use node::MetricsExport;
-use snafu::{ResultExt, Snafu};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep, timeout_at};
-use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
+use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal};
 
+use super::{GatewayListeners, ListenerTask, StartError, spawn_supervised};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
@@ -37,14 +35,6 @@
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
-/// A listening socket could not be opened.
-#[derive(Debug, Snafu)]
-#[snafu(display("cannot listen on {address}: {source}"))]
-pub struct StartError {
-    address: SocketAddr,
-    source: io::Error,
-}
-
 /// A running gateway.
 pub struct GatewayServer {
     core: Arc<GatewayCore>,
@@ -54,11 +44,21 @@
 }
 
 impl GatewayServer {
-    /// Opens all listening sockets and starts to serve.
+    /// Opens the listening sockets and starts to serve.
     ///
     /// # Errors
     /// If a listening socket can't be opened.
     pub async fn start(settings: GatewaySettings, ports: GatewayPorts) -> Result<Self, StartError> {
+        let listeners = GatewayListeners::bind(&settings).await?;
+        Ok(Self::serve(listeners, settings, ports))
+    }
+
+    /// Starts to serve on sockets that were opened for these settings.
+    pub fn serve(
+        listeners: GatewayListeners,
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+    ) -> Self {
         MetricsExport::shared();
         let targets = PoolSettings::new().with_connect_timeout(TARGET_CONNECT_TIMEOUT);
         let peers = PoolSettings::new().with_connect_timeout(PEER_CONNECT_TIMEOUT);
@@ -67,7 +67,7 @@
         let core = Arc::new(core);
         let stop = StopSignal::new();
         let server = Self {
-            caller_server: listen(&core, &stop).await?,
+            caller_server: serve_listeners(listeners, &core, &stop),
             core,
             stop,
         };
@@ -82,7 +82,7 @@
             seeds = settings.seeds.len();
             "listening"
         );
-        Ok(server)
+        server
     }
 
     /// State of the node.
@@ -150,64 +150,75 @@
 
     /// Starts the background tasks: store feeds, engine reports, peer exchange, and periodic work.
     fn spawn_tasks(&self) {
-        for area in [ViewArea::Config, ViewArea::Targets] {
-            tokio::spawn(ViewPoller::new(self.core.clone(), area).run());
-        }
-        tokio::spawn(EnginePoller::new(self.core.clone()).run());
-        tokio::spawn(PeerClient::new(self.core.clone()).run());
-        tokio::spawn(LoadPusher::new(self.core.clone()).run());
-        tokio::spawn(FactPusher::new(self.core.clone()).run());
-        let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(TICK_INTERVAL);
-            loop {
-                ticks.tick().await;
-                core.on_tick();
-            }
-        });
         let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(SETTINGS_INTERVAL);
-            loop {
-                ticks.tick().await;
-                MetricsExport::shared().run_upkeep();
-                reload_settings(&core, "file changed");
-            }
-        });
+        for (name, area) in [
+            ("view config", ViewArea::Config),
+            ("view targets", ViewArea::Targets),
+        ] {
+            let core = core.clone();
+            spawn_supervised(name, move || ViewPoller::new(core.clone(), area).run());
+        }
+        let shared = core.clone();
+        spawn_supervised("engines", move || EnginePoller::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("peers", move || PeerClient::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("loads", move || LoadPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("facts", move || FactPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("ticks", move || run_ticks(shared.clone()));
+        spawn_supervised("settings", move || watch_settings(core.clone()));
+    }
+}
+
+/// Passes time to the state at regular intervals.
+async fn run_ticks(core: Arc<GatewayCore>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        core.on_tick();
     }
 }
 
-/// Opens the listening sockets for callers, readiness checks, peers and metrics; returns the task
+/// Reads the settings at regular intervals, and does the upkeep of the metrics.
+async fn watch_settings(core: Arc<GatewayCore>) {
+    let mut ticks = interval(SETTINGS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        MetricsExport::shared().run_upkeep();
+        reload_settings(&core, "file changed");
+    }
+}
+
+/// Serves the listening sockets for callers, readiness checks, peers and metrics; returns the task
 /// that serves callers.
-async fn listen(core: &Arc<GatewayCore>, stop: &StopSignal) -> Result<JoinHandle<()>, StartError> {
-    let settings = &core.settings;
+fn serve_listeners(
+    listeners: GatewayListeners,
+    core: &Arc<GatewayCore>,
+    stop: &StopSignal,
+) -> JoinHandle<()> {
     let caller_limits = ServerLimits::new()
         .with_connections(MAX_CALLER_CONNECTIONS)
         .with_header_limits(64 << 10, TimeSpan::from_secs(30));
-    let internal_limits = ServerLimits::new();
-    let callers = CallHandler::new(core.clone());
-    let callers = open(settings.caller_address, caller_limits, callers, stop).await?;
+    let settings = &core.settings;
     let ready = ReadyHandler::new(core.clone());
-    open(settings.ready_address, internal_limits, ready, stop).await?;
+    ListenerTask::new("ready listener", settings.ready_address)
+        .with_server(listeners.ready)
+        .spawn(ready, stop);
     let peers = PeerHandler::new(core.clone());
-    open(settings.peer_address, internal_limits, peers, stop).await?;
+    ListenerTask::new("peer listener", settings.peer_address)
+        .with_server(listeners.peers)
+        .spawn(peers, stop);
     if let Some(address) = settings.metrics_address {
-        open(address, internal_limits, MetricsHandler, stop).await?;
+        // Callers don't wait for the port of the metrics.
+        ListenerTask::new("metrics listener", address).spawn(MetricsHandler, stop);
     }
-    Ok(callers)
-}
-
-/// Opens a listening socket and serves it in a task until `stop` is set and all its requests have
-/// ended.
-async fn open(
-    address: SocketAddr,
-    limits: ServerLimits,
-    handler: impl WebHandler,
-    stop: &StopSignal,
-) -> Result<JoinHandle<()>, StartError> {
-    let bound = WebServer::bind(address).await;
-    let server = bound.context(StartSnafu { address })?.with_limits(limits);
-    Ok(tokio::spawn(server.serve(Arc::new(handler), stop.clone())))
+    let callers = CallHandler::new(core.clone());
+    ListenerTask::new("caller listener", settings.caller_address)
+        .with_server(listeners.callers)
+        .with_limits(caller_limits)
+        .spawn(callers, stop)
 }
 
 /// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
