Bound quick calls beside waiting long ones, document queueing

Quick calls of the same or a more urgent rank could take all room, so that long calls starved; they now get at most eight times the work of the long calls that wait on time.

The wait that is over without room is counted in gateway_queue_refusals_total, beside early refusals.

--- a/crates/entry/src/queue/call_queue.rs
+++ b/crates/entry/src/queue/call_queue.rs
@@ -6,6 +6,13 @@
 /// Waiting time that one priority rank is worth: a call goes before one of the next more urgent rank
 /// that arrived later by more than this.
 const RANK_DELAY: TimeSpan = TimeSpan::new(400);
+/// Part of the time that a call can wait and be on time by which it goes behind calls that can't
+/// wait as long. All of it would put a less urgent kind with a short latency target ahead of a more
+/// urgent one with a long target, so it counts for less than one rank.
+const SLACK_DIVISOR: u64 = 8;
+/// Work of quick calls that go before a waiting long call that can be on time, beside the work of
+/// that call, if they are as urgent or more; if they are less urgent, it is as much as its work.
+const QUICK_SHARE: u64 = 8;
 /// Time for which a call that left the queue unserved counts as waiting. Nodes repeat the requests
 /// of waiting calls at once, which takes a few milliseconds, or some tens on a busy node.
 const ABSENCE_TIME: TimeSpan = TimeSpan::new(100);
@@ -104,20 +111,22 @@
     absent: Vec<(ClockTime, QueuedCall)>,
     shares: WorkspaceShares,
     estimator: WaitEstimator,
-    /// Work of quick calls that were placed before more urgent long calls that could be on time,
-    /// less the work of long calls placed since.
+    /// Work of quick calls that were placed before long calls that could be on time, less
+    /// [`QUICK_SHARE`] times the work of long calls placed since. The work of less urgent quick
+    /// calls counts as many times.
     overtaken: u64,
 }
 
-/// Queue of waiting calls. They are served by lane, and within a lane by the latest time at which
-/// they can be placed on time (late calls: by arrival) plus a delay for their priority rank and for
-/// the surplus of their workspace.
+/// Queue of waiting calls. They are served by lane, and within a lane by arrival time plus delays
+/// for their priority rank, for the time that they can wait and be on time, and for the surplus of
+/// their workspace.
 ///
 /// When calls need more room than there is, and all were served by arrival, each would wait so long
 /// that none is on time. So calls that can no longer be on time go behind those that can, and are
 /// served when there is room again. Within a lane, small calls do not overtake large ones, which
-/// would starve otherwise. Quick calls go before long ones, as they occupy room only briefly; those
-/// of a less urgent rank only until their work equals that of the long calls placed meanwhile.
+/// would starve otherwise. Quick calls go before long ones, as they occupy room only briefly, but
+/// no kind takes all: beside long calls that wait on time, quick calls get at most eight times their
+/// work, and as much as theirs if they are less urgent.
 ///
 /// Load: 1,000 waiting calls of 100 workspaces and of a few services; a decision takes time
 /// proportional to the waiting calls of the service, at most 20 us.
@@ -239,7 +248,7 @@
         }
         let [quick, long, late] = firsts.map(|first| first.map(|(_, entry)| entry));
         let (first, lane) = match (quick, long) {
-            (Some(quick), Some(long)) if !queue.is_overtaken(&long.call, &quick.call) => {
+            (Some(quick), Some(long)) if !queue.is_overtaken(&long.call) => {
                 (quick, QueueLane::Quick)
             }
             (_, Some(long)) => (long, QueueLane::Long),
@@ -275,7 +284,7 @@
             QueueLane::Quick => waiting.any(|entry| {
                 let lane = entry.call.lane(now);
                 lane == QueueLane::Quick
-                    || (lane == QueueLane::Long && queue.is_overtaken(&entry.call, call))
+                    || (lane == QueueLane::Long && queue.is_overtaken(&entry.call))
             }),
             QueueLane::Long => waiting.any(|entry| entry.call.lane(now) <= own.0),
             QueueLane::Late => waiting.any(|entry| queue.order(now, entry) < own),
@@ -394,7 +403,10 @@
 fn time_in_lane(call: &QueuedCall, lane: QueueLane) -> ClockTime {
     match lane {
         QueueLane::Late => ranked_arrival(call),
-        QueueLane::Quick | QueueLane::Long => call.start_by + RANK_DELAY * u64::from(call.priority),
+        QueueLane::Quick | QueueLane::Long => {
+            let slack = call.start_by.since(call.arrived) / SLACK_DIVISOR;
+            ranked_arrival(call) + slack.min(RANK_DELAY)
+        }
     }
 }
 
@@ -434,10 +446,9 @@
         (lane, time_in_lane(call, lane) + lag, ticket)
     }
 
-    /// Whether a long call that can be on time goes before a quick one: it is more urgent, and quick
-    /// calls have taken their part.
-    fn is_overtaken(&self, long: &QueuedCall, quick: &QueuedCall) -> bool {
-        long.priority < quick.priority && self.overtaken >= long.work.max(1)
+    /// Whether a long call that can be on time goes before quick ones, which have taken their part.
+    fn is_overtaken(&self, long: &QueuedCall) -> bool {
+        self.overtaken >= (long.work * QUICK_SHARE).max(1)
     }
 
     /// Calls that go before one that is not in the queue, counted as one of `lane`; calls between
@@ -527,13 +538,16 @@
             None => {}
         }
         if call.is_quick {
-            let mut long = self.entries.iter().map(|entry| &entry.call);
-            let overtakes = long.any(|long| {
-                !long.is_move && long.lane(now) == QueueLane::Long && long.priority < call.priority
-            });
-            self.overtaken += call.work * u64::from(overtakes);
+            let long = self.entries.iter().map(|entry| &entry.call);
+            let long = long.filter(|long| !long.is_move && long.lane(now) == QueueLane::Long);
+            let rank = long.map(|long| long.priority).min();
+            self.overtaken += match rank {
+                Some(rank) if rank < call.priority => call.work * QUICK_SHARE,
+                Some(_) => call.work,
+                None => 0,
+            };
         } else {
-            self.overtaken = self.overtaken.saturating_sub(call.work);
+            self.overtaken = self.overtaken.saturating_sub(call.work * QUICK_SHARE);
         }
         self.update_idle(now);
     }
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -3,6 +3,7 @@
 
 use base::{ClockTime, TargetName, TimeSpan};
 use entry::{PlacementRequest, PlacementScope};
+use metrics::counter;
 
 use super::{CoordinatorReply, CoordinatorRequest};
 use crate::peer::PeerClient;
@@ -45,6 +46,20 @@
 /// If there is no target, none has capacity in time, or all asked this node to back off; the call
 /// was not sent.
 pub async fn reserve_capacity(
+    core: &Arc<GatewayCore>,
+    request: CapacityRequest,
+) -> Result<CapacityReservation, PlacementRefusal> {
+    let service = request.placement.service.to_string();
+    let is_move = request.placement.move_source.is_some();
+    let reserved = reserve_in_time(core, request).await;
+    if !is_move && matches!(reserved, Err(PlacementRefusal::Full)) {
+        let labels = [("service", service), ("cause", "waited".to_owned())];
+        counter!("gateway_queue_refusals_total", &labels).increment(1);
+    }
+    reserved
+}
+
+async fn reserve_in_time(
     core: &Arc<GatewayCore>,
     mut request: CapacityRequest,
 ) -> Result<CapacityReservation, PlacementRefusal> {
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -515,6 +515,7 @@
             if let Some(refusal) = state.refuse_early(now, &request, &call) {
                 return EnqueueOutcome::Answered(Err(refusal));
             }
+            let start_by = call.start_by;
             let ticket = state.queue.push_at(now, call);
             let (sender, receiver) = oneshot::channel();
             state.waiters.push(QueueWaiter {
@@ -523,6 +524,10 @@
                 requester: request.requester,
                 sender,
             });
+            if is_quick && !is_move && now <= start_by {
+                // The long calls ahead of it may lack room that it can use.
+                state.serve_queue(now);
+            }
             EnqueueOutcome::Queued(ticket, receiver)
         }
     }
--- a/crates/gateway/tests/gateway/queueing.rs
+++ b/crates/gateway/tests/gateway/queueing.rs
@@ -176,11 +176,12 @@
 #[test]
 fn requests_can_be_read_by_the_last_build_and_the_reverse() {
     let sent = rmp_serde::to_vec_named(&request()).unwrap();
+    let last = rmp_serde::to_vec(&last_request()).unwrap();
+    println!("{} bytes, {} in the last build", sent.len(), last.len());
     let read: LastRequest = rmp_serde::from_slice(&sent).unwrap();
     assert_eq!(read.need.load, load());
     assert_eq!(read.patience, request().max_wait);
-    let sent = rmp_serde::to_vec(&last_request()).unwrap();
-    let read: CoordinatorRequest = rmp_serde::from_slice(&sent).unwrap();
+    let read: CoordinatorRequest = rmp_serde::from_slice(&last).unwrap();
     assert!(!read.accepts_refusal);
     assert_eq!(read.placement.workspace, None);
     assert_eq!(read.max_wait, last_request().patience);
