Place a call that would be refused if an engine has room for it

A call ahead in the queue may be barred from the engines that have room, so an estimate could refuse a call while there was room. Such a call is placed now.

A node without a coordinator no longer repeats its own requests, which would not wait for its turn among the nodes.

--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -10,9 +10,7 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{
-    BodyBudget, CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan,
-};
+use super::{BodyBudget, CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -290,7 +288,10 @@
             let now = self.now();
             request.waited = now.since(arrived);
             request.patience = end.since(now);
-            request.max_wait = match request.accepts_refusal {
+            // Without a coordinator, a repeated request would not wait for the turn of this node.
+            let repeats =
+                request.accepts_refusal && self.with_state(|state, now| state.is_coordinator(now));
+            request.max_wait = match repeats {
                 true => request.patience.min(LONG_POLL_TIMEOUT),
                 false => request.patience,
             };
@@ -502,18 +503,26 @@
     };
     match decision {
         PlacementDecision::Target(target) => {
-            let requester = request.requester.as_ref();
-            let grant_id = state.record_placement(now, requester, &request.placement, &target);
-            state.queue.place_direct(now, &call);
-            EnqueueOutcome::Answered(Ok(PlacedTarget { target, grant_id }))
+            EnqueueOutcome::Answered(Ok(state.place_direct(now, &request, &call, target)))
         }
         PlacementDecision::NoTarget => EnqueueOutcome::Answered(Err(PlacementRefusal::NoTarget)),
         PlacementDecision::Backoff(left) => {
             EnqueueOutcome::Answered(Err(state.refuse_for(now, &service, left)))
         }
         PlacementDecision::Full => {
-            if let Some(refusal) = state.refuse_early(now, &request, &call) {
-                return EnqueueOutcome::Answered(Err(refusal));
+            if state.expects_long_wait(now, &request, &call) {
+                // Calls ahead of it that can't use the room that there is don't count against it.
+                state.serve_queue(now);
+                if let PlacementDecision::Target(target) =
+                    state.balancer.choose_target(now, &request.placement)
+                {
+                    return EnqueueOutcome::Answered(Ok(
+                        state.place_direct(now, &request, &call, target)
+                    ));
+                }
+                if let Some(refusal) = state.refuse_early(now, &request, &call) {
+                    return EnqueueOutcome::Answered(Err(refusal));
+                }
             }
             let start_by = call.start_by;
             let ticket = state.queue.push_at(now, call);
--- a/crates/gateway/src/state/queue_state.rs
+++ b/crates/gateway/src/state/queue_state.rs
@@ -1,9 +1,9 @@
-use base::{ClockTime, TimeSpan};
+use base::{ClockTime, TargetName, TimeSpan};
 use entry::{QueueLane, QueuedCall};
 use metrics::{counter, gauge};
 use strum::IntoEnumIterator;
 
-use super::{GatewayState, PlacementRefusal, QueueRequest};
+use super::{GatewayState, PlacedTarget, PlacementRefusal, QueueRequest};
 
 /// Interval at which the metrics of the queue are set.
 const METRICS_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
@@ -14,20 +14,46 @@
 
 /// Refusals of calls that would wait for too long, and metrics of the queue.
 impl GatewayState {
-    /// Refusal of a call that is expected to wait for longer than it can; `None` if it is to wait.
+    /// Whether a call is to be refused unless it can be placed at once.
     ///
     /// Only a coordinator refuses calls: its queue has all those of the failure domain, and it
     /// places all.
+    pub(super) fn expects_long_wait(
+        &mut self,
+        now: ClockTime,
+        request: &QueueRequest,
+        call: &QueuedCall,
+    ) -> bool {
+        let is_asked = request.accepts_refusal && request.placement.engine.is_some();
+        let is_refused = is_asked
+            && self
+                .queue
+                .refuse_early(now, call, request.patience)
+                .is_some();
+        is_refused && self.is_coordinator(now)
+    }
+
+    /// Places a call that is not in the queue on a target.
+    pub(super) fn place_direct(
+        &mut self,
+        now: ClockTime,
+        request: &QueueRequest,
+        call: &QueuedCall,
+        target: TargetName,
+    ) -> PlacedTarget {
+        let requester = request.requester.as_ref();
+        let grant_id = self.record_placement(now, requester, &request.placement, &target);
+        self.queue.place_direct(now, call);
+        PlacedTarget { target, grant_id }
+    }
+
+    /// Refusal of a call that is expected to wait for longer than it can; `None` if it is to wait.
     pub(super) fn refuse_early(
         &mut self,
         now: ClockTime,
         request: &QueueRequest,
         call: &QueuedCall,
     ) -> Option<PlacementRefusal> {
-        let is_asked = request.accepts_refusal && request.placement.engine.is_some();
-        if !is_asked || !self.is_coordinator(now) {
-            return None;
-        }
         let refusal = self.queue.refuse_early(now, call, request.patience)?;
         let (first, interval) = (refusal.first_return, refusal.return_interval);
         let service = &call.service;
--- a/crates/gateway/tests/gateway/queueing.rs
+++ b/crates/gateway/tests/gateway/queueing.rs
@@ -242,6 +242,37 @@
     until("no call waits", is_empty).await;
 }
 
+// Guards against a call that is refused although an engine has room, since a call ahead of it can't
+// use that engine.
+#[tokio::test]
+async fn a_call_is_not_refused_while_an_engine_has_room() {
+    let (_target, gateway) = start_one(TargetMode::Stream(3)).await;
+    let core = gateway.server.core().clone();
+    until("the clock has run for 2 s", || {
+        core.now() > ClockTime::new(2_000)
+    })
+    .await;
+    let name = core.with_state(|state, _| state.balancer.targets()[0].record.name.clone());
+    let mut other = last_request();
+    other.need.excluded = vec![name];
+    let other = rmp_serde::to_vec(&other).unwrap();
+    let new = rmp_serde::to_vec_named(&request()).unwrap();
+    // Some requests come at moments without an estimate; those wait or are placed as well.
+    for _ in 0..5 {
+        record_overload(&core);
+        let (other, new) = tokio::join!(ask(&gateway, &other), async {
+            until("the other waits", || {
+                core.with_state(|state, _| state.waiters.len() == 1)
+            })
+            .await;
+            ask(&gateway, &new).await
+        });
+        assert!(other.text.contains("Waiting"), "{}", other.text);
+        assert!(!new.text.contains("Refused"), "{}", new.text);
+    }
+    assert_eq!(early_refusals(&core), 0);
+}
+
 // Guards against a call that is refused and still reaches an engine.
 #[tokio::test]
 async fn a_refused_call_reaches_no_engine() {
