--- a/crates/entry/src/queue/call_queue.rs
+++ b/crates/entry/src/queue/call_queue.rs
@@ -314,6 +314,31 @@
 
     /// Refusal of a call that is not in the queue and can wait for `patience`; `None` if it is to
     /// wait, also if its wait can't be told.
+    ///
+    /// ```
+    /// use base::{ClockTime, TimeSpan};
+    /// use entry::{CallQueue, QueuedCall};
+    /// let call = |arrived| QueuedCall {
+    ///     service: "pool".parse().unwrap(),
+    ///     priority: 0,
+    ///     arrived: ClockTime::new(arrived),
+    ///     start_by: ClockTime::new(arrived + 100),
+    ///     is_quick: false,
+    ///     is_move: false,
+    ///     workspace: None,
+    ///     work: 1,
+    /// };
+    /// let mut queue = CallQueue::default();
+    /// (0..20).for_each(|_| { queue.push(call(0)); });
+    /// for at in 1..=15 {
+    ///     let ticket = queue.push(call(at * 100));
+    ///     queue.place(ClockTime::new(at * 100), ticket);
+    /// }
+    /// // Twenty calls are ahead, and ten a second are placed.
+    /// let now = ClockTime::new(1_500);
+    /// assert!(queue.refuse_early(now, &call(1_000), TimeSpan::from_secs(1)).is_some());
+    /// assert!(queue.refuse_early(now, &call(1_000), TimeSpan::from_secs(3)).is_none());
+    /// ```
     pub fn refuse_early(
         &self,
         now: ClockTime,
