--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,7 +36,10 @@
     DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
     PaceTurns, SampleBudget, TargetPace,
 };
-pub use queue::{CallQueue, PlacementPacer, QueueTicket, QueuedCall};
+pub use queue::{
+    CallQueue, CallsAhead, EventRate, PlacementPacer, PlacementRate, QueueLane, QueueStatus,
+    QueueTicket, QueuedCall, ShareSlot, WaitEstimate, WaitEstimator, WaitRefusal, WorkspaceShares,
+};
 pub use rate::{
     DomainPeak, FleetReach, PermitOutcome, RateBucket, RateGrant, RateLedger, RateRecord,
     ReturnSchedule, SendPermit, TargetRate,
--- a/crates/entry/src/target/placement_request.rs
+++ b/crates/entry/src/target/placement_request.rs
@@ -1,4 +1,4 @@
-use base::{ClockTime, DomainName, ServiceName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, ServiceName, TargetName, TimeSpan, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use super::TargetLoad;
@@ -23,10 +23,10 @@
     /// Its failure domain.
     pub domain: DomainName,
     /// Tokens that the generation has produced so far.
-    #[serde(default)]
+    #[serde(skip)]
     pub produced: u32,
     /// Engines that refused copies for lack of room, each with the time for which it gets none.
-    #[serde(default)]
+    #[serde(skip)]
     pub full: Vec<(TargetName, TimeSpan)>,
 }
 
@@ -55,6 +55,10 @@
     /// Not part of the encoded form, which readers refuse if it has fields that they don't know.
     #[serde(skip)]
     pub pace: Option<PaceNeed>,
+    /// Workspace of the caller, among which capacity is shared while calls wait. Not part of the
+    /// encoded form either.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceName>,
 }
 
 impl PlacementRequest {
--- a/crates/entry/tests/pace_simulation.rs
+++ b/crates/entry/tests/pace_simulation.rs
@@ -268,6 +268,8 @@
             start_by,
             is_quick: kind.is_quick,
             is_move: false,
+            workspace: None,
+            work: 1,
         });
         self.waiting.push((ticket, at, placement));
     }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -53,5 +53,6 @@
         scope: PlacementScope::AllDomains,
         failure_delays: Vec::new(),
         pace: None,
+        workspace: None,
     }
 }
--- a/crates/gateway/src/coordinator/coordinator_message.rs
+++ b/crates/gateway/src/coordinator/coordinator_message.rs
@@ -1,5 +1,5 @@
-use base::{NodeName, TargetName, TimeSpan};
-use entry::{GrantId, PaceNeed, PlacementRequest};
+use base::{NodeName, TargetName, TimeSpan, WorkspaceName};
+use entry::{GrantId, PaceNeed, PlacementRequest, WaitEstimate};
 use serde::{Deserialize, Serialize};
 
 use crate::peer::ExtendedMessage;
@@ -21,6 +21,9 @@
     /// Longest time that the call can wait from now on.
     #[serde(rename = "patience")]
     pub max_wait: TimeSpan,
+    /// Whether the node understands [`CoordinatorReply::Refused`].
+    #[serde(skip)]
+    pub accepts_refusal: bool,
 }
 
 /// Parts of a placement request that earlier builds don't know.
@@ -28,6 +31,13 @@
 pub struct RequestExtension {
     #[serde(default)]
     pace: Option<PaceNeed>,
+    #[serde(default)]
+    accepts_refusal: bool,
+    #[serde(default)]
+    workspace: Option<WorkspaceName>,
+    /// Of a generation to be moved: tokens produced so far, and engines that refused copies.
+    #[serde(default)]
+    moved: Option<(u32, Vec<(TargetName, TimeSpan)>)>,
 }
 
 impl ExtendedMessage for CoordinatorRequest {
@@ -36,11 +46,25 @@
     fn take_extension(&mut self) -> RequestExtension {
         RequestExtension {
             pace: self.placement.pace.take(),
+            accepts_refusal: std::mem::take(&mut self.accepts_refusal),
+            workspace: self.placement.workspace.take(),
+            moved: self.placement.move_source.as_mut().map(|source| {
+                let produced = std::mem::take(&mut source.produced);
+                (produced, std::mem::take(&mut source.full))
+            }),
         }
     }
 
     fn extend(&mut self, extension: RequestExtension) {
         self.placement.pace = extension.pace;
+        self.accepts_refusal = extension.accepts_refusal;
+        self.placement.workspace = extension.workspace;
+        if let (Some(source), Some((produced, full))) =
+            (&mut self.placement.move_source, extension.moved)
+        {
+            source.produced = produced;
+            source.full = full;
+        }
     }
 }
 
@@ -63,4 +87,12 @@
     Waiting,
     /// The coordinator has no engine of the service that it can offer.
     Absent,
+    /// The call was expected to wait for longer than it can and has left the queue. Sent only in
+    /// response to requests that accept it.
+    Refused {
+        /// Time after which the caller may return.
+        retry_after: TimeSpan,
+        /// Estimate that caused the refusal.
+        estimate: WaitEstimate,
+    },
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 mod state;
 mod trial;
 
-pub use coordinator::CoordinatorRequest;
+pub use coordinator::{CoordinatorReply, CoordinatorRequest};
 pub use peer::{
     ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
 };
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -203,6 +203,7 @@
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
             pace: self.pace_need(0),
+            workspace: self.workspace.clone(),
         }
     }
 }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -13,9 +13,7 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{
-    BodyBudget, CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan,
-};
+use super::{BodyBudget, CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -29,6 +27,11 @@
     pub moves: u64,
 }
 
+/// Longest time that a call that other nodes may place stays in the queue before the request is made
+/// anew: a coordinator then responds that the call has to wait. A node that gets no response for
+/// longer can tell that its coordinator is gone.
+pub const LONG_POLL_TIMEOUT: TimeSpan = TimeSpan::new(150);
+
 /// Request to place a call on a target by what this node knows, after a wait in its queue if need
 /// be.
 #[derive(Clone, Debug)]
@@ -43,6 +46,10 @@
     pub start_within: TimeSpan,
     /// Longest time that the call waits in the queue.
     pub max_wait: TimeSpan,
+    /// Longest time that the call can wait from now on, over all requests for it.
+    pub patience: TimeSpan,
+    /// Whether the call may be refused at once if it is expected to wait for longer than that.
+    pub accepts_refusal: bool,
     /// Node that requests the placement; `None` for a call of this node.
     pub requester: Option<NodeName>,
 }
@@ -263,16 +270,39 @@
         }
     }
 
-    /// Reserves capacity for a call of this node by what this node knows, without a coordinator.
+    /// Reserves capacity for a call of this node by what this node knows, without a coordinator. A
+    /// generation repeats the request as those of other nodes do, so that its expected wait is
+    /// checked anew.
     ///
     /// # Errors
     /// Those of [`Self::place`].
     pub async fn reserve_local(
         self: &Arc<Self>,
-        request: QueueRequest,
+        mut request: QueueRequest,
     ) -> Result<CapacityReservation, PlacementRefusal> {
         let load = request.placement.load;
-        let placed = self.place(request).await?;
+        let arrived = self
+            .now()
+            .as_millis()
+            .saturating_sub(request.waited.as_millis());
+        let arrived = ClockTime::new(arrived);
+        let end = self.now() + request.max_wait;
+        let placed = loop {
+            let now = self.now();
+            request.waited = now.since(arrived);
+            request.patience = end.since(now);
+            // Without a coordinator, a repeated request would not wait for the turn of this node.
+            let repeats =
+                request.accepts_refusal && self.with_state(|state, now| state.is_coordinator(now));
+            request.max_wait = match repeats {
+                true => request.patience.min(LONG_POLL_TIMEOUT),
+                false => request.patience,
+            };
+            match self.place(request.clone()).await {
+                Err(PlacementRefusal::Full) if self.now() < end => {}
+                answer => break answer?,
+            }
+        };
         CapacityReservation::new(self.clone(), placed.target, load)
             .ok_or(PlacementRefusal::NoTarget)
     }
@@ -355,6 +385,7 @@
             state.drop_foreign_rates(now);
             state.update_move_room(now);
             state.serve_queue(now);
+            state.export_queue(now);
             (changes, state.balancer.take_pace_changes())
         });
         self.log_pace_changes(&paces);
@@ -501,9 +532,22 @@
     }
     let is_quick = request.placement.is_quick;
     let is_move = request.placement.move_source.is_some();
+    let call = QueuedCall {
+        service: service.clone(),
+        priority: request.priority,
+        arrived,
+        start_by: arrived + request.start_within,
+        is_quick,
+        is_move,
+        workspace: request.placement.workspace.clone(),
+        work: request.placement.load.work(),
+    };
+    if !is_move && request.waited < LONG_POLL_TIMEOUT {
+        state.queue.record_arrival(now, &service);
+    }
     let is_next = match is_move {
         true => state.may_move(now, request.requester.as_ref(), &request.placement),
-        false => state.queue.count_ahead(now, &service, is_quick) == 0,
+        false => !state.queue.has_ahead(now, &call),
     };
     let decision = match is_next {
         true => state.choose_target(now, &request.placement),
@@ -511,23 +555,29 @@
     };
     match decision {
         PlacementDecision::Target(target) => {
-            let requester = request.requester.as_ref();
-            let grant_id = state.record_placement(now, requester, &request.placement, &target);
-            EnqueueOutcome::Answered(Ok(PlacedTarget { target, grant_id }))
+            EnqueueOutcome::Answered(Ok(state.place_direct(now, &request, &call, target)))
         }
         PlacementDecision::NoTarget => EnqueueOutcome::Answered(Err(PlacementRefusal::NoTarget)),
         PlacementDecision::Backoff(left) => {
             EnqueueOutcome::Answered(Err(state.refuse_for(now, &service, left)))
         }
         PlacementDecision::Full => {
-            let ticket = state.queue.push(QueuedCall {
-                service,
-                priority: request.priority,
-                arrived,
-                start_by: arrived + request.start_within,
-                is_quick,
-                is_move,
-            });
+            if state.expects_long_wait(now, &request, &call) {
+                // Calls ahead of it that can't use the room that there is don't count against it.
+                state.serve_queue(now);
+                if let PlacementDecision::Target(target) =
+                    state.balancer.choose_target(now, &request.placement)
+                {
+                    return EnqueueOutcome::Answered(Ok(
+                        state.place_direct(now, &request, &call, target)
+                    ));
+                }
+                if let Some(refusal) = state.refuse_early(now, &request, &call) {
+                    return EnqueueOutcome::Answered(Err(refusal));
+                }
+            }
+            let start_by = call.start_by;
+            let ticket = state.queue.push_at(now, call);
             let (sender, receiver) = oneshot::channel();
             state.waiters.push(QueueWaiter {
                 ticket,
@@ -535,6 +585,10 @@
                 requester: request.requester,
                 sender,
             });
+            if is_quick && !is_move && now <= start_by {
+                // The long calls ahead of it may lack room that it can use.
+                state.serve_queue(now);
+            }
             EnqueueOutcome::Queued(ticket, receiver)
         }
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -7,8 +7,8 @@
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
     FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
     MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
-    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
-    ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueLane, QueueTicket, RateLedger,
+    RetryShare, ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
 use metrics::gauge;
@@ -98,6 +98,10 @@
     pub pace_turns: PaceTurns,
     /// Order of the calls that wait for capacity.
     pub queue: CallQueue,
+    /// Number of calls that were refused since their wait was expected to be too long.
+    pub early_refusals: u64,
+    /// When the metrics of the queue were set last.
+    pub(super) queue_metrics_at: ClockTime,
     /// Decides when a waiting call may be placed on an engine without a coordinator.
     pub pacer: PlacementPacer,
     /// The calls in the queue, sorted by ticket.
@@ -170,6 +174,8 @@
             gaps: GapCollector::default(),
             pace_turns: PaceTurns::default(),
             queue: CallQueue::default(),
+            early_refusals: 0,
+            queue_metrics_at: ClockTime::ZERO,
             pacer: PlacementPacer::new(seed),
             waiters: Vec::new(),
             retry_share: RetryShare::new(retry.ratio, retry.extra, retry.window),
@@ -208,7 +214,10 @@
     pub fn serve_queue(&mut self, now: ClockTime) {
         self.serve_queued_moves(now);
         for service in self.queue.services() {
-            while let Some(ticket) = self.queue.peek(now, &service) {
+            // Long calls may find room where a quick one does not; late calls would take the room
+            // for which a long call that can be on time waits.
+            let mut blocked = Vec::new();
+            while let Some((ticket, lane)) = self.queue.peek_beside(now, &service, &blocked) {
                 let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                     self.queue.remove(ticket);
                     continue;
@@ -228,7 +237,11 @@
                     PlacementDecision::Backoff(left) => Err(self.refuse_for(now, &service, left)),
                     PlacementDecision::Full => {
                         self.serve_behind(now, at);
-                        break;
+                        if lane != QueueLane::Quick {
+                            break;
+                        }
+                        blocked.push(lane);
+                        continue;
                     }
                 };
                 self.answer_waiter(now, at, result);
@@ -471,7 +484,10 @@
         result: Result<TargetName, PlacementRefusal>,
     ) {
         let waiter = self.waiters.remove(at);
-        self.queue.remove(waiter.ticket);
+        match &result {
+            Ok(_) => self.queue.place(now, waiter.ticket),
+            Err(_) => self.queue.abandon(now, waiter.ticket),
+        }
         let load = waiter.placement.load;
         let answer = result.map(|target| PlacedTarget {
             grant_id: self.record_placement(
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod panics;
 mod peers;
 mod prompt_parts;
+mod queueing;
 mod rates;
 mod send_checks;
 mod stopping;
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -215,11 +215,14 @@
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
             pace: None,
+            workspace: None,
         },
         priority: 0,
         waited: TimeSpan::ZERO,
         start_within: TimeSpan::ZERO,
         max_wait: TimeSpan::new(200),
+        patience: TimeSpan::new(200),
+        accepts_refusal: false,
         requester: None,
     };
     for (left, is_granted) in [(500, false), (2_000, true)] {
--- a/crates/gateway/tests/gateway/wire_extension.rs
+++ b/crates/gateway/tests/gateway/wire_extension.rs
@@ -159,11 +159,13 @@
                 events_left: 187,
                 start_by: ClockTime::default(),
             }),
+            workspace: Some("depot".parse().unwrap()),
         },
         priority: 2,
         waited: TimeSpan::new(10),
         start_within: TimeSpan::new(900),
         max_wait: TimeSpan::new(5_000),
+        accepts_refusal: true,
     }
 }
 
