Count paces of other domains on nodes that know no engine themselves

A node with fewer than two judged engines ignored the paces that other domains reported. An engine was avoided only if another had three quarters of its late probability, which never holds for long calls, where both are near 1; the rule is now a difference of 0.2. Engines that are not known count as usual ones in the average of the service. Engines are compared at most every 100 ms.

--- a/crates/entry/src/pace/pace_table.rs
+++ b/crates/entry/src/pace/pace_table.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, IncarnationNumber, NodeName, TargetName, TimeSpan};
 
 use super::engine_pace::decay;
-use super::target_pace::UNEVEN_RATIO;
+use super::target_pace::{UNEVEN_RATIO, late_probability};
 use super::{DomainPace, EnginePace, PaceReport, TargetPace};
 
 /// Weight in gaps of the assumption that an engine is average.
@@ -179,6 +179,11 @@
         self.classes[class].add(now, late, gaps);
     }
 
+    /// Whether there are no observations at all.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty() && self.remote.is_empty()
+    }
+
     /// Records the number of events of a long call to be placed.
     pub fn record_long_call(&mut self, events: u32) {
         self.long_events += (f64::from(events) - self.long_events) * LONG_CALL_WEIGHT;
@@ -216,31 +221,39 @@
         let mut logs: Vec<_> = judged
             .map(|one| one.log_gap() - slope * one.batch())
             .collect();
-        if logs.len() < COMPARED_ENGINES {
-            return vec![TargetPace::default(); runs.len()];
-        }
         logs.sort_by(f64::total_cmp);
-        let median = logs[(logs.len() - 1) / 2];
+        let median = match logs.len() >= COMPARED_ENGINES {
+            true => logs.get((logs.len() - 1) / 2).copied(),
+            false => None,
+        };
         let mut paces: Vec<_> = found
             .iter()
             .zip(runs)
             .map(|(engine, (target, incarnation))| {
-                let own = engine.map(|one| self.pace(now, one, median + slope * one.batch()));
+                let own = engine.zip(median);
+                let own =
+                    own.map(|(one, median)| self.pace(now, one, median + slope * one.batch()));
                 let remote = self.remote_pace(now, target, *incarnation);
                 remote.or(own).unwrap_or_default()
             })
             .collect();
         let known = || paces.iter().filter(|pace| pace.is_known);
         let is_uneven = known().any(TargetPace::is_unusual);
-        let count = known().count().max(1) as f64;
         let long_events = self.long_events();
-        let mean = known()
-            .map(|pace| pace.late_probability(long_events))
-            .sum::<f64>()
-            / count;
+        // Engines that aren't known are taken for usual ones in the average over all.
+        let usual = self.classes[0].share();
+        let shares = paces.iter().map(|pace| match pace.is_known {
+            true => pace.late_share,
+            false => usual,
+        });
+        let sum: f64 = shares
+            .clone()
+            .map(|share| late_probability(share, long_events))
+            .sum();
+        let mean = sum / paces.len().max(1) as f64;
         // The share by which an unknown engine is late as often as an average one.
         let average = -(1.0 - mean).max(f64::MIN_POSITIVE).ln() / f64::from(long_events.max(1));
-        let least = known().map(|pace| pace.late_share).reduce(f64::min);
+        let least = shares.reduce(f64::min);
         for pace in &mut paces {
             if !pace.is_known {
                 pace.late_share = average;
--- a/crates/entry/src/pace/target_pace.rs
+++ b/crates/entry/src/pace/target_pace.rs
@@ -51,7 +51,7 @@
     pub fn is_late_for(&self, events: u32) -> bool {
         let here = self.late_probability(events);
         let best = late_probability(self.least_late_share, events);
-        self.is_known && here > MOSTLY && best < here * BETTER_SHARE
+        self.is_known && here > MOSTLY && here - best >= CLEAR_GAIN
     }
 }
 
@@ -59,9 +59,9 @@
 pub(super) const UNEVEN_RATIO: f64 = 1.25;
 /// Probability from which on something is more likely than not.
 const MOSTLY: f64 = 0.5;
-/// An engine is better than another if its late probability is below this share of the other's.
-/// Both are estimates, so small differences don't count.
-const BETTER_SHARE: f64 = 0.75;
+/// Difference of two late probabilities from which on one engine is better than the other. Both are
+/// estimates, and a call that waits may wait in vain, so small differences don't count.
+const CLEAR_GAIN: f64 = 0.2;
 
 /// Probability that at least one of `events` gaps begins a late stretch, if `share` of all do.
 pub(super) fn late_probability(share: f64, events: u32) -> f64 {
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -9,7 +9,8 @@
     TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
 use crate::{
-    CapacityGrant, DomainPace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable, TargetPace,
+    CapacityGrant, DomainPace, EnginePace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable,
+    TargetPace,
 };
 
 /// Share of an engine's memory that calls may hold on average, by their estimates; the rest is a
@@ -135,7 +136,9 @@
     /// Marks lapsed targets as gone and drops load reports, each once their time is over; returns what
     /// changes for targets.
     pub fn on_tick(&mut self, now: ClockTime) -> TargetChanges {
-        self.compare_paces(now);
+        if now.since(self.compared_at) >= COMPARE_INTERVAL {
+            self.compare_paces(now);
+        }
         let mut changes = TargetChanges::default();
         let lapsed =
             |state: &TargetState| matches!(state.phase, TargetPhase::Lapsed(until) if until <= now);
@@ -356,6 +359,12 @@
         }
     }
 
+    /// What is known of the pace of an engine's current run, if anything.
+    pub fn engine_pace(&self, name: &TargetName) -> Option<&EnginePace> {
+        let state = self.target(name)?;
+        self.paces.engine(name, state.record.incarnation)
+    }
+
     /// Paces of the engines of the own failure domain that differ from the others, sorted by target,
     /// to be reported to other domains.
     pub fn domain_paces(&self) -> Vec<DomainPace> {
@@ -393,6 +402,9 @@
     /// Compares the engines of each service by their pace, and forgets runs that are gone.
     fn compare_paces(&mut self, now: ClockTime) {
         self.compared_at = now;
+        if self.paces.is_empty() {
+            return;
+        }
         let targets = &self.targets;
         self.paces.retain(now, |name, incarnation| {
             let found = targets.binary_search_by(|state| state.record.name.cmp(name));
--- a/crates/entry/tests/pace.rs
+++ b/crates/entry/tests/pace.rs
@@ -364,10 +364,16 @@
     let paces: Vec<_> = ["e1", "e4"]
         .map(|engine| DomainPace::new(&name(engine), IncarnationNumber(1), pace))
         .to_vec();
-    balancer.apply_domain_paces(at(7_000), &"thimi".parse().unwrap(), paces);
+    balancer.apply_domain_paces(at(7_000), &"thimi".parse().unwrap(), paces.clone());
     balancer.on_tick(at(7_100));
     assert!(balancer.target(&name("e4")).unwrap().pace.is_avoided);
     assert!((ratio(&balancer, "e1") - 1.0).abs() < 0.1);
+    // A node that knows of no other engine holds the others for usual ones.
+    let mut fresh = engines(0);
+    fresh.update_records(at(1_000), records, &LeaseGuard::default());
+    fresh.apply_domain_paces(at(7_000), &"thimi".parse().unwrap(), paces);
+    fresh.on_tick(at(7_100));
+    assert!(fresh.target(&name("e4")).unwrap().pace.is_avoided);
     balancer.on_tick(at(27_100));
     assert!(!balancer.target(&name("e4")).unwrap().pace.is_avoided);
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod leaving;
 mod lost_responses;
+mod paces;
 mod peers;
 mod prompt_parts;
 mod rates;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -293,6 +293,8 @@
     short.timeout = TimeSpan::new(150);
     let mut stream = route("/stream/", "pool", RepeatPolicy::Stream, 1);
     stream.timeout = TimeSpan::from_secs(20);
+    let mut paced = route("/paced/", "pool", RepeatPolicy::Stream, 1);
+    paced.pause_limit = Some(TimeSpan::new(180));
     let engine = EngineSpec {
         slots: 8,
         memory: TokenCount(50_000),
@@ -305,6 +307,7 @@
         route("/once/", "app", RepeatPolicy::AtMostOnce, 1),
         route("/read/", "app", RepeatPolicy::Idempotent, 2),
         stream,
+        paced,
         route("/locked/", "app", RepeatPolicy::Idempotent, 1),
         short,
     ];
