--- a/crates/entry/src/pace/gap_collector.rs
+++ b/crates/entry/src/pace/gap_collector.rs
@@ -65,6 +65,19 @@
 
 /// Collects the gaps of the streams of one node by engine, and closes them as samples to be
 /// reported.
+///
+/// ```
+/// use base::{ClockTime, IncarnationNumber, TimeSpan};
+/// use entry::{GapCollector, SampleBudget};
+/// let (engine, run) = ("e1".parse().unwrap(), IncarnationNumber(1));
+/// let receiver = "127.0.0.1:9".parse().unwrap();
+/// let now = ClockTime::new(1_000);
+/// let mut collector = GapCollector::default();
+/// collector.record(&engine, run, TimeSpan::new(40), false);
+/// collector.close(now);
+/// let reports = collector.take_for(now, receiver, SampleBudget::OWN_DOMAIN, |_| true);
+/// assert_eq!(reports[0].sample.typical_gap, TimeSpan::new(40));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct GapCollector {
     open: Vec<OpenSample>,
--- a/crates/entry/src/pace/pace_table.rs
+++ b/crates/entry/src/pace/pace_table.rs
@@ -107,6 +107,23 @@
 /// between them and the estimates of its engines.
 ///
 /// Handles some 100 samples a second of 300 engines and 300 nodes.
+///
+/// ```
+/// use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
+/// use entry::{PaceReport, PaceSample, PaceTable, TargetPace};
+/// let names: [TargetName; 3] = ["e1", "e2", "e3"].map(|name| name.parse().unwrap());
+/// let run = IncarnationNumber(1);
+/// let now = ClockTime::new(1_000);
+/// let mut table = PaceTable::default();
+/// for (name, gap) in names.iter().zip([30, 30, 60]) {
+///     let sample = PaceSample { gaps: 60, late_gaps: 0, typical_gap: TimeSpan::new(gap) };
+///     let report = PaceReport { target: name.clone(), incarnation: run, sample };
+///     table.add(now, &"n1".parse().unwrap(), &report, TargetPace::default(), 8);
+/// }
+/// let runs: Vec<_> = names.iter().map(|name| (name, run)).collect();
+/// let paces = table.compare(now, &runs);
+/// assert!(paces[0].ratio < 1.1 && paces[2].ratio > 1.8);
+/// ```
 #[derive(Clone, Debug)]
 pub struct PaceTable {
     engines: Vec<EnginePace>,
--- a/crates/entry/tests/queue.rs
+++ b/crates/entry/tests/queue.rs
@@ -140,3 +140,21 @@
     let later = now + TimeSpan::from_secs(11);
     assert!(share.try_take(later, &service(), 10));
 }
+
+// Guards against calls behind one that waits that are tried in another order than they are served.
+#[test]
+fn the_order_is_that_in_which_calls_are_served() {
+    let mut queue = CallQueue::default();
+    for (arrived, priority) in [(0, 2), (700, 0), (300, 1), (900, 0), (100, 0)] {
+        push(&mut queue, arrived, &service(), priority);
+    }
+    let now = ClockTime::new(1_250);
+    let ordered = queue.ordered(now, &service());
+    let mut served = Vec::new();
+    while let Some(ticket) = queue.peek(now, &service()) {
+        served.push(ticket);
+        queue.remove(ticket);
+    }
+    assert_eq!(ordered, served);
+    assert_eq!(served.len(), 5);
+}
