--- a/crates/entry/tests/queue_load.rs
+++ b/crates/entry/tests/queue_load.rs
@@ -227,15 +227,13 @@
         }
     }
 
-    /// Next call, and its lane if calls of others may go on when it finds no room: late calls would
-    /// take the room for which a long call waits.
+    /// Next call, and its lane if calls of others may go on when it finds no room.
     fn peek(&self, now: ClockTime, blocked: &[QueueLane]) -> Option<(Ticket, Option<QueueLane>)> {
         match self {
             Self::Old(queue) => queue.peek(now).map(|ticket| (Ticket::Old(ticket), None)),
             Self::New(queue) => {
                 let next = queue.peek_beside(now, &service(), blocked);
-                let passes = |lane: &QueueLane| *lane == QueueLane::Quick;
-                next.map(|(ticket, lane)| (Ticket::New(ticket), Some(lane).filter(passes)))
+                next.map(|(ticket, lane)| (Ticket::New(ticket), Some(lane)))
             }
         }
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -7,8 +7,8 @@
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
     FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
     MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
-    PlacementPacer, PlacementRequest, PlacementScope, QueueLane, QueueTicket, RateLedger,
-    RetryShare, ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
+    ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
 use metrics::gauge;
@@ -214,8 +214,7 @@
     pub fn serve_queue(&mut self, now: ClockTime) {
         self.serve_queued_moves(now);
         for service in self.queue.services() {
-            // Long calls may find room where a quick one does not; late calls would take the room
-            // for which a long call that can be on time waits.
+            // Lanes whose next call finds no room; calls of other lanes may use other room.
             let mut blocked = Vec::new();
             while let Some((ticket, lane)) = self.queue.peek_beside(now, &service, &blocked) {
                 let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
@@ -237,9 +236,6 @@
                     PlacementDecision::Backoff(left) => Err(self.refuse_for(now, &service, left)),
                     PlacementDecision::Full => {
                         self.serve_behind(now, at);
-                        if lane != QueueLane::Quick {
-                            break;
-                        }
                         blocked.push(lane);
                         continue;
                     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod lost_responses;
 mod moves;
+mod paces;
 mod panics;
 mod peers;
 mod prompt_parts;
