Stop no generation whose engines are at their rates

Cause: before the stop of a generation on an evacuated engine, rates that are used up were not looked at. A resume waits a second for a permit and is given up then, at both engines.

Change: the stop needs that neither engine has used up a rate. A table checks for each state of the two engines whether the stop is allowed.

--- a/crates/gateway/src/state/evacuation_state.rs
+++ b/crates/gateway/src/state/evacuation_state.rs
@@ -102,7 +102,8 @@
     /// asked to resume it.
     ///
     /// On a source that does not leave, the generation would run to its end. So it is only stopped
-    /// there if the source may be asked to resume it as well, in case the destination fails.
+    /// there if the source may be asked to resume it as well, in case the destination fails, and
+    /// neither has used up a rate, for which a resume waits only a while.
     pub fn may_stop_for_move(
         &self,
         now: ClockTime,
@@ -130,10 +131,16 @@
             let found = self.balancer.target(target);
             found.is_none_or(|one| one.phase == TargetPhase::Leaving)
         };
+        let is_at_rate = |source, destination| {
+            let engines = [source, destination].into_iter();
+            let mut known = engines.filter_map(|name| self.balancer.target(name));
+            known.any(|one| one.rate.wait_left(now).is_some())
+        };
         self.has_time_to_move(now, source)
             && found.is_some_and(|one| one.is_open())
             && may_resume(destination, false)
-            && (is_leaving(source) || may_resume(source, true))
+            && (is_leaving(source)
+                || (may_resume(source, true) && !is_at_rate(source, destination)))
     }
 
     /// Whether a run of a target may be asked for its state.
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use base::{CallRate, ClockTime, ErrorKind, PartId, TimeSpan};
+use base::{CallRate, ClockTime, ErrorKind, IncarnationNumber, PartId, TimeSpan};
 use calls::RequestFingerprint;
-use entry::{CallFeatures, ConfigVersion, EvacuationRecord, FeatureId, SendPermit, SuspectCall};
+use entry::{
+    CallFeatures, ConfigVersion, EvacuationRecord, FeatureId, RateGrant, SendPermit, SuspectCall,
+};
 use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan};
 use smol_str::SmolStr;
 use tokio::time::sleep;
@@ -235,3 +237,89 @@
         None
     );
 }
+
+/// What holds for the engines of a move when its source is to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MoveState {
+    Good,
+    LittleTime,
+    SourceBackoff,
+    SourceLeavesInBackoff,
+    SourceAtRate,
+    DestinationBackoff,
+    DestinationLeaves,
+    DestinationAtRate,
+    DestinationGone,
+}
+
+// Guards against an order to stop a generation that would run to its end on an evacuated engine,
+// although one of the two engines could not be asked to resume it.
+#[tokio::test]
+async fn a_generation_is_stopped_only_if_both_engines_could_resume_it() {
+    let cases = [
+        (MoveState::Good, true),
+        (MoveState::LittleTime, false),
+        (MoveState::SourceBackoff, false),
+        // It would be lost with its engine.
+        (MoveState::SourceLeavesInBackoff, true),
+        (MoveState::SourceAtRate, false),
+        (MoveState::DestinationBackoff, false),
+        (MoveState::DestinationLeaves, false),
+        (MoveState::DestinationAtRate, false),
+        (MoveState::DestinationGone, false),
+    ];
+    for (state, expected) in cases {
+        let (store, targets, gateway) = start_setup("pool", &[TargetMode::Answer]).await;
+        let other = FakeTarget::start("pool", TargetMode::Answer).await;
+        store.put_in(&other, "balaju", 0);
+        let core = gateway.server.core();
+        until("both engines are known", || {
+            core.with_state(|state, _| state.balancer.targets().len() == 2)
+        })
+        .await;
+        let source = targets[0].name.parse().unwrap();
+        let destination = other.name.parse().unwrap();
+        let run = IncarnationNumber(1);
+        let back_off = |target| {
+            let request = BackoffRequest::For(TimeSpan::from_secs(60));
+            core.start_target_backoff(target, run, &request);
+        };
+        let use_up_rate = |target| {
+            let notice = RateNotice::Limited(CallRate(2_000));
+            core.record_target_rate(target, run, &notice, core.now());
+            let grant = RateGrant::Wait {
+                wait: TimeSpan::from_secs(4),
+                waiting_nodes: 1,
+            };
+            core.with_state(|state, now| {
+                let rate = state.balancer.rate_mut(target, run).unwrap();
+                rate.end_request(now, grant);
+            });
+        };
+        evacuate(&gateway, TimeSpan::ZERO);
+        match state {
+            MoveState::Good => {}
+            MoveState::LittleTime => evacuate(&gateway, TimeSpan::from_secs(2)),
+            MoveState::SourceBackoff => back_off(&source),
+            MoveState::SourceLeavesInBackoff => {
+                back_off(&source);
+                core.mark_target_leaving(&source, run, "test");
+            }
+            MoveState::SourceAtRate => use_up_rate(&source),
+            MoveState::DestinationBackoff => back_off(&destination),
+            MoveState::DestinationLeaves => core.mark_target_leaving(&destination, run, "test"),
+            MoveState::DestinationAtRate => use_up_rate(&destination),
+            MoveState::DestinationGone => {
+                store.remove_target(&other);
+                until("it is gone", || {
+                    core.with_state(|state, _| state.balancer.targets().len() == 1)
+                })
+                .await;
+            }
+        }
+        let may_stop = core.with_state(|state, now| {
+            state.may_stop_for_move(now, &features(), &source, &destination)
+        });
+        assert_eq!(may_stop, expected, "{state:?}");
+    }
+}
