Log the end of a gateway also when it is ended by force

Cause: a stop ended 200 ms before the end of the grace period, at the moment at which the process is ended by force since. On a busy machine the line node_stopped was lost.

Change: a stop ends 300 ms before the end of the grace period, and calls are cut off 500 ms before it. The line is logged by whichever comes first, once.

--- a/crates/agatemoor/src/command/exit_deadline.rs
+++ b/crates/agatemoor/src/command/exit_deadline.rs
@@ -1,9 +1,9 @@
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 use std::{io, process, thread};
 
 use base::{EventKind, TimeSpan};
+use gateway::GatewayCore;
 use tokio::runtime::Builder;
 
 use super::exit_code::EXIT_SUCCESS;
@@ -20,7 +20,7 @@
 /// Thread that ends the process at the end of its grace period, even if the main thread is blocked
 /// or too slow. It waits for the signals itself, so that the period begins when they arrive.
 pub struct ExitDeadline {
-    grace_ms: Arc<AtomicU64>,
+    gateway: Arc<OnceLock<Arc<GatewayCore>>>,
 }
 
 impl ExitDeadline {
@@ -29,37 +29,42 @@
     /// # Errors
     /// If the thread or its signal handlers can't be created.
     pub fn start(log: LogWriter) -> io::Result<Self> {
-        let grace_ms = Arc::new(AtomicU64::new(START_GRACE.as_millis()));
+        let gateway = Arc::new(OnceLock::<Arc<GatewayCore>>::new());
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let mut signals = {
             let _context = runtime.enter();
             StopSignals::install()?
         };
-        let shared = grace_ms.clone();
+        let shared = gateway.clone();
         thread::Builder::new()
             .name("exit".to_owned())
             .spawn(move || {
                 runtime.block_on(signals.received());
                 let received_at = Instant::now();
-                let grace = TimeSpan::new(shared.load(Ordering::Relaxed));
+                let gateway = shared.get();
+                let grace = gateway.map_or(START_GRACE, |core| core.settings.stop_grace);
                 let time_left = Duration::from(grace.saturating_sub(END_MARGIN));
                 thread::sleep(time_left.saturating_sub(received_at.elapsed()));
-                end_process(&log);
+                end_process(shared.get(), &log);
             })?;
-        Ok(Self { grace_ms })
+        Ok(Self { gateway })
     }
 
-    /// Sets the time from the signal until the process is killed.
-    pub fn set_grace(&self, grace: TimeSpan) {
-        self.grace_ms.store(grace.as_millis(), Ordering::Relaxed);
+    /// Sets the gateway that the process runs, whose settings have the grace period.
+    pub fn set_gateway(&self, gateway: Arc<GatewayCore>) {
+        // It is set once.
+        let _ = self.gateway.set(gateway);
     }
 }
 
-fn end_process(log: &LogWriter) {
+fn end_process(gateway: Option<&Arc<GatewayCore>>, log: &LogWriter) {
     log::warn!(
         event = EventKind::ExitForced.number();
         "the grace period is over and the process has not ended yet"
     );
+    if let Some(core) = gateway {
+        core.log_end(core.active_work(), false);
+    }
     log.flush();
     process::exit(EXIT_SUCCESS.into());
 }
--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -66,7 +66,7 @@
             Ok(server) => server,
             Err(code) => return code,
         };
-        deadline.set_grace(server.core().settings.stop_grace);
+        deadline.set_gateway(server.core().clone());
         signals.stop_requested(|| server.reload("SIGHUP")).await;
         server.stop().await;
         EXIT_SUCCESS
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -29,8 +29,9 @@
 /// Shortest time from a stop signal to the end of the process: the load balancer notices after two
 /// failed checks of a second each, and new connections arrive until then.
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
-/// Time before the end of the grace period at which the process ends, whatever is in progress.
-const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
+/// Time before the end of the grace period at which the stop ends, whatever is in progress. The log
+/// is written, and the process ends by itself, in the 100 ms until it is ended by force.
+const EXIT_MARGIN: TimeSpan = TimeSpan::new(300);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
@@ -122,17 +123,9 @@
         let refusal_end = (Instant::now() + REFUSAL_TIME).min(exit_at);
         self.wait_idle(refusal_end, exit_at).await;
         self.stop.stop();
-        let (active, streams) =
-            core.with_state(|state, _| (state.active_calls, state.active_streams));
+        let active_work = core.active_work();
         let is_drained = timeout_at(exit_at, self.caller_server).await.is_ok();
-        log::info!(
-            event = EventKind::NodeStopped.number(),
-            node = core.node().as_str(),
-            active = active,
-            streams = streams,
-            drained = is_drained;
-            "shut down"
-        );
+        core.log_end(active_work, is_drained);
     }
 
     /// Waits until no call is in progress, at least until `earliest_end` and at most until `end`.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -73,6 +74,8 @@
     stop_changes: watch::Sender<()>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
+    /// Whether the end of the process was logged.
+    is_end_logged: AtomicBool,
 }
 
 impl GatewayCore {
@@ -93,6 +96,7 @@
             pool: ConnectionPool::new(PoolSettings::new()),
             peer_pool: ConnectionPool::new(PoolSettings::new()),
             settings_failure: Mutex::new(None),
+            is_end_logged: AtomicBool::new(false),
         }
     }
 
@@ -121,6 +125,26 @@
         *known = Some(reason.to_owned());
     }
 
+    /// Numbers of calls and of streams in progress.
+    pub fn active_work(&self) -> (usize, usize) {
+        self.with_state(|state, _| (state.active_calls, state.active_streams))
+    }
+
+    /// Logs that the process ends with this work in progress, unless that was logged before.
+    pub fn log_end(&self, (active, streams): (usize, usize), is_drained: bool) {
+        if self.is_end_logged.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!(
+            event = EventKind::NodeStopped.number(),
+            node = self.node().as_str(),
+            active = active,
+            streams = streams,
+            drained = is_drained;
+            "shut down"
+        );
+    }
+
     /// Name of this node.
     pub fn node(&self) -> &NodeName {
         &self.settings.node
--- a/crates/gateway/src/state/stop_plan.rs
+++ b/crates/gateway/src/state/stop_plan.rs
@@ -4,7 +4,7 @@
 const CALL_MARGIN: TimeSpan = TimeSpan::new(900);
 /// Time before the end of the grace period at which calls in progress are ended with an error, so
 /// that it can still be written.
-const CUT_OFF_MARGIN: TimeSpan = TimeSpan::new(400);
+const CUT_OFF_MARGIN: TimeSpan = TimeSpan::new(500);
 
 /// Times of a graceful shutdown.
 ///
