Read the settings of a running gateway in a thread of its own

Cause: the settings were read on the thread that serves calls, every 2 s and on SIGHUP; while a read did not end, no call was answered and no signal seen.

Measured: calls_do_not_wait_for_settings failed on and on: no answer in 30 s while the settings could not be read to their end.

--- a/crates/agatemoor/tests/gateway_exit.rs
+++ b/crates/agatemoor/tests/gateway_exit.rs
@@ -1,10 +1,11 @@
 //! The end of a gateway process.
 
-use std::fs;
+use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,18 @@
 /// Longest wait for a process to listen or to exit.
 const PROCESS_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Loopback address of the next gateway.
+fn next_host() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(PROCESSES + 1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 16 + high % 16, low, number)
+}
+
+fn settings_path(host: Ipv4Addr) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("exit-{host}.json"))
+}
+
 /// Writes the settings of a gateway whose store does not answer; returns their path.
 fn write_settings(host: Ipv4Addr) -> PathBuf {
     let address = |port: u16| SocketAddr::new(host.into(), port).to_string();
@@ -27,7 +40,7 @@
         "platform": {"address": address(21_000)},
         "limits": {"cpuShare": 0.25},
     });
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("exit-{host}.json"));
+    let path = settings_path(host);
     fs::write(&path, settings.to_string()).unwrap();
     path
 }
@@ -39,9 +52,13 @@
 }
 
 fn start_gateway(host: Ipv4Addr) -> Child {
+    start_gateway_with(&write_settings(host))
+}
+
+fn start_gateway_with(settings: &Path) -> Child {
     let child = Command::new(program_path())
         .arg("gateway")
-        .env("AGATEMOOR_BOOT", write_settings(host))
+        .env("AGATEMOOR_BOOT", settings)
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
@@ -101,35 +118,77 @@
     }
 }
 
-// Guards against a process that does not end within its grace period because its main thread is
-// blocked, here by settings that can't be read to their end.
-#[test]
-fn a_blocked_process_ends_within_its_grace_period() {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 16 + high % 16, low, PROCESSES + 1);
-    let mut gateway = start_gateway(host);
-    let mut log = BufReader::new(gateway.stdout.take().unwrap()).lines();
-    assert!(log.any(|line| line.unwrap().contains("\"event\":1001")));
-    let settings = write_settings(host);
-    fs::remove_file(&settings).unwrap();
-    let made = Command::new("mkfifo").arg(&settings).status();
+/// Replaces the settings of a gateway by a pipe, which can't be read to its end while it is open for
+/// writing; returns that end once the gateway reads.
+fn block_settings(settings: &Path) -> File {
+    // A file that is not there is no error.
+    let _ = fs::remove_file(settings);
+    let made = Command::new("mkfifo").arg(settings).status();
     assert!(made.unwrap().success());
-    // The settings are read every 2 s; opening the other end waits for that.
-    let _writer = fs::File::options().write(true).open(&settings).unwrap();
-    let id = gateway.id().to_string();
-    let kill = Command::new("kill").args(["-s", "TERM", &id]).status();
-    assert!(kill.unwrap().success());
+    File::options().write(true).open(settings).unwrap()
+}
+
+/// Waits for the end of a gateway; kills it after a time-out.
+fn wait_for_exit(gateway: &mut Child) -> ExitStatus {
     let start = Instant::now();
-    let status = loop {
+    loop {
         if let Some(status) = gateway.try_wait().unwrap() {
-            break status;
+            return status;
         }
         if start.elapsed() >= PROCESS_TIMEOUT {
             gateway.kill().unwrap();
         }
         thread::sleep(Duration::from_millis(20));
-    };
+    }
+}
+
+fn terminate(gateway: &Child) {
+    let id = gateway.id().to_string();
+    let kill = Command::new("kill").args(["-s", "TERM", &id]).status();
+    assert!(kill.unwrap().success());
+}
+
+fn has_event(log: impl Read, number: u16) -> bool {
+    let text = format!("\"event\":{number},");
+    let mut lines = BufReader::new(log).lines();
+    lines.any(|line| line.unwrap().contains(&text))
+}
+
+// Guards against a process that does not end in time because its main thread is blocked, here by
+// settings that can't be read to their end.
+#[test]
+fn a_blocked_process_ends_in_time() {
+    let settings = settings_path(next_host());
+    // The start reads the settings in the main thread.
+    let mut blocked = start_gateway_with(&settings);
+    let _writer = block_settings(&settings);
+    terminate(&blocked);
+    let status = wait_for_exit(&mut blocked);
+    fs::remove_file(settings).unwrap();
+    assert!(status.success(), "{status}");
+    assert!(has_event(blocked.stdout.take().unwrap(), 1016));
+}
+
+// Guards against calls, and a stop, that wait for a read of the settings.
+#[test]
+fn calls_do_not_wait_for_settings() {
+    let host = next_host();
+    let mut gateway = start_gateway(host);
+    let mut log = gateway.stdout.take().unwrap();
+    assert!(has_event(&mut log, 1001));
+    let settings = settings_path(host);
+    let _writer = block_settings(&settings);
+    let mut stream = TcpStream::connect((host, 23_000)).unwrap();
+    stream.set_read_timeout(Some(PROCESS_TIMEOUT)).unwrap();
+    let request =
+        b"GET / HTTP/1.1\r\nhost: a\r\nrequest-attempt-id: 1\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    terminate(&gateway);
+    let status = wait_for_exit(&mut gateway);
     fs::remove_file(settings).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 "), "{read:?} {answer}");
     assert!(status.success(), "{status}");
-    assert!(log.any(|line| line.unwrap().contains("\"event\":1016")));
+    assert!(has_event(log, 1003));
 }
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, interval, sleep, timeout_at};
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal};
 
+use super::settings_reloader::SettingsReloader;
 use super::{GatewayListeners, ListenerTask, StartError, spawn_supervised};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
@@ -42,6 +43,7 @@
     stop: StopSignal,
     /// Task that serves the connections of callers.
     caller_server: JoinHandle<()>,
+    reloader: Arc<SettingsReloader>,
 }
 
 impl GatewayServer {
@@ -68,6 +70,7 @@
         let core = Arc::new(core);
         let stop = StopSignal::new();
         let server = Self {
+            reloader: Arc::new(SettingsReloader::new(core.clone())),
             caller_server: serve_listeners(listeners, &core, &stop),
             core,
             stop,
@@ -93,7 +96,7 @@
 
     /// Reads the settings again and applies changes; `cause` is for the log.
     pub fn reload(&self, cause: &str) {
-        reload_settings(&self.core, cause);
+        self.reloader.request(cause);
     }
 
     /// Shuts down gracefully: lets calls end and returns when the process may exit.
@@ -161,7 +164,8 @@
         spawn_supervised("facts", move || FactPusher::new(shared.clone()).run());
         let shared = core.clone();
         spawn_supervised("ticks", move || run_ticks(shared.clone()));
-        spawn_supervised("settings", move || watch_settings(core.clone()));
+        let reloader = self.reloader.clone();
+        spawn_supervised("settings", move || watch_settings(reloader.clone()));
     }
 }
 
@@ -175,12 +179,12 @@
 }
 
 /// Reads the settings at regular intervals, and does the upkeep of the metrics.
-async fn watch_settings(core: Arc<GatewayCore>) {
+async fn watch_settings(reloader: Arc<SettingsReloader>) {
     let mut ticks = interval(SETTINGS_INTERVAL);
     loop {
         ticks.tick().await;
         MetricsExport::shared().run_upkeep();
-        reload_settings(&core, "file changed");
+        reloader.request("file changed");
     }
 }
 
@@ -213,24 +217,3 @@
         .with_limits(caller_limits)
         .spawn(callers, stop)
 }
-
-/// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
-fn reload_settings(core: &GatewayCore, cause: &str) {
-    let settings = match core.ports.settings.read() {
-        Ok(settings) => settings,
-        Err(reason) => {
-            core.log_settings_failure(&reason);
-            return;
-        }
-    };
-    if !core.with_state(|state, _| state.apply_settings(&settings)) {
-        return;
-    }
-    log::info!(
-        event = EventKind::SettingsReloaded.number(),
-        node = core.node().as_str(),
-        seeds = settings.seeds.len(),
-        cause = cause;
-        "changed seeds and retry budgets applied"
-    );
-}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod gateway_listeners;
 mod gateway_server;
 mod listener_task;
+mod settings_reloader;
 mod task_supervisor;
 
 pub use gateway_listeners::{GatewayListeners, StartError};
