--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, interval, sleep, timeout_at};
 use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal};
 
+use super::settings_reloader::SettingsReloader;
 use super::{GatewayListeners, ListenerTask, StartError, spawn_supervised};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
@@ -29,8 +30,9 @@
 /// Shortest time from a stop signal to the end of the process: the load balancer notices after two
 /// failed checks of a second each, and new connections arrive until then.
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
-/// Time before the end of the grace period at which the process ends, whatever is in progress.
-const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
+/// Time before the end of the grace period at which the stop ends, whatever is in progress. The log
+/// is written, and the process ends by itself, in the 100 ms until it is ended by force.
+const EXIT_MARGIN: TimeSpan = TimeSpan::new(300);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
@@ -41,6 +43,7 @@
     stop: StopSignal,
     /// Task that serves the connections of callers.
     caller_server: JoinHandle<()>,
+    reloader: Arc<SettingsReloader>,
 }
 
 impl GatewayServer {
@@ -67,6 +70,7 @@
         let core = Arc::new(core);
         let stop = StopSignal::new();
         let server = Self {
+            reloader: Arc::new(SettingsReloader::new(core.clone())),
             caller_server: serve_listeners(listeners, &core, &stop),
             core,
             stop,
@@ -92,7 +96,7 @@
 
     /// Reads the settings again and applies changes; `cause` is for the log.
     pub fn reload(&self, cause: &str) {
-        reload_settings(&self.core, cause);
+        self.reloader.request(cause);
     }
 
     /// Shuts down gracefully: lets calls end and returns when the process may exit.
@@ -122,17 +126,9 @@
         let refusal_end = (Instant::now() + REFUSAL_TIME).min(exit_at);
         self.wait_idle(refusal_end, exit_at).await;
         self.stop.stop();
-        let (active, streams) =
-            core.with_state(|state, _| (state.active_calls, state.active_streams));
+        let active_work = core.active_work();
         let is_drained = timeout_at(exit_at, self.caller_server).await.is_ok();
-        log::info!(
-            event = EventKind::NodeStopped.number(),
-            node = core.node().as_str(),
-            active = active,
-            streams = streams,
-            drained = is_drained;
-            "shut down"
-        );
+        core.log_end(active_work, is_drained);
     }
 
     /// Waits until no call is in progress, at least until `earliest_end` and at most until `end`.
@@ -168,7 +164,8 @@
         spawn_supervised("facts", move || FactPusher::new(shared.clone()).run());
         let shared = core.clone();
         spawn_supervised("ticks", move || run_ticks(shared.clone()));
-        spawn_supervised("settings", move || watch_settings(core.clone()));
+        let reloader = self.reloader.clone();
+        spawn_supervised("settings", move || watch_settings(reloader.clone()));
     }
 }
 
@@ -182,12 +179,12 @@
 }
 
 /// Reads the settings at regular intervals, and does the upkeep of the metrics.
-async fn watch_settings(core: Arc<GatewayCore>) {
+async fn watch_settings(reloader: Arc<SettingsReloader>) {
     let mut ticks = interval(SETTINGS_INTERVAL);
     loop {
         ticks.tick().await;
         MetricsExport::shared().run_upkeep();
-        reload_settings(&core, "file changed");
+        reloader.request("file changed");
     }
 }
 
@@ -220,24 +217,3 @@
         .with_limits(caller_limits)
         .spawn(callers, stop)
 }
-
-/// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
-fn reload_settings(core: &GatewayCore, cause: &str) {
-    let settings = match core.ports.settings.read() {
-        Ok(settings) => settings,
-        Err(reason) => {
-            core.log_settings_failure(&reason);
-            return;
-        }
-    };
-    if !core.with_state(|state, _| state.apply_settings(&settings)) {
-        return;
-    }
-    log::info!(
-        event = EventKind::SettingsReloaded.number(),
-        node = core.node().as_str(),
-        seeds = settings.seeds.len(),
-        cause = cause;
-        "changed seeds and retry budgets applied"
-    );
-}
