--- a/crates/gateway/tests/gateway/paces.rs
+++ b/crates/gateway/tests/gateway/paces.rs
@@ -136,6 +136,7 @@
             move_source: None,
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
+            workspace: None,
             pace: Some(PaceNeed {
                 pause_limit: TimeSpan::new(180),
                 latency_target: TimeSpan::new(1_800),
@@ -147,6 +148,7 @@
         waited: TimeSpan::new(100),
         start_within: TimeSpan::new(start_within_ms),
         max_wait: TimeSpan::new(5_000),
+        accepts_refusal: true,
     })
     .unwrap()
 }
