--- a/crates/agatemoor/tests/gateway_exit.rs
+++ b/crates/agatemoor/tests/gateway_exit.rs
@@ -114,7 +114,13 @@
     for run in runs {
         let log = run.join().unwrap();
         assert!(log.contains("\"event\":1002"), "the stop began");
-        assert!(log.contains("\"event\":1003"), "the last line is missing");
+        let lines: Vec<_> = log.lines().collect();
+        let last = &lines[lines.len().saturating_sub(3)..];
+        assert!(
+            log.contains("\"event\":1003"),
+            "the last line is missing after {} lines: {last:?}",
+            lines.len()
+        );
     }
 }
 
