--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,4 +1,3 @@
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -85,7 +84,7 @@
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
     /// Whether the end of the process was logged.
-    is_end_logged: AtomicBool,
+    is_end_logged: Mutex<bool>,
 }
 
 impl GatewayCore {
@@ -106,7 +105,7 @@
             pool: ConnectionPool::new(PoolSettings::new()),
             peer_pool: ConnectionPool::new(PoolSettings::new()),
             settings_failure: Mutex::new(None),
-            is_end_logged: AtomicBool::new(false),
+            is_end_logged: Mutex::new(false),
         }
     }
 
@@ -142,7 +141,12 @@
 
     /// Logs that the process ends with this work in progress, unless that was logged before.
     pub fn log_end(&self, (active, streams): (usize, usize), is_drained: bool) {
-        if self.is_end_logged.swap(true, Ordering::Relaxed) {
+        // Held until the line is logged: the thread that is told that it was ends the process.
+        let mut is_logged = self
+            .is_end_logged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if std::mem::replace(&mut *is_logged, true) {
             return;
         }
         log::info!(
