--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -64,6 +64,10 @@
     NodeReady = 1009, "The node has compared its declaration with others and serves callers.";
     SettingsReloaded = 1011, "The settings were read again.";
     LogLinesDropped = 1012, "Log lines were dropped because the reader of the log was too slow.";
+    StartWaiting = 1013, "A start, or the metrics listener, waits for something that may become available.";
+    StartFailed = 1014, "The process ends because it could not start; the line says why.";
+    TaskPanicked = 1015, "A task panicked; the line names it. A background task is started again.";
+    ExitForced = 1016, "The process ends, as its grace period is over, although it has not finished its stop.";
     RequestAccepted = 2001, "A request passed authentication and was read.";
     RequestRefused = 2002, "A request was answered with an error before it was sent to a target.";
     AttemptSent = 2003, "An attempt was sent and may have reached its target.";
@@ -94,6 +98,10 @@
     RateShared = 3013, "This node began to share the rate of calls that a target names among all nodes.";
     TrialGranted = 3014, "One call with a prompt part that is suspected of crashing targets may run.";
     CallRecalled = 3015, "A call was recalled from its target, as the same request or a part of its prompt crashed others.";
+    EvacuationBegun = 3016, "A failure domain is evacuated; its targets get nothing more.";
+    EvacuationFinished = 3017, "No generation of this node is left on the engines of an evacuated failure domain.";
+    EvacuationWithdrawn = 3018, "The evacuation of a failure domain was taken back.";
+    EnginePaceChanged = 3030, "Long calls avoid an engine, as they would be late there, or avoid it no longer.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer did not respond to probes and may have failed.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod fact;
 mod length;
 mod moves;
+mod pace;
 mod queue;
 mod rate;
 mod retry;
@@ -28,9 +29,17 @@
 };
 pub use length::OutputEstimate;
 pub use moves::{
-    CopyLocks, MoveMachine, MovePhase, MoveScheduler, MoveStep, MoveTurn, StreamProgress,
+    CopyLocks, FullTargets, MoveMachine, MovePhase, MovePlan, MovePlanner, MoveRoom, MoveScheduler,
+    MoveStep, MoveTicket, MoveTurn, MoveWorth, NoticeEstimate, StreamProgress,
+};
+pub use pace::{
+    DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
+    PaceTurns, SampleBudget, TargetPace,
+};
+pub use queue::{
+    CallQueue, CallsAhead, EventRate, PlacementPacer, PlacementRate, QueueLane, QueueStatus,
+    QueueTicket, QueuedCall, ShareSlot, WaitEstimate, WaitEstimator, WaitRefusal, WorkspaceShares,
 };
-pub use queue::{CallQueue, PlacementPacer, QueueTicket, QueuedCall};
 pub use rate::{
     DomainPeak, FleetReach, PermitOutcome, RateBucket, RateGrant, RateLedger, RateRecord,
     ReturnSchedule, SendPermit, TargetRate,
@@ -41,4 +50,7 @@
     PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad, TargetOutcome,
     TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-pub use view::{ItemChange, ItemMirror, LeaseGuard, PublishedItem, latest_gap};
+pub use view::{
+    EvacuationChange, EvacuationLedger, EvacuationRecord, ItemChange, ItemMirror, LeaseGuard,
+    PublishedItem, latest_gap,
+};
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -1,6 +1,8 @@
 use std::ops::{AddAssign, SubAssign};
 
-use base::{ClockTime, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
+use base::{
+    CallRate, ClockTime, DomainName, IncarnationNumber, NodeName, ServiceName, TargetName, TimeSpan,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -8,7 +10,10 @@
     LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope, TargetChanges,
     TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
-use crate::{CapacityGrant, EngineSpec, LeaseGuard};
+use crate::{
+    CapacityGrant, DomainPace, EnginePace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable,
+    TargetPace,
+};
 
 /// Share of an engine's memory that calls may hold on average, by their estimates; the rest is a
 /// reserve for wrong estimates.
@@ -52,6 +57,14 @@
 /// Age at which the load report of a peer that sent no newer one is dropped.
 const PEER_EXPIRY: TimeSpan = TimeSpan::new(2_500);
 
+/// Interval at which the paces of the engines are compared again.
+const COMPARE_INTERVAL: TimeSpan = TimeSpan::new(100);
+/// Largest cost in milliseconds of an engine on which a generation that moves is late; below that
+/// of another failure domain.
+const MOVE_LATE_COST_MS: f64 = 300.0;
+/// Late probability of a quick call up to which it is steered to engines that long calls avoid.
+const STEERED_LATE_LIMIT: f64 = 0.1;
+
 /// Load balancer of one node: tracks the load and health of the targets of all services and chooses
 /// a target for each call.
 #[derive(Debug)]
@@ -62,7 +75,16 @@
     /// Latest load report of each origin, sorted by origin.
     peers: Vec<PeerLoads>,
     own_load_version: u64,
+    /// Evacuated failure domains, sorted.
+    evacuated: Vec<DomainName>,
+    /// Rate that each target of a service takes while it is cold, sorted by service.
+    cold_rates: Vec<(ServiceName, CallRate)>,
     random: Pcg64,
+    paces: PaceTable,
+    /// Engines that long calls avoid or avoid no longer, not yet logged.
+    pace_changes: Vec<(TargetName, TargetPace)>,
+    /// When the paces of the engines were compared last.
+    compared_at: ClockTime,
 }
 
 impl LoadBalancer {
@@ -79,7 +101,12 @@
             targets: Vec::new(),
             peers: Vec::new(),
             own_load_version: 0,
+            evacuated: Vec::new(),
+            cold_rates: Vec::new(),
             random: Pcg64::seed_from_u64(seed),
+            paces: PaceTable::default(),
+            pace_changes: Vec::new(),
+            compared_at: ClockTime::default(),
         }
     }
 
@@ -110,13 +137,64 @@
             self.update_record(now, record, &mut changes);
         }
         self.drop_missing(now, &listed, guard, &mut changes);
+        self.mark_evacuated();
+        self.apply_cold_rates();
         self.recount_peer_loads();
         changes
     }
 
+    /// Replaces the evacuated failure domains, whose targets take no calls.
+    pub fn set_evacuated(&mut self, mut domains: Vec<DomainName>) {
+        domains.sort();
+        self.evacuated = domains;
+        self.mark_evacuated();
+    }
+
+    /// Replaces the rates that each target of a service takes while it is cold; services without one
+    /// are left out.
+    pub fn set_cold_rates(&mut self, mut rates: Vec<(ServiceName, CallRate)>) {
+        rates.sort();
+        self.cold_rates = rates;
+        self.apply_cold_rates();
+    }
+
+    /// Runs of the targets of the own failure domain that are cold and take only a certain rate.
+    pub fn local_cold_runs(&self, now: ClockTime) -> Vec<(TargetName, IncarnationNumber)> {
+        let known = self.targets.iter();
+        let local = known.filter(|one| one.record.domain == self.domain);
+        let cold = local.filter(|one| one.rate.cold_limit(now).is_some());
+        cold.map(TargetState::run).collect()
+    }
+
+    /// Whether a service has targets that do not leave, and all of them are evacuated.
+    pub fn is_service_evacuated(&self, service: &ServiceName) -> bool {
+        let known = self.targets.iter();
+        let mut staying = known
+            .filter(|one| one.record.service == *service && one.phase != TargetPhase::Leaving)
+            .peekable();
+        staying.peek().is_some() && staying.all(|one| one.is_evacuated)
+    }
+
+    /// Targets of a failure domain, sorted.
+    pub fn targets_in(&self, domain: &DomainName) -> Vec<TargetName> {
+        let known = self.targets.iter();
+        let found = known.filter(|one| one.record.domain == *domain);
+        found.map(|one| one.record.name.clone()).collect()
+    }
+
+    /// Number of generations of this node on the engines of a failure domain.
+    pub fn own_generations_in(&self, domain: &DomainName) -> u32 {
+        let known = self.targets.iter();
+        let busy = known.filter(|one| one.record.domain == *domain && one.own_load.is_on_engine());
+        busy.map(|one| one.own_load.calls).sum()
+    }
+
     /// Marks lapsed targets as gone and drops load reports, each once their time is over; returns what
     /// changes for targets.
     pub fn on_tick(&mut self, now: ClockTime) -> TargetChanges {
+        if now.since(self.compared_at) >= COMPARE_INTERVAL {
+            self.compare_paces(now);
+        }
         let mut changes = TargetChanges::default();
         let lapsed =
             |state: &TargetState| matches!(state.phase, TargetPhase::Lapsed(until) if until <= now);
@@ -243,12 +321,26 @@
         &mut self,
         now: ClockTime,
         request: &PlacementRequest,
+    ) -> PlacementDecision {
+        if let Some(need) = request.pace.filter(|_| request.may_wait_for_pace(now)) {
+            self.paces.record_long_call(need.events_left);
+        }
+        self.choose_among(now, request, None)
+    }
+
+    /// Chooses a target as [`Self::choose_target`] does, if `allowed` is given only among those;
+    /// they are sorted by name.
+    pub fn choose_among(
+        &mut self,
+        now: ClockTime,
+        request: &PlacementRequest,
+        allowed: Option<&[TargetName]>,
     ) -> PlacementDecision {
         let mut has_target = false;
         let mut all_excluded = true;
         let mut costs = Vec::new();
         for (at, state) in self.targets.iter().enumerate() {
-            if state.record.service != request.service || state.phase == TargetPhase::Leaving {
+            if state.record.service != request.service || !state.is_open() {
                 continue;
             }
             has_target = true;
@@ -259,6 +351,11 @@
             if request.excluded.contains(&state.record.name) || !state.accepts(now) {
                 continue;
             }
+            if allowed.is_some_and(|names| names.binary_search(&state.record.name).is_err())
+                || is_avoided(now, state, request)
+            {
+                continue;
+            }
             if let Some(cost) = self.cost(now, state, request) {
                 costs.push((cost, at));
             }
@@ -282,6 +379,115 @@
         PlacementDecision::Target(target.record.name.clone())
     }
 
+    /// Targets that have room for a call but that it avoids, as it would be late there, sorted.
+    pub fn avoided_targets(&self, now: ClockTime, request: &PlacementRequest) -> Vec<TargetName> {
+        let known = self.targets.iter().filter(|state| {
+            state.record.service == request.service
+                && state.phase != TargetPhase::Leaving
+                && is_avoided(now, state, request)
+                && state.accepts(now)
+        });
+        let open = known.filter(|state| {
+            let has_room = request
+                .engine
+                .is_some_and(|spec| engine_cost(state, request, spec).is_some());
+            let is_in_scope =
+                state.record.domain == self.domain || request.scope == PlacementScope::AllDomains;
+            has_room && is_in_scope && !request.excluded.contains(&state.record.name)
+        });
+        open.map(|state| state.record.name.clone()).collect()
+    }
+
+    /// Adds the gaps that `node` observed at engines.
+    pub fn add_paces(&mut self, now: ClockTime, node: &NodeName, reports: &[PaceReport]) {
+        for report in reports {
+            let Ok(at) = self.find(&report.target) else {
+                continue;
+            };
+            let state = &self.targets[at];
+            if state.record.incarnation == report.incarnation {
+                let batch = state.total().calls;
+                self.paces.add(now, node, report, state.pace, batch);
+            }
+        }
+        if now.since(self.compared_at) >= COMPARE_INTERVAL {
+            self.compare_paces(now);
+        }
+    }
+
+    /// What is known of the pace of an engine's current run, if anything.
+    pub fn engine_pace(&self, name: &TargetName) -> Option<&EnginePace> {
+        let state = self.target(name)?;
+        self.paces.engine(name, state.record.incarnation)
+    }
+
+    /// Paces of the engines of the own failure domain that differ from the others, sorted by target,
+    /// to be reported to other domains.
+    pub fn domain_paces(&self) -> Vec<DomainPace> {
+        let own = self.targets.iter().filter(|state| {
+            state.record.domain == self.domain
+                && state.phase != TargetPhase::Leaving
+                && state.pace.is_unusual()
+        });
+        own.map(|state| DomainPace::new(&state.record.name, state.record.incarnation, state.pace))
+            .collect()
+    }
+
+    /// Records the paces that the coordinator of another failure domain reported of its engines;
+    /// those of engines of other domains are ignored.
+    pub fn apply_domain_paces(
+        &mut self,
+        now: ClockTime,
+        domain: &DomainName,
+        mut paces: Vec<DomainPace>,
+    ) {
+        paces.retain(|pace| {
+            let found = self.target(&pace.target);
+            found
+                .is_some_and(|one| one.record.domain == *domain && one.record.domain != self.domain)
+        });
+        self.paces.record_remote(now, &paces);
+    }
+
+    /// Engines that long calls avoid, or avoid no longer, since the last call of this method, with
+    /// their paces.
+    pub fn take_pace_changes(&mut self) -> Vec<(TargetName, TargetPace)> {
+        std::mem::take(&mut self.pace_changes)
+    }
+
+    /// Compares the engines of each service by their pace, and forgets runs that are gone.
+    fn compare_paces(&mut self, now: ClockTime) {
+        self.compared_at = now;
+        if self.paces.is_empty() {
+            return;
+        }
+        let targets = &self.targets;
+        self.paces.retain(now, |name, incarnation| {
+            let found = targets.binary_search_by(|state| state.record.name.cmp(name));
+            found.is_ok_and(|at| targets[at].record.incarnation == incarnation)
+        });
+        let mut services: Vec<_> = self.targets.iter().map(|one| &one.record.service).collect();
+        services.sort();
+        services.dedup();
+        for service in services.into_iter().cloned().collect::<Vec<_>>() {
+            let is_open = |state: &TargetState| {
+                state.record.service == service && state.phase != TargetPhase::Leaving
+            };
+            let open = self.targets.iter().filter(|state| is_open(state));
+            let runs: Vec<_> = open
+                .map(|state| (&state.record.name, state.record.incarnation))
+                .collect();
+            let paces = self.paces.compare(now, &runs);
+            let open = self.targets.iter_mut().filter(|state| is_open(state));
+            for (state, pace) in open.zip(paces) {
+                if state.pace.is_avoided != pace.is_avoided {
+                    self.pace_changes.push((state.record.name.clone(), pace));
+                }
+                state.pace = pace;
+            }
+        }
+    }
+
     /// Adds load of a call of this node to a target.
     pub fn add_load(&mut self, name: &TargetName, load: TargetLoad) {
         if let Ok(at) = self.find(name) {
@@ -324,6 +530,24 @@
         unavailable.map(|state| state.record.name.clone()).collect()
     }
 
+    /// Services that have targets, sorted.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let names = self.targets.iter().map(|state| &state.record.service);
+        let mut names: Vec<_> = names.collect();
+        names.sort();
+        names.dedup();
+        names.into_iter().cloned().collect()
+    }
+
+    /// Number of targets of a service in the own failure domain that take calls.
+    pub fn local_targets(&self, now: ClockTime, service: &ServiceName) -> usize {
+        let local = self
+            .targets
+            .iter()
+            .filter(|state| state.record.service == *service && state.record.domain == self.domain);
+        local.filter(|state| state.accepts(now)).count()
+    }
+
     /// Whether the own failure domain has a target of a service that takes calls.
     pub fn has_local_target(&self, now: ClockTime, service: &ServiceName) -> bool {
         let mut local = self
@@ -349,6 +573,15 @@
         delays.collect()
     }
 
+    /// Sets the share of the memory of the engines of a service that is kept free for generations
+    /// that have to move.
+    pub fn set_move_share(&mut self, service: &ServiceName, share: f64) {
+        let engines = self.targets.iter_mut();
+        for state in engines.filter(|state| state.record.service == *service) {
+            state.move_share = share;
+        }
+    }
+
     /// Records how a call at a target ended.
     pub fn record_outcome(&mut self, now: ClockTime, name: &TargetName, outcome: TargetOutcome) {
         if let Ok(at) = self.find(name) {
@@ -359,7 +592,7 @@
     /// Expected delay of a call on a target in milliseconds; `None` if the target has no room.
     fn cost(&self, now: ClockTime, state: &TargetState, request: &PlacementRequest) -> Option<f64> {
         let mut cost = match request.engine {
-            Some(spec) => engine_cost(state, request, spec)?,
+            Some(spec) => engine_cost(state, request, spec)? + pace_cost(now, state, request),
             None => plain_cost(state)?,
         };
         let reported = request
@@ -409,6 +642,7 @@
             state.has_announced_leave = false;
             changes.no_longer_leaving.push(state.run());
         }
+        state.warm_at = now + record.cold_left;
         state.record = record;
         state.phase = state.listed_phase();
         if state.phase == TargetPhase::Leaving && !was_leaving {
@@ -459,6 +693,22 @@
         })
     }
 
+    fn mark_evacuated(&mut self) {
+        let evacuated = &self.evacuated;
+        for state in &mut self.targets {
+            state.is_evacuated = evacuated.binary_search(&state.record.domain).is_ok();
+        }
+    }
+
+    fn apply_cold_rates(&mut self) {
+        let rates = &self.cold_rates;
+        for state in &mut self.targets {
+            let found = rates.binary_search_by(|(name, _)| name.cmp(&state.record.service));
+            let cold = found.ok().map(|at| (rates[at].1, state.warm_at));
+            state.rate.set_cold(cold);
+        }
+    }
+
     fn recount_peer_loads(&mut self) {
         for state in &mut self.targets {
             state.peer_load = TargetLoad::default();
@@ -525,19 +775,75 @@
     // A generation that has to move is lost if it finds no room.
     let share = match request.is_quick || request.move_source.is_some() {
         true => MEMORY_SHARE,
-        false => LONG_OUTPUT_SHARE,
+        false => LONG_OUTPUT_SHARE.min(MEMORY_SHARE - state.move_share),
     };
     let limit = f64::from(spec.memory.0) * share;
     let tokens = (total.tokens + request.load.tokens) as f64;
     if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
         return None;
     }
-    if request.move_source.is_none() && total.prefill >= PREFILL_LIMIT {
+    let ratio = prefill_ratio(state, request);
+    if request.move_source.is_none() && total.prefill as f64 * ratio >= PREFILL_LIMIT as f64 {
         return None;
     }
     let fill = tokens / limit;
     let prefill = prefill_time(total.prefill).as_millis() as f64;
-    Some(prefill + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
+    Some(prefill * ratio + f64::from(total.calls) * CALL_DELAY_MS + fill * fill * MEMORY_COST_MS)
+}
+
+/// Factor by which an engine reads prompts slower than the others of its service; 1 for a call
+/// without a pause limit, and while no engine differs much.
+fn prefill_ratio(state: &TargetState, request: &PlacementRequest) -> f64 {
+    match request.pace.is_some() && state.pace.is_uneven {
+        true => state.pace.ratio,
+        false => 1.0,
+    }
+}
+
+/// Whether a call avoids an engine, as it would more likely than not be late there, while it can
+/// still wait for another one.
+fn is_avoided(now: ClockTime, state: &TargetState, request: &PlacementRequest) -> bool {
+    let need = request.pace.filter(|_| request.may_wait_for_pace(now));
+    need.is_some_and(|need| state.pace.is_uneven && state.pace.is_late_for(need.events_left))
+}
+
+/// Expected cost in milliseconds of the pace of an engine; below 0 if a quick call is steered to
+/// it. 0 for a call without a pause limit, and while no engine differs much.
+fn pace_cost(now: ClockTime, state: &TargetState, request: &PlacementRequest) -> f64 {
+    let Some(need) = request.pace.filter(|_| state.pace.is_uneven) else {
+        return 0.0;
+    };
+    let late_cost = need.latency_target.as_millis() as f64;
+    let late = state.pace.late_probability(need.events_left) * late_cost;
+    if request.move_source.is_some() {
+        return late.min(MOVE_LATE_COST_MS);
+    }
+    let prompt = prefill_time(request.load.prefill).as_millis() as f64;
+    let slower_prompt = prompt * (state.pace.ratio - 1.0);
+    if !need.can_be_on_time(now) {
+        return slower_prompt;
+    }
+    match request.is_quick && is_steered(now, state, request, need) {
+        true => late - late_cost,
+        false => late + slower_prompt,
+    }
+}
+
+/// Whether a quick call is steered to an engine, as long calls avoid it and the call is on time
+/// there.
+fn is_steered(
+    now: ClockTime,
+    state: &TargetState,
+    request: &PlacementRequest,
+    need: PaceNeed,
+) -> bool {
+    let waiting = state.total().prefill + request.load.prefill;
+    let first_event = prefill_time(waiting).as_millis() as f64 * state.pace.ratio;
+    let delay = first_event - prefill_time(request.load.prefill).as_millis() as f64;
+    state.pace.is_avoided
+        && delay <= need.start_by.since(now).as_millis() as f64
+        && first_event * 2.0 <= need.latency_target.as_millis() as f64
+        && state.pace.late_probability(need.events_left) <= STEERED_LATE_LIMIT
 }
 
 /// Expected delay in milliseconds of a call on a plain target; `None` if the calls of this node
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -1,7 +1,7 @@
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
 use super::{TargetBackoff, TargetHealth, TargetLoad, TargetRecord};
-use crate::TargetRate;
+use crate::{TargetPace, TargetRate};
 
 /// Whether a target takes calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,8 +38,14 @@
     pub has_announced_leave: bool,
     /// Whether this run ended although it is still listed.
     pub has_ended: bool,
-    /// When it stops being slow after its start.
+    /// Whether its failure domain is evacuated, so that it takes no calls until that is taken back.
+    pub is_evacuated: bool,
+    /// When it stops being cold.
     pub warm_at: ClockTime,
+    /// Its pace beside the other engines of its service.
+    pub pace: TargetPace,
+    /// Share of its memory that is kept free for generations that have to move.
+    pub move_share: f64,
 }
 
 impl TargetState {
@@ -54,7 +60,10 @@
             rate: TargetRate::default(),
             has_announced_leave: false,
             has_ended: false,
+            is_evacuated: false,
+            move_share: 0.0,
             warm_at: now + record.cold_left,
+            pace: TargetPace::default(),
             record,
             phase,
             own_load: TargetLoad::default(),
@@ -77,11 +86,16 @@
         (self.record.name.clone(), self.record.incarnation)
     }
 
-    /// Whether its phase, health, backoff and rate allow new calls; whether it has room is not
-    /// checked.
+    /// Whether it may be chosen for calls once it has room: it neither leaves nor is evacuated.
+    pub fn is_open(&self) -> bool {
+        self.phase != TargetPhase::Leaving && !self.is_evacuated
+    }
+
+    /// Whether its phase, health, backoff and rate allow new calls and it is not evacuated; whether
+    /// it has room is not checked.
     pub fn accepts(&self, now: ClockTime) -> bool {
-        let is_open = self.phase != TargetPhase::Leaving && self.health.accepts(now);
-        is_open
+        self.is_open()
+            && self.health.accepts(now)
             && self.backoff.allows(now, self.own_load.calls)
             && self.rate.wait_left(now).is_none()
     }
--- a/crates/entry/tests/load_balancer.rs
+++ b/crates/entry/tests/load_balancer.rs
@@ -4,8 +4,8 @@
 
 use base::{ClockTime, DomainName, IncarnationNumber, NodeName, TargetName, TimeSpan};
 use entry::{
-    LeaseGuard, LoadOrigin, MoveSource, PeerLoads, PlacementDecision, PlacementRequest,
-    TargetChanges, TargetLoad, TargetOutcome, TargetPhase,
+    LeaseGuard, LoadBalancer, LoadOrigin, MoveSource, PeerLoads, PlacementDecision,
+    PlacementRequest, TargetChanges, TargetLoad, TargetOutcome, TargetPhase,
 };
 use proptest::prelude::*;
 use support::{SPEC, balancer, record, request};
@@ -374,6 +374,8 @@
     MoveSource {
         target: name("e9"),
         domain: "patan".parse().unwrap(),
+        produced: 0,
+        full: Vec::new(),
     }
 }
 
@@ -394,3 +396,77 @@
     assert_eq!(chosen(balancer.choose_target(later, &call)), name("e1"));
     assert_eq!(chosen(balancer.choose_target(later, &call)), name("e1"));
 }
+
+// Guards against long calls that take the room that generations of leaving engines need, and
+// against refusing that room to moves and quick calls.
+#[test]
+fn long_calls_leave_the_room_for_moves() {
+    let mut balancer = balancer(&[record("e1", "patan")]);
+    let load = TargetLoad {
+        calls: 1,
+        tokens: 5_000,
+        ..TargetLoad::default()
+    };
+    balancer.add_load(&name("e1"), load);
+    let long = PlacementRequest {
+        is_quick: false,
+        ..request(2_000, 0)
+    };
+    let place =
+        |balancer: &mut LoadBalancer, call: &PlacementRequest| balancer.choose_target(NOW, call);
+    let placed = PlacementDecision::Target(name("e1"));
+    assert_eq!(place(&mut balancer, &long), placed);
+    balancer.set_move_share(&"pool".parse().unwrap(), 0.25);
+    assert_eq!(place(&mut balancer, &long), PlacementDecision::Full);
+    let moved = PlacementRequest {
+        move_source: Some(move_source()),
+        ..long.clone()
+    };
+    assert_eq!(place(&mut balancer, &moved), placed);
+    assert_eq!(place(&mut balancer, &request(2_000, 0)), placed);
+    balancer.set_move_share(&"pool".parse().unwrap(), 0.0);
+    assert_eq!(place(&mut balancer, &long), placed);
+}
+
+// Guards against engines that leave together and copy to the same destination, whose link then
+// queues, while others take no copy; and against moves to other domains before that.
+#[test]
+fn moves_spread_over_engines_that_take_no_copy() {
+    let locals = ["e1", "e2", "e3", "e4"];
+    let mut records: Vec<_> = locals.map(|name| record(name, "patan")).into();
+    records.push(record("f1", "balaju"));
+    let mut balancer = balancer(&records);
+    for (name_text, tokens) in locals.into_iter().zip([1_000, 2_000, 3_000, 4_000]) {
+        let load = TargetLoad {
+            calls: 1,
+            tokens,
+            ..TargetLoad::default()
+        };
+        balancer.add_load(&name(name_text), load);
+    }
+    let load = TargetLoad {
+        calls: 1,
+        tokens: 3_000,
+        prefill: 0,
+        incoming: 3_000,
+    };
+    let mut used = Vec::new();
+    for source in ["s1", "s2", "s3", "s1", "s2"] {
+        let call = PlacementRequest {
+            load,
+            is_quick: false,
+            move_source: Some(MoveSource {
+                target: name(source),
+                ..move_source()
+            }),
+            ..request(0, 0)
+        };
+        let target = chosen(balancer.choose_target(NOW, &call));
+        balancer.add_granted(&target, load);
+        used.push(target);
+    }
+    let far = used.pop();
+    used.sort();
+    assert_eq!(used, locals.map(name));
+    assert_eq!(far, Some(name("f1")));
+}
--- a/crates/entry/tests/queue.rs
+++ b/crates/entry/tests/queue.rs
@@ -19,6 +19,8 @@
         start_by: arrived + START_WITHIN,
         is_quick: false,
         is_move: false,
+        workspace: None,
+        work: 1,
     })
 }
 
@@ -88,6 +90,8 @@
         start_by: ClockTime::new(900),
         is_quick: true,
         is_move: false,
+        workspace: None,
+        work: 1,
     });
     assert_eq!(queue.peek(ClockTime::new(500), &service()), Some(quick));
     assert_eq!(queue.count_ahead(ClockTime::new(500), &service(), true), 1);
@@ -140,3 +144,21 @@
     let later = now + TimeSpan::from_secs(11);
     assert!(share.try_take(later, &service(), 10));
 }
+
+// Guards against calls behind one that waits that are tried in another order than they are served.
+#[test]
+fn the_order_is_that_in_which_calls_are_served() {
+    let mut queue = CallQueue::default();
+    for (arrived, priority) in [(0, 2), (700, 0), (300, 1), (900, 0), (100, 0)] {
+        push(&mut queue, arrived, &service(), priority);
+    }
+    let now = ClockTime::new(1_250);
+    let ordered = queue.ordered(now, &service());
+    let mut served = Vec::new();
+    while let Some(ticket) = queue.peek(now, &service()) {
+        served.push(ticket);
+        queue.remove(ticket);
+    }
+    assert_eq!(ordered, served);
+    assert_eq!(served.len(), 5);
+}
--- a/crates/gateway/src/coordinator/coordinator_client.rs
+++ b/crates/gateway/src/coordinator/coordinator_client.rs
@@ -3,6 +3,7 @@
 
 use base::{ClockTime, TargetName, TimeSpan};
 use entry::{PlacementRequest, PlacementScope};
+use metrics::counter;
 
 use super::{CoordinatorReply, CoordinatorRequest};
 use crate::peer::PeerClient;
@@ -45,6 +46,20 @@
 /// If there is no target, none has capacity in time, or all asked this node to back off; the call
 /// was not sent.
 pub async fn reserve_capacity(
+    core: &Arc<GatewayCore>,
+    request: CapacityRequest,
+) -> Result<CapacityReservation, PlacementRefusal> {
+    let service = request.placement.service.to_string();
+    let is_move = request.placement.move_source.is_some();
+    let reserved = reserve_in_time(core, request).await;
+    if !is_move && matches!(reserved, Err(PlacementRefusal::Full)) {
+        let labels = [("service", service), ("cause", "waited".to_owned())];
+        counter!("gateway_queue_refusals_total", &labels).increment(1);
+    }
+    reserved
+}
+
+async fn reserve_in_time(
     core: &Arc<GatewayCore>,
     mut request: CapacityRequest,
 ) -> Result<CapacityReservation, PlacementRefusal> {
@@ -59,12 +74,15 @@
         }
     }
     let now = core.now();
+    let max_wait = request.max_wait.saturating_sub(now.since(start));
     let queued = QueueRequest {
+        accepts_refusal: accepts_refusal(&request.placement),
         placement: request.placement,
         priority: request.priority,
         waited: now.since(request.arrived),
         start_within: request.start_within,
-        max_wait: request.max_wait.saturating_sub(now.since(start)),
+        max_wait,
+        patience: max_wait,
         requester: None,
     };
     core.reserve_local(queued).await
@@ -86,6 +104,12 @@
     reserve_capacity(core, request).await.ok()
 }
 
+/// Whether a call may be refused at once if it is expected to wait for too long: calls of callers
+/// for engines, who return later; a generation that runs does not.
+fn accepts_refusal(placement: &PlacementRequest) -> bool {
+    placement.engine.is_some() && placement.move_source.is_none()
+}
+
 /// Failure domains whose engines a node may use without a coordinator. Only a coordinator knows the
 /// load on the engines of other domains, so other nodes use these only if their own domain has no
 /// engine of the service.
@@ -114,6 +138,9 @@
             return CoordinatorOutcome::Local;
         };
         let refusal = core.with_state(|state, now| {
+            if state.balancer.is_service_evacuated(&placement.service) {
+                return Some(PlacementRefusal::NoTarget);
+            }
             let left = state.balancer.wait_left(now, &placement.service)?;
             Some(state.refuse_for(now, &placement.service, left))
         });
@@ -128,9 +155,19 @@
             waited: now.since(request.arrived),
             start_within: request.start_within,
             max_wait: end.since(now),
+            accepts_refusal: accepts_refusal(placement),
         };
-        match client.request_placement(coordinator, &message).await {
-            Some(CoordinatorReply::Granted { target, id }) => {
+        match client.request_placement(coordinator, message).await {
+            Some(CoordinatorReply::Granted {
+                target,
+                id,
+                source_left,
+            }) => {
+                if let (Some(left), Some(source)) = (source_left, &placement.move_source) {
+                    core.with_state(|state, now| {
+                        state.move_scheduler.set_end(&source.target, now + left);
+                    });
+                }
                 let reserved = CapacityReservation::from_grant(
                     core.clone(),
                     coordinator,
@@ -142,6 +179,8 @@
                     Some(reservation) => {
                         return CoordinatorOutcome::Placed(Box::new(reservation));
                     }
+                    // A coordinator does not offer again what this node declined.
+                    None if declined.contains(&target) => return CoordinatorOutcome::Local,
                     None => declined.push(target),
                 }
             }
@@ -149,6 +188,15 @@
             Some(CoordinatorReply::Waiting) => {
                 return CoordinatorOutcome::Refused(PlacementRefusal::Full);
             }
+            Some(CoordinatorReply::Refused {
+                retry_after,
+                estimate,
+            }) => {
+                return CoordinatorOutcome::Refused(PlacementRefusal::TooLongWait {
+                    retry_after,
+                    estimate,
+                });
+            }
             Some(CoordinatorReply::Absent) => return CoordinatorOutcome::Local,
             None => {
                 core.with_state(|state, now| state.coordinator.mark_unreachable(now, coordinator));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,10 @@
 mod state;
 mod trial;
 
-pub use peer::{ItemUpdate, NodeDigest};
+pub use coordinator::{CoordinatorReply, CoordinatorRequest};
+pub use peer::{
+    ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
+};
 pub use poll::ViewPoller;
 pub use port::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
@@ -25,9 +28,12 @@
 };
 pub use rate::{PermitReply, PermitRequest, PermitStep};
 pub use relay::CallHandler;
-pub use serve::{GatewayServer, StartError};
+pub use serve::{
+    GatewayListeners, GatewayServer, ListenerTask, StartError, log_panics, spawn_supervised,
+    with_task_name,
+};
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
     BodyBudget, BodyLease, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
-    PlacementRefusal, SendCheck, SendRefusal, StopPlan,
+    PlacementRefusal, QueueRequest, SendCheck, SendRefusal, StopPlan,
 };
--- a/crates/gateway/src/peer/load_report.rs
+++ b/crates/gateway/src/peer/load_report.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, DomainName, NodeName, TargetName};
-use entry::{GrantId, PeerLoads, TargetLoad};
+use entry::{GrantId, PaceReport, PeerLoads, TargetLoad};
 use serde::{Deserialize, Serialize};
 
+use super::ExtendedMessage;
 use super::node_digest::peer_origin;
 use crate::GatewayCore;
 
@@ -28,11 +29,36 @@
     /// Leaving engines off which the sender copies a generation now.
     #[serde(rename = "moving")]
     pub copying_sources: Vec<TargetName>,
+    /// Gaps between events that the sender observed at engines since its last report to the
+    /// receiver.
+    #[serde(skip)]
+    pub paces: Vec<PaceReport>,
+}
+
+/// Parts of a load report that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadExtension {
+    #[serde(default)]
+    paces: Vec<PaceReport>,
+}
+
+impl ExtendedMessage for LoadReport {
+    type Extension = LoadExtension;
+
+    fn take_extension(&mut self) -> LoadExtension {
+        LoadExtension {
+            paces: std::mem::take(&mut self.paces),
+        }
+    }
+
+    fn extend(&mut self, extension: LoadExtension) {
+        self.paces = extension.paces;
+    }
 }
 
 impl LoadReport {
-    /// Creates the report of this node.
-    pub fn of_core(core: &GatewayCore) -> Self {
+    /// Creates the report of this node for a peer.
+    pub fn new(core: &GatewayCore, receiver: SocketAddr) -> Self {
         core.with_state(|state, now| Self {
             node: core.node().clone(),
             domain: core.settings.domain.clone(),
@@ -42,6 +68,7 @@
             accepted: state.coordinator.accepted_grants(now),
             is_waiting: state.has_queued_generations(),
             copying_sources: state.move_scheduler.copying_sources(),
+            paces: state.take_gap_samples(now, receiver),
         })
     }
 
@@ -57,6 +84,7 @@
                 sent_at: self.sent_at,
                 loads: self.loads,
             });
+            state.balancer.add_paces(now, &self.node, &self.paces);
             state.confirm_grants(&self.accepted);
             if is_newest {
                 state
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,11 +1,15 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
-use entry::{ConfigVersion, DomainPeak, LoadOrigin, PeerLoads, SuspectCall, TargetLoad};
+use entry::{
+    ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads, SuspectCall,
+    TargetLoad,
+};
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
+use super::ExtendedMessage;
 use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo};
 use crate::{GatewayCore, ViewArea};
 
@@ -67,12 +71,44 @@
     /// Largest number of nodes that each failure domain had lately; only coordinators send it.
     #[serde(default)]
     pub domain_peaks: Vec<DomainPeak>,
+    /// Newest record of the evacuation of each failure domain that the sender knows.
+    #[serde(skip)]
+    pub evacuations: Vec<EvacuationRecord>,
+    /// Paces of engines of the sender's failure domain that differ from the others; only coordinators
+    /// send them, to those of other domains.
+    #[serde(skip)]
+    pub domain_paces: Vec<DomainPace>,
+}
+
+/// Parts of a digest that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DigestExtension {
+    #[serde(default, rename = "paces")]
+    domain_paces: Vec<DomainPace>,
+    #[serde(default)]
+    evacuations: Vec<EvacuationRecord>,
+}
+
+impl ExtendedMessage for NodeDigest {
+    type Extension = DigestExtension;
+
+    fn take_extension(&mut self) -> DigestExtension {
+        DigestExtension {
+            domain_paces: std::mem::take(&mut self.domain_paces),
+            evacuations: std::mem::take(&mut self.evacuations),
+        }
+    }
+
+    fn extend(&mut self, extension: DigestExtension) {
+        self.domain_paces = extension.domain_paces;
+        self.evacuations = extension.evacuations;
+    }
 }
 
 impl NodeDigest {
-    /// Creates the digest of this node for a node of the failure domain `receiver`, if that is
-    /// known.
-    pub fn new(core: &GatewayCore, receiver: Option<&DomainName>) -> Self {
+    /// Creates the digest of this node for the node at `address`, which is in the failure domain
+    /// `receiver` if that is known.
+    pub fn new(core: &GatewayCore, address: SocketAddr, receiver: Option<&DomainName>) -> Self {
         let remote = receiver.filter(|domain| **domain != core.settings.domain);
         core.with_state(|state, now| {
             let is_candidate = state
@@ -82,6 +118,10 @@
             let remote = remote.filter(|_| knows_loads);
             let addresses = known_addresses(state, now, receiver);
             let is_coordinator = state.is_coordinator(now);
+            let domain_paces = match is_candidate {
+                true => state.take_domain_paces(now, address),
+                false => Vec::new(),
+            };
             Self {
                 node: core.node().clone(),
                 address: core.settings.peer_address,
@@ -105,6 +145,8 @@
                     true => state.reach.peaks(now),
                     false => Vec::new(),
                 },
+                evacuations: state.evacuations.records_to_tell(now),
+                domain_paces,
             }
         })
     }
@@ -112,7 +154,8 @@
     /// Applies the digest of a peer; returns the areas of which the peer has newer items.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_finished = !self.finished_sources.is_empty();
-        let (is_new, newer) = core.with_state(|state, now| {
+        let (is_new, newer, evacuations) = core.with_state(|state, now| {
+            let evacuations = state.adopt_evacuations(now, self.evacuations);
             let is_new = state.peers.record_heard(
                 now,
                 PeerInfo {
@@ -135,6 +178,9 @@
                     loads,
                 });
             }
+            state
+                .balancer
+                .apply_domain_paces(now, &self.domain, self.domain_paces);
             state.balancer.apply_peer_loads(PeerLoads {
                 origin: peer_origin(core, &self.domain, &self.node),
                 received_at: now,
@@ -156,8 +202,9 @@
             if let Some(age) = self.regained_age {
                 state.view.guard.on_peer_regained(now, age);
             }
-            (is_new, newer)
+            (is_new, newer, evacuations)
         });
+        core.handle_evacuations(&evacuations, "digest of a peer");
         if has_finished {
             core.recheck_moves();
         }
--- a/crates/gateway/src/relay/access_entry.rs
+++ b/crates/gateway/src/relay/access_entry.rs
@@ -2,11 +2,11 @@
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, NodeName, PartId, RequestId, TargetName};
-use entry::{ConfigVersion, TargetLoad};
+use entry::{ConfigVersion, TargetLoad, TargetPace, WaitEstimate};
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
-use crate::{CapacityReservation, GatewayCore, GenerationSize};
+use crate::{CapacityReservation, GatewayCore, GenerationSize, PlacementRefusal};
 
 /// Milliseconds in a second; metrics count in seconds.
 const SECOND_MS: f64 = 1_000.0;
@@ -39,6 +39,8 @@
     pub load: TargetLoad,
     /// Load of other calls on the last target when it was chosen.
     pub load_seen: TargetLoad,
+    /// Pace of the last target when it was chosen, as known to this node.
+    pub pace: TargetPace,
     /// Milliseconds from arrival until the first byte of the response.
     pub first_byte_ms: Option<u64>,
     /// Number of stream events relayed.
@@ -48,6 +50,8 @@
     last_event_at: Option<ClockTime>,
     /// Number of moves to other engines.
     pub moves: u32,
+    /// Estimate of the wait because of which the call was refused.
+    pub refused_by: Option<WaitEstimate>,
     status: u16,
     outcome: &'static str,
     reason: String,
@@ -70,11 +74,13 @@
             shared_parts: Vec::new(),
             load: TargetLoad::default(),
             load_seen: TargetLoad::default(),
+            pace: TargetPace::default(),
             first_byte_ms: None,
             events: 0,
             longest_pause_ms: 0,
             last_event_at: None,
             moves: 0,
+            refused_by: None,
             status: 0,
             outcome: "caller_gone",
             reason: String::new(),
@@ -99,9 +105,18 @@
         self.coordinator = reservation.coordinator;
         self.load = reservation.load();
         self.load_seen = reservation.other_load;
+        self.pace = reservation.pace;
         self.targets.push(reservation.target.clone());
     }
 
+    /// Records why the call got no capacity.
+    pub fn record_refusal(&mut self, refusal: PlacementRefusal) {
+        self.refused_by = refusal.estimate();
+        if self.refused_by.is_some() {
+            self.add_reason("expected to wait for too long");
+        }
+    }
+
     /// Records the arrival of the first byte of the response; later calls have no effect.
     pub fn record_first_byte(&mut self) {
         if self.first_byte_ms.is_none() {
@@ -185,11 +200,16 @@
             seen_calls = self.load_seen.calls,
             seen_tokens = self.load_seen.tokens,
             seen_prefill = self.load_seen.prefill,
+            pace = self.pace.ratio,
+            late_share = self.pace.late_share,
             first_ms = self.first_byte_ms.unwrap_or_default(),
             total_ms = self.elapsed_ms(),
             events = self.events,
             pause_ms = self.longest_pause_ms,
             moves = self.moves,
+            queue_ahead = self.refused_by.map_or(0, |estimate| estimate.ahead),
+            queue_rate = self.refused_by.map_or_else(String::new, |estimate| estimate.rate.to_string()).as_str(),
+            queue_wait_ms = self.refused_by.map_or(0, |estimate| estimate.wait.as_millis()),
             status = self.status,
             outcome = self.outcome,
             view_age_ms = view_age_ms,
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -1,15 +1,14 @@
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::{EventKind, TimeSpan};
 use node::MetricsExport;
-use snafu::{ResultExt, Snafu};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep, timeout_at};
-use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal, WebHandler, WebServer};
+use web::{ConnectionPool, PoolSettings, ServerLimits, StopSignal};
 
+use super::settings_reloader::SettingsReloader;
+use super::{GatewayListeners, ListenerTask, StartError, spawn_supervised};
 use crate::ops::{MetricsHandler, ReadyHandler};
 use crate::peer::{FactPusher, LoadPusher, PeerClient, PeerHandler};
 use crate::poll::{EnginePoller, ViewPoller};
@@ -31,34 +30,38 @@
 /// Shortest time from a stop signal to the end of the process: the load balancer notices after two
 /// failed checks of a second each, and new connections arrive until then.
 const MIN_STOP_TIME: TimeSpan = TimeSpan::new(3_500);
-/// Time before the end of the grace period at which the process ends, whatever is in progress.
-const EXIT_MARGIN: TimeSpan = TimeSpan::new(200);
+/// Time before the end of the grace period at which the stop ends, whatever is in progress. The log
+/// is written, and the process ends by itself, in the 100 ms until it is ended by force.
+const EXIT_MARGIN: TimeSpan = TimeSpan::new(300);
 /// Time for which arriving calls are refused before the process ends, so that the refusals reach
 /// their callers.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
-/// A listening socket could not be opened.
-#[derive(Debug, Snafu)]
-#[snafu(display("cannot listen on {address}: {source}"))]
-pub struct StartError {
-    address: SocketAddr,
-    source: io::Error,
-}
-
 /// A running gateway.
 pub struct GatewayServer {
     core: Arc<GatewayCore>,
     stop: StopSignal,
     /// Task that serves the connections of callers.
     caller_server: JoinHandle<()>,
+    reloader: Arc<SettingsReloader>,
 }
 
 impl GatewayServer {
-    /// Opens all listening sockets and starts to serve.
+    /// Opens the listening sockets and starts to serve.
     ///
     /// # Errors
     /// If a listening socket can't be opened.
     pub async fn start(settings: GatewaySettings, ports: GatewayPorts) -> Result<Self, StartError> {
+        let listeners = GatewayListeners::bind(&settings).await?;
+        Ok(Self::serve(listeners, settings, ports))
+    }
+
+    /// Starts to serve on sockets that were opened for these settings.
+    pub fn serve(
+        listeners: GatewayListeners,
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+    ) -> Self {
         MetricsExport::shared();
         let targets = PoolSettings::new().with_connect_timeout(TARGET_CONNECT_TIMEOUT);
         let peers = PoolSettings::new().with_connect_timeout(PEER_CONNECT_TIMEOUT);
@@ -67,7 +70,8 @@
         let core = Arc::new(core);
         let stop = StopSignal::new();
         let server = Self {
-            caller_server: listen(&core, &stop).await?,
+            reloader: Arc::new(SettingsReloader::new(core.clone())),
+            caller_server: serve_listeners(listeners, &core, &stop),
             core,
             stop,
         };
@@ -82,7 +86,7 @@
             seeds = settings.seeds.len();
             "listening"
         );
-        Ok(server)
+        server
     }
 
     /// State of the node.
@@ -92,7 +96,7 @@
 
     /// Reads the settings again and applies changes; `cause` is for the log.
     pub fn reload(&self, cause: &str) {
-        reload_settings(&self.core, cause);
+        self.reloader.request(cause);
     }
 
     /// Shuts down gracefully: lets calls end and returns when the process may exit.
@@ -122,17 +126,9 @@
         let refusal_end = (Instant::now() + REFUSAL_TIME).min(exit_at);
         self.wait_idle(refusal_end, exit_at).await;
         self.stop.stop();
-        let (active, streams) =
-            core.with_state(|state, _| (state.active_calls, state.active_streams));
+        let active_work = core.active_work();
         let is_drained = timeout_at(exit_at, self.caller_server).await.is_ok();
-        log::info!(
-            event = EventKind::NodeStopped.number(),
-            node = core.node().as_str(),
-            active = active,
-            streams = streams,
-            drained = is_drained;
-            "shut down"
-        );
+        core.log_end(active_work, is_drained);
     }
 
     /// Waits until no call is in progress, at least until `earliest_end` and at most until `end`.
@@ -150,83 +146,74 @@
 
     /// Starts the background tasks: store feeds, engine reports, peer exchange, and periodic work.
     fn spawn_tasks(&self) {
-        for area in [ViewArea::Config, ViewArea::Targets] {
-            tokio::spawn(ViewPoller::new(self.core.clone(), area).run());
-        }
-        tokio::spawn(EnginePoller::new(self.core.clone()).run());
-        tokio::spawn(PeerClient::new(self.core.clone()).run());
-        tokio::spawn(LoadPusher::new(self.core.clone()).run());
-        tokio::spawn(FactPusher::new(self.core.clone()).run());
         let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(TICK_INTERVAL);
-            loop {
-                ticks.tick().await;
-                core.on_tick();
-            }
-        });
-        let core = self.core.clone();
-        tokio::spawn(async move {
-            let mut ticks = interval(SETTINGS_INTERVAL);
-            loop {
-                ticks.tick().await;
-                MetricsExport::shared().run_upkeep();
-                reload_settings(&core, "file changed");
-            }
-        });
+        for (name, area) in [
+            ("view config", ViewArea::Config),
+            ("view targets", ViewArea::Targets),
+        ] {
+            let core = core.clone();
+            spawn_supervised(name, move || ViewPoller::new(core.clone(), area).run());
+        }
+        let shared = core.clone();
+        spawn_supervised("engines", move || EnginePoller::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("peers", move || PeerClient::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("loads", move || LoadPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("facts", move || FactPusher::new(shared.clone()).run());
+        let shared = core.clone();
+        spawn_supervised("ticks", move || run_ticks(shared.clone()));
+        let reloader = self.reloader.clone();
+        spawn_supervised("settings", move || watch_settings(reloader.clone()));
+    }
+}
+
+/// Passes time to the state at regular intervals.
+async fn run_ticks(core: Arc<GatewayCore>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        core.on_tick();
     }
 }
 
-/// Opens the listening sockets for callers, readiness checks, peers and metrics; returns the task
+/// Reads the settings at regular intervals, and does the upkeep of the metrics.
+async fn watch_settings(reloader: Arc<SettingsReloader>) {
+    let mut ticks = interval(SETTINGS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        MetricsExport::shared().run_upkeep();
+        reloader.request("file changed");
+    }
+}
+
+/// Serves the listening sockets for callers, readiness checks, peers and metrics; returns the task
 /// that serves callers.
-async fn listen(core: &Arc<GatewayCore>, stop: &StopSignal) -> Result<JoinHandle<()>, StartError> {
-    let settings = &core.settings;
+fn serve_listeners(
+    listeners: GatewayListeners,
+    core: &Arc<GatewayCore>,
+    stop: &StopSignal,
+) -> JoinHandle<()> {
     let caller_limits = ServerLimits::new()
         .with_connections(MAX_CALLER_CONNECTIONS)
         .with_header_limits(64 << 10, TimeSpan::from_secs(30));
-    let internal_limits = ServerLimits::new();
-    let callers = CallHandler::new(core.clone());
-    let callers = open(settings.caller_address, caller_limits, callers, stop).await?;
+    let settings = &core.settings;
     let ready = ReadyHandler::new(core.clone());
-    open(settings.ready_address, internal_limits, ready, stop).await?;
+    ListenerTask::new("ready listener", settings.ready_address)
+        .with_server(listeners.ready)
+        .spawn(ready, stop);
     let peers = PeerHandler::new(core.clone());
-    open(settings.peer_address, internal_limits, peers, stop).await?;
+    ListenerTask::new("peer listener", settings.peer_address)
+        .with_server(listeners.peers)
+        .spawn(peers, stop);
     if let Some(address) = settings.metrics_address {
-        open(address, internal_limits, MetricsHandler, stop).await?;
+        // Callers don't wait for the port of the metrics.
+        ListenerTask::new("metrics listener", address).spawn(MetricsHandler, stop);
     }
-    Ok(callers)
-}
-
-/// Opens a listening socket and serves it in a task until `stop` is set and all its requests have
-/// ended.
-async fn open(
-    address: SocketAddr,
-    limits: ServerLimits,
-    handler: impl WebHandler,
-    stop: &StopSignal,
-) -> Result<JoinHandle<()>, StartError> {
-    let bound = WebServer::bind(address).await;
-    let server = bound.context(StartSnafu { address })?.with_limits(limits);
-    Ok(tokio::spawn(server.serve(Arc::new(handler), stop.clone())))
-}
-
-/// Reads the settings and applies changed seeds and retry budgets; changed addresses need a restart.
-fn reload_settings(core: &GatewayCore, cause: &str) {
-    let settings = match core.ports.settings.read() {
-        Ok(settings) => settings,
-        Err(reason) => {
-            core.log_settings_failure(&reason);
-            return;
-        }
-    };
-    if !core.with_state(|state, _| state.apply_settings(&settings)) {
-        return;
-    }
-    log::info!(
-        event = EventKind::SettingsReloaded.number(),
-        node = core.node().as_str(),
-        seeds = settings.seeds.len(),
-        cause = cause;
-        "changed seeds and retry budgets applied"
-    );
+    let callers = CallHandler::new(core.clone());
+    ListenerTask::new("caller listener", settings.caller_address)
+        .with_server(listeners.callers)
+        .with_limits(caller_limits)
+        .spawn(callers, stop)
 }
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -5,7 +5,7 @@
 use calls::RequestFingerprint;
 use entry::{
     AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
-    TargetOutcome, TargetPhase,
+    TargetOutcome, TargetPace, WaitEstimate,
 };
 
 use super::GatewayCore;
@@ -17,6 +17,11 @@
 /// Time over which the return of callers is spread after targets asked to back off.
 const BACKOFF_RETRY_SPREAD: TimeSpan = TimeSpan::from_secs(1);
 
+/// Part of the time left until its deadline after which a caller still honours `Retry-After`.
+const RETURN_PART: u64 = 3;
+/// Shortest `Retry-After` of a call that was expected to wait for too long.
+const MIN_RETURN: TimeSpan = TimeSpan::new(500);
+
 /// Why no target was chosen for a call; the call was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementRefusal {
@@ -28,6 +33,13 @@
     Backoff(TimeSpan),
     /// The rates of calls that all targets name are used up; this caller may return after the time.
     RateUsed(TimeSpan),
+    /// The call was expected to wait for longer than it can.
+    TooLongWait {
+        /// Time until the calls that waited are placed and it is the turn of this caller.
+        retry_after: TimeSpan,
+        /// Estimate that caused the refusal.
+        estimate: WaitEstimate,
+    },
 }
 
 impl PlacementRefusal {
@@ -35,7 +47,28 @@
     pub fn kind(self) -> ErrorKind {
         match self {
             Self::NoTarget => ErrorKind::NoTarget,
-            Self::Full | Self::Backoff(_) | Self::RateUsed(_) => ErrorKind::Overloaded,
+            Self::Full | Self::Backoff(_) | Self::RateUsed(_) | Self::TooLongWait { .. } => {
+                ErrorKind::Overloaded
+            }
+        }
+    }
+
+    /// Time after which a caller with `left` until its deadline may retry. Callers ignore more than a
+    /// third of the time that they have.
+    pub fn retry_within(self, left: TimeSpan) -> TimeSpan {
+        match self {
+            Self::TooLongWait { retry_after, .. } => limit_return(retry_after, left),
+            Self::NoTarget | Self::Full | Self::Backoff(_) | Self::RateUsed(_) => {
+                self.retry_after()
+            }
+        }
+    }
+
+    /// Estimate that caused the refusal, if one did.
+    pub fn estimate(self) -> Option<WaitEstimate> {
+        match self {
+            Self::TooLongWait { estimate, .. } => Some(estimate),
+            Self::NoTarget | Self::Full | Self::Backoff(_) | Self::RateUsed(_) => None,
         }
     }
 
@@ -46,6 +79,7 @@
             Self::NoTarget => NO_TARGET_RETRY,
             Self::Full => FULL_RETRY,
             Self::RateUsed(wait) => wait,
+            Self::TooLongWait { retry_after, .. } => retry_after,
             Self::Backoff(left) => {
                 left + TimeSpan::new(rand::random_range(0..=BACKOFF_RETRY_SPREAD.as_millis()))
             }
@@ -53,6 +87,12 @@
     }
 }
 
+/// Time after which a caller with `left` until its deadline is told to return, if it may do so after
+/// `wait`: callers ignore more than a third of the time that they have.
+fn limit_return(wait: TimeSpan, left: TimeSpan) -> TimeSpan {
+    wait.min(left / RETURN_PART).max(MIN_RETURN)
+}
+
 /// Capacity of a target that is reserved for one call; released when dropped.
 pub struct CapacityReservation {
     core: Arc<GatewayCore>,
@@ -69,6 +109,8 @@
     pub incarnation: IncarnationNumber,
     /// Load of other calls on the target when it was chosen, as known to this node.
     pub other_load: TargetLoad,
+    /// Pace of the target when it was chosen, as known to this node.
+    pub pace: TargetPace,
     /// Coordinator that chose the target; `None` if this node did.
     pub coordinator: Option<SocketAddr>,
 }
@@ -87,9 +129,9 @@
             let mut others = state.total();
             others -= load;
             let place = (record.address, record.domain.clone(), record.incarnation);
-            Some((place, others))
+            Some((place, others, state.pace))
         });
-        let Some(((address, domain, incarnation), other_load)) = found else {
+        let Some(((address, domain, incarnation), other_load, pace)) = found else {
             core.with_state(|state, _| state.balancer.remove_load(&target, load));
             return None;
         };
@@ -103,12 +145,13 @@
             domain,
             incarnation,
             other_load,
+            pace,
             coordinator: None,
         })
     }
 
     /// Accepts a grant of a coordinator and counts its load as own; `None` if this node knows that
-    /// the target is gone or leaving.
+    /// the target is gone, leaving or evacuated.
     pub(crate) fn from_grant(
         core: Arc<GatewayCore>,
         coordinator: SocketAddr,
@@ -118,7 +161,7 @@
     ) -> Option<Self> {
         let is_usable = core.with_state(|state, now| {
             let found = state.balancer.target(&target);
-            let is_usable = found.is_some_and(|one| one.phase != TargetPhase::Leaving);
+            let is_usable = found.is_some_and(|one| one.is_open());
             if is_usable {
                 state.balancer.add_load(&target, load);
                 state.coordinator.accept_grant(now, id);
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -1,8 +1,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use base::{ClockTime, EventKind, NodeName, ServiceName, TimeSpan};
-use entry::{PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig};
+use base::{ClockTime, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
+use entry::{
+    PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig, TargetPace,
+};
+use metrics::gauge;
 use node::SystemClock;
 use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
@@ -10,9 +13,7 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{
-    BodyBudget, CapacityReservation, GatewayState, PlacedTarget, PlacementRefusal, StopPlan,
-};
+use super::{BodyBudget, CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -26,6 +27,11 @@
     pub moves: u64,
 }
 
+/// Longest time that a call that other nodes may place stays in the queue before the request is made
+/// anew: a coordinator then responds that the call has to wait. A node that gets no response for
+/// longer can tell that its coordinator is gone.
+pub const LONG_POLL_TIMEOUT: TimeSpan = TimeSpan::new(150);
+
 /// Request to place a call on a target by what this node knows, after a wait in its queue if need
 /// be.
 #[derive(Clone, Debug)]
@@ -40,6 +46,10 @@
     pub start_within: TimeSpan,
     /// Longest time that the call waits in the queue.
     pub max_wait: TimeSpan,
+    /// Longest time that the call can wait from now on, over all requests for it.
+    pub patience: TimeSpan,
+    /// Whether the call may be refused at once if it is expected to wait for longer than that.
+    pub accepts_refusal: bool,
     /// Node that requests the placement; `None` for a call of this node.
     pub requester: Option<NodeName>,
 }
@@ -73,6 +83,8 @@
     stop_changes: watch::Sender<()>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
+    /// Whether the end of the process was logged.
+    is_end_logged: Mutex<bool>,
 }
 
 impl GatewayCore {
@@ -93,6 +105,7 @@
             pool: ConnectionPool::new(PoolSettings::new()),
             peer_pool: ConnectionPool::new(PoolSettings::new()),
             settings_failure: Mutex::new(None),
+            is_end_logged: Mutex::new(false),
         }
     }
 
@@ -121,6 +134,31 @@
         *known = Some(reason.to_owned());
     }
 
+    /// Numbers of calls and of streams in progress.
+    pub fn active_work(&self) -> (usize, usize) {
+        self.with_state(|state, _| (state.active_calls, state.active_streams))
+    }
+
+    /// Logs that the process ends with this work in progress, unless that was logged before.
+    pub fn log_end(&self, (active, streams): (usize, usize), is_drained: bool) {
+        // Held until the line is logged: the thread that is told that it was ends the process.
+        let mut is_logged = self
+            .is_end_logged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if std::mem::replace(&mut *is_logged, true) {
+            return;
+        }
+        log::info!(
+            event = EventKind::NodeStopped.number(),
+            node = self.node().as_str(),
+            active = active,
+            streams = streams,
+            drained = is_drained;
+            "shut down"
+        );
+    }
+
     /// Name of this node.
     pub fn node(&self) -> &NodeName {
         &self.settings.node
@@ -260,16 +298,39 @@
         }
     }
 
-    /// Reserves capacity for a call of this node by what this node knows, without a coordinator.
+    /// Reserves capacity for a call of this node by what this node knows, without a coordinator. A
+    /// generation repeats the request as those of other nodes do, so that its expected wait is
+    /// checked anew.
     ///
     /// # Errors
     /// Those of [`Self::place`].
     pub async fn reserve_local(
         self: &Arc<Self>,
-        request: QueueRequest,
+        mut request: QueueRequest,
     ) -> Result<CapacityReservation, PlacementRefusal> {
         let load = request.placement.load;
-        let placed = self.place(request).await?;
+        let arrived = self
+            .now()
+            .as_millis()
+            .saturating_sub(request.waited.as_millis());
+        let arrived = ClockTime::new(arrived);
+        let end = self.now() + request.max_wait;
+        let placed = loop {
+            let now = self.now();
+            request.waited = now.since(arrived);
+            request.patience = end.since(now);
+            // Without a coordinator, a repeated request would not wait for the turn of this node.
+            let repeats =
+                request.accepts_refusal && self.with_state(|state, now| state.is_coordinator(now));
+            request.max_wait = match repeats {
+                true => request.patience.min(LONG_POLL_TIMEOUT),
+                false => request.patience,
+            };
+            match self.place(request.clone()).await {
+                Err(PlacementRefusal::Full) if self.now() < end => {}
+                answer => break answer?,
+            }
+        };
         CapacityReservation::new(self.clone(), placed.target, load)
             .ok_or(PlacementRefusal::NoTarget)
     }
@@ -304,13 +365,16 @@
     ///
     /// Returns whether anything changed.
     pub fn apply_changes(self: &Arc<Self>, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
-        let changed = self.with_state(|state, now| {
+        let (changed, evacuations) = self.with_state(|state, now| {
             state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
-            mirror.apply(batch.revision, batch.changes)
+            let changed = mirror.apply(batch.revision, batch.changes);
+            // Also without a change: that the copy has no key holds up to its new revision.
+            (changed, self.read_evacuations(state, now, area, changed))
         });
+        self.handle_evacuations(&evacuations, from);
         if changed {
-            self.on_items_changed(area, from);
+            self.on_items_changed(area, from, !evacuations.is_empty());
         }
         changed
     }
@@ -325,12 +389,15 @@
         items: Vec<entry::PublishedItem>,
         from: &str,
     ) -> bool {
-        let changed = self.with_state(|state, now| {
+        let (changed, evacuations) = self.with_state(|state, now| {
             state.view.confirm(area, now);
-            state.view.mirror_mut(area).replace(revision, items)
+            let changed = state.view.mirror_mut(area).replace(revision, items);
+            // Before the configuration is in force, since the node serves from then on.
+            (changed, self.read_evacuations(state, now, area, changed))
         });
+        self.handle_evacuations(&evacuations, from);
         if changed {
-            self.on_items_changed(area, from);
+            self.on_items_changed(area, from, !evacuations.is_empty());
         }
         changed
     }
@@ -338,29 +405,68 @@
     /// Handles what depends on time alone: expired targets, facts, attempts and grants, and queued
     /// calls that may be placed now.
     pub fn on_tick(self: &Arc<Self>) {
-        let changes = self.with_state(|state, now| {
+        let (changes, paces) = self.with_state(|state, now| {
             let changes = state.balancer.on_tick(now);
             state.facts.set.expire(now);
             state.attempts.expire(now);
             state.expire_grants(now);
             state.drop_foreign_rates(now);
+            state.update_move_room(now);
             state.serve_queue(now);
-            changes
+            state.export_queue(now);
+            (changes, state.balancer.take_pace_changes())
         });
+        self.log_pace_changes(&paces);
         self.handle_target_changes(&changes, "entry did not come back");
+        self.report_evacuations();
+    }
+
+    /// Logs the engines that long calls avoid or avoid no longer, and sets the gauges of the paces.
+    fn log_pace_changes(&self, changes: &[(TargetName, TargetPace)]) {
+        for (target, pace) in changes {
+            log::info!(
+                event = EventKind::EnginePaceChanged.number(),
+                node = self.node().as_str(),
+                target = target.as_str(),
+                pace = pace.ratio,
+                late_share = pace.late_share;
+                "{}",
+                match pace.is_avoided {
+                    true => "long calls avoid the engine",
+                    false => "long calls use the engine again",
+                }
+            );
+        }
+        if !changes.is_empty() {
+            let (avoided, slowest) = self.with_state(|state, _| {
+                let paces = || state.balancer.targets().iter().map(|one| one.pace);
+                let avoided = paces().filter(|pace| pace.is_avoided).count();
+                (avoided, paces().map(|pace| pace.ratio).fold(1.0, f64::max))
+            });
+            gauge!("gateway_avoided_engines").set(avoided as f64);
+            gauge!("gateway_slowest_engine_pace").set(slowest);
+        }
     }
 
-    fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str) {
+    /// Acts on changed items of an area; `has_evacuations` tells whether evacuations changed.
+    fn on_items_changed(self: &Arc<Self>, area: ViewArea, from: &str, has_evacuations: bool) {
         match area {
-            ViewArea::Config => self.adopt_config(from),
+            ViewArea::Config => self.adopt_config(from, has_evacuations),
             ViewArea::Targets => self.update_targets(from),
         }
     }
 
-    /// Puts the configuration in force if it is newer, and logs the result.
-    fn adopt_config(&self, from: &str) {
-        let (adopted, revision) = self.with_state(|state, _| {
+    /// Puts the configuration in force if it is newer, and logs the result; that it is not newer is
+    /// only logged if nothing else of its area changed.
+    fn adopt_config(&self, from: &str, has_evacuations: bool) {
+        let (adopted, revision) = self.with_state(|state, now| {
             let adopted = state.view.adopt_config(&*self.ports.items);
+            if let Ok(Some(config)) = &adopted {
+                let services = config.services().iter();
+                let rates = services.filter_map(|spec| Some((spec.name.clone(), spec.cold_rate?)));
+                state.balancer.set_cold_rates(rates.collect());
+                state.prepare_cold_rates(now);
+            }
             (adopted, state.view.config_items.revision())
         });
         match adopted {
@@ -373,6 +479,7 @@
                 from = from;
                 "configuration in force"
             ),
+            Ok(None) if has_evacuations => {}
             Ok(None) => log::info!(
                 event = EventKind::RevisionIgnored.number(),
                 node = self.node().as_str(),
@@ -393,7 +500,7 @@
     /// Updates the targets from their entries, and acts on the changes.
     fn update_targets(self: &Arc<Self>, from: &str) {
         let (changes, failures, known) = self.with_state(|state, now| {
-            let (records, failures) = state.view.decode_targets(&*self.ports.items);
+            let (records, failures) = state.view.decode_targets(now, &*self.ports.items);
             let guard = state.view.guard;
             let mut changes = state.balancer.update_records(now, records, &guard);
             for (target, incarnation) in &changes.no_longer_leaving {
@@ -410,6 +517,7 @@
                 changes.ended.extend(ended.ended);
             }
             state.apply_known_rates(now);
+            state.prepare_cold_rates(now);
             state.serve_queue(now);
             let known = state.balancer.targets().len();
             (changes, failures, known)
@@ -443,39 +551,61 @@
 fn place_or_enqueue(
     state: &mut GatewayState,
     now: ClockTime,
-    request: QueueRequest,
+    mut request: QueueRequest,
 ) -> EnqueueOutcome {
     let service = request.placement.service.clone();
     let arrived = ClockTime::new(now.as_millis().saturating_sub(request.waited.as_millis()));
+    if let Some(need) = &mut request.placement.pace {
+        need.start_by = arrived + request.start_within;
+    }
     let is_quick = request.placement.is_quick;
     let is_move = request.placement.move_source.is_some();
+    let call = QueuedCall {
+        service: service.clone(),
+        priority: request.priority,
+        arrived,
+        start_by: arrived + request.start_within,
+        is_quick,
+        is_move,
+        workspace: request.placement.workspace.clone(),
+        work: request.placement.load.work(),
+    };
+    if !is_move && request.waited < LONG_POLL_TIMEOUT {
+        state.queue.record_arrival(now, &service);
+    }
     let is_next = match is_move {
         true => state.may_move(now, request.requester.as_ref(), &request.placement),
-        false => state.queue.count_ahead(now, &service, is_quick) == 0,
+        false => !state.queue.has_ahead(now, &call),
     };
     let decision = match is_next {
-        true => state.balancer.choose_target(now, &request.placement),
+        true => state.choose_target(now, &request.placement),
         false => PlacementDecision::Full,
     };
     match decision {
         PlacementDecision::Target(target) => {
-            let requester = request.requester.as_ref();
-            let grant_id = state.record_placement(now, requester, &request.placement, &target);
-            EnqueueOutcome::Answered(Ok(PlacedTarget { target, grant_id }))
+            EnqueueOutcome::Answered(Ok(state.place_direct(now, &request, &call, target)))
         }
         PlacementDecision::NoTarget => EnqueueOutcome::Answered(Err(PlacementRefusal::NoTarget)),
         PlacementDecision::Backoff(left) => {
             EnqueueOutcome::Answered(Err(state.refuse_for(now, &service, left)))
         }
         PlacementDecision::Full => {
-            let ticket = state.queue.push(QueuedCall {
-                service,
-                priority: request.priority,
-                arrived,
-                start_by: arrived + request.start_within,
-                is_quick,
-                is_move,
-            });
+            if state.expects_long_wait(now, &request, &call) {
+                // Calls ahead of it that can't use the room that there is don't count against it.
+                state.serve_queue(now);
+                if let PlacementDecision::Target(target) =
+                    state.balancer.choose_target(now, &request.placement)
+                {
+                    return EnqueueOutcome::Answered(Ok(
+                        state.place_direct(now, &request, &call, target)
+                    ));
+                }
+                if let Some(refusal) = state.refuse_early(now, &request, &call) {
+                    return EnqueueOutcome::Answered(Err(refusal));
+                }
+            }
+            let start_by = call.start_by;
+            let ticket = state.queue.push_at(now, call);
             let (sender, receiver) = oneshot::channel();
             state.waiters.push(QueueWaiter {
                 ticket,
@@ -483,6 +613,10 @@
                 requester: request.requester,
                 sender,
             });
+            if is_quick && !is_move && now <= start_by {
+                // The long calls ahead of it may lack room that it can use.
+                state.serve_queue(now);
+            }
             EnqueueOutcome::Queued(ticket, receiver)
         }
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -1,16 +1,23 @@
+use std::net::SocketAddr;
+
 use base::{
     ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan, rank_owners,
 };
 use entry::{
-    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, FactState, FleetReach,
-    LoadBalancer, MoveScheduler, PlacementDecision, PlacementPacer, PlacementRequest,
-    PlacementScope, QueueTicket, RateLedger, RetryShare, ReturnSchedule, SuspectTracker,
-    TrialLedger,
+    AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
+    FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
+    MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
+    PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
+    ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
+use metrics::gauge;
 use tokio::sync::oneshot;
 
-use super::{CoordinatorState, PeerTable, PlacedTarget, PlacementRefusal, StopPlan, ViewState};
+use super::{
+    CoordinatorState, INFORMED_COORDINATORS, PeerTable, PlacedTarget, PlacementRefusal, StopPlan,
+    ViewState,
+};
 use crate::peer::FactOutbox;
 use crate::{GatewaySettings, RetrySettings, ViewArea};
 
@@ -31,14 +38,22 @@
 const TAKEOVER_STEP: TimeSpan = TimeSpan::new(150);
 /// Largest number of those steps.
 const TAKEOVER_STEP_LIMIT: u64 = 20;
+/// Time after an engine of a service began to leave during which its generations are counted with
+/// the memory that they hold now.
+const RECENT_LEAVE_TIME: TimeSpan = TimeSpan::from_secs(20);
 /// Time since the targets were last confirmed, while the store does not answer, after which engines
-/// are asked whether they leave.
-const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(700);
+/// are asked whether they leave. Engines give 1.5 s to 2 s of notice, and moving their generations
+/// takes about as long.
+const OUTAGE_STALE_AGE: TimeSpan = TimeSpan::new(300);
 
 /// The same time while the store answers, for nodes that do not read from it; the report of a
 /// reader reaches them within 1.4 s through the coordinators.
 const STALE_AGE: TimeSpan = TimeSpan::new(1_600);
 
+/// Calls behind one that waits for a faster engine that may find no room before the rest is not
+/// tried.
+const BEHIND_FAILURES: usize = 3;
+
 /// Rate limiters for the bytes that the synchronization of facts with peers takes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FactLimiters {
@@ -71,10 +86,22 @@
 pub struct GatewayState {
     /// Published items, and the configuration and targets decoded from them.
     pub view: ViewState,
+    /// Which failure domains are evacuated.
+    pub evacuations: EvacuationLedger,
+    /// Evacuated domains of which it was not logged yet that no generation is left.
+    pub(super) draining_domains: Vec<DomainName>,
     /// Targets with their load and health; chooses targets for calls.
     pub balancer: LoadBalancer,
+    /// Gaps between the events of the streams of this node, to be reported.
+    pub gaps: GapCollector,
+    /// Which paces of engines the coordinators of other failure domains were sent last.
+    pub pace_turns: PaceTurns,
     /// Order of the calls that wait for capacity.
     pub queue: CallQueue,
+    /// Number of calls that were refused since their wait was expected to be too long.
+    pub early_refusals: u64,
+    /// When the metrics of the queue were set last.
+    pub(super) queue_metrics_at: ClockTime,
     /// Decides when a waiting call may be placed on an engine without a coordinator.
     pub pacer: PlacementPacer,
     /// The calls in the queue, sorted by ticket.
@@ -111,6 +138,14 @@
     pub move_scheduler: MoveScheduler,
     /// Locks by which this node, as coordinator, lets one node at a time copy off an engine.
     pub copy_locks: CopyLocks,
+    /// Engines that refused copies for lack of room; they get no moves for a while.
+    pub full_targets: FullTargets,
+    /// When engines of each service last began to leave.
+    last_leaves: Vec<(ServiceName, ClockTime)>,
+    /// What generations of engines that left needed elsewhere, as far as this node placed them.
+    pub move_room: MoveRoom,
+    /// Time from the notice to the end of engines that left.
+    pub notices: NoticeEstimate,
     /// Number of calls whose answer has not begun.
     pub active_calls: usize,
     /// Times of the shutdown; set once the process is stopping.
@@ -133,8 +168,14 @@
         let retry = settings.retry;
         Self {
             view: ViewState::default(),
+            evacuations: EvacuationLedger::default(),
+            draining_domains: Vec::new(),
             balancer: LoadBalancer::new(settings.domain.clone(), seed),
+            gaps: GapCollector::default(),
+            pace_turns: PaceTurns::default(),
             queue: CallQueue::default(),
+            early_refusals: 0,
+            queue_metrics_at: ClockTime::ZERO,
             pacer: PlacementPacer::new(seed),
             waiters: Vec::new(),
             retry_share: RetryShare::new(retry.ratio, retry.extra, retry.window),
@@ -151,6 +192,10 @@
             attempts: AttemptTracker::default(),
             move_scheduler: MoveScheduler::new(settings.node.clone()),
             copy_locks: CopyLocks::default(),
+            full_targets: FullTargets::default(),
+            last_leaves: Vec::new(),
+            move_room: MoveRoom::default(),
+            notices: NoticeEstimate::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
             stop_plan: None,
@@ -169,7 +214,9 @@
     pub fn serve_queue(&mut self, now: ClockTime) {
         self.serve_queued_moves(now);
         for service in self.queue.services() {
-            while let Some(ticket) = self.queue.peek(now, &service) {
+            // Lanes whose next call finds no room; calls of other lanes may use other room.
+            let mut blocked = Vec::new();
+            while let Some((ticket, lane)) = self.queue.peek_beside(now, &service, &blocked) {
                 let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                     self.queue.remove(ticket);
                     continue;
@@ -187,19 +234,51 @@
                     PlacementDecision::Target(name) => Ok(name),
                     PlacementDecision::NoTarget => Err(PlacementRefusal::NoTarget),
                     PlacementDecision::Backoff(left) => Err(self.refuse_for(now, &service, left)),
-                    PlacementDecision::Full => break,
+                    PlacementDecision::Full => {
+                        self.serve_behind(now, at);
+                        blocked.push(lane);
+                        continue;
+                    }
                 };
                 self.answer_waiter(now, at, result);
             }
         }
     }
 
+    /// Places calls behind the waiter at index `head` on the engines that have room but that the
+    /// head avoids as too slow. They leave it the other engines, for which it waits.
+    fn serve_behind(&mut self, now: ClockTime, head: usize) {
+        let placement = &self.waiters[head].placement;
+        let (service, scope) = (placement.service.clone(), placement.scope);
+        let avoided = self.balancer.avoided_targets(now, placement);
+        if avoided.is_empty() {
+            return;
+        }
+        let mut failures = 0;
+        for ticket in self.queue.ordered(now, &service) {
+            let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
+                continue;
+            };
+            let placement = &mut self.waiters[at].placement;
+            if placement.may_wait_for_pace(now) {
+                continue;
+            }
+            placement.scope = scope;
+            let decision = self.balancer.choose_among(now, placement, Some(&avoided));
+            match decision {
+                PlacementDecision::Target(name) => self.answer_waiter(now, at, Ok(name)),
+                _ if failures >= BEHIND_FAILURES => return,
+                _ => failures += 1,
+            }
+        }
+    }
+
     /// Places queued moves of generations for which a target has capacity and off whose engine no
-    /// other node copies.
+    /// other node copies; those whose move is worth most go first.
     fn serve_queued_moves(&mut self, now: ClockTime) {
         let moving = self.move_scheduler.copying_sources();
         self.copy_locks.update_holder(now, &self.node, &moving);
-        for ticket in self.queue.queued_moves() {
+        for ticket in self.moves_by_worth() {
             let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
                 self.queue.remove(ticket);
                 continue;
@@ -208,12 +287,65 @@
             if !self.may_move(now, waiter.requester.as_ref(), &waiter.placement) {
                 continue;
             }
-            if let PlacementDecision::Target(target) =
-                self.balancer.choose_target(now, &waiter.placement)
-            {
+            let placement = waiter.placement.clone();
+            if let PlacementDecision::Target(target) = self.choose_target(now, &placement) {
                 self.answer_waiter(now, at, Ok(target));
             }
         }
+        self.record_short_moves(now);
+    }
+
+    /// Queued moves, those whose move is worth most first, then in queue order.
+    fn moves_by_worth(&self) -> Vec<QueueTicket> {
+        let mut tickets = self.queue.queued_moves();
+        tickets.sort_by_cached_key(|ticket| {
+            let waiter = self.waiters.iter().find(|one| one.ticket == *ticket);
+            let worth = waiter.and_then(|waiter| {
+                let source = waiter.placement.move_source.as_ref()?;
+                let copy_tokens = waiter.placement.load.incoming;
+                Some(MoveWorth::new(source.produced, copy_tokens))
+            });
+            std::cmp::Reverse(worth)
+        });
+        tickets
+    }
+
+    /// Latest time at which a leaving engine ends: as it reported itself, or by the notice that
+    /// engines of its service gave before. `None` if neither is known.
+    ///
+    /// The notices of others say nothing of a target that does not leave, and a time that has
+    /// passed was wrong.
+    pub fn engine_end(
+        &self,
+        now: ClockTime,
+        source: &TargetName,
+        service: &ServiceName,
+    ) -> Option<ClockTime> {
+        let scheduler = &self.move_scheduler;
+        let reported = scheduler.ends_by(source);
+        let ends_by = reported.or_else(|| {
+            let state = self.balancer.target(source)?;
+            let noticed_at = scheduler.noticed_at(source)?;
+            let notice = self.notices.longest(service)?;
+            (state.phase == TargetPhase::Leaving).then(|| noticed_at + notice)
+        });
+        ends_by.filter(|ends_by| *ends_by > now)
+    }
+
+    /// Records the latest time at which a leaving engine ends, as it reported itself.
+    pub fn record_engine_end(&mut self, source: &TargetName, ends_by: ClockTime) {
+        self.move_scheduler.set_end(source, ends_by);
+        if let Some(state) = self.balancer.target(source) {
+            let service = state.record.service.clone();
+            self.learn_notice(source, &service, ends_by);
+        }
+    }
+
+    /// Learns the notice that a leaving engine gave from the time of its end.
+    pub fn learn_notice(&mut self, source: &TargetName, service: &ServiceName, end: ClockTime) {
+        if let Some(notice) = self.move_scheduler.take_notice(source, end) {
+            self.notices.record(service, notice);
+        }
     }
 
     /// Whether a call is not a move, or no other node copies off the engine that it leaves.
@@ -224,8 +356,119 @@
         placement: &PlacementRequest,
     ) -> bool {
         let node = requester.unwrap_or(&self.node);
-        let source = placement.move_source.as_ref();
-        source.is_none_or(|source| self.copy_locks.is_free(now, &source.target, node))
+        let Some(source) = &placement.move_source else {
+            return true;
+        };
+        let is_near = true;
+        self.copy_locks.is_free(now, &source.target, node)
+            && self.plan_copy(now, placement, 0, is_near) != MovePlan::Skip
+    }
+
+    /// How to move a generation whose copy waits for `queued` tokens on the link of its destination;
+    /// `is_near` tells whether that is in the failure domain of its engine.
+    fn plan_copy(
+        &self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+        queued: u64,
+        is_near: bool,
+    ) -> MovePlan {
+        let (Some(source), Some(spec)) = (&placement.move_source, placement.engine) else {
+            return MovePlan::TwoSteps;
+        };
+        let ends_by = self.engine_end(now, &source.target, &placement.service);
+        let tokens = placement.load.incoming + queued;
+        MovePlanner::new(spec.copy_rate).plan(now, ends_by, tokens, is_near)
+    }
+
+    /// Chooses a target for a call; none for a move whose copy to it would end after the engine
+    /// does.
+    pub(super) fn choose_target(
+        &mut self,
+        now: ClockTime,
+        placement: &PlacementRequest,
+    ) -> PlacementDecision {
+        let full = match placement.move_source {
+            Some(_) => self.full_targets.names(now),
+            None => Vec::new(),
+        };
+        let decision = match full.is_empty() {
+            true => self.balancer.choose_target(now, placement),
+            false => {
+                let mut placement = placement.clone();
+                placement.excluded.extend(full);
+                self.balancer.choose_target(now, &placement)
+            }
+        };
+        let (PlacementDecision::Target(name), Some(source)) = (&decision, &placement.move_source)
+        else {
+            return decision;
+        };
+        let found = self.balancer.target(name);
+        let plan = found.map(|target| {
+            let is_near = target.record.domain == source.domain;
+            self.plan_copy(now, placement, target.total().incoming, is_near)
+        });
+        match plan {
+            Some(MovePlan::Skip) => PlacementDecision::Full,
+            _ => decision,
+        }
+    }
+
+    /// Records the room that queued moves lack once others were served. Those that wait for the
+    /// link of their engine lack none.
+    fn record_short_moves(&mut self, now: ClockTime) {
+        let mut short: Vec<(TargetName, ServiceName, u64)> = Vec::new();
+        for waiter in &self.waiters {
+            let placement = &waiter.placement;
+            let Some(source) = &placement.move_source else {
+                continue;
+            };
+            if !self.may_move(now, waiter.requester.as_ref(), placement) {
+                continue;
+            }
+            let known = short.iter_mut().find(|(name, ..)| *name == source.target);
+            match known {
+                Some((.., tokens)) => *tokens += placement.load.tokens,
+                None => short.push((
+                    source.target.clone(),
+                    placement.service.clone(),
+                    placement.load.tokens,
+                )),
+            }
+        }
+        for (source, service, tokens) in short {
+            self.move_room.record_short(now, &source, &service, tokens);
+        }
+    }
+
+    /// Keeps as much memory of the engines of each service free as recent moves needed. Only the
+    /// coordinator of a failure domain knows that, and places all calls of the domain.
+    pub fn update_move_room(&mut self, now: ClockTime) {
+        let is_coordinator = self.is_coordinator(now);
+        let Some(config) = self.view.config.clone() else {
+            return;
+        };
+        for service in self.balancer.services() {
+            let spec = config.service(&service).and_then(|spec| spec.engine);
+            let Some(spec) = spec.filter(|spec| spec.can_move) else {
+                continue;
+            };
+            let engines = self.balancer.local_targets(now, &service) as u64;
+            let memory = engines * u64::from(spec.memory.0);
+            let share = match is_coordinator && engines > 0 {
+                true => self.move_room.share(now, &service, memory),
+                false => 0.0,
+            };
+            self.balancer.set_move_share(&service, share);
+            if is_coordinator {
+                let labels = [
+                    ("node", self.node.to_string()),
+                    ("service", service.to_string()),
+                ];
+                gauge!("gateway_move_room_share", &labels).set(share);
+            }
+        }
     }
 
     /// Removes a call from the queue and sends it its target, or why there is none; undoes the
@@ -237,7 +480,10 @@
         result: Result<TargetName, PlacementRefusal>,
     ) {
         let waiter = self.waiters.remove(at);
-        self.queue.remove(waiter.ticket);
+        match &result {
+            Ok(_) => self.queue.place(now, waiter.ticket),
+            Err(_) => self.queue.abandon(now, waiter.ticket),
+        }
         let load = waiter.placement.load;
         let answer = result.map(|target| PlacedTarget {
             grant_id: self.record_placement(
@@ -264,6 +510,54 @@
         self.pacer.take_turn(now, rivals)
     }
 
+    /// Closes the samples of the gaps between events, and counts them for the choices of this node.
+    pub fn close_gap_samples(&mut self, now: ClockTime) {
+        let reports = self.gaps.close(now);
+        let node = self.node.clone();
+        self.balancer.add_paces(now, &node, &reports);
+    }
+
+    /// Samples of gaps that a coordinator was not sent yet; others than coordinators get none. To
+    /// another failure domain, only those of its own engines are sent.
+    pub fn take_gap_samples(&mut self, now: ClockTime, receiver: SocketAddr) -> Vec<PaceReport> {
+        let Some(domain) = self.peers.domain_of(receiver) else {
+            return Vec::new();
+        };
+        if domain != self.domain {
+            let balancer = &self.balancer;
+            let is_meant = |target: &TargetName| {
+                let found = balancer.target(target);
+                found.is_some_and(|one| one.record.domain == domain)
+            };
+            let budget = SampleBudget::OTHER_DOMAIN;
+            return self.gaps.take_for(now, receiver, budget, is_meant);
+        }
+        let ranking = self.coordinator_ranking(now);
+        let mut informed = ranking.iter().take(INFORMED_COORDINATORS);
+        match informed.any(|one| *one == receiver) {
+            true => {
+                let budget = SampleBudget::OWN_DOMAIN;
+                self.gaps.take_for(now, receiver, budget, |_| true)
+            }
+            false => Vec::new(),
+        }
+    }
+
+    /// Paces of the engines of the own failure domain for a coordinator of another one, if it is due
+    /// to get some: not all at once, but each in turn.
+    pub fn take_domain_paces(&mut self, now: ClockTime, receiver: SocketAddr) -> Vec<DomainPace> {
+        let Some(domain) = self.peers.domain_of(receiver) else {
+            return Vec::new();
+        };
+        let ranking = self.remote_coordinator_ranking(now, &domain);
+        let mut informed = ranking.iter().take(INFORMED_COORDINATORS);
+        if domain == self.domain || !informed.any(|one| *one == receiver) {
+            return Vec::new();
+        }
+        let paces = self.balancer.domain_paces();
+        self.pace_turns.take(now, receiver, paces)
+    }
+
     /// Whether calls of this node wait for engines.
     pub fn has_queued_generations(&self) -> bool {
         let mut own = self.waiters.iter().filter(|one| one.requester.is_none());
@@ -290,10 +584,20 @@
                 let peers = self.balancer.peer_loads(name);
                 self.move_scheduler
                     .add_source(now, name, &peers, engine.copy_rate);
+                if let Some(service) = service.cloned() {
+                    self.last_leaves.retain(|(known, _)| *known != service);
+                    self.last_leaves.push((service, now));
+                }
             }
         }
     }
 
+    /// Whether engines of a service began to leave lately.
+    pub fn has_left(&self, now: ClockTime, service: &ServiceName) -> bool {
+        let mut leaves = self.last_leaves.iter();
+        leaves.any(|(known, at)| known == service && now.since(*at) < RECENT_LEAVE_TIME)
+    }
+
     /// Whether this node may send calls as far as the facts of its peers are concerned: it has
     /// synchronized them with one, it has no peers to find, or none answered in time.
     pub fn has_initial_sync(&self, now: ClockTime) -> bool {
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -128,12 +128,17 @@
         if target.phase == TargetPhase::Leaving && !check.is_source {
             return Err(SendRefusal::TargetUnavailable("the target leaves"));
         }
+        if target.is_evacuated && !(check.is_resume && self.may_send_for_move(now, check.target)) {
+            return Err(SendRefusal::TargetUnavailable(
+                "the failure domain of the target is evacuated",
+            ));
+        }
         if target.backoff.left(now).is_some() {
             return Err(SendRefusal::TargetUnavailable(
                 "the target wants nothing now",
             ));
         }
-        let is_limited = target.rate.limit().is_some();
+        let is_limited = target.rate.limit_at(now).is_some();
         if is_limited && check.permit.is_some_and(|permit| !permit.is_valid(now)) {
             return Err(SendRefusal::TargetUnavailable(
                 "no permit for the rate that the target names",
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -40,6 +40,8 @@
     lost: Mutex<(LostResponses, Option<DomainName>)>,
     /// Revision of the last removal.
     removed_at: AtomicU64,
+    /// Areas of which the next request panics.
+    panics: Mutex<Vec<ViewArea>>,
 }
 
 /// Requests to a fake store whose responses are lost while their connections stay open.
@@ -81,9 +83,25 @@
             rejected_config_reads: AtomicUsize::new(0),
             lost: Mutex::default(),
             removed_at: AtomicU64::new(0),
+            panics: Mutex::default(),
         })
     }
 
+    /// Lets the next request for an area panic in the gateway.
+    pub fn panic_once(&self, area: ViewArea) {
+        self.panics.lock().unwrap().push(area);
+    }
+
+    fn panic_if_asked(&self, area: ViewArea) {
+        let mut panics = self.panics.lock().unwrap();
+        let Some(index) = panics.iter().position(|one| *one == area) else {
+            return;
+        };
+        panics.remove(index);
+        drop(panics);
+        panic!("a request for {area} panics, as the test asks");
+    }
+
     /// Loses responses to all gateways from now on.
     pub fn lose(&self, lost: LostResponses) {
         *self.lost.lock().unwrap() = (lost, None);
@@ -116,6 +134,16 @@
         self.put(ViewArea::Config, "config", &version.to_string());
     }
 
+    /// Publishes a configuration in which targets of all services take `per_s` requests a second
+    /// while they are cold.
+    pub fn put_cold_config(&self, version: u64, per_s: u64) {
+        self.put(
+            ViewArea::Config,
+            "config",
+            &format!("{version} cold={per_s}"),
+        );
+    }
+
     /// Publishes the configuration without the key or route `name`.
     pub fn put_config_without(&self, version: u64, name: &str) {
         self.put(ViewArea::Config, "config", &format!("{version} {name}"));
@@ -132,9 +160,32 @@
         self.put(ViewArea::Targets, &target.name, &value);
     }
 
+    /// Publishes a target of a failure domain that stays cold for `cold_ms`.
+    pub fn put_in(&self, target: &FakeTarget, domain: &str, cold_ms: u64) {
+        let value = format!(
+            "{} {} ready 1 {domain} {cold_ms}",
+            target.service, target.address
+        );
+        self.put(ViewArea::Targets, &target.name, &value);
+    }
+
+    /// Asks that nothing more be sent to the targets of a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        self.put(ViewArea::Config, &format!("evacuate/{domain}"), "{}");
+    }
+
+    /// Takes the evacuation of a failure domain back.
+    pub fn take_back(&self, domain: &str) {
+        self.remove(&format!("evacuate/{domain}"));
+    }
+
     pub fn remove_target(&self, target: &FakeTarget) {
+        self.remove(&target.name);
+    }
+
+    fn remove(&self, key: &str) {
         let mut items = self.items.lock().unwrap();
-        items.retain(|(_, item)| item.key != target.name);
+        items.retain(|(_, item)| item.key != key);
         drop(items);
         let revision = *self.revision.borrow() + 1;
         self.removed_at.store(revision, Ordering::Relaxed);
@@ -171,6 +222,7 @@
 
     /// Rejects the request while the store is down, and counts reads of the configuration.
     fn check(&self, area: ViewArea) -> Result<(), SourceError> {
+        self.panic_if_asked(area);
         let checked = self.check_up();
         if area == ViewArea::Config {
             let count = match checked.is_ok() {
@@ -244,7 +296,7 @@
 
 impl ViewDecoder for FakeDecoder {
     fn read_config(&self, items: &[PublishedItem]) -> Result<Option<ServeConfig>, DecodeError> {
-        let Some(item) = items.first() else {
+        let Some(item) = items.iter().find(|item| item.key == "config") else {
             return Ok(None);
         };
         let text = String::from_utf8_lossy(&item.value);
@@ -256,10 +308,15 @@
         Ok(Some(make_config(version, without)))
     }
 
+    fn read_evacuation(&self, item: &PublishedItem) -> Result<Option<DomainName>, DecodeError> {
+        let domain = item.key.strip_prefix("evacuate/");
+        Ok(domain.map(|domain| domain.parse().unwrap()))
+    }
+
     fn read_target(&self, item: &PublishedItem) -> Result<TargetRecord, DecodeError> {
         let text = String::from_utf8_lossy(&item.value);
         let parts: Vec<&str> = text.split(' ').collect();
-        let [service, address, state, run] = parts[..] else {
+        let [service, address, state, run, ref rest @ ..] = parts[..] else {
             return Err(DecodeError {
                 key: item.key.to_string(),
                 reason: format!("found {text:?}"),
@@ -269,10 +326,12 @@
             name: item.key.parse().unwrap(),
             service: service.parse().unwrap(),
             address: address.parse().unwrap(),
-            domain: "patan".parse().unwrap(),
+            domain: rest.first().unwrap_or(&"patan").parse().unwrap(),
             is_leaving: state == "leaving",
             slots: 4,
-            cold_left: TimeSpan::ZERO,
+            cold_left: rest
+                .get(1)
+                .map_or(TimeSpan::ZERO, |cold| TimeSpan::new(cold.parse().unwrap())),
             incarnation: IncarnationNumber(run.parse().unwrap()),
         })
     }
@@ -291,6 +350,7 @@
         repeat,
         timeout: TimeSpan::from_secs(5),
         latency_target: TimeSpan::new(400),
+        pause_limit: None,
         priority: 0,
         max_attempts,
         is_public: prefix != "/locked/",
@@ -299,6 +359,8 @@
     short.timeout = TimeSpan::new(150);
     let mut stream = route("/stream/", "pool", RepeatPolicy::Stream, 1);
     stream.timeout = TimeSpan::from_secs(20);
+    let mut paced = route("/paced/", "pool", RepeatPolicy::Stream, 1);
+    paced.pause_limit = Some(TimeSpan::new(180));
     let engine = EngineSpec {
         slots: 8,
         memory: TokenCount(50_000),
@@ -306,11 +368,14 @@
         event_tokens: 1,
         copy_rate: TokenRate(100_000),
     };
-    let pool: ServiceName = "pool".parse().unwrap();
+    let cold_rate = without.strip_prefix("cold=");
+    let cold_rate = cold_rate.map(|per_s| CallRate(per_s.parse::<u64>().unwrap() * 1_000));
+    let [pool, app]: [ServiceName; 2] = ["pool", "app"].map(|name| name.parse().unwrap());
     let mut routes = vec![
         route("/once/", "app", RepeatPolicy::AtMostOnce, 1),
         route("/read/", "app", RepeatPolicy::Idempotent, 2),
         stream,
+        paced,
         route("/locked/", "app", RepeatPolicy::Idempotent, 1),
         short,
     ];
@@ -319,10 +384,18 @@
     keys.retain(|key: &SmolStr| key != without);
     ServeConfig::new(ConfigVersion(version), RequestLimits::default())
         .with_routes(routes)
-        .with_services(vec![ServiceSpec {
-            name: pool,
-            engine: Some(engine),
-        }])
+        .with_services(vec![
+            ServiceSpec {
+                name: pool,
+                engine: Some(engine),
+                cold_rate,
+            },
+            ServiceSpec {
+                name: app,
+                engine: None,
+                cold_rate,
+            },
+        ])
         .with_workspaces(vec![WorkspaceRule {
             name: "depot".parse().unwrap(),
             keys,
@@ -432,6 +505,7 @@
         stop_source: bool,
     ) -> PortFuture<'a, CopyOutcome> {
         Box::pin(async move {
+            FakeTarget::record_arrival(source);
             sleep(FakeTarget::copy_time(source)).await;
             FakeTarget::copy(source, request.as_str(), stop_source)
         })
@@ -441,8 +515,8 @@
         Box::pin(async move { FakeTarget::report(engine) })
     }
 
-    fn release_copy<'a>(&'a self, _source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
-        Box::pin(async {})
+    fn release_copy<'a>(&'a self, source: SocketAddr, _handle: &'a str) -> PortFuture<'a, ()> {
+        Box::pin(async move { FakeTarget::record_arrival(source) })
     }
 }
 
