Keep the grace period of a gateway that is stopped during its start

The thread that ends the process now looks up the grace period until the end and tells the main thread of the signal.

--- a/crates/agatemoor/src/command/exit_deadline.rs
+++ b/crates/agatemoor/src/command/exit_deadline.rs
@@ -5,6 +5,7 @@
 use base::{EventKind, TimeSpan};
 use gateway::GatewayCore;
 use tokio::runtime::Builder;
+use tokio::sync::watch;
 
 use super::exit_code::EXIT_SUCCESS;
 use super::stop_signals::StopSignals;
@@ -17,10 +18,15 @@
 /// Time from the signal to the end of a process that has no settings yet.
 const START_GRACE: TimeSpan = TimeSpan::from_secs(1);
 
+/// Interval at which the thread checks which grace period applies.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Thread that ends the process at the end of its grace period, even if the main thread is blocked
 /// or too slow. It waits for the signals itself, so that the period begins when they arrive.
 pub struct ExitDeadline {
     gateway: Arc<OnceLock<Arc<GatewayCore>>>,
+    /// Whether a signal to stop has arrived.
+    signalled: watch::Receiver<bool>,
 }
 
 impl ExitDeadline {
@@ -36,18 +42,28 @@
             StopSignals::install()?
         };
         let shared = gateway.clone();
+        let (sender, signalled) = watch::channel(false);
         thread::Builder::new()
             .name("exit".to_owned())
             .spawn(move || {
                 runtime.block_on(signals.received());
                 let received_at = Instant::now();
-                let gateway = shared.get();
-                let grace = gateway.map_or(START_GRACE, |core| core.settings.stop_grace);
-                let time_left = Duration::from(grace.saturating_sub(END_MARGIN));
-                thread::sleep(time_left.saturating_sub(received_at.elapsed()));
+                sender.send_replace(true);
+                // The start may still be in progress, and the gateway be set after the signal.
+                while let Some(left) = time_left(shared.get(), received_at) {
+                    thread::sleep(left.min(CHECK_INTERVAL));
+                }
                 end_process(shared.get(), &log);
             })?;
-        Ok(Self { gateway })
+        Ok(Self { gateway, signalled })
+    }
+
+    /// Waits until a signal to stop has arrived, also one that arrived before the main thread
+    /// installed its handlers.
+    pub async fn signalled(&self) {
+        let mut signalled = self.signalled.clone();
+        // The thread holds the sender until the process ends.
+        let _ = signalled.wait_for(|signalled| *signalled).await;
     }
 
     /// Sets the gateway that the process runs, whose settings have the grace period.
@@ -57,6 +73,14 @@
     }
 }
 
+/// Time until the process has to end after a signal; `None` if it is over.
+fn time_left(gateway: Option<&Arc<GatewayCore>>, received_at: Instant) -> Option<Duration> {
+    let grace = gateway.map_or(START_GRACE, |core| core.settings.stop_grace);
+    let end = Duration::from(grace.saturating_sub(END_MARGIN));
+    end.checked_sub(received_at.elapsed())
+        .filter(|left| !left.is_zero())
+}
+
 fn end_process(gateway: Option<&Arc<GatewayCore>>, log: &LogWriter) {
     log::warn!(
         event = EventKind::ExitForced.number();
--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -60,6 +60,7 @@
         };
         let started = tokio::select! {
             () = signals.stop_requested(|| {}) => return EXIT_SUCCESS,
+            () = deadline.signalled() => return EXIT_SUCCESS,
             started = wait.run(async || start(&file).await) => started,
         };
         let server = match started {
@@ -67,7 +68,10 @@
             Err(code) => return code,
         };
         deadline.set_gateway(server.core().clone());
-        signals.stop_requested(|| server.reload("SIGHUP")).await;
+        tokio::select! {
+            () = signals.stop_requested(|| server.reload("SIGHUP")) => {}
+            () = deadline.signalled() => {}
+        }
         server.stop().await;
         EXIT_SUCCESS
     }
--- a/crates/agatemoor/tests/gateway_start.rs
+++ b/crates/agatemoor/tests/gateway_start.rs
@@ -270,6 +270,7 @@
     gateway.wait_for(EventKind::NodeStarted, "");
     gateway.signal("TERM");
     assert_eq!(gateway.wait_for_exit(), Some(0));
+    assert!(!gateway.has_logged(EventKind::ExitForced));
 }
 
 // Guards against a successor that ends while its predecessor still stops.
@@ -346,6 +347,33 @@
     gateway.wait_for(EventKind::StartWaiting, "");
     gateway.signal(signal);
     assert_eq!(gateway.wait_for_exit(), Some(0));
+    assert!(!gateway.has_logged(EventKind::ExitForced));
+}
+
+// Guards against a gateway that is stopped during the last step of its start and then ends within a
+// second, so that the calls which it admits meanwhile are cut off.
+#[test]
+fn a_gateway_stopped_during_its_start_keeps_its_grace_period() {
+    let host = next_host();
+    let path = settings_path(host);
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.unwrap().success());
+    let mut gateway = StartedProcess::gateway(&path, &[]);
+    // Opening the pipe ends once the start reads its settings, which then waits for them.
+    let mut settings = fs::OpenOptions::new().write(true).open(&path).unwrap();
+    gateway.signal("TERM");
+    thread::sleep(Duration::from_millis(100));
+    let text = valid_settings(host).to_string();
+    settings.write_all(text.as_bytes()).unwrap();
+    drop(settings);
+    assert_eq!(gateway.wait_for_exit(), Some(0));
+    assert!(
+        !gateway.has_logged(EventKind::ExitForced),
+        "{:?}",
+        gateway.log
+    );
+    let has_served = gateway.has_logged(EventKind::NodeStarted);
+    assert_eq!(gateway.has_logged(EventKind::NodeStopping), has_served);
 }
 
 // Guards against a reload signal that ends a start.
