--- a/crates/entry/src/moves/move_scheduler.rs
+++ b/crates/entry/src/moves/move_scheduler.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug)]
 struct SourceState {
     source: TargetName,
+    /// Whether the engine leaves, other than one whose failure domain is evacuated.
+    is_leaving: bool,
     added_at: ClockTime,
     /// Peers whose turn comes before this node, with the end of their windows.
     ahead: Vec<(NodeName, ClockTime)>,
@@ -89,7 +91,7 @@
 /// let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
 /// let source: TargetName = "e1".parse().unwrap();
 /// let now = ClockTime::new(1_000);
-/// scheduler.add_source(now, &source, &[], TokenRate(10_000));
+/// scheduler.add_source(now, &source, &[], TokenRate(10_000), true);
 /// let first = scheduler.add_waiting(&source, MoveWorth::new(200, 3_000));
 /// let second = scheduler.add_waiting(&source, MoveWorth::new(100, 3_000));
 /// assert_eq!(scheduler.try_start(now, &source, first), MoveTurn::Start);
@@ -124,23 +126,30 @@
         }
     }
 
-    /// Adds a leaving engine on which `peers` have load too; `rate` is its transfer rate.
+    /// Adds an engine that leaves, or whose failure domain is evacuated, and on which `peers` have
+    /// load too; `rate` is its transfer rate. The notice of an evacuated engine begins when it leaves.
     pub fn add_source(
         &mut self,
         now: ClockTime,
         source: &TargetName,
         peers: &[(NodeName, TargetLoad)],
         rate: TokenRate,
+        is_leaving: bool,
     ) {
         self.sources
             .retain(|source_state| now.since(source_state.added_at) < SOURCE_EXPIRY);
         self.finished
             .retain(|(at, _, _)| now.since(*at) < SOURCE_EXPIRY);
-        if self.find(source).is_some() {
+        if let Some(known) = self.find_mut(source) {
+            if is_leaving && !known.is_leaving {
+                known.is_leaving = true;
+                known.added_at = now;
+            }
             return;
         }
         self.sources.push(SourceState {
             source: source.clone(),
+            is_leaving,
             added_at: now,
             ahead: self.windows(now, source, peers, rate),
             waiting: Vec::new(),
--- a/crates/entry/src/queue/call_queue.rs
+++ b/crates/entry/src/queue/call_queue.rs
@@ -13,6 +13,9 @@
 /// Work of quick calls that go before a waiting long call that can be on time, beside the work of
 /// that call, if they are as urgent or more; if they are less urgent, it is as much as its work.
 const QUICK_SHARE: u64 = 8;
+/// Long calls that go before quick ones at most once they find room again: quick calls that were
+/// placed while no long call found room took nothing from these.
+const DEBT_CALLS: u64 = 2;
 /// Time for which a call that left the queue unserved counts as waiting. Nodes repeat the requests
 /// of waiting calls at once, which takes a few milliseconds, or some tens on a busy node.
 const ABSENCE_TIME: TimeSpan = TimeSpan::new(100);
@@ -579,12 +582,17 @@
         if call.is_quick {
             let long = self.entries.iter().map(|entry| &entry.call);
             let long = long.filter(|long| !long.is_move && long.lane(now) == QueueLane::Long);
-            let rank = long.map(|long| long.priority).min();
+            let (mut rank, mut largest) = (None, 0);
+            for long in long {
+                rank = Some(rank.map_or(long.priority, |rank: u8| rank.min(long.priority)));
+                largest = largest.max(long.work);
+            }
             self.overtaken += match rank {
                 Some(rank) if rank < call.priority => call.work * QUICK_SHARE,
                 Some(_) => call.work,
                 None => 0,
             };
+            self.overtaken = self.overtaken.min(largest * QUICK_SHARE * DEBT_CALLS);
         } else {
             self.overtaken = self.overtaken.saturating_sub(call.work * QUICK_SHARE);
         }
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -470,9 +470,7 @@
         services.sort();
         services.dedup();
         for service in services.into_iter().cloned().collect::<Vec<_>>() {
-            let is_open = |state: &TargetState| {
-                state.record.service == service && state.phase != TargetPhase::Leaving
-            };
+            let is_open = |state: &TargetState| state.record.service == service && state.is_open();
             let open = self.targets.iter().filter(|state| is_open(state));
             let runs: Vec<_> = open
                 .map(|state| (&state.record.name, state.record.incarnation))
--- a/crates/entry/src/view/evacuation_ledger.rs
+++ b/crates/entry/src/view/evacuation_ledger.rs
@@ -183,7 +183,10 @@
         if entry.is_evacuated != record.is_evacuated {
             self.news_at = Some(now);
         }
-        if entry.is_evacuated && record.is_evacuated && record.age > entry.known_for(now) {
+        // The age of another revision may be that of an earlier evacuation.
+        let is_same =
+            entry.is_evacuated && record.is_evacuated && record.revision == entry.revision;
+        if is_same && record.age > entry.known_for(now) {
             entry.learned_at = now;
             entry.age = record.age;
         }
--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -218,3 +218,24 @@
         assert_eq!(choose(&[], own), target("e1"));
     }
 }
+
+// Guards against moves that end for the whole fleet, since a node tells the age of an evacuation that
+// was taken back long ago.
+#[test]
+fn the_age_of_an_earlier_evacuation_does_not_count() {
+    let now = ClockTime::new(1_000_000);
+    let domain: DomainName = "patan".parse().unwrap();
+    let mut ledger = EvacuationLedger::default();
+    ledger.adopt_read(now, 9, Vec::new());
+    ledger.adopt_read(now, 11, vec![(domain.clone(), 11)]);
+    ledger.adopt(
+        now,
+        EvacuationRecord {
+            domain: domain.clone(),
+            revision: 7,
+            is_evacuated: true,
+            age: TimeSpan::from_secs(3_600),
+        },
+    );
+    assert_eq!(ledger.evacuated_for(now, &domain), Some(TimeSpan::ZERO));
+}
--- a/crates/entry/tests/moves.rs
+++ b/crates/entry/tests/moves.rs
@@ -130,7 +130,7 @@
             .map(|other| peer(other, 2_000))
             .collect();
         let mut scheduler = MoveScheduler::new(node.parse().unwrap());
-        scheduler.add_source(NOW, &source, &peers, RATE);
+        scheduler.add_source(NOW, &source, &peers, RATE, true);
         let ticket = scheduler.add_waiting(&source, worth(100));
         starts += usize::from(scheduler.try_start(NOW, &source, ticket) == MoveTurn::Start);
     }
@@ -141,7 +141,7 @@
 fn scheduler_after_peer(source: &TargetName) -> (MoveScheduler, NodeName, MoveTicket) {
     for (own, other) in [("n1", "n2"), ("n2", "n1")] {
         let mut scheduler = MoveScheduler::new(own.parse().unwrap());
-        scheduler.add_source(NOW, source, &[peer(other, 2_000)], RATE);
+        scheduler.add_source(NOW, source, &[peer(other, 2_000)], RATE, true);
         let ticket = scheduler.add_waiting(source, worth(100));
         if scheduler.try_start(NOW, source, ticket) != MoveTurn::Start {
             return (scheduler, other.parse().unwrap(), ticket);
@@ -199,7 +199,7 @@
 fn waits_while_a_peer_reports_that_it_copies() {
     let source = name("e1");
     let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
-    scheduler.add_source(NOW, &source, &[], RATE);
+    scheduler.add_source(NOW, &source, &[], RATE, true);
     let ticket = scheduler.add_waiting(&source, worth(100));
     let peer: NodeName = "n2".parse().unwrap();
     assert!(scheduler.replace_peer_copying(NOW, &peer, std::slice::from_ref(&source)));
@@ -311,7 +311,7 @@
 fn the_move_that_is_worth_most_goes_first() {
     let source = name("e1");
     let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
-    scheduler.add_source(NOW, &source, &[], RATE);
+    scheduler.add_source(NOW, &source, &[], RATE, true);
     let little = scheduler.add_waiting(&source, worth(10));
     let most = scheduler.add_waiting(&source, worth(600));
     let MoveTurn::Wait(until) = scheduler.try_start(NOW, &source, little) else {
@@ -389,3 +389,15 @@
     assert_eq!(room.share(NOW, &service, 10_000), 0.25);
     assert_eq!(room.share(NOW, &"other".parse().unwrap(), 10_000), 0.0);
 }
+
+// Guards against notices that are learned too long, because the engine was evacuated before it left.
+#[test]
+fn the_notice_of_an_evacuated_engine_begins_when_it_leaves() {
+    let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
+    let source: TargetName = "e1".parse().unwrap();
+    let at = ClockTime::new;
+    scheduler.add_source(at(1_000), &source, &[], RATE, false);
+    scheduler.add_source(at(13_000), &source, &[], RATE, true);
+    let notice = scheduler.take_notice(&source, at(15_000));
+    assert_eq!(notice, Some(TimeSpan::new(2_000)));
+}
--- a/crates/entry/tests/queue_order.rs
+++ b/crates/entry/tests/queue_order.rs
@@ -371,3 +371,30 @@
     // Those that don't come back are forgotten.
     assert_eq!(ahead(&queue, 2_051), 5);
 }
+
+// Guards against long calls that all go first once they find room again, because quick calls were
+// placed while there was none for them.
+#[test]
+fn quick_calls_placed_while_long_ones_find_no_room_owe_little() {
+    let mut queue = CallQueue::default();
+    let on_time = |call: QueuedCall| QueuedCall {
+        start_by: at(60_000),
+        ..call
+    };
+    for arrived in 0..400 {
+        queue.push(on_time(call(arrived, "a")));
+    }
+    for number in 0..130 {
+        let now = 1_000 + number * 38;
+        let ticket = queue.push_at(at(now), on_time(quick(now, 1)));
+        queue.place(at(now), ticket);
+    }
+    let now = at(7_000);
+    let last = queue.push_at(now, on_time(quick(7_000, 1)));
+    let mut long_calls = 0;
+    while let Some(ticket) = queue.peek(now, &service()).filter(|one| *one != last) {
+        queue.place(now, ticket);
+        long_calls += 1;
+    }
+    assert!((1..=2).contains(&long_calls), "{long_calls} long calls");
+}
--- a/crates/entry/tests/short_notice.rs
+++ b/crates/entry/tests/short_notice.rs
@@ -130,7 +130,7 @@
 fn play_now(engine: &LeavingEngine, knows_end: bool) -> (Outcome, Vec<MoveStart>) {
     let source: TargetName = "e1".parse().unwrap();
     let mut scheduler = MoveScheduler::new("n1".parse().unwrap());
-    scheduler.add_source(NOTICED_AT, &source, &[], RATE);
+    scheduler.add_source(NOTICED_AT, &source, &[], RATE, true);
     let mut waiting: Vec<(MoveTicket, usize)> = Vec::new();
     for (at, generation) in engine.generations.iter().enumerate() {
         let ticket = scheduler.add_waiting(&source, generation.worth());
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -593,8 +593,13 @@
             if state.expects_long_wait(now, &request, &call) {
                 // Calls ahead of it that can't use the room that there is don't count against it.
                 state.serve_queue(now);
+                // Better late than refused: the call takes any engine with room.
+                let mut placement = request.placement.clone();
+                if let Some(need) = &mut placement.pace {
+                    need.start_by = ClockTime::ZERO;
+                }
                 if let PlacementDecision::Target(target) =
-                    state.balancer.choose_target(now, &request.placement)
+                    state.balancer.choose_target(now, &placement)
                 {
                     return EnqueueOutcome::Answered(Ok(
                         state.place_direct(now, &request, &call, target)
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -256,7 +256,8 @@
         }
         let mut failures = 0;
         for ticket in self.queue.ordered(now, &service) {
-            let Some(at) = self.waiters.iter().position(|one| one.ticket == ticket) else {
+            // Waiters are sorted by ticket.
+            let Ok(at) = self.waiters.binary_search_by_key(&ticket, |one| one.ticket) else {
                 continue;
             };
             let placement = &mut self.waiters[at].placement;
@@ -415,6 +416,12 @@
         }
     }
 
+    /// Whether a target leaves, other than one whose failure domain is evacuated.
+    pub(super) fn is_leaving(&self, target: &TargetName) -> bool {
+        let found = self.balancer.target(target);
+        found.is_none_or(|one| one.phase == TargetPhase::Leaving)
+    }
+
     /// Records the room that queued moves lack once others were served. Those that wait for the
     /// link of their engine lack none.
     fn record_short_moves(&mut self, now: ClockTime) {
@@ -424,7 +431,8 @@
             let Some(source) = &placement.move_source else {
                 continue;
             };
-            if !self.may_move(now, waiter.requester.as_ref(), placement) {
+            let may_move = self.may_move(now, waiter.requester.as_ref(), placement);
+            if !may_move || !self.is_leaving(&source.target) {
                 continue;
             }
             let known = short.iter_mut().find(|(name, ..)| *name == source.target);
@@ -582,8 +590,9 @@
             let spec = service.and_then(|service| config.service(service));
             if let Some(engine) = spec.and_then(|spec| spec.engine) {
                 let peers = self.balancer.peer_loads(name);
+                let is_leaving = self.is_leaving(name);
                 self.move_scheduler
-                    .add_source(now, name, &peers, engine.copy_rate);
+                    .add_source(now, name, &peers, engine.copy_rate, is_leaving);
                 if let Some(service) = service.cloned() {
                     self.last_leaves.retain(|(known, _)| *known != service);
                     self.last_leaves.push((service, now));
--- a/crates/gateway/src/state/target_updates.rs
+++ b/crates/gateway/src/state/target_updates.rs
@@ -62,7 +62,9 @@
             let core = self.clone();
             tokio::spawn(async move {
                 let permit = acquire_permit(&core, &record.name, record.incarnation).await;
-                if permit.is_err() {
+                let may_poll =
+                    core.with_state(|state, _| state.may_poll(&record.name, record.incarnation));
+                if permit.is_err() || !may_poll {
                     return;
                 }
                 let report = core.ports.engines.fetch_report(record.address).await;
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -567,3 +567,34 @@
         assert!(targets[1].calls().is_empty(), "{mode:?}");
     }
 }
+
+// Guards against a request for the state of an engine that begins to leave while its domain is
+// evacuated.
+#[tokio::test]
+async fn an_engine_that_leaves_an_evacuated_domain_is_not_asked() {
+    let (store, targets) = start_targets("pool", TargetMode::Stream(600)).await;
+    store.remove_target(&targets[1]);
+    let gateway = Gateway::start_ready(&store).await;
+    until("the engine is known", || target_count(&gateway) == 1).await;
+    let callers = gateway.callers;
+    let headers = "x-id: g1\r\nx-size: 1000\r\n";
+    let pending = tokio::spawn(async move { call(callers, "/stream/1", headers, "").await });
+    until("the generation runs", || targets[0].open_calls() == 1).await;
+    store.evacuate("patan");
+    until("the evacuation is known", || {
+        is_evacuated(&gateway, "patan")
+    })
+    .await;
+    store.put_target(&targets[0], "leaving");
+    let core = gateway.server.core();
+    until("the engine leaves", || {
+        core.with_state(|state, _| {
+            let mut known = state.balancer.targets().iter();
+            known.any(|one| one.phase == entry::TargetPhase::Leaving)
+        })
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(targets[0].reports(), 0);
+    pending.abort();
+}
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -325,7 +325,6 @@
             return CopyOutcome::Unknown;
         };
         let mut state = state.lock().unwrap();
-        state.arrivals.push(Instant::now());
         state.copies += usize::from(!stop_source);
         if let Some(outcome) = state.copy_outcomes.pop_front() {
             return outcome;
