--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,8 +29,8 @@
 };
 pub use length::OutputEstimate;
 pub use moves::{
-    CopyLocks, FullTargets, MoveMachine, MovePhase, MovePlan, MovePlanner, MoveRoom, MoveScheduler,
-    MoveStep, MoveTicket, MoveTurn, MoveWorth, NoticeEstimate, StreamProgress,
+    CopyLocks, FullTargets, MoveMachine, MovePhase, MovePlan, MovePlanner, MoveScheduler, MoveStep,
+    MoveTicket, MoveTurn, MoveWorth, NoticeEstimate, StreamProgress,
 };
 pub use pace::{
     DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
--- a/crates/entry/src/pace/target_pace.rs
+++ b/crates/entry/src/pace/target_pace.rs
@@ -56,7 +56,8 @@
 }
 
 /// An engine whose pace differs from the median by more than this factor makes the service uneven.
-pub(super) const UNEVEN_RATIO: f64 = 1.25;
+/// With a smaller one, engines of equal speed seem uneven while one reads more prompts than others.
+pub(super) const UNEVEN_RATIO: f64 = 1.6;
 /// Probability from which on something is more likely than not.
 const MOSTLY: f64 = 0.5;
 /// Difference of two late probabilities from which on one engine is better than the other. Both are
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -571,15 +571,6 @@
         delays.collect()
     }
 
-    /// Sets the share of the memory of the engines of a service that is kept free for generations
-    /// that have to move.
-    pub fn set_move_share(&mut self, service: &ServiceName, share: f64) {
-        let engines = self.targets.iter_mut();
-        for state in engines.filter(|state| state.record.service == *service) {
-            state.move_share = share;
-        }
-    }
-
     /// Records how a call at a target ended.
     pub fn record_outcome(&mut self, now: ClockTime, name: &TargetName, outcome: TargetOutcome) {
         if let Ok(at) = self.find(name) {
@@ -773,7 +764,7 @@
     // A generation that has to move is lost if it finds no room.
     let share = match request.is_quick || request.move_source.is_some() {
         true => MEMORY_SHARE,
-        false => LONG_OUTPUT_SHARE.min(MEMORY_SHARE - state.move_share),
+        false => LONG_OUTPUT_SHARE,
     };
     let limit = f64::from(spec.memory.0) * share;
     let tokens = (total.tokens + request.load.tokens) as f64;
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -44,8 +44,6 @@
     pub warm_at: ClockTime,
     /// Its pace beside the other engines of its service.
     pub pace: TargetPace,
-    /// Share of its memory that is kept free for generations that have to move.
-    pub move_share: f64,
 }
 
 impl TargetState {
@@ -61,7 +59,6 @@
             has_announced_leave: false,
             has_ended: false,
             is_evacuated: false,
-            move_share: 0.0,
             warm_at: now + record.cold_left,
             pace: TargetPace::default(),
             record,
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -29,9 +29,6 @@
 
 /// Largest event in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
-/// Tokens that a generation holds beyond its counted load from which on they are counted; each such
-/// change is reported to coordinators.
-const HELD_STEP: u64 = 96;
 /// Time until the next check for a move while none is due; far in the future, so that the timer
 /// does not fire in practice.
 pub(super) const NO_MOVE_DUE: Duration = Duration::from_secs(3_600);
@@ -379,9 +376,7 @@
         self.call.pace_need(self.progress.events)
     }
 
-    /// Adds to the load on the engine when a generation outgrows its estimated output or, while
-    /// engines of its service leave, what it is counted with: moves then fill engines to the brim,
-    /// where it matters what each generation holds now.
+    /// Adds to the load on the engine when a generation outgrows its estimated output.
     fn update_estimate(&mut self) {
         let generated = self.progress.events.saturating_mul(self.event_tokens);
         let estimate = self.estimate.with_progress(TokenCount(generated));
@@ -392,19 +387,6 @@
             self.reservation.add_tokens(more);
             self.estimate = estimate;
         }
-        let uncounted = self
-            .held_tokens()
-            .saturating_sub(self.reservation.load().tokens);
-        if uncounted >= HELD_STEP && self.has_recent_leaves() {
-            self.reservation.add_tokens(uncounted);
-        }
-    }
-
-    /// Whether engines of the service of the generation left lately.
-    fn has_recent_leaves(&self) -> bool {
-        let service = &self.call.service;
-        self.core
-            .with_state(|state, now| self.call.engine.is_some() && state.has_left(now, service))
     }
 
     /// Handles the regular end of the engine's response body.
--- a/crates/gateway/src/state/coordinator_state.rs
+++ b/crates/gateway/src/state/coordinator_state.rs
@@ -137,10 +137,6 @@
         if let Some(source) = &placement.move_source {
             let node = requester.unwrap_or(&self.node);
             self.copy_locks.acquire(now, &source.target, node);
-            if self.is_leaving(&source.target) {
-                self.move_room
-                    .record_moved(now, &source.target, &placement.service, load.tokens);
-            }
         }
         let Some(node) = requester else {
             self.balancer.add_load(target, load);
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -411,7 +411,6 @@
             state.attempts.expire(now);
             state.expire_grants(now);
             state.drop_foreign_rates(now);
-            state.update_move_room(now);
             state.serve_queue(now);
             state.export_queue(now);
             (changes, state.balancer.take_pace_changes())
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -6,12 +6,11 @@
 use entry::{
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
     FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
-    MoveRoom, MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
+    MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
     PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
     ReturnSchedule, SampleBudget, SuspectTracker, TargetPhase, TrialLedger,
 };
 use facts::FactLimiter;
-use metrics::gauge;
 use tokio::sync::oneshot;
 
 use super::{
@@ -38,9 +37,6 @@
 const TAKEOVER_STEP: TimeSpan = TimeSpan::new(150);
 /// Largest number of those steps.
 const TAKEOVER_STEP_LIMIT: u64 = 20;
-/// Time after an engine of a service began to leave during which its generations are counted with
-/// the memory that they hold now.
-const RECENT_LEAVE_TIME: TimeSpan = TimeSpan::from_secs(20);
 /// Time since the targets were last confirmed, while the store does not answer, after which engines
 /// are asked whether they leave. Engines give 1.5 s to 2 s of notice, and moving their generations
 /// takes about as long.
@@ -140,10 +136,6 @@
     pub copy_locks: CopyLocks,
     /// Engines that refused copies for lack of room; they get no moves for a while.
     pub full_targets: FullTargets,
-    /// When engines of each service last began to leave.
-    last_leaves: Vec<(ServiceName, ClockTime)>,
-    /// What generations of engines that left needed elsewhere, as far as this node placed them.
-    pub move_room: MoveRoom,
     /// Time from the notice to the end of engines that left.
     pub notices: NoticeEstimate,
     /// Number of calls whose answer has not begun.
@@ -193,8 +185,6 @@
             move_scheduler: MoveScheduler::new(settings.node.clone()),
             copy_locks: CopyLocks::default(),
             full_targets: FullTargets::default(),
-            last_leaves: Vec::new(),
-            move_room: MoveRoom::default(),
             notices: NoticeEstimate::default(),
             peers: PeerTable::new(settings.peer_address, settings.seeds.clone()),
             active_calls: 0,
@@ -293,7 +283,6 @@
                 self.answer_waiter(now, at, Ok(target));
             }
         }
-        self.record_short_moves(now);
     }
 
     /// Queued moves, those whose move is worth most first, then in queue order.
@@ -422,63 +411,6 @@
         found.is_none_or(|one| one.phase == TargetPhase::Leaving)
     }
 
-    /// Records the room that queued moves lack once others were served. Those that wait for the
-    /// link of their engine lack none.
-    fn record_short_moves(&mut self, now: ClockTime) {
-        let mut short: Vec<(TargetName, ServiceName, u64)> = Vec::new();
-        for waiter in &self.waiters {
-            let placement = &waiter.placement;
-            let Some(source) = &placement.move_source else {
-                continue;
-            };
-            let may_move = self.may_move(now, waiter.requester.as_ref(), placement);
-            if !may_move || !self.is_leaving(&source.target) {
-                continue;
-            }
-            let known = short.iter_mut().find(|(name, ..)| *name == source.target);
-            match known {
-                Some((.., tokens)) => *tokens += placement.load.tokens,
-                None => short.push((
-                    source.target.clone(),
-                    placement.service.clone(),
-                    placement.load.tokens,
-                )),
-            }
-        }
-        for (source, service, tokens) in short {
-            self.move_room.record_short(now, &source, &service, tokens);
-        }
-    }
-
-    /// Keeps as much memory of the engines of each service free as recent moves needed. Only the
-    /// coordinator of a failure domain knows that, and places all calls of the domain.
-    pub fn update_move_room(&mut self, now: ClockTime) {
-        let is_coordinator = self.is_coordinator(now);
-        let Some(config) = self.view.config.clone() else {
-            return;
-        };
-        for service in self.balancer.services() {
-            let spec = config.service(&service).and_then(|spec| spec.engine);
-            let Some(spec) = spec.filter(|spec| spec.can_move) else {
-                continue;
-            };
-            let engines = self.balancer.local_targets(now, &service) as u64;
-            let memory = engines * u64::from(spec.memory.0);
-            let share = match is_coordinator && engines > 0 {
-                true => self.move_room.share(now, &service, memory),
-                false => 0.0,
-            };
-            self.balancer.set_move_share(&service, share);
-            if is_coordinator {
-                let labels = [
-                    ("node", self.node.to_string()),
-                    ("service", service.to_string()),
-                ];
-                gauge!("gateway_move_room_share", &labels).set(share);
-            }
-        }
-    }
-
     /// Removes a call from the queue and sends it its target, or why there is none; undoes the
     /// placement if the call no longer waits.
     fn answer_waiter(
@@ -593,20 +525,10 @@
                 let is_leaving = self.is_leaving(name);
                 self.move_scheduler
                     .add_source(now, name, &peers, engine.copy_rate, is_leaving);
-                if let Some(service) = service.cloned() {
-                    self.last_leaves.retain(|(known, _)| *known != service);
-                    self.last_leaves.push((service, now));
-                }
             }
         }
     }
 
-    /// Whether engines of a service began to leave lately.
-    pub fn has_left(&self, now: ClockTime, service: &ServiceName) -> bool {
-        let mut leaves = self.last_leaves.iter();
-        leaves.any(|(known, at)| known == service && now.since(*at) < RECENT_LEAVE_TIME)
-    }
-
     /// Whether this node may send calls as far as the facts of its peers are concerned: it has
     /// synchronized them with one, it has no peers to find, or none answered in time.
     pub fn has_initial_sync(&self, now: ClockTime) -> bool {
