Tell outages of the store from cuts of single nodes

Cause: a node that had two failed requests took its next response for the end of an outage of the store, and told all nodes, which then doubted every removal for 2.2 s. A node that had stopped reading during a real outage kept that state for good, and raised the same doubt whenever it read next.

Change: an outage is a time of 2 s in which no node is known to have had a response. Nodes exchange the span in which the store is known to have answered, in digests and with each update of targets; an outage that only one node saw is refuted by any other that had a response. Ages of copies travel with updates. Event 5012 store_outage names the outage.

The tests of the guard are replaced by tests of the same cases through its new interface, with further ones.

--- a/crates/base/src/time/clock_time.rs
+++ b/crates/base/src/time/clock_time.rs
@@ -36,6 +36,19 @@
         self.0
     }
 
+    /// The time `span` before this one; the start of the clock if that is earlier.
+    ///
+    /// ```
+    /// use base::{ClockTime, TimeSpan};
+    /// let time = ClockTime::new(1_000);
+    /// assert_eq!(time.before(TimeSpan::new(400)), ClockTime::new(600));
+    /// assert_eq!(time.before(TimeSpan::from_secs(2)), ClockTime::ZERO);
+    /// ```
+    #[must_use]
+    pub const fn before(self, span: TimeSpan) -> Self {
+        Self(self.0.saturating_sub(span.as_millis()))
+    }
+
     /// Time elapsed since `earlier`; zero if `earlier` is later than this time.
     pub const fn since(self, earlier: Self) -> TimeSpan {
         TimeSpan::new(self.0.saturating_sub(earlier.0))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,6 +51,6 @@
     TargetPhase, TargetRecord, TargetState, prefill_time,
 };
 pub use view::{
-    EvacuationChange, EvacuationLedger, EvacuationRecord, ItemChange, ItemMirror, LeaseGuard,
-    PublishedItem, latest_gap,
+    AnswerReport, AnswerSpan, EvacuationChange, EvacuationLedger, EvacuationRecord, ItemChange,
+    ItemMirror, LeaseGuard, PublishedItem, latest_gap,
 };
--- a/crates/entry/src/view/lease_guard.rs
+++ b/crates/entry/src/view/lease_guard.rs
@@ -1,5 +1,7 @@
 use base::{ClockTime, TimeSpan};
 
+use super::{AnswerReport, AnswerSpan};
+
 /// Time after an outage of the store during which entries whose leases expired in it may reappear.
 ///
 /// The platform restores them within about two seconds.
@@ -18,48 +20,68 @@
 /// ```
 /// use base::ClockTime;
 /// let mut guard = entry::LeaseGuard::default();
-/// guard.on_store_lost();
-/// guard.on_store_regained(ClockTime::new(5_000));
+/// guard.on_store_answer(ClockTime::new(1_000));
+/// guard.on_store_answer(ClockTime::new(5_000));
 /// assert!(guard.keep_until(ClockTime::new(5_100), 1, 12).is_some());
 /// assert!(guard.keep_until(ClockTime::new(9_000), 1, 12).is_none());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseGuard {
-    is_store_lost: bool,
-    regained_at: Option<ClockTime>,
+    /// Time for which the store has been answering this node or others; `None` before the first
+    /// answer.
+    answers: Option<AnswerSpan>,
+    /// When requests of this node last failed in a row.
+    failed_at: Option<ClockTime>,
 }
 
 impl LeaseGuard {
-    /// Records that the store stopped answering.
-    pub fn on_store_lost(&mut self) {
-        self.is_store_lost = true;
+    /// Records that requests of this node to the store failed in a row.
+    pub fn on_store_failure(&mut self, now: ClockTime) {
+        self.failed_at = Some(now);
     }
 
-    /// Records that the store answers; returns whether it had been lost.
-    pub fn on_store_regained(&mut self, now: ClockTime) -> bool {
-        let was_lost = std::mem::take(&mut self.is_store_lost);
-        if was_lost {
-            self.regained_at = Some(now);
-        }
-        was_lost
+    /// Records an answer of the store to this node; returns the length of the outage that it ends,
+    /// if it is the first answer after one that any node is known to have had.
+    pub fn on_store_answer(&mut self, now: ClockTime) -> Option<TimeSpan> {
+        self.add_span(AnswerSpan::at(now))
     }
 
-    /// Time since the store answered again; `None` once its entries have been restored.
-    pub fn regained_age(&self, now: ClockTime) -> Option<TimeSpan> {
-        let age = now.since(self.regained_at?);
-        (age < RESTORE_WAIT).then_some(age)
+    /// Records the answers of the store that a peer knows of; returns the length of the outage before
+    /// them, if this node did not know of it.
+    ///
+    /// A peer that was cut off, or that did not run, takes that time for an outage. What others know
+    /// refutes it.
+    pub fn on_peer_report(&mut self, now: ClockTime, report: AnswerReport) -> Option<TimeSpan> {
+        self.add_span(report.span(now))
     }
 
-    /// Records that a peer regained the store `age` ago. Removals that it reports are then as
-    /// doubtful as removals that this node reads itself after an outage.
-    pub fn on_peer_regained(&mut self, now: ClockTime, age: TimeSpan) {
-        let at = ClockTime::new(now.as_millis().saturating_sub(age.as_millis()));
-        self.regained_at = self.regained_at.max(Some(at));
+    fn add_span(&mut self, span: AnswerSpan) -> Option<TimeSpan> {
+        let Some(known) = self.answers else {
+            self.answers = Some(span);
+            return None;
+        };
+        let merged = known.merge(span);
+        self.answers = Some(merged);
+        (merged.since() > known.until()).then(|| merged.since() - known.until())
+    }
+
+    /// What this node knows of the answers of the store, for its peers.
+    pub fn report(&self, now: ClockTime) -> Option<AnswerReport> {
+        self.answers.map(|span| span.report(now))
+    }
+
+    /// Time since the store answered again after an outage; `None` if there was none or its entries
+    /// have been restored.
+    pub fn regained_age(&self, now: ClockTime) -> Option<TimeSpan> {
+        let span = self.answers.filter(AnswerSpan::follows_outage)?;
+        let age = now.since(span.since());
+        (age < RESTORE_WAIT).then_some(age)
     }
 
-    /// Whether the store does not answer now.
+    /// Whether requests of this node failed and no node is known to have had an answer since.
     pub fn is_store_lost(&self) -> bool {
-        self.is_store_lost
+        let answered_at = self.answers.map(|span| span.until());
+        self.failed_at.is_some() && self.failed_at > answered_at
     }
 
     /// Time until which `removed` of `ready` targets that disappeared without an announcement are
@@ -68,10 +90,8 @@
     /// While the store is lost for this node, changes come from peers that it answers, so small
     /// removals are taken at once.
     pub fn keep_until(&self, now: ClockTime, removed: usize, ready: usize) -> Option<ClockTime> {
-        if let Some(regained) = self.regained_at
-            && now < regained + RESTORE_WAIT
-        {
-            return Some(regained + RESTORE_WAIT);
+        if let Some(age) = self.regained_age(now) {
+            return Some(now + RESTORE_WAIT.saturating_sub(age));
         }
         let is_mass = removed > 1 && removed * MASS_DIVISOR > ready;
         is_mass.then_some(now + DOUBT_WAIT)
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use base::ClockTime;
-use entry::{ItemChange, ItemMirror, LeaseGuard, PublishedItem};
+use base::{ClockTime, TimeSpan};
+use entry::{AnswerReport, AnswerSpan, ItemChange, ItemMirror, LeaseGuard, PublishedItem};
 use proptest::prelude::*;
 
 fn item(key: &str, revision: u64) -> PublishedItem {
@@ -108,33 +108,119 @@
     }
 }
 
+/// Time at `millis`.
+fn at(millis: u64) -> ClockTime {
+    ClockTime::new(millis)
+}
+
+/// A guard that knows of answers of the store from 1 s on, every 0.6 s, until `until`.
+fn answered_until(until: u64) -> LeaseGuard {
+    let mut guard = LeaseGuard::default();
+    for time in (1_000..=until).step_by(600) {
+        assert_eq!(guard.on_store_answer(at(time)), None);
+    }
+    guard.on_store_answer(at(until));
+    guard
+}
+
 // Guards against dropping all targets when leases expired during an outage of the store.
 #[test]
 fn keeps_removed_targets_for_a_while_after_an_outage() {
-    let mut guard = LeaseGuard::default();
-    guard.on_store_lost();
-    assert!(guard.on_store_regained(ClockTime::new(5_000)));
-    let until = guard.keep_until(ClockTime::new(5_010), 1, 12).unwrap();
-    assert_eq!(until, ClockTime::new(7_200));
-    assert_eq!(guard.keep_until(ClockTime::new(7_300), 1, 12), None);
+    let mut guard = answered_until(1_000);
+    guard.on_store_failure(at(2_400));
+    assert!(guard.is_store_lost());
+    assert_eq!(
+        guard.on_store_answer(at(5_000)),
+        Some(TimeSpan::from_secs(4))
+    );
+    assert!(!guard.is_store_lost());
+    let until = guard.keep_until(at(5_010), 1, 12).unwrap();
+    assert_eq!(until, at(7_200));
+    assert_eq!(guard.keep_until(at(7_300), 1, 12), None);
+}
+
+// Guards against an outage that went unnoticed because only one request failed in it, or none did: the
+// response to a held request came late.
+#[test]
+fn notices_an_outage_without_failed_requests() {
+    let mut guard = answered_until(2_000);
+    guard.on_store_answer(at(4_400));
+    assert_eq!(guard.keep_until(at(4_400), 1, 12), Some(at(6_600)));
 }
 
 // Guards against using an engine that peers with access to the store report as removed.
 #[test]
 fn accepts_removals_while_the_store_is_lost() {
-    let mut guard = LeaseGuard::default();
-    guard.on_store_lost();
-    assert_eq!(guard.keep_until(ClockTime::new(2_000), 2, 12), None);
+    let mut guard = answered_until(1_000);
+    guard.on_store_failure(at(1_900));
+    assert_eq!(guard.keep_until(at(2_000), 2, 12), None);
 }
 
 // Guards against dropping targets with expired leases when only peers noticed the outage.
 #[test]
-fn uses_the_store_recovery_that_peers_report() {
-    let mut guard = LeaseGuard::default();
-    let age = base::TimeSpan::new(400);
-    guard.on_peer_regained(ClockTime::new(5_400), age);
-    assert!(guard.keep_until(ClockTime::new(5_500), 1, 12).is_some());
-    assert_eq!(guard.regained_age(ClockTime::new(7_300)), None);
+fn uses_the_end_of_an_outage_that_peers_report() {
+    let mut peer = answered_until(1_000);
+    peer.on_store_answer(at(5_000));
+    let mut guard = answered_until(1_200);
+    let report = peer.report(at(5_400)).unwrap();
+    // The clock of the node is 100 s ahead of that of its peer.
+    let mut behind = LeaseGuard::default();
+    behind.on_store_answer(at(101_200));
+    assert!(behind.on_peer_report(at(105_400), report).is_some());
+    assert_eq!(behind.keep_until(at(105_500), 1, 12), Some(at(107_200)));
+    // A node that starts after the outage has nothing to compare it with, and learns of it too.
+    let mut started = LeaseGuard::default();
+    started.on_peer_report(at(5_400), report);
+    assert!(started.keep_until(at(5_500), 1, 12).is_some());
+    guard.on_peer_report(at(5_400), report);
+    assert!(guard.keep_until(at(5_500), 1, 12).is_some());
+    assert_eq!(guard.regained_age(at(7_300)), None);
+}
+
+// Guards against doubts about all removals because one node had lost its path to the store, was cut off
+// from all, or was paused.
+#[test]
+fn a_peer_that_was_cut_off_reports_no_outage() {
+    let mut cut = answered_until(1_000);
+    cut.on_store_failure(at(2_400));
+    cut.on_store_answer(at(6_500));
+    let report = cut.report(at(6_500)).unwrap();
+    assert!(report.lost_age.is_some());
+    let mut guard = answered_until(6_400);
+    assert_eq!(guard.on_peer_report(at(6_510), report), None);
+    assert_eq!(guard.keep_until(at(6_520), 1, 12), None);
+    // What others know refutes it on the node itself as well.
+    cut.on_peer_report(at(6_600), guard.report(at(6_600)).unwrap());
+    assert_eq!(cut.keep_until(at(6_610), 1, 12), None);
+}
+
+// Guards against a first answer that counts as the end of an outage, after another node has been
+// reading the store for this one.
+#[test]
+fn answers_to_peers_end_an_outage() {
+    let mut guard = answered_until(1_000);
+    guard.on_store_failure(at(2_400));
+    let mut reader = answered_until(1_000);
+    for time in (5_000..=16_400).step_by(600) {
+        reader.on_store_answer(at(time));
+        guard.on_peer_report(at(time + 50), reader.report(at(time + 50)).unwrap());
+    }
+    assert!(!guard.is_store_lost());
+    assert_eq!(guard.on_store_answer(at(17_500)), None);
+    assert_eq!(guard.keep_until(at(17_510), 1, 12), None);
+}
+
+// Guards against an outage that nodes of the last build report and nobody else noticed, and against
+// their report of one that this node knows to be none.
+#[test]
+fn judges_reports_of_the_last_build() {
+    let report = AnswerReport::of_outage_end(TimeSpan::new(200));
+    let mut idle = answered_until(1_000);
+    assert!(idle.on_peer_report(at(5_200), report).is_some());
+    assert!(idle.keep_until(at(5_200), 1, 12).is_some());
+    let mut served = answered_until(5_000);
+    assert_eq!(served.on_peer_report(at(5_200), report), None);
+    assert_eq!(served.keep_until(at(5_200), 1, 12), None);
 }
 
 // Guards against an outage that no request noticed: more than half of the targets disappear at
@@ -142,8 +228,46 @@
 #[test]
 fn delays_mass_removals() {
     let guard = LeaseGuard::default();
-    assert!(guard.keep_until(ClockTime::new(5_000), 7, 12).is_some());
-    assert!(guard.keep_until(ClockTime::new(5_000), 2, 12).is_none());
+    assert!(guard.keep_until(at(5_000), 7, 12).is_some());
+    assert!(guard.keep_until(at(5_000), 2, 12).is_none());
+}
+
+proptest! {
+    // Guards against nodes that disagree about an outage because they heard of its end in another order,
+    // and against outages that never were, as some node had answers in that time.
+    #[test]
+    fn merged_spans_do_not_depend_on_order(
+        parts in proptest::collection::vec((0_u64..20_000, 0_u64..6_000), 1..8),
+        start in any::<prop::sample::Index>(),
+    ) {
+        let part = |(since, length): &(u64, u64)| {
+            let times = (*since..=since + length).step_by(500);
+            times.map(|time| AnswerSpan::at(at(time))).reduce(AnswerSpan::merge).unwrap()
+        };
+        let mut spans: Vec<_> = parts.iter().map(part).collect();
+        let first = spans[start.index(spans.len())];
+        // All nodes repeat what they know until nothing changes.
+        let rounds = spans.len();
+        let repeated = spans.iter().rev().cycle().take(rounds * rounds);
+        let heard = repeated.fold(first, |known, span| known.merge(*span));
+        spans.sort_by_key(AnswerSpan::since);
+        let expected = spans.into_iter().reduce(AnswerSpan::merge).unwrap();
+        prop_assert_eq!(heard.until(), expected.until());
+        prop_assert_eq!(heard.follows_outage(), expected.follows_outage());
+        if expected.follows_outage() {
+            prop_assert_eq!(heard.since(), expected.since());
+        }
+    }
+
+    // Guards against an outage that a node forgets because a peer that started in it reports its first
+    // answer a little earlier.
+    #[test]
+    fn a_started_peer_refutes_no_outage(first in 4_000_u64..5_000, until in 5_000_u64..5_900) {
+        let known = AnswerSpan::at(at(1_000)).merge(AnswerSpan::at(at(5_000)));
+        let started = AnswerSpan::at(at(first)).merge(AnswerSpan::at(at(until)));
+        prop_assert!(known.merge(started).follows_outage());
+        prop_assert_eq!(known.merge(started).since(), at(first));
+    }
 }
 
 // Guards against a target that a peer goes on using after its removal: it was removed while the pages
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,8 +22,8 @@
 pub use poll::ViewPoller;
 pub use port::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
-    GatewayPorts, GenerationSize, HeaderCodec, HeaderError, ItemBatch, PortFuture, RateNotice,
-    ResponseHeaders, ResumePoint, SettingsSource, SourceError, TargetHeaders, ViewArea,
+    GatewayPorts, GenerationSize, HeaderCodec, HeaderError, ItemBatch, ItemOrigin, PortFuture,
+    RateNotice, ResponseHeaders, ResumePoint, SettingsSource, SourceError, TargetHeaders, ViewArea,
     ViewDecoder, ViewSource,
 };
 pub use rate::{PermitReply, PermitRequest, PermitStep};
--- a/crates/gateway/src/peer/item_update.rs
+++ b/crates/gateway/src/peer/item_update.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use entry::ItemChange;
+use base::TimeSpan;
+use entry::{AnswerReport, ItemChange};
 use serde::{Deserialize, Serialize};
 
-use crate::{GatewayCore, ViewArea};
+use super::ExtendedMessage;
+use crate::{GatewayCore, ItemOrigin, ViewArea};
 
 /// Result of applying the update of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,13 +30,45 @@
     pub revision: u64,
     /// Changes to apply in this order; all items, each as written, if `base` is `None`.
     pub changes: Vec<ItemChange>,
+    /// Time since the copy of the sender was last confirmed to be up to date; zero if it is an earlier
+    /// build, which does not tell.
+    #[serde(skip)]
+    pub age: TimeSpan,
+    /// What the sender knows of the answers of the store, which decides what removals mean.
+    #[serde(skip)]
+    pub answers: Option<AnswerReport>,
+}
+
+/// Parts of an update that earlier builds don't know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct UpdateExtension {
+    #[serde(default)]
+    age: TimeSpan,
+    #[serde(default)]
+    answers: Option<AnswerReport>,
+}
+
+impl ExtendedMessage for ItemUpdate {
+    type Extension = UpdateExtension;
+
+    fn take_extension(&mut self) -> UpdateExtension {
+        UpdateExtension {
+            age: std::mem::take(&mut self.age),
+            answers: self.answers.take(),
+        }
+    }
+
+    fn extend(&mut self, extension: UpdateExtension) {
+        self.age = extension.age;
+        self.answers = extension.answers;
+    }
 }
 
 impl ItemUpdate {
     /// Creates an update with the changes of an area after revision `after`, or with all items if
     /// the changes since then are no longer kept; `None` if this node has not read the area yet.
     pub fn of_core(core: &GatewayCore, area: ViewArea, after: Option<u64>) -> Option<Self> {
-        core.with_state(|state, _| {
+        core.with_state(|state, now| {
             let mirror = state.view.mirror(area);
             let revision = mirror.revision()?;
             let recent = after.and_then(|after| Some((after, mirror.changes_since(after)?)));
@@ -50,12 +84,18 @@
                 base,
                 revision,
                 changes,
+                age: now.since(state.view.confirmed_at(area)),
+                answers: state.view.guard.report(now),
             })
         })
     }
 
     /// Applies the update of a peer to an area of this node.
     pub fn apply(self, core: &Arc<GatewayCore>, area: ViewArea) -> UpdateOutcome {
+        if let Some(report) = self.answers {
+            core.record_peer_report(report);
+        }
+        let origin = ItemOrigin::Peer(self.age);
         let known = core.with_state(|state, _| state.view.mirror(area).revision());
         match (self.base, known) {
             (None, _) => {
@@ -63,7 +103,7 @@
                     ItemChange::Written(item) => Some(item),
                     ItemChange::Removed { .. } => None,
                 });
-                match core.replace_items(area, self.revision, items.collect(), "peer") {
+                match core.replace_items(area, self.revision, items.collect(), origin) {
                     true => UpdateOutcome::Applied,
                     false => UpdateOutcome::Unchanged,
                 }
@@ -73,7 +113,7 @@
                     revision: self.revision,
                     changes: self.changes,
                 };
-                match core.apply_changes(area, batch, "peer") {
+                match core.apply_changes(area, batch, origin) {
                     true => UpdateOutcome::Applied,
                     false => UpdateOutcome::Unchanged,
                 }
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -2,8 +2,8 @@
 
 use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
 use entry::{
-    ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads, SuspectCall,
-    TargetLoad,
+    AnswerReport, ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads,
+    SuspectCall, TargetLoad,
 };
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
@@ -45,8 +45,8 @@
     /// Time since the targets of the sender were last known to be up to date; `None` if it has not
     /// read any yet.
     pub targets_age: Option<TimeSpan>,
-    /// Time since the store answered the sender again after an outage; `None` if that is long ago
-    /// or there was none.
+    /// Time since the store answered again after an outage; `None` if that is long ago or there was
+    /// none. Read from earlier builds only, which send no `answers`.
     pub regained_age: Option<TimeSpan>,
     /// Load of its calls in flight on each target.
     pub loads: Vec<(TargetName, TargetLoad)>,
@@ -78,6 +78,9 @@
     /// send them, to those of other domains.
     #[serde(skip)]
     pub domain_paces: Vec<DomainPace>,
+    /// What the sender knows of the answers of the store to any node.
+    #[serde(skip)]
+    pub answers: Option<AnswerReport>,
 }
 
 /// Parts of a digest that earlier builds don't know.
@@ -87,6 +90,8 @@
     domain_paces: Vec<DomainPace>,
     #[serde(default)]
     evacuations: Vec<EvacuationRecord>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answers: Option<AnswerReport>,
 }
 
 impl ExtendedMessage for NodeDigest {
@@ -96,12 +101,14 @@
         DigestExtension {
             domain_paces: std::mem::take(&mut self.domain_paces),
             evacuations: std::mem::take(&mut self.evacuations),
+            answers: self.answers.take(),
         }
     }
 
     fn extend(&mut self, extension: DigestExtension) {
         self.domain_paces = extension.domain_paces;
         self.evacuations = extension.evacuations;
+        self.answers = extension.answers;
     }
 }
 
@@ -147,13 +154,25 @@
                 },
                 evacuations: state.evacuations.records_to_tell(now),
                 domain_paces,
+                answers: state.view.guard.report(now),
             }
         })
     }
 
+    /// What the sender knows of the answers of the store; of an earlier build, what its digest tells.
+    fn known_answers(&self) -> Option<AnswerReport> {
+        let regained = self.regained_age.map(AnswerReport::of_outage_end);
+        let answered = self.targets_age.map(AnswerReport::of_answer);
+        self.answers.or(regained).or(answered)
+    }
+
     /// Applies the digest of a peer; returns the areas of which the peer has newer items.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_finished = !self.finished_sources.is_empty();
+        // Before newer items are fetched, since it decides what removals mean.
+        if let Some(report) = self.known_answers() {
+            core.record_peer_report(report);
+        }
         let (is_new, newer, evacuations) = core.with_state(|state, now| {
             let evacuations = state.adopt_evacuations(now, self.evacuations);
             let is_new = state.peers.record_heard(
@@ -199,9 +218,6 @@
                 newer.push(ViewArea::Targets);
             }
             state.confirm_targets(now, self.targets_revision, self.targets_age);
-            if let Some(age) = self.regained_age {
-                state.view.guard.on_peer_regained(now, age);
-            }
             (is_new, newer, evacuations)
         });
         core.handle_evacuations(&evacuations, "digest of a peer");
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -152,7 +152,7 @@
             return;
         };
         for address in addresses {
-            let Some(body) = encode_body(&update) else {
+            let Some(body) = extended_body(update.clone()) else {
                 return;
             };
             let (client, address) = (self.clone(), *address);
@@ -352,10 +352,21 @@
             Some(known) => format!("{path}?after={known}"),
             None => path.to_owned(),
         };
-        let update: Option<ItemUpdate> = self.call(address, Method::GET, &path, empty_body()).await;
-        if let Some(update) = update {
+        let (method, body) = (Method::GET, empty_body());
+        let answer = self
+            .send(address, method, &path, body, REQUEST_TIMEOUT)
+            .await;
+        let update = answer.and_then(|bytes| {
+            decode_extended::<ItemUpdate>(&bytes).map_err(|error| error.to_string())
+        });
+        match update {
             // Revisions only grow, so the changes still connect to the revision known by now.
-            update.apply(&self.core, area);
+            Ok(update) => {
+                update.apply(&self.core, area);
+            }
+            Err(reason) => {
+                self.log_failure::<()>(address, &reason);
+            }
         }
     }
 
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -170,7 +170,7 @@
 /// Applies changes of targets that a peer pushed; forwards them to the own failure domain, or
 /// fetches the targets if earlier changes are missing.
 async fn handle_changes(core: &Arc<GatewayCore>, request: Request<Incoming>) -> Response<WebBody> {
-    let Some(update) = read_message::<ItemUpdate>(core, request).await else {
+    let Some(update) = read_extended::<ItemUpdate>(core, request).await else {
         return status_only(StatusCode::BAD_REQUEST);
     };
     let (address, base) = (update.address, update.base);
@@ -194,7 +194,7 @@
     let after = query.strip_prefix("after=");
     let after = after.and_then(|after| after.parse().ok());
     match ItemUpdate::of_core(core, area, after) {
-        Some(update) => encode_response(&update),
+        Some(update) => respond(encode_extended(update)),
         None => status_only(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/gateway/src/poll/view_poller.rs
+++ b/crates/gateway/src/poll/view_poller.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::peer::PeerClient;
-use crate::{GatewayCore, ItemBatch, SourceError, ViewArea};
+use crate::{GatewayCore, ItemBatch, ItemOrigin, SourceError, ViewArea};
 
 /// Pause between two requests for changes, so that changes in quick succession arrive in one
 /// response.
@@ -23,6 +23,9 @@
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 /// Pause before a node that does not read the area itself checks again whether it has to.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// Failed requests in a row from which on the store counts as lost for this node. A single failure is
+/// normal: a held request may be cut off without any outage.
+const LOST_FAILURES: u32 = 2;
 /// Pause after a first failure; a held request may be cut off without any outage.
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
 /// Pause after the second failure in a row.
@@ -53,6 +56,7 @@
     pub async fn run(mut self) {
         loop {
             if !self.is_reader() {
+                self.on_idle();
                 sleep(IDLE_PAUSE).await;
                 continue;
             }
@@ -125,7 +129,9 @@
             Ok(batch) => {
                 let revisions = batch.changes.iter().map(ItemChange::revision);
                 self.note_gap(known, batch.revision, revisions);
-                if self.core.apply_changes(area, batch, "store") && area == ViewArea::Targets {
+                self.core.record_store_answer();
+                let has_changed = self.core.apply_changes(area, batch, ItemOrigin::Store);
+                if has_changed && area == ViewArea::Targets {
                     PeerClient::new(self.core.clone()).push_changes(known);
                 }
                 Ok(())
@@ -177,49 +183,52 @@
         let area = self.area;
         let (revision, items) = self.core.ports.source.read_all(area).await?;
         self.note_gap(0, revision, items.iter().map(|item| item.revision));
-        // Before the items are applied: after an outage of the store, targets missing from the
-        // items are not removed at once, and this call records the end of the outage.
-        self.on_response();
-        self.core.replace_items(area, revision, items, "store");
+        self.core.record_store_answer();
+        self.core
+            .replace_items(area, revision, items, ItemOrigin::Store);
         Ok(())
     }
 
-    /// Handles a response of the store; logs the end of an outage.
+    /// Handles a response of the store; logs the end of failures.
     fn on_response(&mut self) {
-        self.failures = 0;
-        if self.area != ViewArea::Targets {
-            return;
-        }
-        let was_lost = self
-            .core
-            .with_state(|state, now| state.view.guard.on_store_regained(now));
-        if was_lost {
+        if std::mem::take(&mut self.failures) >= LOST_FAILURES {
             log::info!(
                 event = EventKind::PlatformFound.number(),
-                node = self.core.node().as_str();
+                node = self.core.node().as_str(),
+                area = self.area.to_string().as_str();
                 "store answers again"
             );
         }
     }
 
-    /// Handles a failed request; the second in a row counts as an outage and is logged.
+    /// Ends a series of failures, as other nodes read the area again.
+    fn on_idle(&mut self) {
+        if std::mem::take(&mut self.failures) >= LOST_FAILURES {
+            log::info!(
+                event = EventKind::PlatformFound.number(),
+                node = self.core.node().as_str(),
+                area = self.area.to_string().as_str();
+                "store answers other nodes, which read the area"
+            );
+        }
+    }
+
+    /// Handles a failed request; the second in a row is logged.
     fn on_failure(&mut self, failure: &SourceError) {
         self.failures += 1;
-        // A single failure is normal: a held request may be cut off without any outage.
-        if self.failures != 2 {
+        if self.failures < LOST_FAILURES {
             return;
         }
         let area = self.area;
         let age = self.core.with_state(|state, now| {
             if area == ViewArea::Targets {
-                state.view.guard.on_store_lost();
+                state.view.guard.on_store_failure(now);
             }
-            let confirmed = match area {
-                ViewArea::Config => state.view.config_at,
-                ViewArea::Targets => state.view.targets_at,
-            };
-            now.since(confirmed).as_millis()
+            now.since(state.view.confirmed_at(area)).as_millis()
         });
+        if self.failures > LOST_FAILURES {
+            return;
+        }
         log::warn!(
             event = EventKind::PlatformLost.number(),
             node = self.core.node().as_str(),
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -17,7 +17,7 @@
     ResponseHeaders, ResumePoint, TargetHeaders,
 };
 pub use view_decoder::{DecodeError, ViewDecoder};
-pub use view_source::{ItemBatch, SourceError, ViewArea, ViewSource};
+pub use view_source::{ItemBatch, ItemOrigin, SourceError, ViewArea, ViewSource};
 
 /// Boxed future that an async port method returns.
 pub type PortFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- a/crates/gateway/src/port/view_source.rs
+++ b/crates/gateway/src/port/view_source.rs
@@ -24,6 +24,33 @@
     pub changes: Vec<ItemChange>,
 }
 
+/// Where items were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemOrigin {
+    /// The store, just now.
+    Store,
+    /// A peer, whose copy was confirmed to be up to date this long ago.
+    Peer(TimeSpan),
+}
+
+impl ItemOrigin {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer(_) => "peer",
+        }
+    }
+
+    /// Time since the items were known to be up to date.
+    pub fn age(self) -> TimeSpan {
+        match self {
+            Self::Store => TimeSpan::ZERO,
+            Self::Peer(age) => age,
+        }
+    }
+}
+
 /// Why a read of the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -3,7 +3,8 @@
 
 use base::{ClockTime, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{
-    PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig, TargetPace,
+    AnswerReport, PlacementDecision, PlacementRequest, QueueTicket, QueuedCall, ServeConfig,
+    TargetPace,
 };
 use metrics::gauge;
 use node::SystemClock;
@@ -14,7 +15,7 @@
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
 use super::{BodyBudget, CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
-use crate::{GatewayPorts, GatewaySettings, ItemBatch, ViewArea};
+use crate::{GatewayPorts, GatewaySettings, ItemBatch, ItemOrigin, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -361,25 +362,56 @@
         }
     }
 
-    /// Applies changes of the published items of an area; `from` names their source.
+    /// Records an answer of the store to this node.
+    pub fn record_store_answer(&self) {
+        let outage = self.with_state(|state, now| state.view.guard.on_store_answer(now));
+        self.log_outage(outage, ItemOrigin::Store);
+    }
+
+    /// Records what a peer knows of the answers of the store.
+    pub fn record_peer_report(&self, report: AnswerReport) {
+        let outage = self.with_state(|state, now| state.view.guard.on_peer_report(now, report));
+        self.log_outage(outage, ItemOrigin::Peer(report.until_age));
+    }
+
+    /// Logs an outage of the store that this node learned of.
+    fn log_outage(&self, outage: Option<TimeSpan>, origin: ItemOrigin) {
+        let Some(outage) = outage else {
+            return;
+        };
+        log::info!(
+            event = EventKind::StoreOutage.number(),
+            node = self.node().as_str(),
+            outage_ms = outage.as_millis(),
+            from = origin.name();
+            "the store was away; targets whose entries were removed are kept for a while"
+        );
+    }
+
+    /// Applies changes of the published items of an area.
     ///
     /// Returns whether anything changed.
-    pub fn apply_changes(self: &Arc<Self>, area: ViewArea, batch: ItemBatch, from: &str) -> bool {
+    pub fn apply_changes(
+        self: &Arc<Self>,
+        area: ViewArea,
+        batch: ItemBatch,
+        origin: ItemOrigin,
+    ) -> bool {
         let (changed, evacuations) = self.with_state(|state, now| {
-            state.view.confirm(area, now);
             let mirror = state.view.mirror_mut(area);
             let changed = mirror.apply(batch.revision, batch.changes);
+            state.view.confirm(area, now.before(origin.age()));
             // Also without a change: that the copy has no key holds up to its new revision.
             (changed, self.read_evacuations(state, now, area, changed))
         });
-        self.handle_evacuations(&evacuations, from);
+        self.handle_evacuations(&evacuations, origin.name());
         if changed {
-            self.on_items_changed(area, from, !evacuations.is_empty());
+            self.on_items_changed(area, origin.name(), !evacuations.is_empty());
         }
         changed
     }
 
-    /// Replaces the published items of an area by all as of `revision`; `from` names their source.
+    /// Replaces the published items of an area by all as of `revision`.
     ///
     /// Returns whether anything changed.
     pub fn replace_items(
@@ -387,17 +419,17 @@
         area: ViewArea,
         revision: u64,
         items: Vec<entry::PublishedItem>,
-        from: &str,
+        origin: ItemOrigin,
     ) -> bool {
         let (changed, evacuations) = self.with_state(|state, now| {
-            state.view.confirm(area, now);
             let changed = state.view.mirror_mut(area).replace(revision, items);
+            state.view.confirm(area, now.before(origin.age()));
             // Before the configuration is in force, since the node serves from then on.
             (changed, self.read_evacuations(state, now, area, changed))
         });
-        self.handle_evacuations(&evacuations, from);
+        self.handle_evacuations(&evacuations, origin.name());
         if changed {
-            self.on_items_changed(area, from, !evacuations.is_empty());
+            self.on_items_changed(area, origin.name(), !evacuations.is_empty());
         }
         changed
     }
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -568,8 +568,7 @@
     pub fn confirm_targets(&mut self, now: ClockTime, revision: u64, age: Option<TimeSpan>) {
         let is_same = self.view.target_items.revision() == Some(revision);
         if let Some(age) = age.filter(|_| is_same) {
-            let at = ClockTime::new(now.as_millis().saturating_sub(age.as_millis()));
-            self.view.targets_at = self.view.targets_at.max(at);
+            self.view.confirm(ViewArea::Targets, now.before(age));
         }
     }
 
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -55,14 +55,23 @@
         }
     }
 
-    /// Records that an area is confirmed to be up to date.
-    pub fn confirm(&mut self, area: ViewArea, now: ClockTime) {
+    /// When the store or a peer last confirmed that an area is up to date.
+    pub fn confirmed_at(&self, area: ViewArea) -> ClockTime {
         match area {
-            ViewArea::Config => self.config_at = now,
-            ViewArea::Targets => self.targets_at = now,
+            ViewArea::Config => self.config_at,
+            ViewArea::Targets => self.targets_at,
         }
     }
 
+    /// Records that an area was up to date at `at`.
+    pub fn confirm(&mut self, area: ViewArea, at: ClockTime) {
+        let confirmed = match area {
+            ViewArea::Config => &mut self.config_at,
+            ViewArea::Targets => &mut self.targets_at,
+        };
+        *confirmed = at.max(*confirmed);
+    }
+
     /// Whether the configuration may have changed at the store since this node read it.
     pub fn may_lack_config(&self) -> bool {
         let known = self.config_items.revision();
--- a/crates/gateway/tests/gateway/lost_responses.rs
+++ b/crates/gateway/tests/gateway/lost_responses.rs
@@ -127,12 +127,12 @@
     for domain in ["patan", "balaju", "boudha"] {
         for lost in kinds {
             change += 1;
-            store.lose_in(domain, lost);
+            store.lose_in(&[domain], lost);
             store.put_config(change);
             sleep(Duration::from_millis(900)).await;
             store.lose(LostResponses::None);
             sleep(Duration::from_millis(100)).await;
-            store.lose_in(domain, lost);
+            store.lose_in(&[domain], lost);
             sleep(Duration::from_millis(300)).await;
             store.lose(LostResponses::None);
             let end = Instant::now();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod rates;
 mod send_checks;
 mod stopping;
+mod store_outages;
 mod streams;
 mod support;
 mod unframed;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -35,9 +35,9 @@
     pub config_reads: AtomicUsize,
     /// Number of requests for the configuration that were rejected.
     pub rejected_config_reads: AtomicUsize,
-    /// Requests whose responses are lost, and the only failure domain of which they are lost, if
-    /// there is one.
-    lost: Mutex<(LostResponses, Option<DomainName>)>,
+    /// Requests whose responses are lost, and the failure domains of which they are; all if none is
+    /// named.
+    lost: Mutex<(LostResponses, Vec<DomainName>)>,
     /// Revision of the last removal.
     removed_at: AtomicU64,
     /// Areas of which the next request panics.
@@ -104,12 +104,13 @@
 
     /// Loses responses to all gateways from now on.
     pub fn lose(&self, lost: LostResponses) {
-        *self.lost.lock().unwrap() = (lost, None);
+        *self.lost.lock().unwrap() = (lost, Vec::new());
     }
 
-    /// Loses responses to the gateways of one failure domain from now on.
-    pub fn lose_in(&self, domain: &str, lost: LostResponses) {
-        *self.lost.lock().unwrap() = (lost, Some(domain.parse().unwrap()));
+    /// Loses responses to the gateways of some failure domains from now on.
+    pub fn lose_in(&self, domains: &[&str], lost: LostResponses) {
+        let domains = domains.iter().map(|domain| domain.parse().unwrap());
+        *self.lost.lock().unwrap() = (lost, domains.collect());
     }
 
     /// Waits until the client gives up, if the response to its request is lost.
@@ -120,7 +121,7 @@
         wait: Option<TimeSpan>,
     ) -> Result<(), SourceError> {
         let (lost, only) = self.lost.lock().unwrap().clone();
-        let is_affected = only.is_none_or(|only| only == *domain);
+        let is_affected = only.is_empty() || only.contains(domain);
         if !is_affected || !lost.includes(area, wait.is_some()) {
             return Ok(());
         }
--- a/crates/gateway/tests/gateway/wire_extension.rs
+++ b/crates/gateway/tests/gateway/wire_extension.rs
@@ -2,11 +2,14 @@
 
 use base::{ClockTime, CoreShare, DomainName, IncarnationNumber, NodeName, TargetName, TimeSpan};
 use entry::{
-    ConfigVersion, DomainPace, DomainPeak, GrantId, PaceNeed, PaceReport, PaceSample, PaceTurns,
-    PlacementRequest, PlacementScope, SampleBudget, SuspectCall, TargetLoad, TargetPace,
+    AnswerReport, ConfigVersion, DomainPace, DomainPeak, GrantId, ItemChange, PaceNeed, PaceReport,
+    PaceSample, PaceTurns, PlacementRequest, PlacementScope, SampleBudget, SuspectCall, TargetLoad,
+    TargetPace,
 };
 use facts::FactDigest;
-use gateway::{CoordinatorRequest, LoadReport, NodeDigest, decode_extended, encode_extended};
+use gateway::{
+    CoordinatorRequest, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -70,6 +73,15 @@
     failure_delays: Vec<(TargetName, TimeSpan)>,
 }
 
+/// Update of published items as the last build encodes and reads it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct LastUpdate {
+    address: SocketAddr,
+    base: Option<u64>,
+    revision: u64,
+    changes: Vec<ItemChange>,
+}
+
 fn address() -> SocketAddr {
     "127.0.0.1:20002".parse().unwrap()
 }
@@ -126,6 +138,7 @@
         is_stopping: false,
         targets_age: Some(TimeSpan::ZERO),
         regained_age: None,
+        answers: None,
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
@@ -228,6 +241,43 @@
     );
 }
 
+fn update() -> ItemUpdate {
+    ItemUpdate {
+        address: address(),
+        base: Some(7),
+        revision: 9,
+        changes: vec![ItemChange::Removed {
+            key: "servers/e1".into(),
+            revision: 8,
+        }],
+        age: TimeSpan::new(120),
+        answers: Some(AnswerReport::of_outage_end(TimeSpan::new(80))),
+    }
+}
+
+// Guards against updates of published items that one of two builds side by side can't read.
+#[test]
+fn updates_pass_between_builds() {
+    let bytes = encode_extended(update()).unwrap();
+    assert_eq!(decode_extended::<ItemUpdate>(&bytes).unwrap(), update());
+    let last: LastUpdate = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!((last.base, last.revision), (Some(7), 9));
+    let read = decode_extended::<ItemUpdate>(&rmp_serde::to_vec(&last).unwrap()).unwrap();
+    assert_eq!(read.changes, update().changes);
+    assert_eq!(read.answers, None);
+}
+
+// Guards against reports of the store's answers that take the links of small nodes: a coordinator sends
+// about ten digests a second.
+#[test]
+fn reports_of_answers_are_small() {
+    let mut with = digest(0);
+    let days = TimeSpan::from_secs(30 * 24 * 3_600);
+    with.answers = Some(AnswerReport::of_outage_end(days));
+    let bytes = encode_extended(with).unwrap().len() - encode_extended(digest(0)).unwrap().len();
+    assert!(bytes <= 64, "{bytes} bytes");
+}
+
 /// Budget of the paces that one node sends, in bytes a second.
 const PACE_BUDGET: usize = 1_000;
 
