Send whole lists to nodes whose copies are from a skipped span

Cause: a copy that is replaced by a list finds removals by comparing the two. A target that was added and removed in between is in neither, yet the copy claimed to know all changes since the older one, and sent them to nodes that had the target.

Change: a copy keeps the spans that it skipped. Nodes whose copies are from within one get the whole list; others get changes that are marked as suiting their very revision.

Result: a_list_does_not_hide_the_removal_of_an_item_that_was_never_read failed before, as did changes_from_a_peer_result_in_its_state once its sender may miss changes.

--- a/crates/entry/src/view/item_mirror.rs
+++ b/crates/entry/src/view/item_mirror.rs
@@ -7,6 +7,9 @@
 /// hundred targets.
 const REMOVAL_LIMIT: usize = 1_024;
 
+/// Largest number of spans of skipped changes that a copy keeps.
+const SKIPPED_LIMIT: usize = 64;
+
 /// One item of the platform's key-value store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedItem {
@@ -42,6 +45,15 @@
     }
 }
 
+/// Changes that a copy did not see one by one, as it was replaced by a list of all items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SkippedSpan {
+    /// Revision of the copy before the list.
+    after: u64,
+    /// Revision of the list.
+    until: u64,
+}
+
 /// Copy of the items under one key prefix; it never returns to an older revision.
 ///
 /// ```
@@ -59,6 +71,9 @@
     removals: VecDeque<(u64, SmolStr)>,
     /// Revision after which all removals are in `removals`.
     removals_since: u64,
+    /// Changes skipped since then, oldest first. An item that was added and removed in one of these
+    /// spans left no trace, so that a copy from within it can't be brought up to date by changes.
+    skipped: VecDeque<SkippedSpan>,
 }
 
 impl ItemMirror {
@@ -86,7 +101,8 @@
         items.sort_by(|left, right| left.key.cmp(&right.key));
         let before = std::mem::replace(&mut self.items, items);
         match self.revision {
-            Some(_) => {
+            Some(known) => {
+                self.record_skipped(known, revision);
                 for item in before {
                     if self.find(&item.key).is_err() {
                         self.record_removal(revision, item.key);
@@ -109,7 +125,9 @@
     /// assert_eq!(mirror.changes_since(4), None);
     /// ```
     pub fn changes_since(&self, after: u64) -> Option<Vec<ItemChange>> {
-        if self.revision.is_none() || after < self.removals_since {
+        let mut skipped = self.skipped.iter();
+        let is_hidden = skipped.any(|span| span.after < after && after < span.until);
+        if self.revision.is_none() || after < self.removals_since || is_hidden {
             return None;
         }
         let removals = self.removals.iter().filter(|(at, _)| *at > after);
@@ -126,6 +144,12 @@
         )
     }
 
+    /// Whether changes after a revision were skipped. [`Self::changes_since`] then suits a copy as of that
+    /// very revision only, not a later one.
+    pub fn has_skipped_after(&self, after: u64) -> bool {
+        self.skipped.iter().any(|span| span.until > after)
+    }
+
     /// Applies changes up to `revision`; returns `false` if none of them is new.
     pub fn apply(&mut self, revision: u64, changes: Vec<ItemChange>) -> bool {
         let known = self.revision.unwrap_or(0);
@@ -169,6 +193,15 @@
         self.removals.push_back((revision, key));
     }
 
+    fn record_skipped(&mut self, after: u64, until: u64) {
+        if self.skipped.len() >= SKIPPED_LIMIT
+            && let Some(oldest) = self.skipped.pop_front()
+        {
+            self.removals_since = self.removals_since.max(oldest.until);
+        }
+        self.skipped.push_back(SkippedSpan { after, until });
+    }
+
     fn find(&self, key: &str) -> Result<usize, usize> {
         self.items
             .binary_search_by(|item| item.key.as_str().cmp(key))
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -69,7 +69,7 @@
     // sender.
     #[test]
     fn changes_from_a_peer_result_in_its_state(
-        writes in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..4), 1..60),
+        writes in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..5), 1..120),
     ) {
         let mut state = BTreeMap::new();
         let mut sender = ItemMirror::default();
@@ -89,11 +89,13 @@
             let all: Vec<_> = state.values().cloned().collect();
             match step {
                 0 => { sender.replace(revision, all.clone()); }
+                // The sender does not read.
+                3 => {}
                 _ if sender.revision() == Some(revision - 1) => { sender.apply(revision, vec![change]); }
                 _ => {}
             }
             let (Some(sent), Some(known), 1) = (sender.revision(), receiver.revision(), step) else {
-                if step == 2 && receiver.revision().is_none() {
+                if step == 2 {
                     receiver.replace(revision, all);
                 }
                 continue;
@@ -108,6 +110,22 @@
     }
 }
 
+// Guards against a target that some nodes go on using for good: its entry was added and removed while
+// the node that reads for the others did not read, so that a list did not show its removal.
+#[test]
+fn a_list_does_not_hide_the_removal_of_an_item_that_was_never_read() {
+    let mut reader = ItemMirror::default();
+    reader.replace(60, vec![item("a", 50)]);
+    let mut peer = reader.clone();
+    peer.apply(85, vec![ItemChange::Written(item("b", 72))]);
+    reader.replace(98, vec![item("a", 50)]);
+    assert_eq!(reader.changes_since(85), None);
+    // A copy as of the last read gets changes, though a later one can't use them.
+    assert_eq!(reader.changes_since(60), Some(Vec::new()));
+    assert!(reader.has_skipped_after(60));
+    assert!(!reader.has_skipped_after(98));
+}
+
 /// Time at `millis`.
 fn at(millis: u64) -> ClockTime {
     ClockTime::new(millis)
--- a/crates/gateway/src/peer/item_update.rs
+++ b/crates/gateway/src/peer/item_update.rs
@@ -30,6 +30,9 @@
     pub revision: u64,
     /// Changes to apply in this order; all items, each as written, if `base` is `None`.
     pub changes: Vec<ItemChange>,
+    /// Whether the changes suit a copy as of exactly `base` only, as the sender skipped some later ones.
+    #[serde(skip)]
+    pub is_exact: bool,
     /// Time since the copy of the sender was last confirmed to be up to date; zero if it is an earlier
     /// build, which does not tell.
     #[serde(skip)]
@@ -42,6 +45,8 @@
 /// Parts of an update that earlier builds don't know.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct UpdateExtension {
+    #[serde(default)]
+    is_exact: bool,
     #[serde(default)]
     age: TimeSpan,
     #[serde(default)]
@@ -53,12 +58,14 @@
 
     fn take_extension(&mut self) -> UpdateExtension {
         UpdateExtension {
+            is_exact: std::mem::take(&mut self.is_exact),
             age: std::mem::take(&mut self.age),
             answers: self.answers.take(),
         }
     }
 
     fn extend(&mut self, extension: UpdateExtension) {
+        self.is_exact = extension.is_exact;
         self.age = extension.age;
         self.answers = extension.answers;
     }
@@ -84,6 +91,7 @@
                 base,
                 revision,
                 changes,
+                is_exact: base.is_some_and(|base| mirror.has_skipped_after(base)),
                 age: now.since(state.view.confirmed_at(area)),
                 answers: state.view.guard.report(now),
             })
@@ -108,7 +116,7 @@
                     false => UpdateOutcome::Unchanged,
                 }
             }
-            (Some(base), Some(known)) if known >= base => {
+            (Some(base), Some(known)) if known == base || known > base && !self.is_exact => {
                 let batch = crate::ItemBatch {
                     revision: self.revision,
                     changes: self.changes,
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::support::{FakeStore, FakeTarget, Gateway, TargetMode, call, get, start_setup, until};
+use crate::support::{
+    FakeStore, FakeTarget, Gateway, TargetMode, call, get, post, start_setup, until,
+};
+use base::TimeSpan;
 use entry::{ConfigVersion, TargetLoad};
-use gateway::NodeDigest;
+use gateway::{ItemUpdate, NodeDigest, encode_extended};
 
 fn version(gateway: &Gateway) -> ConfigVersion {
     let core = gateway.server.core();
@@ -69,6 +72,36 @@
     assert_eq!(version(&second), ConfigVersion(7));
 }
 
+// Guards against a target that stays in use for good: a peer that skipped changes sends those that suit an
+// older copy, and does not know what was added and removed in between.
+#[tokio::test]
+async fn changes_for_an_older_copy_are_refused_if_the_sender_skipped_some() {
+    let (_store, _targets, gateway) = start_setup("app", &[TargetMode::Answer]).await;
+    let revision = || {
+        let core = gateway.server.core();
+        core.with_state(|state, _| state.view.target_items.revision().unwrap())
+    };
+    let known = revision();
+    let mut update = ItemUpdate {
+        address: "127.0.0.1:9".parse().unwrap(),
+        base: Some(known - 1),
+        revision: known + 10,
+        changes: Vec::new(),
+        is_exact: true,
+        age: TimeSpan::ZERO,
+        answers: None,
+    };
+    let send = async |update: ItemUpdate| {
+        let body = encode_extended(update).unwrap();
+        post(gateway.peers, "/peer/changes", &body).await.status
+    };
+    assert_eq!(send(update.clone()).await, 200);
+    assert_eq!(revision(), known);
+    update.base = Some(known);
+    assert_eq!(send(update).await, 200);
+    assert_eq!(revision(), known + 10);
+}
+
 /// Starts nodes of one failure domain, each with a store of its own that holds the same items.
 async fn start_domain(count: usize) -> Vec<(Arc<FakeStore>, Gateway)> {
     let mut nodes: Vec<(Arc<FakeStore>, Gateway)> = Vec::new();
--- a/crates/gateway/tests/gateway/wire_extension.rs
+++ b/crates/gateway/tests/gateway/wire_extension.rs
@@ -250,6 +250,7 @@
             key: "servers/e1".into(),
             revision: 8,
         }],
+        is_exact: true,
         age: TimeSpan::new(120),
         answers: Some(AnswerReport::of_outage_end(TimeSpan::new(80))),
     }
@@ -264,7 +265,7 @@
     assert_eq!((last.base, last.revision), (Some(7), 9));
     let read = decode_extended::<ItemUpdate>(&rmp_serde::to_vec(&last).unwrap()).unwrap();
     assert_eq!(read.changes, update().changes);
-    assert_eq!(read.answers, None);
+    assert_eq!((read.is_exact, read.answers), (false, None));
 }
 
 // Guards against reports of the store's answers that take the links of small nodes: a coordinator sends
