Count the doubt of a mass removal from when it happened

Cause: the removal of more than half of the ready targets is doubted for 1.6 s, counted from when a node learned of it, which may be 0.6 s late.

Change: the time is counted from when the list was last known to be complete. Copies that peers send bring their age, which they were confirmed with on arrival before.

Result: a_mass_removal_is_doubted_from_when_it_happened covers it.

--- a/crates/entry/src/view/lease_guard.rs
+++ b/crates/entry/src/view/lease_guard.rs
@@ -6,7 +6,7 @@
 ///
 /// The platform restores them within about two seconds.
 const RESTORE_WAIT: TimeSpan = TimeSpan::new(2_200);
-/// Time for which removed targets are still used after a mass removal, if no outage was noticed.
+/// Time after a mass removal for which the targets are still used, if no outage was noticed.
 ///
 /// It has to be below the 2 s after which a leaving target must get no more work.
 const DOUBT_WAIT: TimeSpan = TimeSpan::new(1_600);
@@ -32,9 +32,19 @@
     answers: Option<AnswerSpan>,
     /// When requests of this node last failed in a row.
     failed_at: Option<ClockTime>,
+    /// Time as of which the list before the one that is compared with it was complete.
+    listed_at: Option<ClockTime>,
 }
 
 impl LeaseGuard {
+    /// Sets the time as of which the list of targets was complete before its last change; removals
+    /// happened after it.
+    #[must_use]
+    pub fn with_listed_at(mut self, listed_at: Option<ClockTime>) -> Self {
+        self.listed_at = listed_at;
+        self
+    }
+
     /// Records that requests of this node to the store failed in a row.
     pub fn on_store_failure(&mut self, now: ClockTime) {
         self.failed_at = Some(now);
@@ -94,6 +104,8 @@
             return Some(now + RESTORE_WAIT.saturating_sub(age));
         }
         let is_mass = removed > 1 && removed * MASS_DIVISOR > ready;
-        is_mass.then_some(now + DOUBT_WAIT)
+        // From the removal itself, which a node may learn of late.
+        let until = self.listed_at.unwrap_or(now) + DOUBT_WAIT;
+        (is_mass && until > now).then_some(until)
     }
 }
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -250,6 +250,15 @@
     assert!(guard.keep_until(at(5_000), 2, 12).is_none());
 }
 
+// Guards against calls to targets that left 2 s ago: a node that learns late of a mass removal must not
+// doubt it for the whole time from then on.
+#[test]
+fn a_mass_removal_is_doubted_from_when_it_happened() {
+    let guard = LeaseGuard::default().with_listed_at(Some(at(4_300)));
+    assert_eq!(guard.keep_until(at(5_000), 7, 12), Some(at(5_900)));
+    assert_eq!(guard.keep_until(at(6_000), 7, 12), None);
+}
+
 proptest! {
     // Guards against nodes that disagree about an outage because they heard of its end in another order,
     // and against outages that never were, as some node had answers in that time.
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -400,6 +400,9 @@
         let (changed, evacuations) = self.with_state(|state, now| {
             let mirror = state.view.mirror_mut(area);
             let changed = mirror.apply(batch.revision, batch.changes);
+            if changed {
+                state.view.record_change(area);
+            }
             state.view.confirm(area, now.before(origin.age()));
             // Also without a change: that the copy has no key holds up to its new revision.
             (changed, self.read_evacuations(state, now, area, changed))
@@ -423,6 +426,9 @@
     ) -> bool {
         let (changed, evacuations) = self.with_state(|state, now| {
             let changed = state.view.mirror_mut(area).replace(revision, items);
+            if changed {
+                state.view.record_change(area);
+            }
             state.view.confirm(area, now.before(origin.age()));
             // Before the configuration is in force, since the node serves from then on.
             (changed, self.read_evacuations(state, now, area, changed))
@@ -532,7 +538,7 @@
     fn update_targets(self: &Arc<Self>, from: &str) {
         let (changes, failures, known) = self.with_state(|state, now| {
             let (records, failures) = state.view.decode_targets(now, &*self.ports.items);
-            let guard = state.view.guard;
+            let guard = state.view.take_removal_guard();
             let mut changes = state.balancer.update_records(now, records, &guard);
             for (target, incarnation) in &changes.no_longer_leaving {
                 state.facts.record_stayed(now, target, *incarnation);
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -34,6 +34,9 @@
     pub config_at: ClockTime,
     /// When the store or a peer last confirmed that the targets are up to date.
     pub targets_at: ClockTime,
+    /// When the copy of the targets was last complete before a change of it that the balancer does not
+    /// know yet; `None` if it knows all.
+    listed_at: Option<ClockTime>,
     /// Decoded entries of targets, sorted by key.
     decoded: Vec<DecodedEntry>,
 }
@@ -72,6 +75,18 @@
         *confirmed = at.max(*confirmed);
     }
 
+    /// Records, before it is confirmed, that the copy of an area has changed.
+    pub fn record_change(&mut self, area: ViewArea) {
+        if area == ViewArea::Targets {
+            self.listed_at.get_or_insert(self.targets_at);
+        }
+    }
+
+    /// The guard that judges the removals of targets since this was last called.
+    pub fn take_removal_guard(&mut self) -> LeaseGuard {
+        self.guard.with_listed_at(self.listed_at.take())
+    }
+
     /// Whether the configuration may have changed at the store since this node read it.
     pub fn may_lack_config(&self) -> bool {
         let known = self.config_items.revision();
