Refuse responses whose status is none

Cause: the HTTP library passes any three digits from 100 on, and nothing asked whether the status is one of a final response.

Change: the function that reads all response heads refuses final statuses outside 200 to 599, and a 204 that announces a body; the connection is closed, and the call may have run.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod queueing;
 mod rates;
 mod send_checks;
+mod statuses;
 mod stopping;
 mod store_outages;
 mod streams;
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -66,14 +66,16 @@
     }
 }
 
+/// Identifiers of the events that a caller got.
+fn event_ids(response: &CallerResponse) -> Vec<u64> {
+    let lines = response.text.lines();
+    let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
 /// Whether a caller got each event once and in order, from the first to the last.
 fn is_whole(response: &CallerResponse) -> bool {
-    let ids = response
-        .text
-        .lines()
-        .filter_map(|line| line.strip_prefix("id: "));
-    let ids: Vec<u64> = ids.map(|id| id.parse().unwrap()).collect();
-    ids == (1..=EVENTS).collect::<Vec<_>>() && response.text.ends_with("0\r\n\r\n")
+    event_ids(response) == (1..=EVENTS).collect::<Vec<_>>() && response.text.ends_with("0\r\n\r\n")
 }
 
 // Guards against giving up a generation that its engine does not know yet, since it began or
@@ -165,6 +167,27 @@
     .await;
 }
 
+// Guards against a generation that goes on with a response that is none from its new engine.
+#[yare::parameterized(
+    beyond = { "600 Beyond" },
+    zero = { "000 Nothing" },
+    switching = { "101 Switching" },
+    empty = { "204 Empty with a body" },
+)]
+#[test_macro(tokio::test)]
+async fn a_generation_breaks_off_if_its_new_engine_sends_no_response(status: &'static str) {
+    let setup = MoveSetup::start().await;
+    setup.other.set_mode(TargetMode::Status(status));
+    setup.leave();
+    let response = setup.pending.await.unwrap();
+    // The new engine may have run it, so that it can't go on elsewhere.
+    assert!(!response.text.contains("hello"), "{}", response.text);
+    assert!(!response.text.ends_with("0\r\n\r\n"), "{}", response.text);
+    let ids = event_ids(&response);
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+    assert_eq!(setup.other.calls().len(), 1);
+}
+
 // Guards against asking a leaving engine more than once when it ends, and against giving up the
 // generations of an engine that runs on after the time that it reported.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -33,6 +33,8 @@
     Misdirect,
     /// Responds with this error status.
     Fail(u16),
+    /// Responds with this text in place of the status code and the reason, and with a body.
+    Status(&'static str),
     /// Closes the connection after reading the call.
     Break,
     /// Closes the connection in the middle of its response.
@@ -416,6 +418,10 @@
             let head = format!("HTTP/1.1 {status} Failed\r\nx-id: {id}\r\n{notices}");
             head + "content-length: 0\r\n\r\n"
         }
+        Some(TargetMode::Status(status)) => {
+            let head = format!("HTTP/1.1 {status}\r\nx-id: {id}\r\n{notices}");
+            head + "content-length: 5\r\n\r\nhello"
+        }
         Some(TargetMode::Refuse) => {
             let retry_after =
                 retry_after.map_or(String::new(), |value| format!("retry-after: {value}\r\n"));
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -14,8 +14,10 @@
 use tokio::time::timeout;
 
 use super::head_budget::{BudgetedStream, HeadBudget};
+use super::response_check::check_response;
 use crate::error::{
-    BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnsentSnafu,
+    BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnexpectedSnafu,
+    UnsentSnafu,
 };
 use crate::socket::{SocketOptions, set_socket_options};
 use crate::{PoolSettings, RequestError, ResponseLimits, WebBody, read_body};
@@ -211,7 +213,8 @@
     /// Sends a request and returns the response head.
     ///
     /// # Errors
-    /// `Unsent` together with the request, which may then be sent on another connection, or `Sent`.
+    /// `Unsent` together with the request, which may then be sent on another connection, `Sent`, or
+    /// `Unexpected` if the head is none of a response.
     pub async fn send(
         &mut self,
         request: Request<WebBody>,
@@ -224,7 +227,10 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 budget.lift();
-                Ok(response)
+                match check_response(&response) {
+                    Ok(()) => Ok(response),
+                    Err(reason) => Err((UnexpectedSnafu { reason }.build(), None)),
+                }
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err((UnsentSnafu.build(), Some(request))),
--- a/crates/web/src/client/mod.rs
+++ b/crates/web/src/client/mod.rs
@@ -3,6 +3,7 @@
 mod connection_pool;
 mod head_budget;
 mod pool_settings;
+mod response_check;
 mod response_limits;
 
 pub use connection_pool::{ConnectionPool, PooledConnection, ReusePolicy};
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -213,3 +213,43 @@
     );
     assert_eq!(pool.idle_count(), 0);
 }
+
+/// Starts a TCP server that sends `response` to each request and keeps its connections open.
+async fn raw_server(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
+                    let _ = stream.write_all(response.as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against readers of the store, of reports and of other nodes that take bytes for a response which
+/// are none, or read on after one.
+#[yare::parameterized(
+    zero = { "HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\nok" },
+    below = { "HTTP/1.1 099 None\r\ncontent-length: 2\r\n\r\nok" },
+    beyond = { "HTTP/1.1 600 None\r\ncontent-length: 2\r\n\r\nok" },
+    last = { "HTTP/1.1 999 None\r\ncontent-length: 2\r\n\r\nok" },
+    switching = { "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nok" },
+    interim_with_body = { "HTTP/1.1 103 Early Hints\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n" },
+    empty_with_length = { "HTTP/1.1 204 No Content\r\ncontent-length: 2\r\n\r\nok" },
+    empty_with_chunks = { "HTTP/1.1 204 No Content\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn a_status_that_no_response_has_is_an_error(response: &'static str) {
+    let address = raw_server(response).await;
+    let pool = ConnectionPool::new(PoolSettings::new());
+    let limits = ResponseLimits::new(64, TimeSpan::from_secs(5));
+    let result = pool.exchange(address, request(address), limits).await;
+    let error = result.expect_err("no response");
+    assert!(!error.is_unsent(), "{error}");
+    assert_eq!(pool.idle_count(), 0);
+}
