Count the memory of buffered answers, in the budget of bodies

Cause: an answer was collected as a list of frames, each of which keeps its read buffer alive; its limit counted the bytes of the body, and answers were in no budget.

Change: parts are copied into one buffer, whose capacity counts in the budget of request bodies until the answer is delivered. A failure answer to a stream that can't be read counts against its target's health.

--- a/crates/agatemoor/tests/soak/body_flood.rs
+++ b/crates/agatemoor/tests/soak/body_flood.rs
@@ -15,7 +15,7 @@
 /// Bodies at once.
 const LARGE_BODIES: usize = 40;
 /// Memory that the gateway may use, as its settings say.
-const MEMORY_BYTES: u64 = 110 << 20;
+pub const MEMORY_BYTES: u64 = 110 << 20;
 /// Interval of the small calls beside them.
 const SMALL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which calls are made.
@@ -49,7 +49,7 @@
 }
 
 /// Largest memory that a process has used so far, in bytes.
-fn peak_memory(process: u32) -> u64 {
+pub fn peak_memory(process: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
     let kib = line.unwrap().split_whitespace().nth(1).unwrap();
--- a/crates/agatemoor/tests/soak/main.rs
+++ b/crates/agatemoor/tests/soak/main.rs
@@ -8,6 +8,7 @@
 //! SOAK_PROCESSOR_PERCENT gives each gateway of these that share of a core, by pausing it.
 //! AGATEMOOR_TEST_PROGRAM names another build of the program, to compare it with an earlier version.
 
+mod answer_flood;
 mod body_flood;
 mod checker_tests;
 mod fake_platform;
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -9,6 +9,7 @@
 use super::AccessEntry;
 use super::admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
 use super::buffered_response::deliver_response;
+use super::crash_detection::record_broken_call;
 use super::failure_response::{close_if_stopping, cut_off_response, failure_response};
 use super::response_sender::ResponseSender;
 use super::stream_relay::{RelayParts, StreamRelay};
@@ -83,8 +84,15 @@
                 return start_stream(core, call, access_entry, reservation, *response);
             }
             SendOutcome::Response(response) => {
-                reservation.finish_send();
-                return deliver_failure(&core, access_entry, *response, deadline).await;
+                return deliver_failure(
+                    &core,
+                    &call,
+                    access_entry,
+                    &mut reservation,
+                    *response,
+                    deadline,
+                )
+                .await;
             }
             SendOutcome::Forbidden(bar) => {
                 if let Some((kind, retry)) = bar.caller_error() {
@@ -146,16 +154,25 @@
 /// Passes on a target's response that is no success, as a whole and not as a stream.
 async fn deliver_failure(
     core: &Arc<GatewayCore>,
+    call: &AdmittedCall,
     mut access_entry: AccessEntry,
+    reservation: &mut CapacityReservation,
     response: TargetResponse,
     deadline: tokio::time::Instant,
 ) -> Response<WebBody> {
     access_entry.record_first_byte();
     let read = core.until_cut_off(read_response(core, response, deadline));
     match read.await {
-        None => cut_off_response(core, &mut access_entry, true),
-        Some(Ok(response)) => deliver_response(core, &mut access_entry, response),
+        None => {
+            reservation.finish_send();
+            cut_off_response(core, &mut access_entry, true)
+        }
+        Some(Ok(response)) => {
+            reservation.finish_send();
+            deliver_response(core, &mut access_entry, response)
+        }
         Some(Err(reason)) => {
+            record_broken_call(core, call, reservation);
             access_entry.add_reason(reason);
             failure_response(core, &mut access_entry, ErrorKind::TargetLost, None)
         }
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -4,7 +4,7 @@
 use entry::{SendPermit, TargetOutcome};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use metrics::counter;
 use tokio::sync::watch;
@@ -15,6 +15,7 @@
 use super::admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
 use super::buffered_response::BufferedResponse;
 use super::crash_detection::record_broken_call;
+use super::response_buffer::ResponseBuffer;
 use super::target_run::TargetRun;
 use crate::rate::await_permit;
 use crate::state::{SendCheck, SendRefusal};
@@ -256,25 +257,30 @@
     response: TargetResponse,
     deadline: Instant,
 ) -> Result<BufferedResponse, String> {
-    let (mut parts, body) = response.http.into_parts();
+    let (mut parts, mut body) = response.http.into_parts();
     let connection = response.connection;
-    let collected = timeout_at(deadline, Limited::new(body, RESPONSE_BODY_LIMIT).collect()).await;
-    drop(connection);
-    let body = match collected {
-        Ok(Ok(body)) => {
-            if let Some(trailers) = body.trailers() {
-                response.run.apply_trailers(core, trailers);
+    let mut buffer = ResponseBuffer::new(&core.bodies, RESPONSE_BODY_LIMIT);
+    loop {
+        let frame = match timeout_at(deadline, body.frame()).await {
+            Ok(Some(frame)) => frame.map_err(|error| error.to_string())?,
+            Ok(None) => break,
+            Err(_) => return Err("response not complete in time".to_owned()),
+        };
+        match frame.into_data() {
+            Ok(data) => buffer.push(&data)?,
+            Err(frame) => {
+                if let Some(trailers) = frame.trailers_ref() {
+                    response.run.apply_trailers(core, trailers);
+                }
             }
-            body.to_bytes()
         }
-        Ok(Err(error)) => return Err(error.to_string()),
-        Err(_) => return Err("response not complete in time".to_owned()),
-    };
+    }
+    drop(connection);
     strip_hop_by_hop_headers(&mut parts.headers);
     Ok(BufferedResponse {
         status: parts.status,
         headers: parts.headers,
-        body,
+        body: buffer.into_bytes(),
     })
 }
 
