Take no backtrace while the start tries whether threads can be created

Cause, by the stacks of the process: a thread panicked as it started, for lack of memory, and the default hook ran out of memory as well while it took a backtrace; the report of that waits for the lock that the hook holds. The start joins the thread.

Change: while threads are tried, panics print nothing and take no backtrace; a thread that panicked is an error of the start.

--- a/crates/agatemoor/src/command/async_runtime.rs
+++ b/crates/agatemoor/src/command/async_runtime.rs
@@ -1,6 +1,6 @@
 use std::io::{self, ErrorKind};
 use std::num::NonZero;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::panic::{self, AssertUnwindSafe, catch_unwind};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -13,7 +13,13 @@
 /// Runs a future on a multi-threaded runtime and returns its exit code.
 pub fn run_multi_threaded(future: impl Future<Output = u8>) -> u8 {
     let workers = thread::available_parallelism().map_or(1, NonZero::get);
-    if let Err(error) = check_threads(workers) {
+    // A thread that is short of memory may panic as it starts. The default hook could then wait for
+    // ever, as it holds a lock while it allocates memory for a backtrace.
+    let hook = panic::take_hook();
+    panic::set_hook(Box::new(|_| {}));
+    let checked = check_threads(workers);
+    panic::set_hook(hook);
+    if let Err(error) = checked {
         eprintln!("cannot start threads: {error}");
         return EXIT_FAILURE;
     }
@@ -37,11 +43,12 @@
         Ok(())
     });
     drop(sender);
-    for thread in threads {
-        // These threads don't panic.
-        let _ = thread.join();
+    let joined = threads.into_iter().map(thread::JoinHandle::join);
+    let have_ended = joined.fold(true, |ended, result| ended & result.is_ok());
+    match have_ended {
+        true => created,
+        false => Err(ErrorKind::OutOfMemory.into()),
     }
-    created
 }
 
 /// Runs a future on the current thread only, for processes that get less than one core, and
