Show that a planned stop cuts streams that it took on

A stopping gateway admits a stream if it is expected to end in time, by the latency target and 12 ms a token, not by its deadline. Nothing is fixed.

--- /dev/null
+++ b/review/stand-ins-3/cases.rs
@@ -0,0 +1,292 @@
+//! The cases.
+
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use crate::engine::{Engine, EngineSetup, Fleet, Pace, Resumes, RunEnd};
+use crate::requester::{Answer, Requester, Sent};
+use crate::{Gateway, Lab, Machine, Store, Verdict, sleep_ms, start_gateways};
+
+const HOST: &str = "ficu95.example";
+const KEY: &str = "xd9dnn2ctnfzs989anu6";
+const SERVICE: &str = "huvo11a";
+
+pub fn run(case: &str, lab: &Lab) -> Verdict {
+    match case {
+        "stop" => stop(lab),
+        "left" => left(lab),
+        _ => Err(format!("there is no case {case:?}")),
+    }
+}
+
+fn text(error: impl ToString) -> String {
+    error.to_string()
+}
+
+/// The configuration: one route of streams on model runners.
+fn config(version: u64, target_ms: u64, gap_ms: u64, timeout_ms: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-5pa2yhv\",\"host\":\"{HOST}\",\"prefix\":\"/lohu930/\",\"routeType\":\"streaming\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":{target_ms},\"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":{gap_ms}}}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":24,\"kvCapacity\":34288,\"kvBytes\":163840,\"linkMbps\":24000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
+    )
+}
+
+struct Site {
+    store: Store,
+    fleet: Fleet,
+    engines: Vec<Engine>,
+    gateways: Vec<Gateway>,
+}
+
+/// Starts a store with a configuration, two model runners and two gateways in one zone.
+fn start_site(lab: &Lab, config: &str, paces: [(Pace, Resumes); 2]) -> Result<Site, String> {
+    let store = Store::start("127.0.0.1", &lab.ended).map_err(text)?;
+    store.put("op/config", config);
+    let fleet = Fleet::default();
+    let mut engines = Vec::new();
+    for (number, (pace, resumes)) in paces.into_iter().enumerate() {
+        let (id, ip) = (
+            format!("i-{number}a40c51"),
+            format!("127.88.1.{}", number + 1),
+        );
+        let setup = EngineSetup {
+            id: &id,
+            ip: &ip,
+            service: SERVICE,
+            zone: "patan",
+            pace,
+            resumes,
+        };
+        engines.push(Engine::start(lab, &fleet, setup).map_err(text)?);
+    }
+    engines.iter().for_each(|engine| engine.register(&store));
+    let machines = [
+        Machine {
+            name: "edge-patan-1",
+            ip: "127.88.2.1",
+            zone: "patan",
+        },
+        Machine {
+            name: "edge-patan-2",
+            ip: "127.88.2.2",
+            zone: "patan",
+        },
+    ];
+    let gateways = start_gateways(&lab.folder, &store, &machines)?;
+    for gateway in &gateways {
+        gateway.wait_ready()?;
+    }
+    lab.record.add("all gateways are ready");
+    // For `contactMs` and more, nothing happens.
+    sleep_ms(4_000);
+    Ok(Site {
+        store,
+        fleet,
+        engines,
+        gateways,
+    })
+}
+
+/// Opens a connection and gets one short answer on it, so that it is a kept one.
+fn keep(lab: &Lab, gateway: &Gateway) -> Result<Requester, String> {
+    let mut requester = Requester::connect(lab, gateway.front, HOST, KEY).map_err(text)?;
+    let short = Sent {
+        method: "POST",
+        path: "/lohu930/2f",
+        tokens: Some((200, 4)),
+        budget_ms: 6_000,
+        body: "short",
+    };
+    let (id, at) = requester.send(&short).map_err(text)?;
+    let answer = requester.read(&id, at, |_| true);
+    match answer.status == 200 && answer.is_complete {
+        true => Ok(requester),
+        false => Err(format!(
+            "the first request on a connection failed: {answer:?}"
+        )),
+    }
+}
+
+/// LOST around a SIGTERM: streams that are sent on kept connections between 3.1 s and 3.6 s after the
+/// SIGTERM, to runners that are on time: the first event after 1.2 s, of 1.5 s allowed, and pauses of
+/// 100 ms, of 180 ms allowed.
+fn stop(lab: &Lab) -> Verdict {
+    let pace = Pace {
+        first_ms: 1_200,
+        event_ms: 100,
+        copy_ms: 20,
+    };
+    let mut site = start_site(
+        lab,
+        &config(1, 1_500, 180, 7_000),
+        [(pace, Resumes::Served); 2],
+    )?;
+    let kept: Result<Vec<_>, _> = thread::scope(|scope| {
+        let opened: Vec<_> = (0..8)
+            .map(|_| scope.spawn(|| keep(lab, &site.gateways[0])))
+            .collect();
+        opened
+            .into_iter()
+            .map(|one| {
+                one.join()
+                    .unwrap_or_else(|_| Err("a requester failed".to_owned()))
+            })
+            .collect()
+    });
+    let kept = kept?;
+    sleep_ms(1_000);
+    if lab.trouble {
+        lab.record.add("the platform sends SIGTERM to edge-patan-1");
+        site.gateways[0].signal("TERM");
+    }
+    let term_at = lab.record.now();
+    let (sender, answers) = channel::<Answer>();
+    for (number, mut requester) in kept.into_iter().enumerate() {
+        let sender = sender.clone();
+        let send_at = term_at + 3_100 + 60 * number as u64;
+        let lab = lab.clone();
+        thread::spawn(move || {
+            sleep_ms(send_at.saturating_sub(lab.record.now()));
+            let long = Sent {
+                method: "POST",
+                path: "/lohu930/2f",
+                tokens: Some((2_200, 160)),
+                budget_ms: 7_000,
+                body: "assess the load",
+            };
+            if let Ok((id, at)) = requester.send(&long) {
+                let answer = requester.read(&id, at, |_| true);
+                let _ = sender.send(answer);
+            }
+        });
+    }
+    drop(sender);
+    // The platform kills what is left `graceS` after its SIGTERM.
+    if lab.trouble {
+        while !site.gateways[0].has_ended() && lab.record.now() < term_at + 8_000 {
+            sleep_ms(5);
+        }
+        match site.gateways[0].has_ended() {
+            true => lab.record.add("edge-patan-1 has ended by itself"),
+            false => {
+                site.gateways[0].signal("KILL");
+                lab.record.add("the platform sends SIGKILL to edge-patan-1")
+            }
+        };
+    }
+    let answers: Vec<Answer> = answers.iter().collect();
+    // The runners notice a closed connection within some milliseconds.
+    sleep_ms(500);
+    let arrivals = site.fleet.arrivals.lock().unwrap().clone();
+    let mut broken = 0;
+    for answer in &answers {
+        let run = arrivals
+            .iter()
+            .find(|arrival| arrival.request == answer.request);
+        // Not counted: sent up to 3 s after the SIGTERM; the runner broke off; the time budget was reached.
+        let is_late_sent = answer.sent_at > term_at + 3_000;
+        let is_at_work = run.is_some_and(|run| run.end == Some(RunEnd::Closed));
+        let is_in_time = answer.ended_at < answer.sent_at + 7_000;
+        if is_late_sent && !answer.is_complete && is_at_work && is_in_time {
+            broken += 1;
+            lab.record.add(format!(
+                "LOST: {} was sent {} ms after the SIGTERM, passed on to a runner, and its connection ended without a complete answer {} ms after the SIGTERM",
+                answer.request, answer.sent_at - term_at, answer.ended_at - term_at
+            ));
+        }
+    }
+    lab.record
+        .add(format!("{} requests, {broken} lost", answers.len()));
+    if answers.len() < 8 {
+        return Err("not all requests could be sent".to_owned());
+    }
+    Ok(broken == 0)
+}
+
+/// GONE while streams are moved off a runner that leaves.
+fn left(lab: &Lab) -> Verdict {
+    let pace = Pace {
+        first_ms: 300,
+        event_ms: 60,
+        copy_ms: 20,
+    };
+    let resumes = if lab.trouble {
+        Resumes::Hang(4_000)
+    } else {
+        Resumes::Served
+    };
+    let site = start_site(
+        lab,
+        &config(1, 500, 100, 39_000),
+        [(pace, Resumes::Served), (pace, resumes)],
+    )?;
+    let closes: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
+    let mut readers = Vec::new();
+    // The second runner is not listed until the streams run, so that all run at the first one.
+    site.store
+        .remove(&format!("servers/{}", site.engines[1].id));
+    sleep_ms(2_500);
+    for _ in 0..10 {
+        let (lab, closes, front) = (lab.clone(), closes.clone(), site.gateways[0].front);
+        readers.push(thread::spawn(move || -> Result<Answer, String> {
+            let mut requester = Requester::connect(&lab, front, HOST, KEY).map_err(text)?;
+            let long = Sent {
+                method: "POST",
+                path: "/lohu930/2f",
+                tokens: Some((1_000, 800)),
+                budget_ms: 39_000,
+                body: "draft the round",
+            };
+            let (id, at) = requester.send(&long).map_err(text)?;
+            // A requester abandons a stream after a gap of 2 s.
+            let _ = requester
+                .conn
+                .stream
+                .set_read_timeout(Some(std::time::Duration::from_secs(2)));
+            let answer = requester.read(&id, at, |_| true);
+            drop(requester);
+            let closed_at = lab
+                .record
+                .add(format!("requester closes the connection of {id}"));
+            closes.lock().unwrap().push((id, closed_at));
+            Ok(answer)
+        }));
+        sleep_ms(40);
+    }
+    sleep_ms(1_500);
+    site.engines[1].register(&site.store);
+    sleep_ms(1_000);
+    site.engines[0].drain(&site.store);
+    sleep_ms(14_000);
+    let _ = readers;
+    let closes = closes.lock().unwrap().clone();
+    let arrivals = site.fleet.arrivals.lock().unwrap().clone();
+    let (mut late, mut at_work, mut moved) = (0, 0, 0);
+    for arrival in &arrivals {
+        moved += usize::from(arrival.is_resume);
+        let Some((_, closed_at)) = closes.iter().find(|(id, _)| *id == arrival.request) else {
+            continue;
+        };
+        if arrival.at > closed_at + 500 {
+            late += 1;
+            lab.record.add(format!(
+                "GONE: {} reached runner {} {} ms after its requester had closed the connection",
+                arrival.request,
+                arrival.runner,
+                arrival.at - closed_at
+            ));
+        }
+        if arrival.at <= *closed_at
+            && arrival
+                .ended_at
+                .is_none_or(|ended_at| ended_at > closed_at + 500)
+        {
+            at_work += 1;
+        }
+    }
+    lab.record.add(format!("{moved} resumes, {late} requests reached a runner over 500 ms after the close, {at_work} were still held by a runner 500 ms after it"));
+    if moved == 0 {
+        return Err("nothing was moved".to_owned());
+    }
+    Ok(late <= 5)
+}
