Show that a tenant's name stops all changes of the configuration

Cause: names of the platform are decoded as the project's own names, and one that these don't allow fails the decoding of the whole configuration. Nothing is fixed.

--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -16,6 +16,7 @@
     match case {
         "stop" => stop(lab),
         "left" => left(lab),
+        "named" => named(lab),
         _ => Err(format!("there is no case {case:?}")),
     }
 }
@@ -26,8 +27,24 @@
 
 /// The configuration: one route of streams on model runners.
 fn config(version: u64, target_ms: u64, gap_ms: u64, timeout_ms: u64) -> String {
+    let route = route("lohu930", target_ms, gap_ms, timeout_ms);
+    whole_config(
+        version,
+        &route,
+        &format!("{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}"),
+    )
+}
+
+/// A route of streams on model runners.
+fn route(prefix: &str, target_ms: u64, gap_ms: u64, timeout_ms: u64) -> String {
+    format!(
+        "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\"routeType\":\"streaming\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":{target_ms},\"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":{gap_ms}}}"
+    )
+}
+
+fn whole_config(version: u64, routes: &str, tenants: &str) -> String {
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-5pa2yhv\",\"host\":\"{HOST}\",\"prefix\":\"/lohu930/\",\"routeType\":\"streaming\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":{target_ms},\"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":{gap_ms}}}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":24,\"kvCapacity\":34288,\"kvBytes\":163840,\"linkMbps\":24000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
+        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":24,\"kvCapacity\":34288,\"kvBytes\":163840,\"linkMbps\":24000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{tenants}]}}"
     )
 }
 
@@ -290,3 +307,71 @@
     }
     Ok(late <= 5)
 }
+
+/// CONFIG after a version that adds a tenant whose name has a space.
+fn named(lab: &Lab) -> Verdict {
+    const DROPPED: &str = "wsjnbanfqasnmgkcuyj8";
+    const ADDED: &str = "q7hd0zk2m4vbx81tnwre";
+    let pace = Pace {
+        first_ms: 50,
+        event_ms: 20,
+        copy_ms: 20,
+    };
+    let old_route = route("lohu930", 1_500, 180, 6_000);
+    let first = format!("{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\",\"{DROPPED}\"]}}");
+    let site = start_site(
+        lab,
+        &whole_config(1, &old_route, &first),
+        [(pace, Resumes::Served); 2],
+    )?;
+    let name = if lab.trouble {
+        "Depot Norte"
+    } else {
+        "depot-norte"
+    };
+    let new_route = route("pufi791", 1_500, 180, 6_000);
+    let tenants = format!(
+        "{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"]}},{{\"name\":\"{name}\",\"apiKeys\":[\"{ADDED}\"]}}"
+    );
+    let routes = format!("{old_route},{new_route}");
+    site.store
+        .put("op/config", &whole_config(4, &routes, &tenants));
+    lab.record.add(format!(
+        "the store acknowledges version 4: key {DROPPED} is dropped, route /pufi791/ and tenant {name:?} with key {ADDED} are added"
+    ));
+    // More than `configApplyMs`.
+    sleep_ms(4_000);
+    let ask = |gateway: &Gateway, path: &str, key: &str| -> Result<Answer, String> {
+        let mut requester = Requester::connect(lab, gateway.front, HOST, key).map_err(text)?;
+        let sent = Sent {
+            method: "POST",
+            path,
+            tokens: Some((200, 4)),
+            budget_ms: 6_000,
+            body: "short",
+        };
+        let (id, at) = requester.send(&sent).map_err(text)?;
+        Ok(requester.read(&id, at, |_| true))
+    };
+    let mut broken = 0;
+    for gateway in &site.gateways {
+        for (what, path, key, expected) in [
+            ("the dropped key", "/lohu930/2f", DROPPED, 401),
+            ("the added key", "/lohu930/2f", ADDED, 200),
+            ("the added route", "/pufi791/2f", KEY, 200),
+        ] {
+            let answer = ask(gateway, path, key)?;
+            if answer.status != expected {
+                broken += 1;
+                lab.record.add(format!(
+                    "CONFIG: {} answers {} with {what} with {}, though version 4, acknowledged over 4 s before, says {expected}",
+                    gateway.name, answer.request, answer.status
+                ));
+            }
+        }
+    }
+    lab.record.add(format!(
+        "6 requests, {broken} handled as only the older version allows"
+    ));
+    Ok(broken == 0)
+}
