Show that waiting requests run as of the tenant that lost the key

Cause: the tenant of a request is kept from its arrival, also if another one holds the key when it is sent. Nothing is fixed.

--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -17,6 +17,7 @@
         "stop" => stop(lab),
         "left" => left(lab),
         "named" => named(lab),
+        "handed" => handed(lab),
         _ => Err(format!("there is no case {case:?}")),
     }
 }
@@ -43,8 +44,12 @@
 }
 
 fn whole_config(version: u64, routes: &str, tenants: &str) -> String {
+    slots_config(version, routes, tenants, 24)
+}
+
+fn slots_config(version: u64, routes: &str, tenants: &str, slots: u64) -> String {
     format!(
-        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":24,\"kvCapacity\":34288,\"kvBytes\":163840,\"linkMbps\":24000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{tenants}]}}"
+        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConnections\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":{slots},\"kvCapacity\":34288,\"kvBytes\":163840,\"linkMbps\":24000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{tenants}]}}"
     )
 }
 
@@ -375,3 +380,87 @@
     ));
     Ok(broken == 0)
 }
+
+/// UNASKED while a key is handed over to another tenant.
+fn handed(lab: &Lab) -> Verdict {
+    const HANDED: &str = "wsjnbanfqasnmgkcuyj8";
+    let pace = Pace {
+        first_ms: 100,
+        event_ms: 100,
+        copy_ms: 20,
+    };
+    let route = route("lohu930", 3_000, 180, 39_000);
+    let tenants = |first: &str, second: &str| {
+        format!(
+            "{{\"name\":\"huka270\",\"apiKeys\":[{first}]}},{{\"name\":\"tibo118\",\"apiKeys\":[{second}]}}"
+        )
+    };
+    let (own, moved) = (format!("\"{KEY}\""), format!("\"{HANDED}\""));
+    let before = tenants(&format!("{own},{moved}"), "");
+    let after = tenants(&own, &moved);
+    let site = start_site(
+        lab,
+        &slots_config(1, &route, &before, 2),
+        [(pace, Resumes::Served); 2],
+    )?;
+    // Four long streams take all slots for 8 s.
+    let mut threads = Vec::new();
+    let ask = |key: &str, limit: u64| {
+        let (lab, front, key) = (lab.clone(), site.gateways[0].front, key.to_owned());
+        thread::spawn(move || -> Result<Answer, String> {
+            let mut requester = Requester::connect(&lab, front, HOST, &key).map_err(text)?;
+            let sent = Sent {
+                method: "POST",
+                path: "/lohu930/2f",
+                tokens: Some((300, limit)),
+                budget_ms: 39_000,
+                body: "draft the round",
+            };
+            let (id, at) = requester.send(&sent).map_err(text)?;
+            Ok(requester.read(&id, at, |_| true))
+        })
+    };
+    for _ in 0..4 {
+        threads.push(ask(KEY, 320));
+        sleep_ms(100);
+    }
+    sleep_ms(500);
+    let waiting: Vec<_> = (0..3).map(|_| ask(HANDED, 8)).collect();
+    sleep_ms(500);
+    let mut acknowledged_at = u64::MAX;
+    if lab.trouble {
+        site.store
+            .put("op/config", &slots_config(4, &route, &after, 2));
+        acknowledged_at = lab.record.add(format!(
+            "the store acknowledges version 4: key {HANDED} is taken from tenant huka270 and given to tenant tibo118"
+        ));
+    }
+    let mut answers = Vec::new();
+    for one in waiting {
+        answers.push(one.join().map_err(|_| "a requester failed")??);
+    }
+    let arrivals = site.fleet.arrivals.lock().unwrap().clone();
+    let (mut broken, mut run) = (0, 0);
+    for answer in &answers {
+        let Some(arrival) = arrivals.iter().find(|one| one.request == answer.request) else {
+            continue;
+        };
+        run += 1;
+        // The holder is the one of every configuration that may be in force.
+        let is_applied = arrival.at > acknowledged_at.saturating_add(2_000);
+        if is_applied && arrival.tenant != "tibo118" {
+            broken += 1;
+            lab.record.add(format!(
+                "UNASKED: {} ran as of tenant {} {} ms after the ack of the version by which its key is tenant tibo118's",
+                answer.request, arrival.tenant, arrival.at - acknowledged_at
+            ));
+        }
+    }
+    lab.record.add(format!(
+        "{run} requests with the key ran, {broken} as of a tenant that does not hold it"
+    ));
+    match run {
+        0 => Err("none of the requests ran".to_owned()),
+        _ => Ok(broken == 0),
+    }
+}
--- a/review/stand-ins-3/engine.rs
+++ b/review/stand-ins-3/engine.rs
@@ -51,6 +51,8 @@
     pub ended_at: Option<u64>,
     pub end: Option<RunEnd>,
     pub is_resume: bool,
+    /// The header `Tenant`.
+    pub tenant: String,
 }
 
 struct Running {
@@ -253,11 +255,11 @@
     }
 
     /// Begins the record of an arrival; returns its place.
-    fn arrive(&self, id: &str, is_resume: bool, text: &str) -> usize {
-        let at = self
-            .lab
-            .record
-            .add(format!("runner {} gets {id}{text}", self.id));
+    fn arrive(&self, id: &str, is_resume: bool, tenant: &str, text: &str) -> usize {
+        let at = self.lab.record.add(format!(
+            "runner {} gets {id} of tenant {tenant}{text}",
+            self.id
+        ));
         let arrival = Arrival {
             runner: self.id.clone(),
             request: id.to_owned(),
@@ -265,6 +267,7 @@
             ended_at: None,
             end: None,
             is_resume,
+            tenant: tenant.to_owned(),
         };
         let mut arrivals = self.fleet.arrivals.lock().unwrap();
         arrivals.push(arrival);
@@ -307,7 +310,8 @@
                 request.header("last-event-id").unwrap_or("0")
             )
         });
-        let place = self.arrive(&id, from.is_some(), &text);
+        let tenant = request.header("tenant").unwrap_or("").to_owned();
+        let place = self.arrive(&id, from.is_some(), &tenant, &text);
         let mut next = 1;
         if let Some(from) = &from {
             let handle = from
