Show that one crash of two runners ends a sound route for minutes

Cause: a request that is like two others that were under way at crashed runners counts as their cause, is recalled from sound runners and refused for ten minutes, and nothing can clear it. Nothing is fixed.

--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -18,6 +19,7 @@
         "left" => left(lab),
         "named" => named(lab),
         "handed" => handed(lab),
+        "crashed" => crashed(lab),
         _ => Err(format!("there is no case {case:?}")),
     }
 }
@@ -137,6 +139,7 @@
         first_ms: 1_200,
         event_ms: 100,
         copy_ms: 20,
+        plain_ms: 0,
     };
     let mut site = start_site(
         lab,
@@ -231,6 +234,7 @@
         first_ms: 300,
         event_ms: 60,
         copy_ms: 20,
+        plain_ms: 0,
     };
     let resumes = if lab.trouble {
         Resumes::Hang(4_000)
@@ -321,6 +325,7 @@
         first_ms: 50,
         event_ms: 20,
         copy_ms: 20,
+        plain_ms: 0,
     };
     let old_route = route("lohu930", 1_500, 180, 6_000);
     let first = format!("{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\",\"{DROPPED}\"]}}");
@@ -388,6 +393,7 @@
         first_ms: 100,
         event_ms: 100,
         copy_ms: 20,
+        plain_ms: 0,
     };
     let route = route("lohu930", 3_000, 180, 39_000);
     let tenants = |first: &str, second: &str| {
@@ -464,3 +470,147 @@
         _ => Ok(broken == 0),
     }
 }
+
+/// CONFIG: whether a route that was added later is served as the first one is, in steady state after two
+/// runners crashed and came back.
+fn crashed(lab: &Lab) -> Verdict {
+    const APP: &str = "wuno96b";
+    const ZONES: [&str; 4] = ["thapathali", "balaju", "patan", "bhaktapur"];
+    let pace = Pace {
+        first_ms: 0,
+        event_ms: 0,
+        copy_ms: 0,
+        plain_ms: 400,
+    };
+    let plain = |prefix: &str| {
+        format!(
+            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":2,\"service\":\"{APP}\",\"maxAttempts\":2,\"public\":false}}"
+        )
+    };
+    let config = |version: u64, routes: &str| {
+        format!(
+            "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"{APP}\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"]}}]}}"
+        )
+    };
+    let store = Store::start("127.0.0.1", &lab.ended).map_err(text)?;
+    let (first, added) = (plain("puxa403"), plain("pule252"));
+    store.put("op/config", &config(1, &first));
+    let fleet = Fleet::default();
+    let mut runners = Vec::new();
+    for number in 0..8 {
+        let (id, ip) = (
+            format!("i-{number}b91c07"),
+            format!("127.88.3.{}", number + 1),
+        );
+        let setup = EngineSetup {
+            id: &id,
+            ip: &ip,
+            service: APP,
+            zone: ZONES[number / 2],
+            pace,
+            resumes: Resumes::Served,
+        };
+        runners.push(Engine::start(lab, &fleet, setup).map_err(text)?);
+    }
+    runners.iter().for_each(|runner| runner.register(&store));
+    let machines = [
+        Machine {
+            name: "edge-patan-1",
+            ip: "127.88.2.1",
+            zone: "patan",
+        },
+        Machine {
+            name: "edge-balaju-1",
+            ip: "127.88.2.2",
+            zone: "balaju",
+        },
+    ];
+    let gateways = start_gateways(&lab.folder, &store, &machines)?;
+    for gateway in &gateways {
+        gateway.wait_ready()?;
+    }
+    sleep_ms(4_000);
+    store.put("op/config", &config(4, &format!("{first},{added}")));
+    lab.record
+        .add("the store acknowledges version 4, which adds the route /pule252/");
+    sleep_ms(3_000);
+    // When each request was sent, whether its route is the added one, and the status of its answer.
+    let seen: Arc<Mutex<Vec<(u64, bool, u16)>>> = Arc::default();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    for number in 0..48 {
+        let (lab, seen, is_over) = (lab.clone(), seen.clone(), is_over.clone());
+        let front = gateways[number % 2].front;
+        // A third asks for one thing each on the first route, the others for the one page of the other.
+        let is_added = number % 3 != 0;
+        threads.push(thread::spawn(move || {
+            let mut kept = None;
+            let mut count = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                count += 1;
+                let path = match is_added {
+                    true => "/pule252/board".to_owned(),
+                    false => format!("/puxa403/yard-{number}-{count}"),
+                };
+                let connect = || Requester::connect(&lab, front, HOST, KEY).ok();
+                let Some(mut requester) = kept.take().or_else(connect) else {
+                    sleep_ms(100);
+                    continue;
+                };
+                let sent = Sent {
+                    method: "GET",
+                    path: &path,
+                    tokens: None,
+                    budget_ms: 3_000,
+                    body: "",
+                };
+                let Ok((id, at)) = requester.send(&sent) else {
+                    continue;
+                };
+                let answer = requester.read(&id, at, |_| true);
+                seen.lock().unwrap().push((at, is_added, answer.status));
+                if answer.is_complete {
+                    kept = Some(requester);
+                }
+                sleep_ms(if answer.status == 200 { 20 } else { 200 });
+            }
+        }));
+    }
+    sleep_ms(4_000);
+    if lab.trouble {
+        // All runners of one zone.
+        Engine::crash(&runners[2..4]);
+        sleep_ms(4_500);
+        runners[2].start_again(&store).map_err(text)?;
+        runners[3].start_again(&store).map_err(text)?;
+    }
+    // Steady state: nothing is disturbed for 12 s.
+    sleep_ms(12_000);
+    let from = lab.record.add("steady state is judged from here on");
+    sleep_ms(10_000);
+    is_over.store(true, Ordering::Relaxed);
+    for one in threads {
+        let _ = one.join();
+    }
+    let share = |added: bool| {
+        let seen = seen.lock().unwrap();
+        let asked = seen
+            .iter()
+            .filter(|(at, is_added, _)| *at >= from && *is_added == added);
+        let statuses: Vec<u16> = asked.map(|(_, _, status)| *status).collect();
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        (statuses.len(), served)
+    };
+    let ((first_asked, first_served), (asked, served)) = (share(false), share(true));
+    lab.record.add(format!(
+        "first route: {first_served} of {first_asked} served; added route: {served} of {asked} served"
+    ));
+    if first_asked == 0 || asked < 20 {
+        return Err("too few requests".to_owned());
+    }
+    let is_broken = served as f64 / (asked as f64) < first_served as f64 / first_asked as f64 / 4.0;
+    if is_broken {
+        lab.record.add("CONFIG: requests on the route that was added later are served less than a quarter as often as those on the first one");
+    }
+    Ok(!is_broken)
+}
--- a/review/stand-ins-3/engine.rs
+++ b/review/stand-ins-3/engine.rs
@@ -27,6 +27,8 @@
     pub event_ms: u64,
     /// Time to copy the memory of a request.
     pub copy_ms: u64,
+    /// Time to answer a plain request; 0 at runners that answer with streams.
+    pub plain_ms: u64,
 }
 
 /// Outcome of a run at a runner.
@@ -82,6 +84,10 @@
     pace: Pace,
     resumes: Resumes,
     is_draining: Arc<AtomicBool>,
+    /// Whether its port is closed, after a crash.
+    is_down: Arc<AtomicBool>,
+    /// Whether its connections are closed, after a crash.
+    is_cut: Arc<AtomicBool>,
     running: Arc<Mutex<HashMap<String, Running>>>,
     sequence: Arc<AtomicU64>,
     born: u64,
@@ -113,21 +119,89 @@
             pace: setup.pace,
             resumes: setup.resumes,
             is_draining: Arc::default(),
+            is_down: Arc::default(),
+            is_cut: Arc::default(),
             running: Arc::default(),
             sequence: Arc::default(),
             born: since.as_millis() as u64,
             fleet: fleet.clone(),
             lab: lab.clone(),
         };
-        let shared = engine.clone();
-        serve(listener, lab.ended.clone(), move |mut conn| {
+        engine.listen(listener);
+        Ok(engine)
+    }
+
+    /// Serves connections until the process is down.
+    fn listen(&self, listener: TcpListener) {
+        let shared = self.clone();
+        serve(listener, self.is_down.clone(), move |mut conn| {
             while let Ok(Some(request)) = conn.read_request() {
                 if !matches!(shared.answer(&mut conn, &request), Ok(true)) {
                     return;
                 }
             }
         });
-        Ok(engine)
+    }
+
+    /// The processes of some runners crash: their ports and then their connections are closed.
+    pub fn crash(runners: &[Self]) {
+        for runner in runners {
+            runner.is_down.store(true, Ordering::Relaxed);
+        }
+        // The listeners notice within 2 ms.
+        sleep_ms(10);
+        for runner in runners {
+            runner.is_cut.store(true, Ordering::Relaxed);
+            runner
+                .lab
+                .record
+                .add(format!("runner {} crashes", runner.id));
+        }
+    }
+
+    /// The process starts again under its id, as another boot.
+    pub fn start_again(&mut self, store: &Store) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address)?;
+        let since = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
+        self.born = since.as_millis() as u64;
+        self.is_down = Arc::default();
+        self.is_cut = Arc::default();
+        self.sequence = Arc::default();
+        self.listen(listener);
+        self.register(store);
+        self.lab
+            .record
+            .add(format!("runner {} is back and registered", self.id));
+        Ok(())
+    }
+
+    /// Answers a plain request; false if the connection is over.
+    fn answer_plain(
+        &self,
+        conn: &mut Conn,
+        request: &Request,
+        mut headers: Vec<(&'static str, String)>,
+    ) -> io::Result<bool> {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            conn.respond("421 Misdirected Request", &headers, b"")?;
+            return Ok(true);
+        }
+        let end = Instant::now() + Duration::from_millis(self.pace.plain_ms);
+        while Instant::now() < end {
+            if self.is_cut.load(Ordering::Relaxed) {
+                let _ = conn.stream.shutdown(std::net::Shutdown::Both);
+                return Ok(false);
+            }
+            sleep_ms(1);
+        }
+        headers.push(("Response-Seal", "seal-1".to_owned()));
+        conn.respond("200 OK", &headers, b"fine")?;
+        Ok(true)
     }
 
     /// Writes the entry of this runner into the store.
@@ -204,6 +278,7 @@
                 conn.respond("200 OK", &headers, b"")?;
                 Ok(true)
             }
+            _ if self.pace.plain_ms > 0 => self.answer_plain(conn, request, headers),
             _ => self.run(conn, request, headers),
         }
     }
