--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -20,6 +20,7 @@
         "named" => named(lab),
         "handed" => handed(lab),
         "crashed" => crashed(lab),
+        "quiet" => quiet(lab),
         _ => Err(format!("there is no case {case:?}")),
     }
 }
@@ -544,6 +545,8 @@
         // A third asks for one thing each on the first route, the others for the one page of the other.
         let is_added = number % 3 != 0;
         threads.push(thread::spawn(move || {
+            // Not all at once.
+            sleep_ms(9 * number as u64);
             let mut kept = None;
             let mut count = 0;
             while !is_over.load(Ordering::Relaxed) {
@@ -614,3 +617,148 @@
     }
     Ok(!is_broken)
 }
+
+/// BUDGET: requests to a runner that asked for none, after the store had missed its reports for a while.
+fn quiet(lab: &Lab) -> Verdict {
+    const APP: &str = "wuno96b";
+    const QUIET_MS: u64 = 25_000;
+    let pace = Pace {
+        first_ms: 0,
+        event_ms: 0,
+        copy_ms: 0,
+        plain_ms: 60,
+    };
+    let config = format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"r-z3pfi6y\",\"host\":\"{HOST}\",\"prefix\":\"/pule252/\",\"routeType\":\"idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":150,\"priority\":2,\"service\":\"{APP}\",\"maxAttempts\":2,\"public\":false}}],\"services\":[{{\"name\":\"{APP}\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"]}}]}}"
+    );
+    let store = Store::start("127.0.0.1", &lab.ended).map_err(text)?;
+    store.put("op/config", &config);
+    let fleet = Fleet::default();
+    let mut runners = Vec::new();
+    for number in 0..5 {
+        let (id, ip) = (
+            format!("i-{number}c33e80"),
+            format!("127.88.4.{}", number + 1),
+        );
+        let setup = EngineSetup {
+            id: &id,
+            ip: &ip,
+            service: APP,
+            zone: "patan",
+            pace,
+            resumes: Resumes::Served,
+        };
+        runners.push(Engine::start(lab, &fleet, setup).map_err(text)?);
+    }
+    runners.iter().for_each(|runner| runner.register(&store));
+    let machines = [
+        Machine {
+            name: "edge-patan-1",
+            ip: "127.88.2.1",
+            zone: "patan",
+        },
+        Machine {
+            name: "edge-patan-2",
+            ip: "127.88.2.2",
+            zone: "patan",
+        },
+    ];
+    let gateways = start_gateways(&lab.folder, &store, &machines)?;
+    for gateway in &gateways {
+        gateway.wait_ready()?;
+    }
+    sleep_ms(4_000);
+    // Requests, each with the number of the machine that took it.
+    let taken: Arc<Mutex<Vec<(String, usize)>>> = Arc::default();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    for number in 0..60 {
+        let (lab, taken, is_over) = (lab.clone(), taken.clone(), is_over.clone());
+        let front = gateways[number % 2].front;
+        threads.push(thread::spawn(move || {
+            sleep_ms(7 * number as u64);
+            let mut kept = None;
+            let mut count = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                count += 1;
+                let path = format!("/pule252/yard-{number}-{count}");
+                let connect = || Requester::connect(&lab, front, HOST, KEY).ok();
+                let Some(mut requester) = kept.take().or_else(connect) else {
+                    sleep_ms(100);
+                    continue;
+                };
+                let sent = Sent {
+                    method: "GET",
+                    path: &path,
+                    tokens: None,
+                    budget_ms: 1_000,
+                    body: "",
+                };
+                let Ok((id, at)) = requester.send(&sent) else {
+                    continue;
+                };
+                taken.lock().unwrap().push((id.clone(), number % 2));
+                let answer = requester.read(&id, at, |_| true);
+                if answer.is_complete {
+                    kept = Some(requester);
+                }
+                sleep_ms(10);
+            }
+        }));
+    }
+    sleep_ms(2_000);
+    runners[0].be_quiet(QUIET_MS);
+    let ends_at = lab.record.now() + QUIET_MS;
+    sleep_ms(3_000);
+    if lab.trouble {
+        lab.record.add(format!(
+            "runner {} is partitioned from the store",
+            runners[0].id
+        ));
+        // Three intervals of its reports.
+        sleep_ms(3_600);
+        store.remove(&format!("servers/{}", runners[0].id));
+        lab.record
+            .add("the store removes its entry after three intervals of silence");
+        sleep_ms(1_400);
+        runners[0].register(&store);
+        lab.record
+            .add("the partition has healed; the runner's entry is back");
+    }
+    sleep_ms(ends_at.saturating_sub(lab.record.now() + 200));
+    is_over.store(true, Ordering::Relaxed);
+    for one in threads {
+        let _ = one.join();
+    }
+    let taken = taken.lock().unwrap().clone();
+    let arrivals = fleet.arrivals.lock().unwrap().clone();
+    let mut is_broken = false;
+    for (machine, gateway) in gateways.iter().enumerate() {
+        let of_machine = |id: &str| {
+            taken
+                .iter()
+                .any(|(known, by)| known == id && *by == machine)
+        };
+        let turned: Vec<u64> = arrivals
+            .iter()
+            .filter(|one| of_machine(&one.request))
+            .map(|one| one.at)
+            .collect();
+        let Some(first) = turned.first().copied() else {
+            return Err(format!("{} never asked the runner", gateway.name));
+        };
+        let late = turned
+            .iter()
+            .filter(|at| **at > first + 500 + 20 && **at < ends_at)
+            .count();
+        lab.record.add(format!(
+            "{}: first 503 with Retry-After at {first} ms; {late} requests reached the runner from 500 ms after it until the end of that time",
+            gateway.name
+        ));
+        if late > 2 {
+            is_broken = true;
+            lab.record.add("BUDGET: these are more than two");
+        }
+    }
+    Ok(!is_broken)
+}
--- a/review/stand-ins-3/engine.rs
+++ b/review/stand-ins-3/engine.rs
@@ -18,6 +18,9 @@
     Hang(u64),
 }
 
+/// Time until a runner has turned a request away.
+const REJECT_MS: u64 = 20;
+
 /// How a runner works.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -88,6 +91,8 @@
     is_down: Arc<AtomicBool>,
     /// Whether its connections are closed, after a crash.
     is_cut: Arc<AtomicBool>,
+    /// Until when it turns requests away, in milliseconds since the start of the case.
+    quiet_until: Arc<AtomicU64>,
     running: Arc<Mutex<HashMap<String, Running>>>,
     sequence: Arc<AtomicU64>,
     born: u64,
@@ -121,6 +126,7 @@
             is_draining: Arc::default(),
             is_down: Arc::default(),
             is_cut: Arc::default(),
+            quiet_until: Arc::default(),
             running: Arc::default(),
             sequence: Arc::default(),
             born: since.as_millis() as u64,
@@ -191,9 +197,34 @@
             conn.respond("421 Misdirected Request", &headers, b"")?;
             return Ok(true);
         }
+        let id = request.header("request-attempt-id").unwrap_or("");
+        let record = |text: &str| {
+            self.lab
+                .record
+                .add(format!("runner {} {text} {id}", self.id))
+        };
+        let left = self
+            .quiet_until
+            .load(Ordering::Relaxed)
+            .saturating_sub(self.lab.record.now());
+        if left > 0 {
+            self.arrive(id, false, "", "");
+            sleep_ms(REJECT_MS);
+            headers.push(("Not-Executed", "1".to_owned()));
+            headers.push(("Retry-After", format!("{:.3}", left as f64 / 1_000.0)));
+            record("answers 503 with Retry-After to");
+            conn.respond("503 Service Unavailable", &headers, b"")?;
+            return Ok(true);
+        }
+        record("runs");
         let end = Instant::now() + Duration::from_millis(self.pace.plain_ms);
         while Instant::now() < end {
+            if is_closed(conn) {
+                record("sees the gateway close the connection while it runs");
+                return Ok(false);
+            }
             if self.is_cut.load(Ordering::Relaxed) {
+                record("crashes while it runs");
                 let _ = conn.stream.shutdown(std::net::Shutdown::Both);
                 return Ok(false);
             }
@@ -204,6 +235,15 @@
         Ok(true)
     }
 
+    /// Wants nothing for so long: answers 503 with `Retry-After` for the rest of that time.
+    pub fn be_quiet(&self, ms: u64) {
+        let until = self.lab.record.now() + ms;
+        self.quiet_until.store(until, Ordering::Relaxed);
+        self.lab
+            .record
+            .add(format!("runner {} wants nothing for {ms} ms", self.id));
+    }
+
     /// Writes the entry of this runner into the store.
     pub fn register(&self, store: &Store) {
         let state = if self.is_draining.load(Ordering::Relaxed) {
