--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-3/lab ] && [ -x target/release/agatemoor ] || { echo "build first"; exit 2; }
-exec target/review-3/lab left "$folder/record.txt"
+exec target/review-3/lab named "$folder/record.txt"
