--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -517,11 +517,11 @@
         first_ms: 0,
         event_ms: 0,
         copy_ms: 0,
-        plain_ms: 400,
+        plain_ms: 900,
     };
     let plain = |prefix: &str| {
         format!(
-            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":2,\"service\":\"{APP}\",\"maxAttempts\":2,\"public\":false}}"
+            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\"routeType\":\"idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":1500,\"priority\":2,\"service\":\"{APP}\",\"maxAttempts\":2,\"public\":false}}"
         )
     };
     let config = |version: u64, routes: &str| {
