Admit streams during a stop by their deadline

Cause: AdmittedCall::longest_time compared a stream's latency target and 12 ms a token with the time left before the stop. That is the pace of an engine with little load, not a bound. A call that waited for capacity was also told of the stop only when its turn came.

Change: CallTimes keeps the latest end of a call and its likely time apart. In the first 3 s of a stop, while load balancers still send new callers, a stream begins if it likely ends in time; later only if its deadline does. A call that waits is refused as soon as it can no longer end in time.

--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -9,7 +9,7 @@
 use base::{ByteCount, ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, ConfigVersion, LeaseGuard, OpenAttempt, TargetRecord};
-use gateway::{GatewaySettings, GatewayState, RetrySettings, SendCheck};
+use gateway::{CallTimes, GatewaySettings, GatewayState, RetrySettings, SendCheck};
 
 /// Number of targets that the node knows.
 const TARGETS: u16 = 300;
@@ -37,7 +37,7 @@
                 route: ("depot.example", "/plans"),
                 key: None,
                 version: ConfigVersion::default(),
-                longest_time: TimeSpan::ZERO,
+                times: CallTimes::new(now),
                 is_resume: false,
                 is_source: false,
                 permit: None,
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::coordinator::CapacityRequest;
+use crate::state::CallTimes;
 use crate::{CallerHeaders, GatewayCore};
 
 /// Hop-by-hop headers, which apply to one connection and are not forwarded.
@@ -81,30 +82,28 @@
         Instant::now() + Duration::from(self.remaining(now))
     }
 
-    /// Longest time that the call may take from now on, as far as that can be known.
-    ///
-    /// A plain call that must not run twice may take until its deadline. Its caller can send it to
-    /// another node if it is refused, but not if its outcome is unknown.
-    pub fn longest_time(&self, now: ClockTime) -> TimeSpan {
+    /// How long the call may take if it begins now. The caller of an idempotent call can repeat it, so
+    /// that its latency target is enough; others may run until their deadline.
+    pub fn times(&self, now: ClockTime) -> CallTimes {
         match self.route.repeat {
-            RepeatPolicy::AtMostOnce => self.remaining(now),
-            RepeatPolicy::Idempotent | RepeatPolicy::Stream => self.expected_time(),
+            RepeatPolicy::Idempotent => {
+                let span = self.route.latency_target.min(self.route.timeout);
+                CallTimes::new(now + span)
+            }
+            RepeatPolicy::AtMostOnce => CallTimes::new(self.deadline),
+            RepeatPolicy::Stream => CallTimes::new(self.deadline).with_likely(self.stream_time()),
         }
     }
 
-    /// Time that the call takes from its admission if it meets its latency target.
-    fn expected_time(&self) -> TimeSpan {
+    /// Time that the whole stream takes if it begins on time.
+    fn stream_time(&self) -> TimeSpan {
         let latency = self.route.latency_target;
-        let Some(size) = self
-            .caller_headers
-            .generation
-            .filter(|_| self.engine.is_some())
-        else {
-            return latency.min(self.route.timeout);
+        let size = self.caller_headers.generation;
+        let Some(size) = size.filter(|_| self.engine.is_some()) else {
+            return latency;
         };
         // By the output limit, as the caller's estimate of the output is often far off.
-        let output = OUTPUT_TOKEN_TIME * u64::from(size.output_limit.0);
-        (latency + output).min(self.route.timeout)
+        latency + OUTPUT_TOKEN_TIME * u64::from(size.output_limit.0)
     }
 
     /// Whether the output is expected to be short; plain calls always count as short.
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -147,7 +147,7 @@
         deadline: access_entry.arrived_at() + timeout,
         features,
     };
-    match core.can_finish(call.longest_time(core.now())) {
+    match core.can_finish(call.times(core.now())) {
         true => Ok(call),
         false => {
             access_entry
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -67,8 +67,9 @@
     while tried < MAX_TARGETS_TRIED {
         let max_wait = call.route.latency_target.min(call.remaining(core.now()));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
+        let times = call.times(core.now());
         let acquired = core
-            .until_cut_off(trial.acquire(core, &call.features, trial_deadline))
+            .while_sendable(times, trial.acquire(core, &call.features, trial_deadline))
             .await;
         match acquired {
             Some(Ok(_)) => {}
@@ -80,7 +81,7 @@
         }
         let capacity_request = call.capacity_request(placement.clone(), max_wait);
         let reserved = core
-            .until_cut_off(reserve_capacity(core, capacity_request))
+            .while_sendable(times, reserve_capacity(core, capacity_request))
             .await;
         let mut reservation = match reserved {
             Some(Ok(reservation)) => reservation,
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -45,7 +45,8 @@
         let max_wait = capacity_deadline.since(now).min(call.remaining(now));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
         let acquired = trial.acquire(&core, &call.features, trial_deadline);
-        let Some(acquired) = core.until_cut_off(acquired).await else {
+        let times = call.times(now);
+        let Some(acquired) = core.while_sendable(times, acquired).await else {
             return cut_off_response(&core, &mut access_entry, false);
         };
         if let Err(retry) = acquired {
@@ -55,7 +56,7 @@
         }
         let capacity_request = call.capacity_request(placement.clone(), max_wait);
         let reserved = core
-            .until_cut_off(reserve_capacity(&core, capacity_request))
+            .while_sendable(times, reserve_capacity(&core, capacity_request))
             .await;
         let mut reservation = match reserved {
             Some(Ok(reservation)) => reservation,
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -242,7 +242,7 @@
         route: (&call.host, call.path_and_query.path()),
         key: call.caller_headers.key.as_ref(),
         version: call.config_version,
-        longest_time: call.longest_time(core.now()),
+        times: call.times(core.now()),
         is_resume: resume.is_some(),
         is_source: resume.is_some_and(|point| point.source == reservation.address),
         permit,
--- a/crates/gateway/src/state/evacuation_state.rs
+++ b/crates/gateway/src/state/evacuation_state.rs
@@ -4,7 +4,7 @@
 use entry::{CallFeatures, ConfigVersion, EvacuationChange, EvacuationRecord, TargetPhase};
 use metrics::gauge;
 
-use super::{GatewayCore, GatewayState, SendCheck};
+use super::{CallTimes, GatewayCore, GatewayState, SendCheck};
 use crate::{DecodeError, ViewArea, ViewDecoder};
 
 /// Time after a node learnt of an evacuation within which it may still send what moves of
@@ -119,7 +119,7 @@
                 route: ("", ""),
                 key: None,
                 version: ConfigVersion::default(),
-                longest_time: TimeSpan::ZERO,
+                times: CallTimes::new(now),
                 is_resume: true,
                 is_source,
                 permit: None,
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -14,7 +14,7 @@
 
 use super::gateway_state::{QueueAnswer, QueueWaiter};
 use super::queue_guard::QueueGuard;
-use super::{CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
+use super::{CallTimes, CapacityReservation, GatewayState, PlacementRefusal, StopPlan};
 use crate::{GatewayPorts, GatewaySettings, ItemBatch, ItemOrigin, ViewArea};
 
 /// Version of what load reports to peers contain; a report is pushed whenever it changes.
@@ -218,9 +218,9 @@
         });
     }
 
-    /// Whether a call that takes `span` can end before the process stops.
-    pub fn can_finish(&self, span: TimeSpan) -> bool {
-        self.with_state(|state, now| state.can_finish(now, span))
+    /// Whether a call that begins now can end before the process stops.
+    pub fn can_finish(&self, times: CallTimes) -> bool {
+        self.with_state(|state, now| state.can_finish(now, times))
     }
 
     /// Whether the process is stopping.
@@ -237,6 +237,41 @@
         }
     }
 
+    /// Runs `work`, in which a call waits to be sent, to its end; `None` as soon as the process stops
+    /// and the call might not end before that.
+    pub async fn while_sendable<T>(
+        &self,
+        times: CallTimes,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = work => Some(output),
+            () = self.stop_refuses(times) => None,
+            () = self.cut_off() => None,
+        }
+    }
+
+    /// Waits until the process stops and a call that is not sent yet might not end before that.
+    async fn stop_refuses(&self, times: CallTimes) {
+        let mut changes = self.stop_changes.subscribe();
+        loop {
+            let (is_refused, early_left) = self.with_state(|state, now| {
+                let plan = state.stop_plan.as_ref();
+                let early_left = plan.and_then(|plan| plan.early_left(now));
+                (!state.can_finish(now, times), early_left)
+            });
+            if is_refused {
+                return;
+            }
+            match early_left {
+                Some(left) => sleep(left.into()).await,
+                None if changes.changed().await.is_ok() => {}
+                None => return std::future::pending().await,
+            }
+        }
+    }
+
     /// Waits until calls in progress have to end, as the process stops.
     async fn cut_off(&self) {
         let mut changes = self.stop_changes.subscribe();
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -14,8 +14,8 @@
 use tokio::sync::oneshot;
 
 use super::{
-    CoordinatorState, INFORMED_COORDINATORS, PeerTable, PlacedTarget, PlacementRefusal, StopPlan,
-    ViewState,
+    CallTimes, CoordinatorState, INFORMED_COORDINATORS, PeerTable, PlacedTarget, PlacementRefusal,
+    StopPlan, ViewState,
 };
 use crate::peer::FactOutbox;
 use crate::{GatewaySettings, RetrySettings, ViewArea};
@@ -651,10 +651,10 @@
         true
     }
 
-    /// Whether a call that begins now and takes `span` can end before the process stops.
-    pub fn can_finish(&self, now: ClockTime, span: TimeSpan) -> bool {
+    /// Whether a call that begins now can end before the process stops.
+    pub fn can_finish(&self, now: ClockTime, times: CallTimes) -> bool {
         let plan = self.stop_plan.as_ref();
-        plan.is_none_or(|plan| plan.can_finish(now, span))
+        plan.is_none_or(|plan| plan.can_finish(now, times))
     }
 
     /// Number of nodes among which budgets are divided, this one included. In a large fleet, a node
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of a gateway share.
 
 mod blame_state;
+mod call_times;
 mod capacity_reservation;
 mod coordinator_state;
 mod evacuation_state;
@@ -17,6 +18,7 @@
 mod target_updates;
 mod view_state;
 
+pub use call_times::CallTimes;
 pub use capacity_reservation::{CapacityReservation, PlacementRefusal};
 pub use coordinator_state::{CoordinatorState, INFORMED_COORDINATORS};
 pub use gateway_core::{GatewayCore, LONG_POLL_TIMEOUT, QueueRequest};
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -4,7 +4,7 @@
 use entry::{CallFeatures, CallVerdict, ConfigVersion, SendPermit, TargetPhase};
 use smol_str::SmolStr;
 
-use super::GatewayState;
+use super::{CallTimes, GatewayState};
 
 /// `Retry-After` for calls that this node can't serve but other nodes may.
 pub const OTHER_NODE_RETRY: TimeSpan = TimeSpan::new(100);
@@ -24,8 +24,8 @@
     pub key: Option<&'a SmolStr>,
     /// Version of the configuration under which it was admitted.
     pub version: ConfigVersion,
-    /// Longest time that the call may take.
-    pub longest_time: TimeSpan,
+    /// How long the call may take.
+    pub times: CallTimes,
     /// Whether the send resumes a generation, which was admitted before.
     pub is_resume: bool,
     /// Whether the generation ran on this target until now, which keeps its KV cache.
@@ -99,7 +99,7 @@
     pub fn check_send(&self, now: ClockTime, check: &SendCheck<'_>) -> Result<(), SendRefusal> {
         if !check.is_resume {
             self.check_admission(check)?;
-            if !self.can_finish(now, check.longest_time) {
+            if !self.can_finish(now, check.times) {
                 return Err(SendRefusal::Stopping);
             }
         }
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -8,7 +8,9 @@
     CallFeatures, ConfigVersion, EvacuationRecord, FeatureId, RateGrant, SendPermit, StoreEra,
     SuspectCall,
 };
-use gateway::{BackoffRequest, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan};
+use gateway::{
+    BackoffRequest, CallTimes, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan,
+};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -205,7 +207,7 @@
                 route: ("shop.example", "/locked/1"),
                 key: Some(&KEY),
                 version: ConfigVersion(1),
-                longest_time: TimeSpan::from_secs(5),
+                times: CallTimes::new(core.now() + TimeSpan::from_secs(5)),
                 is_resume,
                 is_source,
                 // Taken before the change.
--- a/crates/gateway/tests/gateway/stopping.rs
+++ b/crates/gateway/tests/gateway/stopping.rs
@@ -7,7 +7,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::support::{FakeStore, FakeTarget, GatewayProcess, KeptConnection, TargetMode, until};
+use crate::support::{
+    FakeStore, FakeTarget, GatewayProcess, KeptConnection, TargetMode, call, open_stream, until,
+};
 
 /// Time that the users' platform allows for a planned stop.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
@@ -139,6 +141,53 @@
     assert!(early.iter().all(|status| *status == Some(200)), "{early:?}");
 }
 
+// Guards against a stream that is cut off by a planned stop which admitted it by the time that a fast
+// engine takes: its caller can't repeat it.
+#[yare::parameterized(
+    on_time = { 160 },
+    late = { 500 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn streams_that_may_outlast_the_stop_are_refused(event_pause_ms: u64) {
+    let mode = TargetMode::SlowStream(9, event_pause_ms);
+    let run = StopRun::new("pool", "/paced/1", mode).await;
+    run.check();
+    // The route's timeout is 5 s, the grace period 8 s.
+    let early = run.statuses_before(Duration::from_secs(2));
+    assert!(early.iter().all(|status| *status == Some(200)), "{early:?}");
+}
+
+// Guards against a call that waits for capacity although it can no longer end before the stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_stream_is_refused_when_the_stop_begins() {
+    /// Slots of the engine.
+    const SLOTS: usize = 8;
+    let store = FakeStore::new();
+    store.put_config(1);
+    let target = FakeTarget::start("pool", TargetMode::SlowStream(99, 200)).await;
+    store.put_target(&target, "ready");
+    let gateway = GatewayProcess::start_ready(&store).await;
+    let mut running = Vec::new();
+    for number in 0..SLOTS {
+        let headers = format!("x-id: running-{number}\r\nx-size: 99\r\n");
+        running.push(open_stream(gateway.callers, "/patient/1", &headers, "").await);
+    }
+    until("the slots are taken", || target.open_calls() == SLOTS).await;
+    let headers = "x-id: waiting\r\nx-size: 99\r\n";
+    let waiting = tokio::spawn(call(gateway.callers, "/patient/1", headers, ""));
+    sleep(Duration::from_millis(300)).await;
+    assert!(!waiting.is_finished());
+    let start = Instant::now();
+    let stopping = tokio::spawn(gateway.stop());
+    let response = waiting.await.unwrap();
+    // Without a slot, it would wait for three times the latency target of 4 s.
+    assert!(start.elapsed() < GRACE_PERIOD / 2, "{:?}", start.elapsed());
+    assert_eq!(response.status, 503);
+    assert_eq!(target.calls().len(), SLOTS);
+    drop(running);
+    stopping.await.unwrap();
+}
+
 // Guards against calls that end without an answer because their targets take longer than the stop.
 #[yare::parameterized(
     idempotent = { "app", "/read/1", TargetMode::AnswerAfter(3_000) },
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -379,6 +379,9 @@
     stream.timeout = TimeSpan::from_secs(20);
     let mut paced = route("/paced/", "pool", RepeatPolicy::Stream, 1);
     paced.pause_limit = Some(TimeSpan::new(180));
+    let mut patient = route("/patient/", "pool", RepeatPolicy::Stream, 1);
+    patient.timeout = TimeSpan::from_secs(20);
+    patient.latency_target = TimeSpan::from_secs(4);
     let engine = EngineSpec {
         slots: 8,
         memory: TokenCount(50_000),
@@ -394,6 +397,7 @@
         route("/read/", "app", RepeatPolicy::Idempotent, 2),
         stream,
         paced,
+        patient,
         route("/locked/", "app", RepeatPolicy::Idempotent, 1),
         short,
     ];
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -53,6 +53,8 @@
     Foreign,
     /// Streams this many events.
     Stream(u64),
+    /// Streams this many events, each of them this many milliseconds after the one before it.
+    SlowStream(u64, u64),
     /// Sends an endless header line.
     EndlessHead,
     /// Sends interim (1xx) responses without end.
@@ -432,7 +434,13 @@
             "HTTP/1.1 421 Other\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
         }
         Some(TargetMode::Truncate) => complete(&id)[..complete(&id).len() - 2].to_owned(),
-        Some(TargetMode::Stream(count)) => return stream_events(stream, state, &head, count).await,
+        Some(TargetMode::Stream(count)) => {
+            return stream_events(stream, state, &head, count, EVENT_PAUSE).await;
+        }
+        Some(TargetMode::SlowStream(count, millis)) => {
+            let pause = Duration::from_millis(millis);
+            return stream_events(stream, state, &head, count, pause).await;
+        }
         Some(TargetMode::Unframed(count, end)) => {
             return send_unframed(stream, &state, &head, count, end).await;
         }
@@ -546,7 +554,7 @@
         down.notify_one();
         std::future::pending().await
     }
-    stream_events(stream, state, head, count).await;
+    stream_events(stream, state, head, count, EVENT_PAUSE).await;
 }
 
 /// Streams the events that follow the caller's last one, until the generation is told to stop.
@@ -555,6 +563,7 @@
     state: Arc<Mutex<TargetState>>,
     head: &str,
     count: u64,
+    pause: Duration,
 ) {
     let id = header(head, "x-id").unwrap_or_default();
     let last: u64 = header(head, "x-last").map_or(0, |last| last.parse().unwrap());
@@ -578,7 +587,7 @@
         if stream.write_all(chunk.as_bytes()).await.is_err() {
             return;
         }
-        sleep(EVENT_PAUSE).await;
+        sleep(pause).await;
     }
     let end: &[u8] = match signal {
         Some(LeavingSignal::Trailer) => b"0\r\nx-leaving: 1\r\n\r\n",
