Take names of the platform as they are

A gateway that started then never got ready.

Cause: names of tenants, services and zones were decoded as the project's own, which have a small alphabet, and one that did not fit failed the decoding of the whole configuration.

Tenants are decoded one by one: one that no header can name is left out with a log line (entry_omitted) and a metric, and keys stay required.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -133,6 +133,7 @@
     StoreOutage = 5012, "The store had answered no node for a while; entries that expired in that time may come back.";
     StoreEraChanged = 5013, "The store came back from an older copy; newer content that is known is kept for a while.";
     StoreEraUnreadable = 5014, "The store tells an era that is no number; it is taken for the latest one.";
+    EntryOmitted = 5015, "An entry of a declaration can't be used and is left out; the rest is in force.";
 }
 
 impl EventKind {
--- a/crates/entry/src/config/serve_config.rs
+++ b/crates/entry/src/config/serve_config.rs
@@ -1,7 +1,7 @@
 use base::ServiceName;
 use smol_str::SmolStr;
 
-use super::{ConfigVersion, RequestLimits, RouteRule, ServiceSpec, WorkspaceRule};
+use super::{ConfigOmission, ConfigVersion, RequestLimits, RouteRule, ServiceSpec, WorkspaceRule};
 
 /// Error: the route needs a key, and the call carries none of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +24,7 @@
     /// Sorted by name.
     services: Vec<ServiceSpec>,
     workspaces: Vec<WorkspaceRule>,
+    omissions: Vec<ConfigOmission>,
     /// Sorted keys, each with the index of its workspace in `workspaces`.
     keys: Vec<(SmolStr, usize)>,
 }
@@ -70,6 +71,19 @@
         self
     }
 
+    /// Returns this configuration with the workspaces that were left out as they can't be used. Their
+    /// keys are unknown, and calls need a key as if there were such workspaces.
+    #[must_use]
+    pub fn with_omissions(mut self, omissions: Vec<ConfigOmission>) -> Self {
+        self.omissions = omissions;
+        self
+    }
+
+    /// Workspaces that were left out.
+    pub fn omissions(&self) -> &[ConfigOmission] {
+        &self.omissions
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
@@ -105,7 +119,8 @@
         key: Option<&str>,
     ) -> Result<Option<&WorkspaceRule>, KeyDenial> {
         let found = key.and_then(|key| self.workspace_of(key));
-        if found.is_none() && !self.workspaces.is_empty() && !route.is_public {
+        let needs_key = !self.workspaces.is_empty() || !self.omissions.is_empty();
+        if found.is_none() && needs_key && !route.is_public {
             return Err(KeyDenial);
         }
         Ok(found)
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -3,7 +3,7 @@
 use base::TimeSpan;
 use entry::{
     ConfigVersion, KeyDenial, RepeatPolicy, RequestLimits, RouteRule, ServeConfig, ServiceWeight,
-    WorkspaceRule,
+    WorkspaceIdentity, WorkspaceRule,
 };
 use yare::parameterized;
 
@@ -35,7 +35,10 @@
             route("a.example", "/x/", "shallow"),
         ])
         .with_workspaces(vec![WorkspaceRule {
-            name: "depot".parse().unwrap(),
+            identity: WorkspaceIdentity {
+                name: "depot".parse().unwrap(),
+                label: "depot".into(),
+            },
             keys: vec!["k2".into(), "k1".into()],
             priority: Some(1),
         }])
@@ -68,7 +71,7 @@
 fn checks_keys(key: Option<&str>, expected: Result<Option<&str>, KeyDenial>) {
     let config = config();
     let found = config.authorize(&route("a.example", "/", "root"), key);
-    let found = found.map(|rule| rule.map(|rule| rule.name.as_str()));
+    let found = found.map(|rule| rule.map(|rule| rule.identity.name.as_str()));
     assert_eq!(found, expected);
 }
 
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -1,8 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{
-    CallRate, ErrorKind, PartId, RequestId, TargetName, TimeSpan, TokenCount, WorkspaceName,
-};
+use base::{CallRate, ErrorKind, PartId, RequestId, TargetName, TimeSpan, TokenCount};
 use entry::OutputEstimate;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -60,8 +58,8 @@
     pub remaining: TimeSpan,
     /// The only target that may run the call.
     pub target: &'a TargetName,
-    /// Workspace of the caller.
-    pub workspace: Option<&'a WorkspaceName>,
+    /// Workspace of the caller, as the operators name it.
+    pub workspace: Option<&'a str>,
     /// Scheduling urgency at an engine, 0 first; engines assume the middle without it.
     pub urgency: Option<u8>,
     /// Copy to resume from; `None` if the call starts anew.
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use entry::{
     BodyLease, CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PaceNeed, PlacementRequest,
-    PlacementScope, RepeatPolicy, RouteRule, TargetLoad, prefill_time,
+    PlacementScope, RepeatPolicy, RouteRule, TargetLoad, WorkspaceIdentity, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
@@ -59,7 +59,7 @@
     /// Capacity of the service's engines; `None` if its targets are instances of a plain service.
     pub engine: Option<EngineSpec>,
     /// Workspace of the caller, if its key belongs to one.
-    pub workspace: Option<WorkspaceName>,
+    pub workspace: Option<WorkspaceIdentity>,
     /// Scheduling priority; 0 is served first.
     pub priority: u8,
     /// When the call arrived.
@@ -182,6 +182,12 @@
         }
     }
 
+    /// Name of the caller's workspace within the fleet.
+    pub fn workspace_name(&self) -> Option<WorkspaceName> {
+        let identity = self.workspace.as_ref()?;
+        Some(identity.name.clone())
+    }
+
     /// Requirements on a target. A call that is suspected of crashing targets excludes those that
     /// run another suspect call.
     pub fn placement_request(&self, core: &GatewayCore) -> PlacementRequest {
@@ -202,7 +208,7 @@
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
             pace: self.pace_need(0),
-            workspace: self.workspace.clone(),
+            workspace: self.workspace_name(),
         }
     }
 }
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -109,7 +109,7 @@
     };
     let priority = workspace.and_then(|rule| rule.priority);
     let priority = priority.unwrap_or(route.priority);
-    let workspace = workspace.map(|rule| rule.name.clone());
+    let workspace = workspace.map(|rule| rule.identity.clone());
     let service = route.pick_service(rand::random()).cloned();
     let Some(service) = service else {
         access_entry.add_reason("the route has no service");
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -79,7 +79,7 @@
             scope: PlacementScope::AllDomains,
             failure_delays: Vec::new(),
             pace: self.pace_need(),
-            workspace: self.call.workspace.clone(),
+            workspace: self.call.workspace_name(),
         };
         let core = self.core.clone();
         self.placing = Some(tokio::spawn(async move {
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -302,7 +302,10 @@
     let target_headers = TargetHeaders {
         remaining: call.remaining(core.now()),
         target: &reservation.target,
-        workspace: call.workspace.as_ref(),
+        workspace: call
+            .workspace
+            .as_ref()
+            .map(|identity| identity.label.as_str()),
         urgency,
         resume,
     };
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -33,6 +33,9 @@
 /// longer can tell that its coordinator is gone.
 pub const LONG_POLL_TIMEOUT: TimeSpan = TimeSpan::new(150);
 
+/// Largest number of entries left out of a configuration that are logged.
+const LOGGED_OMISSIONS: usize = 16;
+
 /// Request to place a call on a target by what this node knows, after a wait in its queue if need
 /// be.
 #[derive(Clone, Debug)]
@@ -599,15 +602,19 @@
             (adopted, state.view.config_items.revision())
         });
         match adopted {
-            Ok(Some(config)) => log::info!(
-                event = EventKind::RevisionAccepted.number(),
-                node = self.node().as_str(),
-                version = config.version.0,
-                revision = revision.unwrap_or_default(),
-                routes = config.route_count(),
-                from = from;
-                "configuration in force"
-            ),
+            Ok(Some(config)) => {
+                log::info!(
+                    event = EventKind::RevisionAccepted.number(),
+                    node = self.node().as_str(),
+                    version = config.version.0,
+                    revision = revision.unwrap_or_default(),
+                    routes = config.route_count(),
+                    omissions = config.omissions().len(),
+                    from = from;
+                    "configuration in force"
+                );
+                self.report_omissions(&config);
+            }
             Ok(None) if has_evacuations => {}
             Ok(None) => log::info!(
                 event = EventKind::RevisionIgnored.number(),
@@ -626,6 +633,20 @@
         }
     }
 
+    /// Logs and counts the entries of a configuration that were left out.
+    fn report_omissions(&self, config: &ServeConfig) {
+        gauge!("gateway_config_omissions").set(config.omissions().len() as f64);
+        for omission in config.omissions().iter().take(LOGGED_OMISSIONS) {
+            log::warn!(
+                event = EventKind::EntryOmitted.number(),
+                node = self.node().as_str(),
+                version = config.version.0,
+                entry = omission.entry.as_str();
+                "entry of the configuration is left out: {}", omission.reason
+            );
+        }
+    }
+
     /// Updates the targets from their entries, and acts on the changes.
     fn update_targets(self: &Arc<Self>, from: &str) {
         let (changes, failures, known) = self.with_state(|state, now| {
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -10,7 +10,8 @@
 };
 use entry::{
     ConfigVersion, EngineSpec, ItemChange, PublishedItem, RepeatPolicy, RequestLimits, RouteRule,
-    ServeConfig, ServiceSpec, ServiceWeight, StorePosition, TargetRecord, WorkspaceRule,
+    ServeConfig, ServiceSpec, ServiceWeight, StorePosition, TargetRecord, WorkspaceIdentity,
+    WorkspaceRule,
 };
 use gateway::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
@@ -419,7 +420,10 @@
             },
         ])
         .with_workspaces(vec![WorkspaceRule {
-            name: "depot".parse().unwrap(),
+            identity: WorkspaceIdentity {
+                name: "depot".parse().unwrap(),
+                label: "depot".into(),
+            },
             keys,
             priority: None,
         }])
@@ -461,7 +465,7 @@
         };
         set("x-target", head.target.as_str());
         if let Some(workspace) = head.workspace {
-            set("x-workspace", workspace.as_str());
+            set("x-workspace", workspace);
         }
         if let Some(point) = head.resume {
             set("x-resume", &point.handle);
