Blame a request only for deaths that follow one another

Cause: two deaths blamed a whole request whatever their cause, its running calls were recalled and no further one was sent, so that no answer could clear it.

Change: a call keeps which deaths its request was blamed for when it was sent. If its target dies too, before an answer has cleared these, that is a failed trial, which refuses the request for 60 s, then 240 s, with one trial after each pause. Deaths of calls that were sent before any of them only restrict the request to one call at a time. Running calls are recalled after two failed trials.

--- a/crates/entry/src/fact/attempt_tracker.rs
+++ b/crates/entry/src/fact/attempt_tracker.rs
@@ -32,7 +32,8 @@
 /// let mut tracker = AttemptTracker::default();
 /// let id = tracker.begin(OpenAttempt {
 ///     features: CallFeatures::new(RequestFingerprint::new("/plans", b"")),
-///     trial_parts: Vec::new(),
+///     trial_features: Vec::new(),
+///     earlier_deaths: Vec::new(),
 ///     target: "e1".parse().unwrap(),
 ///     incarnation: run,
 ///     earlier: 0,
--- a/crates/entry/src/fact/call_verdict.rs
+++ b/crates/entry/src/fact/call_verdict.rs
@@ -1,6 +1,6 @@
 use base::TimeSpan;
 
-use super::FeatureId;
+use super::{CallFeatures, FeatureId};
 
 /// Whether and how a call may run, by the deaths of targets that its features are blamed for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,10 +9,10 @@
     Unrestricted,
     /// Only on a target where no other suspect call runs.
     Isolated,
-    /// Only as the single trial in the fleet of a suspected part of its prompt.
+    /// Only as the single trial in the fleet of a suspected feature.
     Trial {
-        /// The suspected part.
-        part: FeatureId,
+        /// The whole request or a part of its prompt.
+        feature: FeatureId,
     },
     /// On no target.
     Refused {
@@ -22,3 +22,15 @@
         feature: FeatureId,
     },
 }
+
+impl CallVerdict {
+    /// Whether the whole request of the call is suspected, so that the call must not share its target
+    /// with another suspect call.
+    pub fn is_suspect(&self, features: &CallFeatures) -> bool {
+        match self {
+            Self::Unrestricted => false,
+            Self::Trial { feature } => *feature == features.request().into(),
+            Self::Isolated | Self::Refused { .. } => true,
+        }
+    }
+}
--- a/crates/entry/src/fact/crash_blame.rs
+++ b/crates/entry/src/fact/crash_blame.rs
@@ -6,9 +6,14 @@
     TargetFact,
 };
 
-/// Deaths after which a whole request is refused. After a single death, every other call that ran on
-/// the same target would be refused too.
+/// Deaths after which calls with the same whole request only run as trials. After a single death, every
+/// other call that ran on the same target would be restricted too.
 const REQUEST_DEATHS: usize = 2;
+/// Failed trials after which a whole request is refused.
+const REQUEST_REFUSAL_TRIALS: usize = 1;
+/// Largest number of failed trials that lengthen the pause of a whole request, so that the next one
+/// runs before the signs of the last one expire.
+const REQUEST_PAUSE_STEPS: usize = 1;
 /// Occasions on which targets died, with failed trials counted once more, from which calls with a
 /// prompt part only run as trials. Sound calls share parts, so that one death says little.
 const PART_OCCASIONS: usize = 2;
@@ -36,6 +41,9 @@
 /// confirmed or cleared sooner than that.
 const SUSPECT_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
 
+/// Largest number of earlier deaths that are kept for a call.
+const EARLIER_DEATH_LIMIT: usize = 4;
+
 /// What a prompt part is blamed for.
 struct PartBlame {
     part: FeatureId,
@@ -60,13 +68,18 @@
         if self.trials < self.refusal_trials {
             return None;
         }
-        let more = self.trials.saturating_sub(REFUSAL_TRIALS);
-        let steps = more.min(TRIAL_PAUSE_STEPS) as u32;
-        let pause = TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(steps);
-        (self.trial_age < pause).then(|| pause.saturating_sub(self.trial_age))
+        pause_left(self.trials.saturating_sub(REFUSAL_TRIALS), self.trial_age)
     }
 }
 
+/// Rest of the pause after the last failed trial, which was `trial_age` ago and was preceded by `more`
+/// trials after the one that led to the first pause; `None` if the pause is over.
+fn pause_left(more: usize, trial_age: TimeSpan) -> Option<TimeSpan> {
+    let steps = more.min(TRIAL_PAUSE_STEPS) as u32;
+    let pause = TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(steps);
+    (trial_age < pause).then(|| pause.saturating_sub(trial_age))
+}
+
 /// Which features of calls are blamed for the deaths of targets.
 impl FactState {
     /// Creates the crash sign of a feature of a call that is sent to a target now, to be recorded if
@@ -116,6 +129,13 @@
             false => CrashSign::LIFETIME,
         };
         let mut signs = attempt.crash_signs(now, evidence);
+        if !attempt.is_proven(now) && self.has_repeated_death(attempt) {
+            let request = FeatureId::from(attempt.features.request());
+            signs.push(CrashSign {
+                print: request.failed_trial(),
+                ..signs[0].clone()
+            });
+        }
         signs.retain(|sign| {
             self.clear_suspected(sign);
             let fact = TargetFact::Crashed(sign.clone());
@@ -124,6 +144,28 @@
         signs
     }
 
+    /// Deaths of targets that ran the same whole request and were known or suspected when it was sent
+    /// again.
+    pub fn earlier_deaths(&self, now: ClockTime, features: &CallFeatures) -> Vec<CrashSign> {
+        let request = features.request().into();
+        let known = self.uncleared_signs(now, request).map(|(sign, _)| sign);
+        let suspected = self.suspected.iter().filter(|sign| sign.print == request);
+        known
+            .chain(suspected.cloned())
+            .take(EARLIER_DEATH_LIMIT)
+            .collect()
+    }
+
+    /// Whether a call that crashed its target was sent after the same request had crashed another one,
+    /// and no answer has cleared that since. Deaths of targets that ran it at the same time may have
+    /// one cause, such as the loss of a rack.
+    fn has_repeated_death(&self, attempt: &OpenAttempt) -> bool {
+        attempt.earlier_deaths.iter().any(|sign| {
+            let is_known = self.set.contains(&TargetFact::Crashed(sign.clone()));
+            (is_known || self.suspected.contains(sign)) && !self.is_cleared(sign)
+        })
+    }
+
     /// Records that a call ran, so that the signs of earlier deaths no longer count against its
     /// features; returns the signs that it clears. Deaths after `began_at`, when its answer began,
     /// still count.
@@ -171,30 +213,38 @@
         let most_blamed = blames
             .iter()
             .max_by_key(|blame| (blame.weight(), std::cmp::Reverse(blame.part)));
-        most_blamed.map_or(request, |blame| CallVerdict::Trial { part: blame.part })
+        match (request, most_blamed) {
+            (CallVerdict::Trial { .. }, _) | (_, None) => request,
+            (_, Some(blame)) => CallVerdict::Trial {
+                feature: blame.part,
+            },
+        }
     }
 
-    /// Parts of a prompt that a trial of the call tests: all that are blamed for a death, since any of
-    /// them may crash its target.
-    pub fn suspected_parts(&self, now: ClockTime, features: &CallFeatures) -> Vec<FeatureId> {
-        let parts = features.parts().iter().copied();
-        let suspected = parts.filter(|part| self.uncleared_signs(now, *part).next().is_some());
+    /// Features that a trial of the call tests: all that are blamed for a death, since any of them may
+    /// crash its target.
+    pub fn suspected_features(&self, now: ClockTime, features: &CallFeatures) -> Vec<FeatureId> {
+        let suspected = features
+            .iter()
+            .filter(|feature| self.uncleared_signs(now, *feature).next().is_some());
         suspected.collect()
     }
 
-    /// Number of failed trials of a part.
-    pub fn failed_trials(&self, now: ClockTime, part: FeatureId) -> usize {
-        self.uncleared_signs(now, part.failed_trial()).count()
+    /// Number of failed trials of a feature.
+    pub fn failed_trials(&self, now: ClockTime, feature: FeatureId) -> usize {
+        self.uncleared_signs(now, feature.failed_trial()).count()
     }
 
     /// Whether a call that was sent but has not begun to answer is likely to crash its target. Deaths
-    /// that are only suspected do not count.
+    /// that are only suspected do not count, and of the same whole request only failed trials do: as
+    /// long as it may be sound, its calls that run show that by their answers.
     pub fn is_dangerous(&self, now: ClockTime, features: &CallFeatures) -> bool {
         if self.set.is_empty() {
             return false;
         }
-        let deaths = self.uncleared_signs(now, features.request().into());
-        deaths.count() >= REQUEST_DEATHS || !self.part_blames(now, features).is_empty()
+        let request = features.request().into();
+        self.failed_trials(now, request) >= REFUSAL_TRIALS
+            || !self.part_blames(now, features).is_empty()
     }
 
     /// Targets that died while a call with a feature ran on them, without the signs that were
@@ -218,25 +268,29 @@
     }
 
     fn request_verdict(&self, now: ClockTime, request: FeatureId) -> CallVerdict {
-        let mut ages: Vec<_> = self
-            .uncleared_signs(now, request)
-            .map(|(_, age)| age)
-            .collect();
+        let trials = self.uncleared_signs(now, request.failed_trial());
+        let trial_ages: Vec<_> = trials.map(|(_, age)| age).collect();
+        if let Some(last) = trial_ages.iter().min() {
+            let more = trial_ages.len().saturating_sub(REQUEST_REFUSAL_TRIALS);
+            return match pause_left(more.min(REQUEST_PAUSE_STEPS), *last) {
+                Some(retry_after) => CallVerdict::Refused {
+                    retry_after,
+                    feature: request,
+                },
+                None => CallVerdict::Trial { feature: request },
+            };
+        }
+        let confirmed = self.uncleared_signs(now, request).count();
         let is_unconfirmed = |sign: &&CrashSign| {
             sign.print == request && !self.set.contains(&TargetFact::Crashed((**sign).clone()))
         };
         let suspected = self.suspected.iter().filter(is_unconfirmed).count();
-        ages.sort();
-        match ages.len() + suspected {
-            0 => CallVerdict::Unrestricted,
-            deaths if deaths < REQUEST_DEATHS => CallVerdict::Isolated,
-            // The call is refused until so many signs have expired that fewer than the limit count.
+        match (confirmed + suspected, suspected) {
+            (0, _) => CallVerdict::Unrestricted,
+            (deaths, _) if deaths < REQUEST_DEATHS => CallVerdict::Isolated,
+            (_, 0) => CallVerdict::Trial { feature: request },
             _ => CallVerdict::Refused {
-                retry_after: ages
-                    .get(REQUEST_DEATHS - 1)
-                    .map_or(SUSPECT_RETRY_AFTER, |age| {
-                        CrashSign::LIFETIME.saturating_sub(*age)
-                    }),
+                retry_after: SUSPECT_RETRY_AFTER,
                 feature: request,
             },
         }
--- a/crates/entry/src/fact/fact_state.rs
+++ b/crates/entry/src/fact/fact_state.rs
@@ -19,7 +19,7 @@
 ///     let sign = facts.crash_sign(fingerprint, &name.parse().unwrap(), IncarnationNumber(1));
 ///     facts.confirm_death(now, sign);
 /// }
-/// assert!(matches!(facts.verdict(now, &features), CallVerdict::Refused { .. }));
+/// assert!(matches!(facts.verdict(now, &features), CallVerdict::Trial { .. }));
 /// assert_eq!(facts.record_completion(now, features.iter(), now).len(), 2);
 /// assert_eq!(facts.verdict(now, &features), CallVerdict::Unrestricted);
 /// ```
--- a/crates/entry/src/fact/open_attempt.rs
+++ b/crates/entry/src/fact/open_attempt.rs
@@ -23,8 +23,10 @@
 pub struct OpenAttempt {
     /// Features of the call.
     pub features: CallFeatures,
-    /// Suspected parts of which the call is a trial.
-    pub trial_parts: Vec<FeatureId>,
+    /// Suspected features of which the call is a trial.
+    pub trial_features: Vec<FeatureId>,
+    /// Deaths that the same whole request was blamed for when the call was sent.
+    pub earlier_deaths: Vec<CrashSign>,
     /// Target to which it was sent.
     pub target: TargetName,
     /// Run of the target.
@@ -55,7 +57,7 @@
         let mut features = vec![request];
         if !self.is_proven(now) && evidence == DeathEvidence::ProcessEnded {
             features.extend(self.features.parts());
-            features.extend(self.trial_parts.iter().map(|part| part.failed_trial()));
+            features.extend(self.trial_features.iter().map(|part| part.failed_trial()));
         }
         let signs = features.into_iter().map(|print| CrashSign {
             print,
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -49,7 +49,8 @@
             let id = state.attempts.begin(OpenAttempt {
                 earlier: state.facts.death_count(&target, incarnation),
                 features,
-                trial_parts: Vec::new(),
+                trial_features: Vec::new(),
+                earlier_deaths: Vec::new(),
                 target: target.clone(),
                 incarnation,
                 address: ([127, 0, 0, 1], 9_101).into(),
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -3,8 +3,8 @@
 use base::{ClockTime, ServiceName, TimeSpan, TokenCount, WorkspaceName};
 use bytes::Bytes;
 use entry::{
-    BodyLease, CallFeatures, CallVerdict, ConfigVersion, EngineSpec, PaceNeed, PlacementRequest,
-    PlacementScope, RepeatPolicy, RouteRule, TargetLoad, WorkspaceIdentity, prefill_time,
+    BodyLease, CallFeatures, ConfigVersion, EngineSpec, PaceNeed, PlacementRequest, PlacementScope,
+    RepeatPolicy, RouteRule, TargetLoad, WorkspaceIdentity, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
@@ -197,11 +197,12 @@
             load: self.load(),
             is_quick: self.is_quick(),
             excluded: core.with_state(|state, now| {
-                match state.facts.verdict(now, &self.features) {
-                    CallVerdict::Unrestricted | CallVerdict::Trial { .. } => Vec::new(),
-                    CallVerdict::Isolated | CallVerdict::Refused { .. } => state
+                let verdict = state.facts.verdict(now, &self.features);
+                match verdict.is_suspect(&self.features) {
+                    true => state
                         .suspects
                         .occupied_targets(now, self.features.request()),
+                    false => Vec::new(),
                 }
             }),
             move_source: None,
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -213,7 +213,7 @@
         print = attempt.features.request().to_string().as_str(),
         parts = join_features(&attempt.features).as_str(),
         answer_began = attempt.began_at.is_some(),
-        trial = !attempt.trial_parts.is_empty(),
+        trial = !attempt.trial_features.is_empty(),
         target = attempt.target.as_str(),
         incarnation = attempt.incarnation.0,
         earlier = attempt.earlier,
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -127,7 +127,7 @@
     }
     let sent_at = core.now();
     let mut blame = core.watch_blame();
-    reservation.begin_send(&call.features, trial.parts().to_vec());
+    reservation.begin_send(&call.features, trial.features().to_vec());
     let request = build_request(core, call, reservation, resume);
     let sent = tokio::select! {
         biased;
--- a/crates/gateway/src/state/capacity_reservation.rs
+++ b/crates/gateway/src/state/capacity_reservation.rs
@@ -4,7 +4,7 @@
 use base::{ClockTime, DomainName, ErrorKind, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{
-    AttemptId, CallFeatures, CallVerdict, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
+    AttemptId, CallFeatures, FeatureId, GrantId, OpenAttempt, SuspectCall, TargetLoad,
     TargetOutcome, TargetPace, WaitEstimate,
 };
 
@@ -182,12 +182,13 @@
     }
 
     /// Records that the call is about to be sent, so that it counts as a possible cause if the
-    /// target dies; `trial_parts` are the suspected parts of which it is a trial.
-    pub fn begin_send(&mut self, features: &CallFeatures, trial_parts: Vec<FeatureId>) {
+    /// target dies; `trial_features` are the suspected features of which it is a trial.
+    pub fn begin_send(&mut self, features: &CallFeatures, trial_features: Vec<FeatureId>) {
         let fingerprint = features.request();
         let mut attempt = OpenAttempt {
             features: features.clone(),
-            trial_parts,
+            trial_features,
+            earlier_deaths: Vec::new(),
             target: self.target.clone(),
             incarnation: self.incarnation,
             earlier: 0,
@@ -198,12 +199,10 @@
         let target = self.target.clone();
         let (id, suspect) = self.core.with_state(|state, now| {
             attempt.earlier = state.facts.death_count(&target, self.incarnation);
+            attempt.earlier_deaths = state.facts.earlier_deaths(now, features);
             let id = state.attempts.begin(attempt.clone());
             let verdict = state.facts.verdict(now, features);
-            if matches!(
-                verdict,
-                CallVerdict::Unrestricted | CallVerdict::Trial { .. }
-            ) {
+            if !verdict.is_suspect(features) {
                 return (id, None);
             }
             state.suspects.add_local(SuspectCall {
@@ -232,10 +231,10 @@
         self.attempt.is_some()
     }
 
-    /// Whether the call was sent as a trial of suspected parts of its prompt.
+    /// Whether the call was sent as a trial of suspected features.
     pub fn is_trial(&self) -> bool {
         let attempt = self.attempt.as_ref();
-        attempt.is_some_and(|(_, attempt)| !attempt.trial_parts.is_empty())
+        attempt.is_some_and(|(_, attempt)| !attempt.trial_features.is_empty())
     }
 
     /// Records that the target answers, or that the reason why it does not is known. Returns the
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -103,22 +103,27 @@
                 return Err(SendRefusal::Stopping);
             }
         }
-        match self.facts.verdict(now, check.features) {
-            CallVerdict::Unrestricted => {}
+        let verdict = self.facts.verdict(now, check.features);
+        match verdict {
             CallVerdict::Refused { retry_after, .. } if !check.is_resume => {
                 return Err(SendRefusal::CrashSuspect { retry_after });
             }
             // The answer of a generation that resumes has begun, which clears the parts.
-            CallVerdict::Trial { .. } if check.is_trial || check.is_resume => {}
-            CallVerdict::Trial { .. } => return Err(SendRefusal::TrialRequired),
-            CallVerdict::Isolated | CallVerdict::Refused { .. } => {
-                let request = check.features.request();
-                let occupied = self.suspects.occupied_targets(now, request);
-                if occupied.contains(check.target) {
-                    return Err(SendRefusal::TargetUnavailable(
-                        "another suspect call runs there",
-                    ));
-                }
+            CallVerdict::Trial { .. } if !check.is_trial && !check.is_resume => {
+                return Err(SendRefusal::TrialRequired);
+            }
+            CallVerdict::Unrestricted
+            | CallVerdict::Isolated
+            | CallVerdict::Trial { .. }
+            | CallVerdict::Refused { .. } => {}
+        }
+        if verdict.is_suspect(check.features) {
+            let request = check.features.request();
+            let occupied = self.suspects.occupied_targets(now, request);
+            if occupied.contains(check.target) {
+                return Err(SendRefusal::TargetUnavailable(
+                    "another suspect call runs there",
+                ));
             }
         }
         let Some(target) = self.balancer.target(check.target) else {
--- a/crates/gateway/src/trial/call_trial.rs
+++ b/crates/gateway/src/trial/call_trial.rs
@@ -13,25 +13,25 @@
 /// earlier.
 const RETRY_WAIT: TimeSpan = TimeSpan::new(500);
 
-/// Permit of a call to run as the trial of suspected parts of its prompt; the default permits none.
+/// Permit of a call to run as the trial of suspected features; the default permits none.
 #[derive(Clone, Debug, Default)]
 pub struct CallTrial {
-    parts: Vec<FeatureId>,
+    features: Vec<FeatureId>,
     expires_at: ClockTime,
 }
 
 impl CallTrial {
-    /// Suspected parts of which the call is a trial.
-    pub fn parts(&self) -> &[FeatureId] {
-        &self.parts
+    /// Suspected features of which the call is a trial.
+    pub fn features(&self) -> &[FeatureId] {
+        &self.features
     }
 
     /// Whether the call may be sent now as a trial.
     pub fn is_valid(&self, now: ClockTime) -> bool {
-        !self.parts.is_empty() && now < self.expires_at
+        !self.features.is_empty() && now < self.expires_at
     }
 
-    /// Waits until the call may run as a trial, if its prompt has a suspected part, or may run like
+    /// Waits until the call may run as a trial, if one of its features is suspected, or may run like
     /// any other. Whether it must not run at all is checked before it is sent.
     ///
     /// # Errors
@@ -46,16 +46,16 @@
         loop {
             changes.mark_unchanged();
             let verdict = core.with_state(|state, now| state.facts.verdict(now, features));
-            let CallVerdict::Trial { part } = verdict else {
-                self.parts.clear();
+            let CallVerdict::Trial { feature } = verdict else {
+                self.features.clear();
                 return Ok(());
             };
             if self.is_valid(core.now()) {
                 return Ok(());
             }
-            let TrialReply::Wait(wait) = request_trial(core, part).await else {
-                self.parts =
-                    core.with_state(|state, now| state.facts.suspected_parts(now, features));
+            let TrialReply::Wait(wait) = request_trial(core, feature).await else {
+                self.features =
+                    core.with_state(|state, now| state.facts.suspected_features(now, features));
                 self.expires_at = core.now() + TrialLedger::LEASE;
                 return Ok(());
             };
