Send each call by the configuration in force

Cause: the check before each send looked the key up and dropped the answer; the request was built from what the call kept from its arrival. Service, priority and limits were kept the same way, and a call whose key or route was gone heard of it only when its turn came.

Change: CallAdmission holds what a configuration says of a call. A call takes over that of the configuration in force before it is placed, and again when that changes while it waits for a trial or for capacity; it is refused at once, as not run, if its key or route is gone. The check of a send compares workspace and service. A generation that resumes is sent as of the workspace in force.

--- a/crates/entry/src/config/route_rule.rs
+++ b/crates/entry/src/config/route_rule.rs
@@ -52,6 +52,12 @@
 }
 
 impl RouteRule {
+    /// Whether a service takes calls of the route.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        let mut shares = self.services.iter();
+        shares.any(|share| share.service == *service && share.weight > 0)
+    }
+
     /// Picks a service by weight; `draw` is a random number.
     ///
     /// ```
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -9,7 +9,7 @@
 use base::{ByteCount, ClockTime, CoreShare, IncarnationNumber, TargetName, TimeSpan};
 use calls::RequestFingerprint;
 use entry::{CallFeatures, ConfigVersion, LeaseGuard, OpenAttempt, TargetRecord};
-use gateway::{CallTimes, GatewaySettings, GatewayState, RetrySettings, SendCheck};
+use gateway::{AdmissionCheck, CallTimes, GatewaySettings, GatewayState, RetrySettings, SendCheck};
 
 /// Number of targets that the node knows.
 const TARGETS: u16 = 300;
@@ -24,6 +24,7 @@
     for facts in [0, FACTS] {
         let mut state = make_state(facts);
         let target: TargetName = "e7".parse().expect("a name");
+        let service = "pool".parse().expect("a name");
         let now = ClockTime::new(5_000);
         let start = Instant::now();
         for number in 0..SENDS {
@@ -34,9 +35,13 @@
                 features: &features,
                 is_trial: false,
                 target: &target,
-                route: ("depot.example", "/plans"),
-                key: None,
-                version: ConfigVersion::default(),
+                admission: Some(AdmissionCheck {
+                    route: ("depot.example", "/plans"),
+                    key: None,
+                    version: ConfigVersion::default(),
+                    service: &service,
+                    workspace: None,
+                }),
                 times: CallTimes::new(now),
                 is_resume: false,
                 is_source: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,6 @@
 };
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
-    CallTimes, CapacityReservation, GatewayCore, GatewayState, PeerInfo, PlacementRefusal,
-    QueueRequest, SendCheck, SendRefusal, StopPlan,
+    AdmissionCheck, CallTimes, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
+    PlacementRefusal, QueueRequest, SendCheck, SendRefusal, StopPlan,
 };
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -1,15 +1,16 @@
 use std::time::Duration;
 
-use base::{ClockTime, ServiceName, TimeSpan, TokenCount, WorkspaceName};
+use base::{ClockTime, ErrorKind, TimeSpan, TokenCount, WorkspaceName};
 use bytes::Bytes;
 use entry::{
-    BodyLease, CallFeatures, ConfigVersion, EngineSpec, PaceNeed, PlacementRequest, PlacementScope,
-    RepeatPolicy, RouteRule, TargetLoad, WorkspaceIdentity, prefill_time,
+    BodyLease, CallFeatures, PaceNeed, PlacementRequest, PlacementScope, RepeatPolicy, ServeConfig,
+    TargetLoad, prefill_time,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, header};
 use tokio::time::Instant;
 
+use super::call_admission::CallAdmission;
 use crate::coordinator::CapacityRequest;
 use crate::state::CallTimes;
 use crate::{CallerHeaders, GatewayCore};
@@ -34,14 +35,22 @@
 /// begins with the prompt, and until the first event is made and relayed.
 const FIRST_EVENT_DELAY: TimeSpan = TimeSpan::new(450);
 
+/// How the wait of a call to be sent ended.
+pub enum SendWait<T> {
+    /// The work is done.
+    Done(T),
+    /// This node stops, and the call might not end before that.
+    Stopping,
+    /// The configuration in force admits the call for another service or workspace, or not at all.
+    AdmissionChanged,
+}
+
 /// A call that was read, matched to its route and admitted by its key.
 pub struct AdmittedCall {
     /// Method of the request.
     pub method: Method,
     /// Host of the request, in lower case and without its port.
     pub host: String,
-    /// Version of the configuration by which the call was admitted.
-    pub config_version: ConfigVersion,
     /// Path and query as the caller sent them.
     pub path_and_query: PathAndQuery,
     /// Headers of the request without the hop-by-hop headers.
@@ -52,16 +61,8 @@
     pub _body_lease: BodyLease,
     /// Values read from the headers.
     pub caller_headers: CallerHeaders,
-    /// Route that matches the call.
-    pub route: RouteRule,
-    /// Service that was chosen from the route.
-    pub service: ServiceName,
-    /// Capacity of the service's engines; `None` if its targets are instances of a plain service.
-    pub engine: Option<EngineSpec>,
-    /// Workspace of the caller, if its key belongs to one.
-    pub workspace: Option<WorkspaceIdentity>,
-    /// Scheduling priority; 0 is served first.
-    pub priority: u8,
+    /// What the configuration says of the call.
+    pub admission: CallAdmission,
     /// When the call arrived.
     pub arrived_at: ClockTime,
     /// When the call times out: at the deadline of the caller or of the route, whichever is first.
@@ -72,6 +73,80 @@
 }
 
 impl AdmittedCall {
+    /// Admits the call by the configuration in force, if that has changed.
+    ///
+    /// # Errors
+    /// If it no longer admits the call, or no longer handles it in the same way.
+    pub fn update_admission(&mut self, core: &GatewayCore) -> Result<(), ErrorKind> {
+        let Some(config) = core.config() else {
+            return Ok(());
+        };
+        if let Some(admission) = self.admission_by(&config)? {
+            self.deadline = self.deadline.min(self.arrived_at + admission.route.timeout);
+            self.admission = admission;
+        }
+        Ok(())
+    }
+
+    /// Makes the workspace and priority those of the key in the configuration in force, if that still
+    /// has the key. A generation that runs goes on without it.
+    pub fn update_workspace(&mut self, core: &GatewayCore) {
+        let Some(config) = core.config() else {
+            return;
+        };
+        if let Ok(Some(admission)) = self.admission_by(&config) {
+            self.admission.workspace = admission.workspace;
+            self.admission.priority = admission.priority;
+        }
+    }
+
+    /// Admission of the call by a configuration; `None` if that has the version of the present one.
+    fn admission_by(&self, config: &ServeConfig) -> Result<Option<CallAdmission>, ErrorKind> {
+        if config.version == self.admission.version {
+            return Ok(None);
+        }
+        let route = config.route(&self.host, self.path_and_query.path());
+        let route = route.ok_or(ErrorKind::NotFound)?;
+        if route.repeat != self.admission.route.repeat {
+            // The call is relayed by the other policy already.
+            return Err(ErrorKind::NoTarget);
+        }
+        let key = self.caller_headers.key.as_deref();
+        CallAdmission::new(config, route, key, Some(&self.admission)).map(Some)
+    }
+
+    /// Runs `work`, in which the call waits to be sent, to its end, unless the call can't be sent any
+    /// more as it stands.
+    pub async fn wait_to_send<T>(
+        &self,
+        core: &GatewayCore,
+        work: impl Future<Output = T>,
+    ) -> SendWait<T> {
+        let waited = core.while_sendable(self.times(core.now()), work);
+        tokio::select! {
+            biased;
+            waited = waited => waited.map_or(SendWait::Stopping, SendWait::Done),
+            () = self.admission_change(core) => SendWait::AdmissionChanged,
+        }
+    }
+
+    /// Waits until a configuration is in force that no longer admits the call, or for another service
+    /// or workspace.
+    async fn admission_change(&self, core: &GatewayCore) {
+        let mut changes = core.watch_config();
+        loop {
+            let admission = core.config().map(|config| self.admission_by(&config));
+            match admission {
+                Some(Ok(Some(admission))) if !admission.is_sent_alike(&self.admission) => return,
+                Some(Err(_)) => return,
+                Some(Ok(_)) | None => {}
+            }
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Time left until the deadline.
     pub fn remaining(&self, now: ClockTime) -> TimeSpan {
         self.deadline.since(now)
@@ -85,9 +160,13 @@
     /// How long the call may take if it begins now. The caller of an idempotent call can repeat it, so
     /// that its latency target is enough; others may run until their deadline.
     pub fn times(&self, now: ClockTime) -> CallTimes {
-        match self.route.repeat {
+        match self.admission.route.repeat {
             RepeatPolicy::Idempotent => {
-                let span = self.route.latency_target.min(self.route.timeout);
+                let span = self
+                    .admission
+                    .route
+                    .latency_target
+                    .min(self.admission.route.timeout);
                 CallTimes::new(now + span)
             }
             RepeatPolicy::AtMostOnce => CallTimes::new(self.deadline),
@@ -97,9 +176,9 @@
 
     /// Time that the whole stream takes if it begins on time.
     fn stream_time(&self) -> TimeSpan {
-        let latency = self.route.latency_target;
+        let latency = self.admission.route.latency_target;
         let size = self.caller_headers.generation;
-        let Some(size) = size.filter(|_| self.engine.is_some()) else {
+        let Some(size) = size.filter(|_| self.admission.engine.is_some()) else {
             return latency;
         };
         // By the output limit, as the caller's estimate of the output is often far off.
@@ -111,18 +190,18 @@
         let size = self
             .caller_headers
             .generation
-            .filter(|_| self.engine.is_some());
+            .filter(|_| self.admission.engine.is_some());
         size.is_none_or(|size| size.output_estimate().is_quick())
     }
 
     /// Time from arrival within which the call has to get capacity to meet the latency target of
     /// its route.
     pub fn start_within(&self) -> TimeSpan {
-        let target = self.route.latency_target;
+        let target = self.admission.route.latency_target;
         let Some(size) = self
             .caller_headers
             .generation
-            .filter(|_| self.engine.is_some())
+            .filter(|_| self.admission.engine.is_some())
         else {
             return target;
         };
@@ -135,7 +214,7 @@
         let Some(size) = self
             .caller_headers
             .generation
-            .filter(|_| self.engine.is_some())
+            .filter(|_| self.admission.engine.is_some())
         else {
             return TargetLoad {
                 calls: 1,
@@ -153,15 +232,15 @@
     /// What the call requires of the pace of its engine after `events` of its events were relayed;
     /// `None` if its route has no pause limit.
     pub fn pace_need(&self, events: u32) -> Option<PaceNeed> {
-        let pause_limit = self.route.pause_limit?;
-        let (spec, size) = (self.engine?, self.caller_headers.generation?);
+        let pause_limit = self.admission.route.pause_limit?;
+        let (spec, size) = (self.admission.engine?, self.caller_headers.generation?);
         let per_event = spec.event_tokens.max(1);
         let produced = TokenCount(events.saturating_mul(per_event));
         let expected = size.output_estimate().with_progress(produced).expected();
         let left = expected.0.saturating_sub(produced.0);
         Some(PaceNeed {
             pause_limit,
-            latency_target: self.route.latency_target,
+            latency_target: self.admission.route.latency_target,
             events_left: left.div_ceil(per_event),
             start_by: self.arrived_at + self.start_within(),
         })
@@ -175,7 +254,7 @@
     ) -> CapacityRequest {
         CapacityRequest {
             placement,
-            priority: self.priority,
+            priority: self.admission.priority,
             arrived: self.arrived_at,
             start_within: self.start_within(),
             max_wait,
@@ -184,7 +263,7 @@
 
     /// Name of the caller's workspace within the fleet.
     pub fn workspace_name(&self) -> Option<WorkspaceName> {
-        let identity = self.workspace.as_ref()?;
+        let identity = self.admission.workspace.as_ref()?;
         Some(identity.name.clone())
     }
 
@@ -192,8 +271,8 @@
     /// run another suspect call.
     pub fn placement_request(&self, core: &GatewayCore) -> PlacementRequest {
         PlacementRequest {
-            service: self.service.clone(),
-            engine: self.engine,
+            service: self.admission.service.clone(),
+            engine: self.admission.engine,
             load: self.load(),
             is_quick: self.is_quick(),
             excluded: core.with_state(|state, now| {
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use base::{ByteCount, ErrorKind, EventKind, TargetName};
+use base::{ByteCount, ErrorKind, EventKind, TargetName, TimeSpan};
 use bytes::Bytes;
 use calls::RequestFingerprint;
 use entry::{BodyLease, CallFeatures, CallVerdict, RepeatPolicy, RouteRule, ServeConfig};
@@ -12,6 +12,7 @@
 
 use super::AccessEntry;
 use super::admitted_call::{AdmittedCall, host_of, strip_hop_by_hop_headers};
+use super::call_admission::CallAdmission;
 use super::failure_response::failure_response;
 use super::plain_call::relay_plain;
 use super::stream_call::relay_stream;
@@ -44,7 +45,7 @@
                 Err(refuse(&core, &mut access_entry, ErrorKind::Stopping))
             });
             match admitted {
-                Ok(call) if call.route.repeat == RepeatPolicy::Stream => {
+                Ok(call) if call.admission.route.repeat == RepeatPolicy::Stream => {
                     relay_stream(core, call, access_entry).await
                 }
                 Ok(call) => relay_plain(&core, call, access_entry).await,
@@ -104,16 +105,10 @@
         return Err(refuse(core, access_entry, ErrorKind::NotFound));
     };
     access_entry.route = Some(route.name.clone());
-    let Ok(workspace) = config.authorize(&route, caller_headers.key.as_deref()) else {
-        return Err(refuse(core, access_entry, ErrorKind::UnknownKey));
-    };
-    let priority = workspace.and_then(|rule| rule.priority);
-    let priority = priority.unwrap_or(route.priority);
-    let workspace = workspace.map(|rule| rule.identity.clone());
-    let service = route.pick_service(rand::random()).cloned();
-    let Some(service) = service else {
-        access_entry.add_reason("the route has no service");
-        return Err(refuse(core, access_entry, ErrorKind::NoTarget));
+    let key = caller_headers.key.as_deref();
+    let admission = match CallAdmission::new(&config, &route, key, None) {
+        Ok(admission) => admission,
+        Err(kind) => return Err(refuse(core, access_entry, kind)),
     };
     let (body, body_lease) = read_call_body(core, access_entry, &config, &route, body).await?;
     strip_hop_by_hop_headers(&mut parts.headers);
@@ -128,21 +123,16 @@
     let features = CallFeatures::new(RequestFingerprint::new(&scope, &body))
         .with_parts(&caller_headers.shared_parts);
     refuse_crash_suspect(core, access_entry, &features)?;
-    core.with_state(|state, now| state.retry_share.record_call(now, &service));
+    core.with_state(|state, now| state.retry_share.record_call(now, &admission.service));
     let call = AdmittedCall {
         method: parts.method,
         host,
-        config_version: config.version,
         path_and_query: path,
         headers: parts.headers,
         body,
         _body_lease: body_lease,
-        engine: engine_of(&config, &service),
+        admission,
         caller_headers,
-        route,
-        service,
-        workspace,
-        priority,
         arrived_at: access_entry.arrived_at(),
         deadline: access_entry.arrived_at() + timeout,
         features,
@@ -181,10 +171,6 @@
     }
 }
 
-fn engine_of(config: &ServeConfig, service: &base::ServiceName) -> Option<entry::EngineSpec> {
-    config.service(service).and_then(|spec| spec.engine)
-}
-
 /// Refuses a call that crashed too many targets, or a part of whose prompt did in other calls.
 fn refuse_crash_suspect(
     core: &GatewayCore,
@@ -229,16 +215,21 @@
 }
 
 /// Response that refuses a call with `kind`; recorded in the access log entry.
-fn refuse(
+pub(super) fn refuse(
     core: &GatewayCore,
     access_entry: &mut AccessEntry,
     kind: ErrorKind,
 ) -> Box<Response<WebBody>> {
-    let retry_after = match kind {
+    let retry_after = retry_elsewhere(kind);
+    Box::new(failure_response(core, access_entry, kind, retry_after))
+}
+
+/// `Retry-After` for a call that is refused with `kind` and that another node may serve.
+pub(super) fn retry_elsewhere(kind: ErrorKind) -> Option<TimeSpan> {
+    match kind {
         ErrorKind::NotReady | ErrorKind::NoTarget | ErrorKind::Stopping => Some(OTHER_NODE_RETRY),
         _ => None,
-    };
-    Box::new(failure_response(core, access_entry, kind, retry_after))
+    }
 }
 
 fn refuse_body(
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod access_entry;
 mod admitted_call;
 mod buffered_response;
+mod call_admission;
 mod call_handler;
 mod crash_detection;
 mod failure_response;
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -8,8 +8,9 @@
 use web::WebBody;
 
 use super::AccessEntry;
-use super::admitted_call::AdmittedCall;
+use super::admitted_call::{AdmittedCall, SendWait};
 use super::buffered_response::{BufferedResponse, deliver_response};
+use super::call_handler::retry_elsewhere;
 use super::crash_detection::{record_broken_call, record_response};
 use super::failure_response::{cut_off_response, failure_response};
 use super::target_send::{SendOutcome, read_response, send_call};
@@ -36,8 +37,8 @@
     Unsent,
     /// Nothing was sent, as the rate that the target names is used up; another one may be tried.
     RateUsed,
-    /// Nothing was sent, as the call may only run as a trial of a suspected part of its prompt.
-    TrialRequired,
+    /// Nothing was sent, as the call has to be placed anew, maybe on the same target.
+    Outdated,
     /// The call must no longer be sent to any target; the error and `Retry-After` for the caller.
     Forbidden(ErrorKind, Option<TimeSpan>),
     /// The target refused the call, which did not run.
@@ -55,47 +56,54 @@
 /// within the retry budget of the service.
 pub async fn relay_plain(
     core: &Arc<GatewayCore>,
-    call: AdmittedCall,
+    mut call: AdmittedCall,
     mut access_entry: AccessEntry,
 ) -> Response<WebBody> {
-    let deadline = call.deadline_instant(core.now());
-    let mut placement = call.placement_request(core);
+    let mut excluded = Vec::new();
     let mut trial = CallTrial::default();
     let mut runs = 0;
     let mut failed = None;
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
-        let max_wait = call.route.latency_target.min(call.remaining(core.now()));
+        if let Err(kind) = call.update_admission(core) {
+            let refusal = (kind, retry_elsewhere(kind));
+            return end_unsent(core, &mut access_entry, failed, runs, refusal);
+        }
+        let deadline = call.deadline_instant(core.now());
+        let max_wait = call
+            .admission
+            .route
+            .latency_target
+            .min(call.remaining(core.now()));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
-        let times = call.times(core.now());
-        let acquired = core
-            .while_sendable(times, trial.acquire(core, &call.features, trial_deadline))
-            .await;
-        match acquired {
-            Some(Ok(_)) => {}
-            Some(Err(retry)) => {
+        let acquired = trial.acquire(core, &call.features, trial_deadline);
+        match call.wait_to_send(core, acquired).await {
+            SendWait::Done(Ok(_)) => {}
+            SendWait::Done(Err(retry)) => {
                 let refusal = (ErrorKind::CrashSuspect, Some(retry));
                 return end_unsent(core, &mut access_entry, failed, runs, refusal);
             }
-            None => return cut_off(core, &mut access_entry, failed, runs),
+            SendWait::Stopping => return cut_off(core, &mut access_entry, failed, runs),
+            SendWait::AdmissionChanged => continue,
         }
-        let capacity_request = call.capacity_request(placement.clone(), max_wait);
-        let reserved = core
-            .while_sendable(times, reserve_capacity(core, capacity_request))
-            .await;
-        let mut reservation = match reserved {
-            Some(Ok(reservation)) => reservation,
-            Some(Err(refusal)) => {
+        let mut placement = call.placement_request(core);
+        placement.excluded.extend_from_slice(&excluded);
+        let capacity_request = call.capacity_request(placement, max_wait);
+        let reserved = reserve_capacity(core, capacity_request);
+        let mut reservation = match call.wait_to_send(core, reserved).await {
+            SendWait::Done(Ok(reservation)) => reservation,
+            SendWait::Done(Err(refusal)) => {
                 access_entry.record_refusal(refusal);
                 let retry = refusal.retry_within(call.remaining(core.now()));
                 let refusal = (refusal.kind(), Some(retry));
                 return end_unsent(core, &mut access_entry, failed, runs, refusal);
             }
-            None => return cut_off(core, &mut access_entry, failed, runs),
+            SendWait::Stopping => return cut_off(core, &mut access_entry, failed, runs),
+            SendWait::AdmissionChanged => continue,
         };
         access_entry.record_target(&reservation);
-        let may_repeat = call.route.repeat == RepeatPolicy::Idempotent;
-        let may_send_again = may_repeat && runs + 1 < call.route.max_attempts;
+        let may_repeat = call.admission.route.repeat == RepeatPolicy::Idempotent;
+        let may_send_again = may_repeat && runs + 1 < call.admission.route.max_attempts;
         let attempt_deadline = match may_send_again {
             true => attempt_timeout_at(&call).min(deadline),
             false => deadline,
@@ -112,10 +120,10 @@
             runs += u32::from(reservation.is_in_flight());
             return cut_off(core, &mut access_entry, failed, runs);
         };
-        if matches!(outcome, AttemptOutcome::TrialRequired) {
+        if matches!(outcome, AttemptOutcome::Outdated) {
             continue;
         }
-        placement.excluded.push(reservation.target.clone());
+        excluded.push(reservation.target.clone());
         drop(reservation);
         let was_sent = !matches!(outcome, AttemptOutcome::Unsent | AttemptOutcome::RateUsed);
         tried += usize::from(was_sent);
@@ -130,7 +138,7 @@
             }
             AttemptOutcome::Unsent
             | AttemptOutcome::RateUsed
-            | AttemptOutcome::TrialRequired
+            | AttemptOutcome::Outdated
             | AttemptOutcome::Refused => {}
             AttemptOutcome::ServerError(response) => {
                 runs += 1;
@@ -138,8 +146,8 @@
             }
             AttemptOutcome::Lost | AttemptOutcome::TimedOut => runs += 1,
         }
-        let may_continue = runs == 0 || (may_repeat && runs < call.route.max_attempts);
-        if is_past_deadline || !may_continue || !core.take_retry(&call.service) {
+        let may_continue = runs == 0 || (may_repeat && runs < call.admission.route.max_attempts);
+        if is_past_deadline || !may_continue || !core.take_retry(&call.admission.service) {
             return match (failed, runs, is_past_deadline) {
                 (Some(response), _, _) => deliver_response(core, &mut access_entry, response),
                 (None, 0, _) => {
@@ -191,7 +199,7 @@
 
 /// When an attempt times out that starts now and may be followed by another one.
 fn attempt_timeout_at(call: &AdmittedCall) -> Instant {
-    Instant::now() + Duration::from(call.route.latency_target * ATTEMPT_TIMEOUT_FACTOR)
+    Instant::now() + Duration::from(call.admission.route.latency_target * ATTEMPT_TIMEOUT_FACTOR)
 }
 
 /// Sends the call to the target of `reservation` and reads the whole response.
@@ -211,7 +219,9 @@
         SendOutcome::Refused(_) => return AttemptOutcome::Refused,
         SendOutcome::Unsent(_) => return AttemptOutcome::Unsent,
         SendOutcome::Forbidden(SendRefusal::RateUsed { .. }) => return AttemptOutcome::RateUsed,
-        SendOutcome::Forbidden(SendRefusal::TrialRequired) => return AttemptOutcome::TrialRequired,
+        SendOutcome::Forbidden(refusal) if refusal.allows_same_target() => {
+            return AttemptOutcome::Outdated;
+        }
         SendOutcome::Forbidden(bar) => {
             return match bar.caller_error() {
                 Some((kind, retry)) => AttemptOutcome::Forbidden(kind, retry),
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -7,8 +7,9 @@
 use web::WebBody;
 
 use super::AccessEntry;
-use super::admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
+use super::admitted_call::{AdmittedCall, SendWait, strip_hop_by_hop_headers};
 use super::buffered_response::deliver_response;
+use super::call_handler::refuse;
 use super::crash_detection::record_broken_call;
 use super::failure_response::{close_if_stopping, cut_off_response, failure_response};
 use super::response_sender::ResponseSender;
@@ -31,41 +32,46 @@
 /// sends its head, and a task relays the events.
 pub async fn relay_stream(
     core: Arc<GatewayCore>,
-    call: AdmittedCall,
+    mut call: AdmittedCall,
     mut access_entry: AccessEntry,
 ) -> Response<WebBody> {
-    let deadline = call.deadline_instant(core.now());
-    let mut placement = call.placement_request(&core);
-    let capacity_wait = call.route.latency_target * CAPACITY_WAIT_FACTOR;
-    let capacity_deadline = call.arrived_at + capacity_wait;
+    let mut excluded = Vec::new();
     let mut trial = CallTrial::default();
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
+        if let Err(kind) = call.update_admission(&core) {
+            return *refuse(&core, &mut access_entry, kind);
+        }
+        let deadline = call.deadline_instant(core.now());
+        let capacity_wait = call.admission.route.latency_target * CAPACITY_WAIT_FACTOR;
+        let capacity_deadline = call.arrived_at + capacity_wait;
         let now = core.now();
         let max_wait = capacity_deadline.since(now).min(call.remaining(now));
         let trial_deadline = Instant::now() + Duration::from(max_wait);
         let acquired = trial.acquire(&core, &call.features, trial_deadline);
-        let times = call.times(now);
-        let Some(acquired) = core.while_sendable(times, acquired).await else {
-            return cut_off_response(&core, &mut access_entry, false);
+        let acquired = match call.wait_to_send(&core, acquired).await {
+            SendWait::Done(acquired) => acquired,
+            SendWait::Stopping => return cut_off_response(&core, &mut access_entry, false),
+            SendWait::AdmissionChanged => continue,
         };
         if let Err(retry) = acquired {
             access_entry.add_reason("other calls with a suspected part of its prompt run first");
             let kind = ErrorKind::CrashSuspect;
             return failure_response(&core, &mut access_entry, kind, Some(retry));
         }
-        let capacity_request = call.capacity_request(placement.clone(), max_wait);
-        let reserved = core
-            .while_sendable(times, reserve_capacity(&core, capacity_request))
-            .await;
-        let mut reservation = match reserved {
-            Some(Ok(reservation)) => reservation,
-            Some(Err(refusal)) => {
+        let mut placement = call.placement_request(&core);
+        placement.excluded.extend_from_slice(&excluded);
+        let capacity_request = call.capacity_request(placement, max_wait);
+        let reserved = reserve_capacity(&core, capacity_request);
+        let mut reservation = match call.wait_to_send(&core, reserved).await {
+            SendWait::Done(Ok(reservation)) => reservation,
+            SendWait::Done(Err(refusal)) => {
                 access_entry.record_refusal(refusal);
                 let retry = Some(refusal.retry_within(call.remaining(core.now())));
                 return failure_response(&core, &mut access_entry, refusal.kind(), retry);
             }
-            None => return cut_off_response(&core, &mut access_entry, false),
+            SendWait::Stopping => return cut_off_response(&core, &mut access_entry, false),
+            SendWait::AdmissionChanged => continue,
         };
         access_entry.record_target(&reservation);
         let target = reservation.target.clone();
@@ -75,10 +81,12 @@
             return cut_off_response(&core, &mut access_entry, was_sent);
         };
         outcome.record_reason(&target, &mut access_entry);
-        if matches!(outcome, SendOutcome::Forbidden(SendRefusal::TrialRequired)) {
+        if let SendOutcome::Forbidden(refusal) = &outcome
+            && refusal.allows_same_target()
+        {
             continue;
         }
-        placement.excluded.push(target.clone());
+        excluded.push(target.clone());
         match outcome {
             SendOutcome::Unsent(_) | SendOutcome::Forbidden(SendRefusal::RateUsed { .. }) => {}
             SendOutcome::Response(response) if response.http.status().is_success() => {
@@ -100,7 +108,7 @@
                     return failure_response(&core, &mut access_entry, kind, retry);
                 }
             }
-            SendOutcome::Refused(_) if core.take_retry(&call.service) => tried += 1,
+            SendOutcome::Refused(_) if core.take_retry(&call.admission.service) => tried += 1,
             SendOutcome::Refused(_) => break,
             SendOutcome::Lost(_) | SendOutcome::Recalled => {
                 return failure_response(&core, &mut access_entry, ErrorKind::TargetLost, None);
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -39,7 +39,7 @@
         }
         self.move_due = Instant::now() + NO_MOVE_DUE;
         let now = self.core.now();
-        let can_move = self.call.engine.is_some_and(|spec| spec.can_move);
+        let can_move = self.call.admission.engine.is_some_and(|spec| spec.can_move);
         if !can_move || *self.move_machine.phase() != MovePhase::Idle || self.placing.is_some() {
             return;
         }
@@ -65,8 +65,8 @@
         excluded.extend(full.iter().map(|(target, _)| target.clone()));
         excluded.push(source.clone());
         let placement = PlacementRequest {
-            service: self.call.service.clone(),
-            engine: self.call.engine,
+            service: self.call.admission.service.clone(),
+            engine: self.call.admission.engine,
             load,
             is_quick: false,
             excluded,
@@ -168,7 +168,7 @@
 
     /// How to move the generation to a destination in the time that its engine has left.
     fn plan_move(&self, destination: &CapacityReservation) -> MovePlan {
-        let Some(spec) = self.call.engine else {
+        let Some(spec) = self.call.admission.engine else {
             return MovePlan::Skip;
         };
         let source = &self.reservation.target;
@@ -176,7 +176,7 @@
         let tokens = destination.load().incoming + destination.other_load.incoming;
         let is_same_domain = destination.domain == self.reservation.domain;
         self.core.with_state(|state, now| {
-            let ends_by = state.engine_end(now, source, &self.call.service);
+            let ends_by = state.engine_end(now, source, &self.call.admission.service);
             planner.plan(now, ends_by, tokens, is_same_domain)
         })
     }
@@ -426,10 +426,11 @@
             last_event_id: self.last_event_id.clone(),
         };
         self.unused_copy = None;
+        self.call.update_workspace(&self.core);
         let has_moved = engine != self.reservation.target;
         // A resume counts against the retry budget, but is sent even if the budget is used up, as
         // the generation would be lost otherwise.
-        self.core.take_retry(&self.call.service);
+        self.core.take_retry(&self.call.admission.service);
         if has_moved && let Some(mut destination) = self.destination.take() {
             let deadline = self.deadline;
             let outcome = send_call(
@@ -583,7 +584,7 @@
             let found = state.balancer.target(source);
             let is_leaving = found.is_none_or(|one| one.phase == TargetPhase::Leaving);
             if is_leaving {
-                state.learn_notice(source, &self.call.service, now);
+                state.learn_notice(source, &self.call.admission.service, now);
             }
             is_leaving
         });
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -137,7 +137,11 @@
     /// Creates the relay of a stream whose response head arrived.
     pub fn new(parts: RelayParts) -> Self {
         let size = parts.call.caller_headers.generation;
-        let event_tokens = parts.call.engine.map_or(1, |spec| spec.event_tokens.max(1));
+        let event_tokens = parts
+            .call
+            .admission
+            .engine
+            .map_or(1, |spec| spec.event_tokens.max(1));
         let limit = size.map_or(TokenCount(u32::MAX), |size| size.output_limit);
         let estimate = size.map_or(OutputEstimate::new(limit, None), |size| {
             size.output_estimate()
@@ -358,7 +362,7 @@
     }
 
     fn collect_gap(&mut self, gap: TimeSpan) {
-        let Some(limit) = self.call.route.pause_limit else {
+        let Some(limit) = self.call.admission.route.pause_limit else {
             return;
         };
         let run = TargetRun::of(&self.reservation);
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -17,7 +17,7 @@
 use super::crash_detection::record_broken_call;
 use super::target_run::TargetRun;
 use crate::rate::await_permit;
-use crate::state::{SendCheck, SendRefusal};
+use crate::state::{AdmissionCheck, SendCheck, SendRefusal};
 use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore, ResumePoint, TargetHeaders};
 
@@ -239,9 +239,13 @@
         features: &call.features,
         is_trial: trial.is_valid(core.now()),
         target: &reservation.target,
-        route: (&call.host, call.path_and_query.path()),
-        key: call.caller_headers.key.as_ref(),
-        version: call.config_version,
+        admission: resume.is_none().then(|| AdmissionCheck {
+            route: (&call.host, call.path_and_query.path()),
+            key: call.caller_headers.key.as_ref(),
+            version: call.admission.version,
+            service: &call.admission.service,
+            workspace: call.admission.workspace.as_ref(),
+        }),
         times: call.times(core.now()),
         is_resume: resume.is_some(),
         is_source: resume.is_some_and(|point| point.source == reservation.address),
@@ -295,14 +299,15 @@
     resume: Option<&ResumePoint>,
 ) -> Request<web::WebBody> {
     let mut headers = call.headers.clone();
-    let urgency = call.engine.map(|_| {
-        let value = BASE_URGENCY.saturating_add(call.priority.saturating_mul(2));
+    let urgency = call.admission.engine.map(|_| {
+        let value = BASE_URGENCY.saturating_add(call.admission.priority.saturating_mul(2));
         value.min(LAST_URGENCY)
     });
     let target_headers = TargetHeaders {
         remaining: call.remaining(core.now()),
         target: &reservation.target,
         workspace: call
+            .admission
             .workspace
             .as_ref()
             .map(|identity| identity.label.as_str()),
--- a/crates/gateway/src/state/evacuation_state.rs
+++ b/crates/gateway/src/state/evacuation_state.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use base::{ClockTime, DomainName, EventKind, IncarnationNumber, TargetName, TimeSpan};
-use entry::{CallFeatures, ConfigVersion, EvacuationChange, EvacuationRecord, TargetPhase};
+use entry::{CallFeatures, EvacuationChange, EvacuationRecord, TargetPhase};
 use metrics::gauge;
 
 use super::{CallTimes, GatewayCore, GatewayState, SendCheck};
@@ -116,9 +116,7 @@
                 features,
                 is_trial: false,
                 target,
-                route: ("", ""),
-                key: None,
-                version: ConfigVersion::default(),
+                admission: None,
                 times: CallTimes::new(now),
                 is_resume: true,
                 is_source,
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -85,6 +85,7 @@
     report_version: watch::Sender<ReportVersion>,
     config_hints: watch::Sender<StorePosition>,
     stop_changes: watch::Sender<()>,
+    config_changes: watch::Sender<()>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
     /// Whether the end of the process was logged.
@@ -103,6 +104,7 @@
             report_version: watch::Sender::new(ReportVersion::default()),
             config_hints: watch::Sender::new(StorePosition::default()),
             stop_changes: watch::Sender::new(()),
+            config_changes: watch::Sender::new(()),
             bodies: BodyBudget::new(settings.memory),
             settings,
             ports,
@@ -302,6 +304,11 @@
         self.move_rechecks.subscribe()
     }
 
+    /// Watch that changes whenever a configuration comes into force.
+    pub fn watch_config(&self) -> watch::Receiver<()> {
+        self.config_changes.subscribe()
+    }
+
     /// Watch that changes whenever facts change by which calls are blamed for crashes.
     pub fn watch_blame(&self) -> watch::Receiver<u64> {
         self.blame_changes.subscribe()
@@ -614,6 +621,7 @@
                     "configuration in force"
                 );
                 self.report_omissions(&config);
+                self.config_changes.send_replace(());
             }
             Ok(None) if has_evacuations => {}
             Ok(None) => log::info!(
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -26,6 +26,6 @@
 pub use history_keeper::HistoryKeeper;
 pub use peer_table::{ALIVE_TIMEOUT, PeerInfo, PeerTable};
 pub use placed_target::PlacedTarget;
-pub use send_check::{OTHER_NODE_RETRY, SendCheck, SendRefusal};
+pub use send_check::{AdmissionCheck, OTHER_NODE_RETRY, SendCheck, SendRefusal};
 pub use stop_plan::StopPlan;
 pub use view_state::ViewState;
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
-use base::{ClockTime, ErrorKind, TargetName, TimeSpan};
-use entry::{CallFeatures, CallVerdict, ConfigVersion, SendPermit, TargetPhase};
+use base::{ClockTime, ErrorKind, ServiceName, TargetName, TimeSpan};
+use entry::{CallFeatures, CallVerdict, ConfigVersion, SendPermit, TargetPhase, WorkspaceIdentity};
 use smol_str::SmolStr;
 
 use super::{CallTimes, GatewayState};
@@ -9,6 +9,21 @@
 /// `Retry-After` for calls that this node can't serve but other nodes may.
 pub const OTHER_NODE_RETRY: TimeSpan = TimeSpan::new(100);
 
+/// How a call was admitted that is about to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionCheck<'a> {
+    /// Host and path from which its route was chosen.
+    pub route: (&'a str, &'a str),
+    /// Key of its caller.
+    pub key: Option<&'a SmolStr>,
+    /// Version of the configuration under which it was admitted.
+    pub version: ConfigVersion,
+    /// Service for which it was admitted.
+    pub service: &'a ServiceName,
+    /// Workspace as of which it is sent.
+    pub workspace: Option<&'a WorkspaceIdentity>,
+}
+
 /// What is checked of a call before it is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendCheck<'a> {
@@ -18,12 +33,8 @@
     pub is_trial: bool,
     /// Target that it is sent to.
     pub target: &'a TargetName,
-    /// Host and path from which its route was chosen.
-    pub route: (&'a str, &'a str),
-    /// Key of its caller.
-    pub key: Option<&'a SmolStr>,
-    /// Version of the configuration under which it was admitted.
-    pub version: ConfigVersion,
+    /// How it was admitted; `None` if that is not checked, as for a generation that resumes.
+    pub admission: Option<AdmissionCheck<'a>>,
     /// How long the call may take.
     pub times: CallTimes,
     /// Whether the send resumes a generation, which was admitted before.
@@ -47,6 +58,8 @@
     TrialRequired,
     /// A newer configuration does not admit it: its route is gone or its key is not valid.
     AdmissionRevoked(ErrorKind),
+    /// A newer configuration admits it for another service or as of another workspace.
+    AdmissionChanged,
     /// It may take longer than the time left before this node stops.
     Stopping,
     /// The chosen target must not get it, for this reason; another one may.
@@ -66,6 +79,7 @@
             }
             Self::TrialRequired => f.write_str("a part of its prompt may have crashed targets"),
             Self::AdmissionRevoked(kind) => write!(f, "{kind} by a newer configuration"),
+            Self::AdmissionChanged => f.write_str("a newer configuration admits it in another way"),
             Self::Stopping => f.write_str("it may take longer than this node still runs"),
             Self::TargetUnavailable(reason) => f.write_str(reason),
             Self::RateUsed { retry_after } => {
@@ -85,9 +99,17 @@
             }
             Self::AdmissionRevoked(kind) => Some((*kind, None)),
             Self::Stopping => Some((ErrorKind::Stopping, Some(OTHER_NODE_RETRY))),
-            Self::TrialRequired | Self::TargetUnavailable(_) | Self::RateUsed { .. } => None,
+            Self::TrialRequired
+            | Self::AdmissionChanged
+            | Self::TargetUnavailable(_)
+            | Self::RateUsed { .. } => None,
         }
     }
+
+    /// Whether the same target may get the call once it is placed anew.
+    pub fn allows_same_target(&self) -> bool {
+        matches!(self, Self::TrialRequired | Self::AdmissionChanged)
+    }
 }
 
 impl GatewayState {
@@ -97,11 +119,11 @@
     /// # Errors
     /// If the call must not be sent; it was not.
     pub fn check_send(&self, now: ClockTime, check: &SendCheck<'_>) -> Result<(), SendRefusal> {
-        if !check.is_resume {
-            self.check_admission(check)?;
-            if !self.can_finish(now, check.times) {
-                return Err(SendRefusal::Stopping);
-            }
+        if let Some(admission) = &check.admission {
+            self.check_admission(admission)?;
+        }
+        if !check.is_resume && !self.can_finish(now, check.times) {
+            return Err(SendRefusal::Stopping);
         }
         let verdict = self.facts.verdict(now, check.features);
         match verdict {
@@ -153,7 +175,7 @@
     }
 
     /// Checks whether the configuration in force still admits a call.
-    fn check_admission(&self, check: &SendCheck<'_>) -> Result<(), SendRefusal> {
+    fn check_admission(&self, check: &AdmissionCheck<'_>) -> Result<(), SendRefusal> {
         let config = self.view.config.as_ref();
         let Some(config) = config.filter(|config| config.version != check.version) else {
             return Ok(());
@@ -162,9 +184,13 @@
         let Some(route) = config.route(host, path) else {
             return Err(SendRefusal::AdmissionRevoked(ErrorKind::NotFound));
         };
-        match config.authorize(route, check.key.map(SmolStr::as_str)) {
-            Ok(_) => Ok(()),
-            Err(_) => Err(SendRefusal::AdmissionRevoked(ErrorKind::UnknownKey)),
+        let Ok(workspace) = config.authorize(route, check.key.map(SmolStr::as_str)) else {
+            return Err(SendRefusal::AdmissionRevoked(ErrorKind::UnknownKey));
+        };
+        let identity = workspace.map(|rule| &rule.identity);
+        match identity == check.workspace && route.has_service(check.service) {
+            true => Ok(()),
+            false => Err(SendRefusal::AdmissionChanged),
         }
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Runs gateways in the test process against fake targets and a fake store that can misbehave.
 
 mod addresses;
+mod admissions;
 mod backoff;
 mod calls;
 mod cold;
--- a/crates/gateway/tests/gateway/send_checks.rs
+++ b/crates/gateway/tests/gateway/send_checks.rs
@@ -6,10 +6,11 @@
 use calls::RequestFingerprint;
 use entry::{
     CallFeatures, ConfigVersion, EvacuationRecord, FeatureId, RateGrant, SendPermit, StoreEra,
-    SuspectCall,
+    SuspectCall, WorkspaceIdentity,
 };
 use gateway::{
-    BackoffRequest, CallTimes, GatewayState, RateNotice, SendCheck, SendRefusal, StopPlan,
+    AdmissionCheck, BackoffRequest, CallTimes, GatewayState, RateNotice, SendCheck, SendRefusal,
+    StopPlan,
 };
 use smol_str::SmolStr;
 use tokio::time::sleep;
@@ -201,14 +202,23 @@
             (true, true, resumed),
             (true, false, moved),
         ];
+        let (key, service) = (KEY, "app".parse().unwrap());
+        let workspace = WorkspaceIdentity {
+            name: "depot".parse().unwrap(),
+            label: "depot".into(),
+        };
         for (is_resume, is_source, expected) in sends {
             let check = SendCheck {
                 features: &features(),
                 is_trial: false,
                 target: &name,
-                route: ("shop.example", "/locked/1"),
-                key: Some(&KEY),
-                version: ConfigVersion(1),
+                admission: (!is_resume).then_some(AdmissionCheck {
+                    route: ("shop.example", "/locked/1"),
+                    key: Some(&key),
+                    version: ConfigVersion(1),
+                    service: &service,
+                    workspace: Some(&workspace),
+                }),
                 times: CallTimes::new(core.now() + TimeSpan::from_secs(5)),
                 is_resume,
                 is_source,
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -147,6 +147,16 @@
         );
     }
 
+    /// Publishes a configuration in which the key belongs to another workspace.
+    pub fn put_config_with_owner(&self, version: u64, owner: &str) {
+        self.put_config_without(version, &format!("owner={owner}"));
+    }
+
+    /// Publishes a configuration in which a route has moved to the service `spare`.
+    pub fn put_config_with_moved(&self, version: u64, route: &str) {
+        self.put_config_without(version, &format!("moved={route}"));
+    }
+
     /// Publishes the configuration without the key or route `name`.
     pub fn put_config_without(&self, version: u64, name: &str) {
         self.put(ViewArea::Config, "config", &format!("{version} {name}"));
@@ -383,6 +393,26 @@
     let mut patient = route("/patient/", "pool", RepeatPolicy::Stream, 1);
     patient.timeout = TimeSpan::from_secs(20);
     patient.latency_target = TimeSpan::from_secs(4);
+    let guarded = RouteRule {
+        name: "/guarded/".into(),
+        prefix: "/guarded/".into(),
+        is_public: false,
+        ..patient.clone()
+    };
+    let mut kept = RouteRule {
+        name: "/kept/".into(),
+        prefix: "/kept/".into(),
+        repeat: RepeatPolicy::AtMostOnce,
+        ..guarded.clone()
+    };
+    // The other service has targets with the same number of slots.
+    kept.services[0].service = "app".parse().unwrap();
+    let move_route = |mut route: RouteRule| {
+        if without.strip_prefix("moved=") == Some(route.name.as_str()) {
+            route.services[0].service = "spare".parse().unwrap();
+        }
+        route
+    };
     let engine = EngineSpec {
         slots: 8,
         memory: TokenCount(50_000),
@@ -392,17 +422,21 @@
     };
     let cold_rate = without.strip_prefix("cold=");
     let cold_rate = cold_rate.map(|per_s| CallRate(per_s.parse::<u64>().unwrap() * 1_000));
-    let [pool, app]: [ServiceName; 2] = ["pool", "app"].map(|name| name.parse().unwrap());
+    let [pool, app, spare]: [ServiceName; 3] =
+        ["pool", "app", "spare"].map(|name| name.parse().unwrap());
     let mut routes = vec![
         route("/once/", "app", RepeatPolicy::AtMostOnce, 1),
         route("/read/", "app", RepeatPolicy::Idempotent, 2),
         stream,
         paced,
         patient,
+        move_route(guarded),
+        move_route(kept),
         route("/locked/", "app", RepeatPolicy::Idempotent, 1),
         short,
     ];
     routes.retain(|route| route.name != without);
+    let owner = without.strip_prefix("owner=").unwrap_or("depot");
     let mut keys = vec!["key-1".into()];
     keys.retain(|key: &SmolStr| key != without);
     ServeConfig::new(ConfigVersion(version), RequestLimits::default())
@@ -418,11 +452,16 @@
                 engine: None,
                 cold_rate,
             },
+            ServiceSpec {
+                name: spare,
+                engine: None,
+                cold_rate,
+            },
         ])
         .with_workspaces(vec![WorkspaceRule {
             identity: WorkspaceIdentity {
-                name: "depot".parse().unwrap(),
-                label: "depot".into(),
+                name: owner.parse().unwrap(),
+                label: owner.into(),
             },
             keys,
             priority: None,
