End a resume when its caller leaves

Cause: StreamRelay::resume awaited its sends within the handling of an event, while the loop that sees the closed connection did not run.

Change: both sends end with the caller's connection. A request for a copy ends with its stream; its task went on by itself before.

--- a/crates/gateway/src/relay/response_sender.rs
+++ b/crates/gateway/src/relay/response_sender.rs
@@ -72,6 +72,15 @@
         self.is_complete.store(true, Ordering::Release);
     }
 
+    /// Runs `work` to its end; `None` if the caller closes its connection before that.
+    pub async fn while_open<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.closed() => None,
+            output = work => Some(output),
+        }
+    }
+
     /// Waits until the caller has closed its connection.
     pub async fn closed(&self) {
         self.sender.closed().await;
--- a/crates/gateway/src/relay/stream_move.rs
+++ b/crates/gateway/src/relay/stream_move.rs
@@ -431,17 +431,19 @@
         // A resume counts against the retry budget, but is sent even if the budget is used up, as
         // the generation would be lost otherwise.
         self.core.take_retry(&self.call.admission.service);
+        let no_trial = CallTrial::default();
         if has_moved && let Some(mut destination) = self.destination.take() {
-            let deadline = self.deadline;
-            let outcome = send_call(
+            let sent = send_call(
                 &self.core,
                 &self.call,
                 &mut destination,
                 Some(&point),
-                &CallTrial::default(),
-                deadline,
-            )
-            .await;
+                &no_trial,
+                self.deadline,
+            );
+            let Some(outcome) = self.sender.while_open(sent).await else {
+                return self.end_for_caller();
+            };
             if let Some(reason) = self.adopt_response(outcome) {
                 self.record_move("not_resumed");
                 self.access_entry
@@ -452,16 +454,17 @@
             }
         }
         self.destination = None;
-        let deadline = self.deadline;
-        let outcome = send_call(
+        let sent = send_call(
             &self.core,
             &self.call,
             &mut self.reservation,
             Some(&point),
-            &CallTrial::default(),
-            deadline,
-        )
-        .await;
+            &no_trial,
+            self.deadline,
+        );
+        let Some(outcome) = self.sender.while_open(sent).await else {
+            return self.end_for_caller();
+        };
         match self.adopt_response(outcome) {
             None => {
                 self.move_machine
--- a/crates/gateway/src/relay/stream_relay.rs
+++ b/crates/gateway/src/relay/stream_relay.rs
@@ -193,11 +193,20 @@
             }
         }
         self.interrupt_gaps();
+        self.cancel_copy();
         self.release_turn();
         self.release_copy();
         self.core.with_state(|state, _| state.active_streams -= 1);
     }
 
+    /// Ends the request for a copy, which nobody needs once the stream has ended and which may still wait
+    /// for a permit. A copy that the source has made by then expires there.
+    fn cancel_copy(&mut self) {
+        if let Some(copying) = self.copying.take() {
+            copying.abort();
+        }
+    }
+
     async fn next_event(&mut self) -> RelayEvent {
         let body = self.body.as_mut();
         let copying = self.copying.as_mut();
@@ -242,10 +251,7 @@
             },
             RelayEvent::Frame(Some(Err(reason))) => self.on_broken(reason).await,
             RelayEvent::Frame(None) => self.on_body_end().await,
-            RelayEvent::CallerGone => {
-                self.access_entry.add_reason("caller closed the stream");
-                RelayState::Ended
-            }
+            RelayEvent::CallerGone => self.end_for_caller(),
             RelayEvent::DeadlineReached => {
                 self.fail("deadline_exceeded", "deadline passed during the stream");
                 RelayState::Ended
@@ -289,10 +295,7 @@
             }
             match self.sender.send(block, self.deadline).await {
                 ChunkOutcome::Queued => {}
-                ChunkOutcome::CallerGone => {
-                    self.access_entry.add_reason("caller closed the stream");
-                    return RelayState::Ended;
-                }
+                ChunkOutcome::CallerGone => return self.end_for_caller(),
                 ChunkOutcome::TimedOut => {
                     self.fail(
                         "deadline_exceeded",
@@ -453,6 +456,12 @@
         RelayState::Ended
     }
 
+    /// Ends the stream, as its caller has closed the connection.
+    pub(super) fn end_for_caller(&mut self) -> RelayState {
+        self.access_entry.add_reason("caller closed the stream");
+        RelayState::Ended
+    }
+
     /// Records the outcome and reason of a stream that failed.
     pub(super) fn fail(&mut self, outcome: &'static str, reason: &str) {
         self.access_entry.add_reason(reason);
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -1,7 +1,7 @@
 //! Moves of generations off engines that leave at short notice.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::{TargetName, TimeSpan};
 use entry::{MoveSource, PlacementRequest, PlacementScope, TargetLoad};
@@ -188,6 +188,34 @@
     assert_eq!(setup.other.calls().len(), 1);
 }
 
+// Guards against a resume that goes on, or begins at another engine, after the caller has left.
+#[tokio::test]
+async fn a_generation_whose_caller_leaves_while_it_resumes_ends_everywhere() {
+    let setup = MoveSetup::start().await;
+    setup.other.set_mode(TargetMode::Hang);
+    setup.leave();
+    until("it resumes", || setup.other.open_calls() == 1).await;
+    setup.pending.abort();
+    let start = Instant::now();
+    until("it ends", || setup.other.open_calls() == 0).await;
+    // Otherwise it ends at the route's timeout of 20 s.
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        start.elapsed()
+    );
+    let core = setup.gateway.server.core();
+    until("the stream has ended", || {
+        core.with_state(|state, _| state.active_streams) == 0
+    })
+    .await;
+    assert_eq!(setup.source.open_calls(), 0);
+    assert_eq!(
+        (setup.source.calls().len(), setup.other.calls().len()),
+        (1, 1)
+    );
+}
+
 // Guards against asking a leaving engine more than once when it ends, and against giving up the
 // generations of an engine that runs on after the time that it reported.
 #[tokio::test]
