Keep the backoff of a target whose entry lapses

Cause: the backoff was part of the state that is dropped with the entry, and one whose response came after that was not recorded.

Change: BackoffMemory keeps the backoffs of runs that are not listed until they are over; a target that is listed takes over that of its run.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,9 +48,9 @@
 };
 pub use retry::RetryShare;
 pub use target::{
-    EndedRun, LoadBalancer, LoadOrigin, MoveSource, PeerLoads, PlacementDecision, PlacementRequest,
-    PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad, TargetOutcome,
-    TargetPhase, TargetRecord, TargetState, prefill_time,
+    BackoffMemory, EndedRun, LoadBalancer, LoadOrigin, MoveSource, PeerLoads, PlacementDecision,
+    PlacementRequest, PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad,
+    TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
 pub use view::{
     AnswerReport, AnswerSpan, EvacuationChange, EvacuationLedger, EvacuationRecord, HistoryRules,
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg64;
 
 use super::{
-    LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope, TargetChanges,
-    TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
+    BackoffMemory, LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope,
+    TargetChanges, TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
 };
 use crate::{
     CapacityGrant, DomainPace, EnginePace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable,
@@ -72,6 +72,8 @@
     domain: DomainName,
     /// Sorted by name.
     pub(super) targets: Vec<TargetState>,
+    /// Backoffs of targets that are not listed.
+    pub(super) backoffs: BackoffMemory,
     /// Latest load report of each origin, sorted by origin.
     peers: Vec<PeerLoads>,
     own_load_version: u64,
@@ -99,6 +101,7 @@
         Self {
             domain,
             targets: Vec::new(),
+            backoffs: BackoffMemory::default(),
             peers: Vec::new(),
             own_load_version: 0,
             evacuated: Vec::new(),
@@ -615,13 +618,15 @@
                 // themselves, and each removes its load when it ends.
                 changes.add_ended(&self.targets[at], true);
                 let (own, granted) = (self.targets[at].own_load, self.targets[at].granted_load);
-                self.targets[at] = TargetState::new(now, record);
+                self.backoffs.keep(now, &self.targets[at]);
+                self.targets[at] = self.new_state(now, record);
                 self.targets[at].own_load = own;
                 self.targets[at].granted_load = granted;
                 return;
             }
             Err(at) => {
-                self.targets.insert(at, TargetState::new(now, record));
+                let state = self.new_state(now, record);
+                self.targets.insert(at, state);
                 return;
             }
         };
@@ -639,6 +644,13 @@
         }
     }
 
+    /// State of a target that is listed anew, with what its run asked for before.
+    fn new_state(&mut self, now: ClockTime, record: TargetRecord) -> TargetState {
+        let mut state = TargetState::new(now, record);
+        state.backoff = self.backoffs.take(&state.run());
+        state
+    }
+
     /// Marks targets whose record is missing as lapsed or gone, and drops those that are gone and
     /// have no calls of this node left.
     fn drop_missing(
@@ -667,9 +679,15 @@
                 (phase @ (TargetPhase::Lapsed(_) | TargetPhase::Leaving), _) => phase,
             };
         }
+        let backoffs = &mut self.backoffs;
         self.targets.retain(|state| {
             let is_listed = listed.binary_search(&state.record.name).is_ok();
-            is_listed || state.phase != TargetPhase::Leaving || !state.own_load.is_empty()
+            let is_kept =
+                is_listed || state.phase != TargetPhase::Leaving || !state.own_load.is_empty();
+            if !is_kept {
+                backoffs.keep(now, state);
+            }
+            is_kept
         });
     }
 
--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! Targets: their registered records, load and health, and the choice of a target for each call.
 
+mod backoff_memory;
 mod load_balancer;
 mod placement_request;
 mod target_backoff;
@@ -10,6 +11,7 @@
 mod target_record;
 mod target_state;
 
+pub use backoff_memory::BackoffMemory;
 pub use load_balancer::LoadBalancer;
 pub use placement_request::{MoveSource, PlacementDecision, PlacementRequest, PlacementScope};
 pub use target_backoff::TargetBackoff;
--- a/crates/entry/src/target/target_backoff.rs
+++ b/crates/entry/src/target/target_backoff.rs
@@ -60,6 +60,11 @@
         age >= RAMP || u64::from(running) <= age.as_millis() / RAMP_STEP.as_millis()
     }
 
+    /// Whether the backoff and the ramp after it are over, so that it holds nothing back.
+    pub fn is_over(&self, now: ClockTime) -> bool {
+        self.until.is_none_or(|until| now >= until + RAMP)
+    }
+
     /// Takes the permit for moving one generation off the target; `false` if the permits of the
     /// current backoff are used up. Outside a backoff, no permit is needed.
     pub fn take_move_permit(&mut self, now: ClockTime) -> bool {
--- a/crates/entry/src/target/target_notices.rs
+++ b/crates/entry/src/target/target_notices.rs
@@ -23,21 +23,25 @@
     /// Stops sending to a run of a target, which asked this node to back off for `span`, and to
     /// others that are still listed at its address.
     ///
-    /// Returns `span` capped at the longest time that a target may ask for, or `None` if the run is
-    /// not known.
+    /// Returns `span` capped at the longest time that a target may ask for.
     pub fn start_backoff(
         &mut self,
         now: ClockTime,
         name: &TargetName,
         incarnation: IncarnationNumber,
         span: TimeSpan,
-    ) -> Option<TimeSpan> {
-        let address = self.run_mut(name, incarnation)?.record.address;
+    ) -> TimeSpan {
+        let Some(state) = self.run_mut(name, incarnation) else {
+            let run = (name.clone(), incarnation);
+            return self.backoffs.start(now, &run, span);
+        };
+        let address = state.record.address;
         let at_address = self.targets.iter_mut();
         let at_address = at_address.filter(|state| state.record.address == address);
         at_address
             .map(|state| state.backoff.start(now, span))
             .last()
+            .unwrap_or(span)
     }
 
     /// Rate of calls that a run of a target accepts, and the permits to send to it; `None` if the
--- a/crates/entry/tests/load_balancer.rs
+++ b/crates/entry/tests/load_balancer.rs
@@ -4,8 +4,8 @@
 
 use base::{ClockTime, DomainName, IncarnationNumber, NodeName, TargetName, TimeSpan};
 use entry::{
-    LeaseGuard, LoadOrigin, MoveSource, PeerLoads, PlacementDecision, PlacementRequest,
-    TargetChanges, TargetLoad, TargetOutcome, TargetPhase,
+    LeaseGuard, LoadBalancer, LoadOrigin, MoveSource, PeerLoads, PlacementDecision,
+    PlacementRequest, TargetChanges, TargetLoad, TargetOutcome, TargetPhase, TargetRecord,
 };
 use proptest::prelude::*;
 use support::{SPEC, balancer, record, request};
@@ -439,3 +439,41 @@
     assert_eq!(used, locals.map(name));
     assert_eq!(far, Some(name("f1")));
 }
+
+// Guards against calls to a target that asked for a backoff, after its entry lapsed and came back, or
+// an older entry of its name was read; another run of the target asked for nothing.
+#[test]
+fn a_backoff_outlives_the_entry_of_its_run() {
+    let listed = record("e1", "patan");
+    let mut balancer = balancer(std::slice::from_ref(&listed));
+    let guard = LeaseGuard::default();
+    let later = NOW + TimeSpan::from_secs(2);
+    balancer.start_backoff(NOW, &name("e1"), listed.incarnation, TimeSpan::from_secs(9));
+    let left = |balancer: &LoadBalancer| {
+        let found = balancer.target(&name("e1")).unwrap();
+        found.backoff.left(later).map(|left| left.as_millis())
+    };
+    balancer.update_records(NOW, Vec::new(), &guard);
+    assert!(balancer.target(&name("e1")).is_none());
+    balancer.update_records(later, vec![listed.clone()], &guard);
+    assert_eq!(left(&balancer), Some(7_000));
+    let restarted = TargetRecord {
+        incarnation: IncarnationNumber(listed.incarnation.0 + 1),
+        ..listed.clone()
+    };
+    balancer.update_records(later, vec![restarted], &guard);
+    assert_eq!(left(&balancer), None);
+    balancer.update_records(later, vec![listed.clone()], &guard);
+    assert_eq!(left(&balancer), Some(7_000));
+}
+
+// Guards against a backoff that is lost because the entry lapsed before the response arrived.
+#[test]
+fn a_backoff_of_a_run_that_is_not_listed_is_kept() {
+    let listed = record("e1", "patan");
+    let mut balancer = balancer(&[]);
+    balancer.start_backoff(NOW, &name("e1"), listed.incarnation, TimeSpan::from_secs(9));
+    balancer.update_records(NOW, vec![listed], &LeaseGuard::default());
+    let found = balancer.target(&name("e1")).unwrap();
+    assert_eq!(found.backoff.left(NOW), Some(TimeSpan::from_secs(9)));
+}
--- a/crates/gateway/src/state/target_updates.rs
+++ b/crates/gateway/src/state/target_updates.rs
@@ -142,7 +142,7 @@
             node = self.node().as_str(),
             target = target.as_str(),
             asked = asked.as_str(),
-            quiet_ms = applied.unwrap_or_default().as_millis();
+            quiet_ms = applied.as_millis();
             "target asked this node to back off"
         );
     }
--- a/crates/gateway/tests/gateway/backoff.rs
+++ b/crates/gateway/tests/gateway/backoff.rs
@@ -133,3 +133,22 @@
         assert!(health.is_reachable() && health.accepts(now));
     });
 }
+
+// Guards against calls to a target during its backoff because its entry lapsed and came back.
+#[tokio::test]
+async fn a_target_whose_entry_comes_back_gets_no_calls_during_its_backoff() {
+    let (store, targets, gateway) = start_setup("app", &[TargetMode::Refuse]).await;
+    let target = &targets[0];
+    target.request_backoff("60000");
+    call(gateway.callers, "/once/1", "x-id: a0\r\n", "").await;
+    let core = gateway.server.core();
+    let count = || core.with_state(|state, _| state.balancer.targets().len());
+    store.remove_target(target);
+    until("the target is gone", || count() == 0).await;
+    store.put_target(target, "ready");
+    until("the target is back", || count() == 1).await;
+    target.set_mode(TargetMode::Answer);
+    let answer = call(gateway.callers, "/once/1", "x-id: a1\r\n", "").await;
+    assert!(matches!(answer.status, 429 | 503), "{}", answer.status);
+    assert_eq!(target.calls().len(), 1);
+}
