Tell a response beyond the limit from a lost one

What callers saw: a response of over 8 MiB, or with over 100 headers, to a call that must not be repeated became 502 target_lost; an idempotent call ran again.

Cause: going beyond the buffer for responses was handled as a broken connection, and the number of headers was the default of the HTTP library.

Requests and responses may have 512 headers.

Evidence: calls::a_response_beyond_the_limit_is_told_as_such and calls::calls_and_responses_with_many_headers_are_passed_on pass; endless::an_endless_body_ends_the_call holds.

--- a/crates/agatemoor/src/command/gateway_command.rs
+++ b/crates/agatemoor/src/command/gateway_command.rs
@@ -1,8 +1,8 @@
 use std::io;
 
 use argh::FromArgs;
-use base::TimeSpan;
-use gateway::{GatewayListeners, GatewayServer};
+use base::{ByteCount, TimeSpan};
+use gateway::{GatewayListeners, GatewayServer, GatewaySettings};
 use platform::{SettingsFile, make_ports};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -27,6 +27,10 @@
     #[argh(option)]
     metrics_port: Option<u16>,
 
+    /// largest body of a response that is not a stream, in bytes (default 8388608B)
+    #[argh(option, default = "GatewaySettings::DEFAULT_RESPONSE_LIMIT")]
+    response_limit: ByteCount,
+
     /// longest time that the start waits for valid settings and free addresses (default 30s)
     #[argh(option, default = "START_TIMEOUT")]
     start_timeout: TimeSpan,
@@ -45,7 +49,9 @@
         };
         let wait = StartWait::new(self.start_timeout);
         let file = match file {
-            Ok(file) => file.with_metrics_port(self.metrics_port),
+            Ok(file) => file
+                .with_metrics_port(self.metrics_port)
+                .with_response_limit(self.response_limit),
             Err(mistake) => return wait.fail(&StartProblem::new(mistake, EXIT_USAGE)),
         };
         if self.check {
--- a/crates/base/src/error/error_kind.rs
+++ b/crates/base/src/error/error_kind.rs
@@ -68,6 +68,8 @@
     RetriesExhausted,
     /// The target failed after it may have started the request.
     TargetLost,
+    /// The target ran the request, and its response is larger than the limit or the memory left.
+    ResponseTooLarge,
     /// The node stopped before the response was complete.
     Interrupted,
     /// The generation was lost after part of it had been delivered.
@@ -125,6 +127,7 @@
             Self::DeadlineExceeded => (504, Unknown, SOON, "server_error"),
             Self::RetriesExhausted => (503, Unknown, LATER, "server_error"),
             Self::TargetLost => (502, Unknown, SOON, "server_error"),
+            Self::ResponseTooLarge => (502, Yes, NEVER, "server_error"),
             Self::Interrupted => (502, Unknown, SOON, "server_error"),
             Self::GenerationLost => (502, Yes, SOON, "server_error"),
             Self::TargetFailed => (502, Unknown, SOON, "server_error"),
--- a/crates/gateway/examples/send_cost.rs
+++ b/crates/gateway/examples/send_cost.rs
@@ -80,6 +80,7 @@
         domain: "patan".parse().expect("a name"),
         capacity: CoreShare(250),
         memory: ByteCount(110 << 20),
+        response_limit: GatewaySettings::DEFAULT_RESPONSE_LIMIT,
         caller_address: ([127, 0, 0, 1], 1).into(),
         ready_address: ([127, 0, 0, 1], 2).into(),
         peer_address: ([127, 0, 0, 1], 3).into(),
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -13,7 +13,7 @@
 use super::call_handler::retry_elsewhere;
 use super::crash_detection::{record_broken_call, record_response};
 use super::failure_response::{cut_off_response, failure_response};
-use super::target_send::{SendOutcome, read_response, send_call};
+use super::target_send::{ReadFailure, SendOutcome, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
 use crate::trial::CallTrial;
@@ -43,6 +43,8 @@
     Forbidden(ErrorKind, Option<TimeSpan>),
     /// The target refused the call, which did not run.
     Refused,
+    /// The call ran, and its response is too large to be passed on.
+    TooLarge,
     /// The call may have run, and no complete response arrived.
     Lost,
     /// No response arrived in time; the call may have run.
@@ -132,6 +134,15 @@
             AttemptOutcome::Deliver(response) => {
                 return deliver_response(core, &mut access_entry, response);
             }
+            // Another run would have the same response.
+            AttemptOutcome::TooLarge => {
+                return failure_response(
+                    core,
+                    &mut access_entry,
+                    ErrorKind::ResponseTooLarge,
+                    None,
+                );
+            }
             AttemptOutcome::Unsent | AttemptOutcome::RateUsed if !is_past_deadline => continue,
             AttemptOutcome::Forbidden(kind, retry) => {
                 return end_unsent(core, &mut access_entry, failed, runs, (kind, retry));
@@ -243,7 +254,13 @@
             record_response(core, call, reservation, response.status);
             AttemptOutcome::Deliver(response)
         }
-        Err(reason) => {
+        Err(ReadFailure::TooLarge(reason)) => {
+            reservation.record_outcome(TargetOutcome::Answered);
+            reservation.finish_send();
+            access_entry.add_reason(format!("response of {target} is not passed on: {reason}"));
+            AttemptOutcome::TooLarge
+        }
+        Err(ReadFailure::Broken(reason)) => {
             record_broken_call(core, call, reservation);
             access_entry.add_reason(format!("{target} broke off: {reason}"));
             AttemptOutcome::Lost
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -14,7 +14,7 @@
 use super::failure_response::{close_if_stopping, cut_off_response, failure_response};
 use super::response_sender::ResponseSender;
 use super::stream_relay::{RelayParts, StreamRelay};
-use super::target_send::{SendOutcome, TargetResponse, read_response, send_call};
+use super::target_send::{ReadFailure, SendOutcome, TargetResponse, read_response, send_call};
 use crate::coordinator::reserve_capacity;
 use crate::state::SendRefusal;
 use crate::trial::CallTrial;
@@ -180,7 +180,12 @@
             reservation.finish_send();
             deliver_response(core, &mut access_entry, response)
         }
-        Some(Err(reason)) => {
+        Some(Err(ReadFailure::TooLarge(reason))) => {
+            reservation.finish_send();
+            access_entry.add_reason(reason);
+            failure_response(core, &mut access_entry, ErrorKind::ResponseTooLarge, None)
+        }
+        Some(Err(ReadFailure::Broken(reason))) => {
             record_broken_call(core, call, reservation);
             access_entry.add_reason(reason);
             failure_response(core, &mut access_entry, ErrorKind::TargetLost, None)
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -9,7 +9,7 @@
 use metrics::counter;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
-use web::{BodyBuffer, PooledConnection, ReusePolicy, full_body};
+use web::{BodyBuffer, BodyError, PooledConnection, ReusePolicy, full_body};
 
 use super::AccessEntry;
 use super::admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
@@ -21,9 +21,6 @@
 use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore, ResumePoint, TargetHeaders};
 
-/// Largest response body in bytes that is buffered until it is complete.
-const RESPONSE_BODY_LIMIT: usize = 8 << 20;
-
 /// Longest time for which a generation that resumes waits for a permit.
 const RESUME_PERMIT_WAIT: TimeSpan = TimeSpan::from_secs(1);
 
@@ -254,27 +251,51 @@
     core.with_state(|state, now| state.check_send(now, &check))
 }
 
-/// Reads the whole body of a response; the error tells why it is not complete.
+/// Why a response was not read to its end.
+pub enum ReadFailure {
+    /// It is larger than the limit or the memory left; the call has run.
+    TooLarge(String),
+    /// It broke off, or did not end in time.
+    Broken(String),
+}
+
+impl From<BodyError> for ReadFailure {
+    fn from(error: BodyError) -> Self {
+        let reason = error.to_string();
+        match error {
+            BodyError::TooLarge { .. } | BodyError::NoRoom => Self::TooLarge(reason),
+            BodyError::TimedOut | BodyError::Broken { .. } | BodyError::Aborted { .. } => {
+                Self::Broken(reason)
+            }
+        }
+    }
+}
+
+/// Reads the whole body of a response.
+///
+/// # Errors
+/// If it is too large or not complete.
 pub async fn read_response(
     core: &Arc<GatewayCore>,
     response: TargetResponse,
     deadline: Instant,
-) -> Result<BufferedResponse, String> {
+) -> Result<BufferedResponse, ReadFailure> {
     let (mut parts, mut body) = response.http.into_parts();
     let connection = response.connection;
-    let mut buffer = BodyBuffer::new(RESPONSE_BODY_LIMIT);
+    let mut buffer = BodyBuffer::new(core.settings.response_limit.0 as usize);
     let mut lease = core.bodies.new_lease();
     let mut has_room = |bytes: usize| lease.try_grow_to(ByteCount(bytes as u64));
     loop {
         let frame = match timeout_at(deadline, body.frame()).await {
-            Ok(Some(frame)) => frame.map_err(|error| error.to_string())?,
+            Ok(Some(frame)) => frame.map_err(|error| ReadFailure::Broken(error.to_string()))?,
             Ok(None) => break,
-            Err(_) => return Err("response not complete in time".to_owned()),
+            Err(_) => {
+                let reason = "response not complete in time".to_owned();
+                return Err(ReadFailure::Broken(reason));
+            }
         };
         match frame.into_data() {
-            Ok(data) => buffer
-                .push(&data, &mut has_room)
-                .map_err(|error| error.to_string())?,
+            Ok(data) => buffer.push(&data, &mut has_room)?,
             Err(frame) => {
                 if let Some(trailers) = frame.trailers_ref() {
                     response.run.apply_trailers(core, trailers);
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -24,6 +24,8 @@
     pub capacity: CoreShare,
     /// Memory that the process may use.
     pub memory: ByteCount,
+    /// Largest body of a response that is not a stream.
+    pub response_limit: ByteCount,
     /// Listen address for callers.
     pub caller_address: SocketAddr,
     /// Listen address for the health checks of the load balancer.
@@ -41,3 +43,8 @@
     /// Retry budget of the fleet.
     pub retry: RetrySettings,
 }
+
+impl GatewaySettings {
+    /// Largest body of a response that is not a stream, where the settings name none.
+    pub const DEFAULT_RESPONSE_LIMIT: ByteCount = ByteCount(8 << 20);
+}
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -1,8 +1,10 @@
 //! Plain calls, as callers and targets see them: relaying, retries, time-outs and refusals.
 
-use base::ByteCount;
 use std::sync::atomic::Ordering;
 
+use base::ByteCount;
+use gateway::GatewaySettings;
+
 use crate::support::{
     FakeStore, FakeTarget, Gateway, TargetMode, call, open_stream, start_setup, until,
 };
@@ -226,3 +228,45 @@
     let served = call(gateway.callers, "/once/1", chunked_head, &chunked).await;
     assert_eq!(served.status, 200);
 }
+
+// Guards against losing the response to a call that ran, or the call itself, for its many headers.
+#[tokio::test]
+async fn calls_and_responses_with_many_headers_are_passed_on() {
+    const HEADERS: usize = 150;
+    let (_store, targets, gateway) = start_setup("app", &[TargetMode::ManyHeaders(HEADERS)]).await;
+    let more: String = (0..HEADERS)
+        .map(|number| format!("x-own-{number}: {number}\r\n"))
+        .collect();
+    let headers = format!("x-id: a1\r\n{more}");
+    let answer = call(gateway.callers, "/once/1", &headers, "").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let last = HEADERS - 1;
+    assert!(answer.text.contains(&format!("x-more-{last}: {last}")));
+    assert!(targets[0].calls()[0].contains(&format!("x-own-{last}: {last}")));
+}
+
+// Guards against a response that is too large and counts as lost: the call ran, must not be told
+// otherwise, and would have the same response elsewhere.
+#[yare::parameterized(
+    at_most_once = { "/once/1" },
+    idempotent = { "/read/1" },
+)]
+#[test_macro(tokio::test)]
+async fn a_response_beyond_the_limit_is_told_as_such(path: &'static str) {
+    let limit = GatewaySettings::DEFAULT_RESPONSE_LIMIT.0 as usize;
+    let modes = [TargetMode::LargeAnswer(limit + 1); 2];
+    let (_store, targets, gateway) = start_setup("app", &modes).await;
+    let answer = call(gateway.callers, path, "x-id: a1\r\n", "").await;
+    assert_eq!(answer.status, 502);
+    assert!(
+        answer.text.contains("response_too_large"),
+        "{}",
+        answer.text
+    );
+    assert_eq!(arrivals(&targets), 1);
+    targets
+        .iter()
+        .for_each(|target| target.set_mode(TargetMode::LargeAnswer(limit)));
+    let answer = call(gateway.callers, path, "x-id: a2\r\n", "").await;
+    assert_eq!(answer.status, 200);
+}
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -27,6 +27,8 @@
     AnswerAfter(u64),
     /// Sends a complete response with a body of this many bytes.
     LargeAnswer(usize),
+    /// Sends a complete response with this many headers of its own.
+    ManyHeaders(usize),
     /// Refuses the call, stating that it did not run.
     Refuse,
     /// Refuses the call, stating that it was meant for another target.
@@ -415,6 +417,11 @@
             let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: {bytes}\r\n\r\n");
             head + &"a".repeat(bytes)
         }
+        Some(TargetMode::ManyHeaders(count)) => {
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 5\r\n");
+            let more = (0..count).map(|number| format!("x-more-{number}: {number}\r\n"));
+            head + &more.collect::<String>() + "\r\nhello"
+        }
         Some(TargetMode::Foreign) => complete("other"),
         Some(TargetMode::Fail(status)) => {
             let head = format!("HTTP/1.1 {status} Failed\r\nx-id: {id}\r\n{notices}");
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -43,6 +43,7 @@
             domain: domain.parse().unwrap(),
             capacity: CoreShare(250),
             memory: ByteCount(110 << 20),
+            response_limit: GatewaySettings::DEFAULT_RESPONSE_LIMIT,
             caller_address: callers,
             ready_address: ready,
             peer_address: peers,
--- a/crates/gateway/tests/rate_simulation.rs
+++ b/crates/gateway/tests/rate_simulation.rs
@@ -102,6 +102,7 @@
             domain: domain.clone(),
             capacity: CoreShare(250),
             memory: ByteCount(110 << 20),
+            response_limit: GatewaySettings::DEFAULT_RESPONSE_LIMIT,
             caller_address: address(index),
             ready_address: address(index),
             peer_address: address(index),
--- a/crates/web/src/client/connection_pool.rs
+++ b/crates/web/src/client/connection_pool.rs
@@ -19,6 +19,7 @@
     BodySnafu, ConnectSnafu, ConnectTimeoutSnafu, ResponseTimeoutSnafu, SentSnafu, UnexpectedSnafu,
     UnsentSnafu,
 };
+use crate::header_limit::HEADER_LIMIT;
 use crate::socket::{SocketOptions, set_socket_options};
 use crate::{PoolSettings, RequestError, ResponseLimits, WebBody, read_body};
 
@@ -257,6 +258,7 @@
     let stream = BudgetedStream::new(stream, budget.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
+        .max_headers(HEADER_LIMIT)
         .handshake(TokioIo::new(stream))
         .await;
     let Ok((sender, connection)) = handshake else {
--- /dev/null
+++ b/crates/web/src/header_limit.rs
@@ -0,0 +1,2 @@
+/// Largest number of headers of a request or response.
+pub(crate) const HEADER_LIMIT: usize = 512;
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod client;
 mod error;
+mod header_limit;
 mod server;
 mod socket;
 mod sse;
--- a/crates/web/src/server/web_server.rs
+++ b/crates/web/src/server/web_server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
+use crate::header_limit::HEADER_LIMIT;
 use crate::socket::{SocketOptions, set_socket_options};
 use crate::{ServerLimits, StopSignal, WebHandler};
 
@@ -105,6 +106,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(limits.header_timeout))
         .max_buf_size(limits.header_bytes)
+        .max_headers(HEADER_LIMIT)
         .serve_connection(TokioIo::new(stream), service);
     let watched = watcher.watch(connection);
     tokio::spawn(async move {
