End the early phase of a stop when the platform has reacted

Cause: a call that is sent just after 3 s, by the clock of the platform that sent the signal, could count as one of the first 3 s of the process.

Change: streams are admitted by their likely time for 2.5 s, by when a load balancer that asks once a second has taken the node out.

--- a/crates/gateway/src/state/stop_plan.rs
+++ b/crates/gateway/src/state/stop_plan.rs
@@ -10,7 +10,7 @@
 
 /// Time after the stop signal in which load balancers may still send new callers here. Later, only
 /// callers that kept a connection come, and each can open another one.
-const EARLY_SPAN: TimeSpan = TimeSpan::from_secs(3);
+const EARLY_SPAN: TimeSpan = TimeSpan::new(2_500);
 
 /// Times of a graceful shutdown.
 ///
