Name trials of features, not of prompt parts alone

Whole requests run as trials too since requests are blamed by failed trials; the texts of the log, the events page and the comments named prompt parts only. No change of behaviour.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -96,7 +96,7 @@
     TargetQuiet = 3011, "A target refused a call and asked for a back-off period.";
     TargetRateNamed = 3012, "A target named, changed or withdrew the rate of calls that it accepts.";
     RateShared = 3013, "This node began to share the rate of calls that a target names among all nodes.";
-    TrialGranted = 3014, "One call with a prompt part that is suspected of crashing targets may run.";
+    TrialGranted = 3014, "One call with a request or prompt part that is suspected of crashing targets may run.";
     CallRecalled = 3015, "A call was recalled from its target, as the same request or a part of its prompt crashed others.";
     EvacuationBegun = 3016, "A failure domain is evacuated; its targets get nothing more.";
     EvacuationFinished = 3017, "No generation of this node is left on the engines of an evacuated failure domain.";
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -55,7 +55,7 @@
             SendWait::AdmissionChanged => continue,
         };
         if let Err(retry) = acquired {
-            access_entry.add_reason("other calls with a suspected part of its prompt run first");
+            access_entry.add_reason("other calls with a suspected feature of it run first");
             let kind = ErrorKind::CrashSuspect;
             return failure_response(&core, &mut access_entry, kind, Some(retry));
         }
--- a/crates/gateway/src/state/send_check.rs
+++ b/crates/gateway/src/state/send_check.rs
@@ -29,7 +29,7 @@
 pub struct SendCheck<'a> {
     /// Features of the call that can be blamed for crashes.
     pub features: &'a CallFeatures,
-    /// Whether the call may run as the trial of a suspected part of its prompt.
+    /// Whether the call may run as the trial of a suspected feature.
     pub is_trial: bool,
     /// Target that it is sent to.
     pub target: &'a TargetName,
@@ -54,7 +54,7 @@
         /// Time until it may be sent again.
         retry_after: TimeSpan,
     },
-    /// A part of its prompt is suspected, and it may only run as a trial, which it has not requested.
+    /// A feature of it is suspected, and it may only run as a trial, which it has not requested.
     TrialRequired,
     /// A newer configuration does not admit it: its route is gone or its key is not valid.
     AdmissionRevoked(ErrorKind),
--- a/crates/gateway/src/trial/trial_client.rs
+++ b/crates/gateway/src/trial/trial_client.rs
@@ -62,7 +62,7 @@
                 event = EventKind::TrialGranted.number(),
                 node = core.node().as_str(),
                 print = part.to_string().as_str();
-                "one call with the suspected part may run"
+                "one call with the suspected feature may run"
             );
             TrialReply::Granted
         }
