--- a/crates/web/src/header_limit.rs
+++ b/crates/web/src/header_limit.rs
@@ -1,2 +1,2 @@
 /// Largest number of headers of a request or response.
-pub(crate) const HEADER_LIMIT: usize = 512;
+pub(crate) const HEADER_LIMIT: usize = 256;
