Take the newer configuration of a peer at an equal revision

Callers of a node that started just after a drill could be refused or served by a configuration that the fleet had replaced before. Cause: the node reads the old copy of the store; its peers keep the newer configuration against that item, at its revision. A list of a peer at a later position replaced the copy, but of one revision the node's own content stayed, so that each digest fetched the newer version again in vain until the operator had written it anew.

Of one revision, content that its writer calls newer now replaces the known one, which is kept as the listed item, as in the lists that begin an era.

--- a/crates/entry/src/view/item_mirror.rs
+++ b/crates/entry/src/view/item_mirror.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// Rules of a copy whose lists all come from the store: of one revision, all contents are equal.
+struct RevisionRules;
+
+impl HistoryRules for RevisionRules {
+    fn compare(&self, _listed: &PublishedItem, _known: &PublishedItem) -> Option<Ordering> {
+        None
+    }
+
+    fn keeps_absent(&self, _known: &PublishedItem) -> bool {
+        false
+    }
+
+    fn keep_until(&self) -> Option<ClockTime> {
+        None
+    }
+}
+
 /// Copy of the items under one key prefix; it never returns to an older position.
 ///
 /// ```
@@ -95,9 +112,21 @@
     /// nothing if they are not newer than the copy. For a list of a later era, see
     /// [`Self::replace_history`].
     pub fn replace(
+        &mut self,
+        position: impl Into<StorePosition>,
+        items: Vec<PublishedItem>,
+    ) -> bool {
+        self.replace_by(position, items, &RevisionRules)
+    }
+
+    /// Replaces the copy like [`Self::replace`] by a list that may come from a peer. A peer that was there
+    /// before the era began keeps newer content against items of its first list, at their revisions;
+    /// `rules` tell which content of one revision is newer.
+    pub fn replace_by(
         &mut self,
         position: impl Into<StorePosition>,
         mut items: Vec<PublishedItem>,
+        rules: &dyn HistoryRules,
     ) -> bool {
         let position = position.into();
         items.sort_by(|left, right| left.key.cmp(&right.key));
@@ -110,7 +139,7 @@
         if known >= position || known.era != position.era {
             return false;
         }
-        self.keep_newer(&mut items);
+        self.keep_newer(&mut items, rules);
         self.removals
             .record_skipped(known.revision, position.revision);
         for item in std::mem::replace(&mut self.items, items) {
@@ -284,7 +313,7 @@
 
     /// Keeps newer content against the items of a sorted list that were not written since the list that
     /// began the era.
-    fn keep_newer(&mut self, items: &mut Vec<PublishedItem>) {
+    fn keep_newer(&mut self, items: &mut Vec<PublishedItem>, rules: &dyn HistoryRules) {
         let mut kept = std::mem::take(&mut self.kept);
         kept.retain(|kept| {
             let found = items.binary_search_by(|item| item.key.cmp(kept.key()));
@@ -300,14 +329,21 @@
         self.kept = kept;
         for item in items {
             // A peer may keep other content against an item of the list. Of one revision, what this copy
-            // has stays.
-            let known = self
-                .item(&item.key)
-                .filter(|known| known.revision == item.revision);
-            if let Some(known) = known {
+            // has stays unless that is older.
+            let known = self.item(&item.key);
+            let Some(known) = known.filter(|known| known.revision == item.revision) else {
+                continue;
+            };
+            if rules.compare(item, known) != Some(Ordering::Greater) {
                 *item = known.clone();
+                continue;
+            }
+            let kept = KeptItem::new(known.clone(), rules.keep_until());
+            if self.kept.iter().all(|other| other.key() != kept.key()) {
+                self.kept.push(kept);
             }
         }
+        self.kept.sort_by(|left, right| left.key().cmp(right.key()));
     }
 
     fn write(&mut self, item: PublishedItem) {
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -134,11 +134,17 @@
             return true;
         }
         let is_older = mirror.position().is_some_and(|known| known >= position);
-        match (is_older, area) {
-            (false, _) => mirror.replace(position, items),
+        let kept = mirror.kept().len();
+        let changed = match (is_older, area) {
+            (false, _) => mirror.replace_by(position, items, &rules),
             (true, ViewArea::Config) => mirror.adopt_newer(items, &rules),
             (true, ViewArea::Targets) => false,
+        };
+        if area == ViewArea::Targets && self.target_items.kept().len() > kept {
+            // These entries have newer content at the revision that was decoded.
+            self.decoded.clear();
         }
+        changed
     }
 
     /// Takes over the entries of targets against which newer content was kept for long enough; returns
--- a/crates/gateway/tests/gateway/store_eras.rs
+++ b/crates/gateway/tests/gateway/store_eras.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::TimeSpan;
 use entry::{ItemChange, PublishedItem, StoreEra, StorePosition, TargetPhase};
 use gateway::{GatewayCore, ItemBatch, ItemOrigin, ViewArea};
 
@@ -119,3 +120,30 @@
     assert_eq!(confirmed_at(), before);
     assert_eq!(setup.phase(), Some(TargetPhase::Ready));
 }
+
+// Guards against a node that starts after a drill, reads the old copy, and stays at its configuration although
+// its peers keep a newer one against the same item.
+#[tokio::test]
+async fn a_node_that_starts_after_a_drill_takes_the_newer_configuration_of_a_peer() {
+    let setup = EraSetup::start().await;
+    let item = |version: &str| PublishedItem {
+        key: "config".into(),
+        revision: 90,
+        value: version.as_bytes().to_vec(),
+    };
+    let list = |revision, version, origin| {
+        let position = StorePosition::new(StoreEra(2), revision);
+        let items = vec![item(version)];
+        let core = setup.core();
+        core.replace_items(ViewArea::Config, position, items, origin);
+        core.with_state(|state, _| state.view.version().0)
+    };
+    assert_eq!(list(95, "50", ItemOrigin::Store), 50);
+    assert_eq!(list(97, "53", ItemOrigin::Peer(TimeSpan::ZERO)), 53);
+    assert_eq!(list(98, "50", ItemOrigin::Store), 53);
+    let copied = setup.core().with_state(|state, _| {
+        let item = state.view.config_items.item("config");
+        item.map(|item| item.value.clone())
+    });
+    assert_eq!(copied.as_deref(), Some(b"53".as_slice()));
+}
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -330,10 +330,14 @@
         Ok(domain.map(|domain| domain.parse().unwrap()))
     }
 
-    /// Compares the run and the number of the report, the last word of an entry that has one.
+    /// Compares the version of a configuration; the run and the number of the report, the last word of an
+    /// entry that has one.
     fn compare_age(&self, left: &PublishedItem, right: &PublishedItem) -> Option<Order> {
         let age = |item: &PublishedItem| {
             let text = String::from_utf8_lossy(&item.value).into_owned();
+            if item.key == "config" {
+                return Some((text.split(' ').next()?.parse().ok()?, 0));
+            }
             let mut words = text.split(' ').skip(3);
             let run: u64 = words.next()?.parse().ok()?;
             let report: u64 = words.nth(2)?.parse().ok()?;
