Report configurations that peers have and a node lacks

Each node now tracks the newest version that digests tell, logs once (config_behind) when it has lacked one for over a second, with the position and age of its copy, sets a gauge, and names the newest known version beside the one in force in the access log.

A unit test covers the report; no behaviour changes.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -134,6 +134,7 @@
     StoreEraChanged = 5013, "The store came back from an older copy; newer content that is known is kept for a while.";
     StoreEraUnreadable = 5014, "The store tells an era that is no number; it is taken for the latest one.";
     EntryOmitted = 5015, "An entry of a declaration can't be used and is left out; the rest is in force.";
+    ConfigBehind = 5016, "Peers have had a newer configuration in force for over a second than this node.";
 }
 
 impl EventKind {
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration that operators publish, in the form in which requests look it up.
 
+mod config_lag;
 mod config_omission;
 mod config_version;
 mod request_limits;
@@ -9,6 +10,7 @@
 mod workspace_identity;
 mod workspace_rule;
 
+pub use config_lag::ConfigLag;
 pub use config_omission::ConfigOmission;
 pub use config_version::ConfigVersion;
 pub use request_limits::RequestLimits;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use body::{BodyBudget, BodyLease};
 pub use config::{
-    ConfigOmission, ConfigVersion, EngineSpec, KeyDenial, RepeatPolicy, RequestLimits, RouteRule,
-    ServeConfig, ServiceSpec, ServiceWeight, WorkspaceIdentity, WorkspaceRule,
+    ConfigLag, ConfigOmission, ConfigVersion, EngineSpec, KeyDenial, RepeatPolicy, RequestLimits,
+    RouteRule, ServeConfig, ServiceSpec, ServiceWeight, WorkspaceIdentity, WorkspaceRule,
 };
 pub use coordinator::{
     CapacityGrant, CoordinatorCandidate, GrantId, GrantTracker, rank_coordinators,
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -1,9 +1,9 @@
 //! Lookup of routes and authorization by keys.
 
-use base::TimeSpan;
+use base::{ClockTime, TimeSpan};
 use entry::{
-    ConfigVersion, KeyDenial, RepeatPolicy, RequestLimits, RouteRule, ServeConfig, ServiceWeight,
-    WorkspaceIdentity, WorkspaceRule,
+    ConfigLag, ConfigVersion, KeyDenial, RepeatPolicy, RequestLimits, RouteRule, ServeConfig,
+    ServiceWeight, WorkspaceIdentity, WorkspaceRule,
 };
 use yare::parameterized;
 
@@ -85,3 +85,22 @@
     let closed = route("a.example", "/", "root");
     assert_eq!(open.authorize(&closed, Some("k9")), Ok(None));
 }
+
+// Guards against a node that answers by an older configuration without a word in its log, and one that repeats
+// the word on each tick.
+#[test]
+fn a_configuration_that_peers_have_is_reported_once_for_each_time_without_it() {
+    let version = ConfigVersion;
+    let at = ClockTime::new;
+    let mut lag = ConfigLag::default();
+    lag.record_peer(at(0), version(5), version(7));
+    lag.record_peer(at(900), version(5), version(8));
+    assert_eq!(lag.take_report(at(1_000), version(5)), None);
+    let expected = Some((version(8), TimeSpan::new(1_100)));
+    assert_eq!(lag.take_report(at(1_100), version(5)), expected);
+    assert_eq!(lag.take_report(at(1_200), version(5)), None);
+    lag.record_peer(at(2_000), version(8), version(9));
+    assert_eq!(lag.lag(at(2_500), version(9)), None);
+    let expected = Some((version(9), TimeSpan::new(1_001)));
+    assert_eq!(lag.take_report(at(3_001), version(8)), expected);
+}
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -226,7 +226,12 @@
             state.suspects.replace_peer(now, &self.node, self.suspects);
             state.adopt_completeness(now, &self.facts, self.facts_incomplete);
             let mut newer = Vec::new();
-            if self.version > state.view.version() {
+            let version = state.view.version();
+            state
+                .view
+                .config_lag
+                .record_peer(now, version, self.version);
+            if self.version > version {
                 newer.push(ViewArea::Config);
             }
             let targets = StorePosition::new(self.targets_era, self.targets_revision);
--- a/crates/gateway/src/relay/access_entry.rs
+++ b/crates/gateway/src/relay/access_entry.rs
@@ -177,9 +177,10 @@
 impl Drop for AccessEntry {
     fn drop(&mut self) {
         self.record_metrics();
-        let (view_age_ms, is_store_lost) = self.core.with_state(|state, now| {
+        let (view_age_ms, is_store_lost, newest) = self.core.with_state(|state, now| {
             let view_age_ms = now.since(state.view.targets_at).as_millis();
-            (view_age_ms, state.view.guard.is_store_lost())
+            let newest = state.view.config_lag.newest().max(state.view.version());
+            (view_age_ms, state.view.guard.is_store_lost(), newest)
         });
         let targets: Vec<_> = self.targets.iter().map(TargetName::as_str).collect();
         let node: &NodeName = self.core.node();
@@ -189,6 +190,7 @@
             request = self.request_id.as_ref().map_or("", RequestId::as_str),
             route = self.route.as_deref().unwrap_or(""),
             version = self.config_version.0,
+            newest_version = newest.0,
             targets = targets.join(",").as_str(),
             desk = self.coordinator.map_or_else(String::new, |at| at.to_string()).as_str(),
             placed_ms = self.placed_ms.unwrap_or_default(),
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -558,6 +558,37 @@
         self.log_pace_changes(&paces);
         self.handle_target_changes(&changes, "entry did not come back");
         self.report_evacuations();
+        self.report_config_lag();
+    }
+
+    /// Logs, once for each time, that peers have had a newer configuration in force for over a second, and
+    /// what this node knows of the store meanwhile.
+    fn report_config_lag(&self) {
+        let (lag, report, view) = self.with_state(|state, now| {
+            let own = state.view.version();
+            let lag = state.view.config_lag.lag(now, own);
+            let report = state.view.config_lag.take_report(now, own);
+            let age = now.since(state.view.config_at);
+            (lag, report, (own, state.view.config_items.position(), age))
+        });
+        gauge!("gateway_config_lag_seconds")
+            .set(lag.map_or(0.0, |(_, age)| age.as_millis() as f64 / 1_000.0));
+        let Some((newest, age)) = report else {
+            return;
+        };
+        let (own, position, answer_age) = view;
+        let position = position.unwrap_or_default();
+        log::warn!(
+            event = EventKind::ConfigBehind.number(),
+            node = self.node().as_str(),
+            version = own.0,
+            newer = newest.0,
+            known_ms = age.as_millis(),
+            era = position.era.0,
+            revision = position.revision,
+            answer_age_ms = answer_age.as_millis();
+            "peers have a newer configuration in force"
+        );
     }
 
     /// Logs the engines that long calls avoid or avoid no longer, and sets the gauges of the paces.
--- a/crates/gateway/src/state/view_state.rs
+++ b/crates/gateway/src/state/view_state.rs
@@ -2,8 +2,8 @@
 
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 use entry::{
-    ConfigVersion, ItemMirror, LeaseGuard, PublishedItem, ServeConfig, StoreEra, StorePosition,
-    TargetRecord,
+    ConfigLag, ConfigVersion, ItemMirror, LeaseGuard, PublishedItem, ServeConfig, StoreEra,
+    StorePosition, TargetRecord,
 };
 
 use smol_str::SmolStr;
@@ -38,6 +38,8 @@
     /// Latest position of the store at which the configuration may have changed, as far as reads of
     /// targets show.
     pub config_hint: StorePosition,
+    /// Versions of the configuration that peers have in force and this node lacks.
+    pub config_lag: ConfigLag,
     /// When the store or a peer last confirmed that the configuration is up to date.
     pub config_at: ClockTime,
     /// When the store or a peer last confirmed that the targets are up to date.
