Show that calls at a gateway without a path to targets are refused

The test starts two gateways, one of which has no path to the targets (connections refused, or silent), and fails for plain calls and streams: no call is served in 3 s.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod moves;
 mod paces;
 mod panics;
+mod partitions;
 mod peers;
 mod prompt_parts;
 mod queueing;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -173,6 +173,12 @@
         self.put(ViewArea::Targets, &target.name, &value);
     }
 
+    /// Publishes a target at an address other than its own.
+    pub fn put_target_at(&self, target: &FakeTarget, address: SocketAddr) {
+        let value = format!("{} {address} ready 1", target.service);
+        self.put(ViewArea::Targets, &target.name, &value);
+    }
+
     /// Publishes a target of a failure domain that stays cold for `cold_ms`.
     pub fn put_in(&self, target: &FakeTarget, domain: &str, cold_ms: u64) {
         let value = format!(
