Forward calls to peers while a node has no path to targets

Cause: every call is sent by the gateway that took it; the targets that it can't connect to are paused and the call waits for room that never comes.

A node counts the path to a service as lost once connections to two of its targets have failed in a row. From then on it forwards calls, waiting ones too, to a peer that has not lost it, which admits and sends them as its own; trials of one connection show when the path is back. A call that nobody can send is refused at once. A node without a path places no calls for others, and does not take targets for dead that it can't reach.

admissions::a_waiting_call_follows_its_route_to_another_service failed twice beside other tests: it published a target and then the configuration that needs it, which a gateway reads by two requests, so that the latter could come first. The test now waits until the target is known; it checks the same.

--- a/crates/base/src/error/error_kind.rs
+++ b/crates/base/src/error/error_kind.rs
@@ -60,6 +60,8 @@
     Overloaded,
     /// There is no live target that the declaration allows for this request.
     NoTarget,
+    /// No node that answers has a network path to a target of the service; the request was not sent.
+    TargetsUnreachable,
     /// Earlier requests with the same content crashed the targets that ran them.
     CrashSuspect,
     /// The deadline passed before the response was complete.
@@ -123,6 +125,7 @@
             Self::WorkspaceLimit => (429, No, SOON, "rate_limit_error"),
             Self::Overloaded => (429, No, SOON, "rate_limit_error"),
             Self::NoTarget => (503, No, LATER, "server_error"),
+            Self::TargetsUnreachable => (503, No, SOON, "server_error"),
             Self::CrashSuspect => (422, No, CRASH_EXPIRY, "invalid_request_error"),
             Self::DeadlineExceeded => (504, Unknown, SOON, "server_error"),
             Self::RetriesExhausted => (503, Unknown, LATER, "server_error"),
--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -102,6 +102,8 @@
     EvacuationFinished = 3017, "No generation of this node is left on the engines of an evacuated failure domain.";
     EvacuationWithdrawn = 3018, "The evacuation of a failure domain was taken back.";
     EnginePaceChanged = 3030, "Long calls avoid an engine, as they would be late there, or avoid it no longer.";
+    PathLost = 3031, "Connections to all tried targets of a service fail; calls for it are forwarded to peers.";
+    PathReturned = 3032, "A target of a service to which the path was lost accepts connections again.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer did not respond to probes and may have failed.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod length;
 mod moves;
 mod pace;
+mod path;
 mod queue;
 mod rate;
 mod retry;
@@ -38,6 +39,7 @@
     DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
     PaceTurns, SampleBudget, TargetPace,
 };
+pub use path::{PathTable, ServicePath};
 pub use queue::{
     CallQueue, CallsAhead, EventRate, PlacementPacer, PlacementRate, QueueLane, QueueStatus,
     QueueTicket, QueuedCall, ShareSlot, WaitEstimate, WaitEstimator, WaitRefusal, WorkspaceShares,
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -581,6 +581,14 @@
         }
     }
 
+    /// Forgets which targets of a service could not be reached, as this node had no path to any of them.
+    pub fn forget_unreachable(&mut self, service: &ServiceName) {
+        let targets = self.targets.iter_mut();
+        for state in targets.filter(|state| state.record.service == *service) {
+            state.health.forget_unreachable();
+        }
+    }
+
     /// Expected delay of a call on a target in milliseconds; `None` if the target has no room.
     fn cost(&self, now: ClockTime, state: &TargetState, request: &PlacementRequest) -> Option<f64> {
         let mut cost = match request.engine {
--- a/crates/entry/src/target/target_health.rs
+++ b/crates/entry/src/target/target_health.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Forgets that connections failed, as this node had no path to any target of the service.
+    pub fn forget_unreachable(&mut self) {
+        if !self.is_reachable() {
+            self.connect_failures = 0;
+            self.paused_until = ClockTime::ZERO;
+        }
+    }
+
     /// Whether the target is not paused, so that calls may be sent.
     pub fn accepts(&self, now: ClockTime) -> bool {
         now >= self.paused_until
--- a/crates/gateway/src/coordinator/coordinator_server.rs
+++ b/crates/gateway/src/coordinator/coordinator_server.rs
@@ -4,12 +4,14 @@
 use crate::state::{LONG_POLL_TIMEOUT, QueueRequest};
 use crate::{GatewayCore, PlacementRefusal};
 
-/// Handles the request of a node for capacity; `None` while this node stops.
+/// Handles the request of a node for capacity; `None` while this node stops, or can't tell which targets of
+/// the service are up.
 pub async fn handle_request(
     core: &Arc<GatewayCore>,
     request: CoordinatorRequest,
 ) -> Option<CoordinatorReply> {
-    if core.is_stopping() {
+    let service = &request.placement.service;
+    if core.is_stopping() || core.with_state(|state, _| state.paths.is_lost(service)) {
         return None;
     }
     let source = request.placement.move_source.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! the exchange of state with peer gateways. A platform supplies the implementations of its ports.
 
 mod coordinator;
+mod forward;
 mod ops;
 mod peer;
 mod poll;
@@ -16,6 +17,7 @@
 mod trial;
 
 pub use coordinator::{CoordinatorReply, CoordinatorRequest};
+pub use forward::{FORWARD_HEADER, ForwardTicket, OUTCOME_HEADER, TicketError};
 pub use peer::{
     ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, decode_extended, encode_extended,
 };
@@ -34,6 +36,6 @@
 };
 pub use settings::{GatewaySettings, RetrySettings};
 pub use state::{
-    AdmissionCheck, CallTimes, CapacityReservation, GatewayCore, GatewayState, PeerInfo,
+    AdmissionCheck, CallTimes, CapacityReservation, GatewayCore, GatewayState, PeerInfo, PeerPaths,
     PlacementRefusal, QueueRequest, SendCheck, SendRefusal, StopPlan,
 };
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -17,5 +17,5 @@
 pub use load_pusher::LoadPusher;
 pub use load_report::LoadReport;
 pub use node_digest::NodeDigest;
-pub use peer_client::PeerClient;
+pub use peer_client::{CALLS_PATH, PeerClient};
 pub use peer_handler::PeerHandler;
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, CoreShare, DomainName, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{
     AnswerReport, ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads,
     StoreEra, StorePosition, SuspectCall, TargetLoad,
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ExtendedMessage;
-use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo};
+use crate::state::{GatewayState, INFORMED_COORDINATORS, PeerInfo, PeerPaths};
 use crate::{GatewayCore, ViewArea};
 
 /// Addresses of nodes of each failure domain in one digest, besides its coordinators; a few
@@ -88,6 +88,10 @@
     /// What the sender knows of the answers of the store to any node.
     #[serde(skip)]
     pub answers: Option<AnswerReport>,
+    /// Services to whose targets the sender has no network path, sorted; `None` if it is an earlier build,
+    /// which accepts no forwarded calls.
+    #[serde(skip)]
+    pub lost_services: Option<Vec<ServiceName>>,
 }
 
 /// Parts of a digest that earlier builds don't know.
@@ -103,6 +107,8 @@
     facts_incomplete: Option<TimeSpan>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     answers: Option<AnswerReport>,
+    #[serde(default, rename = "lost", skip_serializing_if = "Option::is_none")]
+    lost_services: Option<Vec<ServiceName>>,
 }
 
 impl ExtendedMessage for NodeDigest {
@@ -115,6 +121,7 @@
             targets_era: std::mem::take(&mut self.targets_era),
             facts_incomplete: self.facts_incomplete.take(),
             answers: self.answers.take(),
+            lost_services: self.lost_services.take(),
         }
     }
 
@@ -124,6 +131,7 @@
         self.targets_era = extension.targets_era;
         self.facts_incomplete = extension.facts_incomplete;
         self.answers = extension.answers;
+        self.lost_services = extension.lost_services;
     }
 }
 
@@ -173,6 +181,7 @@
                 targets_era: targets.era,
                 facts_incomplete: Some(state.facts.incomplete_for(now)),
                 answers: state.view.guard.report(now),
+                lost_services: Some(state.paths.lost_services()),
             }
         })
     }
@@ -198,6 +207,10 @@
                     capacity: self.capacity,
                     is_waiting: self.is_waiting,
                     is_stopping: self.is_stopping,
+                    paths: PeerPaths {
+                        accepts_calls: self.lost_services.is_some(),
+                        lost: self.lost_services.unwrap_or_default(),
+                    },
                 },
             );
             state.peers.add_hints(&self.addresses);
--- a/crates/gateway/src/peer/peer_client.rs
+++ b/crates/gateway/src/peer/peer_client.rs
@@ -38,6 +38,8 @@
 pub const TARGETS_PATH: &str = "/peer/targets";
 /// Path of fact synchronization.
 pub const FACTS_PATH: &str = "/peer/facts";
+/// Path of forwarded calls.
+pub const CALLS_PATH: &str = "/peer/calls";
 /// Path of pushed changes of target entries.
 pub const CHANGES_PATH: &str = "/peer/changes";
 
--- a/crates/gateway/src/peer/peer_handler.rs
+++ b/crates/gateway/src/peer/peer_handler.rs
@@ -11,14 +11,15 @@
 use super::fact_pusher::PUSH_QUERY;
 use super::fact_sync::answer_request;
 use super::peer_client::{
-    CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PERMITS_PATH, PLACEMENT_PATH,
-    PeerClient, TARGETS_PATH, TRIALS_PATH,
+    CALLS_PATH, CHANGES_PATH, CONFIG_PATH, DIGEST_PATH, FACTS_PATH, LOADS_PATH, PERMITS_PATH,
+    PLACEMENT_PATH, PeerClient, TARGETS_PATH, TRIALS_PATH,
 };
 use super::{
     ExtendedMessage, ItemUpdate, LoadReport, NodeDigest, UpdateOutcome, decode_extended,
     encode_extended,
 };
 use crate::coordinator::handle_request;
+use crate::forward::serve_forwarded;
 use crate::rate::request_permits;
 use crate::trial::grant_trial;
 use crate::{GatewayCore, ViewArea};
@@ -51,6 +52,7 @@
                 (&Method::POST, PLACEMENT_PATH) => handle_placement(&core, request).await,
                 (&Method::POST, PERMITS_PATH) => handle_permits(&core, request).await,
                 (&Method::POST, TRIALS_PATH) => handle_trial(&core, request).await,
+                (&Method::POST, CALLS_PATH) => serve_forwarded(&core, request).await,
                 (&Method::POST, FACTS_PATH) => handle_facts(&core, request).await,
                 (&Method::POST, CHANGES_PATH) => handle_changes(&core, request).await,
                 (&Method::GET, CONFIG_PATH) => handle_fetch(&core, ViewArea::Config, &request),
--- a/crates/gateway/src/relay/access_entry.rs
+++ b/crates/gateway/src/relay/access_entry.rs
@@ -6,6 +6,7 @@
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
+use crate::forward::CallOrigin;
 use crate::{CapacityReservation, GatewayCore, GenerationSize, PlacementRefusal};
 
 /// Milliseconds in a second; metrics count in seconds.
@@ -29,6 +30,10 @@
     pub targets: Vec<TargetName>,
     /// Coordinator that chose the last target; `None` if this node did.
     pub coordinator: Option<SocketAddr>,
+    /// Peer to which the call was forwarded.
+    pub forwarded_to: Option<SocketAddr>,
+    /// Whether a peer forwarded the call to this node.
+    pub is_forwarded: bool,
     /// Milliseconds from arrival until there was capacity on the first target.
     pub placed_ms: Option<u64>,
     /// Size of the generation as stated by the caller.
@@ -69,6 +74,8 @@
             config_version: ConfigVersion::default(),
             targets: Vec::new(),
             coordinator: None,
+            forwarded_to: None,
+            is_forwarded: false,
             placed_ms: None,
             size: None,
             shared_parts: Vec::new(),
@@ -87,6 +94,16 @@
         }
     }
 
+    /// Returns the entry of a call from there; one that was forwarded arrived at the first node.
+    #[must_use]
+    pub fn with_origin(mut self, origin: &CallOrigin) -> Self {
+        if let Some(ticket) = origin.ticket() {
+            self.is_forwarded = true;
+            self.arrived_at = self.arrived_at.saturating_sub(ticket.waited);
+        }
+        self
+    }
+
     /// When the call arrived.
     pub fn arrived_at(&self) -> ClockTime {
         self.arrived_at
@@ -193,6 +210,8 @@
             newest_version = newest.0,
             targets = targets.join(",").as_str(),
             desk = self.coordinator.map_or_else(String::new, |at| at.to_string()).as_str(),
+            forwarded = self.is_forwarded,
+            forwarded_to = self.forwarded_to.map_or_else(String::new, |at| at.to_string()).as_str(),
             placed_ms = self.placed_ms.unwrap_or_default(),
             prompt = self.size.map_or(0, |size| size.prompt.0),
             output_limit = self.size.map_or(0, |size| size.output_limit.0),
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -12,6 +12,7 @@
 
 use super::call_admission::CallAdmission;
 use crate::coordinator::CapacityRequest;
+use crate::forward::CallOrigin;
 use crate::state::CallTimes;
 use crate::{CallerHeaders, GatewayCore};
 
@@ -43,6 +44,8 @@
     Stopping,
     /// The configuration in force admits the call for another service or workspace, or not at all.
     AdmissionChanged,
+    /// This node has no path to the targets, and a peer may have one.
+    PathLost,
 }
 
 /// A call that was read, matched to its route and admitted by its key.
@@ -63,7 +66,11 @@
     pub caller_headers: CallerHeaders,
     /// What the configuration says of the call.
     pub admission: CallAdmission,
-    /// When the call arrived.
+    /// From whom this node got the call.
+    pub origin: CallOrigin,
+    /// Whether the call was counted for the retry budget of its service.
+    pub is_recorded: bool,
+    /// When the call arrived at the first node.
     pub arrived_at: ClockTime,
     /// When the call times out: at the deadline of the caller or of the route, whichever is first.
     pub deadline: ClockTime,
@@ -73,6 +80,26 @@
 }
 
 impl AdmittedCall {
+    /// Whether a peer forwarded the call.
+    pub fn is_forwarded(&self) -> bool {
+        self.origin.ticket().is_some()
+    }
+
+    /// Number of targets that may have run the call before this node got it.
+    pub fn earlier_runs(&self) -> u32 {
+        self.origin.ticket().map_or(0, |ticket| ticket.earlier_runs)
+    }
+
+    /// Counts the call for the retry budget of its service, unless that was done; the node that sends a
+    /// call counts it.
+    pub fn ensure_recorded(&mut self, core: &GatewayCore) {
+        if std::mem::replace(&mut self.is_recorded, true) {
+            return;
+        }
+        let service = &self.admission.service;
+        core.with_state(|state, now| state.retry_share.record_call(now, service));
+    }
+
     /// Admits the call by the configuration in force, if that has changed.
     ///
     /// # Errors
@@ -127,6 +154,9 @@
             biased;
             waited = waited => waited.map_or(SendWait::Stopping, SendWait::Done),
             () = self.admission_change(core) => SendWait::AdmissionChanged,
+            () = core.until_helped(&self.admission.service), if !self.is_forwarded() => {
+                SendWait::PathLost
+            }
         }
     }
 
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -17,6 +17,7 @@
 use super::plain_call::relay_plain;
 use super::stream_call::relay_stream;
 use crate::GatewayCore;
+use crate::forward::{CallOrigin, UNREACHABLE_RETRY};
 use crate::state::OTHER_NODE_RETRY;
 
 /// HTTP handler of the caller port: admits each call and relays it to a target.
@@ -33,25 +34,31 @@
 
 impl WebHandler for CallHandler {
     fn handle(&self, request: Request<Incoming>) -> HandlerFuture {
-        let core = self.core.clone();
-        Box::pin(async move {
-            let _active = ActiveCall::new(core.clone());
-            let mut access_entry = AccessEntry::new(core.clone());
-            let admitted = core
-                .until_cut_off(admit_call(&core, &mut access_entry, request))
-                .await;
-            let admitted = admitted.unwrap_or_else(|| {
-                access_entry.add_reason("not read before this node stops");
-                Err(refuse(&core, &mut access_entry, ErrorKind::Stopping))
-            });
-            match admitted {
-                Ok(call) if call.admission.route.repeat == RepeatPolicy::Stream => {
-                    relay_stream(core, call, access_entry).await
-                }
-                Ok(call) => relay_plain(&core, call, access_entry).await,
-                Err(response) => *response,
-            }
-        })
+        Box::pin(serve_call(self.core.clone(), request, CallOrigin::Caller))
+    }
+}
+
+/// Serves a call of a caller, or one that a peer forwards.
+pub async fn serve_call(
+    core: Arc<GatewayCore>,
+    request: Request<Incoming>,
+    origin: CallOrigin,
+) -> Response<WebBody> {
+    let _active = ActiveCall::new(core.clone());
+    let mut access_entry = AccessEntry::new(core.clone()).with_origin(&origin);
+    let admitted = core
+        .until_cut_off(admit_call(&core, &mut access_entry, request, origin))
+        .await;
+    let admitted = admitted.unwrap_or_else(|| {
+        access_entry.add_reason("not read before this node stops");
+        Err(refuse(&core, &mut access_entry, ErrorKind::Stopping))
+    });
+    match admitted {
+        Ok(call) if call.admission.route.repeat == RepeatPolicy::Stream => {
+            relay_stream(core, call, access_entry).await
+        }
+        Ok(call) => relay_plain(&core, call, access_entry).await,
+        Err(response) => *response,
     }
 }
 
@@ -79,9 +86,10 @@
     core: &Arc<GatewayCore>,
     access_entry: &mut AccessEntry,
     request: Request<Incoming>,
+    origin: CallOrigin,
 ) -> Result<AdmittedCall, Box<Response<WebBody>>> {
     let (mut parts, body) = request.into_parts();
-    let caller_headers = match core.ports.headers.read_caller_headers(&parts.headers) {
+    let mut caller_headers = match core.ports.headers.read_caller_headers(&parts.headers) {
         Ok(caller_headers) => caller_headers,
         Err(error) => {
             access_entry.add_reason(error.to_string());
@@ -93,9 +101,15 @@
     access_entry.shared_parts = caller_headers.shared_parts.clone();
     let config = core.config();
     let config = config.filter(|_| core.with_state(|state, now| state.has_initial_sync(now)));
+    let ticket = origin.ticket();
+    // A node that knows less than the one that forwards the call would judge it by an older version.
+    let config = config.filter(|config| ticket.is_none_or(|one| one.version <= config.version));
     let Some(config) = config else {
         return Err(refuse(core, access_entry, ErrorKind::NotReady));
     };
+    if let Some(ticket) = ticket {
+        caller_headers.remaining = Some(ticket.remaining);
+    }
     access_entry.config_version = config.version;
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
@@ -123,8 +137,15 @@
     let features = CallFeatures::new(RequestFingerprint::new(&scope, &body))
         .with_parts(&caller_headers.shared_parts);
     refuse_crash_suspect(core, access_entry, &features)?;
-    core.with_state(|state, now| state.retry_share.record_call(now, &admission.service));
+    let is_recorded = ticket.is_some_and(|ticket| ticket.is_recorded);
+    let deadline = match ticket {
+        // Of the time that the caller had, some has passed at the node that forwards the call.
+        Some(ticket) => access_entry.arrived_at() + ticket.waited + timeout,
+        None => access_entry.arrived_at() + timeout,
+    };
     let call = AdmittedCall {
+        is_recorded,
+        origin,
         method: parts.method,
         host,
         path_and_query: path,
@@ -134,7 +155,7 @@
         admission,
         caller_headers,
         arrived_at: access_entry.arrived_at(),
-        deadline: access_entry.arrived_at() + timeout,
+        deadline,
         features,
     };
     match core.can_finish(call.times(core.now())) {
@@ -228,6 +249,7 @@
 pub(super) fn retry_elsewhere(kind: ErrorKind) -> Option<TimeSpan> {
     match kind {
         ErrorKind::NotReady | ErrorKind::NoTarget | ErrorKind::Stopping => Some(OTHER_NODE_RETRY),
+        ErrorKind::TargetsUnreachable => Some(UNREACHABLE_RETRY),
         _ => None,
     }
 }
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -155,10 +155,14 @@
     core.with_state(|state, _| state.facts.add_suspected(sign.clone()));
     let (core, request) = (core.clone(), request.cloned());
     tokio::spawn(async move {
+        let began_at = core.now();
         let connected = core
             .pool
             .connect(attempt.address, ReusePolicy::NewOnly)
             .await;
+        if connected.is_err() {
+            core.record_connect_failure(&attempt.target, began_at);
+        }
         match connected {
             Ok(_connection) => {
                 core.with_state(|state, now| {
@@ -178,6 +182,11 @@
                     "the target accepts connections",
                 );
             }
+            Err(_) if core.is_out_of_reach(&attempt.target).await => {
+                core.with_state(|state, _| state.facts.clear_suspected(&sign));
+                let reason = "this node has no path to the targets of the service";
+                log_attempt(&core, request.as_ref(), &attempt, "passed_over", reason);
+            }
             Err(error) => {
                 let has_broken_off = request.is_some() || attempt.has_broken_off;
                 let evidence = match error.is_refused() && has_broken_off {
--- a/crates/gateway/src/relay/failure_response.rs
+++ b/crates/gateway/src/relay/failure_response.rs
@@ -5,6 +5,7 @@
 
 use super::AccessEntry;
 use crate::GatewayCore;
+use crate::forward::mark_refusal;
 use crate::state::OTHER_NODE_RETRY;
 
 /// Builds an error response of this node and records it in the access log entry.
@@ -25,6 +26,9 @@
         core.ports.headers.write_retry_after(headers, wait);
     }
     close_if_stopping(core, headers);
+    if access_entry.is_forwarded {
+        mark_refusal(headers, kind);
+    }
     response
 }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -21,5 +21,9 @@
 mod target_send;
 
 pub use access_entry::AccessEntry;
-pub use call_handler::CallHandler;
+pub use admitted_call::{AdmittedCall, strip_hop_by_hop_headers};
+pub use buffered_response::{BufferedResponse, LeasedBody, deliver_response};
+pub use call_handler::{CallHandler, serve_call};
 pub use crash_detection::check_ended_run;
+pub use failure_response::close_if_stopping;
+pub use response_sender::{ChunkOutcome, ResponseSender};
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -15,6 +15,7 @@
 use super::failure_response::{cut_off_response, failure_response};
 use super::target_send::{ReadFailure, SendOutcome, read_response, send_call};
 use crate::coordinator::reserve_capacity;
+use crate::forward::{CallRoute, ForwardOutcome, choose_route, forward_plain};
 use crate::state::SendRefusal;
 use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore};
@@ -63,7 +64,7 @@
 ) -> Response<WebBody> {
     let mut excluded = Vec::new();
     let mut trial = CallTrial::default();
-    let mut runs = 0;
+    let mut runs = call.earlier_runs();
     let mut failed = None;
     let mut tried = 0;
     while tried < MAX_TARGETS_TRIED {
@@ -71,6 +72,21 @@
             let refusal = (kind, retry_elsewhere(kind));
             return end_unsent(core, &mut access_entry, failed, runs, refusal);
         }
+        match choose_route(core, &call) {
+            CallRoute::Direct => call.ensure_recorded(core),
+            CallRoute::ByPeer => {
+                let forwarded = forward_plain(core, &call, &mut access_entry, runs);
+                return match core.until_cut_off(forwarded).await {
+                    Some(outcome) => end_forwarded(core, &mut access_entry, failed, runs, outcome),
+                    None => cut_off(core, &mut access_entry, failed, runs + 1),
+                };
+            }
+            CallRoute::Unreachable => {
+                let kind = ErrorKind::TargetsUnreachable;
+                let refusal = (kind, retry_elsewhere(kind));
+                return end_unsent(core, &mut access_entry, failed, runs, refusal);
+            }
+        }
         let deadline = call.deadline_instant(core.now());
         let max_wait = call
             .admission
@@ -86,7 +102,7 @@
                 return end_unsent(core, &mut access_entry, failed, runs, refusal);
             }
             SendWait::Stopping => return cut_off(core, &mut access_entry, failed, runs),
-            SendWait::AdmissionChanged => continue,
+            SendWait::AdmissionChanged | SendWait::PathLost => continue,
         }
         let mut placement = call.placement_request(core);
         placement.excluded.extend_from_slice(&excluded);
@@ -101,7 +117,7 @@
                 return end_unsent(core, &mut access_entry, failed, runs, refusal);
             }
             SendWait::Stopping => return cut_off(core, &mut access_entry, failed, runs),
-            SendWait::AdmissionChanged => continue,
+            SendWait::AdmissionChanged | SendWait::PathLost => continue,
         };
         access_entry.record_target(&reservation);
         let may_repeat = call.admission.route.repeat == RepeatPolicy::Idempotent;
@@ -195,6 +211,28 @@
     }
 }
 
+/// Ends a call that was forwarded to peers.
+fn end_forwarded(
+    core: &GatewayCore,
+    access_entry: &mut AccessEntry,
+    failed: Option<BufferedResponse>,
+    runs: u32,
+    outcome: ForwardOutcome,
+) -> Response<WebBody> {
+    let kind = match outcome {
+        ForwardOutcome::Answered(response) => return response,
+        ForwardOutcome::Refused => {
+            let kind = ErrorKind::TargetsUnreachable;
+            let refusal = (kind, retry_elsewhere(kind));
+            return end_unsent(core, access_entry, failed, runs, refusal);
+        }
+        ForwardOutcome::Lost => ErrorKind::TargetLost,
+        ForwardOutcome::TimedOut => ErrorKind::DeadlineExceeded,
+        ForwardOutcome::TooLarge => ErrorKind::ResponseTooLarge,
+    };
+    failure_response(core, access_entry, kind, None)
+}
+
 /// Ends a call that is in progress when the process stops.
 fn cut_off(
     core: &GatewayCore,
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -16,6 +16,7 @@
 use super::stream_relay::{RelayParts, StreamRelay};
 use super::target_send::{ReadFailure, SendOutcome, TargetResponse, read_response, send_call};
 use crate::coordinator::reserve_capacity;
+use crate::forward::{CallRoute, ForwardOutcome, choose_route, forward_call, relay_forwarded};
 use crate::state::SendRefusal;
 use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore};
@@ -42,6 +43,13 @@
         if let Err(kind) = call.update_admission(&core) {
             return *refuse(&core, &mut access_entry, kind);
         }
+        match choose_route(&core, &call) {
+            CallRoute::Direct => call.ensure_recorded(&core),
+            CallRoute::ByPeer => return forward_generation(&core, call, access_entry).await,
+            CallRoute::Unreachable => {
+                return *refuse(&core, &mut access_entry, ErrorKind::TargetsUnreachable);
+            }
+        }
         let deadline = call.deadline_instant(core.now());
         let capacity_wait = call.admission.route.latency_target * CAPACITY_WAIT_FACTOR;
         let capacity_deadline = call.arrived_at + capacity_wait;
@@ -52,7 +60,7 @@
         let acquired = match call.wait_to_send(&core, acquired).await {
             SendWait::Done(acquired) => acquired,
             SendWait::Stopping => return cut_off_response(&core, &mut access_entry, false),
-            SendWait::AdmissionChanged => continue,
+            SendWait::AdmissionChanged | SendWait::PathLost => continue,
         };
         if let Err(retry) = acquired {
             access_entry.add_reason("other calls with a suspected feature of it run first");
@@ -71,7 +79,7 @@
                 return failure_response(&core, &mut access_entry, refusal.kind(), retry);
             }
             SendWait::Stopping => return cut_off_response(&core, &mut access_entry, false),
-            SendWait::AdmissionChanged => continue,
+            SendWait::AdmissionChanged | SendWait::PathLost => continue,
         };
         access_entry.record_target(&reservation);
         let target = reservation.target.clone();
@@ -131,6 +139,23 @@
     )
 }
 
+/// Forwards a generation that was not sent to any target yet.
+async fn forward_generation(
+    core: &Arc<GatewayCore>,
+    call: AdmittedCall,
+    mut access_entry: AccessEntry,
+) -> Response<WebBody> {
+    let forwarded = core.until_cut_off(forward_call(core, &call, &mut access_entry, 0));
+    let kind = match forwarded.await {
+        Some(Ok(answered)) => return relay_forwarded(core, &call, access_entry, answered),
+        None => return cut_off_response(core, &mut access_entry, true),
+        Some(Err(ForwardOutcome::Refused)) => ErrorKind::TargetsUnreachable,
+        Some(Err(ForwardOutcome::TimedOut)) => ErrorKind::DeadlineExceeded,
+        Some(Err(_)) => ErrorKind::TargetLost,
+    };
+    *refuse(core, &mut access_entry, kind)
+}
+
 /// Starts the task that relays the stream, and returns the response that it feeds.
 fn start_stream(
     core: Arc<GatewayCore>,
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -105,15 +105,20 @@
         Ok(permit) => permit,
         Err(bar) => return SendOutcome::Forbidden(bar),
     };
+    let began_at = core.now();
     let connected = timeout_at(
         deadline,
         core.pool.connect(reservation.address, ReusePolicy::NewOnly),
     )
     .await;
     let mut connection = match connected {
-        Ok(Ok(connection)) => connection,
+        Ok(Ok(connection)) => {
+            core.record_connection(&reservation.target);
+            connection
+        }
         Ok(Err(error)) => {
             reservation.record_outcome(TargetOutcome::Unreachable);
+            core.record_connect_failure(&reservation.target, began_at);
             return SendOutcome::Unsent(error.to_string());
         }
         Err(_) => return SendOutcome::Unsent("no time left to connect".to_owned()),
--- a/crates/gateway/src/serve/gateway_server.rs
+++ b/crates/gateway/src/serve/gateway_server.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use base::{EventKind, TimeSpan};
+use futures_util::future::join_all;
 use node::MetricsExport;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep, timeout_at};
@@ -22,6 +23,12 @@
 /// Largest number of caller connections at once; connections to targets, peers and the store need
 /// the rest of some 3,900.
 const MAX_CALLER_CONNECTIONS: usize = 2_400;
+/// Largest head of a request in bytes.
+const HEADER_BYTES: usize = 64 << 10;
+/// Room in the head of a forwarded call for its ticket, without the path.
+const TICKET_BYTES: usize = 1 << 10;
+/// Timeout of the head of a request.
+const HEADER_TIMEOUT: TimeSpan = TimeSpan::from_secs(30);
 /// Interval of `GatewayCore::on_tick`, which serves waiting calls and expires outdated state.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is read, as it may change without a signal, and at which the
@@ -41,8 +48,8 @@
 pub struct GatewayServer {
     core: Arc<GatewayCore>,
     stop: StopSignal,
-    /// Task that serves the connections of callers.
-    caller_server: JoinHandle<()>,
+    /// Tasks that serve the connections of callers, and of peers, which forward calls.
+    call_servers: [JoinHandle<()>; 2],
     reloader: Arc<SettingsReloader>,
 }
 
@@ -71,7 +78,7 @@
         let stop = StopSignal::new();
         let server = Self {
             reloader: Arc::new(SettingsReloader::new(core.clone())),
-            caller_server: serve_listeners(listeners, &core, &stop),
+            call_servers: serve_listeners(listeners, &core, &stop),
             core,
             stop,
         };
@@ -127,7 +134,9 @@
         self.wait_idle(refusal_end, exit_at).await;
         self.stop.stop();
         let active_work = core.active_work();
-        let is_drained = timeout_at(exit_at, self.caller_server).await.is_ok();
+        let is_drained = timeout_at(exit_at, join_all(self.call_servers))
+            .await
+            .is_ok();
         core.log_end(active_work, is_drained);
     }
 
@@ -188,32 +197,37 @@
     }
 }
 
-/// Serves the listening sockets for callers, readiness checks, peers and metrics; returns the task
-/// that serves callers.
+/// Serves the listening sockets for callers, readiness checks, peers and metrics; returns the tasks
+/// that serve callers and peers.
 fn serve_listeners(
     listeners: GatewayListeners,
     core: &Arc<GatewayCore>,
     stop: &StopSignal,
-) -> JoinHandle<()> {
+) -> [JoinHandle<()>; 2] {
     let caller_limits = ServerLimits::new()
         .with_connections(MAX_CALLER_CONNECTIONS)
-        .with_header_limits(64 << 10, TimeSpan::from_secs(30));
+        .with_header_limits(HEADER_BYTES, HEADER_TIMEOUT);
     let settings = &core.settings;
     let ready = ReadyHandler::new(core.clone());
     ListenerTask::new("ready listener", settings.ready_address)
         .with_server(listeners.ready)
         .spawn(ready, stop);
+    // Forwarded calls have the head of the caller and a ticket.
+    let peer_limits =
+        ServerLimits::new().with_header_limits(HEADER_BYTES + TICKET_BYTES, HEADER_TIMEOUT);
     let peers = PeerHandler::new(core.clone());
-    ListenerTask::new("peer listener", settings.peer_address)
+    let peer_server = ListenerTask::new("peer listener", settings.peer_address)
         .with_server(listeners.peers)
+        .with_limits(peer_limits)
         .spawn(peers, stop);
     if let Some(address) = settings.metrics_address {
         // Callers don't wait for the port of the metrics.
         ListenerTask::new("metrics listener", address).spawn(MetricsHandler, stop);
     }
     let callers = CallHandler::new(core.clone());
-    ListenerTask::new("caller listener", settings.caller_address)
+    let caller_server = ListenerTask::new("caller listener", settings.caller_address)
         .with_server(listeners.callers)
         .with_limits(caller_limits)
-        .spawn(callers, stop)
+        .spawn(callers, stop);
+    [caller_server, peer_server]
 }
--- a/crates/gateway/src/state/coordinator_state.rs
+++ b/crates/gateway/src/state/coordinator_state.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, DomainName, EventKind, NodeName, TargetName, TimeSpan};
+use base::{ClockTime, DomainName, EventKind, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{
     CoordinatorCandidate, GrantId, GrantTracker, PlacementRequest, TargetLoad, rank_coordinators,
 };
@@ -69,7 +69,7 @@
         self.accepted.iter().map(|(_, id)| *id).collect()
     }
 
-    fn is_unreachable(&self, now: ClockTime, address: SocketAddr) -> bool {
+    pub(super) fn is_unreachable(&self, now: ClockTime, address: SocketAddr) -> bool {
         let mut unreachable = self.unreachable.iter();
         unreachable.any(|(until, known)| *until > now && *known == address)
     }
@@ -109,7 +109,7 @@
         now: ClockTime,
         domain: &DomainName,
     ) -> Vec<SocketAddr> {
-        self.rank_domain(now, domain, ALIVE_TIMEOUT, Vec::new())
+        self.rank_domain(now, domain, ALIVE_TIMEOUT, None)
     }
 
     /// Address of the coordinator of a failure domain.
@@ -195,29 +195,49 @@
         let own = self.peers.own_address();
         let own = own.filter(|_| self.stop_plan.is_none());
         let own = own.map(|address| (self.own_candidate(), address));
-        let candidates = own.into_iter().collect();
-        self.rank_domain(now, &self.domain, COORDINATOR_ALIVE_TIMEOUT, candidates)
+        self.rank_domain(now, &self.domain, COORDINATOR_ALIVE_TIMEOUT, own)
     }
 
-    /// Addresses of `candidates` and of the peers of a failure domain that were heard within
+    /// Addresses of `own`, if that is of the domain, and of the peers of a failure domain that were heard within
     /// `timeout`, in coordinator order.
     fn rank_domain(
         &self,
         now: ClockTime,
         domain: &DomainName,
         timeout: TimeSpan,
-        mut candidates: Vec<(CoordinatorCandidate, SocketAddr)>,
+        own: Option<(CoordinatorCandidate, SocketAddr)>,
     ) -> Vec<SocketAddr> {
+        let (mut cut_off, mut candidates) = (Vec::new(), Vec::new());
+        match self.lacks_engines(&self.paths.lost_services()) {
+            true => cut_off.extend(own),
+            false => candidates.extend(own),
+        }
         for peer in self.peers.alive_in(now, domain, timeout) {
-            if !peer.is_stopping && !self.coordinator.is_unreachable(now, peer.address) {
-                let candidate = CoordinatorCandidate {
-                    node: peer.node.clone(),
-                    capacity: peer.capacity,
-                };
-                candidates.push((candidate, peer.address));
+            if peer.is_stopping || self.coordinator.is_unreachable(now, peer.address) {
+                continue;
+            }
+            let candidate = CoordinatorCandidate {
+                node: peer.node.clone(),
+                capacity: peer.capacity,
+            };
+            match self.lacks_engines(&peer.paths.lost) {
+                true => cut_off.push((candidate, peer.address)),
+                false => candidates.push((candidate, peer.address)),
             }
         }
+        // Nodes that can't tell which engines are up come last.
         rank_coordinators(domain, &mut candidates);
-        candidates.into_iter().map(|(_, address)| address).collect()
+        rank_coordinators(domain, &mut cut_off);
+        let ranked = candidates.into_iter().chain(cut_off);
+        ranked.map(|(_, address)| address).collect()
+    }
+
+    /// Whether one of these services, to which a node has no path, has engines.
+    fn lacks_engines(&self, lost: &[ServiceName]) -> bool {
+        let config = self.view.config.as_ref();
+        lost.iter().any(|service| {
+            let spec = config.and_then(|config| config.service(service));
+            spec.is_some_and(|spec| spec.engine.is_some())
+        })
     }
 }
--- a/crates/gateway/src/state/gateway_core.rs
+++ b/crates/gateway/src/state/gateway_core.rs
@@ -86,6 +86,7 @@
     config_hints: watch::Sender<StorePosition>,
     stop_changes: watch::Sender<()>,
     config_changes: watch::Sender<()>,
+    path_changes: watch::Sender<()>,
     /// Reason that was logged last why the settings could not be read.
     settings_failure: Mutex<Option<String>>,
     /// Whether the end of the process was logged.
@@ -105,6 +106,7 @@
             config_hints: watch::Sender::new(StorePosition::default()),
             stop_changes: watch::Sender::new(()),
             config_changes: watch::Sender::new(()),
+            path_changes: watch::Sender::new(()),
             bodies: BodyBudget::new(settings.memory),
             settings,
             ports,
@@ -309,6 +311,16 @@
         self.config_changes.subscribe()
     }
 
+    /// Watch that changes whenever a path to targets is lost or returns, or a peer reports so of its own.
+    pub fn watch_paths(&self) -> watch::Receiver<()> {
+        self.path_changes.subscribe()
+    }
+
+    /// Makes the calls that wait to be sent check again whether a peer has to send them.
+    pub fn notify_paths(&self) {
+        self.path_changes.send_replace(());
+    }
+
     /// Watch that changes whenever facts change by which calls are blamed for crashes.
     pub fn watch_blame(&self) -> watch::Receiver<u64> {
         self.blame_changes.subscribe()
@@ -559,6 +571,7 @@
         self.handle_target_changes(&changes, "entry did not come back");
         self.report_evacuations();
         self.report_config_lag();
+        self.try_lost_paths();
     }
 
     /// Logs, once for each time, that peers have had a newer configuration in force for over a second, and
--- a/crates/gateway/src/state/gateway_state.rs
+++ b/crates/gateway/src/state/gateway_state.rs
@@ -6,7 +6,7 @@
 use entry::{
     AttemptTracker, CallQueue, CoordinatorCandidate, CopyLocks, DomainPace, EvacuationLedger,
     FactState, FleetReach, FullTargets, GapCollector, LoadBalancer, MovePlan, MovePlanner,
-    MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PlacementDecision,
+    MoveScheduler, MoveWorth, NoticeEstimate, PaceReport, PaceTurns, PathTable, PlacementDecision,
     PlacementPacer, PlacementRequest, PlacementScope, QueueTicket, RateLedger, RetryShare,
     ReturnSchedule, SampleBudget, StorePosition, SuspectTracker, TargetPhase, TrialLedger,
 };
@@ -116,6 +116,8 @@
     pub trials: TrialLedger,
     /// Targets on which calls run that may crash them.
     pub suspects: SuspectTracker,
+    /// Whether this node has a network path to the targets of each service.
+    pub paths: PathTable,
     /// Permits that this node grants for targets that name a rate.
     pub rate_ledger: RateLedger,
     /// Sizes of the failure domains, by which a rate is divided while some can't be reached.
@@ -177,6 +179,7 @@
             outbox: FactOutbox::default(),
             trials: TrialLedger::default(),
             suspects: SuspectTracker::default(),
+            paths: PathTable::default(),
             rate_ledger: RateLedger::default(),
             reach: FleetReach::default(),
             knows_fleet_size: false,
--- a/crates/gateway/src/state/peer_table.rs
+++ b/crates/gateway/src/state/peer_table.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use base::{ClockTime, CoreShare, DomainName, NodeName, TimeSpan};
+use base::{ClockTime, CoreShare, DomainName, NodeName, ServiceName, TimeSpan};
 
 /// Time after which a peer that was not heard no longer counts as alive; peers of other failure
 /// domains are heard rarely in large fleets.
@@ -16,6 +16,22 @@
 /// Largest number of peers in the table, and of hinted addresses.
 const PEER_LIMIT: usize = 512;
 
+/// What a peer reports about its network paths to targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerPaths {
+    /// Whether it accepts forwarded calls; earlier builds don't.
+    pub accepts_calls: bool,
+    /// Services to whose targets it has no path, sorted.
+    pub lost: Vec<ServiceName>,
+}
+
+impl PeerPaths {
+    /// Whether calls for a service may be forwarded to the peer.
+    pub fn can_help(&self, service: &ServiceName) -> bool {
+        self.accepts_calls && self.lost.binary_search(service).is_err()
+    }
+}
+
 /// What a peer reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerInfo {
@@ -31,6 +47,8 @@
     pub is_waiting: bool,
     /// Whether the node is stopping.
     pub is_stopping: bool,
+    /// Network paths of the node to targets.
+    pub paths: PeerPaths,
 }
 
 #[derive(Clone, Debug)]
@@ -175,6 +193,21 @@
         alive.map(|peer| &peer.info).collect()
     }
 
+    /// Peers that were heard within `timeout` and to which calls for a service may be forwarded.
+    pub fn helpers(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+        timeout: TimeSpan,
+    ) -> Vec<&PeerInfo> {
+        let peers = self.peers.iter();
+        let alive = peers.filter(|peer| now.since(peer.heard_at) < timeout);
+        let infos = alive.map(|peer| &peer.info);
+        infos
+            .filter(|info| !info.is_stopping && info.paths.can_help(service))
+            .collect()
+    }
+
     /// Failure domains of peers that are alive, sorted.
     pub fn domains(&self, now: ClockTime) -> Vec<DomainName> {
         let peers = self.peers.iter();
--- a/crates/gateway/tests/gateway/admissions.rs
+++ b/crates/gateway/tests/gateway/admissions.rs
@@ -125,6 +125,12 @@
     let waiting = WaitingCall::new(service, path, slots).await;
     let spare = FakeTarget::start("spare", mode).await;
     waiting.store.put_target(&spare, "ready");
+    // The gateway reads targets and the configuration by different requests.
+    let core = waiting.gateway.server.core();
+    until("the spare target is known", || {
+        core.with_state(|state, _| state.balancer.targets().len() == 2)
+    })
+    .await;
     waiting.store.put_config_with_moved(2, route);
     let response = waiting.response.await.unwrap();
     assert_eq!(response.status, 200);
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -113,6 +113,7 @@
         targets_era: StoreEra::default(),
         facts_incomplete: None,
         answers: None,
+        lost_services: None,
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -412,6 +412,7 @@
         targets_era: StoreEra::default(),
         facts_incomplete: None,
         answers: None,
+        lost_services: None,
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -1,8 +1,12 @@
 //! Gateways that lose the path to targets which others reach.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use base::{CoreShare, TimeSpan};
+use gateway::{PeerInfo, PeerPaths, StopPlan};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use yare::parameterized;
 
@@ -60,6 +64,7 @@
     targets: Vec<FakeTarget>,
     cut: Gateway,
     helper: Gateway,
+    cut_store: Arc<FakeStore>,
     _addresses: CutAddresses,
 }
 
@@ -82,19 +87,21 @@
             targets,
             cut,
             helper,
+            cut_store,
             _addresses: addresses,
         };
-        setup.introduce().await;
+        setup.introduce(&setup.helper).await;
         setup
     }
 
-    async fn introduce(&self) {
-        let (core, peer) = (self.cut.server.core(), self.helper.peers);
-        core.with_state(|state, _| state.peers.add_hints(&[peer]));
-        for gateway in [&self.cut, &self.helper] {
+    /// Lets the cut gateway and a peer know each other.
+    async fn introduce(&self, peer: &Gateway) {
+        let (core, address) = (self.cut.server.core(), peer.peers);
+        core.with_state(|state, _| state.peers.add_hints(&[address]));
+        for (gateway, other) in [(&self.cut, peer), (peer, &self.cut)] {
+            let core = gateway.server.core();
             until("the gateways know each other", || {
-                let core = gateway.server.core();
-                core.with_state(|state, now| state.peers.alive(now).len() == 1)
+                core.with_state(|state, now| state.peers.alive(now).contains(&other.peers))
             })
             .await;
         }
@@ -165,3 +172,137 @@
         assert_eq!(setup.runs(&id), 1);
     }
 }
+
+// Guards against gateways that forward a call to one another, and that hold it although none can send it.
+#[tokio::test]
+async fn a_call_that_no_gateway_can_send_is_refused_at_once() {
+    let setup = CutSetup::start("app", TargetMode::Answer, CutMode::Refused).await;
+    let helper = Gateway::start_ready(&setup.cut_store).await;
+    setup.introduce(&helper).await;
+    let sound = setup.helper.server.core();
+    sound.begin_stop(StopPlan::new(sound.now(), TimeSpan::from_secs(8)));
+    sound.close();
+    let gateways = [&setup.cut, &helper];
+    for gateway in gateways {
+        let core = gateway.server.core();
+        for count in 0..5 {
+            call(
+                gateway.callers,
+                "/read/1",
+                &format!("x-id: w{count}\r\n"),
+                "",
+            )
+            .await;
+        }
+        assert_eq!(
+            core.with_state(|state, _| state.paths.lost_services().len()),
+            1
+        );
+    }
+    for (count, gateway) in gateways.into_iter().enumerate() {
+        let id = format!("u{count}");
+        let start = Instant::now();
+        let headers = format!("x-id: {id}\r\n");
+        let answer = call(gateway.callers, "/once/1", &headers, "").await;
+        assert_eq!((answer.status, setup.runs(&id)), (503, 0));
+        assert!(
+            answer.text.contains("targets_unreachable"),
+            "{}",
+            answer.text
+        );
+        assert!(start.elapsed() < Duration::from_millis(100));
+    }
+}
+
+// Guards against a gateway that keeps forwarding calls once it reaches targets again.
+#[tokio::test]
+async fn calls_are_sent_directly_once_the_path_is_back() {
+    let setup = CutSetup::start("app", TargetMode::Answer, CutMode::Silent).await;
+    setup.wait_served("/read/1", "").await;
+    let lost = || {
+        let core = setup.cut.server.core();
+        core.with_state(|state, _| state.paths.lost_services().len())
+    };
+    assert_eq!(lost(), 1);
+    for target in &setup.targets {
+        setup.cut_store.put_target(target, "ready");
+    }
+    until("the path is back", || lost() == 0).await;
+    let helper = setup.helper.server.core();
+    helper.begin_stop(StopPlan::new(helper.now(), TimeSpan::from_secs(8)));
+    helper.close();
+    let answer = call(setup.cut.callers, "/once/1", "x-id: d1\r\n", "").await;
+    assert_eq!((answer.status, setup.runs("d1")), (200, 1));
+}
+
+/// What a peer of the test does with a forwarded call.
+#[derive(Clone, Copy, Debug)]
+enum PeerMode {
+    /// Closes the connection after reading the call.
+    Close,
+    /// Answers as earlier builds do.
+    Unknown,
+    /// Closes the connection within its response.
+    Truncate,
+}
+
+/// A gateway without a path whose only peer misbehaves.
+async fn call_by_peer(mode: PeerMode) -> CallerResponse {
+    let store = FakeStore::new();
+    let addresses = CutAddresses::new(CutMode::Refused).await;
+    store.put_config(1);
+    for address in &addresses.addresses {
+        let target = FakeTarget::start("app", TargetMode::Answer).await;
+        store.put_target_at(&target, *address);
+    }
+    let gateway = Gateway::start_ready(&store).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4_096];
+            let length = stream.read(&mut request).await.unwrap_or_default();
+            let is_call = request[..length].starts_with(b"POST /peer/calls ");
+            let response: &[u8] = match mode {
+                PeerMode::Truncate if is_call => {
+                    b"HTTP/1.1 200 OK\r\nagatemoor-outcome: answered\r\ncontent-length: 9\r\n\r\nabc"
+                }
+                PeerMode::Close if is_call => b"",
+                _ => b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+            };
+            stream.write_all(response).await.unwrap();
+        }
+    });
+    gateway.server.core().with_state(|state, now| {
+        for name in ["t-1", "t-2"] {
+            let (service, name) = ("app".parse().unwrap(), name.parse().unwrap());
+            state.paths.record_failure(now, &service, &name, now);
+        }
+        let peer = PeerInfo {
+            address,
+            node: "peer".parse().unwrap(),
+            domain: "patan".parse().unwrap(),
+            capacity: CoreShare(250),
+            is_waiting: false,
+            is_stopping: false,
+            paths: PeerPaths {
+                accepts_calls: true,
+                lost: Vec::new(),
+            },
+        };
+        state.peers.record_heard(now, peer);
+    });
+    call(gateway.callers, "/once/1", "x-id: p1\r\n", "").await
+}
+
+// Guards against callers who are told that a call has not run although a peer may have run it, and the other way
+// round.
+#[parameterized(
+    lost_answer = { PeerMode::Close, 502 },
+    broken_answer = { PeerMode::Truncate, 502 },
+    earlier_build = { PeerMode::Unknown, 503 },
+)]
+#[test_macro(tokio::test)]
+async fn an_answer_that_a_peer_loses_leaves_open_whether_the_call_ran(mode: PeerMode, status: u16) {
+    assert_eq!(call_by_peer(mode).await.status, status);
+}
--- a/crates/gateway/tests/gateway/wire_extension.rs
+++ b/crates/gateway/tests/gateway/wire_extension.rs
@@ -141,6 +141,7 @@
         targets_era: StoreEra::default(),
         facts_incomplete: None,
         answers: None,
+        lost_services: None,
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
--- a/crates/gateway/tests/rate_simulation.rs
+++ b/crates/gateway/tests/rate_simulation.rs
@@ -8,7 +8,9 @@
     ServiceName, TargetName, TimeSpan,
 };
 use entry::{LeaseGuard, PermitOutcome, RateGrant, RateRecord, TargetRecord};
-use gateway::{GatewaySettings, GatewayState, PeerInfo, PermitRequest, PermitStep, RetrySettings};
+use gateway::{
+    GatewaySettings, GatewayState, PeerInfo, PeerPaths, PermitRequest, PermitStep, RetrySettings,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use yare::parameterized;
@@ -152,6 +154,7 @@
                 capacity: CoreShare(250),
                 is_waiting: false,
                 is_stopping: false,
+                paths: PeerPaths::default(),
             },
             started_at: self.now,
         }
