Spread forwarded calls when few nodes of a domain have a path

One sound node of a failure domain got the calls of all others there: its own callers share its processor and its link. Peers of other domains now share them where over four nodes come for each one with a path. The response of a peer, which ends a call at its deadline, is awaited for 50 ms more, so that the caller gets it in place of a time-out of the node between.

Tests: partitions::few_nodes_with_a_path_share_forwarded_calls_with_other_domains (the cases with few nodes failed before).

--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::{ByteCount, ErrorKind, TimeSpan};
 use http::{HeaderValue, Method, Request, Response};
@@ -20,6 +21,9 @@
 
 /// Largest number of peers to which one call is forwarded.
 const MAX_PEERS_TRIED: usize = 3;
+/// Time after the deadline of a call within which the response of a peer, which ends the call at the deadline,
+/// is awaited.
+const RESPONSE_MARGIN: TimeSpan = TimeSpan::new(50);
 /// `Retry-After` for calls that no node can send.
 pub const UNREACHABLE_RETRY: TimeSpan = TimeSpan::new(250);
 
@@ -95,7 +99,7 @@
     access_entry: &mut AccessEntry,
     earlier_runs: u32,
 ) -> ForwardOutcome {
-    let deadline = call.deadline_instant(core.now());
+    let deadline = call.deadline_instant(core.now()) + Duration::from(RESPONSE_MARGIN);
     let answered = match forward_call(core, call, access_entry, earlier_runs).await {
         Ok(answered) => answered,
         Err(outcome) => return outcome,
@@ -104,7 +108,7 @@
     let (mut parts, body) = answered.response.into_parts();
     let mut lease = core.bodies.new_lease();
     let limit = core.settings.response_limit.0 as usize;
-    let idle = call.remaining(core.now());
+    let idle = call.remaining(core.now()) + RESPONSE_MARGIN;
     let has_room = |bytes: usize| lease.try_grow_to(ByteCount(bytes as u64));
     let read = read_body_if(body, limit, idle, has_room);
     let body = match timeout_at(deadline, read).await {
@@ -199,7 +203,11 @@
     let Some(request) = build_request(core, call, earlier_runs) else {
         return PeerOutcome::Refused("the call can't be forwarded".to_owned());
     };
-    let response = match timeout_at(deadline, connection.send(request)).await {
+    let sent = timeout_at(
+        deadline + Duration::from(RESPONSE_MARGIN),
+        connection.send(request),
+    );
+    let response = match sent.await {
         Ok(Ok(response)) => response,
         Ok(Err((error, Some(_)))) => return PeerOutcome::Refused(error.to_string()),
         Ok(Err((_, None))) => return PeerOutcome::Lost,
--- a/crates/gateway/src/state/path_state.rs
+++ b/crates/gateway/src/state/path_state.rs
@@ -11,24 +11,33 @@
 /// Time since it was last heard within which a peer can get forwarded calls.
 const HELPER_ALIVE_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
 
+/// Nodes of a failure domain for each one with a path above which calls are forwarded to other domains too, so
+/// that those few can also serve their own callers.
+const LOCAL_HELPER_LOAD: usize = 4;
 /// Number of targets to which connections fail in a row from which on one that can't be reached is not
 /// taken for dead.
 const CUT_OFF_TARGETS: usize = 3;
 
 impl GatewayState {
-    /// Picks a peer that may have a path to the targets of a service, one of the own failure domain if there
-    /// is any; not one of `tried`.
+    /// Picks a peer that may have a path to the targets of a service, not one of `tried`: one of the own failure
+    /// domain, or of any if only a few nodes there have a path.
     pub fn pick_helper(
         &self,
         now: ClockTime,
         service: &ServiceName,
         tried: &[SocketAddr],
     ) -> Option<SocketAddr> {
-        let mut helpers = self.peers.helpers(now, service, HELPER_ALIVE_TIMEOUT);
+        let timeout = HELPER_ALIVE_TIMEOUT;
+        let mut helpers = self.peers.helpers(now, service, timeout);
         helpers.retain(|peer| {
             !tried.contains(&peer.address) && !self.coordinator.is_unreachable(now, peer.address)
         });
-        if helpers.iter().any(|peer| peer.domain == self.domain) {
+        let local = helpers.iter().filter(|peer| peer.domain == self.domain);
+        let (local, alive) = (
+            local.count(),
+            self.peers.alive_in(now, &self.domain, timeout),
+        );
+        if local > 0 && alive.len() <= local * LOCAL_HELPER_LOAD {
             helpers.retain(|peer| peer.domain == self.domain);
         }
         let helper = helpers.choose(&mut rand::rng());
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -1,5 +1,6 @@
 //! Gateways that lose the path to targets which others reach.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -306,3 +307,47 @@
 async fn an_answer_that_a_peer_loses_leaves_open_whether_the_call_ran(mode: PeerMode, status: u16) {
     assert_eq!(call_by_peer(mode).await.status, status);
 }
+
+// Guards against the last node of a failure domain that reaches targets and gets the calls of all others there.
+#[parameterized(
+    half = { 4, 4, 0 },
+    quarter = { 2, 6, 0 },
+    one_of_nine = { 1, 8, 4 },
+    none = { 0, 8, 4 },
+)]
+#[test_macro(tokio::test)]
+async fn few_nodes_with_a_path_share_forwarded_calls_with_other_domains(
+    sound: u16,
+    cut: u16,
+    remote: usize,
+) {
+    let store = FakeStore::new();
+    store.put_config(1);
+    let gateway = Gateway::start_ready(&store).await;
+    let service = "app".parse().unwrap();
+    let picked = gateway.server.core().with_state(|state, now| {
+        let mut add = |port: u16, domain: &str, lost: &[&str]| {
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            let peer = PeerInfo {
+                address,
+                node: format!("peer-{port}").parse().unwrap(),
+                domain: domain.parse().unwrap(),
+                capacity: CoreShare(250),
+                is_waiting: false,
+                is_stopping: false,
+                paths: PeerPaths {
+                    accepts_calls: true,
+                    lost: lost.iter().map(|name| name.parse().unwrap()).collect(),
+                },
+            };
+            state.peers.record_heard(now, peer);
+        };
+        (0..sound).for_each(|at| add(1 + at, "patan", &[]));
+        (0..cut).for_each(|at| add(100 + at, "patan", &["app"]));
+        (0..4).for_each(|at| add(200 + at, "balaju", &[]));
+        let picks = (0..500).filter_map(|_| state.pick_helper(now, &service, &[]));
+        picks.map(|address| address.port()).collect::<BTreeSet<_>>()
+    });
+    let expected = (1..=sound).chain((200..204).take(remote));
+    assert_eq!(picked, expected.collect());
+}
