Call a path lost only if a third target fails, and try the rest if peers refuse

Traced: both gateways had met two dead targets in a row and took their path for lost, so that each refused what the other forwarded.

A path is now in doubt after two targets, which starts a connection to a third one at once, and lost after three, or all if there are fewer. A call that all peers refuse is tried at the targets to which no connection has failed yet.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,7 +39,7 @@
     DomainPace, EnginePace, GapCollector, GapMeter, PaceNeed, PaceReport, PaceSample, PaceTable,
     PaceTurns, SampleBudget, TargetPace,
 };
-pub use path::{PathTable, ServicePath};
+pub use path::{PathChange, PathTable, ServicePath};
 pub use queue::{
     CallQueue, CallsAhead, EventRate, PlacementPacer, PlacementRate, QueueLane, QueueStatus,
     QueueTicket, QueuedCall, ShareSlot, WaitEstimate, WaitEstimator, WaitRefusal, WorkspaceShares,
--- a/crates/entry/src/path/mod.rs
+++ b/crates/entry/src/path/mod.rs
@@ -4,4 +4,4 @@
 mod service_path;
 
 pub use path_table::PathTable;
-pub use service_path::ServicePath;
+pub use service_path::{PathChange, ServicePath};
--- a/crates/entry/src/path/path_table.rs
+++ b/crates/entry/src/path/path_table.rs
@@ -1,17 +1,20 @@
 use base::{ClockTime, ServiceName, TargetName};
 
-use super::ServicePath;
+use super::{PathChange, ServicePath};
 
 /// Paths of this node to the targets of all services.
 ///
 /// ```
 /// use base::{ClockTime, ServiceName, TargetName};
+/// use entry::PathChange;
 /// let service: ServiceName = "orders".parse().unwrap();
 /// let target = |name: &str| -> TargetName { name.parse().unwrap() };
 /// let (began_at, now) = (ClockTime::new(10), ClockTime::new(260));
 /// let mut paths = entry::PathTable::default();
-/// assert!(!paths.record_failure(now, &service, &target("t1"), began_at));
-/// assert!(paths.record_failure(now, &service, &target("t2"), began_at));
+/// let mut fail = |name| paths.record_failure(now, &service, &target(name), began_at, 8);
+/// assert_eq!(fail("t1"), PathChange::Unchanged);
+/// assert_eq!(fail("t2"), PathChange::Doubted);
+/// assert_eq!(fail("t3"), PathChange::Lost);
 /// assert!(paths.is_lost(&service));
 /// assert!(paths.record_connection(ClockTime::new(900), &service));
 /// assert!(!paths.is_lost(&service));
@@ -30,8 +33,10 @@
         service: &ServiceName,
         target: &TargetName,
         began_at: ClockTime,
-    ) -> bool {
-        self.path_mut(service).record_failure(now, target, began_at)
+        open: usize,
+    ) -> PathChange {
+        self.path_mut(service)
+            .record_failure(now, target, began_at, open)
     }
 
     /// Records a connection; returns whether the path is back by this.
--- a/crates/entry/src/path/service_path.rs
+++ b/crates/entry/src/path/service_path.rs
@@ -1,8 +1,10 @@
 use base::{ClockTime, ServiceName, TargetName, TimeSpan};
 
-/// Number of targets to which connections have to fail in a row before the path counts as lost. One target
-/// alone may have died.
-const FAILED_TARGETS: usize = 2;
+/// Number of targets to which connections have to fail in a row before the path counts as lost, if the service
+/// has so many. One or two may have died.
+const FAILED_TARGETS: usize = 3;
+/// The same number for services with fewer targets, and the one from which on the path is in doubt.
+const DOUBTED_TARGETS: usize = 2;
 /// Time from the loss of the path until the first trial.
 const FIRST_TRIAL_PAUSE: TimeSpan = TimeSpan::new(150);
 /// Longest time between two trials.
@@ -10,6 +12,17 @@
 /// A path that is lost again within this time after its return is tried as rarely as before.
 const FLAP_TIME: TimeSpan = TimeSpan::from_secs(5);
 
+/// What a failed connection attempt changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathChange {
+    /// Nothing.
+    Unchanged,
+    /// The path is in doubt, and a connection to another target would tell.
+    Doubted,
+    /// The path is lost.
+    Lost,
+}
+
 /// Path of this node to the targets of one service, judged by its connection attempts.
 ///
 /// The path is lost once attempts to several targets have failed and none succeeded meanwhile. From then
@@ -66,23 +79,29 @@
         self.failed.binary_search(target).is_ok()
     }
 
-    /// Records that a connection attempt, which began at `began_at`, failed. Returns whether the path is lost
-    /// by this.
+    /// Records that a connection attempt, which began at `began_at`, failed; `open` targets of the service take
+    /// calls.
     pub fn record_failure(
         &mut self,
         now: ClockTime,
         target: &TargetName,
         began_at: ClockTime,
-    ) -> bool {
+        open: usize,
+    ) -> PathChange {
         // An attempt that began before another one succeeded tells only of its target.
         if self.connected_at.is_some_and(|at| began_at < at) {
-            return false;
+            return PathChange::Unchanged;
         }
-        if let Err(at) = self.failed.binary_search(target) {
-            self.failed.insert(at, target.clone());
+        let Err(at) = self.failed.binary_search(target) else {
+            return PathChange::Unchanged;
+        };
+        self.failed.insert(at, target.clone());
+        let failed = self.failed.len();
+        if self.is_lost || failed < DOUBTED_TARGETS {
+            return PathChange::Unchanged;
         }
-        if self.is_lost || self.failed.len() < FAILED_TARGETS {
-            return false;
+        if failed < FAILED_TARGETS.min(open) {
+            return PathChange::Doubted;
         }
         let returned_at = self.returned_at;
         if returned_at.is_none_or(|at| now.since(at) >= FLAP_TIME) {
@@ -90,7 +109,7 @@
         }
         self.is_lost = true;
         self.next_trial_at = now + self.trial_pause;
-        true
+        PathChange::Lost
     }
 
     /// Records that a connection was made; returns whether the path is back by this.
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -71,8 +71,8 @@
 
 /// Chooses how a call reaches the targets of its service.
 ///
-/// Without a path, and without a peer that may have one, targets to which no connection has failed yet are
-/// tried all the same.
+/// Without a path, and without a peer that may have one or if those refused the call, targets to which no
+/// connection has failed yet are tried all the same.
 pub fn choose_route(core: &GatewayCore, call: &AdmittedCall) -> CallRoute {
     let service = &call.admission.service;
     core.with_state(|state, now| {
@@ -82,7 +82,7 @@
         if call.is_forwarded() {
             return CallRoute::Unreachable;
         }
-        if state.pick_helper(now, service, &[]).is_some() {
+        if call.may_forward() && state.pick_helper(now, service, &[]).is_some() {
             return CallRoute::ByPeer;
         }
         match state.has_untried_target(service) {
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -68,6 +68,8 @@
     pub admission: CallAdmission,
     /// From whom this node got the call.
     pub origin: CallOrigin,
+    /// Whether all peers that may have a path to the targets refused the call.
+    pub peers_refused: bool,
     /// Whether the call was counted for the retry budget of its service.
     pub is_recorded: bool,
     /// When the call arrived at the first node.
@@ -85,6 +87,11 @@
         self.origin.ticket().is_some()
     }
 
+    /// Whether the call may be forwarded to a peer.
+    pub fn may_forward(&self) -> bool {
+        !self.is_forwarded() && !self.peers_refused
+    }
+
     /// Number of targets that may have run the call before this node got it.
     pub fn earlier_runs(&self) -> u32 {
         self.origin.ticket().map_or(0, |ticket| ticket.earlier_runs)
@@ -154,7 +161,7 @@
             biased;
             waited = waited => waited.map_or(SendWait::Stopping, SendWait::Done),
             () = self.admission_change(core) => SendWait::AdmissionChanged,
-            () = core.until_helped(&self.admission.service), if !self.is_forwarded() => {
+            () = core.until_helped(&self.admission.service), if self.may_forward() => {
                 SendWait::PathLost
             }
         }
--- a/crates/gateway/src/relay/call_handler.rs
+++ b/crates/gateway/src/relay/call_handler.rs
@@ -145,6 +145,7 @@
     };
     let call = AdmittedCall {
         is_recorded,
+        peers_refused: false,
         origin,
         method: parts.method,
         host,
--- a/crates/gateway/src/relay/plain_call.rs
+++ b/crates/gateway/src/relay/plain_call.rs
@@ -77,6 +77,10 @@
             CallRoute::ByPeer => {
                 let forwarded = forward_plain(core, &call, &mut access_entry, runs);
                 return match core.until_cut_off(forwarded).await {
+                    Some(ForwardOutcome::Refused) => {
+                        call.peers_refused = true;
+                        continue;
+                    }
                     Some(outcome) => end_forwarded(core, &mut access_entry, failed, runs, outcome),
                     None => cut_off(core, &mut access_entry, failed, runs + 1),
                 };
--- a/crates/gateway/src/relay/stream_call.rs
+++ b/crates/gateway/src/relay/stream_call.rs
@@ -16,7 +16,9 @@
 use super::stream_relay::{RelayParts, StreamRelay};
 use super::target_send::{ReadFailure, SendOutcome, TargetResponse, read_response, send_call};
 use crate::coordinator::reserve_capacity;
-use crate::forward::{CallRoute, ForwardOutcome, choose_route, forward_call, relay_forwarded};
+use crate::forward::{
+    CallRoute, ForwardOutcome, PeerResponse, choose_route, forward_call, relay_forwarded,
+};
 use crate::state::SendRefusal;
 use crate::trial::CallTrial;
 use crate::{CapacityReservation, GatewayCore};
@@ -45,7 +47,16 @@
         }
         match choose_route(&core, &call) {
             CallRoute::Direct => call.ensure_recorded(&core),
-            CallRoute::ByPeer => return forward_generation(&core, call, access_entry).await,
+            CallRoute::ByPeer => {
+                match forward_generation(&core, &call, &mut access_entry).await {
+                    Ok(answered) => {
+                        return relay_forwarded(&core, &call, access_entry, answered);
+                    }
+                    Err(None) => call.peers_refused = true,
+                    Err(Some(response)) => return response,
+                }
+                continue;
+            }
             CallRoute::Unreachable => {
                 return *refuse(&core, &mut access_entry, ErrorKind::TargetsUnreachable);
             }
@@ -140,20 +151,23 @@
 }
 
 /// Forwards a generation that was not sent to any target yet.
+///
+/// # Errors
+/// The response for the caller if the generation may have run; `None` if all peers refused it.
 async fn forward_generation(
     core: &Arc<GatewayCore>,
-    call: AdmittedCall,
-    mut access_entry: AccessEntry,
-) -> Response<WebBody> {
-    let forwarded = core.until_cut_off(forward_call(core, &call, &mut access_entry, 0));
+    call: &AdmittedCall,
+    access_entry: &mut AccessEntry,
+) -> Result<PeerResponse, Option<Response<WebBody>>> {
+    let forwarded = core.until_cut_off(forward_call(core, call, access_entry, 0));
     let kind = match forwarded.await {
-        Some(Ok(answered)) => return relay_forwarded(core, &call, access_entry, answered),
-        None => return cut_off_response(core, &mut access_entry, true),
-        Some(Err(ForwardOutcome::Refused)) => ErrorKind::TargetsUnreachable,
+        Some(Ok(answered)) => return Ok(answered),
+        None => return Err(Some(cut_off_response(core, access_entry, true))),
+        Some(Err(ForwardOutcome::Refused)) => return Err(None),
         Some(Err(ForwardOutcome::TimedOut)) => ErrorKind::DeadlineExceeded,
         Some(Err(_)) => ErrorKind::TargetLost,
     };
-    *refuse(core, &mut access_entry, kind)
+    Err(Some(failure_response(core, access_entry, kind, None)))
 }
 
 /// Starts the task that relays the stream, and returns the response that it feeds.
--- a/crates/gateway/src/state/path_state.rs
+++ b/crates/gateway/src/state/path_state.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use base::{ClockTime, EventKind, ServiceName, TargetName, TimeSpan};
+use entry::PathChange;
 use metrics::gauge;
 use rand::seq::IndexedRandom;
 
@@ -56,6 +57,12 @@
         })
     }
 
+    fn open_targets(&self, service: &ServiceName) -> usize {
+        let known = self.balancer.targets().iter();
+        let open = known.filter(|one| one.record.service == *service && one.is_open());
+        open.count()
+    }
+
     fn service_of(&self, target: &TargetName) -> Option<ServiceName> {
         let found = self.balancer.target(target);
         found.map(|one| one.record.service.clone())
@@ -80,14 +87,22 @@
     }
 
     /// Records that a connection attempt to a target, which began at `began_at`, failed.
-    pub fn record_connect_failure(&self, target: &TargetName, began_at: ClockTime) {
-        let lost = self.with_state(|state, now| {
+    pub fn record_connect_failure(self: &Arc<Self>, target: &TargetName, began_at: ClockTime) {
+        let changed = self.with_state(|state, now| {
             let service = state.service_of(target)?;
-            let is_lost = state.paths.record_failure(now, &service, target, began_at);
-            is_lost.then_some(service)
+            let open = state.open_targets(&service);
+            let paths = &mut state.paths;
+            let change = paths.record_failure(now, &service, target, began_at, open);
+            Some((service, change))
         });
-        if let Some(service) = lost {
-            self.report_path(&service, target, EventKind::PathLost);
+        match changed {
+            Some((service, PathChange::Lost)) => {
+                self.report_path(&service, target, EventKind::PathLost);
+            }
+            Some((service, PathChange::Doubted)) => {
+                tokio::spawn(probe_path(self.clone(), service));
+            }
+            Some((_, PathChange::Unchanged)) | None => {}
         }
     }
 
