Place calls by slots while targets state how many they may refuse

Nodes chose targets of plain services by their own calls alone, so that together they sent far more than such a target has slots. The limit of a run is read from each answer, told to peers in digests and load reports, and ends with the answers that no longer state it. Meanwhile the coordinators place the calls of the service by slots, as for engines; a refusal withholds slots for all nodes, a new run begins with a quarter, and the end of such a target after refusals blames no call. Nothing acts without a limit.

--- a/crates/base/src/event/event_kind.rs
+++ b/crates/base/src/event/event_kind.rs
@@ -104,6 +104,7 @@
     EnginePaceChanged = 3030, "Long calls avoid an engine, as they would be late there, or avoid it no longer.";
     PathLost = 3031, "Connections to all tried targets of a service fail; calls for it are forwarded to peers.";
     PathReturned = 3032, "A target of a service to which the path was lost accepts connections again.";
+    RefusalLimitChanged = 3033, "A target states another number of calls that it may refuse before it fails, or none any more.";
     PeerAlive = 4001, "A peer is alive.";
     PeerSuspect = 4002, "A peer did not respond to probes and may have failed.";
     PeerDead = 4003, "A peer was declared dead.";
--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -16,6 +16,24 @@
     pub copy_rate: TokenRate,
 }
 
+impl EngineSpec {
+    /// Capacity by which calls to a plain service are placed as on engines: only the slots of each target
+    /// count.
+    ///
+    /// ```
+    /// assert!(!entry::EngineSpec::of_plain_service().can_move);
+    /// ```
+    pub fn of_plain_service() -> Self {
+        Self {
+            slots: u32::MAX,
+            memory: TokenCount(u32::MAX),
+            can_move: false,
+            event_tokens: 1,
+            copy_rate: TokenRate(0),
+        }
+    }
+}
+
 /// A service as operators declare it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceSpec {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,8 +51,9 @@
 pub use retry::RetryShare;
 pub use target::{
     BackoffMemory, EndedRun, LoadBalancer, LoadOrigin, MoveSource, PeerLoads, PlacementDecision,
-    PlacementRequest, PlacementScope, TargetBackoff, TargetChanges, TargetHealth, TargetLoad,
-    TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
+    PlacementRequest, PlacementScope, RefusalLimit, RefusalReport, RefusalState, TargetBackoff,
+    TargetChanges, TargetHealth, TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState,
+    prefill_time,
 };
 pub use view::{
     AnswerReport, AnswerSpan, EvacuationChange, EvacuationLedger, EvacuationRecord, HistoryRules,
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -8,7 +8,8 @@
 
 use super::{
     BackoffMemory, LoadOrigin, PeerLoads, PlacementDecision, PlacementRequest, PlacementScope,
-    TargetChanges, TargetLoad, TargetOutcome, TargetPhase, TargetRecord, TargetState, prefill_time,
+    RefusalLimit, RefusalReport, RefusalState, TargetChanges, TargetLoad, TargetOutcome,
+    TargetPhase, TargetRecord, TargetState, prefill_time,
 };
 use crate::{
     CapacityGrant, DomainPace, EnginePace, EngineSpec, LeaseGuard, PaceNeed, PaceReport, PaceTable,
@@ -57,6 +58,14 @@
 /// Age at which the load report of a peer that sent no newer one is dropped.
 const PEER_EXPIRY: TimeSpan = TimeSpan::new(2_500);
 
+/// Largest number of refusal limits that are reported to a peer.
+const REPORT_LIMIT: usize = 64;
+/// Refusal limit below which a target gets calls of its own failure domain only, if each domain has one: the
+/// coordinators of two domains may place calls on one slot at the same time.
+const SHARED_LIMIT: RefusalLimit = RefusalLimit(5);
+/// Part of the slots of a target with a refusal limit that calls of other failure domains leave free.
+const REMOTE_MARGIN_PART: u32 = 4;
+
 /// Interval at which the paces of the engines are compared again.
 const COMPARE_INTERVAL: TimeSpan = TimeSpan::new(100);
 /// Largest cost in milliseconds of an engine on which a generation that moves is late; below that
@@ -391,9 +400,10 @@
                 && state.accepts(now)
         });
         let open = known.filter(|state| {
-            let has_room = request
-                .engine
-                .is_some_and(|spec| engine_cost(state, request, spec).is_some());
+            let has_room = request.engine.is_some_and(|spec| {
+                let slots = self.open_slots(now, state, spec);
+                engine_cost(state, request, spec, slots).is_some()
+            });
             let is_in_scope =
                 state.record.domain == self.domain || request.scope == PlacementScope::AllDomains;
             has_room && is_in_scope && !request.excluded.contains(&state.record.name)
@@ -581,6 +591,84 @@
         }
     }
 
+    /// Records that a target refused a call for lack of room.
+    pub fn record_room_refusal(&mut self, now: ClockTime, name: &TargetName) {
+        if let Ok(at) = self.find(name) {
+            let state = &mut self.targets[at];
+            state.refusals.record_refusal(now, state.record.slots);
+        }
+    }
+
+    /// Applies what an answer of a run of a target, to a call that was sent at `sent_at`, states about the
+    /// calls that it may refuse; returns whether the limit changed.
+    pub fn observe_refusal_limit(
+        &mut self,
+        (name, incarnation): (&TargetName, IncarnationNumber),
+        sent_at: ClockTime,
+        limit: Option<RefusalLimit>,
+    ) -> bool {
+        let Ok(at) = self.find(name) else {
+            return false;
+        };
+        let state = &mut self.targets[at];
+        state.record.incarnation == incarnation && state.refusals.observe(sent_at, limit)
+    }
+
+    /// What this node knows of refusal limits, for its peers.
+    pub fn refusal_reports(&self, now: ClockTime) -> Vec<RefusalReport> {
+        let known = self.targets.iter();
+        known
+            .filter_map(|state| state.refusals.report(now, state.run()))
+            .take(REPORT_LIMIT)
+            .collect()
+    }
+
+    /// Adopts what a peer knows of refusal limits; returns the targets whose limit changed.
+    pub fn adopt_refusals(&mut self, now: ClockTime, reports: &[RefusalReport]) -> Vec<TargetName> {
+        let mut changed = Vec::new();
+        for report in reports {
+            let Ok(at) = self.find(&report.target) else {
+                continue;
+            };
+            let state = &mut self.targets[at];
+            if state.record.incarnation == report.incarnation && state.refusals.adopt(now, report) {
+                changed.push(report.target.clone());
+            }
+        }
+        changed
+    }
+
+    /// Whether a target states a refusal limit.
+    pub fn has_refusal_limits(&self, now: ClockTime) -> bool {
+        let mut known = self.targets.iter();
+        known.any(|state| state.refusals.limit_at(now).is_some())
+    }
+
+    /// Strictest refusal limit of the targets of a service; `None` if none of them states one.
+    pub fn refusal_limit(&self, now: ClockTime, service: &ServiceName) -> Option<RefusalLimit> {
+        let known = self.targets.iter();
+        let open = known.filter(|state| state.record.service == *service && state.is_open());
+        open.filter_map(|state| state.refusals.limit_at(now)).min()
+    }
+
+    /// Slots of a target that calls may use. Those of a target that must not refuse calls leave a margin for
+    /// other failure domains, whose load is known later.
+    fn open_slots(&self, now: ClockTime, state: &TargetState, spec: EngineSpec) -> u32 {
+        let Some(limit) = state.refusals.limit_at(now) else {
+            return spec.slots;
+        };
+        let slots = spec.slots.min(state.record.slots.max(1));
+        let room = state.refusals.room(now, slots);
+        if state.record.domain == self.domain {
+            return room;
+        }
+        let service = &state.record.service;
+        match limit < SHARED_LIMIT && self.has_local_target(now, service) {
+            true => 0,
+            false => room.saturating_sub(slots.div_ceil(REMOTE_MARGIN_PART)),
+        }
+    }
+
     /// Forgets which targets of a service could not be reached, as this node had no path to any of them.
     pub fn forget_unreachable(&mut self, service: &ServiceName) {
         let targets = self.targets.iter_mut();
@@ -592,8 +680,11 @@
     /// Expected delay of a call on a target in milliseconds; `None` if the target has no room.
     fn cost(&self, now: ClockTime, state: &TargetState, request: &PlacementRequest) -> Option<f64> {
         let mut cost = match request.engine {
-            Some(spec) => engine_cost(state, request, spec)? + pace_cost(now, state, request),
-            None => plain_cost(state)?,
+            Some(spec) => {
+                let slots = self.open_slots(now, state, spec);
+                engine_cost(state, request, spec, slots)? + pace_cost(now, state, request)
+            }
+            None => plain_cost(now, state)?,
         };
         let reported = request
             .failure_delays
@@ -656,6 +747,9 @@
     fn new_state(&mut self, now: ClockTime, record: TargetRecord) -> TargetState {
         let mut state = TargetState::new(now, record);
         state.backoff = self.backoffs.take(&state.run());
+        if let Some(limit) = self.refusal_limit(now, &state.record.service) {
+            state.refusals = RefusalState::new(now, limit, state.record.slots);
+        }
         state
     }
 
@@ -785,7 +879,12 @@
 }
 
 /// Expected delay in milliseconds of a call on an engine; `None` if the engine has no room.
-fn engine_cost(state: &TargetState, request: &PlacementRequest, spec: EngineSpec) -> Option<f64> {
+fn engine_cost(
+    state: &TargetState,
+    request: &PlacementRequest,
+    spec: EngineSpec,
+    slots: u32,
+) -> Option<f64> {
     let total = state.total();
     // A generation that has to move is lost if it finds no room.
     let share = match request.is_quick || request.move_source.is_some() {
@@ -794,7 +893,7 @@
     };
     let limit = f64::from(spec.memory.0) * share;
     let tokens = (total.tokens + request.load.tokens) as f64;
-    if total.calls >= spec.slots || (tokens > limit && !total.is_empty()) {
+    if total.calls >= slots || (tokens > limit && !total.is_empty()) {
         return None;
     }
     let ratio = prefill_ratio(state, request);
@@ -865,7 +964,11 @@
 /// fill its slots.
 ///
 /// Calls of peers are not counted: they end before the peers can report them.
-fn plain_cost(state: &TargetState) -> Option<f64> {
-    let has_room = state.own_load.calls < state.record.slots.max(1);
+fn plain_cost(now: ClockTime, state: &TargetState) -> Option<f64> {
+    let slots = state.record.slots.max(1);
+    let has_room = match state.refusals.limit_at(now) {
+        Some(_) => state.total().calls < state.refusals.room(now, slots),
+        None => state.own_load.calls < slots,
+    };
     has_room.then(|| f64::from(state.own_load.calls) * PLAIN_CALL_MS)
 }
--- a/crates/entry/src/target/target_state.rs
+++ b/crates/entry/src/target/target_state.rs
@@ -1,6 +1,6 @@
 use base::{ClockTime, IncarnationNumber, TargetName, TimeSpan};
 
-use super::{TargetBackoff, TargetHealth, TargetLoad, TargetRecord};
+use super::{RefusalState, TargetBackoff, TargetHealth, TargetLoad, TargetRecord};
 use crate::{TargetPace, TargetRate};
 
 /// Whether a target takes calls.
@@ -42,6 +42,8 @@
     pub is_evacuated: bool,
     /// When it stops being cold.
     pub warm_at: ClockTime,
+    /// Limit of the calls that it may refuse, and the slots withheld for that reason.
+    pub refusals: RefusalState,
     /// Its pace beside the other engines of its service.
     pub pace: TargetPace,
 }
@@ -60,6 +62,7 @@
             has_ended: false,
             is_evacuated: false,
             warm_at: now + record.cold_left,
+            refusals: RefusalState::default(),
             pace: TargetPace::default(),
             record,
             phase,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,8 +25,8 @@
 pub use port::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
     GatewayPorts, GenerationSize, HeaderCodec, HeaderError, ItemBatch, ItemOrigin, PortFuture,
-    RateNotice, ResponseHeaders, ResumePoint, SettingsSource, SourceError, TargetHeaders, ViewArea,
-    ViewDecoder, ViewSource,
+    RateNotice, RefusalNotice, ResponseHeaders, ResumePoint, SettingsSource, SourceError,
+    TargetHeaders, ViewArea, ViewDecoder, ViewSource,
 };
 pub use rate::{PermitReply, PermitRequest, PermitStep};
 pub use relay::CallHandler;
--- a/crates/gateway/src/peer/load_pusher.rs
+++ b/crates/gateway/src/peer/load_pusher.rs
@@ -14,6 +14,9 @@
 /// places 16 generations per second.
 const PUSH_PAUSE: Duration = Duration::from_millis(20);
 
+/// The same pause while calls to plain services are placed by slots, which are free within some 10 ms.
+const SLOT_PUSH_PAUSE: Duration = Duration::from_millis(4);
+
 /// Interval at which unchanged loads are sent again to peers of other failure domains, which drop
 /// reports older than 2.5 s.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -73,7 +76,7 @@
                     let mark = *changes.borrow_and_update();
                     self.push_changed(mark.moves != moves);
                     moves = mark.moves;
-                    sleep(PUSH_PAUSE).await;
+                    sleep(self.push_pause()).await;
                 }
                 Some(done) = self.sending.join_next() => {
                     if let Ok(address) = done {
@@ -84,6 +87,17 @@
         }
     }
 
+    /// Pause after a push.
+    fn push_pause(&self) -> Duration {
+        let is_strict = self
+            .core
+            .with_state(|state, now| state.balancer.has_refusal_limits(now));
+        match is_strict {
+            true => SLOT_PUSH_PAUSE,
+            false => PUSH_PAUSE,
+        }
+    }
+
     /// Sends changed loads; `moves_changed` tells whether the moves of generations changed too.
     fn push_changed(&mut self, moves_changed: bool) {
         let addresses = match moves_changed {
--- a/crates/gateway/src/peer/load_report.rs
+++ b/crates/gateway/src/peer/load_report.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base::{ClockTime, DomainName, NodeName, TargetName};
-use entry::{GrantId, PaceReport, PeerLoads, TargetLoad};
+use entry::{GrantId, PaceReport, PeerLoads, RefusalReport, TargetLoad};
 use serde::{Deserialize, Serialize};
 
 use super::ExtendedMessage;
@@ -33,6 +33,9 @@
     /// receiver.
     #[serde(skip)]
     pub paces: Vec<PaceReport>,
+    /// What the sender knows of the calls that targets may refuse.
+    #[serde(skip)]
+    pub refusals: Vec<RefusalReport>,
 }
 
 /// Parts of a load report that earlier builds don't know.
@@ -40,6 +43,8 @@
 pub struct LoadExtension {
     #[serde(default)]
     paces: Vec<PaceReport>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    refusals: Vec<RefusalReport>,
 }
 
 impl ExtendedMessage for LoadReport {
@@ -48,11 +53,13 @@
     fn take_extension(&mut self) -> LoadExtension {
         LoadExtension {
             paces: std::mem::take(&mut self.paces),
+            refusals: std::mem::take(&mut self.refusals),
         }
     }
 
     fn extend(&mut self, extension: LoadExtension) {
         self.paces = extension.paces;
+        self.refusals = extension.refusals;
     }
 }
 
@@ -69,11 +76,13 @@
             is_waiting: state.has_queued_generations(),
             copying_sources: state.move_scheduler.copying_sources(),
             paces: state.take_gap_samples(now, receiver),
+            refusals: state.balancer.refusal_reports(now),
         })
     }
 
     /// Applies the report of a peer: its loads, the grants that it accepted and its copies.
     pub fn apply(self, core: &GatewayCore) {
+        core.adopt_refusals(&self.refusals, "load report");
         let copying_changed = core.with_state(|state, now| {
             state
                 .peers
--- a/crates/gateway/src/peer/node_digest.rs
+++ b/crates/gateway/src/peer/node_digest.rs
@@ -3,7 +3,7 @@
 use base::{ClockTime, CoreShare, DomainName, NodeName, ServiceName, TargetName, TimeSpan};
 use entry::{
     AnswerReport, ConfigVersion, DomainPace, DomainPeak, EvacuationRecord, LoadOrigin, PeerLoads,
-    StoreEra, StorePosition, SuspectCall, TargetLoad,
+    RefusalReport, StoreEra, StorePosition, SuspectCall, TargetLoad,
 };
 use facts::FactDigest;
 use rand::seq::IndexedRandom;
@@ -92,6 +92,9 @@
     /// which accepts no forwarded calls.
     #[serde(skip)]
     pub lost_services: Option<Vec<ServiceName>>,
+    /// What the sender knows of the calls that targets may refuse.
+    #[serde(skip)]
+    pub refusals: Vec<RefusalReport>,
 }
 
 /// Parts of a digest that earlier builds don't know.
@@ -109,6 +112,8 @@
     answers: Option<AnswerReport>,
     #[serde(default, rename = "lost", skip_serializing_if = "Option::is_none")]
     lost_services: Option<Vec<ServiceName>>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    refusals: Vec<RefusalReport>,
 }
 
 impl ExtendedMessage for NodeDigest {
@@ -122,6 +127,7 @@
             facts_incomplete: self.facts_incomplete.take(),
             answers: self.answers.take(),
             lost_services: self.lost_services.take(),
+            refusals: std::mem::take(&mut self.refusals),
         }
     }
 
@@ -132,6 +138,7 @@
         self.facts_incomplete = extension.facts_incomplete;
         self.answers = extension.answers;
         self.lost_services = extension.lost_services;
+        self.refusals = extension.refusals;
     }
 }
 
@@ -182,6 +189,7 @@
                 facts_incomplete: Some(state.facts.incomplete_for(now)),
                 answers: state.view.guard.report(now),
                 lost_services: Some(state.paths.lost_services()),
+                refusals: state.balancer.refusal_reports(now),
             }
         })
     }
@@ -189,6 +197,7 @@
     /// Applies the digest of a peer; returns the areas of which the peer has newer items.
     pub fn apply(self, core: &GatewayCore) -> Vec<ViewArea> {
         let has_finished = !self.finished_sources.is_empty();
+        core.adopt_refusals(&self.refusals, "digest of a peer");
         // Before newer items are fetched, since it decides what removals mean.
         match (self.answers, self.regained_age, self.targets_age) {
             (Some(report), ..) => core.record_peer_report(report),
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base::{CallRate, ErrorKind, PartId, RequestId, TargetName, TimeSpan, TokenCount};
-use entry::OutputEstimate;
+use entry::{OutputEstimate, RefusalLimit};
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -86,6 +86,17 @@
     Unparsable(SmolStr),
 }
 
+/// What a response says about the calls that its target may refuse before it fails.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RefusalNotice {
+    /// Any number.
+    Unlimited,
+    /// At most so many a second.
+    Limited(RefusalLimit),
+    /// A number that can't be parsed; holds the text of the header.
+    Unparsable(SmolStr),
+}
+
 /// Values that are read from the headers of a target's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHeaders {
@@ -103,6 +114,8 @@
     /// Rate of calls that the target accepts; `None` if another target sent the response, or for a
     /// failure that names no rate.
     pub rate: Option<RateNotice>,
+    /// Calls that the target may refuse; `None` if another target sent the response.
+    pub refusals: Option<RefusalNotice>,
 }
 
 /// A header of a request is missing or malformed.
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -14,7 +14,7 @@
 pub use gateway_ports::{GatewayPorts, SettingsSource};
 pub use header_codec::{
     BackoffRequest, CallerHeaders, GenerationSize, HeaderCodec, HeaderError, RateNotice,
-    ResponseHeaders, ResumePoint, TargetHeaders,
+    RefusalNotice, ResponseHeaders, ResumePoint, TargetHeaders,
 };
 pub use view_decoder::{DecodeError, ViewDecoder};
 pub use view_source::{ItemBatch, ItemOrigin, SourceError, ViewArea, ViewSource};
--- a/crates/gateway/src/relay/admitted_call.rs
+++ b/crates/gateway/src/relay/admitted_call.rs
@@ -307,10 +307,17 @@
     /// Requirements on a target. A call that is suspected of crashing targets excludes those that
     /// run another suspect call.
     pub fn placement_request(&self, core: &GatewayCore) -> PlacementRequest {
+        let service = &self.admission.service;
+        let (engine, load) = match self.admission.engine {
+            Some(spec) => (Some(spec), self.load()),
+            None => core
+                .with_state(|state, now| state.plain_placement(now, service))
+                .map_or((None, self.load()), |(spec, load)| (Some(spec), load)),
+        };
         PlacementRequest {
-            service: self.admission.service.clone(),
-            engine: self.admission.engine,
-            load: self.load(),
+            service: service.clone(),
+            engine,
+            load,
             is_quick: self.is_quick(),
             excluded: core.with_state(|state, now| {
                 let verdict = state.facts.verdict(now, &self.features);
--- a/crates/gateway/src/relay/crash_detection.rs
+++ b/crates/gateway/src/relay/crash_detection.rs
@@ -97,16 +97,12 @@
         found.is_some_and(|one| one.phase == TargetPhase::Leaving)
     });
     let request = Some(&call.caller_headers.request_id);
-    match is_leaving {
-        true => log_attempt(
-            core,
-            request,
-            &attempt,
-            "passed_over",
-            "the target is leaving",
-        ),
-        false => suspect_death(core, request, attempt),
-    }
+    let reason = match is_leaving {
+        true => "the target is leaving",
+        false if core.fell_by_refusals(&reservation.target) => "the target refused too many calls",
+        false => return suspect_death(core, request, attempt),
+    };
+    log_attempt(core, request, &attempt, "passed_over", reason);
 }
 
 /// Checks whether the calls that were open on a run of a target, which ended without notice, may
--- a/crates/gateway/src/relay/target_run.rs
+++ b/crates/gateway/src/relay/target_run.rs
@@ -45,6 +45,10 @@
         {
             core.record_target_rate(&self.target, self.incarnation, rate, sent_at);
         }
+        let is_own = headers.is_genuine || headers.is_refused;
+        if let Some(notice) = headers.refusals.as_ref().filter(|_| is_own) {
+            core.record_refusal_limit(&self.target, self.incarnation, notice, sent_at);
+        }
     }
 
     /// Applies what the trailers of a response say about the target: that it leaves.
--- a/crates/gateway/src/relay/target_send.rs
+++ b/crates/gateway/src/relay/target_send.rs
@@ -169,6 +169,7 @@
         if headers.backoff.is_none() {
             reservation.record_outcome(TargetOutcome::Refused);
         }
+        core.with_state(|state, now| state.balancer.record_room_refusal(now, &run.target));
         return SendOutcome::Refused(status);
     }
     if !headers.is_genuine {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod queue_guard;
 mod queue_state;
 mod rate_state;
+mod refusal_limits;
 mod send_check;
 mod stop_plan;
 mod target_updates;
--- a/crates/gateway/tests/gateway/coordinators.rs
+++ b/crates/gateway/tests/gateway/coordinators.rs
@@ -114,6 +114,7 @@
         facts_incomplete: None,
         answers: None,
         lost_services: None,
+        refusals: Vec::new(),
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -413,6 +413,7 @@
         facts_incomplete: None,
         answers: None,
         lost_services: None,
+        refusals: Vec::new(),
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod prompt_parts;
 mod queueing;
 mod rates;
+mod refusal_limits;
 mod send_checks;
 mod statuses;
 mod stopping;
--- a/crates/gateway/tests/gateway/support/fake_ports.rs
+++ b/crates/gateway/tests/gateway/support/fake_ports.rs
@@ -16,8 +16,8 @@
 use gateway::{
     BackoffRequest, CallerHeaders, CopyOutcome, DecodeError, EngineControl, EngineReport,
     GatewayPorts, GatewaySettings, GenerationSize, HeaderCodec, HeaderError, ItemBatch, PortFuture,
-    RateNotice, ResponseHeaders, SettingsSource, SourceError, TargetHeaders, ViewArea, ViewDecoder,
-    ViewSource,
+    RateNotice, RefusalNotice, ResponseHeaders, SettingsSource, SourceError, TargetHeaders,
+    ViewArea, ViewDecoder, ViewSource,
 };
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
@@ -541,6 +541,15 @@
                         rate.unwrap_or_else(|_| RateNotice::Unparsable(text.into()))
                     }),
             ),
+            refusals: Some(
+                headers
+                    .get("x-refusals")
+                    .map_or(RefusalNotice::Unlimited, |value| {
+                        let text = value.to_str().unwrap();
+                        let limit = text.parse().map(RefusalNotice::Limited);
+                        limit.unwrap_or_else(|_| RefusalNotice::Unparsable(text.into()))
+                    }),
+            ),
             is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
             is_leaving: self.announces_leaving(headers),
             backoff: headers.get(RETRY_AFTER).map(|value| {
--- a/crates/gateway/tests/gateway/support/fake_target.rs
+++ b/crates/gateway/tests/gateway/support/fake_target.rs
@@ -29,6 +29,9 @@
     LargeAnswer(usize),
     /// Sends a complete response with this many headers of its own.
     ManyHeaders(usize),
+    /// Runs the first number of calls at once, each for the milliseconds, refuses further ones and crashes if it
+    /// refuses more than the last number within a second, which all its responses state unless it is the largest.
+    Limited(usize, u64, u32),
     /// Refuses the call, stating that it did not run.
     Refuse,
     /// Refuses the call, stating that it was meant for another target.
@@ -127,6 +130,8 @@
     stops_listening: bool,
     /// Number of crashes.
     crashes: usize,
+    /// When calls were refused in `TargetMode::Limited`.
+    refusals: Vec<Instant>,
 }
 
 impl TargetState {
@@ -137,7 +142,25 @@
             Some(LeavingSignal::Trailer) | None => "",
         };
         let rate = self.rate.map(|rate| format!("x-rate: {rate}\r\n"));
-        format!("{leaving}{}", rate.unwrap_or_default())
+        let refusals = match self.mode {
+            Some(TargetMode::Limited(_, _, limit)) if limit < u32::MAX => {
+                format!("x-refusals: {limit}\r\n")
+            }
+            _ => String::new(),
+        };
+        format!("{leaving}{}{refusals}", rate.unwrap_or_default())
+    }
+}
+
+impl TargetState {
+    /// Counts a refusal; returns whether the target falls over, as it has refused more than `limit` calls within
+    /// a second.
+    fn refuse_falls(&mut self, limit: u32) -> bool {
+        let now = Instant::now();
+        self.refusals.push(now);
+        let recent = self.refusals.iter().rev();
+        let recent = recent.take_while(|at| now - **at < Duration::from_secs(1));
+        recent.count() > limit as usize
     }
 }
 
@@ -243,6 +266,11 @@
         self.listen(TcpListener::bind(self.address).await.unwrap());
     }
 
+    /// Number of calls that were refused in `TargetMode::Limited`.
+    pub fn refusals(&self) -> usize {
+        self.state.lock().unwrap().refusals.len()
+    }
+
     pub fn set_mode(&self, mode: TargetMode) {
         self.state.lock().unwrap().mode = Some(mode);
     }
@@ -389,7 +417,7 @@
     let Some(head) = read_call(&mut stream).await else {
         return;
     };
-    let _open = OpenCall::new(state.clone());
+    let open = OpenCall::new(state.clone());
     let id = header(&head, "x-id").unwrap_or_default();
     let (mode, signal, retry_after, notices) = {
         let mut state = state.lock().unwrap();
@@ -431,6 +459,23 @@
             let head = format!("HTTP/1.1 {status}\r\nx-id: {id}\r\n{notices}");
             head + "content-length: 5\r\n\r\nhello"
         }
+        Some(TargetMode::Limited(slots, millis, limit)) => {
+            let has_slot = state.lock().unwrap().open <= slots;
+            if has_slot {
+                sleep(Duration::from_millis(millis)).await;
+            }
+            // The slot is free before the caller can know it.
+            drop(open);
+            if has_slot {
+                complete(&id)
+            } else {
+                if state.lock().unwrap().refuse_falls(limit) {
+                    down.notify_one();
+                }
+                let head = format!("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{notices}");
+                head + "content-length: 0\r\n\r\n"
+            }
+        }
         Some(TargetMode::Refuse) => {
             let retry_after =
                 retry_after.map_or(String::new(), |value| format!("retry-after: {value}\r\n"));
--- a/crates/gateway/tests/gateway/wire_extension.rs
+++ b/crates/gateway/tests/gateway/wire_extension.rs
@@ -117,6 +117,7 @@
         is_waiting: true,
         copying_sources: Vec::new(),
         paces: (0..samples).map(report).collect(),
+        refusals: Vec::new(),
     }
 }
 
@@ -142,6 +143,7 @@
         facts_incomplete: None,
         answers: None,
         lost_services: None,
+        refusals: Vec::new(),
         loads: Vec::new(),
         domain_loads: None,
         finished_sources: Vec::new(),
