Do not pass on that a peer refused a second attempt

A caller could be told that a call had not run although its first attempt may have run: after a time-out, an idempotent call was forwarded to a peer, and the peer's refusal (503, not run) went to the caller. It now counts as no further attempt, and the call ends as lost.

partitions::a_peer_that_refuses_a_second_attempt_does_not_hide_the_first got 503 before and 502 now.

--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{ByteCount, ErrorKind, TimeSpan};
+use base::{ByteCount, ErrorKind, RanState, TimeSpan};
 use http::{HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
 use metrics::counter;
@@ -213,7 +213,7 @@
         Ok(Err((_, None))) => return PeerOutcome::Lost,
         Err(_) => return PeerOutcome::TimedOut,
     };
-    match refusal_reason(&response) {
+    match refusal_reason(&response, earlier_runs) {
         Some(reason) => PeerOutcome::Refused(reason),
         None => PeerOutcome::Answered(Box::new(PeerResponse {
             response,
@@ -224,7 +224,7 @@
 
 /// Why a peer did not take the call, so that another one may get it; `None` if its response is for the
 /// caller.
-fn refusal_reason(response: &Response<Incoming>) -> Option<String> {
+fn refusal_reason(response: &Response<Incoming>, earlier_runs: u32) -> Option<String> {
     let outcome = response.headers().get(OUTCOME_HEADER);
     let Some(outcome) = outcome.and_then(|value| value.to_str().ok()) else {
         // A peer of an earlier build knows no forwarded calls.
@@ -243,6 +243,10 @@
             | ErrorKind::NotFound
             | ErrorKind::UnknownKey),
         ) => Some(format!("refused: {kind}")),
+        // The peer did not run the call, but an earlier target may have.
+        Ok(kind) if earlier_runs > 0 && kind.response().ran == RanState::No => {
+            Some(format!("refused: {kind}"))
+        }
         Ok(_) | Err(_) => None,
     }
 }
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -9,9 +9,12 @@
 use gateway::{PeerInfo, PeerPaths, StopPlan};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::sleep;
 use yare::parameterized;
 
-use crate::support::{CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, until};
+use crate::support::{
+    CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
+};
 
 /// Number of targets of the service.
 const TARGETS: usize = 3;
@@ -245,35 +248,44 @@
     Unknown,
     /// Closes the connection within its response.
     Truncate,
+    /// Refuses the call as overloaded.
+    Refuse,
 }
 
-/// A gateway without a path whose only peer misbehaves.
-async fn call_by_peer(mode: PeerMode) -> CallerResponse {
-    let store = FakeStore::new();
-    let addresses = CutAddresses::new(CutMode::Refused).await;
-    store.put_config(1);
-    for address in &addresses.addresses {
-        let target = FakeTarget::start("app", TargetMode::Answer).await;
-        store.put_target_at(&target, *address);
+/// Handles one request at a peer that misbehaves; digests get no answer.
+async fn serve_peer(mut stream: TcpStream, mode: PeerMode) {
+    let mut request = [0; 4_096];
+    let length = stream.read(&mut request).await.unwrap_or_default();
+    if !request[..length].starts_with(b"POST /peer/calls ") {
+        return std::future::pending().await;
     }
-    let gateway = Gateway::start_ready(&store).await;
+    let response: &[u8] = match mode {
+        PeerMode::Truncate => {
+            b"HTTP/1.1 200 OK\r\nagatemoor-outcome: answered\r\ncontent-length: 9\r\n\r\nabc"
+        }
+        PeerMode::Refuse => {
+            b"HTTP/1.1 503 Full\r\nagatemoor-outcome: overloaded\r\ncontent-length: 0\r\n\r\n"
+        }
+        PeerMode::Close => b"",
+        PeerMode::Unknown => b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+    };
+    stream.write_all(response).await.unwrap();
+}
+
+/// Starts a peer that misbehaves; returns its address.
+async fn start_peer(mode: PeerMode) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let mut request = [0; 4_096];
-            let length = stream.read(&mut request).await.unwrap_or_default();
-            let is_call = request[..length].starts_with(b"POST /peer/calls ");
-            let response: &[u8] = match mode {
-                PeerMode::Truncate if is_call => {
-                    b"HTTP/1.1 200 OK\r\nagatemoor-outcome: answered\r\ncontent-length: 9\r\n\r\nabc"
-                }
-                PeerMode::Close if is_call => b"",
-                _ => b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
-            };
-            stream.write_all(response).await.unwrap();
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_peer(stream, mode));
         }
     });
+    address
+}
+
+/// Makes a gateway lose its path, and know a peer that may have one.
+fn lose_path(gateway: &Gateway, peer: SocketAddr) {
     gateway.server.core().with_state(|state, now| {
         for name in ["t-1", "t-2", "t-3"] {
             let (service, name) = ("app".parse().unwrap(), name.parse().unwrap());
@@ -282,7 +294,7 @@
                 .record_failure(now, &service, &name, now, TARGETS);
         }
         let peer = PeerInfo {
-            address,
+            address: peer,
             node: "peer".parse().unwrap(),
             domain: "patan".parse().unwrap(),
             capacity: CoreShare(250),
@@ -295,9 +307,37 @@
         };
         state.peers.record_heard(now, peer);
     });
+}
+
+/// Sends a call to a gateway without a path whose only peer misbehaves.
+async fn call_by_peer(mode: PeerMode) -> CallerResponse {
+    let store = FakeStore::new();
+    let addresses = CutAddresses::new(CutMode::Refused).await;
+    store.put_config(1);
+    for address in &addresses.addresses {
+        let target = FakeTarget::start("app", TargetMode::Answer).await;
+        store.put_target_at(&target, *address);
+    }
+    let gateway = Gateway::start_ready(&store).await;
+    lose_path(&gateway, start_peer(mode).await);
     call(gateway.callers, "/once/1", "x-id: p1\r\n", "").await
 }
 
+// Guards against a caller who is told that a call has not run, as a peer refused its second attempt.
+#[tokio::test]
+async fn a_peer_that_refuses_a_second_attempt_does_not_hide_the_first() {
+    let (_store, targets, gateway) = start_setup("app", &[TargetMode::Hang]).await;
+    // No trial brings the path back.
+    targets[0].crash_after_calls();
+    let callers = gateway.callers;
+    let response = tokio::spawn(async move { call(callers, "/read/1", "x-id: h1\r\n", "").await });
+    until("the call runs", || targets[0].open_calls() == 1).await;
+    // The first attempt times out after 800 ms, and a peer that answers no digest is passed over after 600 ms.
+    sleep(Duration::from_millis(500)).await;
+    lose_path(&gateway, start_peer(PeerMode::Refuse).await);
+    assert_eq!(response.await.unwrap().status, 502);
+}
+
 // Guards against callers who are told that a call has not run although a peer may have run it, and the other way
 // round.
 #[parameterized(
