Keep to the slots of targets without a limit beside limited ones

While a service has targets with a refusal limit, its plain calls are placed by slots; a target of it that stated no limit lately had as many as it was offered, so that all calls without a slot elsewhere went to it. It now has the slots that it registers. Found when the change was read again; the new test ran without end before.

--- a/crates/entry/src/config/service_spec.rs
+++ b/crates/entry/src/config/service_spec.rs
@@ -16,6 +16,9 @@
     pub copy_rate: TokenRate,
 }
 
+/// Number of slots that stands for those which each target registers.
+const REGISTERED_SLOTS: u32 = u32::MAX;
+
 impl EngineSpec {
     /// Capacity by which calls to a plain service are placed as on engines: only the slots of each target
     /// count.
@@ -25,13 +28,25 @@
     /// ```
     pub fn of_plain_service() -> Self {
         Self {
-            slots: u32::MAX,
+            slots: REGISTERED_SLOTS,
             memory: TokenCount(u32::MAX),
             can_move: false,
             event_tokens: 1,
             copy_rate: TokenRate(0),
         }
     }
+
+    /// Slots of a target that registers `registered` ones.
+    ///
+    /// ```
+    /// assert_eq!(entry::EngineSpec::of_plain_service().slots_of(6), 6);
+    /// ```
+    pub fn slots_of(&self, registered: u32) -> u32 {
+        match self.slots {
+            REGISTERED_SLOTS => registered.max(1),
+            slots => slots,
+        }
+    }
 }
 
 /// A service as operators declare it.
--- a/crates/entry/src/target/load_balancer.rs
+++ b/crates/entry/src/target/load_balancer.rs
@@ -655,7 +655,7 @@
     /// other failure domains, whose load is known later.
     fn open_slots(&self, now: ClockTime, state: &TargetState, spec: EngineSpec) -> u32 {
         let Some(limit) = state.refusals.limit_at(now) else {
-            return spec.slots;
+            return spec.slots_of(state.record.slots);
         };
         let slots = spec.slots.min(state.record.slots.max(1));
         let room = state.refusals.room(now, slots);
--- a/crates/entry/tests/refusal_limits.rs
+++ b/crates/entry/tests/refusal_limits.rs
@@ -66,6 +66,16 @@
     assert_eq!(fill(&mut balancer, NOW, &["e1"]), [slots]);
 }
 
+// Guards against all calls that find no slot on a target without a limit, as it has not answered lately.
+#[test]
+fn a_target_that_states_no_limit_beside_others_is_not_overfilled() {
+    let mut balancer = limited(&[("e1", "patan"), ("e2", "patan")], LIMIT);
+    let run = record("e2", "patan").incarnation;
+    assert!(balancer.observe_refusal_limit((&name("e2"), run), NOW, None));
+    let slots = slots(&balancer, "e1");
+    assert_eq!(fill(&mut balancer, NOW, &["e1", "e2"]), [slots, slots]);
+}
+
 // Guards against two failure domains that place calls on the last slot of a target at the same time.
 #[parameterized(
     strict = { RefusalLimit(4), 0 },
