Test that a forwarded call ends when its caller leaves

Plain calls and streams, at the gateway that took the call: the run at the target ends within half a second. It holds without a change.

--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -13,7 +13,8 @@
 use yare::parameterized;
 
 use crate::support::{
-    CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, start_setup, until,
+    CallerResponse, FakeStore, FakeTarget, Gateway, TargetMode, call, open_stream, start_setup,
+    until,
 };
 
 /// Number of targets of the service.
@@ -177,6 +178,40 @@
     }
 }
 
+// Guards against forwarded calls that run on after their caller has left the gateway that took them.
+#[parameterized(
+    plain = { "app", "/once/1", TargetMode::Answer, TargetMode::Hang },
+    stream = { "pool", "/stream/1", TargetMode::Stream(1), TargetMode::SlowStream(400, 20) },
+)]
+#[test_macro(tokio::test)]
+async fn a_forwarded_call_ends_when_its_caller_leaves(
+    service: &'static str,
+    path: &'static str,
+    quick: TargetMode,
+    slow: TargetMode,
+) {
+    let setup = CutSetup::start(service, quick, CutMode::Refused).await;
+    setup.wait_served(path, "x-size: 900\r\n").await;
+    setup
+        .targets
+        .iter()
+        .for_each(|target| target.set_mode(slow));
+    let headers = "x-id: left\r\nx-size: 900\r\n";
+    let caller = open_stream(setup.cut.callers, path, headers, "").await;
+    let open = || {
+        setup
+            .targets
+            .iter()
+            .map(FakeTarget::open_calls)
+            .sum::<usize>()
+    };
+    until("the call runs", || open() == 1 && setup.runs("left") == 1).await;
+    drop(caller);
+    let left_at = Instant::now();
+    until("the call has ended", || open() == 0).await;
+    assert!(left_at.elapsed() < Duration::from_millis(500));
+}
+
 // Guards against gateways that forward a call to one another, and that hold it although none can send it.
 #[tokio::test]
 async fn a_call_that_no_gateway_can_send_is_refused_at_once() {
