Attribute forwarded calls to the gateway that sent them in the soak

Traced by the logs: edge-1 had forwarded them, and edge-2, which had been paused, sent them and learned it from their answers. The checker took the gateway that the caller had asked for the sender.

Forwarded attempts now count for the gateway that sent them, by its log; what each gateway may send is the same. The checker's test has both sides: a first call of another gateway, and a later one of the same.

--- a/crates/agatemoor/tests/soak/checker_tests.rs
+++ b/crates/agatemoor/tests/soak/checker_tests.rs
@@ -184,6 +184,14 @@
     let late = arrival(5, 1_600, ArrivalOutcome::WrongInstance(4));
     add_arrival(&mut history, "w3", late);
     assert_eq!(violated_rules(&history), [RuleViolation::ReplacedInstance]);
+    // Another gateway, to which the call was forwarded, may not know it yet; it sends no later call.
+    let sent = attempt(CallKind::Order, 1, 1_600, Some(503));
+    history.forwarded.insert("w3".to_owned(), sent);
+    assert_eq!(violated_rules(&history), []);
+    let sent = attempt(CallKind::Order, 1, 1_000, Some(503));
+    history.forwarded.insert("w1".to_owned(), sent);
+    assert_eq!(violated_rules(&history), [RuleViolation::ReplacedInstance]);
+    history.forwarded.clear();
     history.gateways.push((1_500, 0, GatewayEvent::Paused));
     assert_eq!(violated_rules(&history), []);
 }
--- a/crates/agatemoor/tests/soak/history_checker.rs
+++ b/crates/agatemoor/tests/soak/history_checker.rs
@@ -143,12 +143,16 @@
     }) || paused_since.is_some_and(|at| at <= until)
 }
 
-/// Arrivals with their attempts, in order of time.
+/// Arrivals at targets in order of time, with their attempts as of the gateways that sent them.
 fn arrivals(history: &History) -> Vec<(&String, &AttemptRecord, &Arrival)> {
+    let attempt = |id| {
+        let forwarded = history.forwarded.get(id);
+        forwarded.or_else(|| history.attempts.get(id))
+    };
     let mut all: Vec<_> = history
         .arrivals
         .iter()
-        .filter_map(|(id, arrivals)| Some((id, history.attempts.get(id)?, arrivals)))
+        .filter_map(|(id, arrivals)| Some((id, attempt(id)?, arrivals)))
         .flat_map(|(id, attempt, arrivals)| {
             arrivals.iter().map(move |arrival| (id, attempt, arrival))
         })
--- a/crates/agatemoor/tests/soak/soak_fleet.rs
+++ b/crates/agatemoor/tests/soak/soak_fleet.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::env;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,7 +17,7 @@
 use super::fake_platform::FakePlatform;
 use super::fake_runner::{FakeRunner, RunnerSettings};
 use super::soak_caller::{CallerContext, CallerHabit, HOST, SoakCaller};
-use super::soak_history::{GatewayEvent, History, Millis, Recorder};
+use super::soak_history::{AttemptRecord, GatewayEvent, History, Millis, Recorder};
 
 /// Time for the gateways to find one another before the callers start.
 const DISCOVERY_DURATION: Duration = Duration::from_secs(3);
@@ -291,6 +291,7 @@
     }
     let mut history = context.recorder.history();
     history.read = fleet.read_calls();
+    history.forwarded = fleet.forwarded_attempts(&history);
     SoakReport {
         history,
         counts: fleet.counts,
@@ -707,6 +708,31 @@
         read
     }
 
+    /// Attempts that gateways sent for others, by their logs, as of the gateways that sent them.
+    fn forwarded_attempts(&self, history: &History) -> BTreeMap<String, AttemptRecord> {
+        let mut forwarded = BTreeMap::new();
+        for (gateway, process) in self.gateways.iter().enumerate() {
+            let log = fs::read_to_string(&process.log).unwrap_or_default();
+            for line in log.lines() {
+                let fields: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
+                let was_sent = fields["targets"]
+                    .as_str()
+                    .is_some_and(|names| !names.is_empty());
+                let id = fields["request"].as_str().unwrap_or_default();
+                let attempt = history.attempts.get(id);
+                if let Some(attempt) = attempt.filter(|_| fields["forwarded"] == "true" && was_sent)
+                {
+                    let sent = AttemptRecord {
+                        gateway,
+                        ..attempt.clone()
+                    };
+                    forwarded.insert(id.to_owned(), sent);
+                }
+            }
+        }
+        forwarded
+    }
+
     fn next_scheduled(&mut self) -> Option<(Instant, ScheduledStep)> {
         let first = (0..self.scheduled.len()).min_by_key(|at| self.scheduled[*at].0)?;
         Some(self.scheduled[first])
--- a/crates/agatemoor/tests/soak/soak_history.rs
+++ b/crates/agatemoor/tests/soak/soak_history.rs
@@ -111,6 +111,9 @@
     pub rates: Vec<RateChange>,
     /// Attempts that gateways have read, by the logs of these.
     pub read: BTreeSet<String>,
+    /// Attempts that a gateway sent for another one which forwarded them, as of the one that sent them; by
+    /// identifier, from the logs.
+    pub forwarded: BTreeMap<String, AttemptRecord>,
 }
 
 /// Records a history while the soak runs; its clones share the history.
